--- /dev/null
+++ b/Makefile
@@ -0,0 +1,145 @@
+# Workspace build. Each package under packages/ has a package.mk that names
+# the packages whose public headers it may include; the include path of a
+# package holds nothing else.
+
+CC ?= gcc
+BUILD ?= build
+PROFILE ?= release
+
+PKGS := $(notdir $(wildcard packages/*))
+include $(wildcard packages/*/package.mk)
+
+LIBS := libprotobuf-c libmicrohttpd libcurl jansson libsodium libxxhash
+LIB_CFLAGS := $(shell pkg-config --cflags $(LIBS))
+LIB_LIBS := $(shell pkg-config --libs $(LIBS)) -lck -lpthread -lm
+GLIB_CFLAGS := $(shell pkg-config --cflags glib-2.0)
+GLIB_LIBS := $(shell pkg-config --libs glib-2.0)
+
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wpointer-arith -Wno-unused-parameter
+CPPFLAGS += -D_GNU_SOURCE $(LIB_CFLAGS)
+CFLAGS_release := -O2 -g -fno-omit-frame-pointer
+CFLAGS_asan := -O1 -g -fno-omit-frame-pointer \
+	-fsanitize=address,undefined -fno-sanitize-recover=all
+CFLAGS_tsan := -O1 -g -fno-omit-frame-pointer -fsanitize=thread
+CFLAGS += -std=c11 $(WARN) $(CFLAGS_$(PROFILE))
+LDFLAGS += $(filter -fsanitize%,$(CFLAGS_$(PROFILE)))
+OUT := $(BUILD)/$(PROFILE)
+
+# Programs' main files are left out of the archive.
+MAINS := packages/daemon/main.c packages/cli/main.c
+SRCS := $(filter-out $(MAINS),$(wildcard packages/*/*.c))
+OBJS := $(SRCS:%.c=$(OUT)/%.o)
+LIBGV := $(OUT)/libguavarock.a
+
+FAKE_SRCS := $(wildcard tests/fakes/*.c)
+FAKES := $(FAKE_SRCS:tests/fakes/%.c=$(OUT)/fakes/%)
+TEST_SUPPORT := $(wildcard tests/support/*.c)
+TEST_SUPPORT_OBJS := $(TEST_SUPPORT:%.c=$(OUT)/%.o)
+TEST_SRCS := $(wildcard tests/test_*.c)
+TESTS := $(TEST_SRCS:tests/%.c=$(OUT)/tests/%)
+BENCH_SRCS := $(wildcard bench/*.c)
+BENCHES := $(BENCH_SRCS:bench/%.c=$(OUT)/bench/%)
+
+ALL_INC := $(foreach p,$(PKGS),-Ipackages/$p/include)
+pkg_of = $(word 2,$(subst /, ,$1))
+inc_of = -Ipackages/$1/include $(foreach d,$($1_DEPS),-Ipackages/$d/include)
+
+BINS := $(if $(wildcard packages/daemon/main.c),$(OUT)/guavarockd) \
+	$(if $(wildcard packages/cli/main.c),$(OUT)/guavarock)
+
+.PHONY: all tests benches fakes check check-asan check-tsan format \
+	format-check lint demo deps clean e2e soak proto
+.SECONDARY:
+
+all: $(BINS)
+fakes: $(FAKES)
+tests: $(TESTS)
+benches: $(BENCHES)
+
+$(OUT)/packages/%.o: packages/%.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) $(call inc_of,$(call pkg_of,$<)) $(CFLAGS) -MMD -MP \
+		-c $< -o $@
+
+# Generated code is compiled without the project's warnings.
+%.pb-c.o: WARN := -w
+
+$(OUT)/tests/%.o: tests/%.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) $(ALL_INC) -Itests/support $(GLIB_CFLAGS) $(CFLAGS) \
+		-MMD -MP -c $< -o $@
+
+$(OUT)/bench/%.o: bench/%.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) $(ALL_INC) -Itests/support $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIBGV): $(OBJS)
+	@rm -f $@
+	@ar rcs $@ $(OBJS)
+
+$(OUT)/guavarockd: $(OUT)/packages/daemon/main.o $(LIBGV)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
+
+$(OUT)/guavarock: $(OUT)/packages/cli/main.o $(LIBGV)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
+
+$(OUT)/fakes/%: $(OUT)/tests/fakes/%.o $(LIBGV)
+	@mkdir -p $(@D)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
+
+$(OUT)/tests/test_%: $(OUT)/tests/test_%.o $(TEST_SUPPORT_OBJS) $(LIBGV)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
+
+$(OUT)/bench/%: $(OUT)/bench/%.o $(LIBGV)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
+
+# The test runner prints 'N passed, N failed' as its last line.
+check: all fakes tests
+	@tests/run.sh $(OUT)
+
+check-asan:
+	$(MAKE) PROFILE=asan check
+
+check-tsan:
+	$(MAKE) PROFILE=tsan check TESTS_MATCH='$(TSAN_TESTS)'
+
+ALL_C := $(wildcard packages/*/*.c packages/*/*.h packages/*/include/*.h \
+	tests/*.c tests/*/*.c tests/*/*.h bench/*.c)
+STYLED := $(filter-out %.pb-c.c %.pb-c.h,$(ALL_C))
+
+format:
+	@clang-format -i $(STYLED)
+
+format-check:
+	@clang-format --dry-run -Werror $(STYLED)
+
+LINT_C := $(filter %.c,$(STYLED))
+LINT_STAMPS := $(LINT_C:%=$(BUILD)/lint/%.ok)
+$(BUILD)/lint/%.ok: % .clang-tidy
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- -std=c11 $(CPPFLAGS) $(ALL_INC) -Itests/support \
+		$(GLIB_CFLAGS) 2>/dev/null
+	@touch $@
+
+lint: $(LINT_STAMPS)
+	@cppcheck --quiet --std=c11 --enable=warning,portability --inline-suppr \
+		--library=gtk --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
+		--error-exitcode=1 -j 4 $(ALL_INC) $(LINT_C)
+
+deps:
+	.ci/deps
+
+demo: deps
+	$(MAKE) all fakes
+	tests/demo.sh $(OUT)
+
+# Needs protobuf-c-compiler; the generated files are committed.
+proto:
+	cd packages/peer && protoc-c --c_out=. wire.proto && mv wire.pb-c.h include/
+	cd packages/state && protoc-c --c_out=. state.proto && mv state.pb-c.h include/
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/packages/base/package.mk
@@ -0,0 +1,1 @@
+base_DEPS :=
--- /dev/null
+++ b/packages/base/ring.c
@@ -0,0 +1,91 @@
+#include "ring.h"
+
+#include <stdint.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <ck_pr.h>
+#include <ck_ring.h>
+
+#include "mem.h"
+
+struct ring {
+    ck_ring_t ring;
+    ck_ring_buffer_t *slots;
+    int fd;
+    uint32_t signalled;
+};
+
+struct ring *
+ring_create(unsigned capacity)
+{
+    struct ring *r = mem_zalloc(1, sizeof(*r));
+
+    r->fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (r->fd < 0) {
+        mem_free(r);
+        return NULL;
+    }
+    r->slots = mem_zalloc(capacity, sizeof(*r->slots));
+    ck_ring_init(&r->ring, capacity);
+    return r;
+}
+
+void
+ring_destroy(struct ring *r)
+{
+    if (r == NULL) {
+        return;
+    }
+    close(r->fd);
+    mem_free(r->slots);
+    mem_free(r);
+}
+
+bool
+ring_push(struct ring *r, void *item)
+{
+    uint64_t one = 1;
+
+    if (!ck_ring_enqueue_mpsc(&r->ring, r->slots, item)) {
+        return false;
+    }
+    /* One system call per burst: the consumer clears the flag first. */
+    if (ck_pr_fas_32(&r->signalled, 1) == 0) {
+        if (write(r->fd, &one, sizeof(one)) < 0) {
+            ck_pr_store_32(&r->signalled, 0);
+        }
+    }
+    return true;
+}
+
+void *
+ring_pop(struct ring *r)
+{
+    void *item;
+
+    if (!ck_ring_dequeue_mpsc(&r->ring, r->slots, &item)) {
+        return NULL;
+    }
+    return item;
+}
+
+int
+ring_fd(const struct ring *r)
+{
+    return r->fd;
+}
+
+void
+ring_clear(struct ring *r)
+{
+    uint64_t count;
+
+    /* Drained before the flag is cleared: a push between the two signals
+     * nothing, but its item is popped by the loop that follows. */
+    if (read(r->fd, &count, sizeof(count)) < 0) {
+        count = 0;
+    }
+    ck_pr_store_32(&r->signalled, 0);
+    ck_pr_fence_memory();
+}
