--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 $(OUT)/guavarock: $(OUT)/packages/cli/main.o $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
 
-$(OUT)/fakes/%: $(OUT)/tests/fakes/%.o $(LIBGV)
+$(OUT)/fakes/%: $(OUT)/tests/fakes/%.o $(TEST_SUPPORT_OBJS) $(LIBGV)
 	@mkdir -p $(@D)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
 
--- a/packages/base/include/ring.h
+++ b/packages/base/include/ring.h
@@ -34,4 +34,8 @@
 void
 ring_clear(struct ring *r);
 
+/* The consumer: ring_clear, after waiting until there is input. */
+void
+ring_wait(struct ring *r);
+
 #endif
--- a/packages/base/ring.c
+++ b/packages/base/ring.c
@@ -1,5 +1,6 @@
 #include "ring.h"
 
+#include <poll.h>
 #include <stdint.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -89,3 +90,13 @@
     ck_pr_store_32(&r->signalled, 0);
     ck_pr_fence_memory();
 }
+
+void
+ring_wait(struct ring *r)
+{
+    struct pollfd p = {.fd = r->fd, .events = POLLIN};
+
+    while (poll(&p, 1, -1) < 0) {
+    }
+    ring_clear(r);
+}
--- /dev/null
+++ b/packages/cli/lists.c
@@ -0,0 +1,188 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cli.h"
+#include "mem.h"
+
+struct list_kind {
+    const char *path;
+    const char *member;
+    const char *doc;
+    const char *const *columns;
+};
+
+static const char *const team_columns[] = {"name", "weight", NULL};
+static const char *const limit_columns[] = {
+    "team",         "tasks",    "cpu_milli", "memory_mib",
+    "accelerators", "requests", NULL};
+
+static const struct list_kind teams = {
+    .path = "/v1/lists/teams",
+    .member = "teams",
+    .doc = "Replace the list of teams by the one in FILE: "
+           "{\"version\":N,\"teams\":[{\"name\":...,\"weight\":...}]}. "
+           "version names the list that FILE was made from.",
+    .columns = team_columns};
+
+static const struct list_kind limits = {
+    .path = "/v1/lists/limits",
+    .member = "limits",
+    .doc = "Replace the list of limits by the one in FILE: "
+           "{\"version\":N,\"limits\":[{\"team\":...,\"tasks\":...,"
+           "\"cpu_milli\":...,\"memory_mib\":...,\"accelerators\":...,"
+           "\"requests\":...}]}. version names the list that FILE was made "
+           "from.",
+    .columns = limit_columns};
+
+struct set {
+    const char *file;
+    const char *idempotency_key;
+    long version;
+};
+
+static int
+get(struct cli *cli, const struct list_kind *kind, int argc, char **argv)
+{
+    const struct argp argp = {.doc = "Print the list and its version."};
+    const struct cli_request request = {.method = "GET", .path = kind->path};
+    struct cli_response response = {0};
+    int status;
+
+    argp_parse(&argp, argc, argv, 0, NULL, NULL);
+    status = cli_call(cli, &request, &response);
+    if (status == CLI_OK && cli->json) {
+        cli_print_json(&response);
+    }
+    else if (status == CLI_OK) {
+        printf("version %" JSON_INTEGER_FORMAT "\n",
+               json_integer_value(json_object_get(response.json, "version")));
+        cli_table(json_object_get(response.json, kind->member), kind->columns);
+    }
+    cli_response_free(&response);
+    return status;
+}
+
+static const struct argp_option set_options[] = {
+    {"version", 'v', "N", 0, "Version the list was made from", 0},
+    {"idempotency-key", 'i', "TEXT", 0,
+     "Repeat an earlier change whose answer was lost", 0},
+    {0},
+};
+
+static error_t
+set_option(int key, char *arg, struct argp_state *state)
+{
+    struct set *s = state->input;
+
+    switch (key) {
+    case 'v':
+        s->version = cli_number(state, "--version", arg, INT32_MAX);
+        break;
+    case 'i':
+        s->idempotency_key = arg;
+        break;
+    case ARGP_KEY_ARG:
+        s->file = arg;
+        break;
+    case ARGP_KEY_END:
+        if (s->file == NULL) {
+            argp_error(state, "the file is missing");
+        }
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
+static int
+send_list(struct cli *cli, const struct list_kind *kind, const struct set *s,
+          const json_t *list)
+{
+    char *own_key = cli_idempotency_key();
+    char *body = json_dumps(list, JSON_COMPACT);
+    struct cli_response response = {0};
+    char version[24];
+    int status;
+
+    snprintf(version, sizeof(version), "%ld", s->version);
+    const struct cli_request request = {
+        .method = "PUT",
+        .path = kind->path,
+        .body = str_of(body),
+        .if_match = version,
+        .idempotency_key =
+            s->idempotency_key == NULL ? own_key : s->idempotency_key};
+    status = cli_call(cli, &request, &response);
+    if (response.json != NULL) {
+        cli_print_json(&response);
+    }
+    if (status == CLI_UNREACHABLE || status == CLI_UNKNOWN) {
+        fprintf(stderr, "guavarock: repeat with --idempotency-key %s\n",
+                request.idempotency_key);
+    }
+    cli_response_free(&response);
+    mem_free(own_key);
+    free(body);
+    return status;
+}
+
+static int
+set(struct cli *cli, const struct list_kind *kind, int argc, char **argv)
+{
+    const struct argp argp = {.options = set_options,
+                              .parser = set_option,
+                              .args_doc = "FILE",
+                              .doc = kind->doc};
+    struct set s = {.version = -1};
+    const json_t *version;
+    json_t *list;
+    int status = CLI_USAGE;
+
+    argp_parse(&argp, argc, argv, 0, NULL, &s);
+    list = cli_read_json(s.file);
+    if (list == NULL) {
+        return CLI_USAGE;
+    }
+    version = json_object_get(list, "version");
+    if (s.version < 0 && json_is_integer(version)) {
+        s.version = (long)json_integer_value(version);
+    }
+    if (s.version < 0) {
+        fprintf(stderr,
+                "guavarock: %s: field version is missing; give it or "
+                "--version\n",
+                s.file);
+    }
+    else {
+        json_object_set_new(list, "version", json_integer(s.version));
+        status = send_list(cli, kind, &s, list);
+    }
+    json_decref(list);
+    return status;
+}
+
+int
+cli_teams_get(struct cli *cli, int argc, char **argv)
+{
+    return get(cli, &teams, argc, argv);
+}
+
+int
+cli_teams_set(struct cli *cli, int argc, char **argv)
+{
+    return set(cli, &teams, argc, argv);
+}
+
+int
+cli_limits_get(struct cli *cli, int argc, char **argv)
+{
+    return get(cli, &limits, argc, argv);
+}
+
+int
+cli_limits_set(struct cli *cli, int argc, char **argv)
+{
+    return set(cli, &limits, argc, argv);
+}
--- /dev/null
+++ b/packages/cli/package.mk
@@ -0,0 +1,1 @@
+cli_DEPS := base operator
--- /dev/null
+++ b/packages/daemon/package.mk
@@ -0,0 +1,2 @@
+daemon_DEPS := base store raft state sched route peer front caller endpoint \
+	worker operator platform
--- /dev/null
+++ b/packages/daemon/settings.c
@@ -0,0 +1,289 @@
+#include "settings.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "endpoint.h"
+#include "mem.h"
+
+enum {
+    CONTROL_MAX = 5,
+    QUEUES_MAX = 100,
+    THREADS_MAX = 64,
+    FILE_MAX_BYTES = 1 << 20,
+    MS_MAX = 3600000,
+    PATH_LEN_MAX = 4096,
+    KEY_TEXT_MIN = 32,
+};
+
+#define FIELD(name_, kind_, flags_, min_, max_)                               \
+    {                                                                         \
+        .name = #name_, .kind = (kind_), .flags = (flags_),                   \
+        .offset = offsetof(struct settings, name_), .min = (min_),            \
+        .max = (max_)                                                         \
+    }
+
+static const char *const log_levels[] = {"crit", "err",   "warning", "notice",
+                                         "info", "debug", NULL};
+
+static const struct json_field control_fields[] = {
+    {.name = "vm",
+     .kind = JSON_KIND_NAME,
+     .flags = JSON_UNIQUE,
+     .offset = offsetof(struct settings_control_vm, vm)},
+    {.name = "address",
+     .kind = JSON_KIND_STRING,
+     .flags = JSON_UNIQUE,
+     .offset = offsetof(struct settings_control_vm, address),
+     .min = 1,
+     .max = 128},
+};
+
+static const struct json_shape control_shape = {
+    control_fields, 2, sizeof(struct settings_control_vm)};
+
+static const struct json_field queue_fields[] = {
+    {.name = "name",
+     .kind = JSON_KIND_NAME,
+     .flags = JSON_UNIQUE,
+     .offset = offsetof(struct settings_queue, name)},
+};
+
+static const struct json_shape queue_shape = {queue_fields, 1,
+                                              sizeof(struct settings_queue)};
+
+#define WEIGHT(name_)                                                         \
+    {                                                                         \
+        .name = #name_, .kind = JSON_KIND_REAL, .flags = JSON_OPTIONAL,       \
+        .offset = offsetof(struct sched_weights, name_), .min = 0,            \
+        .max = 1000                                                           \
+    }
+
+static const struct json_field weight_fields[] = {
+    WEIGHT(waiting), WEIGHT(packing), WEIGHT(control), WEIGHT(share)};
+
+static const struct json_shape weight_shape = {weight_fields, 4,
+                                               sizeof(struct sched_weights)};
+
+static const struct json_field fields[] = {
+    FIELD(vm, JSON_KIND_NAME, 0, 0, 0),
+    FIELD(failure_domain, JSON_KIND_NAME, 0, 0, 0),
+    FIELD(listen, JSON_KIND_STRING, 0, 1, 128),
+    FIELD(peer_listen, JSON_KIND_STRING, JSON_OPTIONAL, 1, 128),
+    FIELD(data, JSON_KIND_STRING, JSON_OPTIONAL, 1, PATH_LEN_MAX),
+    FIELD(cluster_key_file, JSON_KIND_STRING, 0, 1, PATH_LEN_MAX),
+    {.name = "control",
+     .kind = JSON_KIND_LIST,
+     .offset = offsetof(struct settings, control),
+     .shape = &control_shape,
+     .count_offset = offsetof(struct settings, control_count),
+     .count_max = CONTROL_MAX},
+    {.name = "open_queues",
+     .kind = JSON_KIND_LIST,
+     .flags = JSON_OPTIONAL,
+     .offset = offsetof(struct settings, open_queues),
+     .shape = &queue_shape,
+     .count_offset = offsetof(struct settings, open_queue_count),
+     .count_max = QUEUES_MAX},
+    {.name = "weights",
+     .kind = JSON_KIND_OBJECT,
+     .flags = JSON_OPTIONAL,
+     .offset = offsetof(struct settings, weights),
+     .shape = &weight_shape},
+    FIELD(front_threads, JSON_KIND_U32, JSON_OPTIONAL, 1, THREADS_MAX),
+    FIELD(upstream_threads, JSON_KIND_U32, JSON_OPTIONAL, 1, THREADS_MAX),
+    FIELD(election_timeout_ms, JSON_KIND_U32, JSON_OPTIONAL, 50, 60000),
+    FIELD(heartbeat_ms, JSON_KIND_U32, JSON_OPTIONAL, 10, 10000),
+    FIELD(config_lease_ms, JSON_KIND_U32, JSON_OPTIONAL, 200, 60000),
+    FIELD(worker_lease_ms, JSON_KIND_U32, JSON_OPTIONAL, 200, MS_MAX),
+    FIELD(endpoint_lease_ms, JSON_KIND_U32, JSON_OPTIONAL, 200, 60000),
+    FIELD(longest_request_ms, JSON_KIND_U32, JSON_OPTIONAL, 100, MS_MAX),
+    FIELD(drain_notice_ms, JSON_KIND_U32, JSON_OPTIONAL, 0, 600000),
+    FIELD(drain_deadline_ms, JSON_KIND_U32, JSON_OPTIONAL, 100, MS_MAX),
+    FIELD(snapshot_entries, JSON_KIND_U32, JSON_OPTIONAL, 10, 100000000),
+    {.name = "log_level",
+     .kind = JSON_KIND_ENUM,
+     .flags = JSON_OPTIONAL,
+     .offset = offsetof(struct settings, log_level),
+     .names = log_levels},
+};
+
+static const struct json_shape shape = {
+    fields, sizeof(fields) / sizeof(fields[0]), sizeof(struct settings)};
+
+static void
+defaults(struct settings *s)
+{
+    struct sched_config sched;
+
+    sched_config_default(&sched);
+    *s = (struct settings){
+        .weights = sched.weights,
+        .front_threads = 4,
+        .upstream_threads = 2,
+        .election_timeout_ms = 500,
+        .heartbeat_ms = 100,
+        .config_lease_ms = 3000,
+        .worker_lease_ms = 10000,
+        .endpoint_lease_ms = 3000,
+        .longest_request_ms = 30000,
+        .drain_notice_ms = 3000,
+        .drain_deadline_ms = 60000,
+        .snapshot_entries = 100000,
+        .log_level = 4,
+    };
+}
+
+static bool
+fail(const char *file, int line, const char *field, const char *message)
+{
+    fprintf(stderr, "guavarockd: %s:%d: field %s: %s\n", file, line,
+            field[0] == '\0' ? "-" : field, message);
+    return false;
+}
+
+static bool
+read_file(const char *file, struct buf *out)
+{
+    FILE *f = fopen(file, "re");
+    size_t len = 1;
+
+    if (f == NULL) {
+        return false;
+    }
+    while (len != 0 && out->len < FILE_MAX_BYTES) {
+        len = fread(buf_reserve(out, 4096), 1, 4096, f);
+        out->len += len;
+    }
+    fclose(f);
+    return out->len < FILE_MAX_BYTES;
+}
+
+/* The key is derived from the file's text, so that any text of enough length
+ * serves, such as the output of "openssl rand -hex 32". */
+static bool
+read_cluster_key(struct settings *s, const char *file)
+{
+    struct buf path = {0};
+    struct buf text = {0};
+    bool ok;
+
+    buf_printf(&path, "%.*s", STR_ARG(s->cluster_key_file));
+    ok = read_file(path.ptr, &text);
+    while (text.len > 0 && text.ptr[text.len - 1] <= ' ') {
+        text.len--;
+    }
+    if (!ok) {
+        fail(file, 0, "cluster_key_file", strerror(errno));
+    }
+    else if (text.len < KEY_TEXT_MIN) {
+        ok = fail(file, 0, "cluster_key_file",
+                  "the file holds fewer than 32 characters");
+    }
+    else {
+        crypto_generichash(s->cluster_key, sizeof(s->cluster_key),
+                           (const unsigned char *)text.ptr, text.len, NULL, 0);
+    }
+    sodium_memzero(text.ptr, text.cap);
+    buf_free(&path);
+    buf_free(&text);
+    return ok;
+}
+
+bool
+settings_is_control(const struct settings *s)
+{
+    for (size_t i = 0; i < s->control_count; i++) {
+        if (str_eq(s->control[i].vm, s->vm)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+check(const struct settings *s, const char *file)
+{
+    bool control = settings_is_control(s);
+
+    if (!endpoint_address_ok(s->listen)) {
+        return fail(file, 0, "listen", "not a numeric IP:PORT");
+    }
+    for (size_t i = 0; i < s->control_count; i++) {
+        if (!endpoint_address_ok(s->control[i].address)) {
+            return fail(file, 0, "control.address", "not a numeric IP:PORT");
+        }
+    }
+    if (s->control_count % 2 == 0) {
+        return fail(file, 0, "control", "list 1, 3 or 5 control VMs");
+    }
+    if (control && (s->data.ptr == NULL || s->peer_listen.ptr == NULL)) {
+        return fail(file, 0, s->data.ptr == NULL ? "data" : "peer_listen",
+                    "is needed on a control VM");
+    }
+    if (!control && s->data.ptr != NULL) {
+        return fail(file, 0, "data", "this VM is not listed under control");
+    }
+    if (s->heartbeat_ms * 2 > s->election_timeout_ms) {
+        return fail(file, 0, "heartbeat_ms",
+                    "must be at most half of election_timeout_ms");
+    }
+    return true;
+}
+
+bool
+settings_load(struct settings *s, const char *file)
+{
+    struct json_error error;
+    struct buf text = {0};
+    bool ok;
+
+    defaults(s);
+    if (!read_file(file, &text)) {
+        fprintf(stderr, "guavarockd: %s: cannot be read\n", file);
+        buf_free(&text);
+        return false;
+    }
+    s->doc = json_decode(&shape, buf_str(&text), s, &error);
+    buf_free(&text);
+    if (s->doc == NULL) {
+        return fail(file, error.line, error.field, error.message);
+    }
+    ok = check(s, file) && read_cluster_key(s, file);
+    if (!ok) {
+        settings_free(s);
+    }
+    return ok;
+}
+
+static struct settings_control_vm single_vm;
+
+void
+settings_single(struct settings *s, const char *listen, const char *data)
+{
+    defaults(s);
+    s->single = true;
+    s->vm = STR("vm1");
+    s->failure_domain = STR("fd1");
+    s->listen = str_of(listen);
+    s->data = str_of(data);
+    s->election_timeout_ms = 100;
+    s->heartbeat_ms = 50;
+    s->drain_notice_ms = 0;
+    single_vm.vm = s->vm;
+    s->control = &single_vm;
+    s->control_count = 1;
+}
+
+void
+settings_free(struct settings *s)
+{
+    if (s->doc != NULL) {
+        json_doc_free(s->doc);
+    }
+    sodium_memzero(s->cluster_key, sizeof(s->cluster_key));
+    *s = (struct settings){0};
+}
--- /dev/null
+++ b/tests/support/http_client.c
@@ -0,0 +1,121 @@
+#include "http_client.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include <curl/curl.h>
+
+#include "mem.h"
+
+struct http_client {
+    CURL *easy;
+};
+
+struct http_client *
+http_client_create(void)
+{
+    struct http_client *c = mem_zalloc(1, sizeof(*c));
+
+    c->easy = curl_easy_init();
+    return c;
+}
+
+void
+http_client_destroy(struct http_client *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    curl_easy_cleanup(c->easy);
+    mem_free(c);
+}
+
+static size_t
+take_body(char *data, size_t size, size_t count, void *arg)
+{
+    buf_append(arg, data, size * count);
+    return size * count;
+}
+
+static size_t
+take_header(char *data, size_t size, size_t count, void *arg)
+{
+    static const char name[] = "guavarock-outcome:";
+    struct http_answer *answer = arg;
+    size_t len = size * count;
+    size_t at = sizeof(name) - 1;
+    size_t out = 0;
+
+    if (len <= at || strncasecmp(data, name, at) != 0) {
+        return len;
+    }
+    while (at < len && data[at] == ' ') {
+        at++;
+    }
+    while (at < len && data[at] > ' ' && out + 1 < sizeof(answer->outcome)) {
+        answer->outcome[out++] = data[at++];
+    }
+    answer->outcome[out] = '\0';
+    return len;
+}
+
+static struct curl_slist *
+build_headers(const struct http_call *call)
+{
+    struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+    struct buf auth = {0};
+
+    if (call->key != NULL) {
+        buf_printf(&auth, "Authorization: Bearer %s", call->key);
+        list = curl_slist_append(list, auth.ptr);
+        buf_free(&auth);
+    }
+    if (call->body.len != 0) {
+        list = curl_slist_append(list, "Content-Type: application/json");
+    }
+    for (size_t i = 0; call->headers != NULL && call->headers[i] != NULL;
+         i++) {
+        list = curl_slist_append(list, call->headers[i]);
+    }
+    return list;
+}
+
+void
+http_client_call(struct http_client *c, const struct http_call *call,
+                 struct http_answer *answer)
+{
+    struct curl_slist *headers = build_headers(call);
+    CURLcode code;
+
+    *answer = (struct http_answer){0};
+    curl_easy_reset(c->easy);
+    curl_easy_setopt(c->easy, CURLOPT_URL, call->url);
+    curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST, call->method);
+    curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, call->timeout_ms);
+    curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, take_body);
+    curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, &answer->body);
+    curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, take_header);
+    curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, answer);
+    if (strcmp(call->method, "HEAD") == 0) {
+        curl_easy_setopt(c->easy, CURLOPT_NOBODY, 1L);
+    }
+    if (call->body.len != 0) {
+        curl_easy_setopt(c->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)call->body.len);
+        curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, call->body.ptr);
+    }
+    code = curl_easy_perform(c->easy);
+    curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &answer->status);
+    answer->complete = code == CURLE_OK;
+    *buf_reserve(&answer->body, 1) = '\0';
+    curl_slist_free_all(headers);
+}
+
+void
+http_answer_free(struct http_answer *answer)
+{
+    buf_free(&answer->body);
+}
