--- /dev/null
+++ b/packages/raft/package.mk
@@ -0,0 +1,1 @@
+raft_DEPS := base
--- /dev/null
+++ b/packages/store/package.mk
@@ -0,0 +1,1 @@
+store_DEPS := base raft
