--- /dev/null
+++ b/packages/sched/package.mk
@@ -0,0 +1,1 @@
+sched_DEPS := base
