--- /dev/null
+++ b/packages/route/package.mk
@@ -0,0 +1,1 @@
+route_DEPS := base
