--- /dev/null
+++ b/packages/caller/package.mk
@@ -0,0 +1,1 @@
+caller_DEPS := base
--- /dev/null
+++ b/packages/endpoint/include/endpoint.h
@@ -0,0 +1,48 @@
+#ifndef GV_ENDPOINT_H
+#define GV_ENDPOINT_H
+
+#include "api.h"
+
+/* Announcements of endpoints. Parse functions: see caller.h. */
+
+enum endpoint_state {
+    ENDPOINT_READY,
+    ENDPOINT_LEAVING,
+};
+
+enum {
+    ENDPOINT_SLOTS_MAX = 100000,
+};
+
+struct endpoint {
+    struct str service;
+    struct str address; /* numeric IPv4:port or [IPv6]:port */
+    struct str failure_domain;
+    uint32_t slots;
+    uint32_t connections;
+    int state; /* enum endpoint_state */
+};
+
+struct json_doc *
+endpoint_parse(struct str body, struct endpoint *out, struct api_error *err);
+void
+endpoint_render(const struct endpoint *e, struct buf *out);
+
+/* Answer to an announcement: repeat it before lease_ms has passed. */
+struct endpoint_answer {
+    uint64_t lease_ms;
+};
+
+struct json_doc *
+endpoint_answer_parse(struct str body, struct endpoint_answer *out,
+                      struct api_error *err);
+void
+endpoint_answer_render(const struct endpoint_answer *a, struct buf *out);
+
+/* A numeric address with a port other than 0. */
+bool
+endpoint_address_ok(struct str address);
+
+extern const struct api_table endpoint_routes;
+
+#endif
--- /dev/null
+++ b/packages/endpoint/package.mk
@@ -0,0 +1,1 @@
+endpoint_DEPS := base
--- /dev/null
+++ b/packages/front/package.mk
@@ -0,0 +1,1 @@
+front_DEPS := base
--- /dev/null
+++ b/packages/operator/package.mk
@@ -0,0 +1,1 @@
+operator_DEPS := base
--- /dev/null
+++ b/packages/platform/package.mk
@@ -0,0 +1,1 @@
+platform_DEPS := base
--- /dev/null
+++ b/packages/worker/package.mk
@@ -0,0 +1,1 @@
+worker_DEPS := base
