--- /dev/null
+++ b/packages/peer/include/peer.h
@@ -0,0 +1,174 @@
+#ifndef GV_PEER_H
+#define GV_PEER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "str.h"
+
+/*
+ * Authenticated sessions between guavarock processes over TCP. A frame is a
+ * 4-byte big-endian length and an encrypted payload; the payload is one
+ * encoded Envelope (wire.pb-c.h), which this module does not look into.
+ * Everything runs on the thread that calls peer_poll and never blocks.
+ */
+
+enum {
+    PEER_FRAME_MAX = 16 * 1024 * 1024, /* bytes on the wire after the length */
+    PEER_HANDSHAKE_MAX = 1024,
+    PEER_NAME_MAX = 128,
+    PEER_CLUSTER_KEY_BYTES = 32,
+};
+
+/* Bytes that a payload may have. */
+#define PEER_PAYLOAD_MAX (PEER_FRAME_MAX - 64)
+
+struct peer_hub;
+
+/* One session, valid from session up until session down has returned. */
+struct peer_session;
+
+enum peer_down_reason {
+    PEER_DOWN_CLOSED,    /* the other side closed, or a reset */
+    PEER_DOWN_TIMEOUT,   /* nothing heard for the idle timeout */
+    PEER_DOWN_OVERFLOW,  /* the send queue was full; frames are lost */
+    PEER_DOWN_BAD_FRAME, /* authentication or framing failed */
+    PEER_DOWN_REPLACED,  /* a newer session of the same VM */
+    PEER_DOWN_LOCAL,     /* peer_close or peer_destroy */
+};
+
+/* What the other side proved in the handshake. */
+struct peer_identity {
+    struct str vm;
+    uint64_t member_id;  /* 0: no data directory */
+    uint64_t cluster_id; /* 0: not known yet */
+};
+
+/*
+ * Called from peer_poll, peer_send, peer_close and peer_destroy. The frame's
+ * bytes are valid during the call. A callback may call peer_send and
+ * peer_close, not peer_destroy.
+ */
+struct peer_handler {
+    void *arg;
+    void (*up)(void *arg, struct peer_session *session,
+               const struct peer_identity *identity);
+    void (*frame)(void *arg, struct peer_session *session, struct str payload);
+    void (*down)(void *arg, struct peer_session *session,
+                 enum peer_down_reason reason);
+};
+
+/* An address to keep a session to; vm may be empty when it is not known. */
+struct peer_target {
+    struct str vm;
+    struct str address; /* "a.b.c.d:port" or "[v6]:port" */
+};
+
+/* Strings are copied. Zero in a number means its default. */
+struct peer_config {
+    struct str vm;
+    uint64_t member_id;
+    uint64_t cluster_id;
+    uint8_t cluster_key[PEER_CLUSTER_KEY_BYTES];
+    struct str listen; /* empty: accepts nothing; port 0: any */
+    const struct peer_target *targets;
+    size_t target_count;
+    uint64_t seed;              /* of back-off jitter */
+    int64_t connect_timeout_ms; /* connection and handshake, 3000 */
+    int64_t keepalive_ms;       /* 500 */
+    int64_t idle_timeout_ms;    /* 2000 */
+    int64_t backoff_min_ms;     /* 50 */
+    int64_t backoff_max_ms;     /* 2000 */
+    size_t send_queue_max;      /* bytes per session, 32 MiB */
+    size_t accept_max;          /* connections in handshake, 64 */
+};
+
+/*
+ * Returns NULL when an address cannot be parsed or the listening socket
+ * cannot be had, with the reason in error.
+ */
+struct peer_hub *
+peer_create(const struct peer_config *config,
+            const struct peer_handler *handler, int64_t now, char *error,
+            size_t error_size);
+
+/* Closes every session without calling down. */
+void
+peer_destroy(struct peer_hub *p);
+
+/* The epoll descriptor: readable when peer_poll has work. */
+int
+peer_fd(const struct peer_hub *p);
+
+/* Handles what is ready and the timers; never blocks. */
+void
+peer_poll(struct peer_hub *p, int64_t now);
+
+/* When peer_poll must be called although the descriptor is not readable. */
+int64_t
+peer_next_deadline(const struct peer_hub *p);
+
+/* The port that the listening socket got, 0 without one. */
+uint16_t
+peer_port(const struct peer_hub *p);
+
+/*
+ * Changes what later handshakes announce, for a VM that joins a cluster
+ * after it has started. Sessions keep what they announced.
+ */
+void
+peer_set_identity(struct peer_hub *p, uint64_t member_id, uint64_t cluster_id);
+
+/* Adds an address to keep a session to; a known address is ignored. */
+bool
+peer_add_target(struct peer_hub *p, const struct peer_target *target,
+                int64_t now);
+void
+peer_remove_target(struct peer_hub *p, struct str address);
+
+/* The newest session to a VM, or NULL. */
+struct peer_session *
+peer_find(const struct peer_hub *p, struct str vm);
+const struct peer_identity *
+peer_session_identity(const struct peer_session *session);
+
+/* A pointer of the caller's that goes with the session. */
+void
+peer_session_set_data(struct peer_session *session, void *data);
+void *
+peer_session_data(const struct peer_session *session);
+
+/* Bytes queued and not yet taken by the kernel. */
+size_t
+peer_session_queued(const struct peer_session *session);
+
+/*
+ * Queues one payload. Returns false when it is larger than PEER_PAYLOAD_MAX
+ * (nothing happens) or when the queue is full (the session is closed and
+ * down is called with PEER_DOWN_OVERFLOW from the next peer_poll).
+ */
+bool
+peer_send(struct peer_session *session, struct str payload);
+
+/* Closes a session; down follows from the next peer_poll. */
+void
+peer_close(struct peer_session *session);
+
+/* ---- Frames, exposed for tests and fuzzing ---- */
+
+enum peer_frame_result {
+    PEER_FRAME_OK,
+    PEER_FRAME_SHORT, /* more bytes are needed */
+    PEER_FRAME_BAD,   /* length zero or above max */
+};
+
+/*
+ * Finds the first frame in bytes: its payload without the length, and the
+ * bytes that it takes with the length. It reads nothing behind bytes.
+ */
+enum peer_frame_result
+peer_frame_split(struct str bytes, size_t max, struct str *payload,
+                 size_t *used);
+
+#endif
--- /dev/null
+++ b/packages/peer/package.mk
@@ -0,0 +1,1 @@
+peer_DEPS := base
--- /dev/null
+++ b/packages/state/package.mk
@@ -0,0 +1,1 @@
+state_DEPS := base
