Number each begin of a request record

An entry whose BeginReply is lost must send Begin again. Without an attempt number the second Begin looks like a resend by the caller and is answered with 'running', although nothing runs.

--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -384,10 +384,14 @@
   ProtobufCBinaryData request_hash;
   int64_t timeout_ms;
   char *entry_vm;
+  /*
+   * random; a Begin sent again keeps it
+   */
+  uint64_t attempt;
 };
 #define WIRE__BEGIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__begin__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Wire__BeginReply
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -2407,7 +2407,7 @@
   (ProtobufCMessageInit) wire__stored_response__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__begin__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__begin__field_descriptors[7] =
 {
   {
     "id",
@@ -2481,8 +2481,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempt",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Begin, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__begin__field_indices_by_name[] = {
+  6,   /* field[6] = attempt */
   5,   /* field[5] = entry_vm */
   0,   /* field[0] = id */
   2,   /* field[2] = key */
@@ -2493,7 +2506,7 @@
 static const ProtobufCIntRange wire__begin__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__begin__descriptor =
 {
@@ -2503,7 +2516,7 @@
   "Wire__Begin",
   "wire",
   sizeof(Wire__Begin),
-  6,
+  7,
   wire__begin__field_descriptors,
   wire__begin__field_indices_by_name,
   1,  wire__begin__number_ranges,
--- a/packages/state/include/state.h
+++ b/packages/state/include/state.h
@@ -347,6 +347,8 @@
                 const struct state_sample *items, size_t count);
 
 /*
+ * attempt is drawn at random by the entry for each request that it received;
+ * sending the same begin again is applied again with the same number.
  * Applied: the request may run, number identifies the record. Duplicate:
  * number is the first record, state_request shows it. Conflict: the key was
  * used for another request. Invalid with STATE_REASON_FULL: refuse it.
@@ -355,7 +357,8 @@
 state_cmd_request_begin(struct buf *out, const struct state_actor *by,
                         uint32_t team, struct str key,
                         const uint8_t digest[STATE_DIGEST_BYTES],
-                        struct str entry, int64_t timeout_ms);
+                        struct str entry, uint64_t attempt,
+                        int64_t timeout_ms);
 
 /*
  * Ends record number. A response that is too large to store, or outcome
@@ -635,6 +638,7 @@
 
 struct state_request {
     uint64_t number;
+    uint64_t attempt;
     uint32_t team;
     enum state_request_state state;
     struct str key;
@@ -659,7 +663,8 @@
 
 /*
  * Appends to out the changes after version, or the whole configuration when
- * the history does not reach back to it.
+ * the history does not reach back to it. Appends nothing when version is the
+ * current one or there is no cluster yet.
  */
 void
 state_config_since(const struct state *s, uint64_t version, struct buf *out);
