--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -18,12 +18,10 @@
 typedef struct Wire__Envelope Wire__Envelope;
 typedef struct Wire__Raft Wire__Raft;
 typedef struct Wire__Join Wire__Join;
-typedef struct Wire__JoinReply Wire__JoinReply;
-typedef struct Wire__Probe Wire__Probe;
-typedef struct Wire__ProbeReply Wire__ProbeReply;
 typedef struct Wire__Header Wire__Header;
 typedef struct Wire__Call Wire__Call;
 typedef struct Wire__Reply Wire__Reply;
+typedef struct Wire__Leader Wire__Leader;
 typedef struct Wire__UnitReport Wire__UnitReport;
 typedef struct Wire__EntrySync Wire__EntrySync;
 typedef struct Wire__Endpoint Wire__Endpoint;
@@ -38,17 +36,6 @@
 
 /* --- enums --- */
 
-typedef enum _Wire__PoolKind {
-  /*
-   * slots of an endpoint
-   */
-  WIRE__POOL_KIND__POOL_ENDPOINT = 0,
-  /*
-   * concurrent requests of a team
-   */
-  WIRE__POOL_KIND__POOL_TEAM = 1
-    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__POOL_KIND)
-} Wire__PoolKind;
 typedef enum _Wire__Verdict {
   /*
    * not the leader, or refused: not-run
@@ -74,8 +61,6 @@
   WIRE__ENVELOPE__MSG__NOT_SET = 0,
   WIRE__ENVELOPE__MSG_RAFT = 1,
   WIRE__ENVELOPE__MSG_JOIN = 2,
-  WIRE__ENVELOPE__MSG_PROBE = 3,
-  WIRE__ENVELOPE__MSG_PROBE_REPLY = 4,
   WIRE__ENVELOPE__MSG_CALL = 5,
   WIRE__ENVELOPE__MSG_REPLY = 6,
   WIRE__ENVELOPE__MSG_ENTRY_SYNC = 7,
@@ -84,7 +69,7 @@
   WIRE__ENVELOPE__MSG_BEGIN_REPLY = 10,
   WIRE__ENVELOPE__MSG_END = 11,
   WIRE__ENVELOPE__MSG_END_REPLY = 12,
-  WIRE__ENVELOPE__MSG_JOIN_REPLY = 13
+  WIRE__ENVELOPE__MSG_LEADER = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__MSG__CASE)
 } Wire__Envelope__MsgCase;
 
@@ -99,8 +84,6 @@
   union {
     Wire__Raft *raft;
     Wire__Join *join;
-    Wire__Probe *probe;
-    Wire__ProbeReply *probe_reply;
     Wire__Call *call;
     Wire__Reply *reply;
     Wire__EntrySync *entry_sync;
@@ -109,7 +92,7 @@
     Wire__BeginReply *begin_reply;
     Wire__End *end;
     Wire__EndReply *end_reply;
-    Wire__JoinReply *join_reply;
+    Wire__Leader *leader;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -145,45 +128,6 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
-struct  Wire__JoinReply
-{
-  ProtobufCMessage base;
-  protobuf_c_boolean accepted;
-  uint64_t cluster_id;
-  char *leader_vm;
-};
-#define WIRE__JOIN_REPLY__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__join_reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string }
-
-
-/*
- * Bootstrap: asks a control VM what its data directory holds.
- */
-struct  Wire__Probe
-{
-  ProtobufCMessage base;
-  char *vm;
-  uint64_t member_id;
-};
-#define WIRE__PROBE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__probe__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
-
-
-struct  Wire__ProbeReply
-{
-  ProtobufCMessage base;
-  protobuf_c_boolean empty;
-  uint64_t member_id;
-  uint64_t cluster_id;
-  char *vm;
-};
-#define WIRE__PROBE_REPLY__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__probe_reply__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string }
-
-
 struct  Wire__Header
 {
   ProtobufCMessage base;
@@ -244,52 +188,79 @@
 
 
 /*
- * Units of one pool that an entry holds, uses and wants.
+ * Sent by a control VM whenever it learns of a leader, and at the start of a
+ * session.
+ */
+struct  Wire__Leader
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  char *vm;
+};
+#define WIRE__LEADER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__leader__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * struct unit_report of route/units.h.
  */
 struct  Wire__UnitReport
 {
   ProtobufCMessage base;
-  Wire__PoolKind kind;
-  /*
-   * endpoint id, or the team's number in decimal
-   */
   char *pool;
   uint32_t held;
   uint32_t used;
   uint32_t wanted;
-  /*
-   * of an endpoint pool
-   */
-  char *service;
 };
 #define WIRE__UNIT_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__unit_report__descriptor) \
-    , WIRE__POOL_KIND__POOL_ENDPOINT, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * An entry's report to the leader; struct report of route/units.h.
+ */
 struct  Wire__EntrySync
 {
   ProtobufCMessage base;
-  uint64_t seq;
   /*
-   * of the leader that the units were granted by
+   * of the leader that is addressed
    */
   uint64_t term;
-  uint64_t config_version;
+  uint64_t seq;
+  uint64_t ack_term;
+  uint64_t ack_seq;
+  int64_t up_ms;
+  protobuf_c_boolean draining;
   size_t n_units;
   Wire__UnitReport **units;
-  protobuf_c_boolean draining;
-  char *address;
-  char *failure_domain;
+  /*
+   * applied
+   */
+  uint64_t config_version;
+  /*
+   * of the leader that sent the endpoints held
+   */
+  uint64_t endpoints_term;
+  /*
+   * last change of endpoints applied
+   */
+  uint64_t endpoints_seq;
   char *vm;
+  char *failure_domain;
+  /*
+   * of the HTTP port
+   */
+  char *address;
   /*
-   * of the entry process
+   * random number of the entry process
    */
-  uint64_t incarnation;
+  uint64_t run;
 };
 #define WIRE__ENTRY_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__entry_sync__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Wire__Endpoint
@@ -302,64 +273,68 @@
   uint32_t slots;
   uint32_t connections;
   protobuf_c_boolean leaving;
-  int64_t ttl_ms;
 };
 #define WIRE__ENDPOINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__endpoint__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__UnitGrant
 {
   ProtobufCMessage base;
-  Wire__PoolKind kind;
   char *pool;
   uint32_t units;
-  char *service;
 };
 #define WIRE__UNIT_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__unit_grant__descriptor) \
-    , WIRE__POOL_KIND__POOL_ENDPOINT, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * struct grants of route/units.h, with the configuration and endpoints.
+ */
 struct  Wire__EntryGrant
 {
   ProtobufCMessage base;
+  uint64_t term;
+  uint64_t seq;
   /*
-   * of the EntrySync that this answers
+   * last report received
    */
-  uint64_t seq;
-  uint64_t term;
+  uint64_t report_seq;
+  int64_t unit_lease_ms;
+  size_t n_units;
+  Wire__UnitGrant **units;
   uint64_t config_version;
   /*
    * state_config_since, empty when nothing changed
    */
   ProtobufCBinaryData config;
-  int64_t lease_ms;
-  size_t n_endpoints;
-  Wire__Endpoint **endpoints;
-  size_t n_units;
-  Wire__UnitGrant **units;
-  char *leader_vm;
   /*
-   * endpoints that are not listed are gone
+   * from the time report_seq was sent; 0: none
    */
-  protobuf_c_boolean endpoints_full;
+  int64_t config_lease_ms;
   /*
-   * pools that are not listed hold nothing
+   * endpoints that are not listed are gone
    */
-  protobuf_c_boolean units_full;
+  protobuf_c_boolean endpoints_full;
+  uint64_t endpoints_seq;
+  size_t n_endpoints;
+  Wire__Endpoint **endpoints;
   size_t n_endpoints_gone;
   char **endpoints_gone;
-  uint64_t cluster_id;
   /*
-   * sent without an EntrySync; renews no lease
+   * the leader does not know this entry: report anew
    */
-  protobuf_c_boolean push;
+  protobuf_c_boolean restart;
+  /*
+   * an operator asked this VM to stop
+   */
+  protobuf_c_boolean drain;
 };
 #define WIRE__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__entry_grant__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Wire__StoredResponse
@@ -407,10 +382,14 @@
   protobuf_c_boolean not_leader;
   char *leader_vm;
   int64_t retry_after_s;
+  /*
+   * the entry process that runs the request
+   */
+  char *entry;
 };
 #define WIRE__BEGIN_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__begin_reply__descriptor) \
-    , 0, WIRE__VERDICT__VERDICT_NONE, NULL, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, WIRE__VERDICT__VERDICT_NONE, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Wire__End
@@ -501,63 +480,6 @@
 void   wire__join__free_unpacked
                      (Wire__Join *message,
                       ProtobufCAllocator *allocator);
-/* Wire__JoinReply methods */
-void   wire__join_reply__init
-                     (Wire__JoinReply         *message);
-size_t wire__join_reply__get_packed_size
-                     (const Wire__JoinReply   *message);
-size_t wire__join_reply__pack
-                     (const Wire__JoinReply   *message,
-                      uint8_t             *out);
-size_t wire__join_reply__pack_to_buffer
-                     (const Wire__JoinReply   *message,
-                      ProtobufCBuffer     *buffer);
-Wire__JoinReply *
-       wire__join_reply__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   wire__join_reply__free_unpacked
-                     (Wire__JoinReply *message,
-                      ProtobufCAllocator *allocator);
-/* Wire__Probe methods */
-void   wire__probe__init
-                     (Wire__Probe         *message);
-size_t wire__probe__get_packed_size
-                     (const Wire__Probe   *message);
-size_t wire__probe__pack
-                     (const Wire__Probe   *message,
-                      uint8_t             *out);
-size_t wire__probe__pack_to_buffer
-                     (const Wire__Probe   *message,
-                      ProtobufCBuffer     *buffer);
-Wire__Probe *
-       wire__probe__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   wire__probe__free_unpacked
-                     (Wire__Probe *message,
-                      ProtobufCAllocator *allocator);
-/* Wire__ProbeReply methods */
-void   wire__probe_reply__init
-                     (Wire__ProbeReply         *message);
-size_t wire__probe_reply__get_packed_size
-                     (const Wire__ProbeReply   *message);
-size_t wire__probe_reply__pack
-                     (const Wire__ProbeReply   *message,
-                      uint8_t             *out);
-size_t wire__probe_reply__pack_to_buffer
-                     (const Wire__ProbeReply   *message,
-                      ProtobufCBuffer     *buffer);
-Wire__ProbeReply *
-       wire__probe_reply__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   wire__probe_reply__free_unpacked
-                     (Wire__ProbeReply *message,
-                      ProtobufCAllocator *allocator);
 /* Wire__Header methods */
 void   wire__header__init
                      (Wire__Header         *message);
@@ -615,6 +537,25 @@
 void   wire__reply__free_unpacked
                      (Wire__Reply *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Leader methods */
+void   wire__leader__init
+                     (Wire__Leader         *message);
+size_t wire__leader__get_packed_size
+                     (const Wire__Leader   *message);
+size_t wire__leader__pack
+                     (const Wire__Leader   *message,
+                      uint8_t             *out);
+size_t wire__leader__pack_to_buffer
+                     (const Wire__Leader   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Leader *
+       wire__leader__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__leader__free_unpacked
+                     (Wire__Leader *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__UnitReport methods */
 void   wire__unit_report__init
                      (Wire__UnitReport         *message);
@@ -816,15 +757,6 @@
 typedef void (*Wire__Join_Closure)
                  (const Wire__Join *message,
                   void *closure_data);
-typedef void (*Wire__JoinReply_Closure)
-                 (const Wire__JoinReply *message,
-                  void *closure_data);
-typedef void (*Wire__Probe_Closure)
-                 (const Wire__Probe *message,
-                  void *closure_data);
-typedef void (*Wire__ProbeReply_Closure)
-                 (const Wire__ProbeReply *message,
-                  void *closure_data);
 typedef void (*Wire__Header_Closure)
                  (const Wire__Header *message,
                   void *closure_data);
@@ -834,6 +766,9 @@
 typedef void (*Wire__Reply_Closure)
                  (const Wire__Reply *message,
                   void *closure_data);
+typedef void (*Wire__Leader_Closure)
+                 (const Wire__Leader *message,
+                  void *closure_data);
 typedef void (*Wire__UnitReport_Closure)
                  (const Wire__UnitReport *message,
                   void *closure_data);
@@ -870,18 +805,15 @@
 
 /* --- descriptors --- */
 
-extern const ProtobufCEnumDescriptor    wire__pool_kind__descriptor;
 extern const ProtobufCEnumDescriptor    wire__verdict__descriptor;
 extern const ProtobufCEnumDescriptor    wire__end_outcome__descriptor;
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
 extern const ProtobufCMessageDescriptor wire__raft__descriptor;
 extern const ProtobufCMessageDescriptor wire__join__descriptor;
-extern const ProtobufCMessageDescriptor wire__join_reply__descriptor;
-extern const ProtobufCMessageDescriptor wire__probe__descriptor;
-extern const ProtobufCMessageDescriptor wire__probe_reply__descriptor;
 extern const ProtobufCMessageDescriptor wire__header__descriptor;
 extern const ProtobufCMessageDescriptor wire__call__descriptor;
 extern const ProtobufCMessageDescriptor wire__reply__descriptor;
+extern const ProtobufCMessageDescriptor wire__leader__descriptor;
 extern const ProtobufCMessageDescriptor wire__unit_report__descriptor;
 extern const ProtobufCMessageDescriptor wire__entry_sync__descriptor;
 extern const ProtobufCMessageDescriptor wire__endpoint__descriptor;
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -142,141 +142,6 @@
   assert(message->base.descriptor == &wire__join__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wire__join_reply__init
-                     (Wire__JoinReply         *message)
-{
-  static const Wire__JoinReply init_value = WIRE__JOIN_REPLY__INIT;
-  *message = init_value;
-}
-size_t wire__join_reply__get_packed_size
-                     (const Wire__JoinReply *message)
-{
-  assert(message->base.descriptor == &wire__join_reply__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t wire__join_reply__pack
-                     (const Wire__JoinReply *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &wire__join_reply__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t wire__join_reply__pack_to_buffer
-                     (const Wire__JoinReply *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &wire__join_reply__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Wire__JoinReply *
-       wire__join_reply__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Wire__JoinReply *)
-     protobuf_c_message_unpack (&wire__join_reply__descriptor,
-                                allocator, len, data);
-}
-void   wire__join_reply__free_unpacked
-                     (Wire__JoinReply *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__join_reply__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   wire__probe__init
-                     (Wire__Probe         *message)
-{
-  static const Wire__Probe init_value = WIRE__PROBE__INIT;
-  *message = init_value;
-}
-size_t wire__probe__get_packed_size
-                     (const Wire__Probe *message)
-{
-  assert(message->base.descriptor == &wire__probe__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t wire__probe__pack
-                     (const Wire__Probe *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &wire__probe__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t wire__probe__pack_to_buffer
-                     (const Wire__Probe *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &wire__probe__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Wire__Probe *
-       wire__probe__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Wire__Probe *)
-     protobuf_c_message_unpack (&wire__probe__descriptor,
-                                allocator, len, data);
-}
-void   wire__probe__free_unpacked
-                     (Wire__Probe *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__probe__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   wire__probe_reply__init
-                     (Wire__ProbeReply         *message)
-{
-  static const Wire__ProbeReply init_value = WIRE__PROBE_REPLY__INIT;
-  *message = init_value;
-}
-size_t wire__probe_reply__get_packed_size
-                     (const Wire__ProbeReply *message)
-{
-  assert(message->base.descriptor == &wire__probe_reply__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t wire__probe_reply__pack
-                     (const Wire__ProbeReply *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &wire__probe_reply__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t wire__probe_reply__pack_to_buffer
-                     (const Wire__ProbeReply *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &wire__probe_reply__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Wire__ProbeReply *
-       wire__probe_reply__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Wire__ProbeReply *)
-     protobuf_c_message_unpack (&wire__probe_reply__descriptor,
-                                allocator, len, data);
-}
-void   wire__probe_reply__free_unpacked
-                     (Wire__ProbeReply *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wire__probe_reply__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   wire__header__init
                      (Wire__Header         *message)
 {
@@ -412,6 +277,51 @@
   assert(message->base.descriptor == &wire__reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__leader__init
+                     (Wire__Leader         *message)
+{
+  static const Wire__Leader init_value = WIRE__LEADER__INIT;
+  *message = init_value;
+}
+size_t wire__leader__get_packed_size
+                     (const Wire__Leader *message)
+{
+  assert(message->base.descriptor == &wire__leader__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__leader__pack
+                     (const Wire__Leader *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__leader__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__leader__pack_to_buffer
+                     (const Wire__Leader *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__leader__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Leader *
+       wire__leader__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Leader *)
+     protobuf_c_message_unpack (&wire__leader__descriptor,
+                                allocator, len, data);
+}
+void   wire__leader__free_unpacked
+                     (Wire__Leader *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__leader__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__unit_report__init
                      (Wire__UnitReport         *message)
 {
@@ -862,7 +772,7 @@
   assert(message->base.descriptor == &wire__end_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[11] =
 {
   {
     "raft",
@@ -888,30 +798,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "probe",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, msg_case),
-    offsetof(Wire__Envelope, probe),
-    &wire__probe__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "probe_reply",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Envelope, msg_case),
-    offsetof(Wire__Envelope, probe_reply),
-    &wire__probe_reply__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "call",
     5,
@@ -1009,37 +895,37 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "join_reply",
-    13,
+    "leader",
+    14,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Wire__Envelope, msg_case),
-    offsetof(Wire__Envelope, join_reply),
-    &wire__join_reply__descriptor,
+    offsetof(Wire__Envelope, leader),
+    &wire__leader__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
-  8,   /* field[8] = begin */
-  9,   /* field[9] = begin_reply */
-  4,   /* field[4] = call */
-  10,   /* field[10] = end */
-  11,   /* field[11] = end_reply */
-  7,   /* field[7] = entry_grant */
-  6,   /* field[6] = entry_sync */
+  6,   /* field[6] = begin */
+  7,   /* field[7] = begin_reply */
+  2,   /* field[2] = call */
+  8,   /* field[8] = end */
+  9,   /* field[9] = end_reply */
+  5,   /* field[5] = entry_grant */
+  4,   /* field[4] = entry_sync */
   1,   /* field[1] = join */
-  12,   /* field[12] = join_reply */
-  2,   /* field[2] = probe */
-  3,   /* field[3] = probe_reply */
+  10,   /* field[10] = leader */
   0,   /* field[0] = raft */
-  5,   /* field[5] = reply */
+  3,   /* field[3] = reply */
 };
-static const ProtobufCIntRange wire__envelope__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__envelope__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 5, 2 },
+  { 14, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -1049,10 +935,10 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  13,
+  11,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
-  1,  wire__envelope__number_ranges,
+  3,  wire__envelope__number_ranges,
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1158,198 +1044,6 @@
   (ProtobufCMessageInit) wire__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__join_reply__field_descriptors[3] =
-{
-  {
-    "accepted",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__JoinReply, accepted),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cluster_id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__JoinReply, cluster_id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leader_vm",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__JoinReply, leader_vm),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned wire__join_reply__field_indices_by_name[] = {
-  0,   /* field[0] = accepted */
-  1,   /* field[1] = cluster_id */
-  2,   /* field[2] = leader_vm */
-};
-static const ProtobufCIntRange wire__join_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor wire__join_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.JoinReply",
-  "JoinReply",
-  "Wire__JoinReply",
-  "wire",
-  sizeof(Wire__JoinReply),
-  3,
-  wire__join_reply__field_descriptors,
-  wire__join_reply__field_indices_by_name,
-  1,  wire__join_reply__number_ranges,
-  (ProtobufCMessageInit) wire__join_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__probe__field_descriptors[2] =
-{
-  {
-    "vm",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Probe, vm),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "member_id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Probe, member_id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned wire__probe__field_indices_by_name[] = {
-  1,   /* field[1] = member_id */
-  0,   /* field[0] = vm */
-};
-static const ProtobufCIntRange wire__probe__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wire__probe__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Probe",
-  "Probe",
-  "Wire__Probe",
-  "wire",
-  sizeof(Wire__Probe),
-  2,
-  wire__probe__field_descriptors,
-  wire__probe__field_indices_by_name,
-  1,  wire__probe__number_ranges,
-  (ProtobufCMessageInit) wire__probe__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wire__probe_reply__field_descriptors[4] =
-{
-  {
-    "empty",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ProbeReply, empty),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "member_id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ProbeReply, member_id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cluster_id",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ProbeReply, cluster_id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "vm",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__ProbeReply, vm),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned wire__probe_reply__field_indices_by_name[] = {
-  2,   /* field[2] = cluster_id */
-  0,   /* field[0] = empty */
-  1,   /* field[1] = member_id */
-  3,   /* field[3] = vm */
-};
-static const ProtobufCIntRange wire__probe_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor wire__probe_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.ProbeReply",
-  "ProbeReply",
-  "Wire__ProbeReply",
-  "wire",
-  sizeof(Wire__ProbeReply),
-  4,
-  wire__probe_reply__field_descriptors,
-  wire__probe_reply__field_indices_by_name,
-  1,  wire__probe_reply__number_ranges,
-  (ProtobufCMessageInit) wire__probe_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor wire__header__field_descriptors[2] =
 {
   {
@@ -1698,26 +1392,65 @@
   (ProtobufCMessageInit) wire__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__unit_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__leader__field_descriptors[2] =
 {
   {
-    "kind",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__UnitReport, kind),
-    &wire__pool_kind__descriptor,
+    offsetof(Wire__Leader, term),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pool",
+    "vm",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
+    offsetof(Wire__Leader, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__leader__field_indices_by_name[] = {
+  0,   /* field[0] = term */
+  1,   /* field[1] = vm */
+};
+static const ProtobufCIntRange wire__leader__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__leader__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Leader",
+  "Leader",
+  "Wire__Leader",
+  "wire",
+  sizeof(Wire__Leader),
+  2,
+  wire__leader__field_descriptors,
+  wire__leader__field_indices_by_name,
+  1,  wire__leader__number_ranges,
+  (ProtobufCMessageInit) wire__leader__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__unit_report__field_descriptors[4] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
     offsetof(Wire__UnitReport, pool),
     NULL,
     &protobuf_c_empty_string,
@@ -1726,7 +1459,7 @@
   },
   {
     "held",
-    3,
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -1738,7 +1471,7 @@
   },
   {
     "used",
-    4,
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -1750,7 +1483,7 @@
   },
   {
     "wanted",
-    5,
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -1760,31 +1493,17 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "service",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__UnitReport, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wire__unit_report__field_indices_by_name[] = {
-  2,   /* field[2] = held */
-  0,   /* field[0] = kind */
-  1,   /* field[1] = pool */
-  5,   /* field[5] = service */
-  3,   /* field[3] = used */
-  4,   /* field[4] = wanted */
+  1,   /* field[1] = held */
+  0,   /* field[0] = pool */
+  2,   /* field[2] = used */
+  3,   /* field[3] = wanted */
 };
 static const ProtobufCIntRange wire__unit_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__unit_report__descriptor =
 {
@@ -1794,54 +1513,90 @@
   "Wire__UnitReport",
   "wire",
   sizeof(Wire__UnitReport),
-  6,
+  4,
   wire__unit_report__field_descriptors,
   wire__unit_report__field_indices_by_name,
   1,  wire__unit_report__number_ranges,
   (ProtobufCMessageInit) wire__unit_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__entry_sync__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__entry_sync__field_descriptors[14] =
 {
   {
-    "seq",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntrySync, seq),
+    offsetof(Wire__EntrySync, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "seq",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntrySync, term),
+    offsetof(Wire__EntrySync, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_version",
+    "ack_term",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntrySync, config_version),
+    offsetof(Wire__EntrySync, ack_term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "units",
+    "ack_seq",
     4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntrySync, ack_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "up_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntrySync, up_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntrySync, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "units",
+    7,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Wire__EntrySync, n_units),
@@ -1852,24 +1607,48 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "draining",
-    5,
+    "config_version",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntrySync, draining),
+    offsetof(Wire__EntrySync, config_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
-    6,
+    "endpoints_term",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntrySync, endpoints_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints_seq",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntrySync, endpoints_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntrySync, address),
+    offsetof(Wire__EntrySync, vm),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1877,7 +1656,7 @@
   },
   {
     "failure_domain",
-    7,
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
@@ -1888,24 +1667,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vm",
-    8,
+    "address",
+    13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntrySync, vm),
+    offsetof(Wire__EntrySync, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    9,
+    "run",
+    14,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntrySync, incarnation),
+    offsetof(Wire__EntrySync, run),
     NULL,
     NULL,
     0,             /* flags */
@@ -1913,20 +1692,25 @@
   },
 };
 static const unsigned wire__entry_sync__field_indices_by_name[] = {
-  5,   /* field[5] = address */
-  2,   /* field[2] = config_version */
-  4,   /* field[4] = draining */
-  6,   /* field[6] = failure_domain */
-  8,   /* field[8] = incarnation */
-  0,   /* field[0] = seq */
-  1,   /* field[1] = term */
-  3,   /* field[3] = units */
-  7,   /* field[7] = vm */
+  3,   /* field[3] = ack_seq */
+  2,   /* field[2] = ack_term */
+  12,   /* field[12] = address */
+  7,   /* field[7] = config_version */
+  5,   /* field[5] = draining */
+  9,   /* field[9] = endpoints_seq */
+  8,   /* field[8] = endpoints_term */
+  11,   /* field[11] = failure_domain */
+  13,   /* field[13] = run */
+  1,   /* field[1] = seq */
+  0,   /* field[0] = term */
+  6,   /* field[6] = units */
+  4,   /* field[4] = up_ms */
+  10,   /* field[10] = vm */
 };
 static const ProtobufCIntRange wire__entry_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wire__entry_sync__descriptor =
 {
@@ -1936,14 +1720,14 @@
   "Wire__EntrySync",
   "wire",
   sizeof(Wire__EntrySync),
-  9,
+  14,
   wire__entry_sync__field_descriptors,
   wire__entry_sync__field_indices_by_name,
   1,  wire__entry_sync__number_ranges,
   (ProtobufCMessageInit) wire__entry_sync__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__endpoint__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wire__endpoint__field_descriptors[7] =
 {
   {
     "id",
@@ -2029,18 +1813,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "ttl_ms",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Endpoint, ttl_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wire__endpoint__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -2050,12 +1822,11 @@
   6,   /* field[6] = leaving */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
-  7,   /* field[7] = ttl_ms */
 };
 static const ProtobufCIntRange wire__endpoint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__endpoint__descriptor =
 {
@@ -2065,30 +1836,18 @@
   "Wire__Endpoint",
   "wire",
   sizeof(Wire__Endpoint),
-  8,
+  7,
   wire__endpoint__field_descriptors,
   wire__endpoint__field_indices_by_name,
   1,  wire__endpoint__number_ranges,
   (ProtobufCMessageInit) wire__endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__unit_grant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__unit_grant__field_descriptors[2] =
 {
-  {
-    "kind",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Wire__UnitGrant, kind),
-    &wire__pool_kind__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "pool",
-    2,
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
@@ -2100,7 +1859,7 @@
   },
   {
     "units",
-    3,
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -2110,29 +1869,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "service",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__UnitGrant, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wire__unit_grant__field_indices_by_name[] = {
-  0,   /* field[0] = kind */
-  1,   /* field[1] = pool */
-  3,   /* field[3] = service */
-  2,   /* field[2] = units */
+  0,   /* field[0] = pool */
+  1,   /* field[1] = units */
 };
 static const ProtobufCIntRange wire__unit_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor wire__unit_grant__descriptor =
 {
@@ -2142,108 +1887,108 @@
   "Wire__UnitGrant",
   "wire",
   sizeof(Wire__UnitGrant),
-  4,
+  2,
   wire__unit_grant__field_descriptors,
   wire__unit_grant__field_indices_by_name,
   1,  wire__unit_grant__number_ranges,
   (ProtobufCMessageInit) wire__unit_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[14] =
 {
   {
-    "seq",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntryGrant, seq),
+    offsetof(Wire__EntryGrant, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "seq",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntryGrant, term),
+    offsetof(Wire__EntryGrant, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_version",
+    "report_seq",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntryGrant, config_version),
+    offsetof(Wire__EntryGrant, report_seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config",
+    "unit_lease_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntryGrant, config),
+    offsetof(Wire__EntryGrant, unit_lease_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lease_ms",
+    "units",
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Wire__EntryGrant, lease_ms),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__EntryGrant, n_units),
+    offsetof(Wire__EntryGrant, units),
+    &wire__unit_grant__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoints",
+    "config_version",
     6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__EntryGrant, n_endpoints),
-    offsetof(Wire__EntryGrant, endpoints),
-    &wire__endpoint__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntryGrant, config_version),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "units",
+    "config",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__EntryGrant, n_units),
-    offsetof(Wire__EntryGrant, units),
-    &wire__unit_grant__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntryGrant, config),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leader_vm",
+    "config_lease_ms",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntryGrant, leader_vm),
+    offsetof(Wire__EntryGrant, config_lease_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -2260,21 +2005,33 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "units_full",
+    "endpoints_seq",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntryGrant, units_full),
+    offsetof(Wire__EntryGrant, endpoints_seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoints_gone",
+    "endpoints",
     11,
     PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__EntryGrant, n_endpoints),
+    offsetof(Wire__EntryGrant, endpoints),
+    &wire__endpoint__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints_gone",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_STRING,
     offsetof(Wire__EntryGrant, n_endpoints_gone),
     offsetof(Wire__EntryGrant, endpoints_gone),
@@ -2284,24 +2041,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cluster_id",
-    12,
+    "restart",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntryGrant, cluster_id),
+    offsetof(Wire__EntryGrant, restart),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "push",
-    13,
+    "drain",
+    14,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__EntryGrant, push),
+    offsetof(Wire__EntryGrant, drain),
     NULL,
     NULL,
     0,             /* flags */
@@ -2309,24 +2066,25 @@
   },
 };
 static const unsigned wire__entry_grant__field_indices_by_name[] = {
-  11,   /* field[11] = cluster_id */
-  3,   /* field[3] = config */
-  2,   /* field[2] = config_version */
-  5,   /* field[5] = endpoints */
+  6,   /* field[6] = config */
+  7,   /* field[7] = config_lease_ms */
+  5,   /* field[5] = config_version */
+  13,   /* field[13] = drain */
+  10,   /* field[10] = endpoints */
   8,   /* field[8] = endpoints_full */
-  10,   /* field[10] = endpoints_gone */
-  7,   /* field[7] = leader_vm */
-  4,   /* field[4] = lease_ms */
-  12,   /* field[12] = push */
-  0,   /* field[0] = seq */
-  1,   /* field[1] = term */
-  6,   /* field[6] = units */
-  9,   /* field[9] = units_full */
+  11,   /* field[11] = endpoints_gone */
+  9,   /* field[9] = endpoints_seq */
+  2,   /* field[2] = report_seq */
+  12,   /* field[12] = restart */
+  1,   /* field[1] = seq */
+  0,   /* field[0] = term */
+  3,   /* field[3] = unit_lease_ms */
+  4,   /* field[4] = units */
 };
 static const ProtobufCIntRange wire__entry_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wire__entry_grant__descriptor =
 {
@@ -2336,7 +2094,7 @@
   "Wire__EntryGrant",
   "wire",
   sizeof(Wire__EntryGrant),
-  13,
+  14,
   wire__entry_grant__field_descriptors,
   wire__entry_grant__field_indices_by_name,
   1,  wire__entry_grant__number_ranges,
@@ -2523,7 +2281,7 @@
   (ProtobufCMessageInit) wire__begin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__begin_reply__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wire__begin_reply__field_descriptors[8] =
 {
   {
     "id",
@@ -2609,8 +2367,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entry",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__BeginReply, entry),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__begin_reply__field_indices_by_name[] = {
+  7,   /* field[7] = entry */
   0,   /* field[0] = id */
   5,   /* field[5] = leader_vm */
   4,   /* field[4] = not_leader */
@@ -2622,7 +2393,7 @@
 static const ProtobufCIntRange wire__begin_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wire__begin_reply__descriptor =
 {
@@ -2632,7 +2403,7 @@
   "Wire__BeginReply",
   "wire",
   sizeof(Wire__BeginReply),
-  7,
+  8,
   wire__begin_reply__field_descriptors,
   wire__begin_reply__field_indices_by_name,
   1,  wire__begin_reply__number_ranges,
@@ -2845,34 +2616,6 @@
   (ProtobufCMessageInit) wire__end_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue wire__pool_kind__enum_values_by_number[2] =
-{
-  { "POOL_ENDPOINT", "WIRE__POOL_KIND__POOL_ENDPOINT", 0 },
-  { "POOL_TEAM", "WIRE__POOL_KIND__POOL_TEAM", 1 },
-};
-static const ProtobufCIntRange wire__pool_kind__value_ranges[] = {
-{0, 0},{0, 2}
-};
-static const ProtobufCEnumValueIndex wire__pool_kind__enum_values_by_name[2] =
-{
-  { "POOL_ENDPOINT", 0 },
-  { "POOL_TEAM", 1 },
-};
-const ProtobufCEnumDescriptor wire__pool_kind__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "wire.PoolKind",
-  "PoolKind",
-  "Wire__PoolKind",
-  "wire",
-  2,
-  wire__pool_kind__enum_values_by_number,
-  2,
-  wire__pool_kind__enum_values_by_name,
-  1,
-  wire__pool_kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
 static const ProtobufCEnumValue wire__verdict__enum_values_by_number[6] =
 {
   { "VERDICT_NONE", "WIRE__VERDICT__VERDICT_NONE", 0 },
