--- /dev/null
+++ b/packages/daemon/api_keys.h
@@ -0,0 +1,15 @@
+#ifndef GV_API_KEYS_H
+#define GV_API_KEYS_H
+
+#include "state.h"
+
+enum {
+    API_KEY_TEXT_BYTES = 64,
+};
+
+/* Draws a key: its text with a NUL byte, and the hash that the state keeps. */
+void
+api_key_generate(char text[API_KEY_TEXT_BYTES],
+                 uint8_t hash[STATE_HASH_BYTES]);
+
+#endif
--- /dev/null
+++ b/packages/daemon/drain.c
@@ -0,0 +1,118 @@
+/* The phases of a graceful stop. */
+#include "clock.h"
+#include "control.h"
+#include "entry.h"
+#include "log.h"
+#include "replica.h"
+
+enum {
+    HANDOVER_MS = 2000, /* an election takes less */
+    LAST_REPORT_MS = 200,
+};
+
+void
+control_drain(struct control *c)
+{
+    if (c->drain != DRAIN_NONE) {
+        return;
+    }
+    log_write(LOG_LEVEL_NOTICE, "drain: this VM is not ready any more");
+    c->drain = DRAIN_NOTICE;
+    c->drain_phase_end =
+        c->now + c->settings->drain_notice_ms * NS_PER_MS;
+    c->drain_deadline =
+        c->now + c->settings->drain_deadline_ms * NS_PER_MS;
+}
+
+static bool
+is_leading(const struct control *c)
+{
+    return c->leader != NULL;
+}
+
+static void
+enter(struct control *c, enum drain_phase phase, int64_t ms)
+{
+    c->drain = phase;
+    c->drain_phase_end = c->now + ms * NS_PER_MS;
+}
+
+static void
+finish(struct control *c)
+{
+    if (c->drain_phase_end > c->now) {
+        return;
+    }
+    log_write(LOG_LEVEL_NOTICE, "drain: finishing requests in flight");
+    front_stop_listening(c->front);
+    front_drain(c->front);
+    entry_drain(c->entry);
+    enter(c, DRAIN_FINISH, 0);
+}
+
+static void
+hand_over(struct control *c)
+{
+    if (front_active(c->front) > 0 || !entry_idle(c->entry)) {
+        return;
+    }
+    enter(c, DRAIN_HANDOVER, LAST_REPORT_MS);
+}
+
+static void
+leave(struct control *c)
+{
+    bool alone = c->settings->control_count <= 1;
+
+    if (c->drain_phase_end > c->now) {
+        return;
+    }
+    if (is_leading(c) && !alone &&
+        c->drain_phase_end + HANDOVER_MS * NS_PER_MS > c->now) {
+        return;
+    }
+    log_write(LOG_LEVEL_NOTICE, "drain: done");
+    c->drain = DRAIN_DONE;
+}
+
+void
+drain_step(struct control *c)
+{
+    if (c->drain == DRAIN_NONE || c->drain == DRAIN_DONE) {
+        return;
+    }
+    if (c->now >= c->drain_deadline) {
+        log_write(LOG_LEVEL_ERR,
+                  "drain: requests were still in flight at the deadline");
+        c->exit_status = 1;
+        c->drain = DRAIN_DONE;
+        return;
+    }
+    if (is_leading(c)) {
+        replica_hand_over(c->replica);
+    }
+    switch (c->drain) {
+    case DRAIN_NOTICE:
+        finish(c);
+        break;
+    case DRAIN_FINISH:
+        hand_over(c);
+        break;
+    case DRAIN_HANDOVER:
+        leave(c);
+        break;
+    case DRAIN_NONE:
+    case DRAIN_DONE:
+        break;
+    }
+}
+
+int64_t
+drain_next_deadline(const struct control *c)
+{
+    if (c->drain == DRAIN_NONE) {
+        return DEADLINE_NONE;
+    }
+    return c->drain_phase_end > c->now ? c->drain_phase_end
+                                       : c->now + 10 * NS_PER_MS;
+}
--- /dev/null
+++ b/packages/daemon/endpoints.c
@@ -0,0 +1,262 @@
+/*
+ * The leader's table of endpoints: announcements, their leases, and what has
+ * changed since an entry last heard.
+ */
+#include "endpoint.h"
+#include "leader_impl.h"
+#include "log.h"
+#include "mem.h"
+
+enum {
+    /* Removals remembered for entries that were away; older ones make them
+     * take the whole table. */
+    GONE_MAX = 10000,
+};
+
+#define RECORD_OF(node)                                                       \
+    ((struct endpoint_record *)((char *)(node)-offsetof(                      \
+        struct endpoint_record, expiry)))
+
+static void
+record_free(struct endpoint_record *e)
+{
+    str_free(&e->id);
+    str_free(&e->service);
+    str_free(&e->address);
+    str_free(&e->failure_domain);
+    mem_free(e);
+}
+
+static void
+gone_pop(struct leader *l)
+{
+    struct endpoint_gone *g = l->gone_first;
+
+    l->gone_first = g->next;
+    if (l->gone_first == NULL) {
+        l->gone_last = NULL;
+    }
+    l->endpoint_gone_floor = g->changed;
+    l->gone_count--;
+    str_free(&g->id);
+    mem_free(g);
+}
+
+void
+endpoints_destroy(struct leader *l)
+{
+    struct endpoint_record *e;
+    void *cursor = NULL;
+
+    while ((e = map_next(l->endpoints, &cursor)) != NULL) {
+        record_free(e);
+    }
+    while (l->gone_first != NULL) {
+        gone_pop(l);
+    }
+    map_destroy(l->endpoints);
+    heap_free(&l->endpoint_expiry);
+}
+
+static void
+pool_name(struct buf *out, struct str id)
+{
+    buf_printf(out, POOL_ENDPOINT "%.*s", STR_ARG(id));
+}
+
+/* A request needs a connection as well as a slot. */
+static uint32_t
+capacity_of(const struct endpoint_record *e)
+{
+    if (e->leaving) {
+        return 0;
+    }
+    return e->slots < e->connections ? e->slots : e->connections;
+}
+
+static void
+set_pool(struct leader *l, const struct endpoint_record *e)
+{
+    struct buf pool = {0};
+
+    pool_name(&pool, e->id);
+    ledger_pool_set(l->ledger, l->control->now, buf_str(&pool), e->service,
+                    e->failure_domain, capacity_of(e));
+    buf_free(&pool);
+}
+
+static void
+remove_record(struct leader *l, struct endpoint_record *e)
+{
+    struct endpoint_gone *g = mem_zalloc(1, sizeof(*g));
+    struct buf pool = {0};
+
+    pool_name(&pool, e->id);
+    ledger_pool_gone(l->ledger, l->control->now, buf_str(&pool));
+    buf_free(&pool);
+    g->id = str_dup(e->id);
+    g->changed = ++l->endpoint_seq;
+    if (l->gone_last == NULL) {
+        l->gone_first = g;
+    }
+    else {
+        l->gone_last->next = g;
+    }
+    l->gone_last = g;
+    if (++l->gone_count > GONE_MAX) {
+        gone_pop(l);
+    }
+    map_del(l->endpoints, e->id);
+    heap_remove(&l->endpoint_expiry, &e->expiry);
+    record_free(e);
+}
+
+static bool
+replace(struct str *field, struct str value)
+{
+    if (str_eq(*field, value)) {
+        return false;
+    }
+    str_free(field);
+    *field = str_dup(value);
+    return true;
+}
+
+static bool
+update(struct endpoint_record *e, const struct endpoint *in)
+{
+    bool leaving = in->state == ENDPOINT_LEAVING;
+    bool changed = replace(&e->service, in->service);
+
+    changed = replace(&e->address, in->address) || changed;
+    changed = replace(&e->failure_domain, in->failure_domain) || changed;
+    changed = changed || e->slots != in->slots ||
+              e->connections != in->connections || e->leaving != leaving;
+    e->slots = in->slots;
+    e->connections = in->connections;
+    e->leaving = leaving;
+    return changed;
+}
+
+void
+api_endpoint_put(struct call *call)
+{
+    struct leader *l = call->leader;
+    struct endpoint_answer answer = {
+        .lease_ms = l->control->settings->endpoint_lease_ms};
+    struct str id = str_of(call->match.param);
+    struct endpoint_record *e = map_get(l->endpoints, id);
+    struct api_error error;
+    struct endpoint in = {0};
+    struct buf body = {0};
+
+    call->doc = endpoint_parse(call->body, &in, &error);
+    if (call->doc == NULL) {
+        call_fail_api(call, &error);
+        return;
+    }
+    if (e == NULL) {
+        e = mem_zalloc(1, sizeof(*e));
+        e->id = str_dup(id);
+        map_put(l->endpoints, id, e);
+    }
+    heap_remove(&l->endpoint_expiry, &e->expiry);
+    e->expiry.key =
+        leader_lease_end(l, l->control->settings->endpoint_lease_ms);
+    heap_insert(&l->endpoint_expiry, &e->expiry);
+    if (update(e, &in)) {
+        e->changed = ++l->endpoint_seq;
+        set_pool(l, e);
+    }
+    endpoint_answer_render(&answer, &body);
+    call_respond(call, 200, &body);
+}
+
+void
+api_endpoint_delete(struct call *call)
+{
+    struct leader *l = call->leader;
+    struct endpoint_record *e =
+        map_get(l->endpoints, str_of(call->match.param));
+    struct buf body = {0};
+
+    if (e == NULL) {
+        call_fail(call, 404, "not_found", "", "no such endpoint");
+        return;
+    }
+    remove_record(l, e);
+    buf_printf(&body, "{}");
+    call_respond(call, 200, &body);
+}
+
+void
+endpoints_step(struct leader *l)
+{
+    struct heap_node *n;
+
+    while ((n = heap_min(&l->endpoint_expiry)) != NULL &&
+           n->key <= l->control->now) {
+        struct endpoint_record *e = RECORD_OF(n);
+
+        log_write(LOG_LEVEL_NOTICE, "endpoint: the lease of %.*s has expired",
+                  STR_ARG(e->id));
+        remove_record(l, e);
+    }
+}
+
+static void
+add_change(struct endpoint_changes *out, const struct endpoint_record *e)
+{
+    Wire__Endpoint *w = &out->list[out->count];
+
+    wire__endpoint__init(w);
+    /* str_dup ends each copy with a NUL byte, as the message needs. */
+    w->id = (char *)e->id.ptr;
+    w->service = (char *)e->service.ptr;
+    w->address = (char *)e->address.ptr;
+    w->failure_domain = (char *)e->failure_domain.ptr;
+    w->slots = e->slots;
+    w->connections = e->connections;
+    w->leaving = e->leaving;
+    out->pointers[out->count] = w;
+    out->count++;
+}
+
+void
+endpoints_since(const struct leader *l, uint64_t seq, bool full,
+                struct endpoint_changes *out)
+{
+    size_t total = map_count(l->endpoints);
+    const struct endpoint_record *e;
+    void *cursor = NULL;
+
+    *out = (struct endpoint_changes){0};
+    if (!full && seq == l->endpoint_seq) {
+        return;
+    }
+    out->list = mem_zalloc(total + 1, sizeof(*out->list));
+    out->pointers = mem_zalloc(total + 1, sizeof(*out->pointers));
+    while ((e = map_next(l->endpoints, &cursor)) != NULL) {
+        if (full || e->changed > seq) {
+            add_change(out, e);
+        }
+    }
+    if (full) {
+        return;
+    }
+    out->gone = mem_zalloc(l->gone_count + 1, sizeof(*out->gone));
+    for (const struct endpoint_gone *g = l->gone_first; g != NULL;
+         g = g->next) {
+        if (g->changed > seq && map_get(l->endpoints, g->id) == NULL) {
+            out->gone[out->gone_count++] = (char *)g->id.ptr;
+        }
+    }
+}
+
+void
+endpoint_changes_free(struct endpoint_changes *c)
+{
+    mem_free(c->list);
+    mem_free(c->pointers);
+    mem_free(c->gone);
+}
--- /dev/null
+++ b/packages/daemon/entry_impl.h
@@ -0,0 +1,132 @@
+#ifndef GV_ENTRY_IMPL_H
+#define GV_ENTRY_IMPL_H
+
+#include "clock.h"
+#include "confview.h"
+#include "control.h"
+#include "entry.h"
+#include "map.h"
+#include "router.h"
+
+/* An API call that waits for the leader's reply. */
+struct forward {
+    uint64_t id;
+    struct front_call *call;
+    uint64_t link_id; /* that it was sent on; 0: to be sent */
+    bool sent;        /* a leader may have carried it out */
+};
+
+enum request_phase {
+    REQUEST_MARKING, /* the idempotency record is being committed */
+    REQUEST_ROUTED,  /* the router decides */
+    REQUEST_STORING, /* the response is being committed */
+};
+
+/* A request to a service. */
+struct request {
+    uint64_t id;
+    struct front_call *call;
+    enum request_phase phase;
+    uint32_t team;
+    uint64_t key_id;
+    struct str service; /* owned, as is target */
+    struct str target;  /* path and query at the endpoint */
+    bool sent;          /* an attempt was made */
+    bool marked;        /* has an idempotency record */
+    uint64_t record;    /* its number */
+    uint64_t link_id;   /* of the Begin or End that waits for a reply */
+    uint64_t message;   /* id of that Begin or End; 0: to be sent */
+    struct front_response response; /* to give while STORING */
+};
+
+/* One attempt at an endpoint. */
+struct attempt {
+    uint64_t id;      /* of the upstream call */
+    uint64_t request; /* id; the request itself may have gone */
+    uint32_t number;  /* the router's */
+    struct str address;
+    /* Copies, because the caller may be answered before the attempt ends. */
+    struct front_call *call; /* one reference */
+    struct str target;
+    struct attempt *next_unstarted;
+};
+
+struct known_endpoint {
+    struct str id;
+    struct str service;
+    struct str address;
+    struct str failure_domain;
+    uint32_t slots;
+    uint32_t connections;
+    bool leaving;
+    uint32_t held; /* units, and so connections, of this entry */
+};
+
+struct entry {
+    struct control *control;
+    struct confview *config;
+    int64_t config_deadline; /* of the configuration lease */
+    int64_t started;
+    bool draining;
+
+    struct str leader_vm; /* owned */
+    uint64_t leader_term;
+    uint64_t reported_term; /* the router reports to this leader */
+    int64_t report_now;     /* send a report at once when not 0 */
+
+    struct router *router;
+    struct router_actions actions;
+    struct map *endpoints; /* id to struct known_endpoint */
+    uint64_t endpoints_term;
+    uint64_t endpoints_seq;
+    struct map *teams; /* numbers known to the router */
+    struct map *keys;  /* key ids of the current configuration */
+
+    struct map *forwards; /* by id */
+    uint64_t next_id;
+    struct map *requests;   /* by id */
+    struct map *marks;      /* team and key to struct request */
+    struct map *messages;   /* Begin or End id to request id */
+    struct map *attempts;   /* by upstream id */
+    struct attempt *unstarted; /* could not be handed to the client */
+    struct upstream_result *result; /* of the attempt that has just ended */
+    int64_t sweep_due;
+};
+
+/* Answers with an error body. */
+void
+front_refuse(struct front_call *call, int status, const char *code,
+             const char *message, const char *outcome, int retry_after_s);
+
+/* Hashes a bearer key as the state stores it. */
+void
+key_hash(struct str key, uint8_t hash[STATE_HASH_BYTES]);
+
+/* forward.c */
+void
+forward_call(struct entry *e, struct front_call *call);
+void
+forward_link_down(struct entry *e, const struct link *l);
+void
+forward_step(struct entry *e);
+void
+forward_destroy(struct entry *e);
+
+/* serve.c */
+void
+serve_call(struct entry *e, struct front_call *call, struct str service,
+           struct str rest);
+void
+serve_gone(struct entry *e, const struct front_call *call);
+void
+serve_link_down(struct entry *e, const struct link *l);
+void
+serve_step(struct entry *e);
+void
+serve_destroy(struct entry *e);
+
+/* Steps the router and carries out its actions. */
+void
+serve_event(struct entry *e, const struct router_event *event);
+
+#endif
--- /dev/null
+++ b/packages/daemon/forward.c
@@ -0,0 +1,180 @@
+/*
+ * API calls that an entry forwards to the leader. All of them may be sent
+ * again to another leader: the state recognises repetitions.
+ */
+#include <string.h>
+
+#include "entry_impl.h"
+#include "mem.h"
+
+static void
+forward_free(struct entry *e, struct forward *f)
+{
+    map_del_u64(e->forwards, f->id);
+    mem_free(f);
+}
+
+/* A call that is carried out twice would show. */
+static bool
+may_repeat(const struct front_call *call)
+{
+    return call->method != HTTP_POST || call->idempotency_key.ptr != NULL ||
+           str_starts(call->path, STR("/v1/workers/"));
+}
+
+static void
+give_up(struct entry *e, struct forward *f)
+{
+    struct front_call *call = f->call;
+
+    if (f->sent) {
+        front_refuse(call, 504, "no_leader",
+                     "the leader was lost; the outcome is unknown", "unknown",
+                     0);
+    }
+    else {
+        front_refuse(call, 503, "no_leader", "no leader is known", "not-run",
+                     1);
+    }
+    forward_free(e, f);
+}
+
+static void
+send(struct entry *e, struct forward *f, struct link *to)
+{
+    Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+    Wire__Call call = WIRE__CALL__INIT;
+    uint8_t hash[STATE_HASH_BYTES];
+    struct str path = str_dup(f->call->path);
+    struct str query = str_dup(f->call->query);
+    struct str idempotency = str_dup(f->call->idempotency_key);
+    struct str if_match = str_dup(f->call->if_match);
+
+    call.id = f->id;
+    call.method = (char *)http_method_name(f->call->method);
+    call.path = (char *)path.ptr;
+    call.query = (char *)query.ptr;
+    call.idempotency_key = (char *)idempotency.ptr;
+    call.if_match = (char *)if_match.ptr;
+    if (f->call->key.len != 0) {
+        key_hash(f->call->key, hash);
+        call.key_hash.data = hash;
+        call.key_hash.len = sizeof(hash);
+    }
+    call.body.data = (uint8_t *)f->call->body.ptr;
+    call.body.len = f->call->body.len;
+    call.deadline_ms = (f->call->deadline - e->control->now) / NS_PER_MS;
+    envelope.msg_case = WIRE__ENVELOPE__MSG_CALL;
+    envelope.call = &call;
+    f->link_id = to->id;
+    f->sent = true;
+    link_send(to, &envelope);
+    str_free(&path);
+    str_free(&query);
+    str_free(&idempotency);
+    str_free(&if_match);
+}
+
+void
+forward_call(struct entry *e, struct front_call *call)
+{
+    struct forward *f = mem_zalloc(1, sizeof(*f));
+    struct link *leader = entry_leader_link(e);
+
+    f->id = e->next_id++;
+    f->call = call;
+    map_put_u64(e->forwards, f->id, f);
+    if (leader != NULL) {
+        send(e, f, leader);
+    }
+}
+
+static void
+respond(struct forward *f, const Wire__Reply *reply)
+{
+    struct front_response response = {.status = (int)reply->status};
+    struct str type = str_of(reply->content_type);
+    struct buf text = {0};
+
+    buf_append(&response.body, reply->body.data, reply->body.len);
+    http_headers_add(&response.headers, STR("Content-Type"),
+                     type.len == 0 ? STR("application/json") : type);
+    http_headers_add(&response.headers, STR("Guavarock-Outcome"),
+                     str_of(reply->outcome));
+    if (reply->retry_after_s > 0) {
+        buf_printf(&text, "%d", (int)reply->retry_after_s);
+        http_headers_add(&response.headers, STR("Retry-After"),
+                         buf_str(&text));
+        buf_free(&text);
+    }
+    front_respond(f->call, &response);
+}
+
+void
+entry_reply(struct entry *e, const Wire__Reply *reply)
+{
+    struct forward *f = map_get_u64(e->forwards, reply->id);
+
+    if (f == NULL) {
+        return;
+    }
+    if (!reply->not_leader) {
+        respond(f, reply);
+        forward_free(e, f);
+        return;
+    }
+    /* Sent again by forward_step, once a leader is known. */
+    if (!may_repeat(f->call)) {
+        give_up(e, f);
+        return;
+    }
+    f->link_id = 0;
+}
+
+void
+forward_link_down(struct entry *e, const struct link *l)
+{
+    struct forward *f;
+    void *cursor = NULL;
+
+    while ((f = map_next(e->forwards, &cursor)) != NULL) {
+        if (f->link_id != l->id) {
+            continue;
+        }
+        if (may_repeat(f->call)) {
+            f->link_id = 0;
+        }
+        else {
+            give_up(e, f);
+        }
+    }
+}
+
+void
+forward_step(struct entry *e)
+{
+    struct link *leader = entry_leader_link(e);
+    struct forward *f;
+    void *cursor = NULL;
+
+    while ((f = map_next(e->forwards, &cursor)) != NULL) {
+        if (f->call->deadline <= e->control->now) {
+            give_up(e, f);
+        }
+        else if (f->link_id == 0 && leader != NULL) {
+            send(e, f, leader);
+        }
+    }
+}
+
+void
+forward_destroy(struct entry *e)
+{
+    struct forward *f;
+    void *cursor = NULL;
+
+    while ((f = map_next(e->forwards, &cursor)) != NULL) {
+        give_up(e, f);
+    }
+    map_destroy(e->forwards);
+}
--- /dev/null
+++ b/packages/daemon/marks.c
@@ -0,0 +1,333 @@
+/*
+ * Requests with an idempotency key that are not idempotent: the record is
+ * committed before the request is sent, and the response before the caller
+ * gets it.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "mem.h"
+#include "serve_impl.h"
+
+static void
+mark_name(const struct request *r, struct buf *out)
+{
+    buf_printf(out, "%" PRIu32 ":", r->team);
+    buf_append_str(out, r->call->idempotency_key);
+}
+
+bool
+marks_remember(struct entry *e, struct request *r)
+{
+    struct buf name = {0};
+    bool fresh;
+
+    mark_name(r, &name);
+    fresh = map_get(e->marks, buf_str(&name)) == NULL;
+    if (fresh) {
+        map_put(e->marks, buf_str(&name), r);
+    }
+    buf_free(&name);
+    return fresh;
+}
+
+void
+marks_forget(struct entry *e, struct request *r)
+{
+    struct buf name = {0};
+
+    mark_name(r, &name);
+    map_del(e->marks, buf_str(&name));
+    buf_free(&name);
+}
+
+static void
+hash_part(crypto_generichash_state *hash, struct str part)
+{
+    uint64_t len = part.len;
+
+    crypto_generichash_update(hash, (const unsigned char *)&len, sizeof(len));
+    crypto_generichash_update(hash, (const unsigned char *)part.ptr,
+                              part.len);
+}
+
+static void
+request_digest(const struct request *r, uint8_t out[STATE_DIGEST_BYTES])
+{
+    crypto_generichash_state hash;
+    int method = r->call->method;
+
+    crypto_generichash_init(&hash, NULL, 0, STATE_DIGEST_BYTES);
+    crypto_generichash_update(&hash, (const unsigned char *)&method,
+                              sizeof(method));
+    hash_part(&hash, r->service);
+    hash_part(&hash, r->target);
+    hash_part(&hash, buf_str(&r->call->body));
+    crypto_generichash_final(&hash, out, STATE_DIGEST_BYTES);
+}
+
+static void
+expect_reply(struct entry *e, struct request *r, const struct link *to)
+{
+    r->message = e->next_id++;
+    r->link_id = to->id;
+    map_put_u64(e->messages, r->message, r);
+}
+
+static int64_t
+timeout_ms(const struct entry *e, const struct request *r)
+{
+    int64_t longest = e->control->settings->longest_request_ms;
+    int64_t left = (r->call->deadline - e->control->now) / NS_PER_MS;
+
+    return left < 1 ? 1 : (left < longest ? left : longest);
+}
+
+void
+marks_begin(struct entry *e, struct request *r)
+{
+    struct link *to = entry_leader_link(e);
+    Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+    Wire__Begin begin = WIRE__BEGIN__INIT;
+    uint8_t digest[STATE_DIGEST_BYTES];
+    struct buf tag = {0};
+    struct str key;
+
+    if (to == NULL) {
+        return;
+    }
+    expect_reply(e, r, to);
+    request_digest(r, digest);
+    buf_printf(&tag, "%.*s:%llx", STR_ARG(e->control->settings->vm),
+               (unsigned long long)e->control->run);
+    key = str_dup(r->call->idempotency_key);
+    begin.id = r->message;
+    begin.team = r->team;
+    begin.key = (char *)key.ptr;
+    begin.request_hash.data = digest;
+    begin.request_hash.len = sizeof(digest);
+    begin.timeout_ms = timeout_ms(e, r);
+    begin.entry = tag.ptr;
+    envelope.msg_case = WIRE__ENVELOPE__MSG_BEGIN;
+    envelope.begin = &begin;
+    link_send(to, &envelope);
+    str_free(&key);
+    buf_free(&tag);
+}
+
+/* ---- Stored responses ---- */
+
+static void
+encode_headers(const struct http_headers *headers, struct buf *out)
+{
+    for (size_t i = 0; i < headers->count; i++) {
+        buf_printf(out, "%.*s: %.*s\n", STR_ARG(headers->list[i].name),
+                   STR_ARG(headers->list[i].value));
+    }
+}
+
+static void
+decode_headers(struct str text, struct http_headers *out)
+{
+    while (text.len != 0) {
+        struct str value = str_cut(&text, '\n');
+        struct str name = str_cut(&value, ':');
+
+        if (value.len != 0 && value.ptr[0] == ' ') {
+            value = str_from(value.ptr + 1, value.len - 1);
+        }
+        if (name.len != 0) {
+            http_headers_add(out, name, value);
+        }
+    }
+}
+
+static void
+send_end(struct entry *e, struct link *to, const struct request *r,
+         uint64_t id, Wire__EndOutcome outcome)
+{
+    Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+    Wire__End end = WIRE__END__INIT;
+    struct str key = str_dup(r->call->idempotency_key);
+    struct buf headers = {0};
+
+    encode_headers(&r->response.headers, &headers);
+    end.id = id;
+    end.team = r->team;
+    end.key = (char *)key.ptr;
+    end.record = r->record;
+    end.outcome = outcome;
+    end.status = (uint32_t)r->response.status;
+    end.headers.data = (uint8_t *)headers.ptr;
+    end.headers.len = headers.len;
+    end.body.data = (uint8_t *)r->response.body.ptr;
+    end.body.len = r->response.body.len;
+    envelope.msg_case = WIRE__ENVELOPE__MSG_END;
+    envelope.end = &end;
+    link_send(to, &envelope);
+    str_free(&key);
+    buf_free(&headers);
+}
+
+static void
+resend_end(struct entry *e, struct request *r)
+{
+    struct link *to = entry_leader_link(e);
+
+    if (to != NULL) {
+        expect_reply(e, r, to);
+        send_end(e, to, r, r->message, WIRE__END_OUTCOME__END_DONE);
+    }
+}
+
+void
+marks_store(struct entry *e, struct request *r)
+{
+    r->phase = REQUEST_STORING;
+    resend_end(e, r);
+}
+
+static void
+end_without_reply(struct entry *e, struct request *r, Wire__EndOutcome outcome)
+{
+    struct link *to = entry_leader_link(e);
+
+    if (r->record != 0 && to != NULL) {
+        send_end(e, to, r, e->next_id++, outcome);
+    }
+}
+
+void
+marks_end_unsent(struct entry *e, struct request *r)
+{
+    end_without_reply(e, r, WIRE__END_OUTCOME__END_NOT_RUN);
+}
+
+void
+marks_end_unknown(struct entry *e, struct request *r)
+{
+    end_without_reply(e, r, WIRE__END_OUTCOME__END_UNKNOWN);
+}
+
+/* ---- Replies ---- */
+
+static struct request *
+take_reply(struct entry *e, uint64_t id)
+{
+    struct request *r = map_del_u64(e->messages, id);
+
+    if (r != NULL) {
+        r->message = 0;
+    }
+    return r;
+}
+
+/* Takes the request out of the router, which has not sent it. */
+static void
+withdraw(struct entry *e, struct request *r, int status, const char *code,
+         const char *message, const char *outcome)
+{
+    struct router_event event = {.kind = ROUTER_CALLER_GONE, .id = r->id};
+
+    /* The router's refusal finds no request any more. */
+    request_refuse(e, r, status, code, message, outcome,
+                   status == 503 ? 1 : 0);
+    serve_event(e, &event);
+}
+
+static void
+give_stored(struct entry *e, struct request *r,
+            const Wire__StoredResponse *stored)
+{
+    struct router_event event = {.kind = ROUTER_CALLER_GONE, .id = r->id};
+
+    r->response.status = (int)stored->status;
+    decode_headers(str_from(stored->headers.data, stored->headers.len),
+                   &r->response.headers);
+    buf_append(&r->response.body, stored->body.data, stored->body.len);
+    serve_respond(e, r);
+    serve_event(e, &event);
+}
+
+static void
+go(struct entry *e, struct request *r, uint64_t record)
+{
+    struct router_event event = {.kind = ROUTER_MARKED, .id = r->id};
+
+    r->record = record;
+    r->phase = REQUEST_ROUTED;
+    serve_event(e, &event);
+}
+
+void
+entry_begin_reply(struct entry *e, const Wire__BeginReply *reply)
+{
+    struct request *r = take_reply(e, reply->id);
+
+    if (r == NULL || r->phase != REQUEST_MARKING || reply->not_leader) {
+        return;
+    }
+    switch (reply->verdict) {
+    case WIRE__VERDICT__VERDICT_GO:
+        go(e, r, reply->record);
+        return;
+    case WIRE__VERDICT__VERDICT_STORED:
+        if (reply->stored != NULL) {
+            give_stored(e, r, reply->stored);
+            return;
+        }
+        break;
+    case WIRE__VERDICT__VERDICT_RUNNING:
+        withdraw(e, r, 409, "running",
+                 "a request with this idempotency key is running", "unknown");
+        return;
+    case WIRE__VERDICT__VERDICT_CONFLICT:
+        withdraw(e, r, 409, "conflict",
+                 "this idempotency key was used for another request",
+                 "not-run");
+        return;
+    case WIRE__VERDICT__VERDICT_UNKNOWN:
+        break;
+    default:
+        withdraw(e, r, 503, "refused",
+                 "no more requests can be recorded at present", "not-run");
+        return;
+    }
+    withdraw(e, r, 504, "unknown",
+             "the outcome of the first request with this idempotency key "
+             "cannot be known",
+             "unknown");
+}
+
+void
+entry_end_reply(struct entry *e, const Wire__EndReply *reply)
+{
+    struct request *r = take_reply(e, reply->id);
+
+    if (r == NULL || r->phase != REQUEST_STORING || reply->not_leader) {
+        return;
+    }
+    serve_respond(e, r);
+}
+
+void
+marks_step(struct entry *e, struct request *r)
+{
+    if (r->phase == REQUEST_STORING &&
+        r->call->deadline <= e->control->now) {
+        /* The response is true, even if a repetition gets "unknown". */
+        serve_respond(e, r);
+        return;
+    }
+    if (r->message != 0) {
+        return;
+    }
+    if (r->phase == REQUEST_MARKING) {
+        marks_begin(e, r);
+    }
+    else if (r->phase == REQUEST_STORING) {
+        resend_end(e, r);
+    }
+}
--- /dev/null
+++ b/packages/daemon/serve.c
@@ -0,0 +1,527 @@
+/*
+ * Requests to services: from the caller through the router to an endpoint and
+ * back. marks.c handles those with an idempotency record.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "counter.h"
+#include "mem.h"
+#include "serve_impl.h"
+
+enum {
+    ATTEMPT_BITS = 8,       /* of an upstream id; the rest is the request */
+    REQUEST_OVERHEAD = 512, /* bytes of a request besides its body */
+};
+
+/* ---- Requests ---- */
+
+void
+request_free(struct entry *e, struct request *r)
+{
+    map_del_u64(e->requests, r->id);
+    if (r->message != 0) {
+        map_del_u64(e->messages, r->message);
+    }
+    if (r->marked) {
+        marks_forget(e, r);
+    }
+    http_headers_free(&r->response.headers);
+    buf_free(&r->response.body);
+    str_free(&r->service);
+    str_free(&r->target);
+    mem_free(r);
+}
+
+/* The call is released last: the record's name is part of it. */
+void
+request_refuse(struct entry *e, struct request *r, int status,
+               const char *code, const char *message, const char *outcome,
+               int retry_after_s)
+{
+    struct front_call *call = r->call;
+
+    request_free(e, r);
+    front_refuse(call, status, code, message, outcome, retry_after_s);
+}
+
+static void
+request_answer(struct entry *e, struct request *r)
+{
+    struct front_call *call = r->call;
+    struct front_response response = r->response;
+
+    r->response = (struct front_response){0};
+    request_free(e, r);
+    front_respond(call, &response);
+}
+
+static void
+make_target(struct request *r, struct str rest)
+{
+    struct buf out = {0};
+
+    if (rest.len == 0 || rest.ptr[0] != '/') {
+        buf_append(&out, "/", 1);
+    }
+    buf_append_str(&out, rest);
+    if (r->call->query.len != 0) {
+        buf_append(&out, "?", 1);
+        buf_append_str(&out, r->call->query);
+    }
+    r->target = str_dup(buf_str(&out));
+    buf_free(&out);
+}
+
+/* Requests whose path starts alike tend to cost alike. */
+static uint32_t
+path_class(struct str rest)
+{
+    if (rest.len != 0 && rest.ptr[0] == '/') {
+        rest = str_from(rest.ptr + 1, rest.len - 1);
+    }
+    return (uint32_t)str_hash(str_cut(&rest, '/'));
+}
+
+static const struct confview_key *
+check_key(struct entry *e, struct front_call *call)
+{
+    const struct confview_key *key = NULL;
+    uint8_t hash[STATE_HASH_BYTES];
+
+    if (!entry_ready(e)) {
+        front_refuse(call, 503, "not_ready",
+                     "this entry holds no configuration lease", "not-run", 1);
+        return NULL;
+    }
+    if (call->key.len != 0) {
+        key_hash(call->key, hash);
+        key = confview_key(e->config, hash);
+    }
+    if (key == NULL) {
+        front_refuse(call, 401, "unauthorized",
+                     "the key is missing, unknown or withdrawn", "not-run", 0);
+        return NULL;
+    }
+    if (key->kind != STATE_KEY_TEAM) {
+        front_refuse(call, 403, "forbidden",
+                     "only keys of the kind team may send requests",
+                     "not-run", 0);
+        return NULL;
+    }
+    return key;
+}
+
+static void
+route(struct entry *e, struct request *r, struct str rest)
+{
+    struct front_call *call = r->call;
+    struct router_event event = {.kind = ROUTER_REQUEST};
+
+    event.request =
+        (struct router_request){.id = r->id,
+                                .key = r->key_id,
+                                .team = r->team,
+                                .service = r->service,
+                                .path_class = path_class(rest),
+                                .idempotent = call->idempotent,
+                                .needs_mark = r->marked,
+                                .has_deadline = call->has_timeout,
+                                .deadline = call->deadline,
+                                .bytes = (uint32_t)call->body.len +
+                                         REQUEST_OVERHEAD};
+    serve_event(e, &event);
+}
+
+void
+serve_call(struct entry *e, struct front_call *call, struct str service,
+           struct str rest)
+{
+    const struct confview_key *key = check_key(e, call);
+    struct request *r;
+    uint64_t id;
+
+    if (key == NULL) {
+        return;
+    }
+    r = mem_zalloc(1, sizeof(*r));
+    r->id = id = e->next_id++;
+    r->call = call;
+    r->team = key->team;
+    r->key_id = key->id;
+    r->service = str_dup(service);
+    /* Repeating an idempotent request does no harm, so it needs no record. */
+    r->marked = call->idempotency_key.ptr != NULL && !call->idempotent;
+    r->phase = r->marked ? REQUEST_MARKING : REQUEST_ROUTED;
+    make_target(r, rest);
+    call->user = r;
+    map_put_u64(e->requests, r->id, r);
+    if (r->marked && !marks_remember(e, r)) {
+        r->marked = false;
+        request_refuse(e, r, 409, "running",
+                       "a request with this idempotency key is running here",
+                       "unknown", 0);
+        return;
+    }
+    route(e, r, rest);
+    /* The router may have refused it at once. */
+    r = map_get_u64(e->requests, id);
+    if (r != NULL && r->marked) {
+        marks_begin(e, r);
+    }
+}
+
+void
+serve_gone(struct entry *e, const struct front_call *call)
+{
+    struct router_event event = {.kind = ROUTER_CALLER_GONE};
+    struct request *r;
+    void *cursor = NULL;
+
+    while ((r = map_next(e->requests, &cursor)) != NULL) {
+        if (r->call == call) {
+            break;
+        }
+    }
+    /* What was sent with a record goes on, so that its outcome is stored. */
+    if (r == NULL || r->phase == REQUEST_STORING || (r->marked && r->sent)) {
+        return;
+    }
+    event.id = r->id;
+    serve_event(e, &event);
+}
+
+/* ---- Answers ---- */
+
+static int
+refusal_status(enum router_reason reason)
+{
+    switch (reason) {
+    case ROUTER_REASON_NO_TEAM:
+        return 403;
+    case ROUTER_REASON_NO_SERVICE:
+        return 404;
+    case ROUTER_REASON_TEAM_FULL:
+        return 429;
+    case ROUTER_REASON_KEY:
+        return 401;
+    default:
+        return 503;
+    }
+}
+
+static const char *
+reason_text(enum router_reason reason)
+{
+    switch (reason) {
+    case ROUTER_REASON_NO_LEASE:
+        return "this entry holds no configuration lease";
+    case ROUTER_REASON_NO_TEAM:
+        return "the team of this key does not exist";
+    case ROUTER_REASON_NO_SERVICE:
+        return "no endpoint has announced this service";
+    case ROUTER_REASON_QUEUE_FULL:
+        return "too many requests wait";
+    case ROUTER_REASON_TEAM_FULL:
+        return "too many requests of this team wait";
+    case ROUTER_REASON_TOO_LATE:
+        return "the request would not finish in time";
+    case ROUTER_REASON_DEADLINE:
+        return "the deadline has passed";
+    case ROUTER_REASON_KEY:
+        return "the key was withdrawn";
+    case ROUTER_REASON_CALLER_GONE:
+        return "the caller has gone";
+    case ROUTER_REASON_NO_BUDGET:
+        return "the endpoint failed and too many requests are being retried";
+    case ROUTER_REASON_ENDPOINT:
+        return "the endpoint failed";
+    case ROUTER_REASON_NONE:
+    case ROUTER_REASON_DUPLICATE:
+        break;
+    }
+    return "refused";
+}
+
+static void
+refuse(struct entry *e, struct request *r, const struct router_action *a)
+{
+    int status = refusal_status(a->reason);
+    int retry_s = 0;
+
+    if (status == 503 || status == 429) {
+        retry_s = (int)((a->retry_after_ns + NS_PER_S - 1) / NS_PER_S);
+        retry_s = retry_s < 1 ? 1 : retry_s;
+    }
+    if (r->marked) {
+        marks_end_unsent(e, r);
+    }
+    request_refuse(e, r, status, "refused", reason_text(a->reason),
+                   "not-run", retry_s);
+}
+
+static void
+fail(struct entry *e, struct request *r, const struct router_action *a)
+{
+    int status = a->reason == ROUTER_REASON_DEADLINE ? 504 : 502;
+
+    if (r->marked) {
+        marks_end_unknown(e, r);
+    }
+    request_refuse(e, r, status, "unknown", reason_text(a->reason),
+                   "unknown", 0);
+}
+
+static void
+complete(struct entry *e, struct request *r)
+{
+    struct upstream_result *result = e->result;
+
+    r->response.status = result->status;
+    r->response.headers = result->headers;
+    r->response.body = result->body;
+    r->response.head_length = result->head_length;
+    result->headers = (struct http_headers){0};
+    result->body = (struct buf){0};
+    http_headers_remove(&r->response.headers, "Guavarock-Outcome");
+    if (r->marked) {
+        marks_store(e, r);
+        return;
+    }
+    serve_respond(e, r);
+}
+
+void
+serve_respond(struct entry *e, struct request *r)
+{
+    http_headers_add(&r->response.headers, STR("Guavarock-Outcome"),
+                     STR("done"));
+    request_answer(e, r);
+}
+
+/* ---- Attempts ---- */
+
+static void
+attempt_free(struct entry *e, struct attempt *a)
+{
+    map_del_u64(e->attempts, a->id);
+    front_call_unref(a->call);
+    str_free(&a->address);
+    str_free(&a->target);
+    mem_free(a);
+}
+
+static struct attempt *
+attempt_create(struct entry *e, struct request *r,
+               const struct router_action *action,
+               const struct known_endpoint *endpoint)
+{
+    struct attempt *a = mem_zalloc(1, sizeof(*a));
+
+    a->id = r->id << ATTEMPT_BITS | action->attempt;
+    a->request = r->id;
+    a->number = action->attempt;
+    a->call = r->call;
+    front_call_ref(a->call);
+    a->target = str_dup(r->target);
+    if (endpoint != NULL) {
+        a->address = str_dup(endpoint->address);
+    }
+    map_put_u64(e->attempts, a->id, a);
+    return a;
+}
+
+static bool
+start(struct entry *e, const struct attempt *a, int64_t deadline)
+{
+    const struct upstream_call call = {
+        .id = a->id,
+        .address = a->address,
+        .method = a->call->method,
+        .target = a->target,
+        .headers = &a->call->headers,
+        .idempotency_key = a->call->idempotency_key,
+        .body = buf_str(&a->call->body),
+        .idempotent = a->call->idempotent,
+        .deadline = deadline};
+
+    return a->address.len != 0 && upstream_send(e->control->upstream, &call);
+}
+
+/* An attempt that could not start ends without a byte sent. */
+static void
+end_unstarted(struct entry *e, struct attempt *a)
+{
+    struct router_event event = {.kind = ROUTER_ATTEMPT_ENDED};
+
+    event.attempt = (struct router_attempt){.request = a->request,
+                                            .attempt = a->number,
+                                            .result = ATTEMPT_REFUSED};
+    attempt_free(e, a);
+    serve_event(e, &event);
+}
+
+static void
+send(struct entry *e, struct request *r, const struct router_action *action)
+{
+    struct attempt *a = attempt_create(
+        e, r, action, map_get(e->endpoints, action->endpoint));
+
+    r->sent = true;
+    if (!start(e, a, action->deadline)) {
+        a->next_unstarted = e->unstarted;
+        e->unstarted = a;
+    }
+}
+
+static void
+cancel(struct entry *e, const struct router_action *action)
+{
+    struct attempt *a = map_get_u64(
+        e->attempts, action->request << ATTEMPT_BITS | action->attempt);
+
+    if (a != NULL) {
+        upstream_cancel(e->control->upstream, a->address, a->id);
+    }
+}
+
+static enum attempt_result
+result_of(const struct upstream_result *result)
+{
+    switch (result->failure) {
+    case UPSTREAM_OK:
+        return result->status >= 500 ? ATTEMPT_ERROR_RESPONSE : ATTEMPT_OK;
+    case UPSTREAM_REFUSED:
+    case UPSTREAM_NO_SLOT:
+        return ATTEMPT_REFUSED;
+    case UPSTREAM_RESET:
+        return ATTEMPT_RESET;
+    case UPSTREAM_TIMED_OUT:
+        return ATTEMPT_TIMED_OUT;
+    case UPSTREAM_CANCELLED:
+        return ATTEMPT_CANCELLED;
+    case UPSTREAM_MALFORMED:
+    case UPSTREAM_TOO_LARGE:
+        break;
+    }
+    return ATTEMPT_MALFORMED;
+}
+
+void
+entry_upstream_result(struct entry *e, struct upstream_result *result)
+{
+    struct attempt *a = map_get_u64(e->attempts, result->id);
+    struct router_event event = {.kind = ROUTER_ATTEMPT_ENDED};
+
+    if (a != NULL) {
+        event.attempt =
+            (struct router_attempt){.request = a->request,
+                                    .attempt = a->number,
+                                    .result = result_of(result),
+                                    .bytes_sent = result->sent,
+                                    .duration_ns = result->duration_ns};
+        attempt_free(e, a);
+        e->result = result;
+        serve_event(e, &event);
+        e->result = NULL;
+    }
+    upstream_result_free(result);
+}
+
+/* ---- The router ---- */
+
+static void
+handle_action(struct entry *e, const struct router_action *action)
+{
+    struct request *r = map_get_u64(e->requests, action->request);
+
+    if (action->kind == ROUTER_CANCEL) {
+        cancel(e, action);
+        return;
+    }
+    if (r == NULL) {
+        return;
+    }
+    switch (action->kind) {
+    case ROUTER_SEND:
+        send(e, r, action);
+        break;
+    case ROUTER_REFUSE:
+        refuse(e, r, action);
+        break;
+    case ROUTER_FAIL:
+        fail(e, r, action);
+        break;
+    case ROUTER_COMPLETE:
+        complete(e, r);
+        break;
+    case ROUTER_CANCEL:
+        break;
+    }
+}
+
+void
+serve_event(struct entry *e, const struct router_event *event)
+{
+    struct attempt *a;
+
+    router_step(e->router, e->control->now, event, &e->actions);
+    for (size_t i = 0; i < e->actions.count; i++) {
+        handle_action(e, &e->actions.items[i]);
+    }
+    e->actions.count = 0;
+    /* Only now, because a further step would invalidate the actions. */
+    while ((a = e->unstarted) != NULL) {
+        e->unstarted = a->next_unstarted;
+        end_unstarted(e, a);
+    }
+}
+
+void
+serve_link_down(struct entry *e, const struct link *l)
+{
+    struct request *r;
+    void *cursor = NULL;
+
+    while ((r = map_next(e->requests, &cursor)) != NULL) {
+        if (r->message != 0 && r->link_id == l->id) {
+            map_del_u64(e->messages, r->message);
+            r->message = 0;
+        }
+    }
+}
+
+void
+serve_step(struct entry *e)
+{
+    struct request *r;
+    void *cursor = NULL;
+
+    while ((r = map_next(e->requests, &cursor)) != NULL) {
+        if (r->marked) {
+            marks_step(e, r);
+        }
+    }
+}
+
+void
+serve_destroy(struct entry *e)
+{
+    struct request *r;
+    struct attempt *a;
+    void *cursor = NULL;
+
+    while ((r = map_next(e->requests, &cursor)) != NULL) {
+        r->marked = false;
+        request_refuse(e, r, 503, "stopping", "this entry has stopped",
+                       r->sent ? "unknown" : "not-run", 1);
+    }
+    cursor = NULL;
+    while ((a = map_next(e->attempts, &cursor)) != NULL) {
+        attempt_free(e, a);
+    }
+    map_destroy(e->requests);
+    map_destroy(e->marks);
+    map_destroy(e->messages);
+    map_destroy(e->attempts);
+}
--- /dev/null
+++ b/packages/daemon/serve_impl.h
@@ -0,0 +1,47 @@
+#ifndef GV_SERVE_IMPL_H
+#define GV_SERVE_IMPL_H
+
+#include "entry_impl.h"
+
+void
+request_free(struct entry *e, struct request *r);
+
+/* Answers with an error and ends the request. */
+void
+request_refuse(struct entry *e, struct request *r, int status,
+               const char *code, const char *message, const char *outcome,
+               int retry_after_s);
+
+/* Gives r->response to the caller and ends the request. */
+void
+serve_respond(struct entry *e, struct request *r);
+
+/*
+ * Requests with an idempotency record. marks_remember returns false when a
+ * request with the same team and key is already here.
+ */
+bool
+marks_remember(struct entry *e, struct request *r);
+void
+marks_forget(struct entry *e, struct request *r);
+
+/* Asks the leader to commit the record before the request is sent. */
+void
+marks_begin(struct entry *e, struct request *r);
+
+/* Commits the response, then gives it to the caller. */
+void
+marks_store(struct entry *e, struct request *r);
+
+/* Ends the record of a request that was never sent, or whose outcome cannot
+ * be known; the caller is answered by the router's refusal or failure. */
+void
+marks_end_unsent(struct entry *e, struct request *r);
+void
+marks_end_unknown(struct entry *e, struct request *r);
+
+/* Sends what was lost again; answers when the deadline has passed. */
+void
+marks_step(struct entry *e, struct request *r);
+
+#endif
--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -341,13 +341,15 @@
 {
   ProtobufCMessage base;
   uint32_t status;
-  size_t n_headers;
-  Wire__Header **headers;
+  /*
+   * "Name: value" lines
+   */
+  ProtobufCBinaryData headers;
   ProtobufCBinaryData body;
 };
 #define WIRE__STORED_RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__stored_response__descriptor) \
-    , 0, 0,NULL, {0,NULL} }
+    , 0, {0,NULL}, {0,NULL} }
 
 
 struct  Wire__Begin
@@ -399,15 +401,17 @@
   uint32_t team;
   char *key;
   uint32_t status;
-  size_t n_headers;
-  Wire__Header **headers;
+  /*
+   * as in StoredResponse
+   */
+  ProtobufCBinaryData headers;
   ProtobufCBinaryData body;
   Wire__EndOutcome outcome;
   uint64_t record;
 };
 #define WIRE__END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__end__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, WIRE__END_OUTCOME__END_UNKNOWN, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, {0,NULL}, WIRE__END_OUTCOME__END_UNKNOWN, 0 }
 
 
 struct  Wire__EndReply
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -2118,11 +2118,11 @@
   {
     "headers",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__StoredResponse, n_headers),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
     offsetof(Wire__StoredResponse, headers),
-    &wire__header__descriptor,
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -2463,11 +2463,11 @@
   {
     "headers",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__End, n_headers),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
     offsetof(Wire__End, headers),
-    &wire__header__descriptor,
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
