build: include package headers with -iquote

The package's sched.h replaced the system's <sched.h>, which pthread.h includes, so that no file could include pthread.h. -iquote applies to quoted includes only; cppcheck does not know it and still gets -I.

--- a/Makefile
+++ b/Makefile
@@ -41,9 +41,11 @@
 BENCH_SRCS := $(wildcard bench/*.c)
 BENCHES := $(BENCH_SRCS:bench/%.c=$(OUT)/bench/%)
 
-ALL_INC := $(foreach p,$(PKGS),-Ipackages/$p/include)
+# -iquote keeps package headers from replacing system headers of the same
+# name, such as <sched.h>, which pthread.h includes.
+ALL_INC := $(foreach p,$(PKGS),-iquotepackages/$p/include)
 pkg_of = $(word 2,$(subst /, ,$1))
-inc_of = -Ipackages/$1/include $(foreach d,$($1_DEPS),-Ipackages/$d/include)
+inc_of = $(foreach d,$1 $($1_DEPS),-iquotepackages/$d/include)
 
 BINS := $(if $(wildcard packages/daemon/main.c),$(OUT)/guavarockd) \
 	$(if $(wildcard packages/cli/main.c),$(OUT)/guavarock)
@@ -125,7 +127,7 @@
 lint: $(LINT_STAMPS)
 	@cppcheck --quiet --std=c11 --enable=warning,portability --inline-suppr \
 		--library=gtk --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
-		--error-exitcode=1 -j 4 $(ALL_INC) $(LINT_C)
+		--error-exitcode=1 -j 4 $(ALL_INC:-iquote%=-I%) $(LINT_C)
 
 deps:
 	.ci/deps
--- /dev/null
+++ b/packages/sched/sched.c
@@ -0,0 +1,327 @@
+#include "core.h"
+
+#include <string.h>
+
+#include "mem.h"
+
+enum {
+    SIZE_MAX_BITS = 36,
+};
+
+void
+sched_config_default(struct sched_config *config)
+{
+    *config = (struct sched_config){
+        .next_lease = 1,
+        .weights = {.waiting = 1, .packing = 1, .control = 1, .share = 1},
+        .decisions_per_tick = 256,
+        .open_queue_weight = 0.2,
+        .checkpoint_ns = 10 * NS_PER_S,
+        .preempt_ns = 700 * NS_PER_MS,
+        .claim_ns = 1200 * NS_PER_MS,
+        .retry_min_ns = NS_PER_S,
+        .retry_max_ns = 300 * NS_PER_S,
+        .max_failures = 5,
+        .max_losses = 10,
+        .stable_ns = 600 * NS_PER_S,
+        .start_grace_ns = 15 * NS_PER_S,
+        .unschedulable_ns = 2 * NS_PER_S,
+        .reserve_after_ns = 30 * NS_PER_S,
+        .gang_retry_ns = NS_PER_S,
+        .quarantine_ns = 60 * NS_PER_S,
+        .quarantine_max_ns = 3600 * NS_PER_S,
+        .quarantine_cap = 0.05,
+        .quarantine_score = 2.5,
+        .quarantine_jobs = 3,
+        .max_profiles = 20000,
+    };
+}
+
+struct sched_action *
+emit(struct sched *s, enum sched_action_kind kind)
+{
+    struct sched_actions *a = s->out;
+
+    if (a->count == a->cap) {
+        a->cap = a->cap == 0 ? 64 : a->cap * 2;
+        a->items = mem_realloc(a->items, a->cap, sizeof(*a->items));
+    }
+    a->items[a->count] = (struct sched_action){.kind = kind};
+    return &a->items[a->count++];
+}
+
+void
+emit_lease(struct sched *s, enum sched_action_kind kind, const struct lease *l)
+{
+    emit(s, kind)->u.lease = l->id;
+}
+
+void
+timer_init(struct timer *t, enum timer_kind kind, void *owner)
+{
+    *t = (struct timer){.kind = kind, .owner = owner};
+}
+
+void
+timer_set(struct sched *s, struct timer *t, int64_t at)
+{
+    heap_remove(&s->timers, &t->node);
+    t->node.key = at;
+    t->node.seq = s->timer_seq++;
+    heap_insert(&s->timers, &t->node);
+}
+
+void
+timer_clear(struct sched *s, struct timer *t)
+{
+    heap_remove(&s->timers, &t->node);
+}
+
+static int64_t
+bounded(uint64_t value)
+{
+    const uint64_t max = UINT64_C(1) << SIZE_MAX_BITS;
+
+    return (int64_t)(value > max ? max : value);
+}
+
+struct vec
+vec_of(const struct sched_size *size)
+{
+    struct vec v;
+
+    v.d[DIM_CPU] = bounded(size->cpu_milli);
+    v.d[DIM_MEMORY] = bounded(size->memory_mib);
+    v.d[DIM_ACCELERATORS] = bounded(size->accelerators);
+    v.d[DIM_TASKS] = 1;
+    return v;
+}
+
+struct sched *
+sched_create(const struct sched_config *config, int64_t now)
+{
+    struct sched *s = mem_zalloc(1, sizeof(*s));
+
+    s->config = *config;
+    s->created = now;
+    s->now = now;
+    s->next_lease = config->next_lease == 0 ? 1 : config->next_lease;
+    s->next_id = 1;
+    s->teams = map_create();
+    s->workers = map_create();
+    s->jobs = map_create();
+    s->leases = map_create();
+    s->profiles = map_create();
+    s->racks = map_create();
+    s->domains = map_create();
+    link_init(&s->profile_lru, NULL);
+    link_init(&s->parked_gangs, NULL);
+    link_init(&s->dirty_workers, NULL);
+    link_init(&s->dirty_teams, NULL);
+    link_init(&s->dropped, NULL);
+    link_init(&s->reservation.workers, NULL);
+    timer_init(&s->reserve, TIMER_RESERVE, s);
+    timer_init(&s->shadow, TIMER_SHADOW, s);
+    timer_init(&s->urgent, TIMER_URGENT, s);
+    return s;
+}
+
+static void
+free_all(struct sched *s)
+{
+    void *cursor = NULL;
+    void *p;
+
+    reservation_drop(s);
+    while ((p = map_next(s->jobs, &cursor)) != NULL) {
+        job_free(s, p);
+    }
+    cursor = NULL;
+    while ((p = map_next(s->workers, &cursor)) != NULL) {
+        worker_free(s, p);
+    }
+    cursor = NULL;
+    while ((p = map_next(s->teams, &cursor)) != NULL) {
+        team_destroy(s, p);
+    }
+    cursor = NULL;
+    while ((p = map_next(s->racks, &cursor)) != NULL) {
+        mem_free(p);
+    }
+    for (size_t i = 0; i < s->domain_count; i++) {
+        mem_free(s->domain_list[i]);
+    }
+    profiles_destroy(s);
+}
+
+void
+sched_destroy(struct sched *s)
+{
+    if (s == NULL) {
+        return;
+    }
+    free_all(s);
+    map_destroy(s->teams);
+    map_destroy(s->workers);
+    map_destroy(s->jobs);
+    map_destroy(s->leases);
+    map_destroy(s->profiles);
+    map_destroy(s->racks);
+    map_destroy(s->domains);
+    for (int lane = 0; lane < LANES; lane++) {
+        heap_free(&s->ready[lane]);
+    }
+    heap_free(&s->timers);
+    mem_free(s->domain_list);
+    mem_free(s->accounts);
+    mem_free(s);
+}
+
+static void
+apply(struct sched *s, const struct sched_event *event)
+{
+    switch (event->kind) {
+    case SCHED_EVENT_TEAM:
+        team_event(s, &event->u.team);
+        break;
+    case SCHED_EVENT_WORKER_UP:
+        worker_up(s, &event->u.worker);
+        break;
+    case SCHED_EVENT_WORKER_DRAINING:
+        worker_draining(s, &event->u.draining);
+        break;
+    case SCHED_EVENT_WORKER_EXPIRED:
+        worker_expired(s, &event->u.expired);
+        break;
+    case SCHED_EVENT_JOB:
+        job_event(s, &event->u.job);
+        break;
+    case SCHED_EVENT_JOB_CANCEL:
+        job_cancel(s, event->u.cancel_job);
+        break;
+    case SCHED_EVENT_RESTORE:
+        job_restore(s, &event->u.restore);
+        break;
+    case SCHED_EVENT_PLACEMENT_COMMITTED:
+        lease_committed(s, event->u.lease);
+        break;
+    case SCHED_EVENT_PLACEMENT_FAILED:
+        lease_failed(s, event->u.lease);
+        break;
+    case SCHED_EVENT_TASK_RUNNING:
+        lease_running(s, event->u.lease);
+        break;
+    case SCHED_EVENT_TASK_ENDED:
+        lease_ended(s, &event->u.ended);
+        break;
+    case SCHED_EVENT_USAGE:
+        lease_usage(s, &event->u.usage);
+        break;
+    case SCHED_EVENT_TICK:
+        place_tick(s);
+        break;
+    }
+}
+
+void
+sched_step(struct sched *s, int64_t now, const struct sched_event *event,
+           struct sched_actions *actions)
+{
+    s->now = now > s->now ? now : s->now;
+    s->out = actions;
+    apply(s, event);
+    leases_drop(s);
+    s->out = NULL;
+}
+
+int64_t
+sched_next_deadline(const struct sched *s)
+{
+    const struct heap_node *first = heap_min(&s->timers);
+
+    if (!s->ticked || place_pending(s)) {
+        return s->now;
+    }
+    return first == NULL ? DEADLINE_NONE : first->key;
+}
+
+void
+sched_actions_clear(struct sched_actions *actions)
+{
+    actions->count = 0;
+}
+
+void
+sched_actions_free(struct sched_actions *actions)
+{
+    mem_free(actions->items);
+    *actions = (struct sched_actions){NULL, 0, 0};
+}
+
+bool
+sched_team_within_limit(const struct sched *s, uint32_t team)
+{
+    const struct team *t = map_get_u64(s->teams, team);
+
+    return t == NULL || vec_covers(&t->limit, &t->used);
+}
+
+bool
+sched_team_status(const struct sched *s, uint32_t team,
+                  struct sched_team_status *out)
+{
+    const struct team *t = map_get_u64(s->teams, team);
+    double weight = 0;
+
+    if (t == NULL) {
+        return false;
+    }
+    out->tasks = (uint64_t)t->used.d[DIM_TASKS];
+    out->used.cpu_milli = (uint64_t)t->used.d[DIM_CPU];
+    out->used.memory_mib = (uint64_t)t->used.d[DIM_MEMORY];
+    out->used.accelerators = (uint64_t)t->used.d[DIM_ACCELERATORS];
+    out->share = 0;
+    for (int i = 0; i < DIM_TASKS; i++) {
+        double part = s->fleet.d[i] > 0
+                          ? (double)t->used.d[i] / (double)s->fleet.d[i]
+                          : 0;
+        out->share = part > out->share ? part : out->share;
+    }
+    for (int i = 0; i < 2; i++) {
+        weight += t->accounts[i].jobs > 0 ? t->accounts[i].weight : 0;
+    }
+    out->entitlement = s->active_weight > 0 ? weight / s->active_weight : 0;
+    return true;
+}
+
+void
+sched_stats(const struct sched *s, struct sched_stats *out)
+{
+    *out = s->stats;
+    out->jobs = map_count(s->jobs);
+    out->leases = map_count(s->leases);
+    out->workers_up = s->capacity.count;
+    out->quarantined = s->quarantined;
+}
+
+const char *
+sched_reason_text(enum sched_reason reason)
+{
+    switch (reason) {
+    case SCHED_REASON_NONE:
+        return "";
+    case SCHED_REASON_NO_WORKER:
+        return "no registered worker could hold one task";
+    case SCHED_REASON_TOO_MANY:
+        return "the fleet could not hold all tasks at once";
+    case SCHED_REASON_TEAM_LIMIT:
+        return "the job needs more than the team's limit";
+    case SCHED_REASON_FAILURES:
+        return "a task failed too often";
+    case SCHED_REASON_LOSSES:
+        return "a task lost its worker too often";
+    case SCHED_REASON_MAY_HAVE_RUN:
+        return "a task that must not run twice may have run";
+    }
+    return "";
+}
--- /dev/null
+++ b/packages/sched/service.c
@@ -0,0 +1,138 @@
+#include "core.h"
+
+/* Emptiest workers of a domain that are compared by spread. */
+static const int CANDIDATES = 8;
+
+enum spread_kind {
+    SPREAD_DOMAIN = 1,
+    SPREAD_RACK,
+    SPREAD_WORKER,
+};
+
+static uint64_t
+spread_key(enum spread_kind kind, uint32_t id)
+{
+    return (uint64_t)kind << 32 | id;
+}
+
+static size_t
+count_of(const struct job *j, enum spread_kind kind, uint32_t id)
+{
+    return (size_t)(uintptr_t)map_get_u64(j->policy.service.spread,
+                                          spread_key(kind, id));
+}
+
+static void
+add(struct job *j, enum spread_kind kind, uint32_t id, int by)
+{
+    struct map *m = j->policy.service.spread;
+    size_t count = count_of(j, kind, id) + (size_t)by;
+
+    if (count == 0) {
+        map_del_u64(m, spread_key(kind, id));
+    }
+    else {
+        map_put_u64(m, spread_key(kind, id), (void *)(uintptr_t)count);
+    }
+}
+
+static void
+add_places(struct lease *l, int by)
+{
+    if (l->domain != NULL) {
+        add(l->job, SPREAD_DOMAIN, l->domain->id, by);
+        add(l->job, SPREAD_RACK, l->rack->id, by);
+    }
+}
+
+/* Counts a lease of a service in or out. */
+void
+spread_count(struct lease *l, int by)
+{
+    if (l->job->class != SCHED_SERVICE) {
+        return;
+    }
+    if (by > 0) {
+        l->domain = l->worker->domain;
+        l->rack = l->worker->rack;
+    }
+    add(l->job, SPREAD_WORKER, l->worker->id, by);
+    add_places(l, by);
+}
+
+/* The rack and domain of a worker became known or changed. */
+void
+spread_update(struct sched *s, struct worker *w)
+{
+    (void)s;
+    for (struct link *l = w->leases.next; l != &w->leases; l = l->next) {
+        struct lease *lease = l->owner;
+        if (lease->job->class == SCHED_SERVICE) {
+            add_places(lease, -1);
+            lease->domain = w->domain;
+            lease->rack = w->rack;
+            add_places(lease, 1);
+        }
+    }
+}
+
+/* Fewest tasks of the job on the VM and in the rack, then the emptiest. */
+static struct worker *
+pick_in_domain(const struct job *j, const struct fit_tree *tree)
+{
+    struct worker *best = NULL;
+    size_t best_vm = 0;
+    size_t best_rack = 0;
+    struct fit_node *n = fit_next(tree, &j->ask, NULL);
+
+    for (int i = 0; n != NULL && i < CANDIDATES; i++) {
+        struct worker *w = n->owner;
+        size_t vm = count_of(j, SPREAD_WORKER, w->id);
+        size_t rack = count_of(j, SPREAD_RACK, w->rack->id);
+        if (best == NULL || vm < best_vm ||
+            (vm == best_vm && rack < best_rack)) {
+            best = w;
+            best_vm = vm;
+            best_rack = rack;
+        }
+        n = fit_next(tree, &j->ask, n);
+    }
+    return best;
+}
+
+/* The domain that fits with the fewest tasks of the job. */
+static struct worker *
+pick_by_domain(struct sched *s, const struct job *j, int kind)
+{
+    struct worker *best = NULL;
+    size_t best_count = 0;
+    int64_t best_key = 0;
+
+    for (size_t i = 0; i < s->domain_count; i++) {
+        struct domain *d = s->domain_list[i];
+        size_t count = count_of(j, SPREAD_DOMAIN, d->id);
+        struct fit_node *n;
+        if (best != NULL && count > best_count) {
+            continue;
+        }
+        n = fit_next(&d->free[kind], &j->ask, NULL);
+        if (n != NULL &&
+            (best == NULL || count < best_count || n->key < best_key)) {
+            best = n->owner;
+            best_count = count;
+            best_key = n->key;
+        }
+    }
+    return best == NULL ? NULL : pick_in_domain(j, &best->domain->free[kind]);
+}
+
+struct worker *
+service_pick(struct sched *s, struct job *j)
+{
+    struct worker *w = NULL;
+
+    if (j->ask.d[DIM_ACCELERATORS] == 0) {
+        w = pick_by_domain(s, j, 0);
+    }
+    return w != NULL ? w : pick_by_domain(s, j, 1);
+}
