--- a/packages/sched/include/sched.h
+++ b/packages/sched/include/sched.h
@@ -35,9 +35,9 @@
 #define SCHED_UNLIMITED UINT64_MAX
 
 enum sched_class {
-    SCHED_SERVICE,
-    SCHED_BATCH,
-    SCHED_GANG,
+    SCHED_CLASS_SERVICE,
+    SCHED_CLASS_BATCH,
+    SCHED_CLASS_GANG,
 };
 
 struct sched_size {
