--- a/packages/base/include/json.h
+++ b/packages/base/include/json.h
@@ -30,7 +30,6 @@
 
 enum {
     JSON_NAME_MAX = 64,
-    JSON_DEPTH_MAX = 16,
 };
 
 enum json_flag {
@@ -43,6 +42,8 @@
 
 struct json_shape;
 
+/* One row of a table; written with the JSON_*_FIELD macros below, which check
+ * the member's type. */
 struct json_field {
     const char *name;
     enum json_kind kind;
@@ -62,6 +63,77 @@
     size_t size; /* sizeof the struct */
 };
 
+/* The member's offset; does not compile unless its type is C. The parameter
+ * is a type name, which cannot stand in parentheses.
+ * NOLINTBEGIN(bugprone-macro-parentheses) */
+#define JSON_OFFSET(T, M, C)                                                  \
+    (offsetof(struct T, M) / (size_t) _Generic(((struct T *)NULL)->M, C : 1))
+/* NOLINTEND(bugprone-macro-parentheses) */
+
+#define JSON_U32_FIELD(T, M, FLAGS, LOW, HIGH)                                \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_U32, .flags = (FLAGS),                  \
+        .offset = JSON_OFFSET(T, M, uint32_t), .min = (LOW), .max = (HIGH)    \
+    }
+#define JSON_U64_FIELD(T, M, FLAGS, LOW, HIGH)                                \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_U64, .flags = (FLAGS),                  \
+        .offset = JSON_OFFSET(T, M, uint64_t), .min = (LOW), .max = (HIGH)    \
+    }
+#define JSON_I64_FIELD(T, M, FLAGS, LOW, HIGH)                                \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_I64, .flags = (FLAGS),                  \
+        .offset = JSON_OFFSET(T, M, int64_t), .min = (LOW), .max = (HIGH)     \
+    }
+#define JSON_REAL_FIELD(T, M, FLAGS, LOW, HIGH)                               \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_REAL, .flags = (FLAGS),                 \
+        .offset = JSON_OFFSET(T, M, double), .min = (LOW), .max = (HIGH)      \
+    }
+#define JSON_BOOL_FIELD(T, M, FLAGS)                                          \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_BOOL, .flags = (FLAGS),                 \
+        .offset = JSON_OFFSET(T, M, bool)                                     \
+    }
+#define JSON_STRING_FIELD(T, M, FLAGS, LOW, HIGH)                             \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_STRING, .flags = (FLAGS),               \
+        .offset = JSON_OFFSET(T, M, struct str), .min = (LOW), .max = (HIGH)  \
+    }
+#define JSON_NAME_FIELD(T, M, FLAGS)                                          \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_NAME, .flags = (FLAGS),                 \
+        .offset = JSON_OFFSET(T, M, struct str)                               \
+    }
+#define JSON_ENUM_FIELD(T, M, FLAGS, NAMES)                                   \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_ENUM, .flags = (FLAGS),                 \
+        .offset = JSON_OFFSET(T, M, int), .names = (NAMES)                    \
+    }
+#define JSON_OBJECT_FIELD(T, M, SHAPE)                                        \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_OBJECT,                                 \
+        .offset = offsetof(struct T, M), .shape = (SHAPE)                     \
+    }
+#define JSON_LIST_FIELD(T, M, N, SHAPE, MOST)                                 \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_LIST, .offset = offsetof(struct T, M),  \
+        .shape = (SHAPE), .count_offset = JSON_OFFSET(T, N, size_t),          \
+        .count_max = (MOST)                                                   \
+    }
+#define JSON_NUMBERS_FIELD(T, M, N, LOW, HIGH, MOST)                          \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_NUMBERS,                                \
+        .offset = JSON_OFFSET(T, M, uint64_t *), .min = (LOW), .max = (HIGH), \
+        .count_offset = JSON_OFFSET(T, N, size_t), .count_max = (MOST)        \
+    }
+
+/* Initialiser of the json_shape of struct T. */
+#define JSON_SHAPE(T, FIELDS)                                                 \
+    {                                                                         \
+        (FIELDS), sizeof(FIELDS) / sizeof((FIELDS)[0]), sizeof(struct T)      \
+    }
+
 enum json_fault {
     JSON_FAULT_SYNTAX,
     JSON_FAULT_UNKNOWN_FIELD,
--- a/packages/caller/include/caller.h
+++ b/packages/caller/include/caller.h
@@ -99,6 +99,9 @@
     uint64_t cancelled;
 };
 
+struct json_doc *
+caller_cancelled_parse(struct str body, struct caller_cancelled *out,
+                       struct api_error *err);
 void
 caller_cancelled_render(const struct caller_cancelled *c, struct buf *out);
 
