Add the HTTP server

Requests become calls on the control thread's ring while libmicrohttpd (epoll, a pool of threads) keeps the connection suspended. The library leaves three gaps that a watch thread fills: it does not notice a disconnect while a connection is suspended, its time-out restarts with every byte, and after a quiesce the kernel would go on accepting for nobody.

Ruled out: resuming a connection now and then to let the library look for a disconnect (it would call the handler and allow no second suspend without a busy loop); reporting disconnects by id (the consumer would need a map; a counted reference is simpler).

The library answers three kinds of malformed input itself with an HTML body (bad Content-Length, bad chunk size, a header far over the bound) and closes without an answer when the request line has no target; everything else is answered with the JSON error body.

A half-closed connection counts as a disconnect, as a full close cannot be told apart from it; the answer is still delivered.

ring.c tells ThreadSanitizer what push and pop order: the inline assembly of Concurrency Kit hides it.

--- a/packages/base/ring.c
+++ b/packages/base/ring.c
@@ -9,6 +9,29 @@
 
 #include "mem.h"
 
+/*
+ * ThreadSanitizer does not see the barriers of Concurrency Kit, which are
+ * inline assembly. It is told here what a push and a pop order, and not to
+ * report the ring's own slots.
+ */
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#define ORDER_PUSH(r) __tsan_release(r)
+#define ORDER_POP(r) __tsan_acquire(r)
+
+const char *
+__tsan_default_suppressions(void);
+
+const char *
+__tsan_default_suppressions(void)
+{
+    return "race:_ck_ring_";
+}
+#else
+#define ORDER_PUSH(r) ((void)0)
+#define ORDER_POP(r) ((void)0)
+#endif
+
 struct ring {
     ck_ring_t ring;
     ck_ring_buffer_t *slots;
@@ -47,6 +70,7 @@
 {
     uint64_t one = 1;
 
+    ORDER_PUSH(r);
     if (!ck_ring_enqueue_mpsc(&r->ring, r->slots, item)) {
         return false;
     }
@@ -67,6 +91,7 @@
     if (!ck_ring_dequeue_mpsc(&r->ring, r->slots, &item)) {
         return NULL;
     }
+    ORDER_POP(r);
     return item;
 }
 
--- /dev/null
+++ b/packages/front/handler.c
@@ -0,0 +1,148 @@
+#include "internal.h"
+
+#include "clock.h"
+
+/* A discarded body may still run this many times over the limit, so that a
+ * chunked sender gets its 413; then the connection is closed. */
+enum {
+    DISCARD_FACTOR = 4,
+};
+
+static enum MHD_Result
+receive_body(struct request *r, const char *data, size_t size)
+{
+    size_t limit = r->front->config.max_body;
+
+    r->received += size;
+    if (r->received > limit) {
+        r->too_large = true;
+        buf_free(&r->call.body);
+        return r->received > limit * DISCARD_FACTOR ? MHD_NO : MHD_YES;
+    }
+    buf_append(&r->call.body, data, size);
+    return MHD_YES;
+}
+
+/* The whole request is here: from now on no receive deadline applies. False
+ * when the watch thread has already answered 408. */
+static bool
+end_receiving(struct request *r)
+{
+    struct front *f = r->front;
+    bool ok;
+
+    pthread_mutex_lock(&f->lock);
+    ok = r->conn != NULL && !r->conn->expired;
+    if (ok) {
+        r->conn->phase = CONN_HANDLING;
+        r->conn->deadline = DEADLINE_NONE;
+    }
+    pthread_mutex_unlock(&f->lock);
+    return ok;
+}
+
+/* The ring is full. The library allows no answer while the connection is
+ * suspended, so it is resumed first. */
+static void
+take_back_refused(struct request *r)
+{
+    bool taken;
+
+    pthread_mutex_lock(&r->front->lock);
+    taken = request_take_back(r);
+    if (taken) {
+        api_fail(&r->error, 503, "overloaded", "", "too many requests wait");
+    }
+    pthread_mutex_unlock(&r->front->lock);
+    if (taken) {
+        request_give_back(r);
+    }
+}
+
+static enum MHD_Result
+push_call(struct request *r)
+{
+    struct front *f = r->front;
+
+    /* The consumer may answer as soon as the item is on the ring, so the
+     * connection is suspended before. */
+    pthread_mutex_lock(&f->lock);
+    if (atomic_load(&f->stopping)) {
+        pthread_mutex_unlock(&f->lock);
+        return MHD_NO;
+    }
+    MHD_suspend_connection(r->connection);
+    r->state = REQUEST_SUSPENDED;
+    map_put_u64(f->suspended, r->call.id, r);
+    pthread_mutex_unlock(&f->lock);
+    atomic_fetch_add(&r->refs, 2);
+    if (!ring_push(f->ring, &r->call_item)) {
+        atomic_fetch_sub(&r->refs, 2);
+        take_back_refused(r);
+        return MHD_YES;
+    }
+    /* Only now, so that the item of a disconnect cannot overtake. */
+    pthread_mutex_lock(&f->lock);
+    if (r->state == REQUEST_SUSPENDED) {
+        watch_add(r);
+    }
+    pthread_mutex_unlock(&f->lock);
+    return MHD_YES;
+}
+
+static enum MHD_Result
+submit(struct request *r)
+{
+    if (!end_receiving(r)) {
+        return MHD_NO;
+    }
+    if (r->too_large) {
+        api_fail(&r->error, 413, "too_large", "",
+                 "the body has more than %zu bytes",
+                 r->front->config.max_body);
+        return answer_error(r);
+    }
+    if (r->has_length && r->length != r->received) {
+        return MHD_NO;
+    }
+    return push_call(r);
+}
+
+static enum MHD_Result
+answer(struct request *r)
+{
+    if (r->broken) {
+        return MHD_NO;
+    }
+    return r->error.status != 0 ? answer_error(r) : answer_response(r);
+}
+
+enum MHD_Result
+front_on_access(void *cls, struct MHD_Connection *connection, const char *url,
+                const char *method, const char *version, const char *upload,
+                size_t *upload_size, void **context)
+{
+    struct request *r = *context;
+    enum request_state state;
+
+    (void)cls;
+    (void)connection;
+    (void)url;
+    if (r == NULL) {
+        return MHD_NO;
+    }
+    if (!r->begun) {
+        r->begun = true;
+        return request_begin(r, method, version) ? MHD_YES : answer_error(r);
+    }
+    if (*upload_size != 0) {
+        size_t size = *upload_size;
+
+        *upload_size = 0;
+        return receive_body(r, upload, size);
+    }
+    pthread_mutex_lock(&r->front->lock);
+    state = r->state;
+    pthread_mutex_unlock(&r->front->lock);
+    return state == REQUEST_ANSWERED ? answer(r) : submit(r);
+}
