--- /dev/null
+++ b/packages/state/decode_jobs.c
@@ -0,0 +1,144 @@
+#include <stdlib.h>
+
+#include "mem.h"
+#include "snapshot.h"
+
+static bool
+decode_tasks(struct reader *r, struct job *job, const State__SnapJob *m)
+{
+    for (size_t i = 0; i < m->n_tasks; i++) {
+        const State__SnapTask *from = m->tasks[i];
+        struct state_task *task = &job->tasks[i];
+        if (from->state < STATE_TASK_WAITING ||
+            from->state > STATE_TASK_ENDED ||
+            from->outcome > STATE_OUTCOME_LOST) {
+            return false;
+        }
+        task->lease = from->lease;
+        task->incarnation = from->incarnation;
+        task->worker = from->worker;
+        task->exit_code = from->exit_code;
+        task->attempts = (uint16_t)from->attempts;
+        task->state = (uint8_t)from->state;
+        task->outcome = (uint8_t)from->outcome;
+        job->attempted = job->attempted || from->attempts > 0;
+        r->placed_tasks += from->state == STATE_TASK_PLACED;
+    }
+    return true;
+}
+
+static bool
+read_job(const State__SnapJob *m, struct state_job *job)
+{
+    job->number = m->number;
+    job->key_id = m->key_id;
+    job->submitted_ms = m->submitted_ms;
+    job->ended_ms = m->ended_ms;
+    job->name = proto_str(m->name);
+    job->reason = proto_str(m->reason);
+    job->team = m->team;
+    job->state = (enum state_job_state)m->state;
+    job->cancel = m->cancel;
+    return name_valid(job->name) && m->state >= STATE_JOB_QUEUED &&
+           m->state <= STATE_JOB_UNKNOWN &&
+           proto_spec_read(m->spec, &job->spec) &&
+           m->n_tasks == job->spec.tasks &&
+           proto_digest(m->digest, job->body_digest);
+}
+
+bool
+decode_job(struct reader *r, const State__SnapJob *m)
+{
+    struct state *s = r->s;
+    struct state_job given = {0};
+    struct job *job;
+
+    if (!read_job(m, &given) || m->number >= s->next_job ||
+        team_by_number(s, m->team) == NULL ||
+        job_by_number(s, m->number) != NULL ||
+        state_job_by_name(s, m->team, given.name) != NULL) {
+        return false;
+    }
+    job = job_create(&given);
+    job->end_seq = m->end_seq;
+    job_insert(s, job);
+    return decode_tasks(r, job, m);
+}
+
+/* A live lease and its task must name each other. */
+static bool
+bind_live(struct reader *r, const struct lease *lease)
+{
+    struct job *job = job_by_number(r->s, lease->job);
+    const struct state_task *task;
+    struct state_worker *worker;
+
+    if (job == NULL || lease->task >= job->pub.spec.tasks ||
+        state_job_terminal(job->pub.state)) {
+        return false;
+    }
+    task = &job->tasks[lease->task];
+    worker = map_get_u64(r->s->workers, task->worker);
+    if (task->state != STATE_TASK_PLACED || task->lease != lease->number ||
+        worker == NULL) {
+        return false;
+    }
+    job->pub.placed++;
+    worker->placed++;
+    r->live_leases++;
+    return true;
+}
+
+bool
+decode_lease(struct reader *r, const State__SnapLease *m)
+{
+    struct lease lease = {.number = m->lease,
+                          .job = m->job,
+                          .task = m->task,
+                          .team = m->team,
+                          .cpu_ms = m->cpu_ms,
+                          .memory_mib_s = m->memory_mib_s,
+                          .accelerator_ms = m->accelerator_ms,
+                          .ended_ms = m->ended_ms};
+
+    if (m->lease == 0 || m->lease > r->s->highest_lease ||
+        lease_by_number(r->s, m->lease) != NULL) {
+        return false;
+    }
+    if (m->ended_ms < 0) {
+        return bind_live(r, lease_insert(r->s, &lease));
+    }
+    lease_link_ended(r->s, lease_insert(r->s, &lease));
+    return true;
+}
+
+static int
+by_end_seq(const void *left, const void *right)
+{
+    const struct job *a = *(struct job *const *)left;
+    const struct job *b = *(struct job *const *)right;
+
+    return (a->end_seq > b->end_seq) - (a->end_seq < b->end_seq);
+}
+
+/* Rebuilds the order in which terminal jobs are dropped. */
+void
+decode_order_ended(struct state *s)
+{
+    size_t room = map_count(s->jobs) - s->live_count;
+    struct job **jobs = mem_zalloc(room + 1, sizeof(struct job *));
+    void *cursor = NULL;
+    struct job *job;
+    size_t count = 0;
+
+    while ((job = map_next(s->jobs, &cursor)) != NULL) {
+        if (state_job_terminal(job->pub.state)) {
+            jobs[count++] = job;
+        }
+    }
+    qsort((void *)jobs, count, sizeof(struct job *), by_end_seq);
+    for (size_t i = 0; i < count; i++) {
+        job_link_ended(s, jobs[i]);
+    }
+    mem_free((void *)jobs);
+}
--- a/packages/state/include/confview.h
+++ b/packages/state/include/confview.h
@@ -36,7 +36,7 @@
 void
 confview_destroy(struct confview *v);
 
-/* Never goes back to a lower version. */
+/* Never goes back to a lower version. No bytes at all are stale. */
 enum confview_result
 confview_apply(struct confview *v, struct str bytes);
 uint64_t
--- a/packages/state/include/state.pb-c.h
+++ b/packages/state/include/state.pb-c.h
@@ -54,6 +54,7 @@
 typedef struct State__SnapHeader State__SnapHeader;
 typedef struct State__SnapTeam State__SnapTeam;
 typedef struct State__SnapKey State__SnapKey;
+typedef struct State__SnapChange State__SnapChange;
 typedef struct State__SnapAudit State__SnapAudit;
 typedef struct State__SnapOperator State__SnapOperator;
 typedef struct State__SnapVm State__SnapVm;
@@ -640,6 +641,20 @@
     , 0, 0, 0, {0,NULL}, 0, 0 }
 
 
+struct  State__SnapChange
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  /*
+   * an encoded ConfigChange
+   */
+  ProtobufCBinaryData change;
+};
+#define STATE__SNAP_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&state__snap_change__descriptor) \
+    , 0, {0,NULL} }
+
+
 struct  State__SnapAudit
 {
   ProtobufCMessage base;
@@ -751,12 +766,14 @@
   uint64_t cpu_ms;
   uint64_t memory_mib_s;
   uint64_t accelerator_ms;
-  protobuf_c_boolean live;
+  /*
+   * -1 while live
+   */
   int64_t ended_ms;
 };
 #define STATE__SNAP_LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__snap_lease__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  State__SnapUsage
@@ -835,7 +852,7 @@
     State__SnapHeader *header;
     State__SnapTeam *team;
     State__SnapKey *key;
-    State__ConfigChange *change;
+    State__SnapChange *change;
     State__SnapAudit *audit;
     State__SnapOperator *operator_;
     State__SnapVm *vm;
@@ -1593,6 +1610,25 @@
 void   state__snap_key__free_unpacked
                      (State__SnapKey *message,
                       ProtobufCAllocator *allocator);
+/* State__SnapChange methods */
+void   state__snap_change__init
+                     (State__SnapChange         *message);
+size_t state__snap_change__get_packed_size
+                     (const State__SnapChange   *message);
+size_t state__snap_change__pack
+                     (const State__SnapChange   *message,
+                      uint8_t             *out);
+size_t state__snap_change__pack_to_buffer
+                     (const State__SnapChange   *message,
+                      ProtobufCBuffer     *buffer);
+State__SnapChange *
+       state__snap_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   state__snap_change__free_unpacked
+                     (State__SnapChange *message,
+                      ProtobufCAllocator *allocator);
 /* State__SnapAudit methods */
 void   state__snap_audit__init
                      (State__SnapAudit         *message);
@@ -1921,6 +1957,9 @@
 typedef void (*State__SnapKey_Closure)
                  (const State__SnapKey *message,
                   void *closure_data);
+typedef void (*State__SnapChange_Closure)
+                 (const State__SnapChange *message,
+                  void *closure_data);
 typedef void (*State__SnapAudit_Closure)
                  (const State__SnapAudit *message,
                   void *closure_data);
@@ -1999,6 +2038,7 @@
 extern const ProtobufCMessageDescriptor state__snap_header__descriptor;
 extern const ProtobufCMessageDescriptor state__snap_team__descriptor;
 extern const ProtobufCMessageDescriptor state__snap_key__descriptor;
+extern const ProtobufCMessageDescriptor state__snap_change__descriptor;
 extern const ProtobufCMessageDescriptor state__snap_audit__descriptor;
 extern const ProtobufCMessageDescriptor state__snap_operator__descriptor;
 extern const ProtobufCMessageDescriptor state__snap_vm__descriptor;
--- /dev/null
+++ b/packages/state/jobs.c
@@ -0,0 +1,412 @@
+#include <string.h>
+
+#include "mem.h"
+#include "state_impl.h"
+
+bool
+state_job_terminal(enum state_job_state state)
+{
+    return state >= STATE_JOB_DONE;
+}
+
+struct job *
+job_by_number(const struct state *s, uint64_t number)
+{
+    return map_get_u64(s->jobs, number);
+}
+
+static void
+name_key(struct buf *out, uint32_t team, struct str name)
+{
+    buf_append(out, &team, sizeof(team));
+    buf_append_str(out, name);
+}
+
+static struct job *
+find_by_name(const struct state *s, uint32_t team, struct str name)
+{
+    struct buf key = {0};
+    struct job *job;
+
+    name_key(&key, team, name);
+    job = map_get(s->jobs_by_name, buf_str(&key));
+    buf_free(&key);
+    return job;
+}
+
+static void
+list_append(struct job_list *list, struct job *job)
+{
+    job->prev = list->last;
+    job->next = NULL;
+    if (list->last == NULL) {
+        list->first = job;
+    }
+    else {
+        list->last->next = job;
+    }
+    list->last = job;
+}
+
+static void
+list_remove(struct job_list *list, struct job *job)
+{
+    if (job->prev == NULL) {
+        list->first = job->next;
+    }
+    else {
+        job->prev->next = job->next;
+    }
+    if (job->next == NULL) {
+        list->last = job->prev;
+    }
+    else {
+        job->next->prev = job->prev;
+    }
+}
+
+static struct str
+dup_or_empty(struct str s)
+{
+    return s.len == 0 ? (struct str){NULL, 0} : str_dup(s);
+}
+
+/* Copies the strings and makes room for the tasks, all waiting. */
+struct job *
+job_create(const struct state_job *from)
+{
+    struct job *job = mem_zalloc(1, sizeof(*job));
+
+    job->pub = *from;
+    job->pub.name = str_dup(from->name);
+    job->pub.reason = dup_or_empty(from->reason);
+    job->pub.spec.queue = dup_or_empty(from->spec.queue);
+    job->pub.spec.payload = dup_or_empty(from->spec.payload);
+    job->tasks = mem_zalloc(from->spec.tasks, sizeof(*job->tasks));
+    job->pub.tasks = job->tasks;
+    for (uint32_t i = 0; i < from->spec.tasks; i++) {
+        job->tasks[i].state = STATE_TASK_WAITING;
+    }
+    return job;
+}
+
+/* Registers a job; a live one also joins its team's list. */
+void
+job_insert(struct state *s, struct job *job)
+{
+    struct team *team = team_by_number(s, job->pub.team);
+    struct buf key = {0};
+
+    name_key(&key, job->pub.team, job->pub.name);
+    map_put_u64(s->jobs, job->pub.number, job);
+    map_put(s->jobs_by_name, buf_str(&key), job);
+    buf_free(&key);
+    if (!state_job_terminal(job->pub.state)) {
+        list_append(&team->live, job);
+        team->pub.live_jobs++;
+        s->live_count++;
+        s->live_payload += job->pub.spec.payload.len;
+    }
+}
+
+void
+job_set_reason(struct job *job, struct str reason)
+{
+    struct str copy = dup_or_empty(reason);
+
+    str_free(&job->pub.reason);
+    job->pub.reason = copy;
+}
+
+void
+job_link_ended(struct state *s, struct job *job)
+{
+    struct team *team = team_by_number(s, job->pub.team);
+
+    list_append(&team->ended, job);
+    if (s->ended_last == NULL) {
+        s->ended_first = job;
+    }
+    else {
+        s->ended_last->end_next = job;
+    }
+    s->ended_last = job;
+    s->ended_count++;
+}
+
+void
+job_end(struct state *s, struct job *job, enum state_job_state state)
+{
+    struct team *team = team_by_number(s, job->pub.team);
+
+    list_remove(&team->live, job);
+    team->pub.live_jobs--;
+    s->live_count--;
+    s->live_payload -= job->pub.spec.payload.len;
+    /* Nothing starts any more; the body's digest tells resends apart. */
+    str_free(&job->pub.spec.payload);
+    job->pub.state = state;
+    job->pub.ended_ms = s->wall_ms;
+    job->end_seq = s->next_end++;
+    job_link_ended(s, job);
+}
+
+void
+job_free(struct job *job)
+{
+    str_free(&job->pub.name);
+    str_free(&job->pub.reason);
+    str_free(&job->pub.spec.queue);
+    str_free(&job->pub.spec.payload);
+    mem_free(job->tasks);
+    mem_free(job);
+}
+
+static void
+drop_oldest_ended(struct state *s)
+{
+    struct job *job = s->ended_first;
+    struct team *team = team_by_number(s, job->pub.team);
+    struct buf key = {0};
+
+    s->ended_first = job->end_next;
+    if (s->ended_first == NULL) {
+        s->ended_last = NULL;
+    }
+    s->ended_count--;
+    list_remove(&team->ended, job);
+    name_key(&key, job->pub.team, job->pub.name);
+    map_del(s->jobs_by_name, buf_str(&key));
+    map_del_u64(s->jobs, job->pub.number);
+    buf_free(&key);
+    job_free(job);
+}
+
+void
+jobs_expire(struct state *s)
+{
+    for (int i = 0; i < EXPIRE_BATCH && s->ended_first != NULL; i++) {
+        int64_t age = s->wall_ms - s->ended_first->pub.ended_ms;
+        if (s->ended_count <= STATE_TERMINAL_JOBS_MAX &&
+            age < STATE_TERMINAL_JOB_KEEP_MS) {
+            return;
+        }
+        drop_oldest_ended(s);
+    }
+}
+
+static bool
+read_job(struct apply *a, struct state_job *job)
+{
+    const State__JobPut *put = a->cmd->job_put;
+
+    job->team = put->team;
+    job->name = proto_str(put->name);
+    job->key_id = a->cmd->key_id;
+    job->submitted_ms = a->cmd->wall_ms;
+    job->state = STATE_JOB_QUEUED;
+    return name_valid(job->name) && proto_spec_read(put->spec, &job->spec) &&
+           proto_digest(put->digest, job->body_digest);
+}
+
+static void
+answer_again(struct apply *a, const struct job *first,
+             const struct state_job *given)
+{
+    struct state_first result = {.kind = STATE_APPLIED,
+                                 .number = first->pub.number};
+
+    if (memcmp(first->pub.body_digest, given->body_digest,
+               STATE_DIGEST_BYTES) != 0) {
+        result_conflict(a, 0, STATE_REASON_OTHER_REQUEST);
+        return;
+    }
+    result_duplicate(a, &result);
+}
+
+void
+apply_job_put(struct apply *a)
+{
+    struct state_job given = {0};
+    struct state *s = a->s;
+    const struct job *first;
+
+    if (!read_job(a, &given)) {
+        result_invalid(a, STATE_REASON_BAD_FIELD);
+        return;
+    }
+    if (!actor_may_use_team(a, given.team)) {
+        return;
+    }
+    if (team_live(s, given.team) == NULL) {
+        result_invalid(a, STATE_REASON_TEAM_UNKNOWN);
+        return;
+    }
+    first = find_by_name(s, given.team, given.name);
+    if (first != NULL) {
+        answer_again(a, first, &given);
+        return;
+    }
+    if (s->live_count >= STATE_LIVE_JOBS_MAX ||
+        s->live_payload + given.spec.payload.len > STATE_LIVE_PAYLOAD_MAX) {
+        result_invalid(a, STATE_REASON_FULL);
+        return;
+    }
+    given.number = s->next_job++;
+    job_insert(s, job_create(&given));
+    result_applied(a, 0, given.number, 1);
+}
+
+/*
+ * Only a job that never had a placement is over at once. For the others the
+ * scheduler knows what became of their tasks and reports the outcome.
+ */
+static void
+cancel(struct apply *a, struct job *job)
+{
+    if (job->pub.cancel || state_job_terminal(job->pub.state)) {
+        return;
+    }
+    job->pub.cancel = true;
+    if (!job->attempted) {
+        job_end(a->s, job, STATE_JOB_CANCELLED);
+    }
+    result_changed_job(a, job->pub.number);
+}
+
+static void
+cancel_prefix(struct apply *a, struct team *team, struct str prefix)
+{
+    struct job *next;
+
+    for (struct job *job = team->live.first; job != NULL; job = next) {
+        next = job->next;
+        if (str_starts(job->pub.name, prefix)) {
+            cancel(a, job);
+        }
+    }
+    result_applied(a, 0, 0, a->result->u.applied.changed);
+}
+
+void
+apply_job_cancel(struct apply *a)
+{
+    const State__JobCancel *cmd = a->cmd->job_cancel;
+    struct team *team = team_live(a->s, cmd->team);
+    struct job *job;
+
+    if (!actor_may_use_team(a, cmd->team)) {
+        return;
+    }
+    if (team == NULL) {
+        result_invalid(a, STATE_REASON_TEAM_UNKNOWN);
+        return;
+    }
+    if (cmd->prefix) {
+        cancel_prefix(a, team, proto_str(cmd->name));
+        return;
+    }
+    job = find_by_name(a->s, cmd->team, proto_str(cmd->name));
+    if (job == NULL) {
+        result_not_found(a, STATE_REASON_JOB_UNKNOWN);
+        return;
+    }
+    cancel(a, job);
+    result_applied(a, 0, job->pub.number, a->result->u.applied.changed);
+}
+
+static enum state_reason
+outcome_reason(const struct job *job, enum state_job_state next)
+{
+    if (state_job_terminal(job->pub.state)) {
+        return STATE_REASON_JOB_ENDED;
+    }
+    if (next == STATE_JOB_RUNNING || next < STATE_JOB_QUEUED ||
+        next > STATE_JOB_UNKNOWN) {
+        return STATE_REASON_BAD_FIELD;
+    }
+    if (job->pub.placed > 0) {
+        return STATE_REASON_JOB_HAS_TASKS;
+    }
+    return STATE_REASON_NONE;
+}
+
+void
+apply_job_outcome(struct apply *a)
+{
+    const State__JobOutcome *cmd = a->cmd->job_outcome;
+    enum state_job_state next = (enum state_job_state)cmd->state;
+    struct job *job = job_by_number(a->s, cmd->job);
+    enum state_reason reason;
+
+    if (job == NULL) {
+        result_not_found(a, STATE_REASON_JOB_UNKNOWN);
+        return;
+    }
+    reason = outcome_reason(job, next);
+    if (reason == STATE_REASON_NONE && cmd->reason.len > STATE_REASON_MAX) {
+        reason = STATE_REASON_BAD_FIELD;
+    }
+    if (reason != STATE_REASON_NONE) {
+        result_invalid(a, reason);
+        return;
+    }
+    job_set_reason(job, proto_str(cmd->reason));
+    if (state_job_terminal(next)) {
+        job_end(a->s, job, next);
+    }
+    else {
+        job->pub.state = next;
+    }
+    result_applied(a, 0, cmd->job, 1);
+}
+
+const struct state_job *
+state_job(const struct state *s, uint64_t number)
+{
+    const struct job *job = job_by_number(s, number);
+
+    return job == NULL ? NULL : &job->pub;
+}
+
+const struct state_job *
+state_job_by_name(const struct state *s, uint32_t team, struct str name)
+{
+    const struct job *job = find_by_name(s, team, name);
+
+    return job == NULL ? NULL : &job->pub;
+}
+
+const struct state_job *
+state_job_next(const struct state *s, void **cursor)
+{
+    const struct job *job = map_next(s->jobs, cursor);
+
+    return job == NULL ? NULL : &job->pub;
+}
+
+const struct state_job *
+state_team_job_next(const struct state *s, uint32_t team,
+                    const struct state_job *prev)
+{
+    const struct team *owner = team_by_number(s, team);
+    const struct job *job = (const struct job *)prev;
+
+    if (owner == NULL) {
+        return NULL;
+    }
+    if (job == NULL) {
+        job = owner->live.first;
+    }
+    else if (job->next != NULL || state_job_terminal(job->pub.state)) {
+        job = job->next;
+        return job == NULL ? NULL : &job->pub;
+    }
+    else {
+        job = NULL;
+    }
+    if (job == NULL) {
+        job = owner->ended.first;
+    }
+    return job == NULL ? NULL : &job->pub;
+}
--- /dev/null
+++ b/packages/state/requests.c
@@ -0,0 +1,329 @@
+#include <string.h>
+
+#include "mem.h"
+#include "state_impl.h"
+
+static void
+key_of(struct buf *out, uint32_t team, struct str key)
+{
+    buf_append(out, &team, sizeof(team));
+    buf_append_str(out, key);
+}
+
+static struct request *
+find(const struct state *s, uint32_t team, struct str key)
+{
+    struct buf bytes = {0};
+    struct request *r;
+
+    key_of(&bytes, team, key);
+    r = map_get(s->requests, buf_str(&bytes));
+    buf_free(&bytes);
+    return r;
+}
+
+void
+request_link(struct request_list *list, struct request *r)
+{
+    r->prev = list->last;
+    r->next = NULL;
+    if (list->last == NULL) {
+        list->first = r;
+    }
+    else {
+        list->last->next = r;
+    }
+    list->last = r;
+}
+
+static void
+unlink_from(struct request_list *list, struct request *r)
+{
+    if (r->prev == NULL) {
+        list->first = r->next;
+    }
+    else {
+        r->prev->next = r->next;
+    }
+    if (r->next == NULL) {
+        list->last = r->prev;
+    }
+    else {
+        r->next->prev = r->prev;
+    }
+    r->prev = NULL;
+    r->next = NULL;
+}
+
+static uint64_t
+response_bytes(const struct request *r)
+{
+    return r->pub.response.headers.len + r->pub.response.body.len;
+}
+
+/* Copies the strings; a running record joins the list of running ones. */
+struct request *
+request_insert(struct state *s, const struct state_request *from)
+{
+    struct request *r = mem_zalloc(1, sizeof(*r));
+    struct buf bytes = {0};
+
+    r->pub = *from;
+    r->pub.key = str_dup(from->key);
+    r->pub.entry = str_dup(from->entry);
+    r->pub.stored = false;
+    r->pub.response = (struct state_response){0};
+    key_of(&bytes, from->team, from->key);
+    map_put(s->requests, buf_str(&bytes), r);
+    buf_free(&bytes);
+    if (r->pub.state == STATE_REQUEST_RUNNING) {
+        request_link(&s->running, r);
+    }
+    return r;
+}
+
+void
+request_store(struct state *s, struct request *r,
+              const struct state_response *response)
+{
+    r->pub.stored = true;
+    r->pub.response.status = response->status;
+    r->pub.response.headers = str_dup(response->headers);
+    r->pub.response.body = str_dup(response->body);
+    s->stored_bytes += response_bytes(r);
+    request_link(&s->stored, r);
+}
+
+static void
+drop_response(struct state *s, struct request *r)
+{
+    if (!r->pub.stored) {
+        return;
+    }
+    s->stored_bytes -= response_bytes(r);
+    unlink_from(&s->stored, r);
+    str_free(&r->pub.response.headers);
+    str_free(&r->pub.response.body);
+    r->pub.stored = false;
+    r->store_seq = 0;
+}
+
+static void
+set_state(struct state *s, struct request *r, enum state_request_state next)
+{
+    if (r->pub.state == STATE_REQUEST_RUNNING) {
+        unlink_from(&s->running, r);
+    }
+    r->pub.state = next;
+}
+
+void
+request_free(struct request *r)
+{
+    str_free(&r->pub.key);
+    str_free(&r->pub.entry);
+    str_free(&r->pub.response.headers);
+    str_free(&r->pub.response.body);
+    mem_free(r);
+}
+
+static void
+drop(struct state *s, struct request *r)
+{
+    struct buf bytes = {0};
+
+    set_state(s, r, STATE_REQUEST_UNKNOWN);
+    drop_response(s, r);
+    key_of(&bytes, r->pub.team, r->pub.key);
+    map_del(s->requests, buf_str(&bytes));
+    buf_free(&bytes);
+    request_free(r);
+}
+
+void
+requests_expire(struct state *s)
+{
+    for (int i = 0; i < EXPIRE_BATCH; i++) {
+        void *cursor = NULL;
+        struct request *oldest = map_next(s->requests, &cursor);
+        if (oldest == NULL ||
+            s->wall_ms - oldest->pub.begun_ms < s->settings.request_keep_ms) {
+            return;
+        }
+        drop(s, oldest);
+    }
+}
+
+static bool
+read_begin(struct apply *a, struct state_request *given)
+{
+    const State__RequestBegin *begin = a->cmd->request_begin;
+
+    given->team = begin->team;
+    given->key = proto_str(begin->key);
+    given->entry = proto_str(begin->entry);
+    given->attempt = begin->attempt;
+    given->timeout_ms = begin->timeout_ms;
+    given->begun_ms = a->s->wall_ms;
+    given->state = STATE_REQUEST_RUNNING;
+    return given->key.len > 0 && given->key.len <= STATE_IDEMPOTENCY_KEY_MAX &&
+           name_valid(given->entry) && given->timeout_ms >= 0 &&
+           given->timeout_ms <= a->s->settings.request_keep_ms &&
+           proto_digest(begin->digest, given->digest);
+}
+
+static void
+begin_again(struct apply *a, struct request *r,
+            const struct state_request *given)
+{
+    struct state_first first = {.kind = STATE_APPLIED,
+                                .number = r->pub.number};
+    int64_t end_ms =
+        r->pub.begun_ms + r->pub.timeout_ms + STATE_REQUEST_GRACE_MS;
+
+    if (memcmp(r->pub.digest, given->digest, STATE_DIGEST_BYTES) != 0) {
+        result_conflict(a, 0, STATE_REASON_OTHER_REQUEST);
+        return;
+    }
+    if (r->pub.state == STATE_REQUEST_RUNNING &&
+        r->pub.attempt == given->attempt &&
+        str_eq(r->pub.entry, given->entry)) {
+        result_applied(a, 0, r->pub.number, 0);
+        return;
+    }
+    if (r->pub.state == STATE_REQUEST_RUNNING && a->s->wall_ms > end_ms) {
+        set_state(a->s, r, STATE_REQUEST_UNKNOWN);
+    }
+    result_duplicate(a, &first);
+}
+
+void
+apply_request_begin(struct apply *a)
+{
+    struct state_request given = {0};
+    struct state *s = a->s;
+    struct request *r;
+
+    if (!read_begin(a, &given)) {
+        result_invalid(a, STATE_REASON_BAD_FIELD);
+        return;
+    }
+    if (team_live(s, given.team) == NULL) {
+        result_invalid(a, STATE_REASON_TEAM_UNKNOWN);
+        return;
+    }
+    r = find(s, given.team, given.key);
+    if (r != NULL) {
+        begin_again(a, r, &given);
+        return;
+    }
+    /* Dropping a record early would let a resend run a second time. */
+    if (map_count(s->requests) >= s->settings.request_max) {
+        result_invalid(a, STATE_REASON_FULL);
+        return;
+    }
+    given.number = s->next_request++;
+    request_insert(s, &given);
+    result_applied(a, 0, given.number, 1);
+}
+
+static bool
+fits(const State__Response *response)
+{
+    return response != NULL &&
+           response->headers.len <= STATE_RESPONSE_HEADERS_MAX &&
+           response->body.len <= STATE_RESPONSE_BODY_MAX;
+}
+
+static void
+finish(struct state *s, struct request *r, const State__Response *from)
+{
+    struct state_response response = {.status = from->status,
+                                      .headers = proto_str(from->headers),
+                                      .body = proto_str(from->body)};
+
+    set_state(s, r, STATE_REQUEST_FINISHED);
+    r->store_seq = s->next_store++;
+    request_store(s, r, &response);
+    /* The record stays without its response, so that nothing runs twice. */
+    while (s->stored.first != NULL &&
+           s->stored_bytes > s->settings.request_bytes_max) {
+        drop_response(s, s->stored.first);
+    }
+}
+
+static void
+end_request(struct apply *a, struct request *r)
+{
+    const State__RequestEnd *end = a->cmd->request_end;
+    struct state_first first = {.kind = STATE_APPLIED,
+                                .number = r->pub.number};
+    uint64_t number = r->pub.number;
+
+    if (r->pub.state == STATE_REQUEST_FINISHED) {
+        result_duplicate(a, &first);
+        return;
+    }
+    if (end->outcome == STATE_REQUEST_NOT_RUN) {
+        drop(a->s, r);
+    }
+    else if (end->outcome == STATE_REQUEST_FINISHED && fits(end->response)) {
+        finish(a->s, r, end->response);
+    }
+    else {
+        set_state(a->s, r, STATE_REQUEST_UNKNOWN);
+    }
+    result_applied(a, 0, number, 1);
+}
+
+void
+apply_request_end(struct apply *a)
+{
+    const State__RequestEnd *end = a->cmd->request_end;
+    struct request *r;
+
+    if (end->outcome < STATE_REQUEST_FINISHED ||
+        end->outcome > STATE_REQUEST_NOT_RUN) {
+        result_invalid(a, STATE_REASON_BAD_FIELD);
+        return;
+    }
+    r = find(a->s, end->team, proto_str(end->key));
+    if (r == NULL || r->pub.number != end->number) {
+        result_not_found(a, STATE_REASON_NOT_FOUND);
+        return;
+    }
+    end_request(a, r);
+}
+
+void
+apply_entry_lost(struct apply *a)
+{
+    struct str entry = proto_str(a->cmd->entry_lost->entry);
+    struct request *next;
+    size_t changed = 0;
+
+    for (struct request *r = a->s->running.first; r != NULL; r = next) {
+        next = r->next;
+        if (str_eq(r->pub.entry, entry)) {
+            set_state(a->s, r, STATE_REQUEST_UNKNOWN);
+            changed++;
+        }
+    }
+    result_applied(a, 0, 0, changed);
+}
+
+const struct state_request *
+state_request(const struct state *s, uint32_t team, struct str key)
+{
+    const struct request *r = find(s, team, key);
+
+    return r == NULL ? NULL : &r->pub;
+}
+
+const struct state_request *
+state_request_next(const struct state *s, void **cursor)
+{
+    const struct request *r = map_next(s->requests, cursor);
+
+    return r == NULL ? NULL : &r->pub;
+}
--- a/packages/state/state.pb-c.c
+++ b/packages/state/state.pb-c.c
@@ -1762,6 +1762,51 @@
   assert(message->base.descriptor == &state__snap_key__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   state__snap_change__init
+                     (State__SnapChange         *message)
+{
+  static const State__SnapChange init_value = STATE__SNAP_CHANGE__INIT;
+  *message = init_value;
+}
+size_t state__snap_change__get_packed_size
+                     (const State__SnapChange *message)
+{
+  assert(message->base.descriptor == &state__snap_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t state__snap_change__pack
+                     (const State__SnapChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &state__snap_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t state__snap_change__pack_to_buffer
+                     (const State__SnapChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &state__snap_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+State__SnapChange *
+       state__snap_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (State__SnapChange *)
+     protobuf_c_message_unpack (&state__snap_change__descriptor,
+                                allocator, len, data);
+}
+void   state__snap_change__free_unpacked
+                     (State__SnapChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &state__snap_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   state__snap_audit__init
                      (State__SnapAudit         *message)
 {
@@ -5417,6 +5462,57 @@
   (ProtobufCMessageInit) state__snap_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor state__snap_change__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapChange, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "change",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapChange, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned state__snap_change__field_indices_by_name[] = {
+  1,   /* field[1] = change */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange state__snap_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor state__snap_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "state.SnapChange",
+  "SnapChange",
+  "State__SnapChange",
+  "state",
+  sizeof(State__SnapChange),
+  2,
+  state__snap_change__field_descriptors,
+  state__snap_change__field_indices_by_name,
+  1,  state__snap_change__number_ranges,
+  (ProtobufCMessageInit) state__snap_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor state__snap_audit__field_descriptors[9] =
 {
   {
@@ -6165,7 +6261,7 @@
   (ProtobufCMessageInit) state__snap_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__snap_lease__field_descriptors[9] =
+static const ProtobufCFieldDescriptor state__snap_lease__field_descriptors[8] =
 {
   {
     "lease",
@@ -6251,21 +6347,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "live",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(State__SnapLease, live),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "ended_ms",
-    9,
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
@@ -6279,10 +6363,9 @@
 static const unsigned state__snap_lease__field_indices_by_name[] = {
   6,   /* field[6] = accelerator_ms */
   4,   /* field[4] = cpu_ms */
-  8,   /* field[8] = ended_ms */
+  7,   /* field[7] = ended_ms */
   1,   /* field[1] = job */
   0,   /* field[0] = lease */
-  7,   /* field[7] = live */
   5,   /* field[5] = memory_mib_s */
   2,   /* field[2] = task */
   3,   /* field[3] = team */
@@ -6290,7 +6373,7 @@
 static const ProtobufCIntRange state__snap_lease__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor state__snap_lease__descriptor =
 {
@@ -6300,7 +6383,7 @@
   "State__SnapLease",
   "state",
   sizeof(State__SnapLease),
-  9,
+  8,
   state__snap_lease__field_descriptors,
   state__snap_lease__field_indices_by_name,
   1,  state__snap_lease__number_ranges,
@@ -6648,7 +6731,7 @@
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(State__SnapRecord, item_case),
     offsetof(State__SnapRecord, change),
-    &state__config_change__descriptor,
+    &state__snap_change__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
--- /dev/null
+++ b/packages/state/state_impl.h
@@ -0,0 +1,360 @@
+#ifndef GV_STATE_IMPL_H
+#define GV_STATE_IMPL_H
+
+#include "map.h"
+#include "state.h"
+#include "state.pb-c.h"
+
+/* Records that one command may drop because their retention has passed; it
+ * bounds the time of an apply. */
+#define EXPIRE_BATCH 64
+
+/* Milliseconds up to the end of the year 9999. */
+#define WALL_MS_MAX INT64_C(253402300799999)
+
+struct job {
+    struct state_job pub;
+    struct state_task *tasks; /* pub.tasks */
+    struct job *prev;         /* in the team's live or ended list */
+    struct job *next;
+    struct job *end_next; /* in the order of their end, over all teams */
+    uint64_t end_seq;
+    bool attempted; /* a task has been placed at least once */
+};
+
+struct job_list {
+    struct job *first;
+    struct job *last;
+};
+
+struct team {
+    struct state_team pub;
+    struct job_list live;
+    struct job_list ended;
+    struct state_limit limit;
+    bool limited; /* limit is in the operator's list */
+    bool marked;  /* while a new list is compared with the old one */
+};
+
+struct lease {
+    uint64_t number;
+    uint64_t job;
+    uint32_t task;
+    uint32_t team;
+    uint64_t cpu_ms;
+    uint64_t memory_mib_s;
+    uint64_t accelerator_ms;
+    int64_t ended_ms;   /* -1 while live */
+    struct lease *next; /* ended leases, oldest first */
+};
+
+struct request {
+    struct state_request pub;
+    struct request *prev; /* in the list of running or of stored records */
+    struct request *next;
+    uint64_t store_seq;
+};
+
+struct request_list {
+    struct request *first;
+    struct request *last;
+};
+
+/* A configuration change as entries receive it. */
+struct change {
+    uint64_t version;
+    struct str bytes;
+};
+
+/* The first result of an operator's request with an idempotency key. */
+struct op_record {
+    struct str scope; /* 8 bytes of key id, then the idempotency key */
+    uint8_t digest[STATE_DIGEST_BYTES];
+    int64_t wall_ms;
+    struct state_first first;
+};
+
+struct state {
+    uint64_t index;
+    uint64_t cluster_id;
+    struct state_settings settings;
+    struct state_member *members;
+    size_t member_count;
+    int64_t wall_ms; /* the highest of all applied commands */
+    uint64_t teams_version;
+    uint64_t limits_version;
+    uint64_t config_version;
+    uint32_t next_team;
+    uint32_t next_worker;
+    uint64_t next_key;
+    uint64_t next_job;
+    uint64_t next_request;
+    uint64_t next_end;
+    uint64_t next_store;
+    uint64_t highest_lease;
+
+    struct map *teams; /* number to struct team */
+    struct map *teams_by_name;
+    struct team **team_order;
+    size_t team_count;
+    struct state_team_limit *limits;
+    size_t limit_count;
+
+    struct map *keys;         /* id to struct state_key */
+    struct map *keys_by_hash; /* first 8 bytes of the hash */
+    size_t withdrawn_count;
+
+    struct change *history; /* ring of STATE_HISTORY_MAX */
+    size_t history_first;
+    size_t history_count;
+
+    struct state_audit *audit; /* ring */
+    size_t audit_cap;
+    size_t audit_first;
+    size_t audit_count;
+    uint64_t audit_last;
+    struct map *op_records;
+
+    struct map *vms;
+    struct map *workers; /* number to struct state_worker */
+    struct map *workers_by_name;
+
+    struct map *jobs;         /* number to struct job */
+    struct map *jobs_by_name; /* 4 bytes of team, then the name */
+    struct job *ended_first;
+    struct job *ended_last;
+    size_t ended_count;
+    size_t live_count;
+    size_t live_payload;
+
+    struct map *leases;
+    struct lease *ended_lease_first;
+    struct lease *ended_lease_last;
+    size_t ended_lease_count;
+    struct map *usage; /* team << 32 | month to struct state_usage */
+
+    struct map *requests; /* 4 bytes of team, then the key */
+    struct request_list running;
+    struct request_list stored;
+    uint64_t stored_bytes;
+
+    /* What the last result points to. */
+    uint64_t *changed_jobs;
+    size_t changed_cap;
+    struct state_reject *rejects;
+    size_t reject_cap;
+};
+
+/* The command that is being applied. */
+struct apply {
+    struct state *s;
+    const State__Command *cmd;
+    struct state_result *result;
+    char object_space[STATE_NAME_MAX + 64];
+    struct str object; /* for the audit */
+    uint64_t old_version;
+    uint64_t new_version;
+};
+
+/* ---- results ---- */
+
+void
+result_applied(struct apply *a, uint64_t version, uint64_t number,
+               size_t changed);
+void
+result_conflict(struct apply *a, uint64_t version, enum state_reason reason);
+void
+result_invalid(struct apply *a, enum state_reason reason);
+void
+result_not_found(struct apply *a, enum state_reason reason);
+void
+result_duplicate(struct apply *a, const struct state_first *first);
+void
+result_reject(struct apply *a, size_t item, enum state_reason reason);
+void
+result_changed_job(struct apply *a, uint64_t job);
+
+/* ---- protobuf ---- */
+
+ProtobufCBinaryData
+proto_bin(struct str s);
+struct str
+proto_str(ProtobufCBinaryData b);
+bool
+proto_digest(ProtobufCBinaryData b, uint8_t out[STATE_DIGEST_BYTES]);
+void
+proto_append(struct buf *out, const ProtobufCMessage *message);
+void
+proto_limit(State__Limit *to, const struct state_limit *from);
+void
+proto_spec(State__JobSpec *to, const struct state_job_spec *from);
+
+/* False when a field is out of range; strings point into the message. */
+bool
+proto_spec_read(const State__JobSpec *from, struct state_job_spec *to);
+struct state_limit
+proto_limit_read(const State__Limit *from);
+void
+proto_settings_read(struct state_settings *to, const State__Settings *from);
+bool
+name_valid(struct str name);
+bool
+name_valid_or_empty(struct str name);
+
+/* ---- commands, one family per file ---- */
+
+void
+apply_bootstrap(struct apply *a);
+void
+apply_teams_set(struct apply *a);
+void
+apply_limits_set(struct apply *a);
+void
+apply_key_add(struct apply *a);
+void
+apply_key_delete(struct apply *a);
+void
+apply_vm_put(struct apply *a);
+void
+apply_vm_drain(struct apply *a);
+void
+apply_vm_delete(struct apply *a);
+void
+apply_worker_put(struct apply *a);
+void
+apply_worker_delete(struct apply *a);
+void
+apply_job_put(struct apply *a);
+void
+apply_job_cancel(struct apply *a);
+void
+apply_tasks_placed(struct apply *a);
+void
+apply_tasks_ended(struct apply *a);
+void
+apply_job_outcome(struct apply *a);
+void
+apply_usage(struct apply *a);
+void
+apply_request_begin(struct apply *a);
+void
+apply_request_end(struct apply *a);
+void
+apply_entry_lost(struct apply *a);
+
+/* ---- parts ---- */
+
+void
+members_free(struct state *s);
+void
+members_set(struct state *s, State__Member **members, size_t count);
+
+struct team *
+team_by_number(const struct state *s, uint32_t number);
+struct team *
+team_live(const struct state *s, uint32_t number);
+struct team *
+team_add(struct state *s, uint32_t number, struct str name, uint32_t weight);
+void
+team_free(struct team *team);
+
+struct state_key *
+key_live(const struct state *s, uint64_t id);
+struct state_key *
+key_insert(struct state *s, const struct state_key *from);
+void
+key_withdraw(struct state *s, struct state_key *key);
+
+/* Withdraws a removed team's keys and adds their ids to the change. */
+void
+keys_withdraw_team(struct state *s, uint32_t team, uint64_t **ids,
+                   size_t *count);
+void
+keys_expire(struct state *s);
+uint64_t
+key_hash_prefix(const uint8_t hash[STATE_HASH_BYTES]);
+
+/* Gives the change the next configuration version and records it. */
+void
+config_record(struct state *s, State__ConfigChange *change);
+void
+config_history_add(struct state *s, uint64_t version, struct str bytes);
+
+void
+audit_append(struct apply *a);
+struct state_audit *
+audit_push(struct state *s, uint64_t seq);
+
+/* True when the command was answered from the record of its first run. */
+bool
+op_replay(struct apply *a);
+void
+op_record(struct apply *a);
+void
+op_insert(struct state *s, const struct op_record *from);
+void
+op_free(struct op_record *record);
+void
+op_expire(struct state *s);
+
+void
+vm_insert(struct state *s, const struct state_vm *from);
+void
+vm_free(struct state_vm *vm);
+struct state_worker *
+worker_insert(struct state *s, const struct state_worker *from);
+void
+worker_free(struct state_worker *worker);
+
+struct job *
+job_by_number(const struct state *s, uint64_t number);
+struct job *
+job_create(const struct state_job *from);
+void
+job_insert(struct state *s, struct job *job);
+void
+job_end(struct state *s, struct job *job, enum state_job_state state);
+
+/* Appends a terminal job to the lists of ended ones. */
+void
+job_link_ended(struct state *s, struct job *job);
+void
+job_set_reason(struct job *job, struct str reason);
+void
+job_free(struct job *job);
+void
+jobs_expire(struct state *s);
+
+struct lease *
+lease_by_number(const struct state *s, uint64_t number);
+struct lease *
+lease_insert(struct state *s, const struct lease *from);
+void
+lease_end(struct state *s, struct lease *lease);
+void
+lease_link_ended(struct state *s, struct lease *lease);
+void
+leases_expire(struct state *s);
+void
+usage_add(struct state *s, const struct state_usage *delta);
+
+struct request *
+request_insert(struct state *s, const struct state_request *from);
+void
+request_link(struct request_list *list, struct request *r);
+void
+request_store(struct state *s, struct request *r,
+              const struct state_response *response);
+void
+request_free(struct request *r);
+void
+requests_expire(struct state *s);
+
+/* ---- checks of the acting key ---- */
+
+bool
+actor_is_operator(struct apply *a);
+bool
+actor_may_use_team(struct apply *a, uint32_t team);
+
+#endif
--- /dev/null
+++ b/packages/state/tasks.c
@@ -0,0 +1,255 @@
+#include "mem.h"
+#include "state_impl.h"
+
+struct lease *
+lease_by_number(const struct state *s, uint64_t number)
+{
+    return map_get_u64(s->leases, number);
+}
+
+struct lease *
+lease_insert(struct state *s, const struct lease *from)
+{
+    struct lease *lease = mem_alloc(sizeof(*lease));
+
+    *lease = *from;
+    lease->next = NULL;
+    map_put_u64(s->leases, lease->number, lease);
+    return lease;
+}
+
+void
+lease_link_ended(struct state *s, struct lease *lease)
+{
+    if (s->ended_lease_last == NULL) {
+        s->ended_lease_first = lease;
+    }
+    else {
+        s->ended_lease_last->next = lease;
+    }
+    s->ended_lease_last = lease;
+    s->ended_lease_count++;
+}
+
+/* The record stays for a while, because usage arrives late. */
+void
+lease_end(struct state *s, struct lease *lease)
+{
+    lease->ended_ms = s->wall_ms;
+    lease_link_ended(s, lease);
+}
+
+static void
+drop_oldest_lease(struct state *s)
+{
+    struct lease *lease = s->ended_lease_first;
+
+    s->ended_lease_first = lease->next;
+    if (s->ended_lease_first == NULL) {
+        s->ended_lease_last = NULL;
+    }
+    s->ended_lease_count--;
+    map_del_u64(s->leases, lease->number);
+    mem_free(lease);
+}
+
+/* A batch may end many leases at once, hence the larger bound by number. */
+void
+leases_expire(struct state *s)
+{
+    while (s->ended_lease_count > STATE_ENDED_LEASES_MAX) {
+        drop_oldest_lease(s);
+    }
+    for (int i = 0; i < EXPIRE_BATCH && s->ended_lease_first != NULL; i++) {
+        int64_t age = s->wall_ms - s->ended_lease_first->ended_ms;
+        if (age < STATE_ENDED_LEASE_KEEP_MS) {
+            return;
+        }
+        drop_oldest_lease(s);
+    }
+}
+
+static enum state_reason
+job_reason(const struct job *job, uint32_t index)
+{
+    if (job == NULL || index >= job->pub.spec.tasks) {
+        return STATE_REASON_JOB_UNKNOWN;
+    }
+    if (state_job_terminal(job->pub.state)) {
+        return STATE_REASON_JOB_ENDED;
+    }
+    if (job->pub.cancel) {
+        return STATE_REASON_JOB_CANCELLED;
+    }
+    return STATE_REASON_NONE;
+}
+
+/* A non-idempotent task starts once; it may only go on from a checkpoint. */
+static enum state_reason
+task_reason(const struct job *job, const struct state_task *task)
+{
+    if (task->state == STATE_TASK_PLACED) {
+        return STATE_REASON_TASK_PLACED;
+    }
+    if (task->state == STATE_TASK_ENDED && !job->pub.spec.idempotent &&
+        task->outcome != STATE_OUTCOME_NEVER_STARTED &&
+        task->outcome != STATE_OUTCOME_CHECKPOINTED) {
+        return STATE_REASON_TASK_STARTED;
+    }
+    return STATE_REASON_NONE;
+}
+
+static enum state_reason
+worker_reason(const struct state_worker *worker, uint64_t incarnation)
+{
+    if (worker == NULL) {
+        return STATE_REASON_WORKER_UNKNOWN;
+    }
+    if (worker->incarnation != incarnation) {
+        return STATE_REASON_INCARNATION;
+    }
+    return STATE_REASON_NONE;
+}
+
+static void
+place(struct state *s, struct job *job, const State__Placement *item,
+      struct state_worker *worker)
+{
+    struct state_task *task = &job->tasks[item->task];
+    struct lease lease = {.number = item->lease,
+                          .job = item->job,
+                          .task = item->task,
+                          .team = job->pub.team,
+                          .ended_ms = -1};
+
+    task->lease = item->lease;
+    task->incarnation = item->incarnation;
+    task->worker = item->worker;
+    task->exit_code = 0;
+    task->state = STATE_TASK_PLACED;
+    task->outcome = STATE_OUTCOME_NONE;
+    if (task->attempts < UINT16_MAX) {
+        task->attempts++;
+    }
+    job->attempted = true;
+    job->pub.placed++;
+    job->pub.state = STATE_JOB_RUNNING;
+    job_set_reason(job, STR(""));
+    worker->placed++;
+    s->highest_lease = item->lease;
+    lease_insert(s, &lease);
+}
+
+static enum state_reason
+try_place(struct state *s, const State__Placement *item)
+{
+    struct job *job = job_by_number(s, item->job);
+    struct state_worker *worker = map_get_u64(s->workers, item->worker);
+    enum state_reason reason = job_reason(job, item->task);
+
+    if (reason == STATE_REASON_NONE) {
+        reason = task_reason(job, &job->tasks[item->task]);
+    }
+    if (reason == STATE_REASON_NONE) {
+        reason = worker_reason(worker, item->incarnation);
+    }
+    if (reason == STATE_REASON_NONE && item->lease <= s->highest_lease) {
+        reason = STATE_REASON_LEASE_OLD;
+    }
+    if (reason == STATE_REASON_NONE) {
+        place(s, job, item, worker);
+    }
+    return reason;
+}
+
+void
+apply_tasks_placed(struct apply *a)
+{
+    const State__TasksPlaced *batch = a->cmd->tasks_placed;
+    size_t changed = 0;
+
+    for (size_t i = 0; i < batch->n_items; i++) {
+        enum state_reason reason = try_place(a->s, batch->items[i]);
+        if (reason == STATE_REASON_NONE) {
+            changed++;
+        }
+        else {
+            result_reject(a, i, reason);
+        }
+    }
+    result_applied(a, 0, 0, changed);
+}
+
+static void
+end_task(struct state *s, struct lease *lease, const State__TaskEnd *item)
+{
+    struct job *job = job_by_number(s, lease->job);
+    struct state_task *task = &job->tasks[lease->task];
+    struct state_worker *worker = map_get_u64(s->workers, task->worker);
+
+    task->state = STATE_TASK_ENDED;
+    task->outcome = (uint8_t)item->outcome;
+    task->exit_code = item->exit_code;
+    job->pub.placed--;
+    worker->placed--;
+    if (job->pub.placed == 0 && item->outcome != STATE_OUTCOME_DONE) {
+        job->pub.state = STATE_JOB_QUEUED;
+    }
+    lease_end(s, lease);
+}
+
+/* A lease ends once; reports of ended or unknown leases change nothing. */
+static enum state_reason
+try_end(struct state *s, const State__TaskEnd *item)
+{
+    struct lease *lease = lease_by_number(s, item->lease);
+
+    if (item->outcome < STATE_OUTCOME_DONE ||
+        item->outcome > STATE_OUTCOME_LOST) {
+        return STATE_REASON_BAD_FIELD;
+    }
+    if (lease == NULL || lease->ended_ms >= 0) {
+        return STATE_REASON_LEASE_OLD;
+    }
+    end_task(s, lease, item);
+    return STATE_REASON_NONE;
+}
+
+void
+apply_tasks_ended(struct apply *a)
+{
+    const State__TasksEnded *batch = a->cmd->tasks_ended;
+    size_t changed = 0;
+
+    for (size_t i = 0; i < batch->n_items; i++) {
+        enum state_reason reason = try_end(a->s, batch->items[i]);
+        if (reason == STATE_REASON_NONE) {
+            changed++;
+        }
+        else {
+            result_reject(a, i, reason);
+        }
+    }
+    result_applied(a, 0, 0, changed);
+}
+
+uint64_t
+state_highest_lease(const struct state *s)
+{
+    return s->highest_lease;
+}
+
+bool
+state_lease(const struct state *s, uint64_t number, uint64_t *job,
+            uint32_t *task, bool *live)
+{
+    const struct lease *lease = lease_by_number(s, number);
+
+    if (lease == NULL) {
+        return false;
+    }
+    *job = lease->job;
+    *task = lease->task;
+    *live = lease->ended_ms < 0;
+    return true;
+}
--- /dev/null
+++ b/packages/state/teams.c
@@ -0,0 +1,283 @@
+#include <string.h>
+
+#include "mem.h"
+#include "state_impl.h"
+
+struct team *
+team_by_number(const struct state *s, uint32_t number)
+{
+    return map_get_u64(s->teams, number);
+}
+
+struct team *
+team_live(const struct state *s, uint32_t number)
+{
+    struct team *team = team_by_number(s, number);
+
+    return team == NULL || team->pub.removed ? NULL : team;
+}
+
+/* Registers a team without placing it in the operator's list. */
+struct team *
+team_add(struct state *s, uint32_t number, struct str name, uint32_t weight)
+{
+    struct team *team = mem_zalloc(1, sizeof(*team));
+
+    team->pub.number = number;
+    team->pub.weight = weight;
+    team->pub.name = str_dup(name);
+    map_put_u64(s->teams, number, team);
+    return team;
+}
+
+void
+team_free(struct team *team)
+{
+    str_free(&team->pub.name);
+    mem_free(team);
+}
+
+/* What a new list changes, as entries are told. */
+struct diff {
+    State__ConfTeam *teams;
+    State__ConfTeam **team_ptrs;
+    size_t team_count;
+    uint32_t *removed;
+    size_t removed_count;
+    uint64_t *keys;
+    size_t key_count;
+    uint32_t *limits;
+    size_t limit_count;
+};
+
+static bool
+items_valid(const State__TeamsSet *set)
+{
+    if (set->n_teams > STATE_TEAMS_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < set->n_teams; i++) {
+        if (!name_valid(proto_str(set->teams[i]->name)) ||
+            set->teams[i]->weight == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+items_unique(const State__TeamsSet *set)
+{
+    struct map *seen = map_create();
+    bool unique = true;
+
+    for (size_t i = 0; i < set->n_teams && unique; i++) {
+        unique = map_put(seen, proto_str(set->teams[i]->name), seen) == NULL;
+    }
+    map_destroy(seen);
+    return unique;
+}
+
+static void
+mark_kept(struct state *s, const State__TeamsSet *set)
+{
+    for (size_t i = 0; i < s->team_count; i++) {
+        s->team_order[i]->marked = false;
+    }
+    for (size_t i = 0; i < set->n_teams; i++) {
+        struct team *team =
+            map_get(s->teams_by_name, proto_str(set->teams[i]->name));
+        if (team != NULL) {
+            team->marked = true;
+        }
+    }
+}
+
+/* Returns a team that would go although it has live jobs. */
+static const struct team *
+find_blocked(const struct state *s)
+{
+    for (size_t i = 0; i < s->team_count; i++) {
+        if (!s->team_order[i]->marked && s->team_order[i]->pub.live_jobs > 0) {
+            return s->team_order[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+drop_limit(struct state *s, struct team *team, struct diff *d)
+{
+    size_t kept = 0;
+
+    if (!team->limited) {
+        return;
+    }
+    team->limited = false;
+    for (size_t i = 0; i < s->limit_count; i++) {
+        if (s->limits[i].team != team->pub.number) {
+            s->limits[kept++] = s->limits[i];
+        }
+    }
+    s->limit_count = kept;
+    d->limits[d->limit_count++] = team->pub.number;
+}
+
+static void
+remove_unmarked(struct state *s, struct diff *d)
+{
+    for (size_t i = 0; i < s->team_count; i++) {
+        struct team *team = s->team_order[i];
+        if (team->marked) {
+            continue;
+        }
+        team->pub.removed = true;
+        map_del(s->teams_by_name, team->pub.name);
+        drop_limit(s, team, d);
+        keys_withdraw_team(s, team->pub.number, &d->keys, &d->key_count);
+        d->removed[d->removed_count++] = team->pub.number;
+    }
+    if (d->limit_count > 0) {
+        s->limits_version++;
+    }
+}
+
+static struct team *
+put_team(struct state *s, const State__TeamItem *item, struct diff *d)
+{
+    struct str name = proto_str(item->name);
+    struct team *team = map_get(s->teams_by_name, name);
+    State__ConfTeam *conf;
+
+    if (team != NULL && team->pub.weight == item->weight) {
+        return team;
+    }
+    if (team == NULL) {
+        team = team_add(s, s->next_team++, name, item->weight);
+        map_put(s->teams_by_name, name, team);
+    }
+    team->pub.weight = item->weight;
+    conf = &d->teams[d->team_count];
+    state__conf_team__init(conf);
+    conf->number = team->pub.number;
+    conf->name = proto_bin(team->pub.name);
+    conf->weight = item->weight;
+    d->team_ptrs[d->team_count++] = conf;
+    return team;
+}
+
+static void
+replace_order(struct state *s, const State__TeamsSet *set, struct diff *d)
+{
+    struct team **order = mem_zalloc(set->n_teams + 1, sizeof(*order));
+
+    for (size_t i = 0; i < set->n_teams; i++) {
+        order[i] = put_team(s, set->teams[i], d);
+    }
+    mem_free(s->team_order);
+    s->team_order = order;
+    s->team_count = set->n_teams;
+}
+
+static void
+record_diff(struct state *s, struct diff *d)
+{
+    State__ConfigChange change = STATE__CONFIG_CHANGE__INIT;
+
+    change.n_teams = d->team_count;
+    change.teams = d->team_ptrs;
+    change.n_teams_removed = d->removed_count;
+    change.teams_removed = d->removed;
+    change.n_limits_removed = d->limit_count;
+    change.limits_removed = d->limits;
+    change.n_keys_withdrawn = d->key_count;
+    change.keys_withdrawn = d->keys;
+    config_record(s, &change);
+}
+
+static void
+set_teams(struct state *s, const State__TeamsSet *set)
+{
+    size_t room = set->n_teams + s->team_count + 1;
+    struct diff d = {
+        .teams = mem_zalloc(room, sizeof(*d.teams)),
+        .team_ptrs = mem_zalloc(room, sizeof(State__ConfTeam *)),
+        .removed = mem_zalloc(room, sizeof(*d.removed)),
+        .limits = mem_zalloc(room, sizeof(*d.limits)),
+    };
+
+    remove_unmarked(s, &d);
+    replace_order(s, set, &d);
+    s->teams_version++;
+    record_diff(s, &d);
+    mem_free(d.teams);
+    mem_free((void *)d.team_ptrs);
+    mem_free(d.removed);
+    mem_free(d.limits);
+    mem_free(d.keys);
+}
+
+void
+apply_teams_set(struct apply *a)
+{
+    const State__TeamsSet *set = a->cmd->teams_set;
+    struct state *s = a->s;
+
+    a->object = STR("teams");
+    a->old_version = s->teams_version;
+    a->new_version = s->teams_version;
+    if (set->expected != s->teams_version) {
+        result_conflict(a, s->teams_version, STATE_REASON_VERSION);
+        return;
+    }
+    if (!items_valid(set)) {
+        result_invalid(a, STATE_REASON_BAD_FIELD);
+        return;
+    }
+    if (!items_unique(set)) {
+        result_invalid(a, STATE_REASON_NAME_TWICE);
+        return;
+    }
+    mark_kept(s, set);
+    if (find_blocked(s) != NULL) {
+        result_invalid(a, STATE_REASON_TEAM_HAS_JOBS);
+        return;
+    }
+    set_teams(s, set);
+    a->new_version = s->teams_version;
+    result_applied(a, s->teams_version, 0, set->n_teams);
+}
+
+uint64_t
+state_teams_version(const struct state *s)
+{
+    return s->teams_version;
+}
+
+size_t
+state_team_count(const struct state *s)
+{
+    return s->team_count;
+}
+
+const struct state_team *
+state_team_at(const struct state *s, size_t i)
+{
+    return &s->team_order[i]->pub;
+}
+
+const struct state_team *
+state_team_by_name(const struct state *s, struct str name)
+{
+    const struct team *team = map_get(s->teams_by_name, name);
+
+    return team == NULL ? NULL : &team->pub;
+}
+
+const struct state_team *
+state_team(const struct state *s, uint32_t number)
+{
+    const struct team *team = team_by_number(s, number);
+
+    return team == NULL ? NULL : &team->pub;
+}
