--- a/packages/daemon/api_jobs.c
+++ b/packages/daemon/api_jobs.c
@@ -38,8 +38,8 @@
         .class = (int)job->spec.class - STATE_JOB_SERVICE,
         .state = render_state(job->state),
         .reason = job->reason.len == 0 ? (struct str){NULL, 0} : job->reason,
-        .queue = job->spec.queue.len == 0 ? (struct str){NULL, 0}
-                                          : job->spec.queue,
+        .queue =
+            job->spec.queue.len == 0 ? (struct str){NULL, 0} : job->spec.queue,
         .urgent = job->spec.urgent,
         .idempotent = job->spec.idempotent,
         .tasks = job->spec.tasks,
--- a/packages/daemon/api_lists.c
+++ b/packages/daemon/api_lists.c
@@ -43,13 +43,12 @@
         const struct state_team_limit *limit = state_limit_at(state, i);
         const struct state_team *team = state_team(state, limit->team);
 
-        list.limits[i] = (struct operator_limit){
-            team->name,
-            limit->limit.tasks,
-            limit->limit.cpu_milli,
-            limit->limit.memory_mib,
-            limit->limit.accelerators,
-            limit->limit.requests};
+        list.limits[i] = (struct operator_limit){team->name,
+                                                 limit->limit.tasks,
+                                                 limit->limit.cpu_milli,
+                                                 limit->limit.memory_mib,
+                                                 limit->limit.accelerators,
+                                                 limit->limit.requests};
     }
     operator_limits_render(&list, out);
     mem_free(list.limits);
@@ -139,8 +138,8 @@
     }
     items = mem_zalloc(list.count + 1, sizeof(*items));
     for (size_t i = 0; i < list.count; i++) {
-        items[i] = (struct state_team_item){list.teams[i].name,
-                                            list.teams[i].weight};
+        items[i] =
+            (struct state_team_item){list.teams[i].name, list.teams[i].weight};
     }
     state_cmd_teams_set(command, &actor, list.version, items, list.count);
     mem_free(items);
@@ -148,8 +147,7 @@
 }
 
 static bool
-limits_command(struct call *call, struct buf *command,
-               struct api_error *error)
+limits_command(struct call *call, struct buf *command, struct api_error *error)
 {
     struct state_actor actor = call_actor(call);
     struct operator_limits list = {0};
@@ -205,8 +203,7 @@
 }
 
 void
-api_key_generate(char text[API_KEY_TEXT_BYTES],
-                 uint8_t hash[STATE_HASH_BYTES])
+api_key_generate(char text[API_KEY_TEXT_BYTES], uint8_t hash[STATE_HASH_BYTES])
 {
     static const char prefix[] = "gv_";
     const size_t skip = sizeof(prefix) - 1;
--- a/packages/daemon/call.c
+++ b/packages/daemon/call.c
@@ -16,8 +16,7 @@
 static void
 send_reply(const struct call *call, const Wire__Reply *reply)
 {
-    struct link *to =
-        control_link_by_id(call->leader->control, call->link_id);
+    struct link *to = control_link_by_id(call->leader->control, call->link_id);
     Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
 
     if (to == NULL) {
@@ -186,8 +185,8 @@
     unsigned char digest[crypto_generichash_BYTES];
 
     crypto_generichash_init(&hash, NULL, 0, sizeof(digest));
-    crypto_generichash_update(
-        &hash, (const unsigned char *)&call->match.route, sizeof(int));
+    crypto_generichash_update(&hash, (const unsigned char *)&call->match.route,
+                              sizeof(int));
     crypto_generichash_update(&hash, (const unsigned char *)call->path.ptr,
                               call->path.len);
     crypto_generichash_update(&hash, (const unsigned char *)call->body.ptr,
@@ -313,8 +312,8 @@
         return;
     }
     if (wire->key_hash.len == STATE_HASH_BYTES) {
-        key = state_key_by_hash(leader_state(call->leader),
-                                wire->key_hash.data);
+        key =
+            state_key_by_hash(leader_state(call->leader), wire->key_hash.data);
     }
     if (key == NULL) {
         call_fail(call, 401, "unauthorized", "",
--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -28,7 +28,6 @@
     WAIT_MAX_MS = 100,
     EVENTS_MAX = 16,
     ROUNDS_MAX = 16, /* of messages that this process sends itself */
-
 };
 
 /* A message of this process to itself. */
@@ -178,9 +177,9 @@
     switch (env->msg_case) {
     case WIRE__ENVELOPE__MSG_RAFT:
         if (c->replica != NULL) {
-            replica_receive(c->replica, from,
-                            str_from(env->raft->data.data,
-                                     env->raft->data.len));
+            replica_receive(
+                c->replica, from,
+                str_from(env->raft->data.data, env->raft->data.len));
         }
         break;
     case WIRE__ENVELOPE__MSG_JOIN:
@@ -212,8 +211,8 @@
 static void
 take_frame(struct control *c, struct link *from, struct str bytes)
 {
-    Wire__Envelope *env = wire__envelope__unpack(NULL, bytes.len,
-                                                 (const uint8_t *)bytes.ptr);
+    Wire__Envelope *env =
+        wire__envelope__unpack(NULL, bytes.len, (const uint8_t *)bytes.ptr);
 
     if (env == NULL) {
         log_write(LOG_LEVEL_ERR, "peer: malformed message from %.*s",
@@ -373,8 +372,8 @@
 static bool
 start_peers(struct control *c)
 {
-    static const struct peer_handler callbacks = {
-        NULL, session_up, session_frame, session_down};
+    static const struct peer_handler callbacks = {NULL, session_up,
+                                                  session_frame, session_down};
     struct peer_handler handler = callbacks;
     const struct settings *s = c->settings;
     struct peer_target targets[8] = {0};
@@ -395,8 +394,8 @@
     memcpy(config.cluster_key, s->cluster_key, sizeof(config.cluster_key));
     for (size_t i = 0; i < s->control_count; i++) {
         if (!str_eq(s->control[i].vm, s->vm)) {
-            targets[config.target_count++] = (struct peer_target){
-                s->control[i].vm, s->control[i].address};
+            targets[config.target_count++] =
+                (struct peer_target){s->control[i].vm, s->control[i].address};
         }
     }
     c->hub = peer_create(&config, &handler, c->now, error, sizeof(error));
@@ -607,8 +606,7 @@
     struct upstream_result *result;
     struct storage_job *job;
 
-    while (c->front_ring != NULL &&
-           (item = ring_pop(c->front_ring)) != NULL) {
+    while (c->front_ring != NULL && (item = ring_pop(c->front_ring)) != NULL) {
         entry_front_item(c->entry, item);
     }
     while (c->upstream_ring != NULL &&
--- a/packages/daemon/control.h
+++ b/packages/daemon/control.h
@@ -39,7 +39,7 @@
 /* What the control thread owns. */
 struct control {
     const struct settings *settings;
-    int64_t now; /* read once per wake-up */
+    int64_t now;  /* read once per wake-up */
     uint64_t run; /* random number of this process */
     int epoll;
     struct ring *front_ring;
--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -18,10 +18,8 @@
     }
     log_write(LOG_LEVEL_NOTICE, "drain: this VM is not ready any more");
     c->drain = DRAIN_NOTICE;
-    c->drain_phase_end =
-        c->now + c->settings->drain_notice_ms * NS_PER_MS;
-    c->drain_deadline =
-        c->now + c->settings->drain_deadline_ms * NS_PER_MS;
+    c->drain_phase_end = c->now + c->settings->drain_notice_ms * NS_PER_MS;
+    c->drain_deadline = c->now + c->settings->drain_deadline_ms * NS_PER_MS;
 }
 
 static bool
--- a/packages/daemon/entries.c
+++ b/packages/daemon/entries.c
@@ -89,8 +89,8 @@
 fill_endpoints(const struct leader *l, const struct entry_record *e,
                struct endpoint_changes *changes, Wire__EntryGrant *grant)
 {
-    bool full = e->endpoints_seq == 0 ||
-                e->endpoints_seq < l->endpoint_gone_floor;
+    bool full =
+        e->endpoints_seq == 0 || e->endpoints_seq < l->endpoint_gone_floor;
 
     endpoints_since(l, e->endpoints_seq, full, changes);
     grant->endpoints_full = full;
@@ -307,8 +307,7 @@
 static int64_t
 longest_lease_ms(const struct leader *l)
 {
-    int64_t end =
-        leader_lease_end(l, l->control->settings->config_lease_ms);
+    int64_t end = leader_lease_end(l, l->control->settings->config_lease_ms);
 
     return (end - l->control->now) / NS_PER_MS;
 }
@@ -362,12 +361,12 @@
     for (size_t i = 0; i < sync->n_units; i++) {
         const Wire__UnitReport *u = sync->units[i];
 
-        report.items[i] = (struct unit_report){str_of(u->pool), u->held,
-                                               u->used, u->wanted};
+        report.items[i] =
+            (struct unit_report){str_of(u->pool), u->held, u->used, u->wanted};
     }
-    result = ledger_report(l->ledger, l->control->now, sync->run,
-                           str_of(sync->vm), str_of(sync->failure_domain),
-                           &report);
+    result =
+        ledger_report(l->ledger, l->control->now, sync->run, str_of(sync->vm),
+                      str_of(sync->failure_domain), &report);
     mem_free(report.items);
     if (result == LEDGER_UNKNOWN) {
         send_restart(l, from);
@@ -427,9 +426,9 @@
 
         buf_clear(&pool);
         buf_printf(&pool, POOL_TEAM "%" PRIu32, team);
-        settled = sched_team_within_limit(l->sched, team) &&
-                  ledger_pool_settled(l->ledger, l->control->now,
-                                      buf_str(&pool));
+        settled =
+            sched_team_within_limit(l->sched, team) &&
+            ledger_pool_settled(l->ledger, l->control->now, buf_str(&pool));
     }
     buf_free(&pool);
     return settled;
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -569,8 +569,7 @@
     for (size_t i = 0; i < grant->n_units; i++) {
         struct str pool = str_of(grant->units[i]->pool);
 
-        grants.items[i] =
-            (struct unit_grant){pool, grant->units[i]->units};
+        grants.items[i] = (struct unit_grant){pool, grant->units[i]->units};
         if (str_starts(pool, STR(POOL_ENDPOINT))) {
             struct known_endpoint *k =
                 map_get(e->endpoints, str_from(pool.ptr + 2, pool.len - 2));
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -84,11 +84,11 @@
 
     struct map *forwards; /* by id */
     uint64_t next_id;
-    struct map *requests;   /* by id */
-    struct map *marks;      /* team and key to struct request */
-    struct map *messages;   /* Begin or End id to request id */
-    struct map *attempts;   /* by upstream id */
-    struct attempt *unstarted; /* could not be handed to the client */
+    struct map *requests;           /* by id */
+    struct map *marks;              /* team and key to struct request */
+    struct map *messages;           /* Begin or End id to request id */
+    struct map *attempts;           /* by upstream id */
+    struct attempt *unstarted;      /* could not be handed to the client */
     struct upstream_result *result; /* of the attempt that has just ended */
     int64_t sweep_due;
 };
--- a/packages/daemon/forward.c
+++ b/packages/daemon/forward.c
@@ -40,7 +40,7 @@
 }
 
 static void
-send(struct entry *e, struct forward *f, struct link *to)
+send_call(struct entry *e, struct forward *f, struct link *to)
 {
     Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
     Wire__Call call = WIRE__CALL__INIT;
@@ -85,7 +85,7 @@
     f->call = call;
     map_put_u64(e->forwards, f->id, f);
     if (leader != NULL) {
-        send(e, f, leader);
+        send_call(e, f, leader);
     }
 }
 
@@ -162,7 +162,7 @@
             give_up(e, f);
         }
         else if (f->link_id == 0 && leader != NULL) {
-            send(e, f, leader);
+            send_call(e, f, leader);
         }
     }
 }
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -49,11 +49,11 @@
     struct call *wait_next; /* in a list of calls that wait */
     uint64_t subject;       /* number of the job it waits for */
     bool waits_for_job;
-    uint64_t version;       /* configuration version to be in force */
-    uint64_t list_version;  /* to show in the response */
-    int status;             /* of the response once in force */
-    struct buf answer;      /* the body once in force */
-    struct json_doc *doc;   /* owns a parsed body */
+    uint64_t version;      /* configuration version to be in force */
+    uint64_t list_version; /* to show in the response */
+    int status;            /* of the response once in force */
+    struct buf answer;     /* the body once in force */
+    struct json_doc *doc;  /* owns a parsed body */
     struct worker_sync sync;
 };
 
@@ -149,7 +149,7 @@
     bool committed;
     bool offered; /* START was given, or restored from the state */
     bool running;
-    bool ended;   /* the worker reported its end, or its lease expired */
+    bool ended; /* the worker reported its end, or its lease expired */
     bool stop;
     bool checkpoint;
     bool throttle;
@@ -321,8 +321,8 @@
     int64_t started;
     bool stopping; /* being destroyed: nothing is proposed */
 
-    struct call *calls; /* all that are not answered */
-    struct call *inforce; /* wait for a configuration to be in force */
+    struct call *calls;    /* all that are not answered */
+    struct call *inforce;  /* wait for a configuration to be in force */
     struct map *job_waits; /* job number to a list of calls */
 
     struct sched *sched;
--- a/packages/daemon/marks.c
+++ b/packages/daemon/marks.c
@@ -49,8 +49,7 @@
     uint64_t len = part.len;
 
     crypto_generichash_update(hash, (const unsigned char *)&len, sizeof(len));
-    crypto_generichash_update(hash, (const unsigned char *)part.ptr,
-                              part.len);
+    crypto_generichash_update(hash, (const unsigned char *)part.ptr, part.len);
 }
 
 static void
@@ -109,6 +108,7 @@
     begin.request_hash.data = digest;
     begin.request_hash.len = sizeof(digest);
     begin.timeout_ms = timeout_ms(e, r);
+    begin.attempt = r->id;
     begin.entry = tag.ptr;
     envelope.msg_case = WIRE__ENVELOPE__MSG_BEGIN;
     envelope.begin = &begin;
@@ -315,8 +315,7 @@
 void
 marks_step(struct entry *e, struct request *r)
 {
-    if (r->phase == REQUEST_STORING &&
-        r->call->deadline <= e->control->now) {
+    if (r->phase == REQUEST_STORING && r->call->deadline <= e->control->now) {
         /* The response is true, even if a repetition gets "unknown". */
         serve_respond(e, r);
         return;
--- a/packages/daemon/placement.c
+++ b/packages/daemon/placement.c
@@ -15,7 +15,7 @@
 #define GROW(list, count, cap)                                                \
     do {                                                                      \
         if ((count) == (cap)) {                                               \
-            (cap) = (cap) == 0 ? 64 : (cap) * 2;                              \
+            (cap) = (cap) == 0 ? 64 : (cap)*2;                                \
             (list) = mem_realloc((list), (cap), sizeof(*(list)));             \
         }                                                                     \
     } while (0)
@@ -234,8 +234,7 @@
 static struct batch *
 batch_create(struct leader *l, size_t count)
 {
-    struct batch *b =
-        mem_zalloc(1, sizeof(*b) + count * sizeof(b->leases[0]));
+    struct batch *b = mem_zalloc(1, sizeof(*b) + count * sizeof(b->leases[0]));
 
     b->leader = l;
     b->count = count;
@@ -407,8 +406,7 @@
     wait->leader = l;
     wait->job = action->job;
     state_cmd_job_outcome(&command, &actor, action->job,
-                          outcome_state(job, action->outcome),
-                          str_of(reason));
+                          outcome_state(job, action->outcome), str_of(reason));
     ok = replica_propose(l->replica, buf_str(&command),
                          (struct replica_waiter){outcome_applied, wait});
     if (!ok) {
@@ -423,8 +421,7 @@
 {
     size_t done = 0;
 
-    while (done < l->outcome_count &&
-           propose_outcome(l, &l->outcomes[done])) {
+    while (done < l->outcome_count && propose_outcome(l, &l->outcomes[done])) {
         done++;
     }
     for (size_t i = done; i < l->outcome_count; i++) {
@@ -505,25 +502,24 @@
     event.u.team.team = team->number;
     event.u.team.weight = team->weight == 0 ? 1 : team->weight;
     if (!team->removed) {
-        event.u.team.limits = (struct sched_limits){
-            limit->tasks, limit->cpu_milli, limit->memory_mib,
-            limit->accelerators};
+        event.u.team.limits =
+            (struct sched_limits){limit->tasks, limit->cpu_milli,
+                                  limit->memory_mib, limit->accelerators};
     }
     placement_feed(l, &event);
 }
 
-static enum sched_class
-class_of(enum state_job_class class)
+static enum sched_class class_of(enum state_job_class class)
 {
     switch (class) {
     case STATE_JOB_SERVICE:
-        return SCHED_SERVICE;
+        return SCHED_CLASS_SERVICE;
     case STATE_JOB_GANG:
-        return SCHED_GANG;
+        return SCHED_CLASS_GANG;
     case STATE_JOB_BATCH:
         break;
     }
-    return SCHED_BATCH;
+    return SCHED_CLASS_BATCH;
 }
 
 void
@@ -590,17 +586,15 @@
     if (task->state == STATE_TASK_WAITING && task->lease == 0) {
         return;
     }
-    event.u.restore =
-        (struct sched_restore_event){.job = job->number,
-                                     .task = index,
-                                     .state = restored_state(task),
-                                     .worker = task->worker,
-                                     .lease = task->lease,
-                                     .size = {task->cpu_milli,
-                                              task->memory_mib,
-                                              task->accelerators},
-                                     .failures = task->failures,
-                                     .losses = task->losses};
+    event.u.restore = (struct sched_restore_event){
+        .job = job->number,
+        .task = index,
+        .state = restored_state(task),
+        .worker = task->worker,
+        .lease = task->lease,
+        .size = {task->cpu_milli, task->memory_mib, task->accelerators},
+        .failures = task->failures,
+        .losses = task->losses};
     if (task->state == STATE_TASK_PLACED) {
         r = record_create(l, task->lease, job->number, index, task->worker,
                           task->incarnation);
--- a/packages/daemon/replica.c
+++ b/packages/daemon/replica.c
@@ -143,8 +143,7 @@
           uint64_t member_id)
 {
     raft_config_init(config, member_id, c->run);
-    config->election_timeout_ns =
-        c->settings->election_timeout_ms * NS_PER_MS;
+    config->election_timeout_ns = c->settings->election_timeout_ms * NS_PER_MS;
     config->heartbeat_ns = c->settings->heartbeat_ms * NS_PER_MS;
 }
 
@@ -312,8 +311,7 @@
     state = state_decode(buf_str(&r->install));
     buf_clear(&r->install);
     if (state == NULL) {
-        storage_failed(r, "decoding an installed snapshot",
-                       STORE_ERR_DAMAGED);
+        storage_failed(r, "decoding an installed snapshot", STORE_ERR_DAMAGED);
         return;
     }
     state_destroy(r->state);
@@ -468,8 +466,8 @@
     r->commit_count = out->committed_count;
     if (r->commit_count > r->commit_cap) {
         r->commit_cap = r->commit_count;
-        r->commits = mem_realloc(r->commits, r->commit_cap,
-                                 sizeof(*r->commits));
+        r->commits =
+            mem_realloc(r->commits, r->commit_cap, sizeof(*r->commits));
     }
     buf_clear(&r->commit_bytes);
     for (size_t i = 0; i < out->committed_count; i++) {
--- a/packages/daemon/requests.c
+++ b/packages/daemon/requests.c
@@ -170,10 +170,7 @@
     }
     reply->record = r->number;
     if (r->state == STATE_REQUEST_RUNNING) {
-        /* The same process repeats its own begin after a lost reply. */
-        reply->verdict = str_eq(r->entry, w->entry)
-                             ? WIRE__VERDICT__VERDICT_GO
-                             : WIRE__VERDICT__VERDICT_RUNNING;
+        reply->verdict = WIRE__VERDICT__VERDICT_RUNNING;
     }
     else if (r->state == STATE_REQUEST_FINISHED && r->stored) {
         reply->verdict = WIRE__VERDICT__VERDICT_STORED;
@@ -243,7 +240,7 @@
                              str_dup(str_of(begin->key)),
                              str_dup(str_of(begin->entry))};
     state_cmd_request_begin(&command, &actor, begin->team, w->key, digest,
-                            w->entry, begin->timeout_ms);
+                            w->entry, begin->attempt, begin->timeout_ms);
     if (!replica_propose(l->replica, buf_str(&command),
                          (struct replica_waiter){begin_applied, w})) {
         begin_applied(w, NULL);
--- a/packages/daemon/serve.c
+++ b/packages/daemon/serve.c
@@ -105,8 +105,8 @@
     }
     if (key->kind != STATE_KEY_TEAM) {
         front_refuse(call, 403, "forbidden",
-                     "only keys of the kind team may send requests",
-                     "not-run", 0);
+                     "only keys of the kind team may send requests", "not-run",
+                     0);
         return NULL;
     }
     return key;
@@ -118,18 +118,17 @@
     struct front_call *call = r->call;
     struct router_event event = {.kind = ROUTER_REQUEST};
 
-    event.request =
-        (struct router_request){.id = r->id,
-                                .key = r->key_id,
-                                .team = r->team,
-                                .service = r->service,
-                                .path_class = path_class(rest),
-                                .idempotent = call->idempotent,
-                                .needs_mark = r->marked,
-                                .has_deadline = call->has_timeout,
-                                .deadline = call->deadline,
-                                .bytes = (uint32_t)call->body.len +
-                                         REQUEST_OVERHEAD};
+    event.request = (struct router_request){.id = r->id,
+                                            .key = r->key_id,
+                                            .team = r->team,
+                                            .service = r->service,
+                                            .path_class = path_class(rest),
+                                            .idempotent = call->idempotent,
+                                            .needs_mark = r->marked,
+                                            .has_deadline = call->has_timeout,
+                                            .deadline = call->deadline,
+                                            .bytes = (uint32_t)call->body.len +
+                                                     REQUEST_OVERHEAD};
     serve_event(e, &event);
 }
 
@@ -256,8 +255,8 @@
     if (r->marked) {
         marks_end_unsent(e, r);
     }
-    request_refuse(e, r, status, "refused", reason_text(a->reason),
-                   "not-run", retry_s);
+    request_refuse(e, r, status, "refused", reason_text(a->reason), "not-run",
+                   retry_s);
 }
 
 static void
@@ -268,8 +267,8 @@
     if (r->marked) {
         marks_end_unknown(e, r);
     }
-    request_refuse(e, r, status, "unknown", reason_text(a->reason),
-                   "unknown", 0);
+    request_refuse(e, r, status, "unknown", reason_text(a->reason), "unknown",
+                   0);
 }
 
 static void
@@ -334,16 +333,16 @@
 static bool
 start(struct entry *e, const struct attempt *a, int64_t deadline)
 {
-    const struct upstream_call call = {
-        .id = a->id,
-        .address = a->address,
-        .method = a->call->method,
-        .target = a->target,
-        .headers = &a->call->headers,
-        .idempotency_key = a->call->idempotency_key,
-        .body = buf_str(&a->call->body),
-        .idempotent = a->call->idempotent,
-        .deadline = deadline};
+    const struct upstream_call call = {.id = a->id,
+                                       .address = a->address,
+                                       .method = a->call->method,
+                                       .target = a->target,
+                                       .headers = &a->call->headers,
+                                       .idempotency_key =
+                                           a->call->idempotency_key,
+                                       .body = buf_str(&a->call->body),
+                                       .idempotent = a->call->idempotent,
+                                       .deadline = deadline};
 
     return a->address.len != 0 && upstream_send(e->control->upstream, &call);
 }
@@ -362,10 +361,11 @@
 }
 
 static void
-send(struct entry *e, struct request *r, const struct router_action *action)
+send_attempt(struct entry *e, struct request *r,
+             const struct router_action *action)
 {
-    struct attempt *a = attempt_create(
-        e, r, action, map_get(e->endpoints, action->endpoint));
+    struct attempt *a =
+        attempt_create(e, r, action, map_get(e->endpoints, action->endpoint));
 
     r->sent = true;
     if (!start(e, a, action->deadline)) {
@@ -444,7 +444,7 @@
     }
     switch (action->kind) {
     case ROUTER_SEND:
-        send(e, r, action);
+        send_attempt(e, r, action);
         break;
     case ROUTER_REFUSE:
         refuse(e, r, action);
--- a/packages/daemon/workers.c
+++ b/packages/daemon/workers.c
@@ -60,8 +60,8 @@
     while ((worker = state_worker_next(leader_state(l), &cursor)) != NULL) {
         struct worker_session *w = session_create(l, worker);
 
-        w->expiry.key = leader_lease_end(
-            l, l->control->settings->worker_lease_ms);
+        w->expiry.key =
+            leader_lease_end(l, l->control->settings->worker_lease_ms);
         heap_insert(&l->worker_expiry, &w->expiry);
     }
 }
@@ -327,8 +327,8 @@
         *sample = (struct state_sample){u->lease, u->cpu_ms, u->memory_mib_s,
                                         u->accelerator_ms};
         event.u.usage = (struct sched_usage_event){
-            u->lease,        u->cpu_milli,   u->memory_mib, u->cpu_ms,
-            u->memory_mib_s, u->accelerator_ms};
+            u->lease,  u->cpu_milli,    u->memory_mib,
+            u->cpu_ms, u->memory_mib_s, u->accelerator_ms};
         placement_feed(l, &event);
     }
 }
--- a/packages/operator/include/operator.h
+++ b/packages/operator/include/operator.h
@@ -120,6 +120,8 @@
     struct str action;
     struct str target; /* ptr NULL: none */
     uint64_t version;  /* 0: none */
+    uint64_t old_version;
+    struct str outcome; /* "applied", or why not */
 };
 
 struct operator_audit {
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -38,6 +38,10 @@
     PEER_DOWN_LOCAL,     /* peer_close or peer_destroy */
 };
 
+/* A short English text, for log lines. */
+const char *
+peer_down_text(enum peer_down_reason reason);
+
 /* What the other side proved in the handshake. */
 struct peer_identity {
     struct str vm;
--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -360,9 +360,12 @@
   char *key;
   ProtobufCBinaryData request_hash;
   int64_t timeout_ms;
-  char *entry_vm;
   /*
-   * random; a Begin sent again keeps it
+   * VM and run of the entry process
+   */
+  char *entry;
+  /*
+   * tells a repeated Begin from another request
    */
   uint64_t attempt;
 };
@@ -384,14 +387,10 @@
   protobuf_c_boolean not_leader;
   char *leader_vm;
   int64_t retry_after_s;
-  /*
-   * the entry process that runs the request
-   */
-  char *entry;
 };
 #define WIRE__BEGIN_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__begin_reply__descriptor) \
-    , 0, WIRE__VERDICT__VERDICT_NONE, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, WIRE__VERDICT__VERDICT_NONE, NULL, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Wire__End
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -2228,12 +2228,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entry_vm",
+    "entry",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wire__Begin, entry_vm),
+    offsetof(Wire__Begin, entry),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -2243,7 +2243,7 @@
     "attempt",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
     offsetof(Wire__Begin, attempt),
     NULL,
@@ -2254,7 +2254,7 @@
 };
 static const unsigned wire__begin__field_indices_by_name[] = {
   6,   /* field[6] = attempt */
-  5,   /* field[5] = entry_vm */
+  5,   /* field[5] = entry */
   0,   /* field[0] = id */
   2,   /* field[2] = key */
   3,   /* field[3] = request_hash */
@@ -2281,7 +2281,7 @@
   (ProtobufCMessageInit) wire__begin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__begin_reply__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wire__begin_reply__field_descriptors[7] =
 {
   {
     "id",
@@ -2367,21 +2367,8 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "entry",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wire__BeginReply, entry),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wire__begin_reply__field_indices_by_name[] = {
-  7,   /* field[7] = entry */
   0,   /* field[0] = id */
   5,   /* field[5] = leader_vm */
   4,   /* field[4] = not_leader */
@@ -2393,7 +2380,7 @@
 static const ProtobufCIntRange wire__begin_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__begin_reply__descriptor =
 {
@@ -2403,7 +2390,7 @@
   "Wire__BeginReply",
   "wire",
   sizeof(Wire__BeginReply),
-  8,
+  7,
   wire__begin_reply__field_descriptors,
   wire__begin_reply__field_indices_by_name,
   1,  wire__begin_reply__number_ranges,
--- a/packages/state/cmd.c
+++ b/packages/state/cmd.c
@@ -267,6 +267,9 @@
         item->worker = items[i].worker;
         item->incarnation = items[i].incarnation;
         item->lease = items[i].lease;
+        item->cpu_milli = items[i].cpu_milli;
+        item->memory_mib = items[i].memory_mib;
+        item->accelerators = items[i].accelerators;
     }
     op.n_items = count;
     op.items = (State__Placement **)ptrs;
@@ -289,6 +292,9 @@
         item->lease = items[i].lease;
         item->outcome = items[i].outcome;
         item->exit_code = items[i].exit_code;
+        item->waiting = items[i].next == STATE_TASK_WAITING;
+        item->failures = items[i].failures;
+        item->losses = items[i].losses;
     }
     op.n_items = count;
     op.items = (State__TaskEnd **)ptrs;
--- a/packages/state/decode_jobs.c
+++ b/packages/state/decode_jobs.c
@@ -18,6 +18,11 @@
         task->incarnation = from->incarnation;
         task->worker = from->worker;
         task->exit_code = from->exit_code;
+        task->cpu_milli = from->cpu_milli;
+        task->memory_mib = from->memory_mib;
+        task->accelerators = from->accelerators;
+        task->failures = (uint16_t)from->failures;
+        task->losses = (uint16_t)from->losses;
         task->attempts = (uint16_t)from->attempts;
         task->state = (uint8_t)from->state;
         task->outcome = (uint8_t)from->outcome;
--- a/packages/state/encode.c
+++ b/packages/state/encode.c
@@ -250,6 +250,11 @@
         tasks[i].incarnation = task->incarnation;
         tasks[i].worker = task->worker;
         tasks[i].exit_code = task->exit_code;
+        tasks[i].cpu_milli = task->cpu_milli;
+        tasks[i].memory_mib = task->memory_mib;
+        tasks[i].accelerators = task->accelerators;
+        tasks[i].failures = task->failures;
+        tasks[i].losses = task->losses;
         tasks[i].attempts = task->attempts;
         tasks[i].state = task->state;
         tasks[i].outcome = task->outcome;
--- a/packages/state/include/state.h
+++ b/packages/state/include/state.h
@@ -237,13 +237,19 @@
     uint32_t task;
     uint32_t worker;
     uint64_t incarnation;
-    uint64_t lease; /* above every lease before it */
+    uint64_t lease;     /* above every lease before it */
+    uint32_t cpu_milli; /* granted to the task, as are the next two */
+    uint32_t memory_mib;
+    uint32_t accelerators;
 };
 
 struct state_end {
     uint64_t lease;
     enum state_task_outcome outcome;
     int32_t exit_code;
+    enum state_task_state next; /* WAITING: to be placed again; or ENDED */
+    uint32_t failures;          /* counted by the scheduler so far */
+    uint32_t losses;
 };
 
 /* Cumulative since the lease began. */
@@ -553,8 +559,13 @@
     uint64_t lease; /* the newest, 0 before the first placement */
     uint64_t incarnation;
     uint32_t worker;
+    uint32_t cpu_milli; /* granted with the newest lease */
+    uint32_t memory_mib;
+    uint32_t accelerators;
     int32_t exit_code;
     uint16_t attempts;
+    uint16_t failures; /* as the scheduler counted them */
+    uint16_t losses;
     uint8_t state;   /* enum state_task_state */
     uint8_t outcome; /* enum state_task_outcome of the newest lease */
 };
--- a/packages/state/include/state.pb-c.h
+++ b/packages/state/include/state.pb-c.h
@@ -314,10 +314,13 @@
   uint32_t worker;
   uint64_t incarnation;
   uint64_t lease;
+  uint32_t cpu_milli;
+  uint32_t memory_mib;
+  uint32_t accelerators;
 };
 #define STATE__PLACEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__placement__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  State__TasksPlaced
@@ -337,10 +340,13 @@
   uint64_t lease;
   uint32_t outcome;
   int32_t exit_code;
+  protobuf_c_boolean waiting;
+  uint32_t failures;
+  uint32_t losses;
 };
 #define STATE__TASK_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__task_end__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  State__TasksEnded
@@ -727,10 +733,15 @@
   uint32_t attempts;
   uint32_t state;
   uint32_t outcome;
+  uint32_t cpu_milli;
+  uint32_t memory_mib;
+  uint32_t accelerators;
+  uint32_t failures;
+  uint32_t losses;
 };
 #define STATE__SNAP_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__snap_task__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  State__SnapJob
--- a/packages/state/state.pb-c.c
+++ b/packages/state/state.pb-c.c
@@ -3544,7 +3544,7 @@
   (ProtobufCMessageInit) state__job_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__placement__field_descriptors[5] =
+static const ProtobufCFieldDescriptor state__placement__field_descriptors[8] =
 {
   {
     "job",
@@ -3606,18 +3606,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_milli",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__Placement, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__Placement, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__Placement, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned state__placement__field_indices_by_name[] = {
+  7,   /* field[7] = accelerators */
+  5,   /* field[5] = cpu_milli */
   3,   /* field[3] = incarnation */
   0,   /* field[0] = job */
   4,   /* field[4] = lease */
+  6,   /* field[6] = memory_mib */
   1,   /* field[1] = task */
   2,   /* field[2] = worker */
 };
 static const ProtobufCIntRange state__placement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor state__placement__descriptor =
 {
@@ -3627,7 +3666,7 @@
   "State__Placement",
   "state",
   sizeof(State__Placement),
-  5,
+  8,
   state__placement__field_descriptors,
   state__placement__field_indices_by_name,
   1,  state__placement__number_ranges,
@@ -3672,7 +3711,7 @@
   (ProtobufCMessageInit) state__tasks_placed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__task_end__field_descriptors[3] =
+static const ProtobufCFieldDescriptor state__task_end__field_descriptors[6] =
 {
   {
     "lease",
@@ -3710,16 +3749,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waiting",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(State__TaskEnd, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__TaskEnd, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "losses",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__TaskEnd, losses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned state__task_end__field_indices_by_name[] = {
   2,   /* field[2] = exit_code */
+  4,   /* field[4] = failures */
   0,   /* field[0] = lease */
+  5,   /* field[5] = losses */
   1,   /* field[1] = outcome */
+  3,   /* field[3] = waiting */
 };
 static const ProtobufCIntRange state__task_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor state__task_end__descriptor =
 {
@@ -3729,7 +3807,7 @@
   "State__TaskEnd",
   "state",
   sizeof(State__TaskEnd),
-  3,
+  6,
   state__task_end__field_descriptors,
   state__task_end__field_indices_by_name,
   1,  state__task_end__number_ranges,
@@ -5951,7 +6029,7 @@
   (ProtobufCMessageInit) state__snap_worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__snap_task__field_descriptors[7] =
+static const ProtobufCFieldDescriptor state__snap_task__field_descriptors[12] =
 {
   {
     "lease",
@@ -6037,12 +6115,77 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_milli",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapTask, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapTask, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapTask, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapTask, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "losses",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapTask, losses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned state__snap_task__field_indices_by_name[] = {
+  9,   /* field[9] = accelerators */
   4,   /* field[4] = attempts */
+  7,   /* field[7] = cpu_milli */
   3,   /* field[3] = exit_code */
+  10,   /* field[10] = failures */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = lease */
+  11,   /* field[11] = losses */
+  8,   /* field[8] = memory_mib */
   6,   /* field[6] = outcome */
   5,   /* field[5] = state */
   2,   /* field[2] = worker */
@@ -6050,7 +6193,7 @@
 static const ProtobufCIntRange state__snap_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor state__snap_task__descriptor =
 {
@@ -6060,7 +6203,7 @@
   "State__SnapTask",
   "state",
   sizeof(State__SnapTask),
-  7,
+  12,
   state__snap_task__field_descriptors,
   state__snap_task__field_indices_by_name,
   1,  state__snap_task__number_ranges,
--- a/packages/state/tasks.c
+++ b/packages/state/tasks.c
@@ -91,7 +91,7 @@
     if (task->state == STATE_TASK_PLACED) {
         return STATE_REASON_TASK_PLACED;
     }
-    if (task->state == STATE_TASK_ENDED && !job->pub.spec.idempotent &&
+    if (task->lease != 0 && !job->pub.spec.idempotent &&
         task->outcome != STATE_OUTCOME_NEVER_STARTED &&
         task->outcome != STATE_OUTCOME_CHECKPOINTED) {
         return STATE_REASON_TASK_STARTED;
@@ -126,6 +126,9 @@
     task->incarnation = item->incarnation;
     task->worker = item->worker;
     task->exit_code = 0;
+    task->cpu_milli = item->cpu_milli;
+    task->memory_mib = item->memory_mib;
+    task->accelerators = item->accelerators;
     task->state = STATE_TASK_PLACED;
     task->outcome = STATE_OUTCOME_NONE;
     if (task->attempts < UINT16_MAX) {
@@ -180,6 +183,12 @@
     result_applied(a, 0, 0, changed);
 }
 
+static uint16_t
+saturate(uint32_t value)
+{
+    return value < UINT16_MAX ? (uint16_t)value : UINT16_MAX;
+}
+
 static void
 end_task(struct state *s, struct lease *lease, const State__TaskEnd *item)
 {
@@ -187,7 +196,9 @@
     struct state_task *task = &job->tasks[lease->task];
     struct state_worker *worker = map_get_u64(s->workers, task->worker);
 
-    task->state = STATE_TASK_ENDED;
+    task->state = item->waiting ? STATE_TASK_WAITING : STATE_TASK_ENDED;
+    task->failures = saturate(item->failures);
+    task->losses = saturate(item->losses);
     task->outcome = (uint8_t)item->outcome;
     task->exit_code = item->exit_code;
     job->pub.placed--;
