--- a/packages/sched/batch.c
+++ b/packages/sched/batch.c
@@ -83,7 +83,7 @@
     struct fit_node *n;
 
     if (s->reservation.job == NULL || s->reservation.job == j ||
-        j->class != SCHED_BATCH || !j->idempotent || run == 0 ||
+        j->class != SCHED_CLASS_BATCH || !j->idempotent || run == 0 ||
         run > s->reservation.shadow - s->now) {
         return NULL;
     }
--- a/packages/sched/core.h
+++ b/packages/sched/core.h
@@ -304,7 +304,8 @@
     uint64_t timer_seq;
     struct fit_tree parked;   /* jobs that fit no worker */
     struct link parked_gangs; /* that need more than the fleet */
-    bool fleet_grew;
+    size_t parked_gang_count;
+    size_t recheck_left; /* parked gangs not checked since a worker came */
     struct link dirty_workers;
     struct link dirty_teams;
     struct link dropped; /* leases that end without a worker */
@@ -361,7 +362,7 @@
 struct team *
 team_get(struct sched *s, uint32_t id);
 void
-team_destroy(struct sched *s, struct team *t);
+team_destroy(struct team *t);
 void
 team_event(struct sched *s, const struct sched_team_event *e);
 bool
--- a/packages/sched/fleet.c
+++ b/packages/sched/fleet.c
@@ -200,7 +200,10 @@
     while ((n = fit_next(&s->parked, &need, NULL)) != NULL) {
         job_unpark(s, n->owner);
     }
-    s->fleet_grew = true;
+    s->recheck_left = s->parked_gang_count;
+    if (s->recheck_left > 0) {
+        reserve_soon(s);
+    }
 }
 
 static void
--- a/packages/sched/gang.c
+++ b/packages/sched/gang.c
@@ -175,7 +175,7 @@
     }
     r->job = j;
     r->size = one_slot(j);
-    r->need = j->class == SCHED_GANG ? j->waiting.count : 1;
+    r->need = j->class == SCHED_CLASS_GANG ? j->waiting.count : 1;
     r->held = 0;
     r->ready = 0;
     r->progress = s->now;
@@ -248,7 +248,7 @@
         }
     }
     reservation_drop(s);
-    if (j->class == SCHED_GANG) {
+    if (j->class == SCHED_CLASS_GANG) {
         place_all(s, j, picks, count);
     }
     else {
@@ -441,9 +441,11 @@
 static void
 recheck_parked(struct sched *s)
 {
-    for (int i = 0; s->fleet_grew && i < PARKED_CHECKS; i++) {
+    for (int i = 0; s->recheck_left > 0 && i < PARKED_CHECKS; i++) {
         struct job *j = link_first(&s->parked_gangs);
+        s->recheck_left--;
         if (j == NULL) {
+            s->recheck_left = 0;
             break;
         }
         if (fleet_slots(s, &j->size, j->waiting.count) >=
@@ -461,11 +463,12 @@
 void
 reserve_next(struct sched *s)
 {
-    bool more = !link_empty(&s->parked_gangs);
+    bool more = false;
     struct reservation *r = &s->reservation;
     struct queue *q = next_to_reserve(s, &more);
 
     recheck_parked(s);
+    more = more || s->recheck_left > 0;
     if (r->job != NULL && q != NULL && s->now - r->progress >= STALL_NS &&
         r->ready < r->need) {
         r->job->enqueued = s->now;
@@ -474,7 +477,7 @@
     }
     if (r->job == NULL && q != NULL) {
         struct job *j = link_first(&q->jobs);
-        if (j->class == SCHED_GANG) {
+        if (j->class == SCHED_CLASS_GANG) {
             queue_move(s, q, &q->account->lanes[q->lane].ready);
         }
         else {
--- a/packages/sched/job.c
+++ b/packages/sched/job.c
@@ -55,7 +55,8 @@
 struct vec
 job_need(const struct job *j)
 {
-    return vec_scale(&j->ask, j->class == SCHED_GANG ? j->waiting.count : 1);
+    return vec_scale(&j->ask,
+                     j->class == SCHED_CLASS_GANG ? j->waiting.count : 1);
 }
 
 /* Takes the next waiting task. */
@@ -111,6 +112,9 @@
 static void
 parked_leave(struct sched *s, struct job *j)
 {
+    if (j->parked_reason == SCHED_REASON_TOO_MANY) {
+        s->parked_gang_count--;
+    }
     j->parked_reason = SCHED_REASON_NONE;
     link_remove(&j->parked);
     fit_remove(&s->parked, &j->parked_fit);
@@ -134,6 +138,7 @@
     }
     else if (reason == SCHED_REASON_TOO_MANY) {
         link_insert_before(&s->parked_gangs, &j->parked);
+        s->parked_gang_count++;
     }
     else {
         j->parked_fit.own = vec_negative(&j->size);
@@ -184,7 +189,8 @@
         j->parked_reason != SCHED_REASON_NONE) {
         return;
     }
-    if (j->class == SCHED_GANG && (j->live > 0 || j->delayed.count > 0)) {
+    if (j->class == SCHED_CLASS_GANG &&
+        (j->live > 0 || j->delayed.count > 0)) {
         return;
     }
     j->ask = learned_ask(s, j);
@@ -241,7 +247,7 @@
     fit_node_init(&j->parked_fit, j, e->job);
     timer_init(&j->backoff, TIMER_BACKOFF, j);
     timer_init(&j->park, TIMER_PARKED, j);
-    if (j->class == SCHED_SERVICE) {
+    if (j->class == SCHED_CLASS_SERVICE) {
         j->policy.service.spread = map_create();
     }
     map_put_u64(s->jobs, j->id, j);
@@ -379,7 +385,7 @@
         finish(s, j);
         return;
     }
-    if (j->class == SCHED_GANG) {
+    if (j->class == SCHED_CLASS_GANG) {
         if (j->live == 0) {
             j->policy.gang.regroup = false;
         }
@@ -482,7 +488,7 @@
     timer_clear(s, &j->backoff);
     timer_clear(s, &j->park);
     profile_release(s, j->profile);
-    if (j->class == SCHED_SERVICE) {
+    if (j->class == SCHED_CLASS_SERVICE) {
         map_destroy(j->policy.service.spread);
     }
     mem_free(j->tasks);
--- a/packages/sched/lease.c
+++ b/packages/sched/lease.c
@@ -36,7 +36,7 @@
     worker_charge(s, w, size, 1);
     team_charge(s, l);
     spread_count(l, 1);
-    if (expected > 0 && j->class != SCHED_SERVICE) {
+    if (expected > 0 && j->class != SCHED_CLASS_SERVICE) {
         l->ends.key = s->now + expected;
         l->ends.own = *size;
         fit_insert(&s->ends, &l->ends);
@@ -59,7 +59,7 @@
     a->size.cpu_milli = (uint64_t)size->d[DIM_CPU];
     a->size.memory_mib = (uint64_t)size->d[DIM_MEMORY];
     a->size.accelerators = (uint64_t)size->d[DIM_ACCELERATORS];
-    if (j->class == SCHED_GANG) {
+    if (j->class == SCHED_CLASS_GANG) {
         j->policy.gang.uncommitted++;
     }
     s->stats.decisions++;
@@ -119,16 +119,17 @@
         return;
     }
     l->state = LEASE_COMMITTED;
-    if (l->job->class == SCHED_GANG) {
+    if (l->job->class == SCHED_CLASS_GANG) {
         l->job->policy.gang.uncommitted--;
     }
     if (l->drop) {
         defer_end(s, l);
     }
-    else if (l->job->class != SCHED_GANG) {
+    else if (l->job->class != SCHED_CLASS_GANG) {
         start(s, l);
     }
-    if (l->job->class == SCHED_GANG && l->job->policy.gang.uncommitted == 0) {
+    if (l->job->class == SCHED_CLASS_GANG &&
+        l->job->policy.gang.uncommitted == 0) {
         start_gang(s, l->job);
     }
 }
@@ -141,7 +142,7 @@
     if (l == NULL || l->state != LEASE_PLACING) {
         return;
     }
-    if (l->job->class == SCHED_GANG) {
+    if (l->job->class == SCHED_CLASS_GANG) {
         l->job->policy.gang.uncommitted--;
     }
     l->state = LEASE_COMMITTED;
@@ -180,7 +181,7 @@
     const struct job *j = l->job;
 
     return !l->stopping && !j->urgent && j->idempotent &&
-           j->class != SCHED_GANG;
+           j->class != SCHED_CLASS_GANG;
 }
 
 static void
@@ -356,12 +357,12 @@
     t->state = next_state(s, l, end);
     t->lease = NULL;
     emit_task(s, l, t);
-    learn_end(s, l,
-              fault                   ? end
-              : end == SCHED_END_DONE ? end
-                                      : SCHED_END_STOPPED);
     if (fault || end == SCHED_END_DONE) {
         quarantine_note(s, w, j->profile, fault);
+        learn_end(s, l, end);
+    }
+    else {
+        learn_end(s, l, SCHED_END_STOPPED);
     }
     spread_count(l, -1);
     team_release(s, l);
@@ -410,7 +411,8 @@
     if (l->outgrew || l->stopping) {
         return;
     }
-    if (!j->idempotent || j->class == SCHED_GANG || !fleet_fits(s, &grown) ||
+    if (!j->idempotent || j->class == SCHED_CLASS_GANG ||
+        !fleet_fits(s, &grown) ||
         !vec_covers(&j->account->team->limit, &grown)) {
         throttle(s, l);
         return;
--- a/packages/sched/place.c
+++ b/packages/sched/place.c
@@ -81,7 +81,7 @@
         }
         return ATTEMPT_LIMITED;
     }
-    if (j->class == SCHED_GANG) {
+    if (j->class == SCHED_CLASS_GANG) {
         return gang_try(s, q, j) ? ATTEMPT_PLACED : ATTEMPT_NO_ROOM;
     }
     if (!try_room(s, j)) {
--- a/packages/sched/policy.c
+++ b/packages/sched/policy.c
@@ -6,10 +6,10 @@
 {
     s->stats.attempts++;
     switch (j->class) {
-    case SCHED_SERVICE:
+    case SCHED_CLASS_SERVICE:
         return service_pick(s, j);
-    case SCHED_BATCH:
-    case SCHED_GANG:
+    case SCHED_CLASS_BATCH:
+    case SCHED_CLASS_GANG:
         return batch_pick(s, j);
     }
     return NULL;
--- a/packages/sched/queue.c
+++ b/packages/sched/queue.c
@@ -25,13 +25,13 @@
 static uint64_t
 shape_of(const struct job *j)
 {
-    uint64_t shape = j->class == SCHED_GANG ? 1 : 0;
+    uint64_t shape = j->class == SCHED_CLASS_GANG ? 1 : 0;
 
     shape = shape << 1 | (j->urgent ? 1 : 0);
     for (int i = 0; i < DIM_TASKS; i++) {
         shape = shape << DIM_BITS | rounded(j->ask.d[i]);
     }
-    if (j->class == SCHED_GANG) {
+    if (j->class == SCHED_CLASS_GANG) {
         shape = shape << DIM_BITS | rounded(j->waiting.count);
     }
     return shape;
--- a/packages/sched/sched.c
+++ b/packages/sched/sched.c
@@ -142,7 +142,7 @@
     }
     cursor = NULL;
     while ((p = map_next(s->teams, &cursor)) != NULL) {
-        team_destroy(s, p);
+        team_destroy(p);
     }
     cursor = NULL;
     while ((p = map_next(s->racks, &cursor)) != NULL) {
--- a/packages/sched/service.c
+++ b/packages/sched/service.c
@@ -49,7 +49,7 @@
 void
 spread_count(struct lease *l, int by)
 {
-    if (l->job->class != SCHED_SERVICE) {
+    if (l->job->class != SCHED_CLASS_SERVICE) {
         return;
     }
     if (by > 0) {
@@ -67,7 +67,7 @@
     (void)s;
     for (struct link *l = w->leases.next; l != &w->leases; l = l->next) {
         struct lease *lease = l->owner;
-        if (lease->job->class == SCHED_SERVICE) {
+        if (lease->job->class == SCHED_CLASS_SERVICE) {
             add_places(lease, -1);
             lease->domain = w->domain;
             lease->rack = w->rack;
--- a/packages/sched/team.c
+++ b/packages/sched/team.c
@@ -50,7 +50,7 @@
 }
 
 void
-team_destroy(struct sched *s, struct team *t)
+team_destroy(struct team *t)
 {
     for (int i = 0; i < 2; i++) {
         void *cursor = NULL;
@@ -122,9 +122,9 @@
     const struct job *j = l->job;
     int64_t rank = 0;
 
-    rank += j->class == SCHED_SERVICE ? 1 : 0;
+    rank += j->class == SCHED_CLASS_SERVICE ? 1 : 0;
     rank += j->urgent ? 2 : 0;
-    rank += j->class == SCHED_GANG ? 4 : 0;
+    rank += j->class == SCHED_CLASS_GANG ? 4 : 0;
     rank += j->idempotent ? 0 : 8;
     return rank * (INT64_C(1) << 58) - l->began;
 }
@@ -136,7 +136,7 @@
     struct fit_node *victim = (struct fit_node *)&l->victim;
 
     vec_add(&a->team->used, &l->size);
-    if (l->job->class == SCHED_SERVICE) {
+    if (l->job->class == SCHED_CLASS_SERVICE) {
         vec_add(&a->team->services, &l->size);
     }
     vec_add(&a->used, &l->size);
@@ -152,7 +152,7 @@
     struct account *a = l->job->account;
 
     vec_sub(&a->team->used, &l->size);
-    if (l->job->class == SCHED_SERVICE) {
+    if (l->job->class == SCHED_CLASS_SERVICE) {
         vec_sub(&a->team->services, &l->size);
     }
     if (l->stopping) {
@@ -185,7 +185,7 @@
 
     vec_add(&total, need);
     if (t->hold == NULL && vec_covers(&t->limit, &total) &&
-        (j->class == SCHED_GANG ||
+        (j->class == SCHED_CLASS_GANG ||
          s->now - j->enqueued >= s->config.reserve_after_ns)) {
         t->hold = j;
         t->hold_need = *need;
--- a/packages/sched/urgent.c
+++ b/packages/sched/urgent.c
@@ -40,7 +40,7 @@
         }
     }
     return part * ((double)(s->now - l->began) / NS_PER_S + 1) +
-           (l->job->class == SCHED_SERVICE ? 1e6 : 0);
+           (l->job->class == SCHED_CLASS_SERVICE ? 1e6 : 0);
 }
 
 /* Whether the end of l gives some of what is still missing. */
@@ -188,7 +188,7 @@
     struct vec one = {{0}};
     int count;
 
-    if (!j->urgent || j->class == SCHED_GANG) {
+    if (!j->urgent || j->class == SCHED_CLASS_GANG) {
         return false;
     }
     count = tried_accounts(s, j, accounts);
