--- a/packages/route/include/router.h
+++ b/packages/route/include/router.h
@@ -77,7 +77,7 @@
 };
 
 struct router_request {
-    uint64_t id; /* unique among the requests in the router */
+    uint64_t id; /* never used again in this process */
     uint64_t key;
     uint32_t team;
     struct str service;
@@ -191,6 +191,14 @@
 int64_t
 router_report_sent(const struct router *r, uint64_t seq);
 
+/*
+ * What this entry holds of a pool: units that it may use at now, but at least
+ * those in use. Returns false for an unknown pool.
+ */
+bool
+router_pool(const struct router *r, int64_t now, struct str pool,
+            struct unit_report *out);
+
 /* Nothing is queued or in flight. */
 bool
 router_idle(const struct router *r);
--- a/packages/route/include/units.h
+++ b/packages/route/include/units.h
@@ -51,6 +51,7 @@
     uint64_t seq;        /* rises with each report of this process */
     struct grant_no ack; /* last grants applied */
     int64_t up_ns;       /* how long this process has run */
+    bool full;           /* holds every pool: the leader knows none yet */
     bool leaving;        /* draining: wants no spare units */
     struct unit_report *items;
     size_t count;
--- /dev/null
+++ b/packages/route/ledger_balance.c
@@ -0,0 +1,339 @@
+#include "ledger_int.h"
+
+enum {
+    /* Spare units move only when an entry is off its goal by more than
+     * this or goal / SLACK_PART; smaller moves would follow the noise of the
+     * demand. */
+    SLACK_UNITS = 2,
+    SLACK_PART = 6,
+    /* Preference for a pool in the entry's failure domain, in units of
+     * spread: a local pool is chosen until it holds so many more. */
+    LOCAL_UNITS = 4,
+};
+
+static uint32_t
+min_u32(uint32_t a, uint32_t b)
+{
+    return a < b ? a : b;
+}
+
+/* A pool that most entries refuse has no usable units. */
+static bool
+pool_usable(const struct group *g, const struct pool *p)
+{
+    return p->refusals * 2 <= g->demand_count;
+}
+
+static uint32_t
+group_capacity(const struct group *g)
+{
+    uint32_t total = 0;
+
+    for (const struct pool *p = TAILQ_FIRST(&g->pools); p != NULL;
+         p = TAILQ_NEXT(p, in_group)) {
+        total += pool_usable(g, p) ? p->capacity : 0;
+    }
+    return total;
+}
+
+/* Sums what each entry is meant to hold of the group's pools. */
+static void
+measure_levels(struct group *g)
+{
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        d->level = 0;
+        const struct pool *p;
+        for (p = TAILQ_FIRST(&g->pools); p != NULL;
+             p = TAILQ_NEXT(p, in_group)) {
+            const struct share *s =
+                map_get_u64(d->entry->shares, (uintptr_t)p);
+            d->level += s == NULL || s->refused ? 0 : s->target;
+        }
+    }
+}
+
+/*
+ * Each entry gets what it wants or, when the capacity does not suffice, a
+ * part of it in proportion to what it wants, and at least one unit. Returns
+ * what is left of the capacity.
+ */
+static uint32_t
+fill_wants(struct group *g, int64_t now, uint32_t capacity)
+{
+    uint64_t total = 0;
+    uint32_t left = capacity;
+
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        d->goal = 0;
+        total += entry_active(d->entry, now) ? d->wanted : 0;
+    }
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        if (!entry_active(d->entry, now) || d->wanted == 0) {
+            continue;
+        }
+        uint64_t part = d->wanted;
+        if (total > capacity) {
+            part = part * capacity / total;
+        }
+        part = part == 0 ? 1 : part;
+        d->goal = min_u32((uint32_t)part, left);
+        left -= d->goal;
+    }
+    return left;
+}
+
+static double
+spare_weight(const struct demand *d, int64_t now)
+{
+    if (!entry_active(d->entry, now) || d->entry->leaving) {
+        return 0;
+    }
+    return d->smooth + 1;
+}
+
+/* Spare units go to entries by their average demand, for bursts. */
+static void
+place_spare(struct group *g, int64_t now, uint32_t spare)
+{
+    double total = 0;
+
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        total += spare_weight(d, now);
+    }
+    if (total <= 0) {
+        return;
+    }
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        d->goal += (uint32_t)(spare * spare_weight(d, now) / total);
+    }
+}
+
+/* The pool from which the entry should get a unit, or NULL. */
+static struct pool *
+pool_to_give(const struct ledger *l, const struct group *g,
+             const struct entry *e)
+{
+    struct pool *best = NULL;
+    int64_t best_score = INT64_MAX;
+
+    for (struct pool *p = TAILQ_FIRST(&g->pools); p != NULL;
+         p = TAILQ_NEXT(p, in_group)) {
+        const struct share *s = map_get_u64(e->shares, (uintptr_t)p);
+        int64_t score = s == NULL ? 0 : s->target;
+        if ((s != NULL && s->refused) || pool_free_units(l, p) == 0) {
+            continue;
+        }
+        score -= str_eq(p->domain, e->domain) ? LOCAL_UNITS : 0;
+        if (score < best_score) {
+            best = p;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+static void
+give_units(struct ledger *l, struct group *g, struct demand *d, uint32_t upto)
+{
+    while (d->level < upto) {
+        struct pool *p = pool_to_give(l, g, d->entry);
+        if (p == NULL) {
+            return;
+        }
+        struct share *s = share_make(p, d->entry);
+        share_set_target(l, s, s->target + 1);
+        d->level++;
+    }
+}
+
+/* The share of which the entry should return a unit: idle and remote first. */
+static struct share *
+share_to_take(const struct group *g, const struct entry *e)
+{
+    struct share *best = NULL;
+    int64_t best_score = INT64_MIN;
+
+    for (const struct pool *p = TAILQ_FIRST(&g->pools); p != NULL;
+         p = TAILQ_NEXT(p, in_group)) {
+        struct share *s = map_get_u64(e->shares, (uintptr_t)p);
+        if (s == NULL || s->target == 0 || s->refused) {
+            continue;
+        }
+        int64_t idle = (int64_t)s->target - s->used;
+        int64_t score = idle > 0 ? 1000 + idle : 0;
+        score += str_eq(p->domain, e->domain) ? 0 : LOCAL_UNITS;
+        if (score > best_score) {
+            best = s;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+static uint32_t
+take_units(struct ledger *l, struct group *g, struct demand *d, uint32_t count)
+{
+    uint32_t taken = 0;
+
+    while (taken < count) {
+        struct share *s = share_to_take(g, d->entry);
+        if (s == NULL) {
+            break;
+        }
+        share_set_target(l, s, s->target - 1);
+        d->level--;
+        taken++;
+    }
+    return taken;
+}
+
+/* Asks back what exceeds the capacity of a pool, most from the largest. */
+static void
+drain_pool(struct ledger *l, struct pool *p)
+{
+    while (p->targets > p->capacity) {
+        struct share *most = NULL;
+        struct share *s;
+        for (s = TAILQ_FIRST(&p->shares); s != NULL;
+             s = TAILQ_NEXT(s, in_pool)) {
+            if (most == NULL || s->target > most->target) {
+                most = s;
+            }
+        }
+        if (most == NULL) {
+            return;
+        }
+        share_set_target(l, most, most->target - 1);
+    }
+}
+
+/* Units that are free or on their way back. */
+static uint32_t
+units_coming(const struct ledger *l, const struct group *g)
+{
+    uint32_t total = 0;
+
+    for (const struct pool *p = TAILQ_FIRST(&g->pools); p != NULL;
+         p = TAILQ_NEXT(p, in_group)) {
+        uint64_t taken = (uint64_t)p->targets + pool_unknown(l, p);
+        if (pool_usable(g, p) && taken < p->capacity) {
+            total += p->capacity - (uint32_t)taken;
+        }
+    }
+    return total;
+}
+
+static uint32_t
+slack(const struct demand *d)
+{
+    uint32_t part = d->goal / SLACK_PART;
+
+    return part > SLACK_UNITS ? part : SLACK_UNITS;
+}
+
+/* How many units the entry lacks for waiting requests. */
+static uint32_t
+urgent_need(const struct demand *d)
+{
+    uint32_t upto = min_u32(d->wanted, d->goal);
+
+    return upto > d->level ? upto - d->level : 0;
+}
+
+static struct demand *
+largest_surplus(struct group *g, bool beyond_slack)
+{
+    struct demand *best = NULL;
+    uint32_t most = 0;
+
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        bool waits = d->wanted > d->level;
+        uint32_t keep = d->goal + (beyond_slack || waits ? slack(d) : 0);
+        if (d->level > keep && d->level - keep > most) {
+            best = d;
+            most = d->level - keep;
+        }
+    }
+    return best;
+}
+
+static void
+ask_back(struct ledger *l, struct group *g, uint32_t need, bool beyond_slack)
+{
+    uint32_t coming = units_coming(l, g);
+
+    while (coming < need) {
+        struct demand *d = largest_surplus(g, beyond_slack);
+        if (d == NULL || take_units(l, g, d, 1) == 0) {
+            return;
+        }
+        coming++;
+    }
+}
+
+static uint32_t
+spare_need(const struct demand *d)
+{
+    return d->goal > d->level + slack(d) ? d->goal - d->level - slack(d) : 0;
+}
+
+void
+group_balance(struct ledger *l, int64_t now, struct group *g)
+{
+    uint32_t urgent = 0;
+    uint32_t spare = 0;
+
+    for (struct pool *p = TAILQ_FIRST(&g->pools); p != NULL;
+         p = TAILQ_NEXT(p, in_group)) {
+        drain_pool(l, p);
+    }
+    measure_levels(g);
+    place_spare(g, now, fill_wants(g, now, group_capacity(g)));
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        if (entry_active(d->entry, now)) {
+            give_units(l, g, d, d->level + urgent_need(d));
+        }
+    }
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        if (entry_active(d->entry, now)) {
+            urgent += urgent_need(d);
+            spare += spare_need(d);
+        }
+    }
+    ask_back(l, g, urgent, false);
+    ask_back(l, g, urgent + spare, true);
+    if (urgent > 0) {
+        return;
+    }
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        if (entry_active(d->entry, now)) {
+            give_units(l, g, d, d->goal);
+        }
+    }
+}
+
+void
+ledger_balance(struct ledger *l, int64_t now)
+{
+    struct group *next;
+
+    for (struct group *g = TAILQ_FIRST(&l->dirty); g != NULL; g = next) {
+        next = TAILQ_NEXT(g, in_dirty);
+        if (now < g->balanced_at + l->config.balance_ns) {
+            continue;
+        }
+        TAILQ_REMOVE(&l->dirty, g, in_dirty);
+        g->dirty = false;
+        g->balanced_at = now;
+        group_balance(l, now, g);
+    }
+}
--- /dev/null
+++ b/packages/route/ledger_report.c
@@ -0,0 +1,156 @@
+#include "ledger_int.h"
+
+/*
+ * An older process on the VM may have sent requests until this one started;
+ * only after a window have they certainly ended.
+ */
+static void
+vm_reported(struct ledger *l, const struct entry *e, const struct report *r)
+{
+    if (l->recover_until == 0 || r->up_ns < ledger_window(l)) {
+        return;
+    }
+    map_del(l->unreported, e->vm);
+    if (map_count(l->unreported) == 0) {
+        ledger_end_recovery(l);
+    }
+}
+
+static void
+take_demand(struct ledger *l, int64_t now, struct entry *e, struct group *g,
+            const struct unit_report *u)
+{
+    struct demand *d = demand_make(g, e);
+    bool changed = d->smooth_at == 0 || d->wanted != u->wanted;
+
+    demand_update(d, now, u->used, u->wanted);
+    if (changed) {
+        group_touch(l, g);
+    }
+}
+
+/*
+ * Units the entry may hold: what it reported, what unconfirmed messages
+ * granted, and a raise that is decided but not sent yet.
+ */
+static void
+settle_share(struct ledger *l, struct share *s)
+{
+    struct entry *e = s->entry;
+    bool unsent = s->pending && s->target != s->sent;
+    bool acked = s->sent_seq <= e->ack.seq;
+    uint32_t possible = s->held;
+
+    if (!acked && s->peak > possible) {
+        possible = s->peak;
+    }
+    if (unsent && s->target > possible) {
+        possible = s->target;
+    }
+    if (acked && !unsent) {
+        if (s->pending) {
+            s->pending = false;
+            TAILQ_REMOVE(&e->pending, s, in_pending);
+        }
+        /* Returned without being asked, or the grant was lost. */
+        if (s->held < s->target) {
+            s->pool->targets -= s->target - s->held;
+            s->target = s->held;
+            s->sent = s->held;
+        }
+    }
+    if (possible != s->possible) {
+        share_set_possible(s, possible);
+        group_touch(l, s->pool->group);
+    }
+}
+
+static void
+take_share(struct ledger *l, struct entry *e, struct pool *p,
+           const struct unit_report *u, bool first)
+{
+    struct share *s = share_make(p, e);
+
+    s->held = u->held;
+    s->used = u->used;
+    s->wanted = u->wanted;
+    if (str_starts(u->pool, STR(POOL_ENDPOINT))) {
+        if (s->refused != (u->wanted == 0)) {
+            group_touch(l, p->group);
+        }
+        share_set_refused(s, u->wanted == 0);
+    }
+    if (first) {
+        s->target = u->held;
+        s->sent = u->held;
+        p->targets += u->held;
+        p->adopted += u->held;
+    }
+    settle_share(l, s);
+}
+
+static void
+take_item(struct ledger *l, int64_t now, struct entry *e,
+          const struct unit_report *u, bool first)
+{
+    struct group *g;
+    struct pool *p;
+
+    if (str_starts(u->pool, STR(POOL_SERVICE))) {
+        g = group_make(l, u->pool);
+        take_demand(l, now, e, g, u);
+        group_destroy_if_unused(l, g);
+        return;
+    }
+    /* The leader may hear of a pool from an entry first. */
+    p = pool_make(l, now, u->pool, STR(""));
+    if (str_starts(u->pool, STR(POOL_TEAM))) {
+        take_demand(l, now, e, p->group, u);
+    }
+    take_share(l, e, p, u, first);
+    pool_destroy_if_unused(l, p);
+}
+
+static void
+settle_pending(struct ledger *l, struct entry *e)
+{
+    struct share *next;
+
+    for (struct share *s = TAILQ_FIRST(&e->pending); s != NULL; s = next) {
+        next = TAILQ_NEXT(s, in_pending);
+        settle_share(l, s);
+    }
+}
+
+enum ledger_result
+ledger_report(struct ledger *l, int64_t now, uint64_t run, struct str vm,
+              struct str domain, const struct report *report)
+{
+    struct entry *e = map_get_u64(l->entries, run);
+    bool first = e == NULL;
+
+    if (report->term != l->term) {
+        return LEDGER_OTHER_TERM;
+    }
+    if (first && !report->full) {
+        return LEDGER_UNKNOWN;
+    }
+    if (!first && report->seq <= e->seq) {
+        return LEDGER_STALE;
+    }
+    if (first) {
+        e = entry_make(l, run, vm, domain);
+        entry_renew(l, now, e);
+    }
+    e->seq = report->seq;
+    e->leaving = report->leaving;
+    if (report->ack.term == l->term) {
+        e->ack = report->ack;
+    }
+    for (size_t i = 0; i < report->count; i++) {
+        take_item(l, now, e, &report->items[i], first);
+    }
+    settle_pending(l, e);
+    vm_reported(l, e, report);
+    return LEDGER_OK;
+}
--- /dev/null
+++ b/packages/route/router_attempt.c
@@ -0,0 +1,232 @@
+#include "clock.h"
+#include "router_int.h"
+
+enum {
+    /* Parked requests looked at per dispatch, to bound its cost. */
+    PARKED_SCAN = 8,
+    /* A cancelled attempt that took less than the mean and so many
+     * deviations says nothing against the endpoint. */
+    SLOW_DEVS = 4,
+};
+
+static void
+send_to(struct router *r, struct request *req, struct endpoint *e, int64_t now,
+        struct router_actions *out)
+{
+    struct queue *q = req->queue;
+    struct team *t = q->team;
+    struct router_action *a;
+
+    queue_charge(req, req->work);
+    request_unqueue(r, req);
+    req->state = REQUEST_IN_FLIGHT;
+    req->endpoint = e;
+    req->tried[req->attempts % TRIED_MAX] = e->serial;
+    req->attempts++;
+    q->service->in_flight++;
+    t->in_flight++;
+    r->stats.in_flight++;
+    r->stats.sent++;
+    units_take(e->units);
+    units_take(t->units);
+    team_update(r, now, t);
+    a = action_add(out, ROUTER_SEND, req);
+    a->endpoint = e->id;
+    a->deadline = req->deadline;
+}
+
+/* Retries whose other endpoints were busy go first: they are the oldest. */
+static void
+dispatch_parked(struct router *r, struct service *s, int64_t now,
+                struct router_actions *out)
+{
+    struct request *next;
+    int scanned = 0;
+
+    for (struct request *req = TAILQ_FIRST(&s->parked);
+         req != NULL && scanned < PARKED_SCAN; req = next) {
+        next = TAILQ_NEXT(req, in_parked);
+        scanned++;
+        if (!team_can_send(r, req->queue->team, now)) {
+            continue;
+        }
+        struct endpoint *e = endpoint_choose(r, s, req, now);
+        if (e != NULL) {
+            send_to(r, req, e, now, out);
+        }
+        else if (!endpoint_untried(s, req, now)) {
+            request_end(r, req, ROUTER_REASON_ENDPOINT, NS_PER_S, out);
+        }
+    }
+}
+
+/* Returns false when no endpoint can take the request. */
+static bool
+dispatch_one(struct router *r, struct service *s, struct request *req,
+             int64_t now, struct router_actions *out)
+{
+    struct endpoint *e;
+
+    if (cost_too_late(cost_of(req->queue, req->path_class), now, 0,
+                      req->deadline)) {
+        request_end(r, req, ROUTER_REASON_TOO_LATE, NS_PER_S, out);
+        return true;
+    }
+    e = endpoint_choose(r, s, req, now);
+    if (e != NULL) {
+        send_to(r, req, e, now, out);
+        return true;
+    }
+    if (req->attempts == 0) {
+        return false;
+    }
+    queue_park(req);
+    return true;
+}
+
+void
+dispatch(struct router *r, struct service *s, int64_t now,
+         struct router_actions *out)
+{
+    struct request *req;
+
+    if (now >= r->config_deadline || now >= r->units_deadline) {
+        return;
+    }
+    if (!TAILQ_EMPTY(&s->parked) && s->free_slots > 0) {
+        dispatch_parked(r, s, now, out);
+    }
+    while (s->free_slots > 0 && (req = queue_next(r, s, now)) != NULL) {
+        if (!dispatch_one(r, s, req, now, out)) {
+            break;
+        }
+    }
+    if (s->queued > 0) {
+        starving(r, s);
+    }
+}
+
+void
+dispatch_all(struct router *r, int64_t now, struct router_actions *out)
+{
+    void *cursor = NULL;
+    struct service *s;
+
+    while ((s = map_next(r->services, &cursor)) != NULL) {
+        if (s->queued > 0) {
+            dispatch(r, s, now, out);
+        }
+    }
+}
+
+static bool
+failure_counts(const struct request *req, const struct router_attempt *a)
+{
+    const struct cost *c = cost_of(req->queue, req->path_class);
+
+    if (a->result != ATTEMPT_CANCELLED) {
+        return a->result != ATTEMPT_OK;
+    }
+    return a->duration_ns > c->mean_ns + SLOW_DEVS * c->dev_ns;
+}
+
+static void
+release_slot(struct router *r, struct request *req, int64_t now)
+{
+    struct queue *q = req->queue;
+    struct endpoint *e = req->endpoint;
+
+    req->endpoint = NULL;
+    q->service->in_flight--;
+    q->team->in_flight--;
+    r->stats.in_flight--;
+    units_put(r, e->units);
+    if (e->gone && e->units->used == 0) {
+        endpoint_destroy(r, e);
+    }
+    units_put(r, q->team->units);
+    team_update(r, now, q->team);
+}
+
+/* Why the request may not be sent again, or ROUTER_REASON_NONE. */
+static enum router_reason
+check_retry(struct router *r, const struct request *req, int64_t now)
+{
+    struct service *s = req->queue->service;
+
+    if (req->no_retry) {
+        return ROUTER_REASON_CALLER_GONE;
+    }
+    if ((req->bytes_sent && !req->idempotent) ||
+        req->attempts >= r->config.max_attempts ||
+        !endpoint_untried(s, req, now)) {
+        return ROUTER_REASON_ENDPOINT;
+    }
+    if (now >= r->config_deadline) {
+        return ROUTER_REASON_NO_LEASE;
+    }
+    if (now + cost_of(req->queue, req->path_class)->mean_ns >= req->deadline) {
+        return ROUTER_REASON_DEADLINE;
+    }
+    if (s->retry_tokens < 1) {
+        return ROUTER_REASON_NO_BUDGET;
+    }
+    return ROUTER_REASON_NONE;
+}
+
+static void
+retry_or_end(struct router *r, struct request *req, int64_t now,
+             const struct router_attempt *a, struct router_actions *out)
+{
+    enum router_reason reason = check_retry(r, req, now);
+    enum router_action_kind kind =
+        req->bytes_sent ? ROUTER_FAIL : ROUTER_REFUSE;
+
+    if (reason == ROUTER_REASON_NONE) {
+        req->queue->service->retry_tokens -= 1;
+        r->stats.retries++;
+        request_enqueue(r, now, req);
+        return;
+    }
+    if (a->result == ATTEMPT_ERROR_RESPONSE) {
+        kind = ROUTER_COMPLETE;
+        reason = ROUTER_REASON_NONE;
+    }
+    request_answer(r, req, kind, reason, NS_PER_S, out);
+    request_free(r, req);
+}
+
+void
+attempt_ended(struct router *r, int64_t now, const struct router_attempt *a,
+              struct router_actions *out)
+{
+    struct request *req = map_get_u64(r->requests, a->request);
+    struct service *s;
+
+    if (req == NULL || req->state != REQUEST_IN_FLIGHT ||
+        req->attempts != a->attempt) {
+        return;
+    }
+    s = req->queue->service;
+    if (a->bytes_sent || a->result == ATTEMPT_OK ||
+        a->result == ATTEMPT_ERROR_RESPONSE) {
+        req->bytes_sent = true;
+    }
+    endpoint_result(r, req->endpoint, now, !failure_counts(req, a));
+    if (a->result == ATTEMPT_OK) {
+        cost_learn(cost_of(req->queue, req->path_class), a->duration_ns);
+    }
+    queue_charge(req, a->duration_ns - req->work);
+    release_slot(r, req, now);
+    if (req->answered) {
+        request_free(r, req);
+    }
+    else if (a->result == ATTEMPT_OK) {
+        request_answer(r, req, ROUTER_COMPLETE, ROUTER_REASON_NONE, 0, out);
+        request_free(r, req);
+    }
+    else {
+        retry_or_end(r, req, now, a, out);
+    }
+    dispatch(r, s, now, out);
+}
--- /dev/null
+++ b/packages/route/router_endpoint.c
@@ -0,0 +1,315 @@
+#include "clock.h"
+#include "mem.h"
+#include "router_int.h"
+
+enum {
+    /* Scores of endpoint_choose; the smallest wins. */
+    SCORE_FULL = 1024,  /* every slot of the endpoint in use by this entry */
+    SCORE_REMOTE = 512, /* another failure domain: half the slots' worth */
+    SCORE_FAIL = 256,   /* per consecutive failure */
+    SCORE_PROBE = -4096,
+    SCORE_PROBATION = 4096,
+};
+
+static int64_t
+next_change(const struct endpoint *e)
+{
+    if (e->out && e->out_until < e->deadline) {
+        return e->out_until;
+    }
+    return e->deadline;
+}
+
+static void
+set_timer(struct router *r, struct endpoint *e)
+{
+    e->timer.key = next_change(e);
+    e->timer.seq = e->serial;
+    if (e->timer.pos == 0) {
+        heap_insert(&r->endpoint_timers, &e->timer);
+    }
+    else {
+        heap_update(&r->endpoint_timers, &e->timer);
+    }
+}
+
+static void
+service_add(struct service *s, struct endpoint *e)
+{
+    if (s->endpoint_count == s->endpoint_cap) {
+        s->endpoint_cap = s->endpoint_cap == 0 ? 16 : s->endpoint_cap * 2;
+        s->endpoints =
+            mem_realloc(s->endpoints, s->endpoint_cap, sizeof(*s->endpoints));
+    }
+    s->endpoints[s->endpoint_count] = e;
+    s->endpoint_count++;
+}
+
+static void
+service_remove(struct service *s, const struct endpoint *e)
+{
+    size_t i = 0;
+
+    while (s->endpoints[i] != e) {
+        i++;
+    }
+    s->endpoint_count--;
+    s->endpoints[i] = s->endpoints[s->endpoint_count];
+}
+
+static struct endpoint *
+endpoint_make(struct router *r, const struct router_endpoint *seen)
+{
+    struct endpoint *e = mem_zalloc(1, sizeof(*e));
+
+    r->serial++;
+    e->serial = r->serial;
+    e->id = str_dup(seen->id);
+    e->domain = str_dup(seen->domain);
+    e->service = service_make(r, seen->service);
+    service_add(e->service, e);
+    e->units = units_make(r, POOL_ENDPOINT, seen->id);
+    e->units->endpoint = e;
+    e->service->free_slots += e->units->held - e->units->used;
+    e->last_pick = r->serial * (r->config.seed | 1) >> 40;
+    map_put(r->endpoints, e->id, e);
+    return e;
+}
+
+void
+endpoint_destroy(struct router *r, struct endpoint *e)
+{
+    struct service *s = e->service;
+
+    units_retire(r, e->units);
+    service_remove(s, e);
+    heap_remove(&r->endpoint_timers, &e->timer);
+    map_del(r->endpoints, e->id);
+    str_free(&e->id);
+    str_free(&e->domain);
+    mem_free(e);
+    r->sweep = r->sweep || s->endpoint_count == 0;
+}
+
+/* Gives back the slots of an endpoint that gets no new request. */
+static void
+leave(struct router *r, struct endpoint *e)
+{
+    units_release(r, e->units);
+    report_soon(r);
+}
+
+void
+endpoint_gone(struct router *r, struct str id)
+{
+    struct endpoint *e = map_get(r->endpoints, id);
+
+    if (e == NULL) {
+        return;
+    }
+    e->gone = true;
+    if (e->units->used == 0) {
+        endpoint_destroy(r, e);
+        return;
+    }
+    leave(r, e);
+}
+
+void
+endpoint_seen(struct router *r, int64_t now, const struct router_endpoint *s,
+              struct router_actions *out)
+{
+    struct endpoint *e = map_get(r->endpoints, s->id);
+
+    if (e != NULL && !str_eq(e->service->name, s->service)) {
+        /* The new service starts once the old requests have ended. */
+        endpoint_gone(r, s->id);
+        e = map_get(r->endpoints, s->id);
+        if (e != NULL) {
+            return;
+        }
+    }
+    if (now >= s->deadline) {
+        return;
+    }
+    if (e == NULL) {
+        e = endpoint_make(r, s);
+    }
+    e->gone = false;
+    e->leaving = s->leaving;
+    e->slots = s->slots < s->connections ? s->slots : s->connections;
+    e->local = str_eq(s->domain, r->config.domain);
+    if (s->deadline > e->deadline) {
+        e->deadline = s->deadline;
+    }
+    if (e->leaving) {
+        leave(r, e);
+    }
+    set_timer(r, e);
+    dispatch(r, e->service, now, out);
+}
+
+bool
+endpoint_refused(const struct endpoint *e, int64_t now)
+{
+    return e->gone || e->leaving || e->out || now >= e->deadline;
+}
+
+static void
+end_ejection(struct router *r, struct endpoint *e)
+{
+    e->out = false;
+    e->probation = true;
+    r->stats.ejected--;
+    report_soon(r);
+}
+
+void
+endpoint_timers(struct router *r, int64_t now, struct router_actions *out)
+{
+    struct heap_node *n;
+
+    while ((n = heap_min(&r->endpoint_timers)) != NULL && n->key <= now) {
+        struct endpoint *e = NODE_OWNER(struct endpoint, n, timer);
+        struct service *s = e->service;
+        if (e->out && now >= e->out_until) {
+            end_ejection(r, e);
+        }
+        if (now < e->deadline) {
+            set_timer(r, e);
+            dispatch(r, s, now, out);
+            continue;
+        }
+        heap_remove(&r->endpoint_timers, n);
+        endpoint_gone(r, e->id);
+    }
+}
+
+/* One more may be ejected without exceeding the configured part. */
+static bool
+may_eject(const struct router *r, const struct service *s)
+{
+    size_t out = 1;
+
+    for (size_t i = 0; i < s->endpoint_count; i++) {
+        out += s->endpoints[i]->out;
+    }
+    return out * 100 <= s->endpoint_count * r->config.eject_percent;
+}
+
+static void
+eject(struct router *r, struct endpoint *e, int64_t now)
+{
+    int64_t span = r->config.eject_ns;
+
+    for (uint32_t i = 0; i < e->ejected && span < r->config.eject_max_ns;
+         i++) {
+        span *= 2;
+    }
+    if (span > r->config.eject_max_ns) {
+        span = r->config.eject_max_ns;
+    }
+    e->out = true;
+    e->probation = false;
+    e->out_until = now + span;
+    e->ejected++;
+    r->stats.ejected++;
+    leave(r, e);
+    set_timer(r, e);
+}
+
+void
+endpoint_result(struct router *r, struct endpoint *e, int64_t now, bool ok)
+{
+    if (ok) {
+        e->fails = 0;
+        if (e->probation) {
+            e->probation = false;
+        }
+        else if (e->ejected > 0 &&
+                 now >= e->out_until + r->config.eject_max_ns) {
+            e->ejected = 0;
+        }
+        return;
+    }
+    if (e->fails < UINT16_MAX) {
+        e->fails++;
+    }
+    if (e->out || e->gone) {
+        return;
+    }
+    if ((e->probation || e->fails >= r->config.eject_failures) &&
+        may_eject(r, e->service)) {
+        eject(r, e, now);
+    }
+}
+
+static bool
+tried(const struct request *q, const struct endpoint *e)
+{
+    for (uint32_t i = 0; i < q->attempts && i < TRIED_MAX; i++) {
+        if (q->tried[i] == e->serial) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Prefers free capacity and the own failure domain, and avoids endpoints that
+ * just failed. An endpoint on probation gets one idempotent request at a time
+ * as a probe; others go there only when nothing else is free.
+ */
+static int64_t
+score(const struct endpoint *e, const struct request *q)
+{
+    int64_t sum = (int64_t)e->units->used * SCORE_FULL / (e->slots + 1);
+
+    sum += e->local ? 0 : SCORE_REMOTE;
+    sum += (int64_t)e->fails * SCORE_FAIL;
+    if (e->probation) {
+        sum += q->idempotent ? SCORE_PROBE : SCORE_PROBATION;
+    }
+    return sum;
+}
+
+struct endpoint *
+endpoint_choose(struct router *r, struct service *s, const struct request *q,
+                int64_t now)
+{
+    struct endpoint *best = NULL;
+    int64_t best_score = 0;
+
+    for (size_t i = 0; i < s->endpoint_count; i++) {
+        struct endpoint *e = s->endpoints[i];
+        const struct units *u = e->units;
+        if (u->used >= u->held || u->used >= e->slots ||
+            endpoint_refused(e, now) || (e->probation && u->used > 0) ||
+            tried(q, e)) {
+            continue;
+        }
+        int64_t sum = score(e, q);
+        if (best == NULL || sum < best_score ||
+            (sum == best_score && e->last_pick < best->last_pick)) {
+            best = e;
+            best_score = sum;
+        }
+    }
+    if (best != NULL) {
+        r->seq++;
+        best->last_pick = r->seq;
+    }
+    return best;
+}
+
+bool
+endpoint_untried(const struct service *s, const struct request *q, int64_t now)
+{
+    for (size_t i = 0; i < s->endpoint_count; i++) {
+        const struct endpoint *e = s->endpoints[i];
+        if (!endpoint_refused(e, now) && !tried(q, e)) {
+            return true;
+        }
+    }
+    return false;
+}
