Add the raft package and random-schedule tests

Messages that promise something durable are held inside raft until the write they depend on is reported with raft_synced, so that a caller cannot send them early.

The random schedules found, before this commit: - a leader whose own removal was uncommitted stopped campaigning although the remaining majority needed its log (seeds 8748 and 14271: no recovery); a node now campaigns while a configuration with its vote may be in force; - removing a live voter or promoting a learner while others are down left a configuration without a living majority (seeds 86 and 141); both are now refused unless enough other voters are active.

--- a/Makefile
+++ b/Makefile
@@ -136,6 +136,7 @@
 
 # Needs protobuf-c-compiler; the generated files are committed.
 proto:
+	cd packages/raft && protoc-c --c_out=. raft.proto && mv raft.pb-c.h include/
 	cd packages/peer && protoc-c --c_out=. wire.proto && mv wire.pb-c.h include/
 	cd packages/state && protoc-c --c_out=. state.proto && mv state.pb-c.h include/
 
--- /dev/null
+++ b/packages/raft/entries.c
@@ -0,0 +1,134 @@
+#include "entries.h"
+
+#include <string.h>
+
+#include "mem.h"
+
+enum {
+    MIN_ENTRIES = 64,
+};
+
+void
+entries_free(struct entries *l)
+{
+    entries_truncate(l, l->base);
+    mem_free(l->items);
+    mem_free(l->sums);
+    memset(l, 0, sizeof(*l));
+}
+
+uint64_t
+entries_last(const struct entries *l)
+{
+    return l->base + l->count;
+}
+
+uint64_t
+entries_term(const struct entries *l, uint64_t index)
+{
+    if (index == l->base) {
+        return l->base_term;
+    }
+    if (index < l->base || index > entries_last(l)) {
+        return 0;
+    }
+    return entries_at(l, index)->term;
+}
+
+const struct raft_entry *
+entries_at(const struct entries *l, uint64_t index)
+{
+    return &l->items[l->head + (index - l->base - 1)];
+}
+
+static uint64_t
+sum_at(const struct entries *l, uint64_t index)
+{
+    if (index <= l->base) {
+        return l->base_sum;
+    }
+    return l->sums[l->head + (index - l->base - 1)];
+}
+
+uint64_t
+entries_bytes(const struct entries *l, uint64_t first, uint64_t last)
+{
+    if (first > last) {
+        return 0;
+    }
+    return sum_at(l, last) - sum_at(l, first - 1);
+}
+
+/* Moves the entries to the front when half of the space is unused there. */
+static void
+make_room(struct entries *l)
+{
+    if (l->head + l->count < l->cap) {
+        return;
+    }
+    if (l->head < l->cap / 2 || l->head == 0) {
+        l->cap = l->cap == 0 ? MIN_ENTRIES : l->cap * 2;
+        l->items = mem_realloc(l->items, l->cap, sizeof(*l->items));
+        l->sums = mem_realloc(l->sums, l->cap, sizeof(*l->sums));
+    }
+    if (l->head != 0) {
+        memmove(l->items, l->items + l->head, l->count * sizeof(*l->items));
+        memmove(l->sums, l->sums + l->head, l->count * sizeof(*l->sums));
+        l->head = 0;
+    }
+}
+
+uint64_t
+entries_append(struct entries *l, uint64_t term, enum raft_entry_kind kind,
+               struct str data)
+{
+    uint64_t last = entries_last(l);
+    uint64_t sum = sum_at(l, last) + data.len + ENTRY_OVERHEAD_BYTES;
+    size_t pos;
+
+    make_room(l);
+    pos = l->head + l->count;
+    l->items[pos] = (struct raft_entry){
+        .index = last + 1,
+        .term = term,
+        .kind = kind,
+        .data = str_dup(data),
+    };
+    l->sums[pos] = sum;
+    l->count++;
+    return last + 1;
+}
+
+void
+entries_truncate(struct entries *l, uint64_t index)
+{
+    while (entries_last(l) > index && l->count > 0) {
+        l->count--;
+        str_free(&l->items[l->head + l->count].data);
+    }
+}
+
+void
+entries_compact(struct entries *l, uint64_t index)
+{
+    while (l->base < index && l->count > 0) {
+        struct raft_entry *e = &l->items[l->head];
+
+        l->base = e->index;
+        l->base_term = e->term;
+        l->base_sum = l->sums[l->head];
+        str_free(&e->data);
+        l->head++;
+        l->count--;
+    }
+}
+
+void
+entries_reset(struct entries *l, uint64_t index, uint64_t term)
+{
+    entries_truncate(l, l->base);
+    l->head = 0;
+    l->base = index;
+    l->base_term = term;
+    l->base_sum = 0;
+}
--- a/packages/raft/include/raft.h
+++ b/packages/raft/include/raft.h
@@ -25,7 +25,7 @@
     RAFT_ERR_NOT_LEADER,
     RAFT_ERR_FULL,      /* the window of uncommitted bytes is full */
     RAFT_ERR_BUSY,      /* a configuration change or a transfer is under way */
-    RAFT_ERR_NOT_READY, /* no commit in this term, or learner is behind */
+    RAFT_ERR_NOT_READY, /* no commit in this term, or members are behind */
     RAFT_ERR_INVALID,   /* malformed message, unknown or duplicate member */
     RAFT_ERR_FAILED,    /* raft_storage_failed was called */
 };
@@ -146,7 +146,8 @@
 
 /*
  * Proposes to change one member. The leader promotes a learner by itself once
- * it has caught up, after removing an older member of the same VM.
+ * it has caught up, after removing an older member of the same VM. A removal
+ * or promotion for which too few voters are active is RAFT_ERR_NOT_READY.
  */
 enum raft_error
 raft_propose_config(struct raft *r, int64_t now, enum raft_change change,
--- /dev/null
+++ b/packages/raft/peers.c
@@ -0,0 +1,61 @@
+#include "internal.h"
+#include "mem.h"
+
+struct peer *
+peer_find(const struct raft *r, uint64_t id)
+{
+    for (size_t i = 0; i < r->peer_count; i++) {
+        if (r->peers[i].id == id) {
+            return &r->peers[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+peer_init(const struct raft *r, struct peer *p, uint64_t id)
+{
+    *p = (struct peer){
+        .id = id,
+        .match = id == r->cfg.id ? r->durable : 0,
+        .next = entries_last(&r->log) + 1,
+        .stamp = STAMP_NONE,
+    };
+}
+
+void
+peers_update(struct raft *r)
+{
+    const struct configuration *c = members_current(&r->members);
+    struct peer *fresh = mem_zalloc(c->count + 1, sizeof(*fresh));
+
+    for (size_t i = 0; i < c->count; i++) {
+        const struct peer *old = peer_find(r, c->items[i].id);
+
+        if (old != NULL) {
+            fresh[i] = *old;
+        }
+        else {
+            peer_init(r, &fresh[i], c->items[i].id);
+        }
+    }
+    mem_free(r->peers);
+    r->peers = fresh;
+    r->peer_count = c->count;
+}
+
+void
+peers_reset(struct raft *r)
+{
+    for (size_t i = 0; i < r->peer_count; i++) {
+        peer_init(r, &r->peers[i], r->peers[i].id);
+    }
+}
+
+bool
+peer_active(const struct raft *r, const struct peer *p, int64_t now)
+{
+    return p->id == r->cfg.id ||
+           (p->stamp != STAMP_NONE &&
+            now - p->stamp <= r->cfg.election_timeout_ns);
+}
--- /dev/null
+++ b/packages/raft/raft.c
@@ -0,0 +1,284 @@
+#include "raft.h"
+
+#include "internal.h"
+#include "mem.h"
+
+void
+raft_config_init(struct raft_config *config, uint64_t id, uint64_t seed)
+{
+    *config = (struct raft_config){
+        .id = id,
+        .seed = seed,
+        .election_timeout_ns = 500 * NS_PER_MS,
+        .heartbeat_ns = 100 * NS_PER_MS,
+        .drift_ppm = 2000,
+        .batch_bytes = (size_t)256 << 10,
+        .window_bytes = (size_t)2 << 20,
+        .window_entries = 16384,
+        .uncommitted_bytes = (size_t)16 << 20,
+        .snapshot_chunk_bytes = (size_t)256 << 10,
+        .retained_bytes = (size_t)4 << 20,
+        .catch_up_entries = 64,
+    };
+}
+
+static bool
+restore(struct raft *r, const struct raft_restored *from)
+{
+    const struct raft_snapshot *s = &from->snapshot;
+
+    r->term = from->hard.term;
+    r->vote = from->hard.vote;
+    if (s->index != 0) {
+        if (!members_push(&r->members, s->index, s->members)) {
+            return false;
+        }
+        members_compact(&r->members, s->index);
+        r->snapshot = *s;
+        r->snapshot.members = str_dup(s->members);
+        entries_reset(&r->log, s->index, s->term);
+    }
+    for (size_t i = 0; i < from->entry_count; i++) {
+        const struct raft_entry *e = &from->entries[i];
+
+        if (e->kind == RAFT_ENTRY_CONFIG &&
+            !members_push(&r->members, e->index, e->data)) {
+            return false;
+        }
+        entries_append(&r->log, e->term, e->kind, e->data);
+    }
+    r->commit = s->index;
+    r->applied = s->index;
+    r->durable = entries_last(&r->log);
+    r->unwritten = r->durable + 1;
+    return true;
+}
+
+struct raft *
+raft_create(const struct raft_config *config,
+            const struct raft_restored *restored, int64_t now)
+{
+    struct raft *r = mem_zalloc(1, sizeof(*r));
+
+    r->cfg = *config;
+    r->rng.state = config->seed;
+    r->unwritten = 1;
+    r->status_dirty = true;
+    members_init(&r->members);
+    if (restored != NULL && !restore(r, restored)) {
+        raft_destroy(r);
+        return NULL;
+    }
+    peers_update(r);
+    /* This node may have answered a leader just before it was restarted. */
+    r->heard = now;
+    election_reset(r, now);
+    return r;
+}
+
+void
+raft_destroy(struct raft *r)
+{
+    if (r == NULL) {
+        return;
+    }
+    raft_storage_failed(r, 0);
+    messages_clear(&r->outbox);
+    install_forget(r);
+    entries_free(&r->log);
+    members_free(&r->members);
+    str_free(&r->snapshot.members);
+    mem_free(r->peers);
+    mem_free(r->writes);
+    mem_free(r->installs);
+    mem_free(r->reads);
+    mem_free(r);
+}
+
+enum raft_error
+raft_bootstrap(struct raft *r, int64_t now, const struct raft_member *members,
+               size_t count)
+{
+    if (entries_last(&r->log) != 0 || r->term != 0 || count == 0 ||
+        count > MEMBERS_MAX) {
+        return RAFT_ERR_INVALID;
+    }
+    r->term = 1;
+    r->hard_dirty = true;
+    r->election_deadline = now;
+    return change_append(r, members, count, NULL);
+}
+
+uint64_t
+log_append(struct raft *r, enum raft_entry_kind kind, struct str data)
+{
+    return entries_append(&r->log, r->term, kind, data);
+}
+
+enum raft_error
+raft_propose(struct raft *r, int64_t now, struct str data, uint64_t *index)
+{
+    uint64_t open =
+        entries_bytes(&r->log, r->commit + 1, entries_last(&r->log));
+    uint64_t at;
+
+    (void)now;
+    if (r->failed) {
+        return RAFT_ERR_FAILED;
+    }
+    if (r->role != RAFT_LEADER) {
+        return RAFT_ERR_NOT_LEADER;
+    }
+    if (r->transfer_to != 0) {
+        return RAFT_ERR_BUSY;
+    }
+    if (open != 0 && open + data.len > r->cfg.uncommitted_bytes) {
+        return RAFT_ERR_FULL;
+    }
+    at = log_append(r, RAFT_ENTRY_DATA, data);
+    if (index != NULL) {
+        *index = at;
+    }
+    return RAFT_OK;
+}
+
+void
+raft_tick(struct raft *r, int64_t now)
+{
+    if (r->failed) {
+        return;
+    }
+    if (r->role == RAFT_LEADER) {
+        leader_tick(r, now);
+    }
+    else {
+        election_tick(r, now);
+    }
+}
+
+int64_t
+raft_next_deadline(const struct raft *r)
+{
+    if (r->failed) {
+        return DEADLINE_NONE;
+    }
+    return r->role == RAFT_LEADER ? r->heartbeat_deadline
+                                  : r->election_deadline;
+}
+
+static bool
+from_leader(const Raft__Message *m)
+{
+    return m->kind == RAFT__KIND__APPEND || m->kind == RAFT__KIND__HEARTBEAT ||
+           m->kind == RAFT__KIND__SNAPSHOT;
+}
+
+/* Tells a leader or candidate of an earlier term that it is outdated. */
+static void
+reply_newer_term(struct raft *r, const Raft__Message *m)
+{
+    Raft__Message reply;
+    bool pre = m->kind == RAFT__KIND__PRE_VOTE;
+
+    if (!pre && !from_leader(m)) {
+        return;
+    }
+    message_init(r, &reply,
+                 pre ? RAFT__KIND__PRE_VOTE_REPLY : RAFT__KIND__APPEND_REPLY,
+                 m->from);
+    reply.reject = true;
+    message_send(r, &reply);
+}
+
+/* Returns whether the message is to be processed further. */
+static bool
+step_term(struct raft *r, int64_t now, const Raft__Message *m)
+{
+    if (m->term < r->term) {
+        reply_newer_term(r, m);
+        return false;
+    }
+    if (m->term == r->term || m->kind == RAFT__KIND__PRE_VOTE ||
+        (m->kind == RAFT__KIND__PRE_VOTE_REPLY && !m->reject)) {
+        return true;
+    }
+    if (m->kind == RAFT__KIND__VOTE && !m->transfer &&
+        election_heard(r, now)) {
+        return false;
+    }
+    become_follower(r, now, m->term, from_leader(m) ? m->from : 0);
+    return true;
+}
+
+static void
+take_over(struct raft *r, int64_t now, const Raft__Message *m)
+{
+    const struct configuration *c = members_current(&r->members);
+
+    if (r->role == RAFT_FOLLOWER && r->leader == m->from &&
+        configuration_votes(c, r->cfg.id) && !r->install.pending) {
+        election_campaign(r, now, true);
+    }
+}
+
+void
+message_step(struct raft *r, int64_t now, const Raft__Message *m)
+{
+    if (!step_term(r, now, m)) {
+        return;
+    }
+    switch (m->kind) {
+    case RAFT__KIND__PRE_VOTE:
+    case RAFT__KIND__VOTE:
+        election_asked(r, now, m);
+        break;
+    case RAFT__KIND__PRE_VOTE_REPLY:
+    case RAFT__KIND__VOTE_REPLY:
+        election_answered(r, now, m);
+        break;
+    case RAFT__KIND__APPEND:
+        follower_append(r, now, m);
+        break;
+    case RAFT__KIND__APPEND_REPLY:
+        leader_append_reply(r, now, m);
+        break;
+    case RAFT__KIND__HEARTBEAT:
+        follower_heartbeat(r, now, m);
+        break;
+    case RAFT__KIND__HEARTBEAT_REPLY:
+        leader_heartbeat_reply(r, m);
+        break;
+    case RAFT__KIND__SNAPSHOT:
+        snapshot_receive(r, now, m);
+        break;
+    case RAFT__KIND__SNAPSHOT_REPLY:
+        snapshot_reply(r, now, m);
+        break;
+    case RAFT__KIND__TIMEOUT_NOW:
+        take_over(r, now, m);
+        break;
+    default:
+        break;
+    }
+}
+
+enum raft_error
+raft_receive(struct raft *r, int64_t now, uint64_t from, struct str bytes)
+{
+    Raft__Message *m = message_decode(bytes);
+
+    if (m == NULL) {
+        return RAFT_ERR_INVALID;
+    }
+    if (m->from != from) {
+        raft__message__free_unpacked(m, NULL);
+        return RAFT_ERR_INVALID;
+    }
+    /* What was meant for an earlier identity of this VM does not concern it.
+     */
+    if (m->to == r->cfg.id && !r->failed) {
+        message_step(r, now, m);
+    }
+    raft__message__free_unpacked(m, NULL);
+    return RAFT_OK;
+}
--- /dev/null
+++ b/packages/raft/status.c
@@ -0,0 +1,99 @@
+#include "internal.h"
+
+void
+raft_status(const struct raft *r, struct raft_status *out)
+{
+    *out = (struct raft_status){
+        .role = r->role,
+        .term = r->term,
+        .leader = r->leader,
+        .first = r->log.base + 1,
+        .last = entries_last(&r->log),
+        .durable = r->durable,
+        .commit = r->commit,
+        .applied = r->applied,
+        .snapshot = r->snapshot.index,
+        .transferring = r->transfer_to != 0,
+        .failed = r->failed,
+    };
+}
+
+const struct raft_member *
+raft_members(const struct raft *r, size_t *count)
+{
+    const struct configuration *c = members_current(&r->members);
+
+    *count = c->count;
+    return c->items;
+}
+
+bool
+raft_progress(const struct raft *r, int64_t now, uint64_t id,
+              struct raft_progress *out)
+{
+    const struct peer *p = peer_find(r, id);
+
+    if (r->role != RAFT_LEADER || p == NULL) {
+        return false;
+    }
+    *out = (struct raft_progress){
+        .match = p->match,
+        .next = p->next,
+        .active = peer_active(r, p, now),
+    };
+    if (p->state == PEER_REPLICATE) {
+        out->inflight_bytes =
+            entries_bytes(&r->log, p->match + 1, p->next - 1);
+    }
+    return true;
+}
+
+uint64_t
+raft_term_at(const struct raft *r, uint64_t index)
+{
+    return entries_term(&r->log, index);
+}
+
+void
+raft_snapshot_meta(const struct raft *r, struct raft_snapshot *out)
+{
+    const struct configuration *c = members_at(&r->members, r->applied);
+
+    *out = (struct raft_snapshot){
+        .index = r->applied,
+        .term = entries_term(&r->log, r->applied),
+        .members = c->bytes,
+    };
+}
+
+/* Where the log may start so that the retained bytes stay in memory. */
+static uint64_t
+compaction_point(const struct raft *r, uint64_t index)
+{
+    uint64_t at = r->log.base;
+
+    while (at < index &&
+           entries_bytes(&r->log, at + 1, index) > r->cfg.retained_bytes) {
+        at++;
+    }
+    return at;
+}
+
+void
+raft_snapshotted(struct raft *r, uint64_t index)
+{
+    const struct configuration *c = members_at(&r->members, index);
+    uint64_t term = entries_term(&r->log, index);
+
+    if (r->failed || index <= r->snapshot.index || index > r->applied) {
+        return;
+    }
+    str_free(&r->snapshot.members);
+    r->snapshot = (struct raft_snapshot){
+        .index = index,
+        .term = term,
+        .members = str_dup(c->bytes),
+    };
+    members_compact(&r->members, index);
+    entries_compact(&r->log, compaction_point(r, index));
+}
--- /dev/null
+++ b/tests/test_raft_random.c
@@ -0,0 +1,306 @@
+#include <glib.h>
+#include <stdlib.h>
+
+#include "raft_net.h"
+
+/*
+ * Random schedules of faults. GV_RAFT_SEEDS sets the number of schedules and
+ * GV_RAFT_FIRST the first seed.
+ */
+
+enum fault {
+    FAULT_PARTITION = 1,
+    FAULT_CRASH = 2,
+    FAULT_DISK = 4,
+    FAULT_PAUSE = 8,
+    FAULT_SNAPSHOT = 16,
+    FAULT_CHANGE = 32,
+    FAULT_TRANSFER = 64,
+    FAULT_STORAGE = 128,
+    FAULT_NETWORK = 256,
+    FAULT_SLOW_DISK = 512,
+    FAULT_ALL = 1023,
+};
+
+struct totals {
+    unsigned elections;
+    unsigned installs;
+    unsigned losses;
+    unsigned commits;
+};
+
+static uint64_t
+env_number(const char *name, uint64_t fallback)
+{
+    const char *text = getenv(name);
+
+    return text == NULL ? fallback : strtoull(text, NULL, 10);
+}
+
+static int64_t
+random_ms(struct net *n, uint64_t bound)
+{
+    return (int64_t)(1 + rng_below(&n->rng, bound)) * NET_MS;
+}
+
+/* Blocks some directions between VMs, or one VM wholly, or none. */
+static void
+partition(struct net *n, int one)
+{
+    uint64_t kind = rng_below(&n->rng, 4);
+
+    for (int i = 0; i < n->vms; i++) {
+        for (int j = 0; j < n->vms; j++) {
+            bool touches = i == one || j == one;
+
+            n->blocked[i][j] = (kind == 1 && touches) ||
+                               (kind == 2 && i == one) ||
+                               (kind == 3 && rng_below(&n->rng, 3) == 0);
+        }
+    }
+}
+
+static void
+change_members(struct net *n, int vm)
+{
+    struct raft *r = n->nodes[vm].raft;
+    size_t count;
+    const struct raft_member *m = raft_members(r, &count);
+    struct raft_member victim;
+    size_t voters = 0;
+    size_t alive = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        voters += m[i].voter;
+        alive += m[i].voter &&
+                 !g_hash_table_contains(n->dead, GSIZE_TO_POINTER(m[i].id));
+    }
+    /* An operator removes no voter while another one's disk is lost. */
+    if (voters > 3 && alive == voters && rng_below(&n->rng, 2) == 0) {
+        victim = m[rng_below(&n->rng, count)];
+        raft_propose_config(r, net_clock(n, vm), RAFT_REMOVE, &victim, NULL);
+    }
+    else {
+        net_join_missing(n);
+    }
+}
+
+static void
+act_on(struct net *n, int vm, enum fault fault)
+{
+    struct net_node *node = &n->nodes[vm];
+
+    switch (fault) {
+    case FAULT_PARTITION:
+        partition(n, vm);
+        break;
+    case FAULT_CRASH:
+        net_crash(n, vm, random_ms(n, 300));
+        break;
+    case FAULT_DISK:
+        if (net_may_lose_disk(n, vm)) {
+            net_lose_disk(n, vm, random_ms(n, 100));
+        }
+        break;
+    case FAULT_PAUSE:
+        node->paused_until = n->now + random_ms(n, 400);
+        break;
+    case FAULT_SNAPSHOT:
+        net_snapshot(n, vm);
+        break;
+    case FAULT_CHANGE:
+        change_members(n, vm);
+        break;
+    case FAULT_TRANSFER:
+        raft_transfer(node->raft, net_clock(n, vm), 0);
+        break;
+    case FAULT_STORAGE:
+        raft_storage_failed(node->raft, net_clock(n, vm));
+        net_drain(n, vm);
+        net_crash(n, vm, random_ms(n, 200));
+        break;
+    case FAULT_NETWORK:
+        n->drop_per_mille = (unsigned)rng_below(&n->rng, 200);
+        n->duplicate_per_mille = (unsigned)rng_below(&n->rng, 200);
+        n->max_delay = random_ms(n, 60);
+        break;
+    case FAULT_SLOW_DISK:
+        node->slow_sync = random_ms(n, 80);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+act(struct net *n, uint64_t enabled)
+{
+    uint64_t bit = rng_below(&n->rng, 10);
+    int vm = (int)rng_below(&n->rng, (uint64_t)n->vms);
+    struct raft_status s;
+
+    if ((enabled & (1u << bit)) == 0 || n->nodes[vm].raft == NULL) {
+        return;
+    }
+    /* Half of the faults hit the leader. */
+    for (int i = 0; i < n->vms && rng_below(&n->rng, 2) == 0; i++) {
+        if (n->nodes[i].raft != NULL) {
+            raft_status(n->nodes[i].raft, &s);
+            vm = s.role == RAFT_LEADER ? i : vm;
+        }
+    }
+    act_on(n, vm, (enum fault)(1u << bit));
+}
+
+/* Whether a leader has a configuration of living voters only. */
+static bool
+repaired(struct net *n)
+{
+    int vm = net_wait_leader(n, 1);
+    size_t count;
+    const struct raft_member *m;
+
+    if (vm < 0) {
+        return false;
+    }
+    m = raft_members(n->nodes[vm].raft, &count);
+    for (size_t i = 0; i < count; i++) {
+        if (!m[i].voter ||
+            g_hash_table_contains(n->dead, GSIZE_TO_POINTER(m[i].id))) {
+            return false;
+        }
+    }
+    return count == (size_t)n->vms;
+}
+
+/* After all faults end, a leader must emerge and every member catch up. */
+static void
+check_recovery(struct net *n)
+{
+    net_heal(n);
+    for (int i = 0; i < 6000 && n->violation[0] == '\0'; i++) {
+        size_t same = 0;
+
+        net_step(n, NET_MS);
+        if (i % 50 == 0) {
+            net_join_missing(n);
+        }
+        if (i % 50 == 10) {
+            int vm = net_wait_leader(n, NET_MS);
+
+            if (vm >= 0) {
+                net_propose(n, vm);
+            }
+        }
+        for (int k = 0; k < n->vms; k++) {
+            same += n->nodes[k].raft != NULL &&
+                    n->nodes[k].applied == n->committed->len;
+        }
+        if (i > 400 && same == (size_t)n->vms && repaired(n)) {
+            return;
+        }
+    }
+    if (n->violation[0] == '\0') {
+        g_strlcpy(n->violation, "no recovery", sizeof(n->violation));
+    }
+}
+
+static void
+run_schedule(uint64_t seed, enum net_bug bug, struct totals *totals,
+             char *violation, size_t size)
+{
+    struct net *n = net_create(seed, seed % 3 == 0 ? 5 : 3, bug);
+    uint64_t enabled = rng_next(&n->rng) & FAULT_ALL;
+    unsigned rate = 10 + (unsigned)rng_below(&n->rng, 150);
+
+    if (seed % 8 == 0) {
+        enabled = FAULT_ALL;
+    }
+    if (bug != NET_BUG_NONE) {
+        enabled = FAULT_ALL;
+    }
+    net_wait_leader(n, 1000 * NET_MS);
+    for (int i = 0; i < 1500 && n->violation[0] == '\0'; i++) {
+        net_step(n, random_ms(n, 3));
+        if (rng_below(&n->rng, 1000) < rate) {
+            act(n, enabled);
+        }
+        if (rng_below(&n->rng, 100) < 2) {
+            net_join_missing(n);
+        }
+        for (int vm = 0; vm < n->vms; vm++) {
+            if (rng_below(&n->rng, 100) < 25) {
+                net_propose(n, vm);
+            }
+        }
+    }
+    if (bug == NET_BUG_NONE) {
+        check_recovery(n);
+    }
+    totals->elections += n->elections;
+    totals->installs += n->installs;
+    totals->losses += n->losses;
+    totals->commits += n->committed->len;
+    g_strlcpy(violation, n->violation, size);
+    net_destroy(n);
+}
+
+/* Guards against any unsafe or stuck state under combinations of faults. */
+static void
+test_schedules(void)
+{
+    uint64_t first = env_number("GV_RAFT_FIRST", 1);
+    uint64_t seeds = env_number("GV_RAFT_SEEDS", 100);
+    struct totals t = {0};
+    char violation[160];
+
+    for (uint64_t seed = first; seed < first + seeds; seed++) {
+        run_schedule(seed, NET_BUG_NONE, &t, violation, sizeof(violation));
+        if (violation[0] != '\0') {
+            g_test_message("seed %" G_GUINT64_FORMAT ": %s", seed, violation);
+            g_test_fail();
+            return;
+        }
+    }
+    g_test_message("%" G_GUINT64_FORMAT " schedules, %u elections, "
+                   "%u snapshot installs, %u lost disks, %u commits",
+                   seeds, t.elections, t.installs, t.losses, t.commits);
+}
+
+/* Guards against a checker that does not notice what it should. */
+static void
+test_planted(gconstpointer data)
+{
+    enum net_bug bug = (enum net_bug)GPOINTER_TO_INT(data);
+    struct totals t = {0};
+    char violation[160] = "";
+    uint64_t seed = 0;
+
+    while (seed < 200 && violation[0] == '\0') {
+        seed++;
+        run_schedule(seed, bug, &t, violation, sizeof(violation));
+    }
+    g_test_message("seed %" G_GUINT64_FORMAT ": %s", seed, violation);
+    g_test_message("%u elections, %u commits", t.elections, t.commits);
+    g_assert_cmpstr(violation, !=, "");
+}
+
+static void
+add_planted(const char *path, enum net_bug bug)
+{
+    g_test_add_data_func(path, GINT_TO_POINTER(bug), test_planted);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/raft/schedules", test_schedules);
+    add_planted("/raft/planted/early-sync", NET_BUG_EARLY_SYNC);
+    add_planted("/raft/planted/forget-vote", NET_BUG_FORGET_VOTE);
+    add_planted("/raft/planted/keep-identity", NET_BUG_KEEP_IDENTITY);
+    add_planted("/raft/planted/long-lease", NET_BUG_LONG_LEASE);
+    add_planted("/raft/planted/lose-tail", NET_BUG_LOSE_TAIL);
+    add_planted("/raft/planted/change-entry", NET_BUG_CHANGE_ENTRY);
+    return g_test_run();
+}
