--- a/packages/cli/show.c
+++ b/packages/cli/show.c
@@ -24,8 +24,9 @@
 int
 cli_vm_list(struct cli *cli, int argc, char **argv)
 {
-    static const char *const columns[] = {"id",    "failure_domain", "address",
-                                          "state", "control",        NULL};
+    static const char *const columns[] = {
+        "id",        "role",     "address",        "failure_domain",
+        "connected", "draining", "config_version", NULL};
 
     return show(cli, argc, argv, "List the VMs that the system runs on.",
                 "/v1/vms", "vms", columns);
@@ -56,12 +57,12 @@
 int
 cli_audit(struct cli *cli, int argc, char **argv)
 {
-    static const char *const columns[] = {
-        "seq",         "time_ms",     "key_id",  "action", "object",
-        "old_version", "new_version", "outcome", NULL};
+    static const char *const columns[] = {"seq",     "time_ms", "key",
+                                          "action",  "target",  "old_version",
+                                          "version", "outcome", NULL};
 
     return show(cli, argc, argv, "Print the audit trail, oldest first.",
-                "/v1/audit", "audit", columns);
+                "/v1/audit", "entries", columns);
 }
 
 int
--- a/packages/daemon/api_views.c
+++ b/packages/daemon/api_views.c
@@ -95,6 +95,7 @@
     }
     if (call->match.route == API_USAGE_CHART) {
         operator_usage_chart(&usage, &body);
+        call->content_type = "image/svg+xml";
     }
     else {
         operator_usage_render(&usage, &body);
--- a/packages/daemon/call.c
+++ b/packages/daemon/call.c
@@ -73,6 +73,9 @@
     reply.status = (uint32_t)status;
     reply.outcome = status == 503 || status == 429 ? "not-run" : "done";
     reply.retry_after_s = status == 503 || status == 429 ? 1 : 0;
+    reply.content_type =
+        (char *)(call->content_type == NULL ? "application/json"
+                                            : call->content_type);
     reply.body.data = (uint8_t *)body->ptr;
     reply.body.len = body->len;
     send_reply(call, &reply);
--- a/packages/state/apply.c
+++ b/packages/state/apply.c
@@ -170,7 +170,7 @@
 }
 
 void
-members_free(struct state *s)
+state_members_free(struct state *s)
 {
     for (size_t i = 0; i < s->member_count; i++) {
         str_free(&s->members[i].vm);
@@ -184,7 +184,7 @@
 void
 members_set(struct state *s, State__Member **members, size_t count)
 {
-    members_free(s);
+    state_members_free(s);
     s->members = mem_zalloc(count, sizeof(*s->members));
     s->member_count = count;
     for (size_t i = 0; i < count; i++) {
--- a/packages/state/state.c
+++ b/packages/state/state.c
@@ -116,7 +116,7 @@
         return;
     }
     free_rings(s);
-    members_free(s);
+    state_members_free(s);
     map_free(s->teams_by_name, NULL);
     map_free(s->teams, free_team);
     map_free(s->keys_by_hash, NULL);
--- a/packages/state/state_impl.h
+++ b/packages/state/state_impl.h
@@ -245,7 +245,7 @@
 /* ---- parts ---- */
 
 void
-members_free(struct state *s);
+state_members_free(struct state *s);
 void
 members_set(struct state *s, State__Member **members, size_t count);
 
