--- a/Makefile
+++ b/Makefile
@@ -78,6 +78,8 @@
 
 $(LIBGV): $(OBJS)
 	@rm -f $@
+	@# Finds names that two packages define, which an archive would hide.
+	@ld -r -o $@.check $(OBJS) && rm -f $@.check
 	@ar rcs $@ $(OBJS)
 
 $(OUT)/guavarockd: $(OUT)/packages/daemon/main.o $(LIBGV)
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -49,11 +49,12 @@
     struct call *wait_next; /* in a list of calls that wait */
     uint64_t subject;       /* number of the job it waits for */
     bool waits_for_job;
-    uint64_t version;      /* configuration version to be in force */
-    uint64_t list_version; /* to show in the response */
-    int status;            /* of the response once in force */
-    struct buf answer;     /* the body once in force */
-    struct json_doc *doc;  /* owns a parsed body */
+    uint64_t version;         /* configuration version to be in force */
+    uint64_t list_version;    /* to show in the response */
+    int status;               /* of the response once in force */
+    const char *content_type; /* NULL: JSON */
+    struct buf answer;        /* the body once in force */
+    struct json_doc *doc;     /* owns a parsed body */
     struct worker_sync sync;
 };
 
--- a/packages/daemon/marks.c
+++ b/packages/daemon/marks.c
@@ -232,8 +232,7 @@
     struct router_event event = {.kind = ROUTER_CALLER_GONE, .id = r->id};
 
     /* The router's refusal finds no request any more. */
-    request_refuse(e, r, status, code, message, outcome,
-                   status == 503 ? 1 : 0);
+    serve_refuse(e, r, status, code, message, outcome, status == 503 ? 1 : 0);
     serve_event(e, &event);
 }
 
--- a/packages/daemon/serve.c
+++ b/packages/daemon/serve.c
@@ -17,7 +17,7 @@
 /* ---- Requests ---- */
 
 void
-request_free(struct entry *e, struct request *r)
+serve_free(struct entry *e, struct request *r)
 {
     map_del_u64(e->requests, r->id);
     if (r->message != 0) {
@@ -35,24 +35,23 @@
 
 /* The call is released last: the record's name is part of it. */
 void
-request_refuse(struct entry *e, struct request *r, int status,
-               const char *code, const char *message, const char *outcome,
-               int retry_after_s)
+serve_refuse(struct entry *e, struct request *r, int status, const char *code,
+             const char *message, const char *outcome, int retry_after_s)
 {
     struct front_call *call = r->call;
 
-    request_free(e, r);
+    serve_free(e, r);
     front_refuse(call, status, code, message, outcome, retry_after_s);
 }
 
 static void
-request_answer(struct entry *e, struct request *r)
+serve_answer(struct entry *e, struct request *r)
 {
     struct front_call *call = r->call;
     struct front_response response = r->response;
 
     r->response = (struct front_response){0};
-    request_free(e, r);
+    serve_free(e, r);
     front_respond(call, &response);
 }
 
@@ -157,9 +156,9 @@
     map_put_u64(e->requests, r->id, r);
     if (r->marked && !marks_remember(e, r)) {
         r->marked = false;
-        request_refuse(e, r, 409, "running",
-                       "a request with this idempotency key is running here",
-                       "unknown", 0);
+        serve_refuse(e, r, 409, "running",
+                     "a request with this idempotency key is running here",
+                     "unknown", 0);
         return;
     }
     route(e, r, rest);
@@ -255,8 +254,8 @@
     if (r->marked) {
         marks_end_unsent(e, r);
     }
-    request_refuse(e, r, status, "refused", reason_text(a->reason), "not-run",
-                   retry_s);
+    serve_refuse(e, r, status, "refused", reason_text(a->reason), "not-run",
+                 retry_s);
 }
 
 static void
@@ -267,8 +266,8 @@
     if (r->marked) {
         marks_end_unknown(e, r);
     }
-    request_refuse(e, r, status, "unknown", reason_text(a->reason), "unknown",
-                   0);
+    serve_refuse(e, r, status, "unknown", reason_text(a->reason), "unknown",
+                 0);
 }
 
 static void
@@ -295,7 +294,7 @@
 {
     http_headers_add(&r->response.headers, STR("Guavarock-Outcome"),
                      STR("done"));
-    request_answer(e, r);
+    serve_answer(e, r);
 }
 
 /* ---- Attempts ---- */
@@ -513,8 +512,8 @@
 
     while ((r = map_next(e->requests, &cursor)) != NULL) {
         r->marked = false;
-        request_refuse(e, r, 503, "stopping", "this entry has stopped",
-                       r->sent ? "unknown" : "not-run", 1);
+        serve_refuse(e, r, 503, "stopping", "this entry has stopped",
+                     r->sent ? "unknown" : "not-run", 1);
     }
     cursor = NULL;
     while ((a = map_next(e->attempts, &cursor)) != NULL) {
--- a/packages/daemon/serve_impl.h
+++ b/packages/daemon/serve_impl.h
@@ -4,13 +4,12 @@
 #include "entry_impl.h"
 
 void
-request_free(struct entry *e, struct request *r);
+serve_free(struct entry *e, struct request *r);
 
 /* Answers with an error and ends the request. */
 void
-request_refuse(struct entry *e, struct request *r, int status,
-               const char *code, const char *message, const char *outcome,
-               int retry_after_s);
+serve_refuse(struct entry *e, struct request *r, int status, const char *code,
+             const char *message, const char *outcome, int retry_after_s);
 
 /* Gives r->response to the caller and ends the request. */
 void
