build: keep a package's internal names local

Two packages that both had a job_free could not be linked into one program. Each package becomes one relocatable object in which only the exported names stay global; renaming every internal function was the alternative, and would have made the names longer for no reader.

--- a/Makefile
+++ b/Makefile
@@ -76,11 +76,25 @@
 	@mkdir -p $(@D)
 	@$(CC) $(CPPFLAGS) $(ALL_INC) -Itests/support $(CFLAGS) -MMD -MP -c $< -o $@
 
-$(LIBGV): $(OBJS)
+# A package's objects become one, in which only the names that package.mk
+# exports stay global, so that packages may use the same internal names.
+objs_of = $(filter $(OUT)/packages/$1/%,$(OBJS))
+BUILT := $(foreach p,$(PKGS),$(if $(call objs_of,$p),$p))
+PKG_OBJS := $(BUILT:%=$(OUT)/packages/%.o)
+
+define PKG_RULE
+$(OUT)/packages/$1.o: $(call objs_of,$1)
+	@ld -r -o $$@ $$^
+	@objcopy --wildcard $(if $($1_EXPORTS),$(foreach e,$($1_EXPORTS),-G '$e'),\
+		-G '$1_*') $$@
+endef
+$(foreach p,$(BUILT),$(eval $(call PKG_RULE,$p)))
+
+$(LIBGV): $(PKG_OBJS)
 	@rm -f $@
-	@# Finds names that two packages define, which an archive would hide.
-	@ld -r -o $@.check $(OBJS) && rm -f $@.check
-	@ar rcs $@ $(OBJS)
+	@# Finds names that two packages export, which an archive would hide.
+	@ld -r -o $@.check $(PKG_OBJS) && rm -f $@.check
+	@ar rcs $@ $(PKG_OBJS)
 
 $(OUT)/guavarockd: $(OUT)/packages/daemon/main.o $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
--- a/packages/base/package.mk
+++ b/packages/base/package.mk
@@ -1,1 +1,2 @@
 base_DEPS :=
+base_EXPORTS := *
--- a/packages/state/package.mk
+++ b/packages/state/package.mk
@@ -1,1 +1,2 @@
 state_DEPS := base
+state_EXPORTS := state_* confview_*
