--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -46,9 +46,8 @@
 };
 
 /*
- * Called from peer_poll, peer_send, peer_close and peer_destroy. The frame's
- * bytes are valid during the call. A callback may call peer_send and
- * peer_close, not peer_destroy.
+ * Called from peer_poll only. The frame's bytes are valid during the call. A
+ * callback may call anything but peer_poll and peer_destroy.
  */
 struct peer_handler {
     void *arg;
@@ -127,7 +126,11 @@
 void
 peer_remove_target(struct peer_hub *p, struct str address);
 
-/* The newest session to a VM, or NULL. */
+/*
+ * The session to a VM, or NULL. There is one per VM: a newer session closes
+ * the older one. When both sides connect to each other at about the same
+ * time, both keep the session that the VM of the smaller name opened.
+ */
 struct peer_session *
 peer_find(const struct peer_hub *p, struct str vm);
 const struct peer_identity *
@@ -144,9 +147,10 @@
 peer_session_queued(const struct peer_session *session);
 
 /*
- * Queues one payload. Returns false when it is larger than PEER_PAYLOAD_MAX
- * (nothing happens) or when the queue is full (the session is closed and
- * down is called with PEER_DOWN_OVERFLOW from the next peer_poll).
+ * Queues one payload and writes what the kernel takes. Returns false when
+ * the payload is empty or larger than PEER_PAYLOAD_MAX (nothing happens),
+ * when the session is closing, or when the queue is full (the session is
+ * closed and down is called with PEER_DOWN_OVERFLOW from the next peer_poll).
  */
 bool
 peer_send(struct peer_session *session, struct str payload);
