peer: tell the leader which reports are full

An entry's first report to a leader lists everything it holds; the ledger refuses a first report that does not. The field was missing on the wire, so every report was answered with a restart and no entry got a lease.

--- a/packages/daemon/entries.c
+++ b/packages/daemon/entries.c
@@ -349,7 +349,8 @@
                             .seq = sync->seq,
                             .ack = {sync->ack_term, sync->ack_seq},
                             .up_ns = sync->up_ms * NS_PER_MS,
-                            .leaving = sync->draining};
+                            .leaving = sync->draining,
+                            .full = sync->full};
     enum ledger_result result;
 
     if (!replica_leads(l->replica) || !str_eq(from->vm, str_of(sync->vm)) ||
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -343,6 +343,7 @@
     sync.ack_seq = report.ack.seq;
     sync.up_ms = report.up_ns / NS_PER_MS;
     sync.draining = report.leaving;
+    sync.full = report.full;
     sync.config_version = confview_version(e->config);
     sync.endpoints_term = e->endpoints_term;
     sync.endpoints_seq = e->endpoints_seq;
--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -257,10 +257,14 @@
    * random number of the entry process
    */
   uint64_t run;
+  /*
+   * units lists everything that is held
+   */
+  protobuf_c_boolean full;
 };
 #define WIRE__ENTRY_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__entry_sync__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Wire__Endpoint
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -1520,7 +1520,7 @@
   (ProtobufCMessageInit) wire__unit_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__entry_sync__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__entry_sync__field_descriptors[15] =
 {
   {
     "term",
@@ -1690,6 +1690,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "full",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntrySync, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__entry_sync__field_indices_by_name[] = {
   3,   /* field[3] = ack_seq */
@@ -1700,6 +1712,7 @@
   9,   /* field[9] = endpoints_seq */
   8,   /* field[8] = endpoints_term */
   11,   /* field[11] = failure_domain */
+  14,   /* field[14] = full */
   13,   /* field[13] = run */
   1,   /* field[1] = seq */
   0,   /* field[0] = term */
@@ -1710,7 +1723,7 @@
 static const ProtobufCIntRange wire__entry_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wire__entry_sync__descriptor =
 {
@@ -1720,7 +1733,7 @@
   "Wire__EntrySync",
   "wire",
   sizeof(Wire__EntrySync),
-  14,
+  15,
   wire__entry_sync__field_descriptors,
   wire__entry_sync__field_indices_by_name,
   1,  wire__entry_sync__number_ranges,
