--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,579 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "faulty_fs.h"
+#include "store.h"
+
+enum {
+    MEMBER = 7,
+    CLUSTER = 9,
+    STEPS = 9,
+};
+
+struct fixture {
+    char *top;
+    char *dir;
+    struct faulty_fs *f;
+};
+
+static void
+set_up(struct fixture *x)
+{
+    x->top = g_dir_make_tmp("store-XXXXXX", NULL);
+    x->dir = g_build_filename(x->top, "data", NULL);
+    x->f = faulty_fs_create();
+    x->f->no_sync = true;
+}
+
+static void
+tear_down(struct fixture *x)
+{
+    remove_tree(x->top);
+    faulty_fs_destroy(x->f);
+    g_free(x->dir);
+    g_free(x->top);
+}
+
+static enum store_error
+put(struct store *s, uint64_t first, uint64_t count, uint64_t term,
+    uint64_t vote)
+{
+    struct store_batch *b = store_batch_create();
+    struct raft_hard_state hard = {term, vote};
+    enum store_error error;
+
+    if (vote != 0) {
+        store_batch_hard_state(b, &hard);
+    }
+    for (uint64_t i = 0; i < count; i++) {
+        char text[32];
+        struct raft_entry e = {first + i, term, RAFT_ENTRY_DATA, {text, 0}};
+
+        e.data.len = (size_t)g_snprintf(text, sizeof(text),
+                                        "entry %" G_GUINT64_FORMAT "/%u",
+                                        first + i, (unsigned)term);
+        store_batch_entries(b, &e, 1);
+    }
+    error = store_write(s, b);
+    store_batch_destroy(b);
+    return error;
+}
+
+static enum store_error
+snapshot(struct store *s, uint64_t index, uint64_t term, bool reset)
+{
+    struct raft_snapshot meta = {index, term, STR("members")};
+    struct store_snapshot *w;
+    enum store_error error = store_snapshot_begin(s, &meta, &w);
+
+    if (error == STORE_OK) {
+        error = store_snapshot_write(w, STR("state of "));
+        if (error == STORE_OK) {
+            error = store_snapshot_write(w, STR("the machine"));
+        }
+        if (error != STORE_OK) {
+            store_snapshot_abort(w);
+            return error;
+        }
+        error = store_snapshot_commit(w, reset);
+    }
+    return error;
+}
+
+/* One step of a run that covers every kind of operation. */
+static enum store_error
+step(struct store *s, int i)
+{
+    switch (i) {
+    case 0:
+        return store_init(s, MEMBER, 0);
+    case 1:
+        return store_set_cluster(s, CLUSTER);
+    case 2:
+        return put(s, 1, 3, 1, MEMBER);
+    case 3:
+        return put(s, 4, 2, 1, 0);
+    case 4:
+        return put(s, 4, 1, 2, 3); /* replaces 4 and 5 */
+    case 5:
+        return snapshot(s, 3, 1, false);
+    case 6:
+        return put(s, 5, 2, 2, 0);
+    case 7:
+        return snapshot(s, 20, 4, true);
+    default:
+        return put(s, 21, 1, 5, 1);
+    }
+}
+
+/* What a directory holds, as text. */
+static char *
+view(const char *dir, const struct store_fs *fs)
+{
+    struct store_restored r;
+    struct store *s;
+    enum store_error error = store_open(dir, fs, &r, &s);
+    GString *out = g_string_new(NULL);
+
+    if (error != STORE_OK) {
+        g_string_printf(out, "%s: %s", store_error_text(error), r.reason);
+    }
+    else if (r.state == STORE_EMPTY) {
+        g_string_assign(out, "empty");
+    }
+    else {
+        g_string_printf(
+            out, "%u/%u hard %u/%u snapshot %u/%u:", (unsigned)r.member_id,
+            (unsigned)r.cluster_id, (unsigned)r.raft.hard.term,
+            (unsigned)r.raft.hard.vote, (unsigned)r.raft.snapshot.index,
+            (unsigned)r.raft.snapshot.term);
+    }
+    for (size_t i = 0; error == STORE_OK && i < r.raft.entry_count; i++) {
+        const struct raft_entry *e = &r.raft.entries[i];
+
+        g_string_append_printf(out, " %u=%.*s", (unsigned)e->index,
+                               STR_ARG(e->data));
+    }
+    if (error == STORE_OK && r.raft.snapshot.index != 0) {
+        struct buf data = {0};
+
+        g_assert_cmpint(store_snapshot_read(s, r.raft.snapshot.index, 0,
+                                            SIZE_MAX, &data, NULL),
+                        ==, STORE_OK);
+        g_assert_true(str_eq(buf_str(&data), STR("state of the machine")));
+        g_assert_true(str_eq(r.raft.snapshot.members, STR("members")));
+        buf_free(&data);
+    }
+    store_restored_free(&r);
+    store_close(s);
+    return g_string_free(out, FALSE);
+}
+
+/* Runs steps until one fails; returns how many succeeded. */
+static int
+run(const struct fixture *x, const struct store_fs *fs, int steps)
+{
+    struct store_restored r;
+    struct store *s;
+    int done = 0;
+
+    if (store_open(x->dir, fs, &r, &s) == STORE_OK) {
+        while (done < steps && step(s, done) == STORE_OK) {
+            done++;
+        }
+        /* A failed write or sync must make the store refuse everything; a
+           snapshot that fails before its rename leaves the log usable. */
+        if (done < steps && done > 2 && done != 5 && done != 7) {
+            g_assert_cmpint(put(s, 1, 1, 9, 9), !=, STORE_OK);
+        }
+    }
+    store_restored_free(&r);
+    store_close(s);
+    return done;
+}
+
+static void
+golden_views(char *views[STEPS + 1])
+{
+    for (int i = 0; i <= STEPS; i++) {
+        struct fixture x;
+
+        set_up(&x);
+        g_assert_cmpint(run(&x, &x.f->fs, i), ==, i);
+        views[i] = view(x.dir, &x.f->fs);
+        tear_down(&x);
+    }
+}
+
+/*
+ * Guards against acknowledged data being lost, or a healthy directory being
+ * reported as damaged, after a failure at any file operation. The result must
+ * be the state before or after the step that failed.
+ */
+static void
+check_fault_at(char *const views[], unsigned at, int error, bool crash,
+               bool lose, bool *reached)
+{
+    struct fixture x;
+    char *got;
+    int done;
+
+    set_up(&x);
+    x.f->fail_at = at;
+    x.f->error = error;
+    x.f->crash = crash;
+    done = run(&x, &x.f->fs, STEPS);
+    *reached = x.f->ops >= at;
+    x.f->fail_at = 0;
+    if (lose) {
+        faulty_fs_lose(x.f);
+    }
+    got = view(x.dir, &x.f->fs);
+    if (strcmp(got, views[done]) != 0 &&
+        (done == STEPS || strcmp(got, views[done + 1]) != 0)) {
+        g_test_message("operation %u, step %d: %s", at, done, got);
+        g_test_fail();
+    }
+    g_free(got);
+    /* What was read must survive a power loss right after the open. */
+    got = view(x.dir, &x.f->fs);
+    faulty_fs_lose(x.f);
+    {
+        char *again = view(x.dir, &x.f->fs);
+
+        g_assert_cmpstr(got, ==, again);
+        g_free(again);
+    }
+    g_free(got);
+    tear_down(&x);
+}
+
+static void
+test_faults(void)
+{
+    static const int errors[] = {EIO, ENOSPC};
+    char *views[STEPS + 1];
+    unsigned at = 1;
+    bool reached = true;
+
+    golden_views(views);
+    while (reached) {
+        for (int i = 0; i < 2; i++) {
+            check_fault_at(views, at, errors[i], false, false, &reached);
+        }
+        check_fault_at(views, at, EIO, true, false, &reached);
+        check_fault_at(views, at, EIO, true, true, &reached);
+        at++;
+    }
+    g_test_message("%u operations", at - 2);
+    g_assert_cmpuint(at, >, 60);
+    for (int i = 0; i <= STEPS; i++) {
+        g_free(views[i]);
+    }
+}
+
+static char *
+find_last_log(const char *dir)
+{
+    GDir *d = g_dir_open(dir, 0, NULL);
+    char *best = NULL;
+    const char *name;
+
+    while ((name = g_dir_read_name(d)) != NULL) {
+        if (g_str_has_prefix(name, "log-") &&
+            (best == NULL || strcmp(name, best) > 0)) {
+            g_free(best);
+            best = g_strdup(name);
+        }
+    }
+    g_dir_close(d);
+    return best;
+}
+
+/* Opens a copy of dir with one file's content replaced. */
+static char *
+view_with(struct fixture *x, const char *name, const char *bytes, size_t len)
+{
+    char *copy = g_build_filename(x->top, "copy", NULL);
+    GDir *d = g_dir_open(x->dir, 0, NULL);
+    const char *entry;
+    char *result;
+
+    g_assert_cmpint(g_mkdir(copy, 0700), ==, 0);
+    while ((entry = g_dir_read_name(d)) != NULL) {
+        char *from = g_build_filename(x->dir, entry, NULL);
+        char *to = g_build_filename(copy, entry, NULL);
+        char *content;
+        gsize size;
+
+        g_assert_true(g_file_get_contents(from, &content, &size, NULL));
+        g_assert_true(strcmp(entry, name) == 0
+                          ? g_file_set_contents_full(to, bytes, (gssize)len,
+                                                     G_FILE_SET_CONTENTS_NONE,
+                                                     0600, NULL)
+                          : g_file_set_contents_full(to, content, (gssize)size,
+                                                     G_FILE_SET_CONTENTS_NONE,
+                                                     0600, NULL));
+        g_free(content);
+        g_free(from);
+        g_free(to);
+    }
+    g_dir_close(d);
+    result = view(copy, &x->f->fs);
+    remove_tree(copy);
+    g_free(copy);
+    return result;
+}
+
+/*
+ * Whether damage to a file was noticed. A snapshot is replaced by the log
+ * while that still reaches back to its start.
+ */
+static bool
+noticed(const char *file, const char *got)
+{
+    return g_str_has_prefix(got, "damaged data: ") ||
+           (strcmp(file, "snap-0000000000000003") == 0 &&
+            g_str_has_prefix(got, "7/9 hard 2/3 snapshot 0/0: 1=entry 1/1 "
+                                  "2=entry 2/1 3=entry 3/1 4=entry 4/2"));
+}
+
+/* Guards against a flipped byte anywhere going unnoticed. */
+static void
+test_flips(gconstpointer data)
+{
+    int steps = GPOINTER_TO_INT(data);
+    struct fixture x;
+    GDir *d;
+    const char *name;
+    unsigned flips = 0;
+
+    set_up(&x);
+    g_assert_cmpint(run(&x, &x.f->fs, steps), ==, steps);
+    d = g_dir_open(x.dir, 0, NULL);
+    while ((name = g_dir_read_name(d)) != NULL) {
+        char *path = g_build_filename(x.dir, name, NULL);
+        char *bytes;
+        gsize len;
+
+        g_assert_true(g_file_get_contents(path, &bytes, &len, NULL));
+        for (gsize i = 0; i < len; i++) {
+            char *got;
+
+            bytes[i] ^= 0x10;
+            got = view_with(&x, name, bytes, len);
+            bytes[i] ^= 0x10;
+            if (!noticed(name, got)) {
+                g_test_message("%s offset %u: %s", name, (unsigned)i, got);
+                g_test_fail();
+            }
+            g_free(got);
+            flips++;
+        }
+        g_free(bytes);
+        g_free(path);
+    }
+    g_dir_close(d);
+    g_test_message("%u flips", flips);
+    g_assert_cmpuint(flips, >, 200);
+    tear_down(&x);
+}
+
+/*
+ * Guards against a torn last batch being taken for damage, or half of a batch
+ * being kept. Cuts the log at every length, and replaces the end of the last
+ * batch by zeros from every offset.
+ */
+static void
+test_torn(void)
+{
+    struct fixture x;
+    char *name;
+    char *path;
+    char *bytes;
+    char *before;
+    char *after;
+    gsize len;
+    gsize start;
+
+    set_up(&x);
+    g_assert_cmpint(run(&x, &x.f->fs, 6), ==, 6);
+    before = view(x.dir, &x.f->fs);
+    name = find_last_log(x.dir);
+    path = g_build_filename(x.dir, name, NULL);
+    g_assert_true(g_file_get_contents(path, &bytes, &start, NULL));
+    g_free(bytes);
+    tear_down(&x);
+
+    set_up(&x);
+    g_assert_cmpint(run(&x, &x.f->fs, 7), ==, 7);
+    after = view(x.dir, &x.f->fs);
+    g_assert_cmpstr(before, !=, after);
+    g_free(path);
+    path = g_build_filename(x.dir, name, NULL);
+    g_assert_true(g_file_get_contents(path, &bytes, &len, NULL));
+    for (gsize cut = 0; cut <= len; cut++) {
+        char *got = view_with(&x, name, bytes, cut);
+        char *zeros = g_malloc0(len);
+
+        if (cut < start) {
+            g_assert_true(g_str_has_prefix(got, "damaged data: "));
+        }
+        else {
+            g_assert_cmpstr(got, ==, cut < len ? before : after);
+        }
+        g_free(got);
+        memcpy(zeros, bytes, cut);
+        if (cut >= start && cut + 8 <= len) {
+            got = view_with(&x, name, zeros, len);
+            g_assert_cmpstr(got, ==, before);
+            g_free(got);
+        }
+        g_free(zeros);
+    }
+    g_free(bytes);
+    g_free(before);
+    g_free(after);
+    g_free(name);
+    g_free(path);
+    tear_down(&x);
+}
+
+/* Guards against a lost file being taken for an empty or healthy store. */
+static void
+test_missing_file(void)
+{
+    static const int steps[] = {3, 6, 7, 9};
+
+    for (size_t k = 0; k < G_N_ELEMENTS(steps); k++) {
+        struct fixture x;
+        GDir *d;
+        const char *name;
+
+        set_up(&x);
+        run(&x, &x.f->fs, steps[k]);
+        d = g_dir_open(x.dir, 0, NULL);
+        while ((name = g_dir_read_name(d)) != NULL) {
+            char *path = g_build_filename(x.dir, name, NULL);
+            char *away = g_build_filename(x.top, "away", NULL);
+            char *got;
+
+            g_assert_cmpint(rename(path, away), ==, 0);
+            got = view(x.dir, &x.f->fs);
+            g_assert_true(noticed(name, got));
+            g_assert_cmpint(rename(away, path), ==, 0);
+            g_free(got);
+            g_free(path);
+            g_free(away);
+        }
+        g_dir_close(d);
+        tear_down(&x);
+    }
+}
+
+/* Guards against a damaged directory that can come back under its identity. */
+static void
+test_set_aside(void)
+{
+    struct fixture x;
+    unsigned at = 0;
+    enum store_error error;
+
+    do {
+        char *got;
+
+        set_up(&x);
+        run(&x, &x.f->fs, STEPS);
+        at++;
+        x.f->ops = 0;
+        x.f->fail_at = at;
+        x.f->crash = true;
+        error = store_set_aside(x.dir, &x.f->fs);
+        x.f->fail_at = 0;
+        got = view(x.dir, &x.f->fs);
+        if (error != STORE_OK && strcmp(got, "empty") != 0) {
+            /* Still whole, or refused: never half a member. */
+            g_assert_true(g_str_has_prefix(got, "7/9 hard 5/1") ||
+                          g_str_has_prefix(got, "damaged data: "));
+            g_assert_cmpint(store_set_aside(x.dir, &x.f->fs), ==, STORE_OK);
+            g_free(got);
+            got = view(x.dir, &x.f->fs);
+        }
+        g_assert_cmpstr(got, ==, "empty");
+        g_free(got);
+        tear_down(&x);
+    } while (error != STORE_OK);
+    g_assert_cmpuint(at, >, 5);
+}
+
+/* Guards against more than one write and one sync per batch. */
+static void
+test_one_sync(void)
+{
+    struct fixture x;
+    struct store_restored r;
+    struct store *s;
+
+    set_up(&x);
+    g_assert_cmpint(store_open(x.dir, &x.f->fs, &r, &s), ==, STORE_OK);
+    g_assert_cmpint(r.state, ==, STORE_EMPTY);
+    g_assert_cmpint(put(s, 1, 1, 1, 0), ==, STORE_ERR_INVALID);
+    g_assert_cmpint(store_init(s, MEMBER, CLUSTER), ==, STORE_OK);
+    g_assert_cmpint(store_set_cluster(s, CLUSTER + 1), ==, STORE_ERR_IDENTITY);
+    x.f->syncs = 0;
+    x.f->writes = 0;
+    g_assert_cmpint(put(s, 1, 100, 1, MEMBER), ==, STORE_OK);
+    g_assert_cmpuint(x.f->syncs, ==, 1);
+    g_assert_cmpuint(x.f->writes, ==, 1);
+    store_close(s);
+    tear_down(&x);
+}
+
+/* Guards against errors when the log spans several segments. */
+static void
+test_segments(void)
+{
+    struct fixture x;
+    struct store_restored r;
+    struct store *s;
+    struct store_batch *b = store_batch_create();
+    char *data = g_malloc0(1 << 20);
+    struct raft_entry e = {0, 1, RAFT_ENTRY_DATA, {data, 1 << 20}};
+    char *last;
+
+    set_up(&x);
+    g_assert_cmpint(store_open(x.dir, &x.f->fs, &r, &s), ==, STORE_OK);
+    g_assert_cmpint(store_init(s, MEMBER, CLUSTER), ==, STORE_OK);
+    for (e.index = 1; e.index <= 30; e.index++) {
+        store_batch_clear(b);
+        store_batch_entries(b, &e, 1);
+        g_assert_cmpint(store_write(s, b), ==, STORE_OK);
+    }
+    store_close(s);
+    last = find_last_log(x.dir);
+    g_assert_cmpstr(last, ==, "log-0000000000000004");
+    g_assert_cmpint(store_open(x.dir, &x.f->fs, &r, &s), ==, STORE_OK);
+    g_assert_cmpuint(r.raft.entry_count, ==, 30);
+    g_assert_cmpuint(r.raft.entries[29].data.len, ==, 1 << 20);
+    store_restored_free(&r);
+    g_assert_cmpint(snapshot(s, 30, 1, false), ==, STORE_OK);
+    store_close(s);
+    g_free(last);
+    last = find_last_log(x.dir);
+    g_assert_cmpstr(last, ==, "log-0000000000000005");
+    g_assert_cmpint(store_open(x.dir, &x.f->fs, &r, &s), ==, STORE_OK);
+    g_assert_cmpuint(r.raft.entry_count, ==, 0);
+    store_restored_free(&r);
+    /* A second process must not open the directory. */
+    {
+        struct store *other;
+
+        g_assert_cmpint(store_open(x.dir, &x.f->fs, &r, &other), ==,
+                        STORE_ERR_BUSY);
+    }
+    store_close(s);
+    store_batch_destroy(b);
+    g_free(data);
+    g_free(last);
+    tear_down(&x);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/store/faults", test_faults);
+    g_test_add_data_func("/store/flips/log", GINT_TO_POINTER(7), test_flips);
+    g_test_add_data_func("/store/flips/snapshot", GINT_TO_POINTER(9),
+                         test_flips);
+    g_test_add_func("/store/torn", test_torn);
+    g_test_add_func("/store/missing-file", test_missing_file);
+    g_test_add_func("/store/set-aside", test_set_aside);
+    g_test_add_func("/store/one-sync", test_one_sync);
+    g_test_add_func("/store/segments", test_segments);
+    return g_test_run();
+}
