--- a/Makefile
+++ b/Makefile
@@ -101,8 +101,9 @@
 check-asan:
 	$(MAKE) PROFILE=asan check
 
+# GLib's own allocator is not instrumented.
 check-tsan:
-	$(MAKE) PROFILE=tsan check TESTS_MATCH='$(TSAN_TESTS)'
+	G_SLICE=always-malloc $(MAKE) PROFILE=tsan check TESTS_MATCH='$(TSAN_TESTS)'
 
 ALL_C := $(wildcard packages/*/*.c packages/*/*.h packages/*/include/*.h \
 	tests/*.c tests/*/*.c tests/*/*.h bench/*.c)
--- a/packages/endpoint/include/upstream.h
+++ b/packages/endpoint/include/upstream.h
@@ -34,15 +34,15 @@
 struct upstream_call {
     uint64_t id; /* chosen by the sender, unique among calls in flight */
     struct str address; /* IPv4:port or [IPv6]:port */
-    enum http_method method;
-    struct str target; /* path and query as sent, starts with '/' */
+    struct str target;  /* path and query as sent, starts with '/' */
     /* Hop-by-hop fields, Host and Authorization are left out. */
     const struct http_headers *headers;
     struct str idempotency_key; /* ptr NULL: none */
     struct str body;
-    bool idempotent; /* false: a fresh connection, never sent twice */
     int64_t deadline;
     void *user;
+    enum http_method method;
+    bool idempotent; /* false: a fresh connection, never sent twice */
 };
 
 enum upstream_failure {
--- /dev/null
+++ b/tests/support/stub.c
@@ -0,0 +1,324 @@
+#include "stub.h"
+
+#include <pthread.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net.h"
+
+enum {
+    CONNECTIONS_MAX = 512,
+    SLOW_STEP_US = 40000,
+};
+
+struct stub {
+    int listen_fd;
+    uint16_t port;
+    pthread_t acceptor;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    int fds[CONNECTIONS_MAX]; /* -1: closed */
+    int accepted;
+    int most_open;
+    int running;
+    int requests;
+    gboolean stopping;
+    char *last;
+};
+
+struct connection {
+    struct stub *stub;
+    int fd;
+    int slot;
+};
+
+#define OK "HTTP/1.1 200 OK\r\n"
+
+/* What is written for each path; the connection then stays open. */
+static const char *const answers[][2] = {
+    {"/ok", OK "Content-Length: 2\r\nX-End: 1\r\nConnection: X-Hop\r\n"
+               "X-Hop: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"},
+    {"/chunked", OK "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n"
+                    "0\r\nX-Trailer: 1\r\n\r\n"},
+    {"/continue", "HTTP/1.1 100 Continue\r\nX-Early: 1\r\n\r\n" OK
+                  "Content-Length: 2\r\n\r\nok"},
+    {"/empty", "HTTP/1.1 204 No Content\r\n\r\n"},
+    {"/head", OK "Content-Length: 77\r\n\r\n"},
+    {"/redirect", "HTTP/1.1 302 Found\r\nLocation: /ok\r\n"
+                  "Content-Length: 0\r\n\r\n"},
+    {"/garbage", "these are no headers\r\n\r\n"},
+    {"/two-lengths", OK "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc"},
+    {"/large", OK "Content-Length: 70000\r\n\r\n"},
+    {"/large-chunk", OK "Transfer-Encoding: chunked\r\n\r\n20000\r\n"},
+};
+
+/* The same, but the connection is closed behind it. */
+static const char *const last_words[][2] = {
+    {"/before", ""},
+    {"/header", OK "Content-"},
+    {"/during", OK "Content-Length: 10\r\n\r\nabc"},
+    {"/chunk-cut", OK "Transfer-Encoding: chunked\r\n\r\n5\r\nab"},
+    {"/delimited", OK "\r\nabc"},
+    {"/after", OK "Content-Length: 2\r\n\r\nok"},
+};
+
+static gboolean
+complete(const GString *text)
+{
+    const char *end = strstr(text->str, "\r\n\r\n");
+    const char *length = strcasestr(text->str, "\r\nContent-Length:");
+
+    if (end == NULL) {
+        return FALSE;
+    }
+    return length == NULL || text->len - (size_t)(end + 4 - text->str) >=
+                                 strtoul(length + 17, NULL, 10);
+}
+
+static GString *
+read_request(int fd)
+{
+    GString *text = g_string_new(NULL);
+    char part[4096];
+
+    while (!complete(text)) {
+        ssize_t n = recv(fd, part, sizeof(part), 0);
+
+        if (n <= 0) {
+            g_string_free(text, TRUE);
+            return NULL;
+        }
+        g_string_append_len(text, part, n);
+    }
+    return text;
+}
+
+static gboolean
+has_path(const GString *request, const char *path)
+{
+    const char *given = strchr(request->str, ' ') + 1;
+
+    return g_str_has_prefix(given, path) &&
+           strchr(" ?", given[strlen(path)]) != NULL;
+}
+
+static void
+fill(int fd, char c, int count)
+{
+    g_autofree char *text = g_strnfill((gsize)count, c);
+
+    net_write(fd, text);
+}
+
+static void
+echo(int fd, const GString *request)
+{
+    const char *body = strstr(request->str, "\r\n\r\n") + 4;
+    g_autofree char *text = g_strdup_printf(OK "Content-Length: %zu\r\n\r\n%s",
+                                            strlen(body), body);
+
+    net_write(fd, text);
+}
+
+static void
+slowly(int fd, const char *text)
+{
+    for (; *text != '\0'; text++) {
+        char one[2] = {*text, '\0'};
+
+        net_write(fd, one);
+        g_usleep(SLOW_STEP_US);
+    }
+}
+
+/* Returns FALSE when the connection is to be closed. */
+static gboolean
+serve(struct connection *c, const GString *request)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+        if (has_path(request, answers[i][0])) {
+            net_write(c->fd, answers[i][1]);
+        }
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(last_words); i++) {
+        if (has_path(request, last_words[i][0])) {
+            net_write(c->fd, last_words[i][1]);
+            return FALSE;
+        }
+    }
+    if (has_path(request, "/echo")) {
+        echo(c->fd, request);
+    }
+    if (has_path(request, "/slow")) {
+        net_write(c->fd, OK "Content-Length: 5\r\n\r\n");
+        slowly(c->fd, "slow.");
+    }
+    if (has_path(request, "/large-header")) {
+        net_write(c->fd, OK "X: ");
+        fill(c->fd, 'x', 20000);
+        net_write(c->fd, "\r\nContent-Length: 0\r\n\r\n");
+    }
+    if (has_path(request, "/large-chunk")) {
+        fill(c->fd, 'x', 0x20000);
+    }
+    /* Any other path, such as /frozen: no answer. */
+    return TRUE;
+}
+
+static gboolean
+note_request(struct stub *s, const GString *request)
+{
+    gboolean go_on;
+
+    pthread_mutex_lock(&s->lock);
+    s->requests++;
+    g_free(s->last);
+    s->last = g_strdup(request->str);
+    go_on = !s->stopping;
+    pthread_mutex_unlock(&s->lock);
+    return go_on;
+}
+
+static void *
+connection_run(void *arg)
+{
+    struct connection *c = arg;
+    gboolean open = TRUE;
+    GString *request;
+
+    while (open && (request = read_request(c->fd)) != NULL) {
+        open = note_request(c->stub, request) && serve(c, request);
+        g_string_free(request, TRUE);
+    }
+    pthread_mutex_lock(&c->stub->lock);
+    c->stub->fds[c->slot] = -1;
+    close(c->fd);
+    c->stub->running--;
+    pthread_cond_broadcast(&c->stub->changed);
+    pthread_mutex_unlock(&c->stub->lock);
+    g_free(c);
+    return NULL;
+}
+
+/* A connection whose end has arrived is not open, even if its thread has not
+ * seen it yet. */
+static int
+count_open(struct stub *s)
+{
+    int count = 0;
+    char c;
+
+    for (int i = 0; i < s->accepted; i++) {
+        count += s->fds[i] >= 0 &&
+                 recv(s->fds[i], &c, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+    }
+    return count;
+}
+
+static void *
+accept_run(void *arg)
+{
+    struct stub *s = arg;
+    int fd;
+
+    while ((fd = accept4(s->listen_fd, NULL, NULL, SOCK_CLOEXEC)) >= 0) {
+        struct connection *c = g_new0(struct connection, 1);
+        pthread_t thread;
+
+        pthread_mutex_lock(&s->lock);
+        g_assert_cmpint(s->accepted, <, CONNECTIONS_MAX);
+        c->stub = s;
+        c->fd = fd;
+        c->slot = s->accepted++;
+        s->fds[c->slot] = fd;
+        s->running++;
+        s->most_open = MAX(s->most_open, count_open(s));
+        pthread_mutex_unlock(&s->lock);
+        pthread_create(&thread, NULL, connection_run, c);
+        pthread_detach(thread);
+    }
+    return NULL;
+}
+
+struct stub *
+stub_start(void)
+{
+    struct stub *s = g_new0(struct stub, 1);
+
+    pthread_mutex_init(&s->lock, NULL);
+    pthread_cond_init(&s->changed, NULL);
+    s->listen_fd = net_listen(&s->port);
+    pthread_create(&s->acceptor, NULL, accept_run, s);
+    return s;
+}
+
+uint16_t
+stub_port(const struct stub *s)
+{
+    return s->port;
+}
+
+static int
+locked(struct stub *s, int *value)
+{
+    int copy;
+
+    pthread_mutex_lock(&s->lock);
+    copy = value == NULL ? count_open(s) : *value;
+    pthread_mutex_unlock(&s->lock);
+    return copy;
+}
+
+int
+stub_requests(struct stub *s)
+{
+    return locked(s, &s->requests);
+}
+
+int
+stub_open(struct stub *s)
+{
+    return locked(s, NULL);
+}
+
+int
+stub_most_open(struct stub *s)
+{
+    return locked(s, &s->most_open);
+}
+
+char *
+stub_last(struct stub *s)
+{
+    char *copy;
+
+    pthread_mutex_lock(&s->lock);
+    copy = g_strdup(s->last);
+    pthread_mutex_unlock(&s->lock);
+    return copy;
+}
+
+void
+stub_stop(struct stub *s)
+{
+    shutdown(s->listen_fd, SHUT_RDWR);
+    pthread_join(s->acceptor, NULL);
+    close(s->listen_fd);
+    pthread_mutex_lock(&s->lock);
+    s->stopping = TRUE;
+    for (int i = 0; i < s->accepted; i++) {
+        if (s->fds[i] >= 0) {
+            shutdown(s->fds[i], SHUT_RDWR);
+        }
+    }
+    while (s->running != 0) {
+        pthread_cond_wait(&s->changed, &s->lock);
+    }
+    pthread_mutex_unlock(&s->lock);
+    pthread_mutex_destroy(&s->lock);
+    pthread_cond_destroy(&s->changed);
+    g_free(s->last);
+    g_free(s);
+}
