--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -107,7 +107,8 @@
 static enum state_reason
 place(struct fixture *f, uint64_t job, uint64_t incarnation, uint64_t lease)
 {
-    struct state_placement item = {job, 0, 1, incarnation, lease};
+    struct state_placement item = {
+        .job = job, .worker = 1, .incarnation = incarnation, .lease = lease};
 
     state_cmd_tasks_placed(&f->cmd, &f->by, &item, 1);
     apply(f);
@@ -119,7 +120,8 @@
 static enum state_reason
 end(struct fixture *f, uint64_t lease, enum state_task_outcome outcome)
 {
-    struct state_end item = {lease, outcome, 3};
+    struct state_end item = {
+        .lease = lease, .outcome = outcome, .exit_code = 3};
 
     state_cmd_tasks_ended(&f->cmd, &f->by, &item, 1);
     apply(f);
