--- a/packages/caller/caller.c
+++ b/packages/caller/caller.c
@@ -81,7 +81,7 @@
 caller_job_parse(struct str body, struct caller_job *out,
                  struct api_error *err)
 {
-    *out = (struct caller_job){.payload = STR("")};
+    *out = (struct caller_job){.idempotent = true, .payload = STR("")};
     return api_decode(&job_shape, body, out, err);
 }
 
--- a/packages/caller/include/caller.h
+++ b/packages/caller/include/caller.h
@@ -29,7 +29,7 @@
     uint64_t memory_mib;   /* of one task */
     uint64_t accelerators; /* of one task */
     bool urgent;
-    bool idempotent;     /* default false */
+    bool idempotent;     /* default true: non-idempotent jobs are marked */
     uint64_t run_time_s; /* declared; 0: none */
     struct str queue;    /* ptr NULL: the team's own */
     struct str payload;  /* may be empty */
--- a/packages/operator/reports.c
+++ b/packages/operator/reports.c
@@ -15,10 +15,8 @@
     JSON_STRING_FIELD(operator_audit_entry, target, JSON_OPTIONAL, 0,
                       TEXT_MAX),
     JSON_U64_FIELD(operator_audit_entry, version, 0, 0, INT64_MAX),
-    JSON_U64_FIELD(operator_audit_entry, old_version, JSON_OPTIONAL, 0,
-                   INT64_MAX),
-    JSON_STRING_FIELD(operator_audit_entry, outcome, JSON_OPTIONAL, 0,
-                      TEXT_MAX),
+    JSON_U64_FIELD(operator_audit_entry, old_version, 0, 0, INT64_MAX),
+    JSON_STRING_FIELD(operator_audit_entry, outcome, 0, 1, TEXT_MAX),
 };
 
 static const struct json_shape entry_shape =
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -85,7 +85,8 @@
                          "\"created_ms\":1}]}"),
     CODEC(operator_audit, "{\"entries\":[{\"seq\":1,\"time_ms\":2,"
                           "\"key\":\"k1\",\"action\":\"teams set\","
-                          "\"version\":3}],\"next\":1}"),
+                          "\"version\":3,\"old_version\":2,"
+                          "\"outcome\":\"applied\"}],\"next\":1}"),
     CODEC(operator_usage, "{\"month\":\"2026-12\",\"teams\":[{\"team\":\"a\","
                           "\"cpu_ms\":1,\"memory_mib_s\":2,"
                           "\"accelerator_ms\":3}]}"),
