daemon: hand leadership only to a VM that stays, refuse held calls of withdrawn keys

Cause: with all VMs draining at once, each new leader handed over at once, 70 terms passed, and the last VM waited 30 s for the deadlines of forwarded calls that no leader could answer. Ruled out: raft's transfer itself (each took 10 ms). Now the leader picks the most advanced voter whose entry is connected and not draining, and a draining entry answers calls that have no leader.

--- a/packages/daemon/api_lists.c
+++ b/packages/daemon/api_lists.c
@@ -320,6 +320,7 @@
         call_fail_state(call, result);
         return;
     }
+    call_refuse_key(call->leader, call->subject, call);
     call->status = 200;
     call->list_version = state_config_version(leader_state(call->leader));
     inforce_wait(call, call->list_version);
@@ -336,6 +337,7 @@
         call_fail(call, 404, "not_found", "id", "no such key");
         return;
     }
+    call->subject = id;
     state_cmd_key_delete(&command, &actor, id);
     call_propose(call, &command, key_deleted);
 }
--- a/packages/daemon/call.c
+++ b/packages/daemon/call.c
@@ -165,6 +165,23 @@
     call_free(call);
 }
 
+/* A call that waits for a commit is left: its command checks the key. */
+void
+call_refuse_key(struct leader *l, uint64_t key_id, const struct call *except)
+{
+    struct call *next;
+
+    for (struct call *call = l->calls; call != NULL; call = next) {
+        next = call->next;
+        if (call->key_id != key_id || call == except) {
+            continue;
+        }
+        if (call->waits_for_job || worker_release(l, call)) {
+            call_fail(call, 401, "unauthorized", "", "the key was withdrawn");
+        }
+    }
+}
+
 void
 leader_refuse_call(struct link *to, uint64_t call_id)
 {
--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -2,8 +2,8 @@
 #include "clock.h"
 #include "control.h"
 #include "entry.h"
+#include "leader.h"
 #include "log.h"
-#include "replica.h"
 
 enum {
     HANDOVER_MS = 2000, /* an election takes less */
@@ -22,12 +22,6 @@
     c->drain_deadline = c->now + c->settings->drain_deadline_ms * NS_PER_MS;
 }
 
-static bool
-is_leading(const struct control *c)
-{
-    return c->leader != NULL;
-}
-
 static void
 enter(struct control *c, enum drain_phase phase, int64_t ms)
 {
@@ -60,13 +54,10 @@
 static void
 leave(struct control *c)
 {
-    bool alone = c->settings->control_count <= 1;
+    bool waits = c->leader != NULL && leader_hand_over(c->leader) &&
+                 c->drain_phase_end + HANDOVER_MS * NS_PER_MS > c->now;
 
-    if (c->drain_phase_end > c->now) {
-        return;
-    }
-    if (is_leading(c) && !alone &&
-        c->drain_phase_end + HANDOVER_MS * NS_PER_MS > c->now) {
+    if (c->drain_phase_end > c->now || waits) {
         return;
     }
     log_write(LOG_LEVEL_NOTICE, "drain: done");
@@ -86,8 +77,8 @@
         c->drain = DRAIN_DONE;
         return;
     }
-    if (is_leading(c)) {
-        replica_hand_over(c->replica);
+    if (c->leader != NULL) {
+        leader_hand_over(c->leader);
     }
     switch (c->drain) {
     case DRAIN_NOTICE:
--- a/packages/daemon/forward.c
+++ b/packages/daemon/forward.c
@@ -158,7 +158,8 @@
     void *cursor = NULL;
 
     while ((f = map_next(e->forwards, &cursor)) != NULL) {
-        if (f->call->deadline <= e->control->now) {
+        if (f->call->deadline <= e->control->now ||
+            (f->link_id == 0 && leader == NULL && e->draining)) {
             give_up(e, f);
         }
         else if (f->link_id == 0 && leader != NULL) {
--- a/packages/daemon/leader.c
+++ b/packages/daemon/leader.c
@@ -89,9 +89,46 @@
     mem_free(l);
 }
 
+static bool
+may_succeed(const struct leader *l, const struct raft_member *member)
+{
+    const struct entry_record *e = entries_find(l, member->vm);
+
+    return member->voter && !str_eq(member->vm, l->control->settings->vm) &&
+           e != NULL && !e->draining &&
+           control_link_by_id(l->control, e->link_id) != NULL;
+}
+
+bool
+leader_hand_over(struct leader *l)
+{
+    size_t count;
+    struct raft *raft = replica_raft(l->replica);
+    const struct raft_member *members = raft_members(raft, &count);
+    struct raft_progress progress;
+    uint64_t best = 0;
+    uint64_t best_match = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        if (may_succeed(l, &members[i]) &&
+            raft_progress(raft, l->control->now, members[i].id, &progress) &&
+            progress.active && progress.match >= best_match) {
+            best = members[i].id;
+            best_match = progress.match;
+        }
+    }
+    if (best != 0) {
+        replica_hand_over(l->replica, best);
+    }
+    return best != 0;
+}
+
 void
 leader_step(struct leader *l)
 {
+    if (!replica_leads(l->replica)) {
+        return;
+    }
     endpoints_step(l);
     workers_step(l);
     placement_step(l);
--- a/packages/daemon/leader.h
+++ b/packages/daemon/leader.h
@@ -1,6 +1,7 @@
 #ifndef GV_LEADER_H
 #define GV_LEADER_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "wire.pb-c.h"
@@ -24,6 +25,13 @@
 uint64_t
 leader_term(const struct leader *l);
 
+/*
+ * Hands leadership to the most advanced voter whose VM is up and not being
+ * drained. Returns false when there is none.
+ */
+bool
+leader_hand_over(struct leader *l);
+
 /* Timers, decisions and grants; once per wake-up, after all input. */
 void
 leader_step(struct leader *l);
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -47,7 +47,7 @@
     int64_t deadline; /* to answer by */
     void (*applied)(struct call *call, const struct state_result *result);
     struct call *wait_next; /* in a list of calls that wait */
-    uint64_t subject;       /* number of the job it waits for */
+    uint64_t subject;       /* number of the job or key it is about */
     bool waits_for_job;
     uint64_t version;         /* configuration version to be in force */
     uint64_t list_version;    /* to show in the response */
@@ -75,6 +75,10 @@
 void
 call_lost(struct call *call);
 
+/* Refuses the calls that are held for a key that was withdrawn. */
+void
+call_refuse_key(struct leader *l, uint64_t key_id, const struct call *except);
+
 /* Proposes a command; call->applied runs with the result. */
 void
 call_propose(struct call *call, struct buf *command,
@@ -213,6 +217,10 @@
 void
 worker_ready(struct leader *l, struct worker_session *w);
 
+/* Takes a held sync from its session; false when the call is not one. */
+bool
+worker_release(struct leader *l, const struct call *call);
+
 /* The end of a lease is committed: the worker may forget it. */
 void
 worker_ack(struct leader *l, struct worker_session *w, uint64_t lease);
--- a/packages/daemon/replica.c
+++ b/packages/daemon/replica.c
@@ -711,13 +711,13 @@
 }
 
 void
-replica_hand_over(struct replica *r)
+replica_hand_over(struct replica *r, uint64_t to)
 {
     struct raft_status status;
 
     raft_status(r->raft, &status);
     if (status.role == RAFT_LEADER && !status.transferring) {
-        raft_transfer(r->raft, r->control->now, 0);
+        raft_transfer(r->raft, r->control->now, to);
     }
 }
 
--- a/packages/daemon/replica.h
+++ b/packages/daemon/replica.h
@@ -75,9 +75,9 @@
 replica_join(struct replica *r, const struct link *from, struct str vm,
              uint64_t member_id, struct str address);
 
-/* Starts to hand leadership over; a no-op when this member does not lead. */
+/* Starts to hand leadership to a member, unless a transfer is under way. */
 void
-replica_hand_over(struct replica *r);
+replica_hand_over(struct replica *r, uint64_t to);
 
 /* The hint of the current leader: its VM, with ptr NULL when unknown. */
 struct str
--- a/packages/daemon/workers.c
+++ b/packages/daemon/workers.c
@@ -573,6 +573,25 @@
     synced(call->leader, worker, call);
 }
 
+bool
+worker_release(struct leader *l, const struct call *call)
+{
+    const struct state_worker *worker;
+    struct worker_session *w;
+
+    if (call->match.route != API_WORKER_SYNC) {
+        return false;
+    }
+    worker = state_worker_by_name(leader_state(l), str_of(call->match.param));
+    w = worker == NULL ? NULL : map_get_u64(l->workers, worker->number);
+    if (w == NULL || w->call != call) {
+        return false;
+    }
+    heap_remove(&l->worker_polls, &w->poll);
+    w->call = NULL;
+    return true;
+}
+
 /* ---- Time ---- */
 
 static void
