Bound all buffered bodies, add counters and a fuzz target

4096 connections with 8 MiB each would be 32 GiB; front_config.max_buffered (256 MiB) bounds the sum, beyond it a request is refused with 503 not-run.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	$(if $(wildcard packages/cli/main.c),$(OUT)/guavarock)
 
 .PHONY: all tests benches fakes check check-asan check-tsan format \
-	format-check lint demo deps clean e2e soak proto
+	format-check fuzz lint demo deps clean e2e soak proto
 .SECONDARY:
 
 all: $(BINS)
@@ -105,6 +105,19 @@
 check-tsan:
 	G_SLICE=always-malloc $(MAKE) PROFILE=tsan check TESTS_MATCH='$(TSAN_TESTS)'
 
+FUZZ_S ?= 60
+FUZZ_PKGS := base caller endpoint operator platform worker
+FUZZ_SRCS := tests/fuzz/fuzz_json.c tests/support/bodies.c \
+	$(filter $(FUZZ_PKGS:%=packages/%/%),$(SRCS))
+
+# Needs clang.
+fuzz:
+	@mkdir -p $(BUILD)/fuzz/corpus
+	clang $(CPPFLAGS) $(ALL_INC) -Itests/support -std=c11 -g -O1 \
+		-fsanitize=fuzzer,address,undefined -o $(BUILD)/fuzz/fuzz_json \
+		$(FUZZ_SRCS) $(LIB_LIBS)
+	cd $(BUILD)/fuzz && ./fuzz_json -max_total_time=$(FUZZ_S) corpus
+
 ALL_C := $(wildcard packages/*/*.c packages/*/*.h packages/*/include/*.h \
 	tests/*.c tests/*/*.c tests/*/*.h bench/*.c)
 STYLED := $(filter-out %.pb-c.c %.pb-c.h,$(ALL_C))
--- a/packages/endpoint/include/upstream.h
+++ b/packages/endpoint/include/upstream.h
@@ -54,6 +54,7 @@
     UPSTREAM_TOO_LARGE,
     UPSTREAM_CANCELLED,
     UPSTREAM_NO_SLOT, /* as many attempts as slots are running */
+    UPSTREAM_FAILURE_COUNT,
 };
 
 /* Exactly one for each accepted call. */
--- a/packages/endpoint/internal.h
+++ b/packages/endpoint/internal.h
@@ -6,6 +6,7 @@
 
 #include <curl/curl.h>
 
+#include "counter.h"
 #include "heap.h"
 #include "map.h"
 #include "upstream.h"
@@ -34,6 +35,7 @@
 struct upstream {
     struct upstream_config config;
     struct ring *results;
+    struct counter *ended[UPSTREAM_FAILURE_COUNT];
     struct upstream_thread *threads;
     unsigned count;
 };
--- a/packages/endpoint/thread.c
+++ b/packages/endpoint/thread.c
@@ -35,6 +35,7 @@
 void
 thread_push_result(struct upstream_thread *t, struct stored_result *stored)
 {
+    counter_add(t->upstream->ended[stored->result.failure], 1);
     if (t->first == NULL && ring_push(t->upstream->results, &stored->result)) {
         return;
     }
--- a/packages/endpoint/upstream.c
+++ b/packages/endpoint/upstream.c
@@ -72,6 +72,24 @@
     return false;
 }
 
+#define ENDED(result)                                                         \
+    counter_get(COUNTER_SUM,                                                  \
+                "guavarock_upstream_attempts_total{result=\"" result "\"}",   \
+                "Attempts to endpoints that ended.")
+
+static void
+get_counters(struct upstream *u)
+{
+    u->ended[UPSTREAM_OK] = ENDED("ok");
+    u->ended[UPSTREAM_REFUSED] = ENDED("refused");
+    u->ended[UPSTREAM_RESET] = ENDED("reset");
+    u->ended[UPSTREAM_TIMED_OUT] = ENDED("timed-out");
+    u->ended[UPSTREAM_MALFORMED] = ENDED("malformed");
+    u->ended[UPSTREAM_TOO_LARGE] = ENDED("too-large");
+    u->ended[UPSTREAM_CANCELLED] = ENDED("cancelled");
+    u->ended[UPSTREAM_NO_SLOT] = ENDED("no-slot");
+}
+
 struct upstream *
 upstream_create(const struct upstream_config *config, struct ring *ring)
 {
@@ -81,6 +99,7 @@
     pthread_once(&once, init_library);
     u->config = *config;
     u->results = ring;
+    get_counters(u);
     u->threads = mem_zalloc(config->threads, sizeof(*u->threads));
     while (u->count < config->threads) {
         if (!thread_start(u, &u->threads[u->count])) {
--- a/packages/front/answer.c
+++ b/packages/front/answer.c
@@ -59,6 +59,7 @@
     struct MHD_Response *out;
     char seconds[16];
 
+    counter_add(r->front->metrics.refused, 1);
     api_error_render(&r->error, &body);
     out = from_body(&body);
     if (out == NULL) {
--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -25,6 +25,14 @@
     buf_free(&response->body);
 }
 
+void
+request_drop_body(struct request *r)
+{
+    buf_free(&r->call.body);
+    atomic_fetch_sub(&r->front->buffered, r->charged);
+    r->charged = 0;
+}
+
 static void
 request_free(struct request *r)
 {
@@ -38,7 +46,7 @@
     str_free(&r->call.if_match);
     str_free(&r->call.content_type);
     http_headers_free(&r->call.headers);
-    buf_free(&r->call.body);
+    request_drop_body(r);
     response_free(&r->response);
     mem_free(r);
     front_unref(f);
--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -25,6 +25,7 @@
         .threads = 4,
         .max_connections = 4096,
         .max_body = 8 * 1024 * 1024,
+        .max_buffered = 256 * 1024 * 1024,
         .max_header = 16 * 1024,
         .receive_timeout_ns = 30 * NS_PER_S,
         .idle_timeout_ns = 75 * NS_PER_S,
@@ -34,6 +35,22 @@
     };
 }
 
+static struct front_metrics
+front_metrics(void)
+{
+    return (struct front_metrics){
+        .requests = counter_get(COUNTER_SUM, "guavarock_front_requests_total",
+                                "Requests handed to the control thread."),
+        .refused = counter_get(COUNTER_SUM, "guavarock_front_refused_total",
+                               "Requests refused by the HTTP server."),
+        .expired = counter_get(COUNTER_SUM, "guavarock_front_expired_total",
+                               "Connections closed for being slow or idle."),
+        .disconnects =
+            counter_get(COUNTER_SUM, "guavarock_front_disconnects_total",
+                        "Callers gone before their answer."),
+    };
+}
+
 static int
 open_listener(const struct sockaddr_storage *address)
 {
@@ -121,6 +138,7 @@
     pthread_mutex_init(&f->lock, NULL);
     pthread_cond_init(&f->resumed, NULL);
     f->suspended = map_create();
+    f->metrics = front_metrics();
     f->listen_fd = open_listener(&config->address);
     if (f->listen_fd < 0) {
         goto fail;
--- a/packages/front/handler.c
+++ b/packages/front/handler.c
@@ -8,6 +8,18 @@
     DISCARD_FACTOR = 4,
 };
 
+/* Bounds what all bodies together occupy; the capacity of a buffer is up to
+ * twice its length. */
+static bool
+charge(struct request *r, size_t size)
+{
+    struct front *f = r->front;
+
+    r->charged += size;
+    return atomic_fetch_add(&f->buffered, size) + size <=
+           f->config.max_buffered;
+}
+
 static enum MHD_Result
 receive_body(struct request *r, const char *data, size_t size)
 {
@@ -16,9 +28,14 @@
     r->received += size;
     if (r->received > limit) {
         r->too_large = true;
-        buf_free(&r->call.body);
+        request_drop_body(r);
         return r->received > limit * DISCARD_FACTOR ? MHD_NO : MHD_YES;
     }
+    if (r->overloaded || !charge(r, size)) {
+        r->overloaded = true;
+        request_drop_body(r);
+        return MHD_YES;
+    }
     buf_append(&r->call.body, data, size);
     return MHD_YES;
 }
@@ -81,6 +98,7 @@
         take_back_refused(r);
         return MHD_YES;
     }
+    counter_add(f->metrics.requests, 1);
     /* Only now, so that the item of a disconnect cannot overtake. */
     pthread_mutex_lock(&f->lock);
     if (r->state == REQUEST_SUSPENDED) {
@@ -102,6 +120,10 @@
                  r->front->config.max_body);
         return answer_error(r);
     }
+    if (r->overloaded) {
+        api_fail(&r->error, 503, "overloaded", "", "too many bodies wait");
+        return answer_error(r);
+    }
     if (r->has_length && r->length != r->received) {
         return MHD_NO;
     }
--- a/packages/front/include/front.h
+++ b/packages/front/include/front.h
@@ -29,6 +29,7 @@
     unsigned threads;
     unsigned max_connections;
     size_t max_body;            /* bytes */
+    size_t max_buffered;        /* bytes of all bodies not yet answered */
     size_t max_header;          /* bytes, request line included */
     int64_t receive_timeout_ns; /* from the request line to the last byte */
     int64_t idle_timeout_ns;    /* of a connection between requests */
@@ -37,7 +38,8 @@
     unsigned retry_after_s;     /* with 503 when the ring is full */
 };
 
-/* 8 MiB, 16 KiB, 4 threads, 4096 connections, 30 s, 75 s, 30 s, 600 s, 1 s;
+/* 4 threads, 4096 connections, 8 MiB, 256 MiB, 16 KiB, 30 s, 75 s, 30 s,
+ * 600 s, 1 s;
  * the address is left empty. */
 void
 front_config_default(struct front_config *config);
--- a/packages/front/internal.h
+++ b/packages/front/internal.h
@@ -7,6 +7,7 @@
 #include <microhttpd.h>
 
 #include "api.h"
+#include "counter.h"
 #include "front.h"
 #include "map.h"
 
@@ -41,6 +42,8 @@
     bool has_length;
     uint64_t length; /* Content-Length */
     size_t received;
+    size_t charged;  /* part of the front's buffered */
+    bool overloaded; /* the body is being discarded */
     unsigned header_count;
     bool has_host;
     bool has_authorization;
@@ -74,6 +77,13 @@
     int64_t deadline;
 };
 
+struct front_metrics {
+    struct counter *requests;
+    struct counter *refused;
+    struct counter *expired;
+    struct counter *disconnects;
+};
+
 struct front {
     struct front_config config;
     struct ring *ring;
@@ -82,6 +92,8 @@
     uint16_t port;
     atomic_uint refs; /* requests, and the owner */
     atomic_uint active;
+    atomic_size_t buffered; /* bytes of bodies */
+    struct front_metrics metrics;
     atomic_bool draining;
     atomic_bool stopping;
     atomic_ullong next_id;
@@ -128,6 +140,8 @@
 struct request *
 request_create(struct front *f, struct MHD_Connection *connection);
 void
+request_drop_body(struct request *r);
+void
 front_unref(struct front *f);
 
 /*
--- a/packages/front/watch.c
+++ b/packages/front/watch.c
@@ -82,6 +82,7 @@
     }
     pthread_mutex_unlock(&f->lock);
     if (r != NULL) {
+        counter_add(f->metrics.disconnects, 1);
         push_gone(f, r);
     }
 }
@@ -97,6 +98,7 @@
     char text[512];
     int len;
 
+    counter_add(c->front->metrics.expired, 1);
     c->expired = true;
     c->deadline = DEADLINE_NONE;
     if (c->phase == CONN_RECEIVING) {
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -1,137 +1,30 @@
 #include <glib.h>
 #include <string.h>
 
-#include "caller.h"
-#include "endpoint.h"
-#include "operator.h"
-#include "platform.h"
-#include "worker.h"
-
-typedef struct json_doc *
-parse_fn(struct str, void *, struct api_error *);
-typedef void
-render_fn(const void *, struct buf *);
-
-union any {
-    struct caller_job job;
-    struct caller_job_status status;
-    struct caller_job_list jobs;
-    struct caller_cancelled cancelled;
-    struct endpoint endpoint;
-    struct endpoint_answer endpoint_answer;
-    struct worker_sync sync;
-    struct worker_answer answer;
-    struct operator_teams teams;
-    struct operator_limits limits;
-    struct operator_status cell;
-    struct operator_usage usage;
-};
-
-struct codec {
-    parse_fn *parse;
-    render_fn *render;
-    const char *text; /* in the order of rendering */
-};
-
-#define CODEC(name, text)                                                     \
-    {                                                                         \
-        (parse_fn *)name##_parse, (render_fn *)name##_render, text            \
-    }
-
-#define STATUS                                                                \
-    "{\"id\":\"j\",\"class\":\"gang\",\"state\":\"unschedulable\","           \
-    "\"reason\":\"too big\",\"urgent\":true,\"idempotent\":false,"            \
-    "\"tasks\":2,\"cpu_milli\":1,\"memory_mib\":1,\"accelerators\":0,"        \
-    "\"run_time_s\":0,\"queued\":2,\"running\":0,\"done\":0,\"failed\":0,"    \
-    "\"cancelled\":0,\"unknown\":0,\"submitted_ms\":5,\"ended_ms\":0}"
-#define RESOURCES "{\"cpu_milli\":1,\"memory_mib\":2,\"accelerators\":3}"
-
-static const struct codec codecs[] = {
-    CODEC(caller_job,
-          "{\"class\":\"batch\",\"tasks\":10000,\"cpu_milli\":500,"
-          "\"memory_mib\":64,\"accelerators\":0,\"urgent\":false,"
-          "\"idempotent\":true,\"run_time_s\":60,\"queue\":\"open\","
-          "\"payload\":\"{}\"}"),
-    CODEC(caller_job_status, STATUS),
-    CODEC(caller_job_list, "{\"jobs\":[" STATUS "],\"next\":\"j\"}"),
-    CODEC(caller_cancelled, "{\"cancelled\":3}"),
-    CODEC(endpoint, "{\"service\":\"ledger\",\"address\":\"10.0.0.1:80\","
-                    "\"failure_domain\":\"d1\",\"slots\":8,"
-                    "\"connections\":64,\"state\":\"leaving\"}"),
-    CODEC(endpoint_answer, "{\"lease_ms\":3000}"),
-    CODEC(worker_sync,
-          "{\"incarnation\":1,\"seq\":2,\"rack\":\"r\","
-          "\"failure_domain\":\"d\",\"capacity\":" RESOURCES
-          ",\"leases\":[{\"lease\":9,\"state\":\"running\"}],"
-          "\"finished\":[{\"lease\":8,\"outcome\":\"not-started\","
-          "\"exit_code\":-9}],\"usage\":[{\"lease\":9,\"cpu_ms\":1,"
-          "\"memory_mib_s\":2,\"accelerator_ms\":3,\"cpu_milli\":4,"
-          "\"memory_mib\":5}],\"draining\":true,\"wait_ms\":1000}"),
-    CODEC(worker_answer,
-          "{\"start\":[{\"lease\":10,\"team\":\"t\",\"job\":\"j\",\"task\":0,"
-          "\"cpu_milli\":1,\"memory_mib\":1,\"accelerators\":0,"
-          "\"payload\":\"p\"}],\"stop\":[1],\"checkpoint\":[2,3],"
-          "\"throttle\":[],\"finished_ack\":[4],\"lease_ms\":5000}"),
-    CODEC(operator_teams,
-          "{\"version\":3,\"teams\":[{\"name\":\"a\",\"weight\":2}]}"),
-    CODEC(operator_limits,
-          "{\"version\":3,\"limits\":[{\"team\":\"a\",\"tasks\":1,"
-          "\"cpu_milli\":2,\"memory_mib\":3,\"accelerators\":4,"
-          "\"requests\":5}]}"),
-    CODEC(operator_accepted, "{\"version\":4,\"in_force\":true}"),
-    CODEC(operator_key_request, "{\"kind\":\"team\",\"team\":\"a\"}"),
-    CODEC(operator_key_created, "{\"id\":\"k1\",\"key\":\"secret\"}"),
-    CODEC(operator_keys, "{\"keys\":[{\"id\":\"k1\",\"kind\":\"worker\","
-                         "\"created_ms\":1}]}"),
-    CODEC(operator_audit, "{\"entries\":[{\"seq\":1,\"time_ms\":2,"
-                          "\"key\":\"k1\",\"action\":\"teams set\","
-                          "\"version\":3}],\"next\":1}"),
-    CODEC(operator_usage, "{\"month\":\"2026-12\",\"teams\":[{\"team\":\"a\","
-                          "\"cpu_ms\":1,\"memory_mib_s\":2,"
-                          "\"accelerator_ms\":3}]}"),
-    CODEC(operator_status,
-          "{\"leader\":\"v1\",\"term\":1,\"commit_index\":2,"
-          "\"teams_version\":3,\"limits_version\":4,\"vms\":5,"
-          "\"vms_draining\":0,\"workers\":6,\"workers_draining\":0,"
-          "\"workers_quarantined\":0,\"endpoints\":7,\"jobs_queued\":8,"
-          "\"jobs_running\":9,\"jobs_unschedulable\":0,\"tasks_running\":10,"
-          "\"capacity\":" RESOURCES ",\"used\":" RESOURCES "}"),
-    CODEC(operator_vms,
-          "{\"vms\":[{\"id\":\"v1\",\"role\":\"leader\",\"address\":\"a:1\","
-          "\"failure_domain\":\"d\",\"connected\":true,\"draining\":false,"
-          "\"config_version\":3}]}"),
-    CODEC(operator_workers,
-          "{\"workers\":[{\"id\":\"w\",\"state\":\"lost\",\"rack\":\"r\","
-          "\"failure_domain\":\"d\",\"capacity\":" RESOURCES
-          ",\"used\":" RESOURCES ",\"tasks\":2}]}"),
-    CODEC(operator_endpoints,
-          "{\"endpoints\":[{\"id\":\"e\",\"service\":\"s\","
-          "\"address\":\"a:1\",\"failure_domain\":\"d\",\"slots\":8,"
-          "\"connections\":64,\"leased\":2,\"state\":\"ejected\"}]}"),
-    CODEC(platform_probe, "{\"ok\":false,\"reason\":\"draining\"}"),
-};
+#include "bodies.h"
+#include "rng.h"
 
 /* Guards against a field that is read and written under different names, and
  * against one that is not required. */
 static void
 test_round_trips(void)
 {
-    for (size_t i = 0; i < G_N_ELEMENTS(codecs); i++) {
-        struct str text = str_of(codecs[i].text);
+    for (size_t i = 0; i < body_count; i++) {
+        struct str text = str_of(bodies[i].example);
         struct api_error err;
         struct buf out = {0};
-        union any any;
-        struct json_doc *doc = codecs[i].parse(text, &any, &err);
+        union body_struct any;
+        struct json_doc *doc = bodies[i].parse(text, &any, &err);
 
-        g_test_message("%s", codecs[i].text);
+        g_test_message("%s", bodies[i].example);
         g_assert_nonnull(doc);
-        codecs[i].render(&any, &out);
+        bodies[i].render(&any, &out);
         g_assert_cmpmem(out.ptr, out.len, text.ptr, text.len);
         json_doc_free(doc);
         buf_free(&out);
         for (size_t len = 0; len < text.len; len++) {
             g_assert_null(
-                codecs[i].parse(str_from(text.ptr, len), &any, &err));
+                bodies[i].parse(str_from(text.ptr, len), &any, &err));
             g_assert_cmpint(err.status, ==, 400);
         }
     }
@@ -145,13 +38,13 @@
 };
 
 static void
-check_edits(const struct codec *c, const struct edit *edits, size_t count)
+check_edits(const struct body *c, const struct edit *edits, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        g_auto(GStrv) parts = g_strsplit(c->text, edits[i].from, 2);
+        g_auto(GStrv) parts = g_strsplit(c->example, edits[i].from, 2);
         g_autofree char *text = g_strjoinv(edits[i].to, parts);
         struct api_error err;
-        union any any;
+        union body_struct any;
 
         g_test_message("%s", text);
         g_assert_cmpuint(g_strv_length(parts), ==, 2);
@@ -162,19 +55,20 @@
     }
 }
 
-static const struct codec *
-codec_of(parse_fn *parse)
+static const struct body *
+body_of(body_parse_fn *parse)
 {
     size_t i = 0;
 
-    while (codecs[i].parse != parse) {
+    while (bodies[i].parse != parse) {
         i++;
     }
-    return &codecs[i];
+    return &bodies[i];
 }
 
 #define CHECK_EDITS(name, edits)                                              \
-    check_edits(codec_of((parse_fn *)name##_parse), edits, G_N_ELEMENTS(edits))
+    check_edits(body_of((body_parse_fn *)name##_parse), edits,                \
+                G_N_ELEMENTS(edits))
 
 static void
 test_refusals(void)
@@ -237,6 +131,49 @@
     CHECK_EDITS(operator_key_request, key);
 }
 
+static void
+mutate(struct rng *rng, GString *text)
+{
+    static const char *const parts[] = {"\"", "{}",  "[",       "-1",   "null",
+                                        ":",  "1e9", "\\u0000", "\xff", ","};
+    size_t at = rng_below(rng, text->len);
+    size_t len = rng_below(rng, MIN(12, text->len - at) + 1);
+
+    switch (rng_below(rng, 4)) {
+    case 0:
+        text->str[at] = (char)rng_below(rng, 256);
+        break;
+    case 1:
+        g_string_erase(text, (gssize)at, (gssize)len);
+        break;
+    case 2:
+        g_string_insert_len(text, (gssize)rng_below(rng, text->len + 1),
+                            text->str + at, (gssize)len);
+        break;
+    default:
+        g_string_insert(text, (gssize)at,
+                        parts[rng_below(rng, G_N_ELEMENTS(parts))]);
+    }
+}
+
+/* The deterministic part of tests/fuzz/fuzz_json.c. */
+static void
+test_mutations(void)
+{
+    struct rng rng = {5};
+
+    for (int i = 0; i < 20000; i++) {
+        const char *seed = bodies[rng_below(&rng, body_count)].example;
+        GString *text = g_string_new(seed);
+
+        for (uint64_t n = rng_below(&rng, 6); n > 0 && text->len > 0; n--) {
+            mutate(&rng, text);
+        }
+        bodies_check(str_from(text->str, text->len));
+        g_string_free(text, TRUE);
+    }
+}
+
 static void
 test_limits_of_size(void)
 {
@@ -392,6 +329,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/codec/round_trips", test_round_trips);
     g_test_add_func("/codec/refusals", test_refusals);
+    g_test_add_func("/codec/mutations", test_mutations);
     g_test_add_func("/codec/limits_of_size", test_limits_of_size);
     g_test_add_func("/codec/routes", test_routes);
     g_test_add_func("/codec/queries", test_queries);
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -162,6 +162,66 @@
     stop(&s);
 }
 
+/* Guards against unbounded memory: all bodies together have a bound. */
+static void
+test_buffered(void)
+{
+    struct front_config config = test_config();
+    g_autofree char *body = g_strnfill(40000, 'b');
+    g_autofree char *text = g_strconcat("PUT /a HTTP/1.1\r\nHost: h\r\n"
+                                        "Content-Length: 40000\r\n\r\n",
+                                        body, NULL);
+    int fds[2];
+
+    config.max_buffered = 64 * 1024;
+    struct server s = start(&config, 64);
+    for (int i = 0; i < 2; i++) {
+        fds[i] = net_connect(s.port);
+    }
+    net_write(fds[0], text);
+    struct front_call *call = next_call(&s);
+    net_write(fds[1], text);
+    expect(fds[1], "503", "overloaded");
+    respond(call, 200, "ok");
+    expect(fds[0], "200", "ok");
+    wait_idle(&s);
+    net_write(fds[1], text);
+    respond(next_call(&s), 200, "ok");
+    expect(fds[1], "200", "ok");
+    close(fds[0]);
+    close(fds[1]);
+    stop(&s);
+}
+
+/* Guards against connections beyond the bound being served. */
+static void
+test_connection_limit(void)
+{
+    struct front_config config = test_config();
+    struct front_call *calls[2];
+    int fds[3];
+
+    config.max_connections = 2;
+    struct server s = start(&config, 64);
+    for (int i = 0; i < 3; i++) {
+        fds[i] = net_connect(s.port);
+        net_write(fds[i], GET "Connection: close\r\n\r\n");
+    }
+    for (int i = 0; i < 2; i++) {
+        calls[i] = next_call(&s);
+    }
+    g_assert_null(next_item(&s, 100));
+    for (int i = 0; i < 2; i++) {
+        respond(calls[i], 200, "ok");
+    }
+    respond(next_call(&s), 200, "ok");
+    for (int i = 0; i < 3; i++) {
+        expect(fds[i], "200", "ok");
+        close(fds[i]);
+    }
+    stop(&s);
+}
+
 static const char *const malformed[][2] = {
     {"400", "GET /a HTTP/1.1\r\n\r\n"},
     {"400", "GET a HTTP/1.1\r\nHost: h\r\n\r\n"},
@@ -184,7 +244,8 @@
     {"400", GET "Guavarock-Timeout-Ms: 99999999999999999999\r\n\r\n"},
     {"405", "TRACE /a HTTP/1.1\r\nHost: h\r\n\r\n"},
     {"405", "BREW /a HTTP/1.1\r\nHost: h\r\n\r\n"},
-    {"413", "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65537\r\n\r\n"},
+    {"413", "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65537\r\n"
+            "Expect: 100-continue\r\n\r\n"},
 };
 
 static const char *const refused_by_library[] = {
@@ -641,6 +702,8 @@
     g_test_add_func("/front/fields", test_fields);
     g_test_add_func("/front/malformed", test_malformed);
     g_test_add_func("/front/sizes", test_sizes);
+    g_test_add_func("/front/buffered", test_buffered);
+    g_test_add_func("/front/connection_limit", test_connection_limit);
     g_test_add_func("/front/slow_sender", test_slow_sender);
     g_test_add_func("/front/truncated", test_truncated);
     g_test_add_func("/front/pipelined", test_pipelined);
