Accept connections outside the HTTP library

Fault: in one of 4 repeated runs of test_front the process aborted with 'Failed to remove listen FD from epoll set' (libmicrohttpd 0.9.75). Cause: MHD_quiesce_daemon and a pool thread that reaches its connection limit both remove the listening socket, and the library panics when it is already gone. A planned stop under load could have ended the process this way.

The watch thread now accepts and hands each socket to the least loaded of N servers without a listening socket. This also makes max_connections exact for the process instead of a share for each thread, and lets the listening socket be closed at once.

--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -81,8 +81,10 @@
         return;
     }
     pthread_mutex_destroy(&f->lock);
+    pthread_mutex_destroy(&f->accept_lock);
     pthread_cond_destroy(&f->resumed);
     map_destroy(f->suspended);
+    mem_free(f->shards);
     mem_free(f);
 }
 
--- a/packages/front/connection.c
+++ b/packages/front/connection.c
@@ -15,13 +15,16 @@
 }
 
 static void
-conn_start(struct front *f, struct MHD_Connection *connection, void **context)
+conn_start(struct shard *shard, struct MHD_Connection *connection,
+           void **context)
 {
+    struct front *f = shard->front;
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     struct conn *c = mem_zalloc(1, sizeof(*c));
 
     c->front = f;
+    c->shard = shard;
     c->fd = info == NULL ? -1 : info->connect_fd;
     c->deadline = clock_now() + f->config.idle_timeout_ns;
     pthread_mutex_lock(&f->lock);
@@ -75,6 +78,7 @@
         f->conns = c->next;
     }
     pthread_mutex_unlock(&f->lock);
+    listen_released(f, c->shard);
     mem_free(c);
 }
 
--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -1,10 +1,8 @@
 #include "internal.h"
 
 #include <errno.h>
-#include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "clock.h"
@@ -15,7 +13,6 @@
     /* Beside the header itself the library keeps a record of each field, and
      * the header of the answer, in a connection's memory. */
     CONNECTION_MEMORY_EXTRA = 24 * 1024,
-    BACKLOG = 1024,
 };
 
 void
@@ -51,47 +48,6 @@
     };
 }
 
-static int
-open_listener(const struct sockaddr_storage *address)
-{
-    socklen_t len = address->ss_family == AF_INET6
-                        ? sizeof(struct sockaddr_in6)
-                        : sizeof(struct sockaddr_in);
-    int one = 1;
-    int fd = socket(address->ss_family,
-                    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-    if (fd < 0) {
-        return -1;
-    }
-    if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) == 0 &&
-        bind(fd, (const struct sockaddr *)address, len) == 0 &&
-        listen(fd, BACKLOG) == 0) {
-        return fd;
-    }
-    one = errno;
-    close(fd);
-    errno = one;
-    return -1;
-}
-
-static uint16_t
-bound_port(int fd)
-{
-    union {
-        struct sockaddr any;
-        struct sockaddr_in v4;
-        struct sockaddr_in6 v6;
-    } address = {.v6 = {0}};
-    socklen_t len = sizeof(address);
-
-    if (getsockname(fd, &address.any, &len) < 0) {
-        return 0;
-    }
-    return ntohs(address.any.sa_family == AF_INET6 ? address.v6.sin6_port
-                                                   : address.v4.sin_port);
-}
-
 static void
 on_log(void *cls, const char *fmt, va_list args)
 {
@@ -103,8 +59,8 @@
     log_write(LOG_LEVEL_DEBUG, "http server: %s", text);
 }
 
-static struct MHD_Daemon *
-start_daemon(struct front *f)
+static bool
+shard_start(struct front *f, struct shard *shard)
 {
     const struct front_config *config = &f->config;
     int64_t longest = config->idle_timeout_ns > config->receive_timeout_ns
@@ -112,23 +68,46 @@
                           : config->receive_timeout_ns;
     unsigned seconds = (unsigned)(longest / NS_PER_S) + 1;
 
-    return MHD_start_daemon(
+    shard->front = f;
+    shard->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC | MHD_USE_ERROR_LOG |
-            MHD_ALLOW_SUSPEND_RESUME,
+            MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET,
         0, NULL, NULL, front_on_access, f, MHD_OPTION_EXTERNAL_LOGGER, on_log,
-        NULL, MHD_OPTION_LISTEN_SOCKET, f->listen_fd,
-        MHD_OPTION_THREAD_POOL_SIZE, config->threads,
-        MHD_OPTION_CONNECTION_LIMIT, config->max_connections,
+        NULL, MHD_OPTION_CONNECTION_LIMIT, config->max_connections,
         MHD_OPTION_CONNECTION_TIMEOUT, seconds,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         config->max_header * 2 + CONNECTION_MEMORY_EXTRA,
         MHD_OPTION_URI_LOG_CALLBACK, front_on_uri, f,
-        MHD_OPTION_NOTIFY_CONNECTION, front_on_connection, f,
+        MHD_OPTION_NOTIFY_CONNECTION, front_on_connection, shard,
         MHD_OPTION_NOTIFY_COMPLETED, front_on_completed, f, MHD_OPTION_END);
+    return shard->daemon != NULL;
 }
 
-struct front *
-front_create(const struct front_config *config, struct ring *ring)
+static void
+shards_stop(struct front *f)
+{
+    for (unsigned i = 0; i < f->config.threads; i++) {
+        if (f->shards[i].daemon != NULL) {
+            MHD_stop_daemon(f->shards[i].daemon);
+        }
+    }
+}
+
+static bool
+shards_start(struct front *f)
+{
+    for (unsigned i = 0; i < f->config.threads; i++) {
+        if (!shard_start(f, &f->shards[i])) {
+            shards_stop(f);
+            errno = EIO;
+            return false;
+        }
+    }
+    return true;
+}
+
+static struct front *
+front_alloc(const struct front_config *config, struct ring *ring)
 {
     struct front *f = mem_zalloc(1, sizeof(*f));
 
@@ -136,25 +115,34 @@
     f->ring = ring;
     atomic_init(&f->refs, 1);
     pthread_mutex_init(&f->lock, NULL);
+    pthread_mutex_init(&f->accept_lock, NULL);
     pthread_cond_init(&f->resumed, NULL);
     f->suspended = map_create();
+    f->shards = mem_zalloc(config->threads, sizeof(*f->shards));
     f->metrics = front_metrics();
-    f->listen_fd = open_listener(&config->address);
-    if (f->listen_fd < 0) {
+    return f;
+}
+
+struct front *
+front_create(const struct front_config *config, struct ring *ring)
+{
+    struct front *f = front_alloc(config, ring);
+
+    if (!listen_open(f)) {
         goto fail;
     }
-    f->port = bound_port(f->listen_fd);
     if (!watch_start(f)) {
         goto fail_listener;
     }
-    f->daemon = start_daemon(f);
-    if (f->daemon != NULL) {
-        return f;
+    if (!shards_start(f)) {
+        goto fail_watch;
     }
-    errno = EIO;
+    listen_start(f);
+    return f;
+
+fail_watch:
     watch_stop(f);
-    close(f->watch_fd);
-    close(f->wake_fd);
+    watch_close(f);
 fail_listener:
     close(f->listen_fd);
 fail:
@@ -180,33 +168,6 @@
     return atomic_load(&f->active);
 }
 
-/* Connections that the kernel has accepted but the library has not. */
-static void
-take_backlog(struct front *f)
-{
-    struct sockaddr_storage address;
-    socklen_t len = sizeof(address);
-    int fd;
-
-    while ((fd = accept4(f->listen_fd, (struct sockaddr *)&address, &len,
-                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-        MHD_add_connection(f->daemon, fd, (struct sockaddr *)&address, len);
-        len = sizeof(address);
-    }
-}
-
-void
-front_stop_listening(struct front *f)
-{
-    if (MHD_quiesce_daemon(f->daemon) == MHD_INVALID_SOCKET) {
-        return;
-    }
-    take_backlog(f);
-    /* The library forbids to close the socket before it has stopped; without
-     * the shutdown the kernel would go on accepting for nobody. */
-    shutdown(f->listen_fd, SHUT_RDWR);
-}
-
 void
 front_destroy(struct front *f)
 {
@@ -216,9 +177,7 @@
     front_stop_listening(f);
     watch_stop(f);
     front_break_suspended(f);
-    MHD_stop_daemon(f->daemon);
-    close(f->listen_fd);
-    close(f->watch_fd);
-    close(f->wake_fd);
+    shards_stop(f);
+    watch_close(f);
     front_unref(f);
 }
--- a/packages/front/internal.h
+++ b/packages/front/internal.h
@@ -65,9 +65,17 @@
     CONN_HANDLING,  /* with the consumer, or being answered */
 };
 
+/* A server of the library with its thread. */
+struct shard {
+    struct front *front;
+    struct MHD_Daemon *daemon;
+    atomic_uint connections;
+};
+
 /* One connection; guarded by the front's lock. */
 struct conn {
     struct front *front;
+    struct shard *shard;
     struct conn *prev;
     struct conn *next;
     struct request *request;
@@ -87,9 +95,14 @@
 struct front {
     struct front_config config;
     struct ring *ring;
-    struct MHD_Daemon *daemon;
-    int listen_fd;
+    struct shard *shards; /* config.threads of them */
     uint16_t port;
+
+    pthread_mutex_t accept_lock;
+    int listen_fd; /* -1: no longer listening */
+    atomic_uint connections;
+    atomic_bool accept_paused; /* full, or the kernel is out of resources */
+
     atomic_uint refs; /* requests, and the owner */
     atomic_uint active;
     atomic_size_t buffered; /* bytes of bodies */
@@ -160,11 +173,32 @@
 void
 front_break_suspended(struct front *f);
 
+/* listen.c */
+bool
+listen_open(struct front *f);
+void
+listen_start(struct front *f);
+
+/* Accepts what waits, as far as max_connections allows. */
+void
+listen_accept(struct front *f);
+
+/* A connection of the shard was closed. */
+void
+listen_released(struct front *f, struct shard *shard);
+
+/* What the watch thread's epoll set reports; other values are call ids, which
+ * count from 1. */
+#define WATCH_WAKE UINT64_C(0)
+#define WATCH_LISTENER UINT64_MAX
+
 /* watch.c */
 bool
 watch_start(struct front *f);
 void
 watch_stop(struct front *f);
+void
+watch_close(struct front *f);
 
 /* Reports the peer's disconnect from now on; call with the lock held. */
 void
--- a/packages/front/watch.c
+++ b/packages/front/watch.c
@@ -129,18 +129,18 @@
 }
 
 static void
-handle_events(struct front *f, const struct epoll_event *events, int count)
+handle_event(struct front *f, uint64_t what)
 {
     uint64_t ticks;
 
-    for (int i = 0; i < count; i++) {
-        if (events[i].data.u64 != 0) {
-            peer_gone(f, events[i].data.u64);
-        }
-        else if (read(f->wake_fd, &ticks, sizeof(ticks)) < 0) {
-            continue;
-        }
+    if (what != WATCH_LISTENER && what != WATCH_WAKE) {
+        peer_gone(f, what);
+        return;
     }
+    if (what == WATCH_WAKE && read(f->wake_fd, &ticks, sizeof(ticks)) < 0) {
+        return;
+    }
+    listen_accept(f);
 }
 
 static void *
@@ -154,28 +154,39 @@
         int wait = f->gone_list != NULL ? RETRY_MS : SWEEP_MS;
         int count = epoll_wait(f->watch_fd, events, EVENTS, wait);
 
-        handle_events(f, events, count);
+        for (int i = 0; i < count; i++) {
+            handle_event(f, events[i].data.u64);
+        }
         retry_gone(f);
         if (clock_now() >= next_sweep) {
             sweep(f);
+            if (atomic_load(&f->accept_paused)) {
+                listen_accept(f);
+            }
             next_sweep = clock_now() + SWEEP_MS * NS_PER_MS;
         }
     }
     return NULL;
 }
 
+void
+watch_close(struct front *f)
+{
+    close(f->watch_fd);
+    close(f->wake_fd);
+}
+
 bool
 watch_start(struct front *f)
 {
-    struct epoll_event event = {.events = EPOLLIN, .data.u64 = 0};
+    struct epoll_event event = {.events = EPOLLIN, .data.u64 = WATCH_WAKE};
 
     f->watch_fd = epoll_create1(EPOLL_CLOEXEC);
     f->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     if (f->watch_fd < 0 || f->wake_fd < 0 ||
         epoll_ctl(f->watch_fd, EPOLL_CTL_ADD, f->wake_fd, &event) < 0 ||
         pthread_create(&f->watcher, NULL, watch_run, f) != 0) {
-        close(f->watch_fd);
-        close(f->wake_fd);
+        watch_close(f);
         return false;
     }
     return true;
