--- a/packages/front/internal.h
+++ b/packages/front/internal.h
@@ -7,6 +7,7 @@
 #include <microhttpd.h>
 
 #include "api.h"
+#include "counter.h"
 #include "front.h"
 #include "map.h"
 
@@ -41,6 +42,8 @@
     bool has_length;
     uint64_t length; /* Content-Length */
     size_t received;
+    size_t charged;  /* part of the front's buffered */
+    bool overloaded; /* the body is being discarded */
     unsigned header_count;
     bool has_host;
     bool has_authorization;
@@ -62,9 +65,17 @@
     CONN_HANDLING,  /* with the consumer, or being answered */
 };
 
+/* A server of the library with its thread. */
+struct shard {
+    struct front *front;
+    struct MHD_Daemon *daemon;
+    atomic_uint connections;
+};
+
 /* One connection; guarded by the front's lock. */
 struct conn {
     struct front *front;
+    struct shard *shard;
     struct conn *prev;
     struct conn *next;
     struct request *request;
@@ -74,14 +85,28 @@
     int64_t deadline;
 };
 
+struct front_metrics {
+    struct counter *requests;
+    struct counter *refused;
+    struct counter *expired;
+    struct counter *disconnects;
+};
+
 struct front {
     struct front_config config;
     struct ring *ring;
-    struct MHD_Daemon *daemon;
-    int listen_fd;
+    struct shard *shards; /* config.threads of them */
     uint16_t port;
+
+    pthread_mutex_t accept_lock;
+    int listen_fd; /* -1: no longer listening */
+    atomic_uint connections;
+    atomic_bool accept_paused; /* full, or the kernel is out of resources */
+
     atomic_uint refs; /* requests, and the owner */
     atomic_uint active;
+    atomic_size_t buffered; /* bytes of bodies */
+    struct front_metrics metrics;
     atomic_bool draining;
     atomic_bool stopping;
     atomic_ullong next_id;
@@ -128,6 +153,8 @@
 struct request *
 request_create(struct front *f, struct MHD_Connection *connection);
 void
+request_drop_body(struct request *r);
+void
 front_unref(struct front *f);
 
 /*
@@ -146,11 +173,32 @@
 void
 front_break_suspended(struct front *f);
 
+/* listen.c */
+bool
+listen_open(struct front *f);
+void
+listen_start(struct front *f);
+
+/* Accepts what waits, as far as max_connections allows. */
+void
+listen_accept(struct front *f);
+
+/* A connection of the shard was closed. */
+void
+listen_released(struct front *f, struct shard *shard);
+
+/* What the watch thread's epoll set reports; other values are call ids, which
+ * count from 1. */
+#define WATCH_WAKE UINT64_C(0)
+#define WATCH_LISTENER UINT64_MAX
+
 /* watch.c */
 bool
 watch_start(struct front *f);
 void
 watch_stop(struct front *f);
+void
+watch_close(struct front *f);
 
 /* Reports the peer's disconnect from now on; call with the lock held. */
 void
