--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -31,6 +31,7 @@
 
 /* Forwards one connection, byte by byte where a test wants it. */
 struct relay {
+    struct relay *also; /* a second connection, or NULL */
     int listener;
     int client;
     int server;
@@ -40,6 +41,7 @@
     size_t step;     /* bytes per turn, 0: all */
     ssize_t flip[2]; /* offset of a bit to change, -1: none */
     ssize_t cut[2];  /* forwards only this many bytes, -1: all */
+    ssize_t hold[2]; /* keeps back what follows this many bytes, -1: none */
     size_t passed[2];
     struct buf seen; /* from the client */
 };
@@ -151,7 +153,8 @@
                         .server = -1,
                         .to = to,
                         .flip = {-1, -1},
-                        .cut = {-1, -1}};
+                        .cut = {-1, -1},
+                        .hold = {-1, -1}};
     r->listener = listen_on(&r->port);
 }
 
@@ -179,8 +182,15 @@
 {
     char bytes[4096];
     size_t want = r->step == 0 ? sizeof(bytes) : r->step;
-    ssize_t n = recv(from, bytes, want, MSG_DONTWAIT);
+    ssize_t n;
 
+    if (r->hold[direction] >= 0) {
+        want = (size_t)r->hold[direction] - r->passed[direction];
+    }
+    if (want == 0) {
+        return;
+    }
+    n = recv(from, bytes, want, MSG_DONTWAIT);
     if (n == 0 || (n < 0 && errno != EAGAIN)) {
         relay_drop(r);
     }
@@ -219,6 +229,7 @@
     if (r == NULL || r->frozen) {
         return;
     }
+    relay_turn(r->also);
     if (r->client < 0) {
         r->client = accept(r->listener, NULL, NULL);
         if (r->client >= 0) {
@@ -554,30 +565,95 @@
     node_close(&b);
 }
 
-/* Guards against two processes that dial each other and never settle. */
+/* Guards against an address that is dialled in a busy loop. */
+static void
+test_back_off(void)
+{
+    struct node a = {0};
+    uint16_t port;
+    int listener = listen_on(&port);
+    unsigned dials = 0;
+
+    node_open(&a, "a", 'k', 0, port);
+    for (int i = 0; i < 10000; i++) {
+        int fd = accept(listener, NULL, NULL);
+        if (fd >= 0) {
+            dials++;
+            close(fd);
+        }
+        run(&a, NULL, NULL, 1);
+    }
+    /* 50 ms doubling to 2 s, less up to half: 6 to 15 dials in 10 s */
+    g_assert_cmpuint(dials, >=, 6);
+    g_assert_cmpuint(dials, <=, 18);
+    close(listener);
+    node_close(&a);
+}
+
+/* Guards against a dialer that proves itself to whoever answers. */
+static void
+test_impostor(void)
+{
+    struct node a = {0};
+    uint16_t port;
+    int listener = listen_on(&port);
+    char reply[98] = {0, 0, 0, 94, 'G', 'V', 'P', '1'};
+    char seen[256];
+
+    reply[64] = 1;
+    reply[65] = 'b';
+    node_open(&a, "a", 'k', 0, port);
+    run(&a, NULL, NULL, 10);
+    int fd = accept(listener, NULL, NULL);
+    g_assert_cmpint(recv(fd, seen, sizeof(seen), 0), ==, 66);
+    send(fd, reply, sizeof(reply), MSG_NOSIGNAL);
+    run(&a, NULL, NULL, 50);
+    g_assert_cmpint(recv(fd, seen, sizeof(seen), MSG_DONTWAIT), <=, 0);
+    g_assert_true(closed_by_peer(fd));
+    close(fd);
+    close(listener);
+    node_close(&a);
+}
+
+/*
+ * Guards against two processes that dial each other and each close the
+ * session that the other one keeps. The relays hold back both accepts until
+ * each side has the other one's session up.
+ */
 static void
 test_mutual_dial(void)
 {
     struct node a = {0};
     struct node b = {0};
     struct node probe = {0};
+    struct relay r;
+    struct relay other;
     uint16_t port;
 
     node_open(&probe, "p", 'k', 0, 0);
     port = peer_port(probe.hub);
     node_close(&probe);
-    node_open(&b, "b", 'k', 0, port);
-    node_open(&a, "a", 'k', port, peer_port(b.hub));
-    run(&a, &b, NULL, 500);
-    g_assert_nonnull(a.session);
-    g_assert_nonnull(b.session);
-    unsigned ups = a.ups + b.ups;
-    run(&a, &b, NULL, 10000);
-    g_assert_cmpuint(a.ups + b.ups, ==, ups);
-    g_assert_cmpuint(a.ups - a.downs, ==, 1);
-    g_assert_cmpuint(b.ups - b.downs, ==, 1);
+    relay_open(&other, port);
+    node_open(&b, "b", 'k', 0, other.port);
+    relay_open(&r, peer_port(b.hub));
+    r.also = &other;
+    r.hold[1] = 98;
+    other.hold[1] = 98;
+    node_open(&a, "a", 'k', port, r.port);
+    run_until(&a, &b, &r, &a.ups, 1);
+    run_until(&a, &b, &r, &b.ups, 1);
+    r.hold[1] = -1;
+    other.hold[1] = -1;
+    run(&a, &b, &r, 10000);
+    /* a's session stays: a sees it second, b sees nothing else. */
+    g_assert_cmpuint(a.ups, ==, 2);
+    g_assert_cmpuint(a.downs, ==, 1);
+    g_assert_cmpuint(b.ups, ==, 1);
+    g_assert_cmpuint(b.downs, ==, 0);
     node_close(&a);
     node_close(&b);
+    relay_close(&r);
+    relay_close(&other);
 }
 
 /* Guards against a restarted VM being shut out by its old session. */
@@ -672,6 +748,8 @@
     g_test_add_func("/peer/half_open", test_half_open);
     g_test_add_func("/peer/overflow", test_overflow);
     g_test_add_func("/peer/reconnect", test_reconnect);
+    g_test_add_func("/peer/back_off", test_back_off);
+    g_test_add_func("/peer/impostor", test_impostor);
     g_test_add_func("/peer/mutual_dial", test_mutual_dial);
     g_test_add_func("/peer/newest_wins", test_newest_wins);
     g_test_add_func("/peer/own_name", test_own_name);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -194,6 +194,10 @@
     state_cmd_limits_set(&f->cmd, &f->by, 0, &limit, 1);
     apply(f);
     g_assert_cmpint(f->r.kind, ==, STATE_APPLIED);
+    g_assert_cmpuint(state_limits_version(f->s), ==, 1);
+    state_cmd_limits_set(&f->cmd, &f->by, 0, &limit, 1);
+    apply(f);
+    g_assert_cmpint(f->r.kind, ==, STATE_CONFLICT);
     g_assert_true(state_limit_of(f->s, 1)->tasks == STATE_UNLIMITED);
     g_assert_cmpuint(state_limit_of(f->s, old)->tasks, ==, 3);
     set_teams(f, 1, "aa");
@@ -404,39 +408,54 @@
                     STATE_REQUEST_UNKNOWN);
 }
 
+static void
+store(struct fixture *f, const char *key, uint64_t number)
+{
+    struct state_response response = {200, STR(""), STR("123456")};
+
+    state_cmd_request_end(&f->cmd, &f->by, 1, str_of(key), number,
+                          STATE_REQUEST_FINISHED, &response);
+    apply(f);
+}
+
+static uint64_t
+begin_key(struct fixture *f, const char *key)
+{
+    uint8_t body[STATE_DIGEST_BYTES] = {0};
+
+    state_cmd_request_begin(&f->cmd, &f->by, 1, str_of(key), body, STR("vm"),
+                            1, 1000);
+    apply(f);
+    return f->r.kind == STATE_APPLIED ? f->r.u.applied.number : 0;
+}
+
 /* Guards against bounds that drop what must not run again. */
 static void
 test_request_bounds(struct fixture *f, gconstpointer data)
 {
     struct state_settings small = state_settings_default;
-    struct state_response response = {200, STR(""), STR("123456")};
-    uint8_t body[STATE_DIGEST_BYTES] = {0};
-    static const char *const keys[] = {"a", "b", "c"};
 
     (void)data;
     state_destroy(f->s);
     f->s = state_create();
-    small.request_max = 2;
-    small.request_bytes_max = 10;
+    small.request_max = 3;
+    small.request_bytes_max = 13;
     state_cmd_bootstrap(&f->cmd, &f->by, 5, NULL, 0, &small);
     apply(f);
     set_teams(f, 0, "a");
-    for (int i = 0; i < 3; i++) {
-        state_cmd_request_begin(&f->cmd, &f->by, 1, str_of(keys[i]), body,
-                                STR("vm"), 1, 1000);
-        apply(f);
-        if (i < 2) {
-            state_cmd_request_end(&f->cmd, &f->by, 1, str_of(keys[i]),
-                                  f->r.u.applied.number,
-                                  STATE_REQUEST_FINISHED, &response);
-            apply(f);
-        }
-    }
-    g_assert_cmpint(f->r.u.invalid.reason, ==, STATE_REASON_FULL);
-    g_assert_false(state_request(f->s, 1, STR("a"))->stored);
-    g_assert_cmpint(state_request(f->s, 1, STR("a"))->state, ==,
+    uint64_t a = begin_key(f, "a");
+    uint64_t b = begin_key(f, "b");
+    store(f, "b", b);
+    store(f, "a", a);
+    restart(f);
+    store(f, "c", begin_key(f, "c"));
+    g_assert_true(state_request(f->s, 1, STR("a"))->stored);
+    g_assert_false(state_request(f->s, 1, STR("b"))->stored);
+    g_assert_cmpint(state_request(f->s, 1, STR("b"))->state, ==,
                     STATE_REQUEST_FINISHED);
-    g_assert_true(state_request(f->s, 1, STR("b"))->stored);
+    begin_key(f, "d");
+    g_assert_cmpint(f->r.kind, ==, STATE_INVALID);
+    g_assert_cmpint(f->r.u.invalid.reason, ==, STATE_REASON_FULL);
 }
 
 /* Guards against an entry that goes back, skips or takes another cluster. */
@@ -465,6 +484,8 @@
     g_assert_null(confview_key(v, hash));
     g_assert_cmpint(confview_apply(v, str_from(delta.ptr, 5)), !=,
                     CONFVIEW_APPLIED);
+    /* Its change is older than the history and must come all the same. */
+    id = add_key(f, STATE_KEY_ENDPOINT, "", 1);
     for (int i = 0; i < STATE_HISTORY_MAX + 1; i++) {
         add_key(f, STATE_KEY_WORKER, "", (uint8_t)i);
         state_cmd_key_delete(&f->cmd, &f->by, f->r.u.applied.number);
@@ -474,6 +495,8 @@
     state_config_since(f->s, confview_version(v), &delta);
     g_assert_cmpint(confview_apply(v, buf_str(&delta)), ==, CONFVIEW_APPLIED);
     g_assert_cmpuint(confview_version(v), ==, state_config_version(f->s));
+    g_assert_nonnull(confview_key(v, hash));
+    g_assert_cmpuint(confview_key(v, hash)->id, ==, id);
     buf_free(&old);
     buf_free(&delta);
     confview_destroy(v);
