--- a/bench/bench_state.c
+++ b/bench/bench_state.c
@@ -59,6 +59,9 @@
 static void
 report(struct bench *b, const char *what, size_t items)
 {
+    if (items == 0) {
+        return;
+    }
     printf("  %-24s %8.0f ns %6zu bytes per item\n", what,
            (double)b->apply_ns / (double)items, b->bytes / items);
     b->apply_ns = 0;
@@ -307,7 +310,12 @@
     static const size_t sizes[] = {10000, 46000, 200000};
 
     for (int i = 1; i < argc; i++) {
-        run_jobs(strtoul(argv[i], NULL, 10) / BATCH * BATCH);
+        size_t jobs = strtoul(argv[i], NULL, 10) / BATCH * BATCH;
+        if (jobs == 0) {
+            fprintf(stderr, "at least %d jobs\n", BATCH);
+            return 2;
+        }
+        run_jobs(jobs);
     }
     for (size_t i = 0; argc == 1 && i < 3; i++) {
         run_jobs(sizes[i]);
