Keep jobs and leases in a table by number

A base map takes about 100 bytes per number (a list node of 56 bytes, its heap header and the slots of ck_rhs at half load). Job and lease numbers are given out in rising order, so a table of pages of 32 neighbours holds them in 12 to 20 bytes. Pages of 256 were ruled out: a service that runs for months among short jobs pins its page.

--- a/packages/state/decode_jobs.c
+++ b/packages/state/decode_jobs.c
@@ -54,14 +54,14 @@
     struct job *job;
 
     if (!read_job(m, &given) || m->number >= s->next_job ||
-        team_by_number(s, m->team) == NULL ||
-        job_by_number(s, m->number) != NULL ||
+        team_by_number(s, m->team) == NULL || m->number <= r->last_job ||
         state_job_by_name(s, m->team, given.name) != NULL) {
         return false;
     }
     job = job_create(&given);
     job->end_seq = m->end_seq;
     job_insert(s, job);
+    r->last_job = m->number;
     return decode_tasks(r, job, m);
 }
 
@@ -125,13 +125,14 @@
 void
 decode_order_ended(struct state *s)
 {
-    size_t room = map_count(s->jobs) - s->live_count;
+    size_t room = s->jobs.count - s->live_count;
     struct job **jobs = mem_zalloc(room + 1, sizeof(struct job *));
-    void *cursor = NULL;
+    uint64_t at = 0;
     struct job *job;
     size_t count = 0;
 
-    while ((job = map_next(s->jobs, &cursor)) != NULL) {
+    while ((job = numtab_after(&s->jobs, at)) != NULL) {
+        at = job->pub.number;
         if (state_job_terminal(job->pub.state)) {
             jobs[count++] = job;
         }
--- a/packages/state/encode.c
+++ b/packages/state/encode.c
@@ -290,10 +290,11 @@
 static void
 encode_jobs(struct writer *w, const struct state *s)
 {
-    void *cursor = NULL;
+    uint64_t at = 0;
     const struct job *job;
 
-    while ((job = map_next(s->jobs, &cursor)) != NULL) {
+    while ((job = numtab_after(&s->jobs, at)) != NULL) {
+        at = job->pub.number;
         encode_job(w, job);
     }
 }
@@ -314,21 +315,35 @@
     append(w, STATE__SNAP_RECORD__ITEM_LEASE, &m);
 }
 
+/* In the order of jobs and tasks, because the order in the table of leases
+ * is another one after a snapshot. */
+static void
+encode_live_leases(struct writer *w, const struct state *s)
+{
+    uint64_t at = 0;
+    const struct job *job;
+
+    while ((job = numtab_after(&s->jobs, at)) != NULL) {
+        at = job->pub.number;
+        for (uint32_t i = 0; job->pub.placed > 0 && i < job->pub.spec.tasks;
+             i++) {
+            if (job->tasks[i].state == STATE_TASK_PLACED) {
+                encode_lease(w, lease_by_number(s, job->tasks[i].lease));
+            }
+        }
+    }
+}
+
 /* Ended leases come first, in the order in which they will be dropped. */
 static void
 encode_leases(struct writer *w, const struct state *s)
 {
-    void *cursor = NULL;
     const struct lease *lease;
 
     for (lease = s->ended_lease_first; lease != NULL; lease = lease->next) {
         encode_lease(w, lease);
     }
-    while ((lease = map_next(s->leases, &cursor)) != NULL) {
-        if (lease->ended_ms < 0) {
-            encode_lease(w, lease);
-        }
-    }
+    encode_live_leases(w, s);
 }
 
 static void
--- a/packages/state/jobs.c
+++ b/packages/state/jobs.c
@@ -12,7 +12,7 @@
 struct job *
 job_by_number(const struct state *s, uint64_t number)
 {
-    return map_get_u64(s->jobs, number);
+    return numtab_get(&s->jobs, number);
 }
 
 static void
@@ -75,14 +75,14 @@
 struct job *
 job_create(const struct state_job *from)
 {
-    struct job *job = mem_zalloc(1, sizeof(*job));
+    size_t tasks = from->spec.tasks * sizeof(struct state_task);
+    struct job *job = mem_zalloc(1, sizeof(*job) + tasks);
 
     job->pub = *from;
     job->pub.name = str_dup(from->name);
     job->pub.reason = dup_or_empty(from->reason);
     job->pub.spec.queue = dup_or_empty(from->spec.queue);
     job->pub.spec.payload = dup_or_empty(from->spec.payload);
-    job->tasks = mem_zalloc(from->spec.tasks, sizeof(*job->tasks));
     job->pub.tasks = job->tasks;
     for (uint32_t i = 0; i < from->spec.tasks; i++) {
         job->tasks[i].state = STATE_TASK_WAITING;
@@ -98,7 +98,7 @@
     struct buf key = {0};
 
     name_key(&key, job->pub.team, job->pub.name);
-    map_put_u64(s->jobs, job->pub.number, job);
+    numtab_put(&s->jobs, job->pub.number, job);
     map_put(s->jobs_by_name, buf_str(&key), job);
     buf_free(&key);
     if (!state_job_terminal(job->pub.state)) {
@@ -158,7 +158,6 @@
     str_free(&job->pub.reason);
     str_free(&job->pub.spec.queue);
     str_free(&job->pub.spec.payload);
-    mem_free(job->tasks);
     mem_free(job);
 }
 
@@ -177,7 +176,7 @@
     list_remove(&team->ended, job);
     name_key(&key, job->pub.team, job->pub.name);
     map_del(s->jobs_by_name, buf_str(&key));
-    map_del_u64(s->jobs, job->pub.number);
+    numtab_del(&s->jobs, job->pub.number);
     buf_free(&key);
     job_free(job);
 }
@@ -380,8 +379,15 @@
 const struct state_job *
 state_job_next(const struct state *s, void **cursor)
 {
-    const struct job *job = map_next(s->jobs, cursor);
+    static char end;
+    const struct job *last = *cursor;
+    const struct job *job;
 
+    if (*cursor == &end) {
+        return NULL;
+    }
+    job = numtab_after(&s->jobs, last == NULL ? 0 : last->pub.number);
+    *cursor = job == NULL ? (void *)&end : (void *)job;
     return job == NULL ? NULL : &job->pub;
 }
 
--- a/packages/state/snapshot.h
+++ b/packages/state/snapshot.h
@@ -14,6 +14,7 @@
 struct reader {
     struct state *s;
     uint64_t records;
+    uint64_t last_job; /* numbers rise */
     uint64_t placed_tasks;
     uint64_t live_leases;
     uint32_t *team_order;
--- a/packages/state/state.c
+++ b/packages/state/state.c
@@ -39,9 +39,9 @@
     s->vms = map_create();
     s->workers = map_create();
     s->workers_by_name = map_create();
-    s->jobs = map_create();
+    numtab_init(&s->jobs);
     s->jobs_by_name = map_create();
-    s->leases = map_create();
+    numtab_init(&s->leases);
     s->usage = map_create();
     s->requests = map_create();
     s->history = mem_zalloc(STATE_HISTORY_MAX, sizeof(*s->history));
@@ -85,15 +85,27 @@
 }
 
 static void
-free_job(void *value)
+free_request(void *value)
 {
-    job_free(value);
+    request_free(value);
 }
 
 static void
-free_request(void *value)
+free_numbered(struct state *s)
 {
-    request_free(value);
+    struct job *job;
+    struct lease *lease;
+
+    while ((job = numtab_after(&s->jobs, 0)) != NULL) {
+        numtab_del(&s->jobs, job->pub.number);
+        job_free(job);
+    }
+    while ((lease = numtab_after(&s->leases, 0)) != NULL) {
+        numtab_del(&s->leases, lease->number);
+        mem_free(lease);
+    }
+    numtab_free(&s->jobs);
+    numtab_free(&s->leases);
 }
 
 static void
@@ -126,8 +138,7 @@
     map_free(s->workers_by_name, NULL);
     map_free(s->workers, free_worker);
     map_free(s->jobs_by_name, NULL);
-    map_free(s->jobs, free_job);
-    map_free(s->leases, mem_free);
+    free_numbered(s);
     map_free(s->usage, mem_free);
     map_free(s->requests, free_request);
     mem_free(s->team_order);
--- a/packages/state/state_impl.h
+++ b/packages/state/state_impl.h
@@ -2,6 +2,7 @@
 #define GV_STATE_IMPL_H
 
 #include "map.h"
+#include "numtab.h"
 #include "state.h"
 #include "state.pb-c.h"
 
@@ -14,12 +15,12 @@
 
 struct job {
     struct state_job pub;
-    struct state_task *tasks; /* pub.tasks */
-    struct job *prev;         /* in the team's live or ended list */
+    struct job *prev; /* in the team's live or ended list */
     struct job *next;
     struct job *end_next; /* in the order of their end, over all teams */
     uint64_t end_seq;
     bool attempted; /* a task has been placed at least once */
+    struct state_task tasks[];
 };
 
 struct job_list {
@@ -119,7 +120,7 @@
     struct map *workers; /* number to struct state_worker */
     struct map *workers_by_name;
 
-    struct map *jobs;         /* number to struct job */
+    struct numtab jobs;       /* number to struct job */
     struct map *jobs_by_name; /* 4 bytes of team, then the name */
     struct job *ended_first;
     struct job *ended_last;
@@ -127,7 +128,7 @@
     size_t live_count;
     size_t live_payload;
 
-    struct map *leases;
+    struct numtab leases; /* number to struct lease */
     struct lease *ended_lease_first;
     struct lease *ended_lease_last;
     size_t ended_lease_count;
--- a/packages/state/tasks.c
+++ b/packages/state/tasks.c
@@ -4,7 +4,7 @@
 struct lease *
 lease_by_number(const struct state *s, uint64_t number)
 {
-    return map_get_u64(s->leases, number);
+    return numtab_get(&s->leases, number);
 }
 
 struct lease *
@@ -14,7 +14,7 @@
 
     *lease = *from;
     lease->next = NULL;
-    map_put_u64(s->leases, lease->number, lease);
+    numtab_put(&s->leases, lease->number, lease);
     return lease;
 }
 
@@ -49,7 +49,7 @@
         s->ended_lease_last = NULL;
     }
     s->ended_lease_count--;
-    map_del_u64(s->leases, lease->number);
+    numtab_del(&s->leases, lease->number);
     mem_free(lease);
 }
 
