route: repeat unanswered ask-backs, bound outliers in learned costs

Retries count against the queue bound, ejections end when other endpoints leave, and one slow sample no longer makes a class look too slow.

--- a/packages/route/ledger_plan.c
+++ b/packages/route/ledger_plan.c
@@ -22,8 +22,10 @@
 static void
 send_share(struct ledger *l, int64_t now, struct share *s, struct grants *out)
 {
+    bool open = unconfirmed(s) || s->held > s->target;
+
     if (s->target == s->sent &&
-        (!unconfirmed(s) || now < s->sent_at + l->config.resend_ns)) {
+        (!open || now < s->sent_at + l->config.resend_ns)) {
         return;
     }
     if (!unconfirmed(s) || s->target > s->peak) {
--- a/packages/route/ledger_report.c
+++ b/packages/route/ledger_report.c
@@ -48,7 +48,9 @@
         possible = s->target;
     }
     if (acked && !unsent) {
-        if (s->pending) {
+        /* An acknowledged number does not prove that this message arrived:
+         * a request to return units is repeated until they are returned. */
+        if (s->pending && s->held <= s->target) {
             s->pending = false;
             TAILQ_REMOVE(&e->pending, s, in_pending);
         }
--- a/packages/route/router_attempt.c
+++ b/packages/route/router_attempt.c
@@ -68,7 +68,7 @@
     struct endpoint *e;
 
     if (cost_too_late(cost_of(req->queue, req->path_class), now, 0,
-                      req->deadline)) {
+                      req->deadline, s->queued > 1)) {
         request_end(r, req, ROUTER_REASON_TOO_LATE, NS_PER_S, out);
         return true;
     }
@@ -168,6 +168,9 @@
     if (now + cost_of(req->queue, req->path_class)->mean_ns >= req->deadline) {
         return ROUTER_REASON_DEADLINE;
     }
+    if (queue_full(r, req->bytes)) {
+        return ROUTER_REASON_QUEUE_FULL;
+    }
     if (s->retry_tokens < 1) {
         return ROUTER_REASON_NO_BUDGET;
     }
--- a/packages/route/router_cost.c
+++ b/packages/route/router_cost.c
@@ -8,6 +8,11 @@
     DEV_SHIFT = 2,
     /* An attempt seldom takes more than the mean and so many deviations. */
     BOUND_DEVS = 2,
+    /* Fewer samples refuse nothing. */
+    MIN_SAMPLES = 8,
+    /* A sample counts as at most so many means above the mean, so that one
+     * outlier does not make a class look too slow. */
+    MAX_STEP = 3,
     /* One in so many requests of a class that seems too slow is let through,
      * to learn whether it still is. */
     LEARN_PART = 16,
@@ -27,16 +32,21 @@
 void
 cost_learn(struct cost *c, int64_t duration_ns)
 {
-    int64_t off = duration_ns - c->mean_ns;
+    int64_t off;
 
     c->skips = 0;
-    if (c->samples == 0) {
-        c->samples = 1;
+    if (c->samples < MIN_SAMPLES) {
+        c->samples++;
+    }
+    if (c->samples == 1) {
         c->mean_ns = duration_ns;
         c->dev_ns = duration_ns / 2;
         return;
     }
-    c->samples++;
+    off = duration_ns - c->mean_ns;
+    if (off > MAX_STEP * c->mean_ns) {
+        off = MAX_STEP * c->mean_ns;
+    }
     c->mean_ns += off >> MEAN_SHIFT;
     c->dev_ns += ((off < 0 ? -off : off) - c->dev_ns) >> DEV_SHIFT;
 }
@@ -48,14 +58,16 @@
 }
 
 bool
-cost_too_late(struct cost *c, int64_t now, int64_t wait, int64_t deadline)
+cost_too_late(struct cost *c, int64_t now, int64_t wait, int64_t deadline,
+              bool busy)
 {
     int64_t left = deadline - now - wait;
+    int64_t bound = c->mean_ns + (busy ? BOUND_DEVS * c->dev_ns : 0);
 
     if (left <= 0) {
         return true;
     }
-    if (c->samples == 0 || c->mean_ns + BOUND_DEVS * c->dev_ns <= left) {
+    if (c->samples < MIN_SAMPLES || bound <= left) {
         return false;
     }
     if (wait > 0) {
--- a/packages/route/router_endpoint.c
+++ b/packages/route/router_endpoint.c
@@ -76,11 +76,57 @@
     return e;
 }
 
+static void
+end_ejection(struct router *r, struct endpoint *e)
+{
+    e->out = false;
+    e->probation = true;
+    r->stats.ejected--;
+    report_soon(r);
+}
+
+/* Whether more of a service are ejected than configured. */
+static bool
+too_many_out(const struct router *r, const struct service *s, uint32_t more)
+{
+    uint32_t members = 0;
+    uint32_t out = more;
+
+    for (size_t i = 0; i < s->endpoint_count; i++) {
+        const struct endpoint *e = s->endpoints[i];
+        members += !e->gone && !e->leaving;
+        out += e->out && !e->gone && !e->leaving;
+    }
+    return out * 100 > members * r->config.eject_percent;
+}
+
+/* The ejection that ends first ends early when other endpoints leave. */
+static void
+limit_ejections(struct router *r, struct service *s)
+{
+    while (too_many_out(r, s, 0)) {
+        struct endpoint *first = NULL;
+        for (size_t i = 0; i < s->endpoint_count; i++) {
+            struct endpoint *e = s->endpoints[i];
+            if (e->out && (first == NULL || e->out_until < first->out_until)) {
+                first = e;
+            }
+        }
+        if (first == NULL) {
+            return;
+        }
+        end_ejection(r, first);
+    }
+}
+
 void
 endpoint_destroy(struct router *r, struct endpoint *e)
 {
     struct service *s = e->service;
 
+    if (e->out) {
+        end_ejection(r, e);
+    }
     units_retire(r, e->units);
     service_remove(s, e);
     heap_remove(&r->endpoint_timers, &e->timer);
@@ -88,6 +134,7 @@
     str_free(&e->id);
     str_free(&e->domain);
     mem_free(e);
+    limit_ejections(r, s);
     r->sweep = r->sweep || s->endpoint_count == 0;
 }
 
@@ -96,6 +143,7 @@
 leave(struct router *r, struct endpoint *e)
 {
     units_release(r, e->units);
+    limit_ejections(r, e->service);
     report_soon(r);
 }
 
@@ -155,15 +203,6 @@
     return e->gone || e->leaving || e->out || now >= e->deadline;
 }
 
-static void
-end_ejection(struct router *r, struct endpoint *e)
-{
-    e->out = false;
-    e->probation = true;
-    r->stats.ejected--;
-    report_soon(r);
-}
-
 void
 endpoint_timers(struct router *r, int64_t now, struct router_actions *out)
 {
@@ -185,18 +224,6 @@
     }
 }
 
-/* One more may be ejected without exceeding the configured part. */
-static bool
-may_eject(const struct router *r, const struct service *s)
-{
-    size_t out = 1;
-
-    for (size_t i = 0; i < s->endpoint_count; i++) {
-        out += s->endpoints[i]->out;
-    }
-    return out * 100 <= s->endpoint_count * r->config.eject_percent;
-}
-
 static void
 eject(struct router *r, struct endpoint *e, int64_t now)
 {
@@ -239,7 +266,7 @@
         return;
     }
     if ((e->probation || e->fails >= r->config.eject_failures) &&
-        may_eject(r, e->service)) {
+        !too_many_out(r, e->service, 1)) {
         eject(r, e, now);
     }
 }
--- a/packages/route/router_int.h
+++ b/packages/route/router_int.h
@@ -293,10 +293,12 @@
 /* Average cost; a guess while unknown. */
 int64_t
 cost_mean(const struct cost *c);
-/* Whether an attempt that starts then would likely miss the deadline. Lets a
- * part of a slow class through, so that its cost is learned again. */
+/* Whether an attempt that starts then would likely miss the deadline; with
+ * busy, others could use the slot and less risk is taken. Lets a part of a
+ * slow class through, so that its cost is learned again. */
 bool
-cost_too_late(struct cost *c, int64_t now, int64_t wait, int64_t deadline);
+cost_too_late(struct cost *c, int64_t now, int64_t wait, int64_t deadline,
+              bool busy);
 /* How long a request would wait in its queue. */
 int64_t
 expected_wait(const struct request *req, int64_t now);
@@ -325,6 +327,9 @@
                int64_t retry_after_ns, struct router_actions *out);
 void
 request_free(struct router *r, struct request *req);
+/* Whether a request of that size exceeds the bounds of all queues. */
+bool
+queue_full(const struct router *r, uint32_t bytes);
 /* Enters or leaves the queue and its counts. */
 void
 request_enqueue(struct router *r, int64_t now, struct request *req);
--- a/packages/route/router_request.c
+++ b/packages/route/router_request.c
@@ -132,13 +132,18 @@
     r->stats.refused++;
 }
 
+bool
+queue_full(const struct router *r, uint32_t bytes)
+{
+    return r->stats.marking + r->stats.queued >= r->config.queue_max ||
+           r->stats.queued_bytes + bytes > r->config.queue_bytes_max;
+}
+
 static enum router_reason
 check_arrival(const struct router *r, int64_t now,
               const struct router_request *a, const struct team *t,
               const struct service *s)
 {
-    uint32_t waiting = r->stats.marking + r->stats.queued;
-
     if (map_get_u64(r->requests, a->id) != NULL) {
         return ROUTER_REASON_DUPLICATE;
     }
@@ -151,8 +156,7 @@
     if (s == NULL || s->endpoint_count == 0) {
         return ROUTER_REASON_NO_SERVICE;
     }
-    if (waiting >= r->config.queue_max ||
-        r->stats.queued_bytes + a->bytes > r->config.queue_bytes_max) {
+    if (queue_full(r, a->bytes)) {
         return ROUTER_REASON_QUEUE_FULL;
     }
     if (t->waiting >= r->config.team_queue_max) {
@@ -228,7 +232,7 @@
     req = request_make(r, now, a, queue_make(s, t));
     wait = expected_wait(req, now);
     if (cost_too_late(cost_of(req->queue, req->path_class), now, wait,
-                      req->deadline)) {
+                      req->deadline, s->queued > 0)) {
         refuse_arrival(r, a->id, ROUTER_REASON_TOO_LATE, wait, out);
         mem_free(req);
         return;
--- a/tests/test_route_faults.c
+++ b/tests/test_route_faults.c
@@ -23,7 +23,7 @@
     STEPS = 500,
     QUIET_STEPS = 400,
     TEAM_LIMIT = 5,
-    QUEUE_MAX = 40,
+    QUEUE_MAX = 12,
     RETRY_PERCENT = 20,
     RETRY_BURST = 5,
     EJECT_PERCENT = 50,
@@ -124,7 +124,8 @@
     int64_t ppm;
     int paused;
     int cut;
-    int64_t resumed; /* end of the last pause */
+    int64_t lease_until; /* of its units */
+    int64_t resumed;     /* end of the last pause */
     int64_t config_deadline;
     int64_t seen[ENDPOINTS]; /* end of the announcement known here */
     uint64_t retries;
@@ -192,7 +193,35 @@
     return str_of(space);
 }
 
-/* Checker: what live entries hold plus what dead ones left running. */
+/*
+ * What an entry may still use of a pool. A paused entry whose lease has ended
+ * can use nothing more; what it sent counts in check_pools until it ended.
+ */
+static uint32_t
+believed(const struct world *w, int entry, struct str pool)
+{
+    const struct member *m = &w->members[entry];
+    int64_t now = local_now(w, entry);
+    struct unit_report u;
+
+    if ((m->paused > 0 && now >= m->lease_until) ||
+        !router_pool(m->router, now, pool, &u)) {
+        return 0;
+    }
+    return u.held;
+}
+
+/* Attempts at endpoints that no entry's holdings account for. */
+static bool
+unaccounted(const struct world *w, const struct flight *f)
+{
+    const struct member *m = &w->members[f->entry];
+
+    return f->run != m->run ||
+           (m->paused > 0 && local_now(w, f->entry) >= m->lease_until &&
+            f->end > w->t);
+}
+
 static void
 check_pools(struct world *w)
 {
@@ -201,16 +230,12 @@
 
     for (int p = 0; p < POOLS; p++) {
         for (int i = 0; i < ENTRIES; i++) {
-            struct unit_report u;
-            if (router_pool(w->members[i].router, local_now(w, i),
-                            pool_name(p, space), &u)) {
-                held[p] += u.held;
-            }
+            held[p] += believed(w, i, pool_name(p, space));
         }
     }
     for (guint i = 0; i < w->flights->len; i++) {
         const struct flight *f = &g_array_index(w->flights, struct flight, i);
-        if (f->live && f->run != w->members[f->entry].run) {
+        if (unaccounted(w, f)) {
             held[f->endpoint]++;
             held[ENDPOINTS + f->team]++;
         }
@@ -219,6 +244,7 @@
         if (w->t >= w->allowed_until[p]) {
             w->allowed[p] = w->capacity[p];
         }
+        /* Team 1 has no limit, so its pool is not enforced. */
         if (held[p] > w->allowed[p] && p != ENDPOINTS + 1) {
             violation(w, V_POOL);
         }
@@ -512,6 +538,11 @@
     if (m->run != w->members[m->entry].run) {
         return;
     }
+    if (m->kind == MAIL_GRANT) {
+        struct member *to = &w->members[m->entry];
+        int64_t sent = router_report_sent(to->router, m->grants.report_seq);
+        to->lease_until = MAX(to->lease_until, sent + m->grants.lease_ns);
+    }
     if (m->kind == MAIL_LEADER) {
         ev = (struct router_event){.kind = ROUTER_LEADER, .term = m->term};
     }
@@ -685,6 +716,7 @@
     if (w->plant == PLANT_BUDGET) {
         config.retry_percent = 100;
         config.retry_burst = 100;
+        config.eject_percent = 1;
     }
     if (w->plant == PLANT_EJECT) {
         config.eject_percent = 100;
@@ -830,7 +862,6 @@
 
     m->cut -= m->cut > 0;
     if (m->paused > 0) {
-        m->paused--;
         m->resumed = local_now(w, entry) + STEP_NS;
         return;
     }
@@ -853,6 +884,9 @@
 world_step(struct world *w, int64_t n)
 {
     w->t += STEP_NS;
+    for (int i = 0; i < ENTRIES; i++) {
+        w->members[i].paused -= w->members[i].paused > 0;
+    }
     deliver(w);
     land(w);
     leader_work(w);
@@ -891,6 +925,9 @@
     for (int i = 0; i < POOLS; i++) {
         set_capacity(w, i, i < ENDPOINTS ? 2 : TEAM_LIMIT);
     }
+    for (int i = 0; i < ENDPOINTS; i++) {
+        w->failing[i] = plant == PLANT_BUDGET && i != 0;
+    }
     for (int i = 0; i < ENTRIES; i++) {
         start_entry(w, i);
     }
