--- a/tests/support/route_world.c
+++ b/tests/support/route_world.c
@@ -1,287 +1,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "mem.h"
 #include "route_world.h"
 
-static bool
-chance(struct world *w, unsigned per_mille)
-{
-    return rng_below(&w->rng, 1000) < per_mille;
-}
-
-static int64_t
-between(struct world *w, int64_t low_ms, int64_t high_ms)
-{
-    return (low_ms +
-            (int64_t)rng_below(&w->rng, (uint64_t)(high_ms - low_ms + 1))) *
-           NS_PER_MS;
-}
-
-int64_t
-local_now(const struct world *w, int entry)
-{
-    const struct member *m = &w->members[entry];
-
-    return m->offset + w->t + w->t / 1000000 * m->ppm;
-}
-
-struct str
-pool_name(int pool)
-{
-    static const char *const names[POOLS] = {"e:0", "e:1", "e:2",
-                                             "e:3", "t:0", "t:1"};
-
-    return str_of(names[pool]);
-}
-
-static void
-launch(struct world *w, int entry, const struct router_action *a, int team)
-{
-    struct track *q = &w->tracks[a->request];
-    int64_t left = a->deadline - local_now(w, entry);
-    struct flight f = {.live = true,
-                       .request = (int)a->request,
-                       .attempt = a->attempt,
-                       .entry = entry,
-                       .run = w->members[entry].run,
-                       .endpoint = atoi(a->endpoint.ptr),
-                       .team = team,
-                       .bytes = true,
-                       .start = w->t,
-                       .end = w->t + between(w, 1, 60)};
-
-    if (!w->quiet && (w->failing[f.endpoint] || chance(w, 30))) {
-        f.result = ATTEMPT_ERROR_RESPONSE + rng_below(&w->rng, 5);
-        f.bytes = f.result != ATTEMPT_REFUSED;
-        if (f.result == ATTEMPT_TIMED_OUT) {
-            f.end = w->t + ROUTER_LONGEST_NS;
-        }
-    }
-    if (w->plant == PLANT_EARLY_RECLAIM) {
-        f.end = w->t + ROUTER_LONGEST_NS;
-    }
-    /* The endpoint drops what is past the deadline sent along. */
-    if (f.end > w->t + left + CANCEL_NS) {
-        f.end = w->t + left + CANCEL_NS;
-    }
-    q->bytes = q->bytes || f.bytes;
-    g_array_append_val(w->flights, f);
-}
-
-static void
-cancel(struct world *w, const struct router_action *a)
-{
-    for (guint i = 0; i < w->flights->len; i++) {
-        struct flight *f = &g_array_index(w->flights, struct flight, i);
-        if (f->live && f->request == (int)a->request &&
-            f->attempt == a->attempt) {
-            f->end = MIN(f->end, w->t + CANCEL_NS);
-            f->result = ATTEMPT_CANCELLED;
-        }
-    }
-}
-
-static int
-team_of(uint64_t request)
-{
-    return (int)(request % TEAMS);
-}
-
-static void
-perform(struct world *w, int entry)
-{
-    for (size_t i = 0; i < w->actions.count; i++) {
-        const struct router_action *a = &w->actions.items[i];
-        switch (a->kind) {
-        case ROUTER_SEND:
-            check_send(w, entry, a);
-            launch(w, entry, a, team_of(a->request));
-            break;
-        case ROUTER_CANCEL:
-            cancel(w, a);
-            break;
-        default:
-            if (w->plant != PLANT_LOST_END || !chance(w, 20)) {
-                check_answer(w, entry, a);
-            }
-        }
-    }
-    w->actions.count = 0;
-}
-
-static void
-step(struct world *w, int entry, const struct router_event *ev)
-{
-    router_step(w->members[entry].router, local_now(w, entry), ev,
-                &w->actions);
-    perform(w, entry);
-}
-
-static void
-mail_free(gpointer p)
-{
-    struct mail *m = p;
-
-    for (size_t i = 0; i < m->report.count; i++) {
-        str_free(&m->report.items[i].pool);
-    }
-    for (size_t i = 0; i < m->grants.count; i++) {
-        str_free(&m->grants.items[i].pool);
-    }
-    report_free(&m->report);
-    grants_free(&m->grants);
-    mem_free(m);
-}
-
-static struct mail *
-mail_copy(const struct mail *from)
-{
-    struct mail *m = mem_alloc(sizeof(*m));
-
-    *m = *from;
-    m->report.items =
-        mem_zalloc(m->report.count + 1, sizeof(*m->report.items));
-    m->grants.items =
-        mem_zalloc(m->grants.count + 1, sizeof(*m->grants.items));
-    for (size_t i = 0; i < m->report.count; i++) {
-        m->report.items[i] = from->report.items[i];
-        m->report.items[i].pool = str_dup(from->report.items[i].pool);
-    }
-    for (size_t i = 0; i < m->grants.count; i++) {
-        m->grants.items[i] = from->grants.items[i];
-        m->grants.items[i].pool = str_dup(from->grants.items[i].pool);
-    }
-    return m;
-}
-
-/* Sends, loses, repeats or delays a message. */
-static void
-post(struct world *w, struct mail mail)
-{
-    bool bad = !w->quiet;
-    int copies = 1;
-
-    if (bad && (w->members[mail.entry].cut > 0 || chance(w, 50))) {
-        return;
-    }
-    copies += bad && chance(w, 50);
-    for (int i = 0; i < copies; i++) {
-        mail.at = w->t + between(w, 1, 12);
-        if (bad && chance(w, 40)) {
-            mail.at += between(w, 20, 800);
-        }
-        g_ptr_array_add(w->mails, mail_copy(&mail));
-    }
-}
-
-static void
-post_grants(struct world *w, int entry)
-{
-    struct mail mail = {.kind = MAIL_GRANT,
-                        .entry = entry,
-                        .run = w->members[entry].run,
-                        .grants = w->grants};
-
-    post(w, mail);
-    if (w->plant == PLANT_STALE_GRANT && chance(w, 300)) {
-        mail.grants.no.seq += 10;
-        mail.grants.lease_ns *= 4;
-        mail.at = w->t + between(w, 20, 200);
-        g_ptr_array_add(w->mails, mail_copy(&mail));
-    }
-}
-
-static int
-entry_of_run(const struct world *w, uint64_t run)
-{
-    for (int i = 0; i < ENTRIES; i++) {
-        if (w->members[i].run == run) {
-            return i;
-        }
-    }
-    return -1;
-}
-
-static void
-leader_work(struct world *w)
-{
-    struct ledger *l = w->ledgers[w->leader];
-    uint64_t run;
-
-    ledger_tick(l, w->t);
-    while (ledger_due(l, w->t, &run)) {
-        g_assert_true(ledger_plan(l, w->t, run, &w->grants));
-        if (entry_of_run(w, run) >= 0) {
-            post_grants(w, entry_of_run(w, run));
-        }
-    }
-}
-
-static void
-take_report(struct world *w, const struct mail *m)
-{
-    struct ledger *l = w->ledgers[w->leader];
-    char vm[16];
-    char domain[16];
-    enum ledger_result result;
-
-    snprintf(vm, sizeof(vm), "vm%d", m->entry);
-    snprintf(domain, sizeof(domain), "d%d", m->entry % 2);
-    result =
-        ledger_report(l, w->t, m->run, str_of(vm), str_of(domain), &m->report);
-    if (result == LEDGER_UNKNOWN) {
-        post(w, (struct mail){.kind = MAIL_LEADER,
-                              .entry = m->entry,
-                              .run = m->run,
-                              .term = w->term});
-        return;
-    }
-    if (result == LEDGER_OK && m->run == w->members[m->entry].run &&
-        ledger_plan(l, w->t, m->run, &w->grants)) {
-        post_grants(w, m->entry);
-    }
-}
-
-static void
-open_mail(struct world *w, const struct mail *m)
-{
-    struct router_event ev = {.kind = ROUTER_GRANTS, .grants = &m->grants};
-
-    if (m->kind == MAIL_REPORT) {
-        take_report(w, m);
-        return;
-    }
-    if (m->run != w->members[m->entry].run) {
-        return;
-    }
-    if (m->kind == MAIL_GRANT) {
-        struct member *to = &w->members[m->entry];
-        int64_t sent = router_report_sent(to->router, m->grants.report_seq);
-        to->lease_until = MAX(to->lease_until, sent + m->grants.lease_ns);
-    }
-    if (m->kind == MAIL_LEADER) {
-        ev = (struct router_event){.kind = ROUTER_LEADER, .term = m->term};
-    }
-    step(w, m->entry, &ev);
-}
-
-static void
-deliver(struct world *w)
-{
-    for (guint i = 0; i < w->mails->len;) {
-        struct mail *m = g_ptr_array_index(w->mails, i);
-        if (m->at > w->t ||
-            (m->kind != MAIL_REPORT && w->members[m->entry].paused > 0)) {
-            i++;
-            continue;
-        }
-        g_ptr_array_steal_index_fast(w->mails, i);
-        open_mail(w, m);
-        mail_free(m);
-    }
-}
-
 static void
 land(struct world *w)
 {
@@ -304,9 +25,9 @@
             ev.attempt.bytes_sent = false;
         }
         if (alive) {
-            step(w, f.entry, &ev);
-            if (!w->quiet && chance(w, 50)) {
-                step(w, f.entry, &ev); /* a duplicate changes nothing */
+            world_event(w, f.entry, &ev);
+            if (!w->quiet && world_chance(w, 50)) {
+                world_event(w, f.entry, &ev); /* a duplicate changes nothing */
             }
         }
     }
@@ -328,10 +49,10 @@
     r->team = (uint32_t)team_of(r->id);
     r->service = STR("s");
     r->path_class = (uint32_t)rng_below(&w->rng, 4);
-    r->idempotent = chance(w, 600);
-    r->needs_mark = !w->quiet && chance(w, 300);
-    r->has_deadline = !w->quiet && chance(w, 500);
-    r->deadline = now + between(w, 20, 400);
+    r->idempotent = world_chance(w, 600);
+    r->needs_mark = !w->quiet && world_chance(w, 300);
+    r->has_deadline = !w->quiet && world_chance(w, 500);
+    r->deadline = now + world_between(w, 20, 400);
     r->bytes = 100;
     *q = (struct track){.entry = entry,
                         .run = w->members[entry].run,
@@ -344,7 +65,7 @@
     }
     w->requests++;
     w->members[entry].arrivals++;
-    step(w, entry, &ev);
+    world_event(w, entry, &ev);
 }
 
 static void
@@ -352,12 +73,13 @@
 {
     for (int i = MAX(0, w->requests - 40); i < w->requests; i++) {
         struct track *q = &w->tracks[i];
-        if (q->marked || q->run != w->members[entry].run || !chance(w, 200)) {
+        if (q->marked || q->run != w->members[entry].run ||
+            !world_chance(w, 200)) {
             continue;
         }
         q->marked = w->plant != PLANT_EARLY_MARK;
         struct router_event ev = {.kind = ROUTER_MARKED, .id = (uint64_t)i};
-        step(w, entry, &ev);
+        world_event(w, entry, &ev);
     }
 }
 
@@ -380,10 +102,10 @@
                          .leaving = told,
                          .deadline = local_now(w, entry) + ANNOUNCED_NS}};
         m->seen[i] = w->leaving[i] ? 0 : ev.endpoint.deadline;
-        if (told && chance(w, 500)) {
+        if (told && world_chance(w, 500)) {
             ev.kind = ROUTER_ENDPOINT_GONE;
         }
-        step(w, entry, &ev);
+        world_event(w, entry, &ev);
     }
 }
 
@@ -398,7 +120,7 @@
     if (w->plant == PLANT_LONG_LEASE) {
         m->config_deadline -= LEASE_NS * 3 / 4;
     }
-    step(w, entry, &ev);
+    world_event(w, entry, &ev);
 }
 
 static void
@@ -409,7 +131,7 @@
                                        .weight = 1 + (uint32_t)team,
                                        .limited = team == 0}};
 
-    step(w, entry, &ev);
+    world_event(w, entry, &ev);
 }
 
 static void
@@ -444,7 +166,7 @@
     }
     router_destroy(m->router);
     *m = (struct member){.run = ++w->runs,
-                         .offset = between(w, 1000, 100000),
+                         .offset = world_between(w, 1000, 100000),
                          .ppm = (int64_t)rng_below(&w->rng, 801) - 400};
     m->router = router_create(&config, local_now(w, entry));
     for (int team = 0; team < TEAMS; team++) {
@@ -453,7 +175,7 @@
     renew_config(w, entry);
     announce(w, entry);
     struct router_event ev = {.kind = ROUTER_LEADER, .term = w->term};
-    step(w, entry, &ev);
+    world_event(w, entry, &ev);
 }
 
 static void
@@ -483,12 +205,12 @@
     w->term++;
     ledger_leader_changed(w->ledgers[w->leader], w->t, w->term, vms, count);
     for (int i = 0; i < ENTRIES; i++) {
-        g_ptr_array_add(
-            w->mails, mail_copy(&(struct mail){.kind = MAIL_LEADER,
-                                               .at = w->t + between(w, 1, 100),
-                                               .entry = i,
-                                               .run = w->members[i].run,
-                                               .term = w->term}));
+        g_ptr_array_add(w->mails, mail_copy(&(struct mail){
+                                      .kind = MAIL_LEADER,
+                                      .at = w->t + world_between(w, 1, 100),
+                                      .entry = i,
+                                      .run = w->members[i].run,
+                                      .term = w->term}));
     }
 }
 
@@ -503,7 +225,7 @@
         q->withdrawn |= q->key == key && q->run == w->members[entry].run;
     }
     if (w->plant != PLANT_HIDE_KEY) {
-        step(w, entry, &ev);
+        world_event(w, entry, &ev);
     }
 }
 
@@ -546,7 +268,7 @@
     case 9:
         ev.kind = ROUTER_DRAIN;
         if (m->paused == 0) {
-            step(w, entry, &ev);
+            world_event(w, entry, &ev);
         }
         break;
     default:
@@ -554,7 +276,7 @@
             ev.id = (uint64_t)w->requests - 1 -
                     rng_below(&w->rng, (uint64_t)MIN(w->requests, 20));
             if (w->tracks[ev.id].run == m->run) {
-                step(w, entry, &ev);
+                world_event(w, entry, &ev);
             }
         }
     }
@@ -568,11 +290,11 @@
 
     router_report(m->router, local_now(w, entry), &w->report);
     mail.report = w->report;
-    post(w, mail);
-    if (w->plant == PLANT_STALE_REPORT && chance(w, 300)) {
+    world_post(w, mail);
+    if (w->plant == PLANT_STALE_REPORT && world_chance(w, 300)) {
         mail.report.seq += 40;
         mail.report.ack.seq += 1000;
-        mail.at = w->t + between(w, 20, 200);
+        mail.at = w->t + world_between(w, 20, 200);
         g_ptr_array_add(w->mails, mail_copy(&mail));
     }
 }
@@ -588,12 +310,12 @@
         m->resumed = local_now(w, entry) + STEP_NS;
         return;
     }
-    step(w, entry, &tick);
+    world_event(w, entry, &tick);
     if (m->cut == 0 && n % 10 == entry) {
         renew_config(w, entry);
         announce(w, entry);
     }
-    if (!w->quiet && chance(w, 350)) {
+    if (!w->quiet && world_chance(w, 350)) {
         arrive(w, entry);
     }
     mark_some(w, entry);
@@ -610,14 +332,14 @@
     for (int i = 0; i < ENTRIES; i++) {
         w->members[i].paused -= w->members[i].paused > 0;
     }
-    deliver(w);
+    world_deliver(w);
     land(w);
-    leader_work(w);
+    world_lead(w);
     for (int i = 0; i < ENTRIES; i++) {
         run_entry(w, i, n);
     }
     check_pools(w);
-    if (!w->quiet && chance(w, 60)) {
+    if (!w->quiet && world_chance(w, 60)) {
         chaos(w);
     }
 }
@@ -632,6 +354,8 @@
                                    .balance_ns = STEP_NS,
                                    .resend_ns = 40 * NS_PER_MS};
 
+    bool failing = plant == PLANT_BUDGET || plant == PLANT_EJECT;
+
     *w = (struct world){.rng = {seed}, .plant = plant, .t = NS_PER_S};
     w->mails = g_ptr_array_new();
     w->flights = g_array_new(FALSE, FALSE, sizeof(struct flight));
@@ -648,7 +372,7 @@
         set_capacity(w, i, i < ENDPOINTS ? 2 : TEAM_LIMIT);
     }
     for (int i = 0; i < ENDPOINTS; i++) {
-        w->failing[i] = plant == PLANT_BUDGET && i != 0;
+        w->failing[i] = failing && i != 0;
     }
     for (int i = 0; i < ENTRIES; i++) {
         start_entry(w, i);
--- a/tests/support/route_world.h
+++ b/tests/support/route_world.h
@@ -176,6 +176,30 @@
 void
 violation(struct world *w, enum violation v);
 
+/* The network and the world outside, used by the world. */
+bool
+world_chance(struct world *w, unsigned per_mille);
+/* A random time between two numbers of milliseconds. */
+int64_t
+world_between(struct world *w, int64_t low_ms, int64_t high_ms);
+/* Steps an entry's router and performs its actions. */
+void
+world_event(struct world *w, int entry, const struct router_event *ev);
+/* Sends, loses, repeats or delays a message. */
+void
+world_post(struct world *w, struct mail mail);
+void
+world_deliver(struct world *w);
+/* The leader's timers and grants. */
+void
+world_lead(struct world *w);
+struct mail *
+mail_copy(const struct mail *from);
+void
+mail_free(gpointer p);
+int
+team_of(uint64_t request);
+
 int64_t
 local_now(const struct world *w, int entry);
 struct str
