tests: add the cluster harness and the history checker

The harness starts real processes on a loopback address of its own, with relays, fake workers and fake endpoints. The checker reads the history that the fakes and the tests write; test_checker plants each violation.

The relay cuts either direction alone, fakes record their capacity, and the fake worker ends a task at the end of its lease also when it was paused.

--- a/tests/fakes/endpoint.c
+++ b/tests/fakes/endpoint.c
@@ -245,7 +245,8 @@
 static const struct argp_option options[] = {
     {"id", 'i', "ID", 0, "Endpoint id", 0},
     {"service", 's', "NAME", 0, "Service name", 0},
-    {"port", 'p', "PORT", 0, "Port on 127.0.0.1", 0},
+    {"ip", 'a', "IP", 0, "Address; 127.0.0.1 by default", 0},
+    {"port", 'p', "PORT", 0, "Port", 0},
     {"failure-domain", 'f', "NAME", 0, "Failure domain", 0},
     {"key", 'k', "KEY", 0, "Endpoint key", 0},
     {"entry", 'e', "URL", 0, "Entry URL; may be repeated", 0},
@@ -267,6 +268,9 @@
     case 's':
         opt.service = arg;
         break;
+    case 'a':
+        opt.ip = arg;
+        break;
     case 'p':
         opt.port = atoi(arg);
         break;
@@ -329,6 +333,9 @@
         perror("MHD_start_daemon");
         return 1;
     }
+    history_write(history,
+                  "\"event\":\"endpoint\",\"endpoint\":\"%s\",\"slots\":%d",
+                  opt.id, opt.slots);
     client = http_client_create();
     do {
         announce(client, "ready");
--- a/tests/fakes/relay.c
+++ b/tests/fakes/relay.c
@@ -2,7 +2,9 @@
  * A TCP relay for silent network cuts. It forwards connections from --listen
  * to --to. SIGUSR1 cuts it: bytes are no longer read or forwarded, and new
  * connections are accepted by the kernel only; no connection is closed.
- * SIGUSR2 heals it. --one-way cuts only the direction to the target.
+ * SIGHUP cuts only the direction to the target, SIGWINCH only the one back.
+ * SIGUSR2 heals it. --one-way makes SIGUSR1 cut only the direction to the
+ * target.
  */
 #include <argp.h>
 #include <arpa/inet.h>
@@ -40,7 +42,8 @@
 
 static struct pair pairs[PAIRS_MAX];
 static int pair_count;
-static volatile sig_atomic_t cut;
+static volatile sig_atomic_t cut;      /* the direction to the target */
+static volatile sig_atomic_t cut_back; /* the direction from the target */
 static volatile sig_atomic_t stopping;
 static bool one_way;
 static const char *listen_text;
@@ -52,9 +55,17 @@
     switch (sig) {
     case SIGUSR1:
         cut = 1;
+        cut_back = !one_way;
+        break;
+    case SIGHUP:
+        cut = 1;
+        break;
+    case SIGWINCH:
+        cut_back = 1;
         break;
     case SIGUSR2:
         cut = 0;
+        cut_back = 0;
         break;
     default:
         stopping = 1;
@@ -174,11 +185,11 @@
         pump_in(&p->client, &p->server);
         alive = pump_out(&p->server);
     }
-    if (!cut || one_way) {
+    if (!cut_back) {
         pump_in(&p->server, &p->client);
         alive = alive && pump_out(&p->client);
     }
-    if (cut) {
+    if (cut || cut_back) {
         return true;
     }
     if (p->client.ended && p->server.out.len == 0) {
@@ -196,7 +207,7 @@
     struct pollfd fds[1 + 2 * PAIRS_MAX];
     nfds_t count = 0;
 
-    if (!cut) {
+    if (!cut && !cut_back) {
         fds[count++] = (struct pollfd){.fd = listener, .events = POLLIN};
     }
     for (int i = 0; i < pair_count; i++) {
@@ -205,7 +216,7 @@
             fds[count++] =
                 (struct pollfd){.fd = p->client.fd, .events = POLLIN};
         }
-        if ((!cut || one_way) && !p->server.ended) {
+        if (!cut_back && !p->server.ended) {
             fds[count++] =
                 (struct pollfd){.fd = p->server.fd, .events = POLLIN};
         }
@@ -255,12 +266,14 @@
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     sigaction(SIGUSR1, &action, NULL);
     sigaction(SIGUSR2, &action, NULL);
+    sigaction(SIGHUP, &action, NULL);
+    sigaction(SIGWINCH, &action, NULL);
     sigaction(SIGTERM, &action, NULL);
     listener = open_listener();
     while (!stopping) {
         wait_for_input(listener);
         ready = (struct pollfd){.fd = listener, .events = POLLIN};
-        if (!cut && poll(&ready, 1, 0) > 0) {
+        if (!cut && !cut_back && poll(&ready, 1, 0) > 0) {
             accept_pair(listener);
         }
         for (int i = pair_count - 1; i >= 0; i--) {
--- a/tests/fakes/worker.c
+++ b/tests/fakes/worker.c
@@ -132,23 +132,30 @@
         member(start, "task"), t->cpu_milli, t->memory_mib, t->accelerators);
 }
 
+/* The task ended when its usage was counted last, which is the lease's end
+ * for a worker that was paused beyond it. */
 static void
 task_end(struct task *t, const char *outcome)
 {
     t->outcome = outcome;
     history_write(history,
                   "\"event\":\"end\",\"worker\":\"%s\",\"lease\":%" PRIu64
-                  ",\"outcome\":\"%s\",\"cpu_ms\":%" PRId64
+                  ",\"outcome\":\"%s\",\"at\":%" PRId64 ",\"cpu_ms\":%" PRId64
                   ",\"memory_mib_s\":%" PRId64 ",\"accelerator_ms\":%" PRId64,
-                  opt.id, t->lease, outcome, t->cpu_us / 1000,
+                  opt.id, t->lease, outcome, t->counted, t->cpu_us / 1000,
                   t->memory_mib_ms / 1000, t->accelerator_ms);
 }
 
+/* Counts usage up to now, the end of the run or the end of the lease. */
 static void
 task_account(struct task *t, int64_t now)
 {
-    int64_t us = (now - t->counted) / NS_PER_US;
+    int64_t limit = t->end < lease_deadline ? t->end : lease_deadline;
+    int64_t us = ((now < limit ? now : limit) - t->counted) / NS_PER_US;
 
+    if (us <= 0) {
+        return;
+    }
     t->cpu_us += us * t->used_cpu_milli / 1000;
     t->memory_mib_ms += us * t->used_memory_mib / 1000;
     t->accelerator_ms += us * t->accelerators / 1000;
@@ -160,17 +167,18 @@
 {
     void *cursor = NULL;
     struct task *t;
+    int64_t limit;
 
     while ((t = map_next(tasks, &cursor)) != NULL) {
         if (t->outcome != NULL) {
             continue;
         }
-        task_account(t, now < t->end ? now : t->end);
-        if (now >= t->end) {
-            task_end(t, t->exit_code == 0 ? "done" : "failed");
-        }
-        else if (now >= lease_deadline) {
-            task_end(t, "stopped");
+        limit = t->end < lease_deadline ? t->end : lease_deadline;
+        task_account(t, now);
+        if (now >= limit) {
+            task_end(t, t->end > lease_deadline ? "stopped"
+                        : t->exit_code == 0     ? "done"
+                                                : "failed");
         }
     }
 }
@@ -433,6 +441,10 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     incarnation = (uint64_t)clock_wall_ms();
     history = history_open(opt.history);
+    history_write(history,
+                  "\"event\":\"worker\",\"worker\":\"%s\",\"cpu_milli\":%d,"
+                  "\"memory_mib\":%d,\"accelerators\":%d",
+                  opt.id, opt.cpu_milli, opt.memory_mib, opt.accelerators);
     tasks = map_create();
     client = http_client_create();
     for (;;) {
--- /dev/null
+++ b/tests/support/cluster.c
@@ -0,0 +1,388 @@
+#include "cluster.h"
+
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+
+#include "await.h"
+#include "checker.h"
+#include "cluster_api.h"
+#include "mem.h"
+#include "proc.h"
+
+enum {
+    STOP_MS = 15000,
+    DAMAGE_BYTES = 64,
+};
+
+/* ---- Files and ports ---- */
+
+static void
+remove_tree(const char *path, bool itself)
+{
+    DIR *dir = opendir(path);
+    struct dirent *entry;
+    char child[512];
+
+    while (dir != NULL && (entry = readdir(dir)) != NULL) {
+        if (strcmp(entry->d_name, ".") == 0 ||
+            strcmp(entry->d_name, "..") == 0) {
+            continue;
+        }
+        snprintf(child, sizeof(child), "%s/%s", path, entry->d_name);
+        if (unlink(child) != 0) {
+            remove_tree(child, true);
+        }
+    }
+    if (dir != NULL) {
+        closedir(dir);
+    }
+    if (itself) {
+        rmdir(path);
+    }
+}
+
+/*
+ * Outgoing connections on loopback come from 127.0.0.1, so a port of another
+ * address of 127.0.0.0/8 stays free while its process is down.
+ */
+static void
+choose_ip(struct cluster *c)
+{
+    unsigned pid = (unsigned)getpid();
+
+    snprintf(c->ip, sizeof(c->ip), "127.%u.%u.%u", 1 + (pid >> 16) % 250,
+             (pid >> 8) % 256, 1 + pid % 250);
+}
+
+int
+cluster_port(const struct cluster *c)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET};
+    socklen_t len = sizeof(a);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    inet_pton(AF_INET, c->ip, &a.sin_addr);
+    REQUIRE(bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0);
+    REQUIRE(getsockname(fd, (struct sockaddr *)&a, &len) == 0);
+    close(fd);
+    return ntohs(a.sin_port);
+}
+
+static void
+free_address(const struct cluster *c, char out[32])
+{
+    snprintf(out, 32, "%s:%d", c->ip, cluster_port(c));
+}
+
+static void
+write_settings(const struct cluster *c, int i)
+{
+    const struct cluster_vm *vm = &c->vms[i];
+    FILE *f = fopen(vm->settings, "we");
+
+    REQUIRE(f != NULL);
+    fprintf(f,
+            "{\"vm\":\"%s\",\"failure_domain\":\"fd%d\",\"listen\":\"%s\","
+            "\"cluster_key_file\":\"%s/cluster.key\",\n",
+            vm->name, i % 3 + 1, vm->http, c->dir);
+    if (i < c->control) {
+        fprintf(f, "\"peer_listen\":\"%s\",\"data\":\"%s\",\n", vm->peer,
+                vm->data);
+    }
+    fprintf(f, "\"control\":[");
+    for (int j = 0; j < c->control; j++) {
+        bool direct = !c->relays || i == j;
+
+        fprintf(f, "%s{\"vm\":\"%s\",\"address\":\"%s\"}", j == 0 ? "" : ",",
+                c->vms[j].name,
+                direct ? c->vms[j].peer : vm->relay_address[j]);
+    }
+    fprintf(f,
+            "],\n\"election_timeout_ms\":%d,\"heartbeat_ms\":50,"
+            "\"config_lease_ms\":%d,\"worker_lease_ms\":%d,"
+            "\"endpoint_lease_ms\":%d,\"longest_request_ms\":%d,"
+            "\"drain_notice_ms\":1000,\"drain_deadline_ms\":10000,"
+            "\"snapshot_entries\":%d,"
+            "\"open_queues\":[{\"name\":\"open\"}]}\n",
+            CLUSTER_ELECTION_MS, CLUSTER_CONFIG_LEASE_MS,
+            CLUSTER_WORKER_LEASE_MS, CLUSTER_ENDPOINT_LEASE_MS,
+            CLUSTER_LONGEST_REQUEST_MS, CLUSTER_SNAPSHOT_ENTRIES);
+    fclose(f);
+}
+
+static void
+write_cluster_key(const struct cluster *c)
+{
+    char path[CLUSTER_PATH_BYTES];
+    FILE *f;
+
+    snprintf(path, sizeof(path), "%s/cluster.key", c->dir);
+    f = fopen(path, "we");
+    REQUIRE(f != NULL);
+    fprintf(f, "0123456789abcdef0123456789abcdef-%d\n", (int)getpid());
+    fclose(f);
+}
+
+/* ---- Start ---- */
+
+static void
+start_relays(struct cluster *c, int i)
+{
+    struct cluster_vm *vm = &c->vms[i];
+    char program[CLUSTER_PATH_BYTES + 16];
+    char log[CLUSTER_PATH_BYTES];
+
+    snprintf(program, sizeof(program), "%s/fakes/relay", c->bin);
+    for (int j = 0; j < c->control; j++) {
+        char *argv[] = {program, "--listen",     vm->relay_address[j],
+                        "--to",  c->vms[j].peer, NULL};
+
+        if (i != j) {
+            snprintf(log, sizeof(log), "%s/relay.log", c->dir);
+            vm->relays[j] = proc_spawn(log, argv);
+        }
+    }
+}
+
+static void
+describe_vm(struct cluster *c, int i)
+{
+    struct cluster_vm *vm = &c->vms[i];
+
+    snprintf(vm->name, sizeof(vm->name), "vm%d", i + 1);
+    snprintf(vm->data, sizeof(vm->data), "%s/data%d", c->dir, i + 1);
+    snprintf(vm->settings, sizeof(vm->settings), "%s/vm%d.json", c->dir,
+             i + 1);
+    snprintf(vm->log, sizeof(vm->log), "%s/vm%d.log", c->dir, i + 1);
+    free_address(c, vm->http);
+    free_address(c, vm->peer);
+    for (int j = 0; j < c->control; j++) {
+        free_address(c, vm->relay_address[j]);
+    }
+}
+
+static bool
+read_operator_key(struct cluster *c)
+{
+    char path[CLUSTER_PATH_BYTES + 16];
+
+    for (int i = 0; i < c->control; i++) {
+        FILE *f;
+        int n = 0;
+
+        snprintf(path, sizeof(path), "%s/operator.key", c->vms[i].data);
+        f = fopen(path, "re");
+        if (f != NULL) {
+            n = fscanf(f, "%63s", c->operator_key);
+            fclose(f);
+        }
+        if (n == 1) {
+            return true;
+        }
+    }
+    return false;
+}
+
+struct cluster *
+cluster_start(int control, int entries, bool relays)
+{
+    struct cluster *c = mem_zalloc(1, sizeof(*c));
+    const char *bin = getenv("GV_BIN");
+
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    snprintf(c->bin, sizeof(c->bin), "%s",
+             bin == NULL ? "build/release" : bin);
+    snprintf(c->dir, sizeof(c->dir), "/tmp/guavarock-e2e-XXXXXX");
+    REQUIRE(mkdtemp(c->dir) != NULL);
+    choose_ip(c);
+    c->control = control;
+    c->count = control + entries;
+    c->relays = relays;
+    snprintf(c->history_path, sizeof(c->history_path), "%s/history", c->dir);
+    c->history = history_open(c->history_path);
+    c->client = http_client_create();
+    write_cluster_key(c);
+    for (int i = 0; i < c->count; i++) {
+        describe_vm(c, i);
+    }
+    for (int i = 0; i < c->count; i++) {
+        write_settings(c, i);
+        if (relays) {
+            start_relays(c, i);
+        }
+    }
+    for (int i = 0; i < c->count; i++) {
+        cluster_vm_start(c, i);
+    }
+    AWAIT_MS(read_operator_key(c), 30000);
+    AWAIT(cluster_leader(c, -1) >= 0);
+    return c;
+}
+
+void
+cluster_destroy(struct cluster *c)
+{
+    proc_reset();
+    history_close(c->history);
+    http_client_destroy(c->client);
+    if (getenv("GV_KEEP") == NULL) {
+        remove_tree(c->dir, true);
+    }
+    mem_free(c);
+}
+
+void
+cluster_provision(struct cluster *c)
+{
+    REQUIRE(api_list_put(c, "teams", -1,
+                         "[{\"name\":\"lamps\",\"weight\":2},"
+                         "{\"name\":\"looms\",\"weight\":1}]",
+                         NULL, -1) == 200);
+    api_limit_tasks(c, 2000);
+    c->team = api_key_create(c, "team", "lamps");
+    c->endpoint = api_key_create(c, "endpoint", NULL);
+    c->worker = api_key_create(c, "worker", NULL);
+}
+
+/* ---- VMs ---- */
+
+void
+cluster_vm_start(struct cluster *c, int vm)
+{
+    char program[CLUSTER_PATH_BYTES + 16];
+    struct cluster_vm *v = &c->vms[vm];
+    char *argv[] = {program, "--settings", v->settings, NULL};
+
+    snprintf(program, sizeof(program), "%s/guavarockd", c->bin);
+    REQUIRE(v->pid == 0);
+    v->pid = proc_spawn(v->log, argv);
+}
+
+void
+cluster_vm_kill(struct cluster *c, int vm)
+{
+    history_write(c->history,
+                  "\"event\":\"fault\",\"kind\":\"kill\","
+                  "\"vm\":\"%s\"",
+                  c->vms[vm].name);
+    proc_kill(c->vms[vm].pid);
+    c->vms[vm].pid = 0;
+}
+
+void
+cluster_vm_stop(struct cluster *c, int vm)
+{
+    int status;
+
+    proc_signal(c->vms[vm].pid, SIGTERM);
+    status = proc_wait(c->vms[vm].pid, STOP_MS);
+    if (status != 0) {
+        fprintf(stderr, "%s ended with %d\n", c->vms[vm].name, status);
+    }
+    REQUIRE(status == 0);
+    c->vms[vm].pid = 0;
+}
+
+void
+cluster_vm_freeze(struct cluster *c, int vm, bool frozen)
+{
+    history_write(c->history,
+                  "\"event\":\"fault\",\"kind\":\"%s\","
+                  "\"vm\":\"%s\"",
+                  frozen ? "freeze" : "continue", c->vms[vm].name);
+    proc_signal(c->vms[vm].pid, frozen ? SIGSTOP : SIGCONT);
+}
+
+static void
+cut(struct cluster *c, int vm, int sending, int receiving)
+{
+    for (int j = 0; j < c->control; j++) {
+        proc_signal(c->vms[vm].relays[j], sending);
+    }
+    for (int i = 0; vm < c->control && i < c->count; i++) {
+        proc_signal(c->vms[i].relays[vm], receiving);
+    }
+}
+
+/* The relay takes SIGUSR1 for both directions, SIGHUP for the one to the
+ * listening side, SIGWINCH for the one back, SIGUSR2 to heal. */
+void
+cluster_vm_cut(struct cluster *c, int vm, enum cluster_cut how)
+{
+    history_write(c->history,
+                  "\"event\":\"fault\",\"kind\":\"cut%d\","
+                  "\"vm\":\"%s\"",
+                  how, c->vms[vm].name);
+    switch (how) {
+    case CLUSTER_CUT_BOTH:
+        cut(c, vm, SIGUSR1, SIGUSR1);
+        break;
+    case CLUSTER_CUT_SENDING:
+        cut(c, vm, SIGHUP, SIGWINCH);
+        break;
+    case CLUSTER_CUT_RECEIVING:
+        cut(c, vm, SIGWINCH, SIGHUP);
+        break;
+    }
+}
+
+void
+cluster_vm_heal(struct cluster *c, int vm)
+{
+    history_write(c->history,
+                  "\"event\":\"fault\",\"kind\":\"heal\","
+                  "\"vm\":\"%s\"",
+                  c->vms[vm].name);
+    cut(c, vm, SIGUSR2, SIGUSR2);
+}
+
+void
+cluster_vm_wipe(const struct cluster *c, int vm)
+{
+    REQUIRE(c->vms[vm].pid == 0);
+    remove_tree(c->vms[vm].data, false);
+}
+
+static void
+damage_file(const char *path)
+{
+    struct stat st;
+    char bytes[DAMAGE_BYTES];
+    int fd = open(path, O_RDWR | O_CLOEXEC);
+
+    if (fd >= 0 && fstat(fd, &st) == 0 && S_ISREG(st.st_mode) &&
+        st.st_size > 2 * DAMAGE_BYTES) {
+        memset(bytes, 0x5a, sizeof(bytes));
+        REQUIRE(pwrite(fd, bytes, sizeof(bytes), st.st_size / 2) ==
+                DAMAGE_BYTES);
+    }
+    if (fd >= 0) {
+        close(fd);
+    }
+}
+
+void
+cluster_vm_damage(const struct cluster *c, int vm)
+{
+    DIR *dir = opendir(c->vms[vm].data);
+    struct dirent *entry;
+    char path[512];
+
+    REQUIRE(c->vms[vm].pid == 0 && dir != NULL);
+    while ((entry = readdir(dir)) != NULL) {
+        snprintf(path, sizeof(path), "%s/%s", c->vms[vm].data, entry->d_name);
+        damage_file(path);
+    }
+    closedir(dir);
+}
