--- a/tests/test_checker.c
+++ b/tests/test_checker.c
@@ -109,7 +109,7 @@
            "1") "{\"t\":12" MS
                 ",\"event\":\"limit_sent\",\"team\":\"a\",\"tasks\":1}\n"
                 "{\"t\":14" MS ",\"event\":\"limit_in_force\",\"team\":\"a\","
-                               "\"tasks\":1}\n" END("15", "w2", "2", "done"),
+                "\"tasks\":1}\n" END("15", "w2", "2", "done"),
      "limit exceeded"},
     {"request-again", REQUEST("32", "r1", "1"),
      "non-idempotent request r1 ran 2 times"},
--- /dev/null
+++ b/tests/test_e2e.c
@@ -0,0 +1,290 @@
+/* End-to-end faults of control VMs, configuration and entries: real processes
+ * on loopback, the history checker at the end of each case. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "await.h"
+#include "cluster_api.h"
+#include "e2e.h"
+#include "load.h"
+
+enum {
+    /* Longer than each lease and the longest request, with margins. */
+    ALL_LEASES_MS = CLUSTER_LONGEST_REQUEST_MS + CLUSTER_WORKER_LEASE_MS + 500,
+    CHANGES = 520,
+};
+
+static struct cluster *
+start(int control, int entries, bool relays)
+{
+    struct cluster *c = cluster_start(control, entries, relays);
+
+    cluster_provision(c);
+    cluster_worker(c, "w1", NULL);
+    cluster_worker(c, "w2", NULL);
+    cluster_endpoint(c, "e1", NULL);
+    cluster_endpoint(c, "e2", NULL);
+    cluster_await_workers(c, 2);
+    cluster_await_endpoints(c, 2);
+    for (int vm = 0; vm < c->count; vm++) {
+        load_await(c, vm);
+    }
+    return c;
+}
+
+static void
+put_jobs(const struct cluster *c, const char *prefix, int count)
+{
+    char id[64];
+
+    for (int i = 0; i < count; i++) {
+        const struct api_job job = {
+            .id = id, .idempotent = i % 2 == 0, .payload = "run_ms=200"};
+
+        snprintf(id, sizeof(id), "%s-%d", prefix, i);
+        g_assert_cmpint(api_job_put(c, &job), ==, 200);
+    }
+}
+
+static void
+finish(struct cluster *c)
+{
+    api_await_jobs_ended(c);
+    api_record_usage(c);
+    cluster_check(c);
+    cluster_destroy(c);
+}
+
+/* Guards against any break in the path of requests and jobs, and against a
+ * planned stop that does not end with status 0. */
+static void
+test_path(void)
+{
+    struct cluster *c = start(3, 1, false);
+
+    put_jobs(c, "job", 6);
+    api_await_job(c, "job-0", "done");
+    api_await_jobs_ended(c);
+    api_record_usage(c);
+    for (int i = 0; i < c->fake_count; i++) {
+        cluster_fake_stop(c, i);
+    }
+    for (int vm = c->count - 1; vm >= 0; vm--) {
+        cluster_vm_stop(c, vm);
+    }
+    cluster_check(c);
+    cluster_destroy(c);
+}
+
+/* Guards against work that is lost, repeated or wrongly answered when the
+ * leader dies under load. */
+static void
+test_leader_killed(void)
+{
+    struct cluster *c = start(3, 0, false);
+    const struct load_options options = {
+        .threads = 8, .delay_ms = 5, .seed = (unsigned)e2e_random(1000)};
+    struct load *load = load_start(c, &options);
+    int old = cluster_leader(c, -1);
+
+    put_jobs(c, "before", 10);
+    load_await_more(load, 50);
+    cluster_vm_kill(c, old);
+    cluster_leader(c, old);
+    put_jobs(c, "after", 10);
+    load_await_more(load, 50);
+    cluster_vm_start(c, old);
+    cluster_await_whole(c);
+    load_await_more(load, 50);
+    load_stop(load);
+    finish(c);
+}
+
+/* Guards against a paused leader that answers from its old state when it
+ * continues: a key withdrawn meanwhile must not work there. */
+static void
+test_leader_frozen(void)
+{
+    struct cluster *c = start(3, 0, false);
+    struct cluster_key key = api_key_create(c, "team", "lamps");
+    struct cluster_key team = c->team;
+    int old = cluster_leader(c, -1);
+    int64_t until = clock_now() + ALL_LEASES_MS * NS_PER_MS;
+    char outcome[16];
+    int other;
+
+    put_jobs(c, "job", 6);
+    cluster_vm_freeze(c, old, true);
+    other = cluster_leader(c, old);
+    api_key_withdraw(c, key.id, other);
+    put_jobs(c, "job", 6);
+    AWAIT(clock_now() > until);
+    cluster_vm_freeze(c, old, false);
+    c->team = key;
+    for (int i = 0; i < 20; i++) {
+        g_assert_cmpint(load_once(c, old, outcome), !=, 200);
+    }
+    c->team = team;
+    cluster_await_whole(c);
+    load_await(c, old);
+    finish(c);
+}
+
+static void
+change_lists(const struct cluster *c, int vm, int count)
+{
+    char items[128];
+
+    for (int i = 0; i < count; i++) {
+        snprintf(items, sizeof(items),
+                 "[{\"name\":\"lamps\",\"weight\":%d},"
+                 "{\"name\":\"looms\",\"weight\":1}]",
+                 i + 1);
+        AWAIT(api_list_put(c, "teams", -1, items, NULL, vm) == 200);
+    }
+}
+
+/* Guards against a restarted VM that serves before it has caught up, and
+ * against gaps after a snapshot. */
+static void
+test_follower_behind(void)
+{
+    struct cluster *c = start(3, 0, false);
+    int follower = cluster_follower(c);
+    int leader;
+    int64_t version;
+
+    cluster_vm_kill(c, follower);
+    leader = cluster_leader(c, -1);
+    change_lists(c, leader, CHANGES);
+    version = api_list_version(c, "teams", leader);
+    cluster_vm_start(c, follower);
+    cluster_await_whole(c);
+    g_assert_cmpint(api_list_version(c, "teams", follower), ==, version);
+    load_await(c, follower);
+    cluster_vm_kill(c, leader);
+    cluster_leader(c, leader);
+    g_assert_cmpint(api_list_version(c, "teams", follower), ==, version);
+    finish(c);
+}
+
+static void
+lose_data(bool damage)
+{
+    struct cluster *c = start(3, 0, false);
+    int lost = cluster_follower(c);
+    int second = (lost + 1) % 3;
+    int64_t version;
+
+    change_lists(c, -1, CLUSTER_SNAPSHOT_ENTRIES / 2);
+    put_jobs(c, "before", 4);
+    version = api_list_version(c, "teams", -1);
+    cluster_vm_kill(c, lost);
+    if (damage) {
+        cluster_vm_damage(c, lost);
+    }
+    else {
+        cluster_vm_wipe(c, lost);
+    }
+    cluster_vm_start(c, lost);
+    cluster_await_whole(c);
+    cluster_vm_kill(c, second);
+    cluster_leader(c, second);
+    put_jobs(c, "after", 4);
+    g_assert_cmpint(api_list_version(c, "teams", lost), ==, version);
+    change_lists(c, -1, 3);
+    cluster_vm_start(c, second);
+    cluster_await_whole(c);
+    finish(c);
+}
+
+/* Guards against a replaced disk that counts as a vote before it holds the
+ * state: the loss of a second VM right after would lose acknowledged work. */
+static void
+test_data_emptied(void)
+{
+    lose_data(false);
+}
+
+static void
+test_data_damaged(void)
+{
+    lose_data(true);
+}
+
+/* ---- Cuts ---- */
+
+static void
+cut_and_withdraw(struct cluster *c, int vm, enum cluster_cut how)
+{
+    struct cluster_key key = api_key_create(c, "team", "lamps");
+    struct cluster_key team = c->team;
+    int64_t until = clock_now() + ALL_LEASES_MS * NS_PER_MS;
+    char outcome[16];
+    int other;
+
+    c->team = key;
+    load_await(c, vm);
+    cluster_vm_cut(c, vm, how);
+    other = cluster_leader(c, vm);
+    api_key_withdraw(c, key.id, other);
+    for (int i = 0; i < 10; i++) {
+        g_assert_cmpint(load_once(c, vm, outcome), !=, 200);
+    }
+    c->team = team;
+    put_jobs(c, vm < c->control ? "leader" : "entry", 4);
+    load_await(c, other);
+    AWAIT(clock_now() > until);
+    g_assert_cmpint(load_once(c, vm, outcome), ==, 503);
+    g_assert_cmpstr(outcome, ==, "not-run");
+    cluster_vm_heal(c, vm);
+    load_await(c, vm);
+    cluster_await_whole(c);
+}
+
+static void
+cut(enum cluster_cut how)
+{
+    struct cluster *c = start(3, 1, true);
+
+    cut_and_withdraw(c, 3, how);
+    cut_and_withdraw(c, cluster_leader(c, -1), how);
+    finish(c);
+}
+
+/* Guards against stale configuration behind a silent partition: a key that is
+ * reported as withdrawn would keep working there. */
+static void
+test_cut_both(void)
+{
+    cut(CLUSTER_CUT_BOTH);
+}
+
+static void
+test_cut_sending(void)
+{
+    cut(CLUSTER_CUT_SENDING);
+}
+
+static void
+test_cut_receiving(void)
+{
+    cut(CLUSTER_CUT_RECEIVING);
+}
+
+int
+main(int argc, char **argv)
+{
+    e2e_case("/e2e/path", test_path);
+    e2e_case("/e2e/leader-killed", test_leader_killed);
+    e2e_case("/e2e/leader-frozen", test_leader_frozen);
+    e2e_case("/e2e/follower-behind", test_follower_behind);
+    e2e_case("/e2e/data-emptied", test_data_emptied);
+    e2e_case("/e2e/data-damaged", test_data_damaged);
+    e2e_case("/e2e/cut-both", test_cut_both);
+    e2e_case("/e2e/cut-sending", test_cut_sending);
+    e2e_case("/e2e/cut-receiving", test_cut_receiving);
+    return e2e_run(argc, argv);
+}
