--- a/bench/bench_state.c
+++ b/bench/bench_state.c
@@ -134,7 +134,10 @@
     for (size_t i = 0; i < jobs; i += BATCH) {
         for (size_t k = 0; k < BATCH; k++) {
             items[k] = (struct state_placement){
-                i + k + 1, 0, 1 + (uint32_t)(i + k) % WORKERS, 1, i + k + 1};
+                .job = i + k + 1,
+                .worker = 1 + (uint32_t)(i + k) % WORKERS,
+                .incarnation = 1,
+                .lease = i + k + 1};
         }
         state_cmd_tasks_placed(&b->cmd, &b->by, items, BATCH);
         apply(b);
@@ -167,7 +170,8 @@
 
     for (size_t i = 0; i < jobs; i += BATCH) {
         for (size_t k = 0; k < BATCH; k++) {
-            items[k] = (struct state_end){i + k + 1, STATE_OUTCOME_DONE, 0};
+            items[k] = (struct state_end){.lease = i + k + 1,
+                                          .outcome = STATE_OUTCOME_DONE};
         }
         state_cmd_tasks_ended(&b->cmd, &b->by, items, BATCH);
         apply(b);
--- a/packages/daemon/replica.c
+++ b/packages/daemon/replica.c
@@ -19,6 +19,7 @@
     SNAPSHOT_READ_BYTES = 1 << 20,
     JOIN_INTERVAL_MS = 500,
     CLUSTER_UNKNOWN = 1,
+    WAIT_LOG_S = 5,
 };
 
 struct waiting {
@@ -43,6 +44,7 @@
     uint64_t hinted_term;
     uint64_t hinted_leader;
     int64_t join_due;
+    int64_t wait_log_due;
     bool failed;
 };
 
@@ -589,6 +591,21 @@
     }
 }
 
+/* Operators need to know which VM the first start waits for. */
+static void
+log_wait(struct replica *r, struct str vm, const struct link *l)
+{
+    if (r->wait_log_due > r->control->now) {
+        return;
+    }
+    r->wait_log_due = r->control->now + WAIT_LOG_S * NS_PER_S;
+    log_write(LOG_LEVEL_NOTICE,
+              "raft: control VM %.*s %s; not creating a cluster", STR_ARG(vm),
+              l == NULL ? "is not connected"
+                        : (l->cluster_id != 0 ? "has data of a cluster"
+                                              : "has no data directory"));
+}
+
 static bool
 all_empty(struct replica *r, struct raft_member *members)
 {
@@ -605,6 +622,7 @@
             continue;
         }
         if (l == NULL || l->member_id == 0 || l->cluster_id != 0) {
+            log_wait(r, s->control[i].vm, l);
             return false;
         }
         members[i].id = l->member_id;
@@ -618,16 +636,21 @@
 {
     const struct settings *s = r->control->settings;
     struct raft_member members[8] = {0};
+    enum raft_error error;
 
     if (s->control_count == 0 || !str_eq(s->control[0].vm, s->vm) ||
         !all_empty(r, members)) {
         return;
     }
-    if (raft_bootstrap(r->raft, r->control->now, members, s->control_count) ==
-        RAFT_OK) {
-        log_write(LOG_LEVEL_NOTICE, "raft: creating a cluster of %zu members",
-                  s->control_count);
+    error =
+        raft_bootstrap(r->raft, r->control->now, members, s->control_count);
+    if (error != RAFT_OK) {
+        log_write(LOG_LEVEL_ERR, "raft: cannot create a cluster (%d)",
+                  (int)error);
+        return;
     }
+    log_write(LOG_LEVEL_NOTICE, "raft: creating a cluster of %zu members",
+              s->control_count);
 }
 
 static bool
--- a/packages/daemon/serve.c
+++ b/packages/daemon/serve.c
@@ -401,6 +401,7 @@
         return ATTEMPT_CANCELLED;
     case UPSTREAM_MALFORMED:
     case UPSTREAM_TOO_LARGE:
+    case UPSTREAM_FAILURE_COUNT:
         break;
     }
     return ATTEMPT_MALFORMED;
