--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -60,6 +60,7 @@
 } opt = {.seconds = 10, .wait_ms = 3000, .run_ms = 100};
 
 static CURLM *multi;
+static int64_t incarnation;
 static uint64_t syncs;
 static uint64_t starts;
 static uint64_t announcements;
@@ -114,12 +115,12 @@
         }
     }
     buf_printf(&out,
-               "{\"incarnation\":1,\"seq\":%" PRIu64
+               "{\"incarnation\":%" PRId64 ",\"seq\":%" PRIu64
                ",\"rack\":\"r%d\",\"failure_domain\":\"fd%d\",\"capacity\":{"
                "\"cpu_milli\":16000,\"memory_mib\":32768,\"accelerators\":0},"
                "\"leases\":[%.*s],\"finished\":[%.*s],\"usage\":[],"
                "\"draining\":false,\"wait_ms\":%ld}",
-               ++c->seq, c->number / 40, c->number % 3,
+               incarnation, ++c->seq, c->number / 40, c->number % 3,
                STR_ARG(buf_str(&leases)), STR_ARG(buf_str(&finished)),
                news ? 0 : (c->task_count > 0 ? opt.run_ms : opt.wait_ms));
     buf_append(&out, "", 1);
@@ -378,6 +379,7 @@
 
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
     curl_global_init(CURL_GLOBAL_DEFAULT);
+    incarnation = clock_wall_ms();
     multi = curl_multi_init();
     total = opt.workers + opt.endpoints;
     curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, total);
