--- a/packages/sched/include/sched.h
+++ b/packages/sched/include/sched.h
@@ -166,7 +166,10 @@
     SCHED_TASK_UNKNOWN,
 };
 
-/* A task as the replicated state shows it. */
+/*
+ * A task as the replicated state shows it. A WAITING one is restored if it
+ * was placed before; each RESTORE counts as a possible start of the job.
+ */
 struct sched_restore_event {
     uint64_t job;
     uint32_t task;
--- a/packages/sched/job.c
+++ b/packages/sched/job.c
@@ -429,6 +429,7 @@
     }
     t->failures = (uint8_t)e->failures;
     t->losses = (uint8_t)e->losses;
+    j->may_have_run = true;
     if (e->state == SCHED_TASK_WAITING) {
         return;
     }
@@ -436,7 +437,6 @@
     list_remove(j, &j->waiting, e->task);
     s->stats.waiting_tasks--;
     t->state = (uint8_t)e->state;
-    j->may_have_run = true;
     j->done += e->state == SCHED_TASK_DONE ? 1 : 0;
     j->unknown = j->unknown || e->state == SCHED_TASK_UNKNOWN;
     if (e->state == SCHED_TASK_PLACED) {
--- a/packages/sched/lease.c
+++ b/packages/sched/lease.c
@@ -125,6 +125,9 @@
     if (l->drop) {
         defer_end(s, l);
     }
+    else if (!l->worker->up || l->worker->incarnation != l->incarnation) {
+        lease_stop(s, l, 0);
+    }
     else if (l->job->class != SCHED_CLASS_GANG) {
         start(s, l);
     }
--- a/packages/sched/team.c
+++ b/packages/sched/team.c
@@ -72,6 +72,20 @@
     s->shares_stale = true;
 }
 
+/* Those that are still above the limit park again, at the end. */
+static void
+unpark_all(struct sched *s, struct account *a)
+{
+    size_t count = 0;
+
+    for (struct link *l = a->parked.next; l != &a->parked; l = l->next) {
+        count++;
+    }
+    for (; count > 0; count--) {
+        job_unpark(s, link_first(&a->parked));
+    }
+}
+
 void
 team_event(struct sched *s, const struct sched_team_event *e)
 {
@@ -85,15 +99,7 @@
     set_weight(s, &t->accounts[0], e->weight > 0 ? e->weight : 1e-6);
     team_unhold(s, t->hold);
     for (int i = 0; i < 2; i++) {
-        struct job *next = link_first(&t->accounts[i].parked);
-        for (struct job *j = next; j != NULL; j = next) {
-            next = j->parked.next == &t->accounts[i].parked
-                       ? NULL
-                       : j->parked.next->owner;
-            if (vec_covers(&t->limit, &j->size)) {
-                job_unpark(s, j);
-            }
-        }
+        unpark_all(s, &t->accounts[i]);
         for (int lane = 0; lane < LANES; lane++) {
             queues_retry(s, &t->accounts[i],
                          &t->accounts[i].lanes[lane].limited);
--- a/packages/sched/urgent.c
+++ b/packages/sched/urgent.c
@@ -275,6 +275,10 @@
         if (!w->by_fill.in_tree || !vec_covers(&room, &size)) {
             return;
         }
+        if (!vec_covers(&j->account->team->limit, &j->account->team->used)) {
+            claim_drop(s, c); /* the limit was lowered meanwhile */
+            continue;
+        }
         release(s, c);
         lease_place(s, j, task, w, &size);
     }
