--- a/packages/sched/core.h
+++ b/packages/sched/core.h
@@ -37,7 +37,7 @@
     void *owner;
 };
 
-/* A decayed histogram over powers of 2^(1/2). */
+/* A decayed histogram over powers of 2^(1/4). */
 struct quantile {
     float weight[QUANTILE_BUCKETS];
     float total;
@@ -51,8 +51,8 @@
     uint64_t id;
     size_t users; /* jobs that point here */
     struct quantile run_s;
-    struct quantile cpu_milli;
-    struct quantile memory_mib;
+    struct quantile cpu; /* used, relative to declared */
+    struct quantile memory;
     double runs; /* decayed counts */
     double failures;
 };
--- a/packages/sched/learn.c
+++ b/packages/sched/learn.c
@@ -7,10 +7,15 @@
 /* With 0.97 per sample the last 50 or so samples dominate a quantile. */
 static const double QUANTILE_DECAY = 0.97;
 static const double COUNT_DECAY = 0.95;
-static const double BUCKETS_PER_OCTAVE = 2;
+static const double BUCKETS_PER_OCTAVE = 4;
 /* Fewer samples than this do not override what was declared. */
 static const uint32_t SAMPLES_MIN = 3;
 static const double ASK_FRACTION = 0.95;
+/* Use is learned relative to the declared size, because jobs of one name are
+ * often declared in many sizes but wrong in the same way. */
+static const double RATIO_UNIT = 64;
+/* Raises below this are within the width of a bucket. */
+static const double RAISE_LEAST = 1.2;
 /* A worker with this much blame says nothing about a job's failures. */
 static const double SUSPECT_SCORE = 1;
 
@@ -112,17 +117,21 @@
     p->failures = p->failures * COUNT_DECAY + (failed ? 1 : 0);
 }
 
+static void
+add_ratio(struct quantile *q, uint64_t peak, int64_t declared)
+{
+    if (peak > 0 && declared > 0) {
+        quantile_add(q, (double)peak / (double)declared * RATIO_UNIT);
+    }
+}
+
 void
 learn_end(struct sched *s, const struct lease *l, enum sched_end end)
 {
     struct profile *p = l->job->profile;
 
-    if (l->peak_memory > 0) {
-        quantile_add(&p->memory_mib, (double)l->peak_memory);
-    }
-    if (l->peak_cpu > 0) {
-        quantile_add(&p->cpu_milli, (double)l->peak_cpu);
-    }
+    add_ratio(&p->memory, l->peak_memory, l->job->size.d[DIM_MEMORY]);
+    add_ratio(&p->cpu, l->peak_cpu, l->job->size.d[DIM_CPU]);
     if (end == SCHED_END_DONE) {
         quantile_add(&p->run_s, (double)(s->now - l->began) / NS_PER_S);
         count_run(p, false);
@@ -145,15 +154,14 @@
 static void
 raise_to_learned(struct vec *ask, int dim, const struct quantile *q)
 {
-    int64_t learned;
+    double ratio;
 
     if (q->samples < SAMPLES_MIN) {
         return;
     }
-    /* Buckets are upper bounds, up to 41% above the sample. */
-    learned = (int64_t)quantile_get(q, ASK_FRACTION);
-    if (learned * 3 / 4 > ask->d[dim]) {
-        ask->d[dim] = learned;
+    ratio = quantile_get(q, ASK_FRACTION) / RATIO_UNIT;
+    if (ratio >= RAISE_LEAST) {
+        ask->d[dim] = (int64_t)((double)ask->d[dim] * ratio);
     }
 }
 
@@ -167,8 +175,8 @@
 {
     struct vec ask = j->size;
 
-    raise_to_learned(&ask, DIM_MEMORY, &j->profile->memory_mib);
-    raise_to_learned(&ask, DIM_CPU, &j->profile->cpu_milli);
+    raise_to_learned(&ask, DIM_MEMORY, &j->profile->memory);
+    raise_to_learned(&ask, DIM_CPU, &j->profile->cpu);
     for (int i = 0; i < DIM_TASKS; i++) {
         ask.d[i] = ask.d[i] < j->grown.d[i] ? j->grown.d[i] : ask.d[i];
     }
--- a/packages/sched/team.c
+++ b/packages/sched/team.c
@@ -3,7 +3,7 @@
 #include "mem.h"
 
 /* Waiting this long weighs as much as being a whole share above the own. */
-static const double WAIT_SPAN_S = 3600;
+static const double WAIT_SPAN_S = 86400;
 static const double KEY_SCALE = 1e9;
 static const int64_t LIMIT_NONE = INT64_MAX / 4;
 
