sched: hold room for big tasks before all of it is free

Cause: the reservation took a slot only when a worker had all of it free, so small tasks took each part before that; and only the oldest blocked queue of an account could reserve, however small its task. Blocked queues of big tasks now have an index of their own, and the reservation holds workers that are expected to have a slot first. test_big_not_starved fails without it.

--- a/packages/sched/lease.c
+++ b/packages/sched/lease.c
@@ -6,6 +6,8 @@
 static const int64_t OUTGROWN_PERCENT = 105;
 /* Room above what a task was seen to use when it outgrew its size. */
 static const int64_t REGROW_PERCENT = 125;
+/* Tasks of unknown run time are expected to end after those that are known. */
+static const int64_t RUN_UNKNOWN_NS = 3600 * NS_PER_S;
 static const int64_t THROTTLE_REPEAT_NS = 10 * NS_PER_S;
 
 struct lease *
@@ -36,8 +38,8 @@
     worker_charge(s, w, size, 1);
     team_charge(s, l);
     spread_count(l, 1);
-    if (expected > 0 && j->class != SCHED_CLASS_SERVICE) {
-        l->ends.key = s->now + expected;
+    if (j->class != SCHED_CLASS_SERVICE) {
+        l->ends.key = s->now + (expected > 0 ? expected : RUN_UNKNOWN_NS);
         l->ends.own = *size;
         fit_insert(&s->ends, &l->ends);
     }
--- a/packages/sched/queue.c
+++ b/packages/sched/queue.c
@@ -2,6 +2,9 @@
 
 #include "mem.h"
 
+/* A task of a quarter of a VM can be starved by small ones. */
+static const int64_t BIG_PART = 4;
+
 enum {
     OCTAVE_BITS = 3, /* eight sizes per power of two */
     DIM_BITS = 10,
@@ -46,6 +49,7 @@
     if (q == NULL) {
         q = mem_zalloc(1, sizeof(*q));
         fit_node_init(&q->node, q, s->next_id++);
+        fit_node_init(&q->big, q, s->next_id++);
         q->account = j->account;
         q->shape = shape;
         q->lane = j->urgent ? LANE_URGENT : LANE_NORMAL;
@@ -64,12 +68,42 @@
         return;
     }
     fit_remove(from, &q->node);
+    fit_remove(&q->account->lanes[q->lane].big, &q->big);
     q->tree = NULL;
     if (from == &q->account->lanes[q->lane].ready) {
         lane_update(s, q->account, q->lane);
     }
 }
 
+/* Whether one task needs a good part of the largest worker. */
+static bool
+is_big(const struct sched *s, const struct vec *ask)
+{
+    if (s->capacity.root == NULL) {
+        return false;
+    }
+    for (int i = 0; i < DIM_TASKS; i++) {
+        if (ask->d[i] > 0 &&
+            ask->d[i] * BIG_PART >= s->capacity.root->max.d[i]) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+enter_blocked(struct sched *s, struct queue *q, struct lane *lane)
+{
+    if (lane->blocked.count == 0 || q->node.key < lane->blocked_since) {
+        lane->blocked_since = q->node.key;
+    }
+    if (is_big(s, &((const struct job *)link_first(&q->jobs))->ask)) {
+        q->big.key = q->node.key;
+        q->big.own = q->node.own;
+        fit_insert(&lane->big, &q->big);
+    }
+}
+
 /* The node's vector is minus what must be free for the queue's first job. */
 void
 queue_move(struct sched *s, struct queue *q, struct fit_tree *to)
@@ -86,9 +120,8 @@
     q->node.key = j->enqueued;
     q->tree = to;
     q->head = j->id;
-    if (to == &lane->blocked &&
-        (to->count == 0 || q->node.key < lane->blocked_since)) {
-        lane->blocked_since = q->node.key;
+    if (to == &lane->blocked) {
+        enter_blocked(s, q, lane);
     }
     fit_insert(to, &q->node);
     if (to == &lane->ready) {
--- /dev/null
+++ b/packages/sched/reserve_next.c
@@ -0,0 +1,131 @@
+#include "core.h"
+
+/* Without a new slot for this long, another job may reserve. */
+static const int64_t STALL_NS = 300 * NS_PER_S;
+/* Gangs above the fleet's size that are looked at again per timer. */
+static const int PARKED_CHECKS = 4;
+
+/* Arms the timer that looks after gangs and big tasks. */
+void
+reserve_soon(struct sched *s)
+{
+    if (s->reserve.node.pos == 0) {
+        timer_set(s, &s->reserve, s->now + s->config.gang_retry_ns);
+    }
+}
+
+/* The oldest queue of the lane that may reserve, NULL if there is none. */
+static struct queue *
+reserve_candidate(struct sched *s, struct lane *l)
+{
+    struct fit_node *gang = fit_min(&l->gangs);
+    struct fit_node *big = fit_min(&l->big);
+
+    if (big != NULL && s->now - big->key < s->config.reserve_after_ns) {
+        big = NULL;
+    }
+    if (gang != NULL && (big == NULL || gang->key <= big->key)) {
+        return gang->owner;
+    }
+    return big == NULL ? NULL : big->owner;
+}
+
+static struct queue *
+next_to_reserve(struct sched *s, bool *more)
+{
+    struct queue *best = NULL;
+    double best_key = 0;
+
+    for (size_t i = 0; i < s->account_count; i++) {
+        struct account *a = s->accounts[i];
+        for (int lane = 0; lane < LANES; lane++) {
+            struct queue *q = reserve_candidate(s, &a->lanes[lane]);
+            double key;
+            *more = *more || a->lanes[lane].gangs.count > 0 ||
+                    a->lanes[lane].blocked.count > 0;
+            if (q == NULL) {
+                continue;
+            }
+            key = account_key(s, a, q->node.key);
+            if (best == NULL || q->lane < best->lane ||
+                (q->lane == best->lane && key < best_key)) {
+                best = q;
+                best_key = key;
+            }
+        }
+    }
+    return best;
+}
+
+/* One gang without a reservation looks whether it fits by now. */
+static void
+retry_one(struct sched *s)
+{
+    for (size_t i = 0; i < s->account_count; i++) {
+        struct account *a;
+        s->retry_cursor = (s->retry_cursor + 1) % s->account_count;
+        a = s->accounts[s->retry_cursor];
+        for (int lane = 0; lane < LANES; lane++) {
+            struct fit_node *n = fit_min(&a->lanes[lane].gangs);
+            if (n != NULL) {
+                queue_move(s, n->owner, &a->lanes[lane].ready);
+                return;
+            }
+        }
+    }
+}
+
+static void
+recheck_parked(struct sched *s)
+{
+    for (int i = 0; s->recheck_left > 0 && i < PARKED_CHECKS; i++) {
+        struct job *j = link_first(&s->parked_gangs);
+        s->recheck_left--;
+        if (j == NULL) {
+            s->recheck_left = 0;
+            break;
+        }
+        if (fleet_slots(s, &j->size, j->waiting.count) >=
+            (int64_t)j->waiting.count) {
+            job_unpark(s, j);
+        }
+        else {
+            link_remove(&j->parked);
+            link_insert_before(&s->parked_gangs, &j->parked);
+        }
+    }
+}
+
+/* Lets the next job reserve, and one gang try without. */
+void
+reserve_next(struct sched *s)
+{
+    bool more = false;
+    struct reservation *r = &s->reservation;
+    struct queue *q = next_to_reserve(s, &more);
+
+    recheck_parked(s);
+    more = more || s->recheck_left > 0;
+    if (r->job != NULL && q != NULL && s->now - r->progress >= STALL_NS &&
+        r->ready < r->need) {
+        r->job->enqueued = s->now;
+        reservation_drop(s);
+        q = next_to_reserve(s, &more);
+    }
+    if (r->job == NULL && q != NULL) {
+        struct job *j = link_first(&q->jobs);
+        if (j->class == SCHED_CLASS_GANG) {
+            queue_move(s, q, &q->account->lanes[q->lane].ready);
+        }
+        else {
+            (void)reservation_start(s, j);
+            reservation_foresee(s);
+        }
+    }
+    else if (q != NULL) {
+        retry_one(s);
+    }
+    if (more) {
+        reserve_soon(s);
+    }
+}
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -226,6 +226,32 @@
     rig_close(&r);
 }
 
+/* Guards against small tasks taking each part of the room a big one needs. */
+static void
+test_big_not_starved(void)
+{
+    struct rig r;
+    uint64_t oldest = 1;
+
+    open_one(&r);
+    rig_job(&r, batch(7, 100, 1000));
+    rig_tick(&r);
+    rig_run_placed(&r);
+    rig_job(&r, batch(8, 1, 10000));
+    rig_tick(&r);
+    for (int i = 0; i < 60; i++) {
+        rig_wait(&r, NS_PER_S);
+        rig_run_placed(&r);
+        if (rig_count(&r, SCHED_ACTION_PLACE) > 0 &&
+            rig_get(&r, SCHED_ACTION_PLACE, 0)->u.place.job == 8) {
+            rig_close(&r);
+            return;
+        }
+        rig_end(&r, oldest++, SCHED_END_DONE);
+    }
+    g_assert_not_reached();
+}
+
 /* Guards against replicas of a service sharing a failure domain or VM. */
 static void
 test_service_spread(void)
@@ -646,6 +672,7 @@
     g_test_add_func("/sched/limit-lowered", test_limit_lowered);
     g_test_add_func("/sched/gang", test_gang);
     g_test_add_func("/sched/backfill", test_backfill);
+    g_test_add_func("/sched/big-not-starved", test_big_not_starved);
     g_test_add_func("/sched/service-spread", test_service_spread);
     g_test_add_func("/sched/accelerators", test_accelerators_reserved);
     g_test_add_func("/sched/urgent", test_urgent);
