--- a/packages/sched/team.c
+++ b/packages/sched/team.c
@@ -3,7 +3,7 @@
 #include "mem.h"
 
 /* Waiting this long weighs as much as being a whole share above the own. */
-static const double WAIT_SPAN_S = 3600;
+static const double WAIT_SPAN_S = 86400;
 static const double KEY_SCALE = 1e9;
 static const int64_t LIMIT_NONE = INT64_MAX / 4;
 
@@ -72,6 +72,20 @@
     s->shares_stale = true;
 }
 
+/* Those that are still above the limit park again, at the end. */
+static void
+unpark_all(struct sched *s, struct account *a)
+{
+    size_t count = 0;
+
+    for (struct link *l = a->parked.next; l != &a->parked; l = l->next) {
+        count++;
+    }
+    for (; count > 0; count--) {
+        job_unpark(s, link_first(&a->parked));
+    }
+}
+
 void
 team_event(struct sched *s, const struct sched_team_event *e)
 {
@@ -85,15 +99,7 @@
     set_weight(s, &t->accounts[0], e->weight > 0 ? e->weight : 1e-6);
     team_unhold(s, t->hold);
     for (int i = 0; i < 2; i++) {
-        struct job *next = link_first(&t->accounts[i].parked);
-        for (struct job *j = next; j != NULL; j = next) {
-            next = j->parked.next == &t->accounts[i].parked
-                       ? NULL
-                       : j->parked.next->owner;
-            if (vec_covers(&t->limit, &j->size)) {
-                job_unpark(s, j);
-            }
-        }
+        unpark_all(s, &t->accounts[i]);
         for (int lane = 0; lane < LANES; lane++) {
             queues_retry(s, &t->accounts[i],
                          &t->accounts[i].lanes[lane].limited);
@@ -273,6 +279,8 @@
 account_update(struct sched *s, struct account *a)
 {
     a->dominant = dominant_share(s, &a->used);
+    a->share_key =
+        s->config.weights.share * a->dominant * s->total_weight / a->weight;
     for (int lane = 0; lane < LANES; lane++) {
         lane_update(s, a, lane);
     }
@@ -300,11 +308,8 @@
 double
 account_key(const struct sched *s, const struct account *a, int64_t since)
 {
-    const struct sched_weights *w = &s->config.weights;
-    double share = a->dominant * s->total_weight / a->weight;
-
-    return w->share * share +
-           w->waiting * (double)since / NS_PER_S / WAIT_SPAN_S;
+    return a->share_key +
+           s->config.weights.waiting * (double)since / NS_PER_S / WAIT_SPAN_S;
 }
 
 void
