route: raise the wait estimate by half before admitting

Cause: under overload admitted requests reached an endpoint with little more than their expected time left; one in twelve missed its deadline, and a missed bulk request wastes more slot time than an average one. Ruled out: the bound at dispatch alone (mean and two deviations), which was already in force.

--- a/packages/route/router_cost.c
+++ b/packages/route/router_cost.c
@@ -1,6 +1,10 @@
 #include "clock.h"
 #include "router_int.h"
 
+/* The estimate is raised, so that admitted requests seldom end just after
+ * their deadline, which wastes their slot time. */
+#define WAIT_FACTOR 1.5
+
 enum {
     /* Weights of a new sample: 1/8 in the mean and 1/4 in the deviation,
      * as for round-trip times (RFC 6298, section 2). */
@@ -129,7 +133,7 @@
     }
     work = (double)work_ahead(req->flow, queue_bucket(req));
     work *= 1 + other_flows(q, req->flow);
-    work /= slots;
+    work *= WAIT_FACTOR / slots;
     return work > (double)INT32_MAX * (double)NS_PER_MS ? INT32_MAX * NS_PER_MS
                                                         : (int64_t)work;
 }
