Keep stray responses and TIME_WAIT away from callers

Fault found by the new test_excess: when an endpoint sends an unasked second response on an idle connection, libcurl 7.88 reuses the connection and gives that response to the next attempt, that is, to another caller. Idle connections with unread bytes or an end of stream are now closed, and emptied, before an attempt may use one. What arrives in the microseconds between this check and the request cannot be told from an answer by any HTTP/1.1 client.

Each non-idempotent attempt has a connection of its own, and the side that closes first keeps the local port for 60 s: at about 470 attempts per second and endpoint the ports would run out. These connections are closed with a reset, after the whole response or a failure.

--- a/packages/endpoint/attempt.c
+++ b/packages/endpoint/attempt.c
@@ -3,6 +3,7 @@
 #include <limits.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "clock.h"
 #include "endpoint.h"
@@ -132,6 +133,9 @@
 
     add_forwarded(a);
     suppress(a, "Expect:");
+    if (!a->call.idempotent) {
+        add_line(a, STR("Connection"), STR("close"));
+    }
     /* RFC 9110, section 7.6.3. */
     add_line(a, STR("Via"), STR("1.1 guavarock"));
     snprintf(ms, sizeof(ms), "%lld", (long long)(left / NS_PER_MS));
@@ -205,9 +209,30 @@
                      a->call.idempotent ? 0L : 1L);
 }
 
+/*
+ * Closes without TIME_WAIT: a connection for each non-idempotent attempt
+ * would otherwise use up the local ports at about 470 attempts per second and
+ * endpoint (28000 ports, held for 60 s). Nothing is lost, because the
+ * connection is closed only after the whole response or a failure.
+ */
+static int
+on_socket_open(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+    struct linger linger = {1, 0};
+
+    (void)arg;
+    (void)purpose;
+    return setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger)) == 0
+               ? CURL_SOCKOPT_OK
+               : CURL_SOCKOPT_ERROR;
+}
+
 static void
 set_callbacks(struct attempt *a)
 {
+    if (!a->call.idempotent) {
+        curl_easy_setopt(a->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_open);
+    }
     curl_easy_setopt(a->easy, CURLOPT_PRIVATE, a);
     curl_easy_setopt(a->easy, CURLOPT_PREREQFUNCTION, before_request);
     curl_easy_setopt(a->easy, CURLOPT_PREREQDATA, a);
@@ -267,6 +292,7 @@
     set_limits(a);
     set_callbacks(a);
     build_headers(a);
+    host_check_idle(h);
     h->active++;
     map_put_u64(t->attempts, call->id, a);
     curl_multi_add_handle(h->multi, a->easy);
--- a/packages/endpoint/host.c
+++ b/packages/endpoint/host.c
@@ -1,5 +1,6 @@
 #include "internal.h"
 
+#include <errno.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -16,6 +17,39 @@
     return fstat(fd, &st) == 0 && S_ISSOCK(st.st_mode) ? st.st_ino : 0;
 }
 
+/*
+ * Closes an idle connection towards the endpoint. What was received on it is
+ * thrown away, and nothing more can be received: libcurl 7.88 takes a
+ * connection with unread bytes for a usable one and would give them to the
+ * next attempt as its response.
+ */
+static void
+shut(struct sock *s)
+{
+    char part[4096];
+
+    shutdown(s->fd, SHUT_RDWR);
+    while (recv(s->fd, part, sizeof(part), MSG_DONTWAIT) > 0) {
+        continue;
+    }
+    s->shut = true;
+    s->host->open--;
+}
+
+void
+host_check_idle(struct host *h)
+{
+    char c;
+
+    for (struct sock *s = h->sockets; s != NULL; s = s->next) {
+        if (!s->polled && !s->shut &&
+            (recv(s->fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+             errno != EAGAIN)) {
+            shut(s);
+        }
+    }
+}
+
 /* libcurl offers no way to close one idle connection. Shutting it down closes
  * it for the endpoint; libcurl drops it before its next use. */
 static void
@@ -24,9 +58,7 @@
     for (struct sock *s = h->sockets; s != NULL && h->open > keep;
          s = s->next) {
         if (!s->polled && !s->shut) {
-            shutdown(s->fd, SHUT_RDWR);
-            s->shut = true;
-            h->open--;
+            shut(s);
         }
     }
 }
--- a/packages/endpoint/internal.h
+++ b/packages/endpoint/internal.h
@@ -120,6 +120,11 @@
 void
 host_destroy(struct host *h);
 
+/* Closes idle connections that the endpoint has closed or has sent something
+ * on without being asked; call before one may be used again. */
+void
+host_check_idle(struct host *h);
+
 /* Drops the records of sockets that libcurl closed without saying so; call
  * after an attempt failed. */
 void
--- a/tests/support/stub.c
+++ b/tests/support/stub.c
@@ -44,6 +44,8 @@
                     "0\r\nX-Trailer: 1\r\n\r\n"},
     {"/continue", "HTTP/1.1 100 Continue\r\nX-Early: 1\r\n\r\n" OK
                   "Content-Length: 2\r\n\r\nok"},
+    {"/excess",
+     OK "Content-Length: 2\r\n\r\nok" OK "Content-Length: 4\r\n\r\nevil"},
     {"/empty", "HTTP/1.1 204 No Content\r\n\r\n"},
     {"/head", OK "Content-Length: 77\r\n\r\n"},
     {"/redirect", "HTTP/1.1 302 Found\r\nLocation: /ok\r\n"
@@ -151,6 +153,11 @@
     if (has_path(request, "/echo")) {
         echo(c->fd, request);
     }
+    if (has_path(request, "/excess-later")) {
+        net_write(c->fd, OK "Content-Length: 2\r\n\r\nok");
+        g_usleep(SLOW_STEP_US);
+        net_write(c->fd, OK "Content-Length: 4\r\n\r\nevil");
+    }
     if (has_path(request, "/slow")) {
         net_write(c->fd, OK "Content-Length: 5\r\n\r\n");
         slowly(c->fd, "slow.");
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -156,8 +156,19 @@
     call = next_call(&s);
     g_assert_true(call->idempotent && call->key.len == 0);
     g_assert_null(call->idempotency_key.ptr);
-    respond(call, 200, "second");
-    expect(fd, "200", "second");
+    struct front_response response = {.status = 200};
+    http_headers_add(&response.headers, STR("Date"), STR("from-endpoint"));
+    http_headers_add(&response.headers, STR("Set-Cookie"), STR("a=1"));
+    http_headers_add(&response.headers, STR("Set-Cookie"), STR("b=2"));
+    http_headers_add(&response.headers, STR("Content-Length"), STR("99"));
+    front_respond(call, &response);
+    GString *text = net_read_response(fd, FALSE);
+    g_assert_nonnull(strstr(text->str, "Date: from-endpoint\r\n"));
+    g_assert_null(strstr(strstr(text->str, "Date:") + 1, "Date:"));
+    g_assert_nonnull(strstr(text->str, "Set-Cookie: a=1\r\n"));
+    g_assert_nonnull(strstr(text->str, "Set-Cookie: b=2\r\n"));
+    g_assert_nonnull(strstr(text->str, "Content-Length: 0\r\n"));
+    g_string_free(text, TRUE);
     close(fd);
     stop(&s);
 }
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -197,6 +197,27 @@
     stop(&rig);
 }
 
+/* Guards against a response for another caller: the endpoint sends more than
+ * was asked for on a connection that is kept. */
+static void
+test_excess(void)
+{
+    static const char *const paths[] = {"/excess", "/excess-later"};
+    struct rig rig = start(1);
+
+    for (size_t i = 0; i < 2 * G_N_ELEMENTS(paths); i++) {
+        struct upstream_call call =
+            call_to(&rig, HTTP_GET, i % 2 == 0 ? paths[i / 2] : "/ok");
+        struct upstream_result *result = perform(&rig, &call);
+
+        g_assert_cmpint(result->failure, ==, UPSTREAM_OK);
+        g_assert_true(str_eq(buf_str(&result->body), STR("ok")));
+        upstream_result_free(result);
+        g_usleep(100000);
+    }
+    stop(&rig);
+}
+
 /* Guards against a broken response that passes as whole, and against a
  * request that may have run but is reported as not sent. */
 static void
@@ -389,6 +410,38 @@
     stop(&rig);
 }
 
+/* Connections to port that wait after an active close (RFC 9293, TIME-WAIT).
+ */
+static int
+count_time_wait(uint16_t port)
+{
+    g_autofree char *text = NULL;
+    g_autofree char *wanted = g_strdup_printf(" 0100007F:%04X 06 ", port);
+    int count = 0;
+
+    g_assert_true(
+        g_file_get_contents("/proc/self/net/tcp", &text, NULL, NULL));
+    for (char *at = text; (at = strstr(at, wanted)) != NULL; at++) {
+        count++;
+    }
+    return count;
+}
+
+/* Guards against running out of local ports. */
+static void
+test_time_wait(void)
+{
+    struct rig rig = start(1);
+
+    for (int i = 0; i < 50; i++) {
+        struct upstream_call post = call_to(&rig, HTTP_POST, "/ok");
+
+        check(&rig, &post, UPSTREAM_OK, TRUE);
+    }
+    g_assert_cmpint(count_time_wait(stub_port(rig.stub)), ==, 0);
+    stop(&rig);
+}
+
 /* Guards against more connections than slots under changing load. */
 static void
 test_slots_random(void)
@@ -476,12 +529,14 @@
     g_setenv("http_proxy", "http://127.0.0.1:1", TRUE);
     g_test_add_func("/upstream/forwarding", test_forwarding);
     g_test_add_func("/upstream/responses", test_responses);
+    g_test_add_func("/upstream/excess", test_excess);
     g_test_add_func("/upstream/failures", test_failures);
     g_test_add_func("/upstream/not_sent", test_not_sent);
     g_test_add_func("/upstream/connect_timeout", test_connect_timeout);
     g_test_add_func("/upstream/deadline_and_cancel", test_deadline_and_cancel);
     g_test_add_func("/upstream/sent_once", test_sent_once);
     g_test_add_func("/upstream/slots", test_slots);
+    g_test_add_func("/upstream/time_wait", test_time_wait);
     g_test_add_func("/upstream/slots_random", test_slots_random);
     g_test_add_func("/upstream/result_ring_full", test_result_ring_full);
     return g_test_run();
