Reduce memory per idle connection and split the server's tests

test_time_wait failed once (98 == 0) while other processes ran tests: the kernel's table also shows connections to an earlier owner of the same port. It now compares with the count before, which can only fall meanwhile.

--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -11,8 +11,9 @@
 
 enum {
     /* Beside the header itself the library keeps a record of each field, and
-     * the header of the answer, in a connection's memory. */
-    CONNECTION_MEMORY_EXTRA = 24 * 1024,
+     * the header of the answer, in a connection's memory. All of it stays
+     * resident once a connection has served a request. */
+    CONNECTION_MEMORY_EXTRA = 16 * 1024,
 };
 
 void
@@ -76,7 +77,7 @@
         NULL, MHD_OPTION_CONNECTION_LIMIT, config->max_connections,
         MHD_OPTION_CONNECTION_TIMEOUT, seconds,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        config->max_header * 2 + CONNECTION_MEMORY_EXTRA,
+        config->max_header + CONNECTION_MEMORY_EXTRA,
         MHD_OPTION_URI_LOG_CALLBACK, front_on_uri, f,
         MHD_OPTION_NOTIFY_CONNECTION, front_on_connection, shard,
         MHD_OPTION_NOTIFY_COMPLETED, front_on_completed, f, MHD_OPTION_END);
--- /dev/null
+++ b/tests/test_front_load.c
@@ -0,0 +1,357 @@
+#include <glib.h>
+#include <poll.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net.h"
+#include "rng.h"
+#include "server.h"
+
+/* Guards against unbounded memory: all bodies together have a bound. */
+static void
+test_buffered(void)
+{
+    struct front_config config = server_config();
+    g_autofree char *body = g_strnfill(40000, 'b');
+    g_autofree char *text = g_strconcat("PUT /a HTTP/1.1\r\nHost: h\r\n"
+                                        "Content-Length: 40000\r\n\r\n",
+                                        body, NULL);
+    int fds[2];
+
+    config.max_buffered = 64 * 1024;
+    struct server s = server_start(&config, 64);
+    for (int i = 0; i < 2; i++) {
+        fds[i] = net_connect(s.port);
+    }
+    net_write(fds[0], text);
+    struct front_call *call = server_next_call(&s);
+    net_write(fds[1], text);
+    server_expect(fds[1], "503", "overloaded");
+    server_respond(call, 200, "ok");
+    server_expect(fds[0], "200", "ok");
+    server_wait_idle(&s);
+    net_write(fds[1], text);
+    server_respond(server_next_call(&s), 200, "ok");
+    server_expect(fds[1], "200", "ok");
+    close(fds[0]);
+    close(fds[1]);
+    server_stop(&s);
+}
+
+/* Guards against connections beyond the bound being served. */
+static void
+test_connection_limit(void)
+{
+    struct front_config config = server_config();
+    struct front_call *calls[2];
+    int fds[3];
+
+    config.max_connections = 2;
+    struct server s = server_start(&config, 64);
+    for (int i = 0; i < 3; i++) {
+        fds[i] = net_connect(s.port);
+        net_write(fds[i], GET "Connection: close\r\n\r\n");
+    }
+    for (int i = 0; i < 2; i++) {
+        calls[i] = server_next_call(&s);
+    }
+    g_assert_null(server_next_item(&s, 100));
+    for (int i = 0; i < 2; i++) {
+        server_respond(calls[i], 200, "ok");
+    }
+    server_respond(server_next_call(&s), 200, "ok");
+    for (int i = 0; i < 3; i++) {
+        server_expect(fds[i], "200", "ok");
+        close(fds[i]);
+    }
+    server_stop(&s);
+}
+
+enum {
+    CLIENTS = 32,
+    REQUESTS = 20,
+};
+
+static void *
+client_run(void *arg)
+{
+    struct server *s = arg;
+    int fd = net_connect(s->port);
+
+    for (int i = 0; i < REQUESTS; i++) {
+        g_autofree char *want = g_strdup_printf("/%p-%d", (void *)&fd, i);
+        g_autofree char *text =
+            g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", want);
+
+        net_write(fd, text);
+        server_expect(fd, "200", want);
+    }
+    close(fd);
+    return NULL;
+}
+
+/* Guards against an answer that reaches another caller: answers are given in
+ * random order. */
+static void
+test_concurrent(void)
+{
+    struct front_config config = server_config();
+    struct server s = server_start(&config, 256);
+    struct front_call *held[CLIENTS];
+    struct rng rng = {7};
+    pthread_t threads[CLIENTS];
+    size_t count = 0;
+
+    for (int i = 0; i < CLIENTS; i++) {
+        pthread_create(&threads[i], NULL, client_run, &s);
+    }
+    for (int done = 0; done < CLIENTS * REQUESTS;) {
+        struct front_item *item = server_next_item(&s, count == 0 ? 5000 : 1);
+
+        if (item != NULL && item->kind == FRONT_ITEM_CALL) {
+            held[count++] = item->call;
+        }
+        if (item != NULL) {
+            front_item_release(item);
+        }
+        if (count != 0 && (item == NULL || count == CLIENTS)) {
+            size_t i = rng_below(&rng, count);
+            g_autofree char *path =
+                g_strndup(held[i]->path.ptr, held[i]->path.len);
+
+            server_respond(held[i], 200, path);
+            held[i] = held[--count];
+            done++;
+        }
+    }
+    for (int i = 0; i < CLIENTS; i++) {
+        pthread_join(threads[i], NULL);
+    }
+    struct front_item *item;
+    while ((item = ring_pop(s.ring)) != NULL) {
+        g_assert_cmpint(item->kind, ==, FRONT_ITEM_GONE);
+        front_item_release(item);
+    }
+    server_stop(&s);
+}
+
+static void
+test_disconnect(void)
+{
+    struct front_config config = server_config();
+    struct server s = server_start(&config, 64);
+    int fd = net_connect(s.port);
+    struct front_item *item;
+    struct front_call *call;
+
+    net_write(fd, GET "\r\n");
+    call = server_next_call(&s);
+    g_assert_null(server_next_item(&s, 50));
+    close(fd);
+    item = server_next_item(&s, 2000);
+    g_assert_nonnull(item);
+    g_assert_cmpint(item->kind, ==, FRONT_ITEM_GONE);
+    g_assert_true(item->call == call);
+    server_respond(call, 200, "late");
+    g_assert_true(str_eq(item->call->path, STR("/a")));
+    front_item_release(item);
+    server_stop(&s);
+}
+
+enum {
+    STORM = 200,
+};
+
+struct storm {
+    struct front_call *held[STORM];
+    int calls;
+    int gone;
+};
+
+static void
+storm_until(struct server *s, struct storm *storm, int calls, int gone)
+{
+    while (storm->calls < calls || storm->gone < gone) {
+        struct front_item *item = server_next_item(s, 2000);
+
+        g_assert_nonnull(item);
+        if (item->kind == FRONT_ITEM_CALL) {
+            storm->held[storm->calls++] = item->call;
+        }
+        else {
+            storm->gone++;
+        }
+        front_item_release(item);
+    }
+}
+
+/* Guards against leaks and lost items when all callers leave at once; the
+ * ring holds fewer items than there are disconnects. */
+static void
+test_storm(void)
+{
+    struct front_config config = server_config();
+    struct server s = server_start(&config, 64);
+    struct storm storm = {0};
+    struct linger linger = {1, 0};
+    int fds[STORM];
+
+    for (int i = 0; i < STORM; i++) {
+        fds[i] = net_connect(s.port);
+        net_write(fds[i], GET "\r\n");
+        storm_until(&s, &storm, i + 1, 0);
+    }
+    for (int i = 0; i < STORM; i++) {
+        if (i % 2 == 0) {
+            /* A reset instead of a FIN. */
+            setsockopt(fds[i], SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+        }
+        close(fds[i]);
+    }
+    g_usleep(100000);
+    storm_until(&s, &storm, STORM, STORM);
+    for (int i = 0; i < STORM; i++) {
+        server_respond(storm.held[i], 200, "nobody reads this");
+    }
+    server_stop(&s);
+}
+
+static void
+test_ring_full(void)
+{
+    struct front_config config = server_config();
+    struct server s = server_start(&config, 4);
+    int fds[5];
+    int refused = 0;
+
+    for (int i = 0; i < 5; i++) {
+        fds[i] = net_connect(s.port);
+        net_write(fds[i], GET "\r\n");
+    }
+    for (int i = 0; i < 5; i++) {
+        struct pollfd p = {.fd = fds[i], .events = POLLIN};
+
+        if (poll(&p, 1, 300) == 1) {
+            GString *text = net_read_response(fds[i], FALSE);
+
+            g_assert_true(g_str_has_prefix(text->str, "HTTP/1.1 503"));
+            g_assert_nonnull(strstr(text->str, "Retry-After: 1\r\n"));
+            g_assert_nonnull(strstr(text->str, "Guavarock-Outcome: not-run"));
+            g_string_free(text, TRUE);
+            refused++;
+        }
+    }
+    g_assert_cmpint(refused, >=, 1);
+    for (int i = refused; i < 5; i++) {
+        server_respond(server_next_call(&s), 200, "ok");
+    }
+    for (int i = 0; i < 5; i++) {
+        close(fds[i]);
+    }
+    server_stop(&s);
+}
+
+static void
+test_drain(void)
+{
+    struct front_config config = server_config();
+    struct server s = server_start(&config, 64);
+    int fd = net_connect(s.port);
+    struct front_call *call;
+
+    net_write(fd, GET "\r\n");
+    call = server_next_call(&s);
+    front_drain(s.front);
+    int late = net_connect(s.port);
+    net_write(late, GET "\r\n");
+    front_stop_listening(s.front);
+    g_assert_cmpint(net_connect(s.port), ==, -1);
+    g_assert_cmpuint(front_active(s.front), >=, 1);
+    server_respond(call, 200, "first");
+    server_expect(fd, "200", "Connection: close");
+    server_respond(server_next_call(&s), 200, "second");
+    server_expect(late, "200", "Connection: close");
+    g_assert_true(net_closed(fd, 1000) && net_closed(late, 1000));
+    close(fd);
+    close(late);
+    server_stop(&s);
+}
+
+/* Guards against a crash when the server stops while calls are out. */
+static void
+test_destroy_with_calls(void)
+{
+    struct front_config config = server_config();
+    struct server s = server_start(&config, 64);
+    int fds[8];
+    struct front_call *calls[4];
+
+    for (int i = 0; i < 8; i++) {
+        fds[i] = net_connect(s.port);
+        net_write(fds[i], GET "\r\n");
+    }
+    for (int i = 0; i < 4; i++) {
+        calls[i] = server_next_call(&s);
+    }
+    front_destroy(s.front);
+    for (int i = 0; i < 4; i++) {
+        server_respond(calls[i], 200, "too late");
+    }
+    struct front_item *item;
+    while ((item = ring_pop(s.ring)) != NULL) {
+        struct front_call *call = item->call;
+        gboolean is_call = item->kind == FRONT_ITEM_CALL;
+
+        front_item_release(item);
+        if (is_call) {
+            front_abort(call);
+        }
+    }
+    for (int i = 0; i < 8; i++) {
+        g_assert_true(net_closed(fds[i], 1000));
+        close(fds[i]);
+    }
+    ring_destroy(s.ring);
+}
+
+static void
+test_head_and_abort(void)
+{
+    struct front_config config = server_config();
+    struct server s = server_start(&config, 64);
+    struct front_response response = {.status = 200, .head_length = 1234};
+    int fd = net_connect(s.port);
+    GString *text;
+
+    net_write(fd, "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    front_respond(server_next_call(&s), &response);
+    text = net_read_response(fd, TRUE);
+    g_assert_nonnull(strstr(text->str, "Content-Length: 1234\r\n"));
+    g_string_free(text, TRUE);
+    net_write(fd, GET "\r\n");
+    server_respond(server_next_call(&s), 204, "");
+    server_expect(fd, "204", "");
+    net_write(fd, GET "\r\n");
+    front_abort(server_next_call(&s));
+    g_assert_true(net_closed(fd, 1000));
+    close(fd);
+    server_stop(&s);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/front/buffered", test_buffered);
+    g_test_add_func("/front/connection_limit", test_connection_limit);
+    g_test_add_func("/front/concurrent", test_concurrent);
+    g_test_add_func("/front/disconnect", test_disconnect);
+    g_test_add_func("/front/storm", test_storm);
+    g_test_add_func("/front/ring_full", test_ring_full);
+    g_test_add_func("/front/drain", test_drain);
+    g_test_add_func("/front/destroy_with_calls", test_destroy_with_calls);
+    g_test_add_func("/front/head_and_abort", test_head_and_abort);
+    return g_test_run();
+}
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -432,13 +432,15 @@
 test_time_wait(void)
 {
     struct rig rig = start(1);
+    /* Another process may have used the same port within the last minute. */
+    int before = count_time_wait(stub_port(rig.stub));
 
     for (int i = 0; i < 50; i++) {
         struct upstream_call post = call_to(&rig, HTTP_POST, "/ok");
 
         check(&rig, &post, UPSTREAM_OK, TRUE);
     }
-    g_assert_cmpint(count_time_wait(stub_port(rig.stub)), ==, 0);
+    g_assert_cmpint(count_time_wait(stub_port(rig.stub)), <=, before);
     stop(&rig);
 }
 
