--- a/packages/endpoint/include/upstream.h
+++ b/packages/endpoint/include/upstream.h
@@ -16,6 +16,12 @@
  */
 struct upstream;
 
+/*
+ * An idempotent attempt may use an open connection, and libcurl may send it
+ * again when that turns out to be closed. Any other attempt has a connection
+ * of its own, carries Connection: close and is sent at most once.
+ */
+
 struct upstream_config {
     unsigned threads;
     unsigned queue;      /* work queue of a thread, a power of two */
--- a/packages/front/include/front.h
+++ b/packages/front/include/front.h
@@ -39,8 +39,7 @@
 };
 
 /* 4 threads, 4096 connections, 8 MiB, 256 MiB, 16 KiB, 30 s, 75 s, 30 s,
- * 600 s, 1 s;
- * the address is left empty. */
+ * 600 s, 1 s; the address is left empty. */
 void
 front_config_default(struct front_config *config);
 
@@ -68,7 +67,9 @@
 
 enum front_item_kind {
     FRONT_ITEM_CALL,
-    FRONT_ITEM_GONE, /* the caller closed the connection */
+    /* The caller closed its side of the connection. A half-closed connection
+     * cannot be told from a closed one; the answer is sent in any case. */
+    FRONT_ITEM_GONE,
 };
 
 struct front_item {
