Recover the clock of retention from one wrong wall clock

Retention runs on the highest wall time of all commands. A single command from a leader whose clock is far ahead would have held back every later expiry until the right time catches up; request records would fill up and new begins be refused. A command more than an hour behind now sets the clock back and caps the time stamps that are ahead of it. What the wrong clock has already dropped stays dropped; leaders should compare their clock with their peers' before they propose.

--- a/packages/state/apply.c
+++ b/packages/state/apply.c
@@ -85,17 +85,6 @@
     return false;
 }
 
-/* Records leave when their time has passed, a bounded number per command. */
-static void
-expire(struct state *s)
-{
-    jobs_expire(s);
-    leases_expire(s);
-    requests_expire(s);
-    op_expire(s);
-    keys_expire(s);
-}
-
 static void
 run(struct apply *a, const struct family *family)
 {
@@ -136,10 +125,8 @@
         result_invalid(&a, STATE_REASON_BAD_FIELD);
         return;
     }
-    if (cmd->wall_ms > s->wall_ms) {
-        s->wall_ms = cmd->wall_ms;
-    }
-    expire(s);
+    retention_clock(s, cmd->wall_ms);
+    retention_expire(s);
     run(&a, family);
 }
 
--- a/packages/state/include/state.h
+++ b/packages/state/include/state.h
@@ -37,7 +37,10 @@
     STATE_ENDED_LEASES_MAX = 100000, /* ended leases that take late usage */
 };
 
-/* Retention, measured on the highest wall time of the applied commands. */
+/*
+ * Retention, measured on the highest wall time of the applied commands. A
+ * command that is more than an hour behind it sets it back.
+ */
 #define STATE_OPERATOR_KEY_KEEP_MS INT64_C(86400000)
 #define STATE_TERMINAL_JOB_KEEP_MS INT64_C(86400000)
 #define STATE_ENDED_LEASE_KEEP_MS INT64_C(3600000)
--- a/packages/state/state_impl.h
+++ b/packages/state/state_impl.h
@@ -81,7 +81,7 @@
     struct state_settings settings;
     struct state_member *members;
     size_t member_count;
-    int64_t wall_ms; /* the highest of all applied commands */
+    int64_t wall_ms; /* the clock of retention */
     uint64_t teams_version;
     uint64_t limits_version;
     uint64_t config_version;
@@ -351,6 +351,13 @@
 void
 requests_expire(struct state *s);
 
+/* ---- retention.c ---- */
+
+void
+retention_clock(struct state *s, int64_t wall_ms);
+void
+retention_expire(struct state *s);
+
 /* ---- checks of the acting key ---- */
 
 bool
--- a/tests/support/state_gen.c
+++ b/tests/support/state_gen.c
@@ -29,6 +29,9 @@
     struct state_actor by = {.wall_ms = g->wall_ms};
 
     g->wall_ms += (int64_t)below(g, 400000);
+    if (below(g, 300) == 0) {
+        g->wall_ms += 3 * 3600000 * ((int64_t)below(g, 3) - 1);
+    }
     if (below(g, 4) == 0) {
         by.idempotency_key = str_of(keys[below(g, 4)]);
         by.request_digest[0] = (uint8_t)below(g, 2);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -458,6 +458,25 @@
     g_assert_cmpint(f->r.u.invalid.reason, ==, STATE_REASON_FULL);
 }
 
+/* Guards against one wrong clock that keeps every later record for ever. */
+static void
+test_wrong_clock(struct fixture *f, gconstpointer data)
+{
+    (void)data;
+    f->by.wall_ms = WALL + 1000 * 24 * HOUR;
+    g_assert_cmpuint(begin_key(f, "a"), !=, 0);
+    f->by.wall_ms = WALL;
+    g_assert_cmpuint(begin_key(f, "b"), !=, 0);
+    f->by.wall_ms = WALL - HOUR;
+    g_assert_cmpuint(begin_key(f, "c"), !=, 0);
+    g_assert_cmpint(state_request(f->s, 1, STR("c"))->begun_ms, ==, WALL);
+    f->by.wall_ms = WALL + 23 * HOUR;
+    g_assert_cmpuint(begin_key(f, "a"), ==, 1);
+    f->by.wall_ms = WALL + 24 * HOUR;
+    g_assert_cmpuint(begin_key(f, "a"), >, 3);
+    g_assert_null(state_request(f->s, 1, STR("b")));
+}
+
 /* Guards against an entry that goes back, skips or takes another cluster. */
 static void
 test_config_view(struct fixture *f, gconstpointer data)
@@ -566,6 +585,7 @@
     add("/state/usage_once", test_usage_once);
     add("/state/request_records", test_request_records);
     add("/state/request_bounds", test_request_bounds);
+    add("/state/wrong_clock", test_wrong_clock);
     add("/state/config_view", test_config_view);
     add("/state/malformed", test_malformed);
     add("/state/audit_bound", test_audit_bound);
