--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -80,7 +80,7 @@
     int64_t backoff_min_ms;     /* 50 */
     int64_t backoff_max_ms;     /* 2000 */
     size_t send_queue_max;      /* bytes per session, 32 MiB */
-    size_t accept_max;          /* connections in handshake, 64 */
+    size_t accept_max;          /* in handshake, oldest dropped, 64 */
 };
 
 /*
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -262,14 +262,31 @@
     }
 }
 
+/* A handshake takes a few round trips, so that the oldest one is the least
+ * likely to come to an end; refusing new ones would let idle connections of
+ * strangers keep the peers out. New sessions enter the list in front. */
+static void
+drop_oldest_pending(struct peer_hub *p)
+{
+    struct peer_session *oldest = NULL;
+
+    for (struct peer_session *s = p->sessions; s != NULL; s = s->next) {
+        if (s->state != SESSION_UP && !s->hs.dialer && !s->closing) {
+            oldest = s;
+        }
+    }
+    if (oldest != NULL) {
+        session_fail(oldest, PEER_DOWN_TIMEOUT);
+    }
+}
+
 static void
 accept_one(struct peer_hub *p, int fd, const struct address *remote)
 {
     struct epoll_event event = {.events = EPOLLIN};
 
     if (p->pending_accepts >= p->accept_max) {
-        close(fd);
-        return;
+        drop_oldest_pending(p);
     }
     event.data.ptr = session_create(p, fd, NULL, remote);
     p->pending_accepts++;
--- a/packages/state/apply.c
+++ b/packages/state/apply.c
@@ -102,6 +102,9 @@
         return;
     }
     if (op_replay(a)) {
+        if (a->result->kind == STATE_CONFLICT) {
+            audit_append(a);
+        }
         return;
     }
     family->run(a);
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -436,18 +436,24 @@
     node_close(&b);
 }
 
-/* Guards against a connection that holds a place for ever. */
+/* Guards against strangers' connections that keep others out. */
 static void
 test_slow_stranger(void)
 {
     struct node b = {0};
     int fd[70];
     unsigned closed = 0;
+    struct node a = {0};
 
     node_open(&b, "b", 'k', 0, 0);
     for (int i = 0; i < 70; i++) {
         fd[i] = connect_to(peer_port(b.hub));
     }
+    run(&b, NULL, NULL, 10);
+    node_open(&a, "a", 'k', 0, peer_port(b.hub));
+    run(&a, &b, NULL, 200);
+    g_assert_cmpuint(b.ups, ==, 1);
+    node_close(&a);
     for (int i = 0; i < 40; i++) {
         run(&b, NULL, NULL, 100);
         send(fd[0], "", 1, MSG_NOSIGNAL);
