daemon: keep the pools of team requests on followers

Cause: only entries_step called control_sync_pools, and only when the configuration changed under that leader. A new leader therefore knew no pool of a team, granted no request units, and each entry refused all requests of teams with a limit until the next change of a list. Ruled out: endpoint slots (granted after the recovery window) and the router's queue (wanted units were reported). Before: /e2e/leader-killed saw no request answered in the 15 s after the kill. After: requests run again once the predecessor's leases have ended.

--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -498,6 +498,9 @@
 {
     if (c->replica != NULL) {
         replica_step(c->replica);
+        /* Followers too: a leader must have known a pool for a while before
+         * it may grant from it. */
+        control_sync_pools(c);
     }
     if (c->leader != NULL) {
         leader_step(c->leader);
