daemon: show a VM with a new identity as a learner

Cause: role_of looked members up by VM name and found the old voter of a VM that had come back with an empty data directory. Ruled out: an early promotion in replica.c; the learner had not caught up. Before: GET /v1/vms showed "control" at once, so that an operator who follows docs/operating.md takes the next VM down too early and loses the quorum (/e2e/data-emptied, /e2e/data-damaged: no change accepted for 15 s). After: it shows "learner" until the new identity votes.

--- a/packages/daemon/api_views.c
+++ b/packages/daemon/api_views.c
@@ -183,9 +183,15 @@
     call_respond(call, 200, &body);
 }
 
+/*
+ * A VM that came back with an empty directory is a learner, also while the
+ * voter that it was before is still a member.
+ */
 static int
 role_of(const struct leader *l, struct str vm)
 {
+    const struct link *link = control_link(l->control, vm);
+    int role = OPERATOR_VM_ENTRY;
     size_t count;
     const struct raft_member *members =
         raft_members(replica_raft(l->replica), &count);
@@ -194,12 +200,16 @@
         return OPERATOR_VM_LEADER;
     }
     for (size_t i = 0; i < count; i++) {
-        if (str_eq(members[i].vm, vm)) {
-            return members[i].voter ? OPERATOR_VM_CONTROL
-                                    : OPERATOR_VM_LEARNER;
+        if (!str_eq(members[i].vm, vm)) {
+            continue;
+        }
+        if (!members[i].voter ||
+            (link != NULL && link->member_id != members[i].id)) {
+            return OPERATOR_VM_LEARNER;
         }
+        role = OPERATOR_VM_CONTROL;
     }
-    return OPERATOR_VM_ENTRY;
+    return role;
 }
 
 void
