route, daemon: keep endpoints and slots over a leader change

Cause: endpoints are soft state of the leader. The first list of a new leader was empty, so that each entry dropped all endpoints, and the new leader took capacity 0 for pools that it had heard of from entries only, and asked all slots back. Requests were refused with 404 until the endpoints had announced themselves, and waited for slots until the recovery window had passed. Ruled out: the balancer and readiness; all refusals lie after the handover of the leader.

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -36,6 +36,7 @@
     e->control = c;
     e->started = c->now;
     e->next_id = 1;
+    e->old_endpoints_end = DEADLINE_NONE;
     e->config = confview_create();
     e->router = router_create(&config, c->now);
     e->endpoints = map_create();
@@ -476,7 +477,7 @@
 }
 
 static void
-take_endpoint(struct entry *e, const Wire__Endpoint *w)
+take_endpoint(struct entry *e, const Wire__Endpoint *w, uint64_t term)
 {
     struct str id = str_of(w->id);
     struct known_endpoint *k = map_get(e->endpoints, id);
@@ -496,6 +497,7 @@
     k->slots = w->slots;
     k->connections = w->connections;
     k->leaving = w->leaving;
+    k->term = term;
     tell_endpoint(e, k);
 }
 
@@ -532,7 +534,28 @@
     void *cursor = NULL;
 
     while ((k = map_next(e->endpoints, &cursor)) != NULL) {
-        if (!is_listed(grant, k->id)) {
+        if (k->term == grant->term && !is_listed(grant, k->id)) {
+            drop_endpoint(e, k->id);
+        }
+    }
+}
+
+/*
+ * Endpoints announce themselves to a new leader within their lease. Until
+ * then those that its predecessor told of stay in use.
+ */
+static void
+drop_old_endpoints(struct entry *e)
+{
+    struct known_endpoint *k;
+    void *cursor = NULL;
+
+    if (e->old_endpoints_end > e->control->now) {
+        return;
+    }
+    e->old_endpoints_end = DEADLINE_NONE;
+    while ((k = map_next(e->endpoints, &cursor)) != NULL) {
+        if (k->term != e->endpoints_term) {
             drop_endpoint(e, k->id);
         }
     }
@@ -548,11 +571,16 @@
         return;
     }
     for (size_t i = 0; i < grant->n_endpoints; i++) {
-        take_endpoint(e, grant->endpoints[i]);
+        take_endpoint(e, grant->endpoints[i], grant->term);
     }
     for (size_t i = 0; i < grant->n_endpoints_gone; i++) {
         drop_endpoint(e, str_of(grant->endpoints_gone[i]));
     }
+    if (e->endpoints_term != grant->term) {
+        e->old_endpoints_end =
+            e->control->now +
+            e->control->settings->endpoint_lease_ms * NS_PER_MS;
+    }
     e->endpoints_term = grant->term;
     e->endpoints_seq = grant->endpoints_seq;
 }
@@ -652,6 +680,7 @@
     }
     if (e->sweep_due <= now) {
         e->sweep_due = now + SWEEP_MS * NS_PER_MS;
+        drop_old_endpoints(e);
         forward_step(e);
         serve_step(e);
     }
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -60,6 +60,7 @@
     uint32_t connections;
     bool leaving;
     uint32_t held; /* units, and so connections, of this entry */
+    uint64_t term; /* of the leader that told of it last */
 };
 
 struct entry {
@@ -78,6 +79,7 @@
     struct router_actions actions;
     struct map *endpoints; /* id to struct known_endpoint */
     uint64_t endpoints_term;
+    int64_t old_endpoints_end; /* of those that no leader since told of */
     uint64_t endpoints_seq;
     struct map *teams; /* numbers known to the router */
     struct map *keys;  /* key ids of the current configuration */
--- a/packages/route/ledger_balance.c
+++ b/packages/route/ledger_balance.c
@@ -192,10 +192,17 @@
     return taken;
 }
 
-/* Asks back what exceeds the capacity of a pool, most from the largest. */
+/*
+ * Asks back what exceeds the capacity of a pool, most from the largest. A new
+ * leader may hear of a pool from entries before its endpoint announces itself:
+ * they keep their units meanwhile.
+ */
 static void
 drain_pool(struct ledger *l, struct pool *p)
 {
+    if (!p->told && l->recover_until != 0) {
+        return;
+    }
     while (p->targets > p->capacity) {
         struct share *most = NULL;
         struct share *s;
--- a/packages/route/ledger_int.h
+++ b/packages/route/ledger_int.h
@@ -40,6 +40,7 @@
     uint32_t adopted;   /* held by first reports after a leader change */
     uint32_t refusals;  /* shares refused by their entry */
     bool gone;
+    bool told; /* to this ledger, not only by entries' reports */
     struct share_list shares;
     TAILQ_ENTRY(pool) in_group;
 };
--- a/packages/route/ledger_pool.c
+++ b/packages/route/ledger_pool.c
@@ -120,6 +120,7 @@
     }
     pool_resize(l, now, p, capacity);
     p->gone = false;
+    p->told = true;
     group_touch(l, p->group);
 }
 
@@ -133,6 +134,7 @@
     }
     pool_resize(l, now, p, 0);
     p->gone = true;
+    p->told = true;
     group_touch(l, p->group);
 }
 
