--- a/tests/support/stub.c
+++ b/tests/support/stub.c
@@ -59,6 +59,7 @@
 /* The same, but the connection is closed behind it. */
 static const char *const last_words[][2] = {
     {"/before", ""},
+    {"/drop-upload", ""}, /* without reading the body */
     {"/header", OK "Content-"},
     {"/during", OK "Content-Length: 10\r\n\r\nabc"},
     {"/chunk-cut", OK "Transfer-Encoding: chunked\r\n\r\n5\r\nab"},
@@ -75,8 +76,9 @@
     if (end == NULL) {
         return FALSE;
     }
-    return length == NULL || text->len - (size_t)(end + 4 - text->str) >=
-                                 strtoul(length + 17, NULL, 10);
+    return length == NULL || strstr(text->str, " /drop-upload ") != NULL ||
+           text->len - (size_t)(end + 4 - text->str) >=
+               strtoul(length + 17, NULL, 10);
 }
 
 static GString *
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -252,6 +252,22 @@
     stop(&rig);
 }
 
+static void
+test_uploads(void)
+{
+    struct rig rig = start(1);
+    g_autofree char *body = g_strnfill(4 << 20, 'u');
+    struct upstream_call whole = call_to(&rig, HTTP_POST, "/ok");
+    struct upstream_call dropped = call_to(&rig, HTTP_POST, "/drop-upload");
+
+    whole.body = str_of(body);
+    dropped.body = str_of(body);
+    check(&rig, &whole, UPSTREAM_OK, TRUE);
+    check(&rig, &dropped, UPSTREAM_RESET, TRUE);
+    g_assert_cmpint(stub_requests(rig.stub), ==, 2);
+    stop(&rig);
+}
+
 static void
 test_not_sent(void)
 {
@@ -533,6 +549,7 @@
     g_test_add_func("/upstream/responses", test_responses);
     g_test_add_func("/upstream/excess", test_excess);
     g_test_add_func("/upstream/failures", test_failures);
+    g_test_add_func("/upstream/uploads", test_uploads);
     g_test_add_func("/upstream/not_sent", test_not_sent);
     g_test_add_func("/upstream/connect_timeout", test_connect_timeout);
     g_test_add_func("/upstream/deadline_and_cancel", test_deadline_and_cancel);
