--- a/tests/support/cluster_state.c
+++ b/tests/support/cluster_state.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
+#include <sys/stat.h>
 
 #include "await.h"
 #include "checker.h"
@@ -167,9 +167,31 @@
     return fake_create(c, id, false, options);
 }
 
+/* Whether the fake has written its first event after that offset; it handles
+ * signals by then. */
+static bool
+has_begun(const struct cluster *c, const struct cluster_fake *f, long offset)
+{
+    FILE *history = fopen(c->history_path, "re");
+    char wanted[96];
+    char line[4096];
+    bool found = false;
+
+    snprintf(wanted, sizeof(wanted), "\"event\":\"%s\",\"%s\":\"%s\"",
+             f->is_worker ? "worker" : "endpoint",
+             f->is_worker ? "worker" : "endpoint", f->id);
+    fseek(history, offset, SEEK_SET);
+    while (!found && fgets(line, sizeof(line), history) != NULL) {
+        found = strstr(line, wanted) != NULL;
+    }
+    fclose(history);
+    return found;
+}
+
 void
 cluster_fake_start(struct cluster *c, int fake)
 {
+    struct stat history;
     struct cluster_fake *f = &c->fakes[fake];
     char program[CLUSTER_PATH_BYTES + 16];
     char log[CLUSTER_PATH_BYTES];
@@ -205,7 +227,9 @@
         argv[n++] = f->text[i];
     }
     argv[n] = NULL;
+    REQUIRE(stat(c->history_path, &history) == 0);
     f->pid = proc_spawn(log, argv);
+    AWAIT(has_begun(c, f, history.st_size));
 }
 
 static void
@@ -228,8 +252,14 @@
 void
 cluster_fake_stop(struct cluster *c, int fake)
 {
+    int status;
+
     proc_signal(c->fakes[fake].pid, SIGTERM);
-    REQUIRE(proc_wait(c->fakes[fake].pid, FAKE_STOP_MS) == 0);
+    status = proc_wait(c->fakes[fake].pid, FAKE_STOP_MS);
+    if (status != 0) {
+        fprintf(stderr, "%s ended with %d\n", c->fakes[fake].id, status);
+    }
+    REQUIRE(status == 0);
     c->fakes[fake].pid = 0;
 }
 
