--- a/tests/support/cluster_api.c
+++ b/tests/support/cluster_api.c
@@ -11,6 +11,8 @@
 enum {
     CALL_MS = 5000,
     BODY_BYTES = 4096,
+    IN_FORCE_S = 20,
+    JOBS_END_S = 15,
 };
 
 /* ---- Calls ---- */
@@ -208,6 +210,24 @@
     return status;
 }
 
+/* For the log of a failed test: what still runs or waits. */
+static void
+print_state(const struct cluster *c)
+{
+    const char *const paths[] = {"/v1/status", "/v1/workers", "/v1/vms"};
+
+    for (size_t i = 0; i < 3; i++) {
+        const struct api_call call = {
+            "GET", paths[i], c->operator_key, NULL, NULL, NULL, -1, 0};
+        json_t *body = NULL;
+
+        api_call(c, &call, &body);
+        json_dumpf(body, stderr, JSON_COMPACT);
+        fputc('\n', stderr);
+        json_decref(body);
+    }
+}
+
 static bool
 list_in_force(const struct cluster *c, const char *items)
 {
@@ -233,6 +253,7 @@
 api_limit_tasks(const struct cluster *c, int tasks)
 {
     char items[512];
+    int64_t until;
 
     snprintf(items, sizeof(items),
              "[{\"team\":\"lamps\",\"tasks\":%d,\"cpu_milli\":10000000,"
@@ -244,7 +265,13 @@
                   "\"event\":\"limit_sent\",\"team\":\"lamps\","
                   "\"tasks\":%d",
                   tasks);
-    AWAIT_MS(list_in_force(c, items), 20000);
+    until = clock_now() + IN_FORCE_S * NS_PER_S;
+    while (!list_in_force(c, items)) {
+        if (clock_now() > until) {
+            print_state(c);
+            REQUIRE(!"the limits come into force");
+        }
+    }
     history_write(c->history,
                   "\"event\":\"limit_in_force\",\"team\":\"lamps\","
                   "\"tasks\":%d",
@@ -334,7 +361,15 @@
 void
 api_await_jobs_ended(const struct cluster *c)
 {
-    AWAIT(jobs_ended(c));
+    int64_t until = clock_now() + JOBS_END_S * NS_PER_S;
+
+    while (!jobs_ended(c)) {
+        if (clock_now() > until) {
+            print_state(c);
+            REQUIRE(!"all jobs end");
+        }
+        await_pause();
+    }
 }
 
 /* ---- Usage ---- */
