daemon: free the numbers of teams and keys at the end of an entry

Cause: entry_destroy destroyed the two maps but not their values. Ruled out: apply_teams and apply_keys free what they replace. Before: under AddressSanitizer a graceful stop ended with status 1 (/e2e/rolling-restart). After: with 0.

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -60,6 +60,18 @@
     mem_free(k);
 }
 
+static void
+numbers_free(struct map *numbers)
+{
+    void *cursor = NULL;
+    void *number;
+
+    while ((number = map_next(numbers, &cursor)) != NULL) {
+        mem_free(number);
+    }
+    map_destroy(numbers);
+}
+
 void
 entry_destroy(struct entry *e)
 {
@@ -75,8 +87,8 @@
         endpoint_free(k);
     }
     map_destroy(e->endpoints);
-    map_destroy(e->teams);
-    map_destroy(e->keys);
+    numbers_free(e->teams);
+    numbers_free(e->keys);
     router_actions_free(&e->actions);
     router_destroy(e->router);
     confview_destroy(e->config);
