daemon, sched: let leases of a worker's earlier process expire after a leader change

Cause: a new leader restored each lease as one of the worker's latest process. A worker that had been restarted just before the leader died never reported the leases of its earlier process, and no timer ended them: their tasks stayed "running" for good, used capacity and kept lowered limits from coming into force. Ruled out: the expiry of a silent worker (this one is connected) and lost syncs.

--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -208,6 +208,11 @@
 
 void
 workers_create(struct leader *l);
+
+/* A lease of that incarnation is about to be restored: one that is not the
+ * worker's latest will not be reported again and only expires. */
+void
+worker_restore(struct leader *l, uint32_t worker, uint64_t incarnation);
 void
 workers_destroy(struct leader *l);
 struct worker_session *
--- a/packages/daemon/placement.c
+++ b/packages/daemon/placement.c
@@ -591,11 +591,13 @@
         .task = index,
         .state = restored_state(task),
         .worker = task->worker,
+        .incarnation = task->incarnation,
         .lease = task->lease,
         .size = {task->cpu_milli, task->memory_mib, task->accelerators},
         .failures = task->failures,
         .losses = task->losses};
     if (task->state == STATE_TASK_PLACED) {
+        worker_restore(l, task->worker, task->incarnation);
         r = record_create(l, task->lease, job->number, index, task->worker,
                           task->incarnation);
         r->size = event.u.restore.size;
--- a/packages/daemon/workers.c
+++ b/packages/daemon/workers.c
@@ -66,6 +66,36 @@
     }
 }
 
+static void
+add_old_incarnation(struct leader *l, struct worker_session *w,
+                    uint64_t incarnation, int64_t expiry)
+{
+    struct old_incarnation *o = mem_zalloc(1, sizeof(*o));
+
+    o->worker = w;
+    o->incarnation = incarnation;
+    o->expiry.key = expiry;
+    heap_insert(&l->old_incarnations, &o->expiry);
+}
+
+void
+worker_restore(struct leader *l, uint32_t worker, uint64_t incarnation)
+{
+    struct worker_session *w = worker_session(l, worker);
+
+    if (incarnation == w->incarnation) {
+        return;
+    }
+    for (const struct lease_record *r = w->leases; r != NULL; r = r->next) {
+        if (r->incarnation == incarnation) {
+            return;
+        }
+    }
+    add_old_incarnation(
+        l, w, incarnation,
+        leader_lease_end(l, l->control->settings->worker_lease_ms));
+}
+
 void
 workers_destroy(struct leader *l)
 {
@@ -406,12 +436,8 @@
 start_incarnation(struct leader *l, struct worker_session *w,
                   uint64_t incarnation)
 {
-    struct old_incarnation *o = mem_zalloc(1, sizeof(*o));
-
-    o->worker = w;
-    o->incarnation = w->incarnation;
-    o->expiry.key = w->expiry.pos == 0 ? l->control->now : w->expiry.key;
-    heap_insert(&l->old_incarnations, &o->expiry);
+    add_old_incarnation(l, w, w->incarnation,
+                        w->expiry.pos == 0 ? l->control->now : w->expiry.key);
     w->incarnation = incarnation;
     w->seq = 0;
     w->up = false;
--- a/packages/sched/include/sched.h
+++ b/packages/sched/include/sched.h
@@ -175,6 +175,7 @@
     uint32_t task;
     enum sched_task_state state;
     uint32_t worker;        /* if PLACED */
+    uint64_t incarnation;   /* if PLACED: of the worker; 0: the current one */
     uint64_t lease;         /* if PLACED */
     struct sched_size size; /* if PLACED: as in the PLACE action */
     uint32_t failures;      /* from the last TASK action */
--- a/packages/sched/job.c
+++ b/packages/sched/job.c
@@ -408,6 +408,7 @@
     }
     l = lease_create(s, j, e->task, worker_get(s, e->worker), &size, e->lease);
     l->state = LEASE_STARTED;
+    l->incarnation = e->incarnation;
     j->may_have_run = true;
     if (s->next_lease <= e->lease) {
         s->next_lease = e->lease + 1;
