--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -91,7 +91,9 @@
     const struct cluster_vm *vm = &c->vms[i];
     FILE *f = fopen(vm->settings, "we");
 
-    REQUIRE(f != NULL);
+    if (f == NULL) {
+        abort();
+    }
     fprintf(f,
             "{\"vm\":\"%s\",\"failure_domain\":\"fd%d\",\"listen\":\"%s\","
             "\"cluster_key_file\":\"%s/cluster.key\",\n",
@@ -129,7 +131,9 @@
 
     snprintf(path, sizeof(path), "%s/cluster.key", c->dir);
     f = fopen(path, "we");
-    REQUIRE(f != NULL);
+    if (f == NULL) {
+        abort();
+    }
     fprintf(f, "0123456789abcdef0123456789abcdef-%d\n", (int)getpid());
     fclose(f);
 }
--- a/tests/support/proc.c
+++ b/tests/support/proc.c
@@ -127,7 +127,6 @@
 pid_t
 proc_spawn(const char *log, char *const argv[])
 {
-    extern char **environ;
     posix_spawn_file_actions_t actions;
     pid_t pid = 0;
     int rc;
--- a/tests/test_e2e_jobs.c
+++ b/tests/test_e2e_jobs.c
@@ -65,6 +65,35 @@
     }
 }
 
+/* Starts of the jobs with that prefix, from the history. */
+static int
+count_starts(const struct cluster *c, const char *prefix)
+{
+    FILE *f = fopen(c->history_path, "re");
+    char line[4096];
+    char wanted[64];
+    int count = 0;
+
+    snprintf(wanted, sizeof(wanted), "\"job\":\"%s-", prefix);
+    while (fgets(line, sizeof(line), f) != NULL) {
+        count += strstr(line, "\"event\":\"start\"") != NULL &&
+                 strstr(line, wanted) != NULL;
+    }
+    fclose(f);
+    return count;
+}
+
+static void
+cancel_all(const struct cluster *c, const char *prefix)
+{
+    char path[64];
+    const struct api_call call = {"DELETE", path, c->team.key, NULL,
+                                  NULL,     NULL, -1,          0};
+
+    snprintf(path, sizeof(path), "/v1/jobs?prefix=%s", prefix);
+    AWAIT(api_call(c, &call, NULL) == 200);
+}
+
 static int64_t
 status_number(const struct cluster *c, const char *path)
 {
@@ -95,6 +124,38 @@
     finish(c);
 }
 
+static bool
+has_registered(const struct cluster *c, int64_t commits)
+{
+    return status_number(c, "commit_index") > commits;
+}
+
+/* Guards against tasks of a worker's earlier process that never end because
+ * the leader that knew of that process died as well. */
+static void
+test_worker_and_leader_killed(void)
+{
+    struct cluster *c = start(2);
+    int old = cluster_leader(c, -1);
+    int64_t commits;
+
+    put_jobs(c, "again", 10, true, "run_ms=30000");
+    AWAIT(status_number(c, "tasks_running") == 10);
+    cluster_fake_kill(c, 0);
+    cluster_fake_kill(c, 1);
+    commits = status_number(c, "commit_index");
+    cluster_fake_start(c, 0);
+    cluster_fake_start(c, 1);
+    AWAIT(has_registered(c, commits + 1));
+    cluster_vm_kill(c, old);
+    cluster_leader(c, old);
+    cluster_await_workers(c, 2);
+    /* The leases of the earlier processes end and the tasks start again. */
+    AWAIT(count_starts(c, "again") == 20);
+    cancel_all(c, "again");
+    finish(c);
+}
+
 /* Guards against a paused worker whose tasks are started elsewhere while its
  * lease may still be valid, and whose late report counts. */
 static void
@@ -309,6 +370,7 @@
 main(int argc, char **argv)
 {
     e2e_case("/e2e/worker-killed", test_worker_killed);
+    e2e_case("/e2e/worker-and-leader-killed", test_worker_and_leader_killed);
     e2e_case("/e2e/worker-frozen", test_worker_frozen);
     e2e_case("/e2e/worker-failing", test_worker_failing);
     e2e_case("/e2e/unschedulable", test_unschedulable);
