--- a/tests/test_e2e.c
+++ b/tests/test_e2e.c
@@ -1,5 +1,5 @@
-/* End-to-end faults of control VMs, configuration and entries: real processes
- * on loopback, the history checker at the end of each case. */
+/* End-to-end faults of control VMs: real processes on loopback, the history
+ * checker at the end of each case. */
 #include <stdio.h>
 #include <string.h>
 
@@ -214,66 +214,6 @@
     lose_data(true);
 }
 
-/* ---- Cuts ---- */
-
-static void
-cut_and_withdraw(struct cluster *c, int vm, enum cluster_cut how)
-{
-    struct cluster_key key = api_key_create(c, "team", "lamps");
-    struct cluster_key team = c->team;
-    int64_t until = clock_now() + ALL_LEASES_MS * NS_PER_MS;
-    char outcome[16];
-    int other;
-
-    c->team = key;
-    load_await(c, vm);
-    cluster_vm_cut(c, vm, how);
-    other = cluster_leader(c, vm);
-    api_key_withdraw(c, key.id, other);
-    for (int i = 0; i < 10; i++) {
-        g_assert_cmpint(load_once(c, vm, outcome), !=, 200);
-    }
-    c->team = team;
-    put_jobs(c, vm < c->control ? "leader" : "entry", 4);
-    load_await(c, other);
-    AWAIT(clock_now() > until);
-    g_assert_cmpint(load_once(c, vm, outcome), ==, 503);
-    g_assert_cmpstr(outcome, ==, "not-run");
-    cluster_vm_heal(c, vm);
-    load_await(c, vm);
-    cluster_await_whole(c);
-}
-
-static void
-cut(enum cluster_cut how)
-{
-    struct cluster *c = start(3, 1, true);
-
-    cut_and_withdraw(c, 3, how);
-    cut_and_withdraw(c, cluster_leader(c, -1), how);
-    finish(c);
-}
-
-/* Guards against stale configuration behind a silent partition: a key that is
- * reported as withdrawn would keep working there. */
-static void
-test_cut_both(void)
-{
-    cut(CLUSTER_CUT_BOTH);
-}
-
-static void
-test_cut_sending(void)
-{
-    cut(CLUSTER_CUT_SENDING);
-}
-
-static void
-test_cut_receiving(void)
-{
-    cut(CLUSTER_CUT_RECEIVING);
-}
-
 int
 main(int argc, char **argv)
 {
@@ -283,8 +223,5 @@
     e2e_case("/e2e/follower-behind", test_follower_behind);
     e2e_case("/e2e/data-emptied", test_data_emptied);
     e2e_case("/e2e/data-damaged", test_data_damaged);
-    e2e_case("/e2e/cut-both", test_cut_both);
-    e2e_case("/e2e/cut-sending", test_cut_sending);
-    e2e_case("/e2e/cut-receiving", test_cut_receiving);
     return e2e_run(argc, argv);
 }
