--- a/bench/bench_sched.c
+++ b/bench/bench_sched.c
@@ -318,6 +318,7 @@
     const struct fleet *f = m->fleet;
 
     sched_config_default(&config);
+    config.weights = f->weights;
     m->s = sched_create(&config, 0);
     for (uint32_t t = 0; t < f->teams; t++) {
         struct sched_event e = {.kind = SCHED_EVENT_TEAM};
--- a/bench/sched_load.h
+++ b/bench/sched_load.h
@@ -23,13 +23,14 @@
     uint32_t rack;
     uint32_t domains;
     uint32_t teams;
-    uint32_t large; /* teams of weight 4, the others have 1 */
+    uint32_t large;               /* teams of weight 4, the others have 1 */
+    struct sched_weights weights; /* waiting, packing, control, share */
 };
 
 static const struct fleet fleets[] = {
-    {"echeverria", 50, {16000, 32768, 0}, 0, 8, 3, 6, 2},
-    {"trentside", 50, {32000, 131072, 0}, 0, 6, 4, 6, 2},
-    {"target", 14000, {32000, 131072, 0}, 2500, 8, 17, 120, 12},
+    {"echeverria", 50, {16000, 32768, 0}, 0, 8, 3, 6, 2, {8, 1, 1, 1}},
+    {"trentside", 50, {32000, 131072, 0}, 0, 6, 4, 6, 2, {1, 4, 1, 4}},
+    {"target", 14000, {32000, 131072, 0}, 2500, 8, 17, 120, 12, {1, 1, 1, 1}},
 };
 
 struct job {
