--- a/packages/sched/include/sched.h
+++ b/packages/sched/include/sched.h
@@ -116,7 +116,8 @@
 
 /*
  * A worker session began or changed. The same incarnation again updates the
- * worker. Leases of an earlier incarnation count until its WORKER_EXPIRED.
+ * worker. A new one is not draining until told so. Leases of an earlier
+ * incarnation count until its WORKER_EXPIRED.
  */
 struct sched_worker_event {
     uint32_t worker;
--- a/packages/sched/job.c
+++ b/packages/sched/job.c
@@ -131,6 +131,10 @@
     int64_t due = s->now + s->config.unschedulable_ns;
     int64_t first = s->created + s->config.start_grace_ns;
 
+    if (s->reservation.job == j) {
+        reservation_drop(s);
+    }
+    team_unhold(s, j);
     queue_remove(s, j);
     j->parked_reason = reason;
     if (reason == SCHED_REASON_TEAM_LIMIT) {
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -447,6 +447,33 @@
     rig_close(&r);
 }
 
+/* Guards against room under a limit being kept for a job that left. */
+static void
+test_hold_released(void)
+{
+    struct rig r;
+    struct sched_job_event gang = batch(8, 2, 2000);
+
+    open_one(&r);
+    rig_worker(&r, 2, SIZE(4000, 10240, 4), "r2", "d1");
+    rig_team(&r, 1, 1, (struct sched_limits){99, 4500, 9000, 9});
+    rig_job(&r, batch(7, 4, 1000));
+    rig_tick(&r);
+    rig_run_placed(&r);
+    gang.class = SCHED_CLASS_GANG;
+    gang.size.accelerators = 1;
+    rig_job(&r, gang);
+    rig_tick(&r);
+    rig_job(&r, batch(9, 1, 1000));
+    rig_expire(&r, 2);
+    for (uint64_t lease = 1; lease <= 4; lease++) {
+        rig_end(&r, lease, SCHED_END_DONE);
+    }
+    rig_tick(&r);
+    g_assert_cmpuint(rig_get(&r, SCHED_ACTION_PLACE, 0)->u.place.job, ==, 9);
+    rig_close(&r);
+}
+
 /* Guards against a job above its team's limit blocking the team. */
 static void
 test_above_limit(void)
@@ -681,6 +708,7 @@
     g_test_add_func("/sched/retries", test_retries);
     g_test_add_func("/sched/unschedulable", test_unschedulable);
     g_test_add_func("/sched/above-limit", test_above_limit);
+    g_test_add_func("/sched/hold-released", test_hold_released);
     g_test_add_func("/sched/quarantine", test_quarantine);
     g_test_add_func("/sched/outgrown", test_outgrown);
     g_test_add_func("/sched/draining", test_draining);
