--- a/packages/route/ledger_balance.c
+++ b/packages/route/ledger_balance.c
@@ -5,7 +5,7 @@
      * this or goal / SLACK_PART; smaller moves would follow the noise of the
      * demand. */
     SLACK_UNITS = 2,
-    SLACK_PART = 6,
+    SLACK_PART = 12,
     /* Preference for a pool in the entry's failure domain, in units of
      * spread: a local pool is chosen until it holds so many more. */
     LOCAL_UNITS = 4,
@@ -42,15 +42,19 @@
 {
     for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
          d = TAILQ_NEXT(d, in_group)) {
-        d->level = 0;
-        const struct pool *p;
-        for (p = TAILQ_FIRST(&g->pools); p != NULL;
-             p = TAILQ_NEXT(p, in_group)) {
-            const struct share *s =
-                map_get_u64(d->entry->shares, (uintptr_t)p);
-            d->level += s == NULL || s->refused ? 0 : s->target;
+        d->entry->level = 0;
+    }
+    for (const struct pool *p = TAILQ_FIRST(&g->pools); p != NULL;
+         p = TAILQ_NEXT(p, in_group)) {
+        for (const struct share *s = TAILQ_FIRST(&p->shares); s != NULL;
+             s = TAILQ_NEXT(s, in_pool)) {
+            s->entry->level += s->refused ? 0 : s->target;
         }
     }
+    for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+         d = TAILQ_NEXT(d, in_group)) {
+        d->level = d->entry->level;
+    }
 }
 
 /*
@@ -123,9 +127,12 @@
 
     for (struct pool *p = TAILQ_FIRST(&g->pools); p != NULL;
          p = TAILQ_NEXT(p, in_group)) {
+        if (pool_free_units(l, p) == 0) {
+            continue;
+        }
         const struct share *s = map_get_u64(e->shares, (uintptr_t)p);
         int64_t score = s == NULL ? 0 : s->target;
-        if ((s != NULL && s->refused) || pool_free_units(l, p) == 0) {
+        if (s != NULL && s->refused) {
             continue;
         }
         score -= str_eq(p->domain, e->domain) ? LOCAL_UNITS : 0;
@@ -158,15 +165,14 @@
     struct share *best = NULL;
     int64_t best_score = INT64_MIN;
 
-    for (const struct pool *p = TAILQ_FIRST(&g->pools); p != NULL;
-         p = TAILQ_NEXT(p, in_group)) {
-        struct share *s = map_get_u64(e->shares, (uintptr_t)p);
-        if (s == NULL || s->target == 0 || s->refused) {
+    for (struct share *s = TAILQ_FIRST(&e->share_list); s != NULL;
+         s = TAILQ_NEXT(s, in_entry)) {
+        if (s->pool->group != g || s->target == 0 || s->refused) {
             continue;
         }
         int64_t idle = (int64_t)s->target - s->used;
         int64_t score = idle > 0 ? 1000 + idle : 0;
-        score += str_eq(p->domain, e->domain) ? 0 : LOCAL_UNITS;
+        score += str_eq(s->pool->domain, e->domain) ? 0 : LOCAL_UNITS;
         if (score > best_score) {
             best = s;
             best_score = score;
--- a/packages/route/ledger_int.h
+++ b/packages/route/ledger_int.h
@@ -87,6 +87,7 @@
     struct grant_no ack;
     bool leaving;
     bool due;
+    uint32_t level;         /* of the group that is being balanced */
     int64_t lease_end;      /* on the leader's clock, with margin */
     struct heap_node timer; /* key: when all its units have ended */
     struct map *shares;     /* by pool address */
