route: report a fall of the demand at once, and use more often

Cause: the leader learned only within 100 ms that an entry's demand had fallen, while demand changes within a service time (32 ms), so it saw no surplus and idle slots stayed where they were. A fall by more than an eighth now triggers a report like growth does, use is told every 25 ms instead of 100, and groups are balanced every 2 ms instead of 5.

--- a/packages/route/ledger.c
+++ b/packages/route/ledger.c
@@ -12,7 +12,7 @@
         .margin_ns = 100 * NS_PER_MS,
         .drift_ppm = 500,
         .longest_request_ns = 30 * NS_PER_S,
-        .balance_ns = 5 * NS_PER_MS,
+        .balance_ns = 2 * NS_PER_MS,
         .resend_ns = 100 * NS_PER_MS,
     };
 }
--- a/packages/route/router_attempt.c
+++ b/packages/route/router_attempt.c
@@ -101,9 +101,7 @@
             break;
         }
     }
-    if (s->queued > 0) {
-        starving(r, s);
-    }
+    demand_changed(r, s);
 }
 
 void
--- a/packages/route/router_int.h
+++ b/packages/route/router_int.h
@@ -341,9 +341,9 @@
                 enum router_reason reason, struct router_actions *out);
 
 /* attempts */
-/* Asks for a report when more requests wait than the leader knows. */
+/* Asks for a report when the demand differs from what the leader knows. */
 void
-starving(struct router *r, const struct service *s);
+demand_changed(struct router *r, const struct service *s);
 void
 team_starving(struct router *r, const struct team *t);
 void
--- a/packages/route/router_units.c
+++ b/packages/route/router_units.c
@@ -2,6 +2,12 @@
 #include "mem.h"
 #include "router_int.h"
 
+enum {
+    /* A change of the use alone is told at most so often; the ledger asks for
+     * units that were idle in the last report. */
+    USED_TOLD_NS = 25000000,
+};
+
 struct units *
 units_make(struct router *r, const char *prefix, struct str name)
 {
@@ -222,11 +228,21 @@
     return wants > u->told_wanted + u->told_wanted / 8;
 }
 
+/* So is a fall: until it is told, other entries wait for idle slots. */
+static bool
+fell(uint32_t wants, const struct units *u)
+{
+    return wants + 1 + u->told_wanted / 8 < u->told_wanted;
+}
+
 void
-starving(struct router *r, const struct service *s)
+demand_changed(struct router *r, const struct service *s)
 {
-    if (!r->report_urgent && grew(s->in_flight + s->queued, s->demand) &&
-        grew(service_wants(s), s->demand)) {
+    uint32_t most = s->in_flight + s->queued;
+
+    if (!r->report_urgent &&
+        (fell(most, s->demand) ||
+         (grew(most, s->demand) && grew(service_wants(s), s->demand)))) {
         report_soon(r);
     }
 }
@@ -285,8 +301,8 @@
 static void
 refresh_told(struct router *r, int64_t now, struct units *u)
 {
-    bool used = u->used != u->told_used &&
-                now >= u->used_told_at + r->config.report_ns;
+    bool used =
+        u->used != u->told_used && now >= u->used_told_at + USED_TOLD_NS;
 
     u->wanted = current_wants(u, now);
     if (u->held == u->told_held && u->wanted == u->told_wanted && !used) {
