--- a/tests/support/route_net.c
+++ b/tests/support/route_net.c
@@ -113,8 +113,12 @@
 void
 world_event(struct world *w, int entry, const struct router_event *ev)
 {
-    router_step(w->members[entry].router, local_now(w, entry), ev,
-                &w->actions);
+    int64_t now = local_now(w, entry);
+
+    if (w->plant == PLANT_SLOW_CLOCK) {
+        now -= 100 * NS_PER_MS;
+    }
+    router_step(w->members[entry].router, now, ev, &w->actions);
     perform(w, entry);
 }
 
@@ -182,6 +186,9 @@
                         .run = w->members[entry].run,
                         .grants = w->grants};
 
+    if (w->plant == PLANT_DEAF) {
+        return;
+    }
     world_post(w, mail);
     if (w->plant == PLANT_STALE_GRANT && world_chance(w, 300)) {
         mail.grants.no.seq += 10;
--- a/tests/support/route_world.h
+++ b/tests/support/route_world.h
@@ -70,6 +70,8 @@
     PLANT_HIDE_KEY,      /* the router is not told of a withdrawn key */
     PLANT_EJECT,         /* ... in a larger part that may be ejected */
     PLANT_QUEUE,         /* ... in a longer queue */
+    PLANT_SLOW_CLOCK,    /* the router's time lags by 100 ms */
+    PLANT_DEAF,          /* no grant arrives */
     PLANT_FORGET_VMS,    /* a new leader knows of no registered entries */
 };
 
