--- a/packages/route/ledger_report.c
+++ b/packages/route/ledger_report.c
@@ -131,7 +131,7 @@
     struct entry *e = map_get_u64(l->entries, run);
     bool first = e == NULL;
 
-    if (report->term != l->term) {
+    if (l->term == 0 || report->term != l->term) {
         return LEDGER_OTHER_TERM;
     }
     if (first && !report->full) {
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -259,6 +259,11 @@
     g_assert_cmpint(
         (int)ledger_report(f.l, f.now, 1, STR("vm1"), STR("d0"), &r), ==,
         LEDGER_OTHER_TERM);
+    r.term = 0; /* a control VM that never led must not take it either */
+    struct ledger *follower = ledger_create(&(struct ledger_config){0});
+    expect_result(ledger_report(follower, f.now, 1, STR("vm1"), STR("d0"), &r),
+                  LEDGER_OTHER_TERM);
+    ledger_destroy(follower);
     f.seq[1] = 1;
     expect_result(report(&f, 1, "t:1", 1, 1, 1), LEDGER_UNKNOWN);
     teardown(&f);
