route: choose among endpoints with free slots only

Cause: each send scanned every endpoint of the service, most of which have no free slot of this entry at load. The next cost is the hash map behind the look-ups by string and number (about a third), which was not changed.

--- a/packages/route/router_endpoint.c
+++ b/packages/route/router_endpoint.c
@@ -307,12 +307,11 @@
     struct endpoint *best = NULL;
     int64_t best_score = 0;
 
-    for (size_t i = 0; i < s->endpoint_count; i++) {
-        struct endpoint *e = s->endpoints[i];
+    for (struct endpoint *e = TAILQ_FIRST(&s->free); e != NULL;
+         e = TAILQ_NEXT(e, in_free)) {
         const struct units *u = e->units;
-        if (u->used >= u->held || u->used >= e->slots ||
-            endpoint_refused(e, now) || (e->probation && u->used > 0) ||
-            tried(q, e)) {
+        if (u->used >= e->slots || endpoint_refused(e, now) ||
+            (e->probation && u->used > 0) || tried(q, e)) {
             continue;
         }
         int64_t sum = score(e, q);
--- a/packages/route/router_int.h
+++ b/packages/route/router_int.h
@@ -18,6 +18,7 @@
     REPORTS_KEPT = 256,
 };
 
+TAILQ_HEAD(endpoint_list, endpoint);
 TAILQ_HEAD(units_list, units);
 TAILQ_HEAD(queue_list, queue);
 TAILQ_HEAD(request_list, request);
@@ -59,6 +60,8 @@
     uint64_t last_pick;
     struct units *units;
     struct heap_node timer;
+    bool is_free; /* on the service's list */
+    TAILQ_ENTRY(endpoint) in_free;
 };
 
 struct cost {
@@ -94,6 +97,7 @@
     struct endpoint **endpoints;
     size_t endpoint_count;
     size_t endpoint_cap;
+    struct endpoint_list free;  /* with a held slot that is not in use */
     struct map *queues;         /* by team number */
     struct heap active;         /* queues with requests whose team has units */
     struct request_list parked; /* retries that wait for another endpoint */
--- a/packages/route/router_service.c
+++ b/packages/route/router_service.c
@@ -19,6 +19,7 @@
     }
     s = mem_zalloc(1, sizeof(*s));
     s->name = str_dup(name);
+    TAILQ_INIT(&s->free);
     TAILQ_INIT(&s->parked);
     s->queues = map_create();
     s->retry_tokens = r->config.retry_burst;
