--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -711,6 +711,8 @@
            "spread", "retry", "ns/req", "KB/s");
 }
 
+static uint64_t requests_total;
+
 static void
 compare(const char *title, const struct mode *modes, size_t count,
         struct scenario s, const double *loads, size_t load_count,
@@ -723,6 +725,7 @@
         s.load = loads[l];
         for (size_t i = 0; i < count; i++) {
             run(&m, &modes[i], &s, seed);
+            requests_total += m.request_count;
             print_row(&m);
             if (s.shift && !modes[i].fixed) {
                 printf("%-12s reassigned after %.0f ms\n", "",
@@ -766,5 +769,6 @@
         compare("overload, 10% of the endpoints fail", modes, 5,
                 (struct scenario){.failing = 5}, loads, 3, seed);
     }
+    printf("\n%llu requests\n", (unsigned long long)requests_total);
     return 0;
 }
