--- a/packages/route/router_int.h
+++ b/packages/route/router_int.h
@@ -18,6 +18,7 @@
     REPORTS_KEPT = 256,
 };
 
+TAILQ_HEAD(endpoint_list, endpoint);
 TAILQ_HEAD(units_list, units);
 TAILQ_HEAD(queue_list, queue);
 TAILQ_HEAD(request_list, request);
@@ -59,6 +60,8 @@
     uint64_t last_pick;
     struct units *units;
     struct heap_node timer;
+    bool is_free; /* on the service's list */
+    TAILQ_ENTRY(endpoint) in_free;
 };
 
 struct cost {
@@ -94,6 +97,7 @@
     struct endpoint **endpoints;
     size_t endpoint_count;
     size_t endpoint_cap;
+    struct endpoint_list free;  /* with a held slot that is not in use */
     struct map *queues;         /* by team number */
     struct heap active;         /* queues with requests whose team has units */
     struct request_list parked; /* retries that wait for another endpoint */
@@ -341,9 +345,9 @@
                 enum router_reason reason, struct router_actions *out);
 
 /* attempts */
-/* Asks for a report when more requests wait than the leader knows. */
+/* Asks for a report when the demand differs from what the leader knows. */
 void
-starving(struct router *r, const struct service *s);
+demand_changed(struct router *r, const struct service *s);
 void
 team_starving(struct router *r, const struct team *t);
 void
--- a/packages/route/router_units.c
+++ b/packages/route/router_units.c
@@ -2,6 +2,12 @@
 #include "mem.h"
 #include "router_int.h"
 
+enum {
+    /* A change of the use alone is told at most so often; the ledger asks for
+     * units that were idle in the last report. */
+    USED_TOLD_NS = 25000000,
+};
+
 struct units *
 units_make(struct router *r, const char *prefix, struct str name)
 {
@@ -48,6 +54,24 @@
     r->report_urgent = true;
 }
 
+/* Keeps the service's list of endpoints with free slots. */
+static void
+track_free(struct endpoint *e)
+{
+    bool is_free = e->units->held > e->units->used;
+
+    if (is_free == e->is_free) {
+        return;
+    }
+    e->is_free = is_free;
+    if (is_free) {
+        TAILQ_INSERT_TAIL(&e->service->free, e, in_free);
+    }
+    else {
+        TAILQ_REMOVE(&e->service->free, e, in_free);
+    }
+}
+
 /* Sets held and keeps the count of free slots of the service. */
 static void
 set_held(struct router *r, struct units *u, uint32_t held)
@@ -59,6 +83,9 @@
         report_soon(r);
     }
     u->held = held;
+    if (u->endpoint != NULL) {
+        track_free(u->endpoint);
+    }
 }
 
 static void
@@ -75,6 +102,7 @@
     u->used++;
     if (u->endpoint != NULL) {
         u->endpoint->service->free_slots--;
+        track_free(u->endpoint);
     }
 }
 
@@ -84,6 +112,7 @@
     u->used--;
     if (u->endpoint != NULL) {
         u->endpoint->service->free_slots++;
+        track_free(u->endpoint);
     }
     sink(r, u);
 }
@@ -222,11 +251,21 @@
     return wants > u->told_wanted + u->told_wanted / 8;
 }
 
+/* So is a fall: until it is told, other entries wait for idle slots. */
+static bool
+fell(uint32_t wants, const struct units *u)
+{
+    return wants + 1 + u->told_wanted / 8 < u->told_wanted;
+}
+
 void
-starving(struct router *r, const struct service *s)
+demand_changed(struct router *r, const struct service *s)
 {
-    if (!r->report_urgent && grew(s->in_flight + s->queued, s->demand) &&
-        grew(service_wants(s), s->demand)) {
+    uint32_t most = s->in_flight + s->queued;
+
+    if (!r->report_urgent &&
+        (fell(most, s->demand) ||
+         (grew(most, s->demand) && grew(service_wants(s), s->demand)))) {
         report_soon(r);
     }
 }
@@ -285,8 +324,8 @@
 static void
 refresh_told(struct router *r, int64_t now, struct units *u)
 {
-    bool used = u->used != u->told_used &&
-                now >= u->used_told_at + r->config.report_ns;
+    bool used =
+        u->used != u->told_used && now >= u->used_told_at + USED_TOLD_NS;
 
     u->wanted = current_wants(u, now);
     if (u->held == u->told_held && u->wanted == u->told_wanted && !used) {
