daemon: record that a process has left, so that a new leader need not wait for it

Cause: after a leader change units stay frozen until every VM has run for config_lease_ms + longest_request_ms, because an older process of a restarted VM may still hold some. In a rolling restart without pauses every VM is young, and requests at entries without a slot reached their deadline. Ruled out: shortening the window (an old process may really be sending) and handing the ledger to the successor (it is lost with a crash).

--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -6,8 +6,8 @@
 #include "log.h"
 
 enum {
-    HANDOVER_MS = 2000, /* an election takes less */
-    LAST_REPORT_MS = 200,
+    HANDOVER_MS = 2000,    /* an election takes less */
+    LAST_REPORT_MS = 1000, /* a leader change may be under way */
 };
 
 void
@@ -54,10 +54,13 @@
 static void
 leave(struct control *c)
 {
-    bool waits = c->leader != NULL && leader_hand_over(c->leader) &&
-                 c->drain_phase_end + HANDOVER_MS * NS_PER_MS > c->now;
+    bool recorded = entry_leave(c->entry);
 
-    if (c->drain_phase_end > c->now || waits) {
+    if (!recorded && c->drain_phase_end > c->now) {
+        return;
+    }
+    if (c->leader != NULL && leader_hand_over(c->leader) &&
+        c->drain_phase_end + HANDOVER_MS * NS_PER_MS > c->now) {
         return;
     }
     log_write(LOG_LEVEL_NOTICE, "drain: done");
--- a/packages/daemon/entries.c
+++ b/packages/daemon/entries.c
@@ -46,6 +46,9 @@
     while ((vm = state_vm_next(state, &cursor)) != NULL) {
         struct entry_record *e = entry_record(l, vm->name);
 
+        if (vm->left) {
+            continue;
+        }
         e->old_lease_end =
             leader_lease_end(l, l->control->settings->config_lease_ms);
         names = mem_realloc(names, count + 1, sizeof(*names));
@@ -216,6 +219,19 @@
     }
 }
 
+static void
+send_left(const struct leader *l, struct link *to)
+{
+    Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+    Wire__EntryGrant grant = WIRE__ENTRY_GRANT__INIT;
+
+    grant.term = l->term;
+    grant.left = true;
+    envelope.msg_case = WIRE__ENVELOPE__MSG_ENTRY_GRANT;
+    envelope.entry_grant = &grant;
+    link_send(to, &envelope);
+}
+
 static struct entry_record *
 find_run(const struct leader *l, uint64_t run)
 {
@@ -274,13 +290,13 @@
     struct state_actor actor = leader_actor();
     struct buf command = {0};
 
-    if (vm != NULL &&
+    if (vm != NULL && vm->run == sync->run &&
         str_eq(vm->failure_domain, str_of(sync->failure_domain)) &&
         str_eq(vm->address, str_of(sync->address))) {
         return true;
     }
     state_cmd_vm_put(&command, &actor, name, str_of(sync->failure_domain),
-                     str_of(sync->address));
+                     str_of(sync->address), sync->run, false);
     replica_propose(l->replica, buf_str(&command),
                     (struct replica_waiter){vm_registered, NULL});
     buf_free(&command);
@@ -304,6 +320,15 @@
     buf_free(&command);
 }
 
+/* Whether no older process of this VM can hold anything. */
+static bool
+is_clean(const struct leader *l, const Wire__EntrySync *sync)
+{
+    const struct state_vm *vm = state_vm(leader_state(l), str_of(sync->vm));
+
+    return vm != NULL && vm->clean_run == sync->run;
+}
+
 static int64_t
 longest_lease_ms(const struct leader *l)
 {
@@ -317,7 +342,8 @@
 {
     struct entry_record *e = entry_record(l, str_of(sync->vm));
 
-    if (e->run == 0 && sync->up_ms > longest_lease_ms(l)) {
+    if (e->run == 0 &&
+        (is_clean(l, sync) || sync->up_ms > longest_lease_ms(l))) {
         /* This process has run for longer than any lease, so no earlier
          * process of the VM holds one. */
         e->old_lease_end = 0;
@@ -341,6 +367,34 @@
     e->draining = sync->draining;
 }
 
+/*
+ * A process that has stopped sending holds nothing. Recorded in the state, so
+ * that a later leader need not wait for its leases and requests to run out.
+ */
+static void
+take_leave(struct leader *l, struct link *from, const Wire__EntrySync *sync)
+{
+    const struct state_vm *vm = state_vm(leader_state(l), str_of(sync->vm));
+    struct entry_record *e = entry_record(l, str_of(sync->vm));
+    struct state_actor actor = leader_actor();
+    struct buf command = {0};
+
+    if (vm != NULL && vm->run == sync->run && vm->left) {
+        ledger_entry_expired(l->ledger, l->control->now, sync->run);
+        if (e->run == sync->run) {
+            e->lease_end = 0;
+        }
+        send_left(l, from);
+        return;
+    }
+    state_cmd_vm_put(&command, &actor, str_of(sync->vm),
+                     str_of(sync->failure_domain), str_of(sync->address),
+                     sync->run, true);
+    replica_propose(l->replica, buf_str(&command),
+                    (struct replica_waiter){vm_registered, NULL});
+    buf_free(&command);
+}
+
 void
 leader_entry_sync(struct leader *l, struct link *from,
                   const Wire__EntrySync *sync)
@@ -357,6 +411,13 @@
         !ensure_registered(l, sync)) {
         return;
     }
+    if (sync->left) {
+        take_leave(l, from, sync);
+        return;
+    }
+    if (is_clean(l, sync) && report.up_ns < ledger_window(l->ledger)) {
+        report.up_ns = ledger_window(l->ledger);
+    }
     report.items = mem_zalloc(sync->n_units + 1, sizeof(*report.items));
     report.count = sync->n_units;
     for (size_t i = 0; i < sync->n_units; i++) {
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -17,6 +17,7 @@
 
 enum {
     SWEEP_MS = 50,
+    LEAVE_REPEAT_MS = 50,
 };
 
 static const struct api_table *const tables[] = {
@@ -357,6 +358,7 @@
     sync.up_ms = report.up_ns / NS_PER_MS;
     sync.draining = report.leaving;
     sync.full = report.full;
+    sync.left = e->left;
     sync.config_version = confview_version(e->config);
     sync.endpoints_term = e->endpoints_term;
     sync.endpoints_seq = e->endpoints_seq;
@@ -649,6 +651,10 @@
     if (grant->term != e->leader_term) {
         return;
     }
+    if (grant->left) {
+        e->left_recorded = e->left;
+        return;
+    }
     if (grant->restart) {
         restart.term = grant->term;
         serve_event(e, &restart);
@@ -726,6 +732,17 @@
     }
 }
 
+bool
+entry_leave(struct entry *e)
+{
+    if (!e->left || e->leave_due <= e->control->now) {
+        e->left = true;
+        e->report_now = 1;
+        e->leave_due = e->control->now + LEAVE_REPEAT_MS * NS_PER_MS;
+    }
+    return e->left_recorded;
+}
+
 bool
 entry_idle(const struct entry *e)
 {
--- a/packages/daemon/entry.h
+++ b/packages/daemon/entry.h
@@ -64,6 +64,13 @@
 /* Drain: finishes what is queued and in flight. */
 void
 entry_drain(struct entry *e);
+
+/*
+ * After a drain: tells the leader that this process sends nothing any more, so
+ * that what it held is free at once. Returns true once that is recorded.
+ */
+bool
+entry_leave(struct entry *e);
 bool
 entry_idle(const struct entry *e);
 
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -69,6 +69,9 @@
     int64_t config_deadline; /* of the configuration lease */
     int64_t started;
     bool draining;
+    bool left;          /* sends nothing any more */
+    bool left_recorded; /* ... and the state says so */
+    int64_t leave_due;
 
     struct str leader_vm; /* owned */
     uint64_t leader_term;
--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -261,10 +261,14 @@
    * units lists everything that is held
    */
   protobuf_c_boolean full;
+  /*
+   * this process sends nothing any more
+   */
+  protobuf_c_boolean left;
 };
 #define WIRE__ENTRY_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__entry_sync__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wire__Endpoint
@@ -335,10 +339,14 @@
    * an operator asked this VM to stop
    */
   protobuf_c_boolean drain;
+  /*
+   * it is recorded that this process has left
+   */
+  protobuf_c_boolean left;
 };
 #define WIRE__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__entry_grant__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Wire__StoredResponse
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -1520,7 +1520,7 @@
   (ProtobufCMessageInit) wire__unit_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__entry_sync__field_descriptors[15] =
+static const ProtobufCFieldDescriptor wire__entry_sync__field_descriptors[16] =
 {
   {
     "term",
@@ -1702,6 +1702,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntrySync, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__entry_sync__field_indices_by_name[] = {
   3,   /* field[3] = ack_seq */
@@ -1713,6 +1725,7 @@
   8,   /* field[8] = endpoints_term */
   11,   /* field[11] = failure_domain */
   14,   /* field[14] = full */
+  15,   /* field[15] = left */
   13,   /* field[13] = run */
   1,   /* field[1] = seq */
   0,   /* field[0] = term */
@@ -1723,7 +1736,7 @@
 static const ProtobufCIntRange wire__entry_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wire__entry_sync__descriptor =
 {
@@ -1733,7 +1746,7 @@
   "Wire__EntrySync",
   "wire",
   sizeof(Wire__EntrySync),
-  15,
+  16,
   wire__entry_sync__field_descriptors,
   wire__entry_sync__field_indices_by_name,
   1,  wire__entry_sync__number_ranges,
@@ -1907,7 +1920,7 @@
   (ProtobufCMessageInit) wire__unit_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[15] =
 {
   {
     "term",
@@ -2077,6 +2090,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntryGrant, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__entry_grant__field_indices_by_name[] = {
   6,   /* field[6] = config */
@@ -2087,6 +2112,7 @@
   8,   /* field[8] = endpoints_full */
   11,   /* field[11] = endpoints_gone */
   9,   /* field[9] = endpoints_seq */
+  14,   /* field[14] = left */
   2,   /* field[2] = report_seq */
   12,   /* field[12] = restart */
   1,   /* field[1] = seq */
@@ -2097,7 +2123,7 @@
 static const ProtobufCIntRange wire__entry_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wire__entry_grant__descriptor =
 {
@@ -2107,7 +2133,7 @@
   "Wire__EntryGrant",
   "wire",
   sizeof(Wire__EntryGrant),
-  14,
+  15,
   wire__entry_grant__field_descriptors,
   wire__entry_grant__field_indices_by_name,
   1,  wire__entry_grant__number_ranges,
--- a/packages/state/cmd.c
+++ b/packages/state/cmd.c
@@ -154,7 +154,7 @@
 void
 state_cmd_vm_put(struct buf *out, const struct state_actor *by,
                  struct str name, struct str failure_domain,
-                 struct str address)
+                 struct str address, uint64_t run, bool left)
 {
     State__Command cmd = command(by, STATE__COMMAND__OP_VM_PUT);
     State__VmPut op = STATE__VM_PUT__INIT;
@@ -162,6 +162,8 @@
     op.name = proto_bin(name);
     op.failure_domain = proto_bin(failure_domain);
     op.address = proto_bin(address);
+    op.run = run;
+    op.left = left;
     append(out, &cmd, &op);
 }
 
--- a/packages/state/decode.c
+++ b/packages/state/decode.c
@@ -164,7 +164,10 @@
     struct state_vm vm = {.name = proto_str(m->name),
                           .failure_domain = proto_str(m->failure_domain),
                           .address = proto_str(m->address),
-                          .draining = m->draining};
+                          .draining = m->draining,
+                          .run = m->run,
+                          .clean_run = m->clean_run,
+                          .left = m->left};
 
     if (!name_valid(vm.name) || map_get(s->vms, vm.name) != NULL) {
         return false;
--- a/packages/state/encode.c
+++ b/packages/state/encode.c
@@ -213,6 +213,9 @@
         m.failure_domain = proto_bin(vm->failure_domain);
         m.address = proto_bin(vm->address);
         m.draining = vm->draining;
+        m.run = vm->run;
+        m.clean_run = vm->clean_run;
+        m.left = vm->left;
         append(w, STATE__SNAP_RECORD__ITEM_VM, &m);
     }
 }
--- a/packages/state/fleet.c
+++ b/packages/state/fleet.c
@@ -33,13 +33,30 @@
     mem_free(vm);
 }
 
+static void
+take_run(struct state_vm *vm, const State__VmPut *put)
+{
+    if (put->run == vm->run) {
+        vm->left = vm->left || put->left;
+        return;
+    }
+    if (vm->left) {
+        vm->clean_run = put->run;
+    }
+    vm->run = put->run;
+    vm->left = put->left;
+}
+
 void
 apply_vm_put(struct apply *a)
 {
     const State__VmPut *put = a->cmd->vm_put;
     struct state_vm given = {.name = proto_str(put->name),
                              .failure_domain = proto_str(put->failure_domain),
-                             .address = proto_str(put->address)};
+                             .address = proto_str(put->address),
+                             .run = put->run,
+                             .clean_run = put->run,
+                             .left = put->left};
     struct state_vm *vm;
 
     if (!name_valid(given.name) ||
@@ -55,6 +72,7 @@
     else {
         replace(&vm->failure_domain, given.failure_domain);
         replace(&vm->address, given.address);
+        take_run(vm, put);
     }
     result_applied(a, 0, 0, 1);
 }
--- a/packages/state/include/state.h
+++ b/packages/state/include/state.h
@@ -299,11 +299,15 @@
 state_cmd_key_delete(struct buf *out, const struct state_actor *by,
                      uint64_t id);
 
-/* Registers a VM or changes its address; keeps its draining mark. */
+/*
+ * Registers a VM's process or changes its address; keeps the draining mark.
+ * run is a random number of the process. left tells that the process has
+ * stopped for good and holds nothing.
+ */
 void
 state_cmd_vm_put(struct buf *out, const struct state_actor *by,
                  struct str name, struct str failure_domain,
-                 struct str address);
+                 struct str address, uint64_t run, bool left);
 void
 state_cmd_vm_drain(struct buf *out, const struct state_actor *by,
                    struct str name, bool draining);
@@ -534,6 +538,9 @@
     struct str failure_domain;
     struct str address;
     bool draining;
+    uint64_t run;       /* of the newest process */
+    uint64_t clean_run; /* equals run when no older process holds anything */
+    bool left;          /* the newest process has stopped, holding nothing */
 };
 
 const struct state_vm *
--- a/packages/state/include/state.pb-c.h
+++ b/packages/state/include/state.pb-c.h
@@ -199,10 +199,12 @@
   ProtobufCBinaryData name;
   ProtobufCBinaryData failure_domain;
   ProtobufCBinaryData address;
+  uint64_t run;
+  protobuf_c_boolean left;
 };
 #define STATE__VM_PUT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__vm_put__descriptor) \
-    , {0,NULL}, {0,NULL}, {0,NULL} }
+    , {0,NULL}, {0,NULL}, {0,NULL}, 0, 0 }
 
 
 struct  State__VmDrain
@@ -702,10 +704,13 @@
   ProtobufCBinaryData failure_domain;
   ProtobufCBinaryData address;
   protobuf_c_boolean draining;
+  uint64_t run;
+  uint64_t clean_run;
+  protobuf_c_boolean left;
 };
 #define STATE__SNAP_VM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__snap_vm__descriptor) \
-    , {0,NULL}, {0,NULL}, {0,NULL}, 0 }
+    , {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  State__SnapWorker
--- a/packages/state/state.pb-c.c
+++ b/packages/state/state.pb-c.c
@@ -2903,7 +2903,7 @@
   (ProtobufCMessageInit) state__key_delete__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__vm_put__field_descriptors[3] =
+static const ProtobufCFieldDescriptor state__vm_put__field_descriptors[5] =
 {
   {
     "name",
@@ -2941,16 +2941,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(State__VmPut, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(State__VmPut, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned state__vm_put__field_indices_by_name[] = {
   2,   /* field[2] = address */
   1,   /* field[1] = failure_domain */
+  4,   /* field[4] = left */
   0,   /* field[0] = name */
+  3,   /* field[3] = run */
 };
 static const ProtobufCIntRange state__vm_put__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor state__vm_put__descriptor =
 {
@@ -2960,7 +2986,7 @@
   "State__VmPut",
   "state",
   sizeof(State__VmPut),
-  3,
+  5,
   state__vm_put__field_descriptors,
   state__vm_put__field_indices_by_name,
   1,  state__vm_put__number_ranges,
@@ -5849,7 +5875,7 @@
   (ProtobufCMessageInit) state__snap_operator__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__snap_vm__field_descriptors[4] =
+static const ProtobufCFieldDescriptor state__snap_vm__field_descriptors[7] =
 {
   {
     "name",
@@ -5899,17 +5925,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapVm, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clean_run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapVm, clean_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapVm, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned state__snap_vm__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  5,   /* field[5] = clean_run */
   3,   /* field[3] = draining */
   1,   /* field[1] = failure_domain */
+  6,   /* field[6] = left */
   0,   /* field[0] = name */
+  4,   /* field[4] = run */
 };
 static const ProtobufCIntRange state__snap_vm__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor state__snap_vm__descriptor =
 {
@@ -5919,7 +5984,7 @@
   "State__SnapVm",
   "state",
   sizeof(State__SnapVm),
-  4,
+  7,
   state__snap_vm__field_descriptors,
   state__snap_vm__field_indices_by_name,
   1,  state__snap_vm__number_ranges,
--- a/tests/support/state_gen.c
+++ b/tests/support/state_gen.c
@@ -105,7 +105,7 @@
     switch (below(g, 6)) {
     case 0:
         state_cmd_vm_put(out, &by, name(g, "vm", space), STR("fd"),
-                         STR("10.0.0.1:1"));
+                         STR("10.0.0.1:1"), 1 + below(g, 3), below(g, 2) == 0);
         break;
     case 1:
         state_cmd_vm_drain(out, &by, name(g, "vm", space), below(g, 2) == 0);
