daemon: give an outcome to leases that the scheduler gives up unstarted

Cause: the scheduler ends a lease by itself when its placement is committed after the worker's session or the limit has changed. No worker reports such a lease, so its outcome was none, which the state rejects as a bad field. The leader dropped its record all the same, and the task stayed placed for good. Ruled out: leases of earlier processes of a worker (fixed before), lost proposals (the end was committed and rejected; a log line showed it).

--- a/packages/daemon/placement.c
+++ b/packages/daemon/placement.c
@@ -123,6 +123,11 @@
     switch (task->state) {
     case SCHED_TASK_WAITING:
         end->next = STATE_TASK_WAITING;
+        if (end->outcome == STATE_OUTCOME_NONE) {
+            /* Given up by the scheduler, without a report of the worker. */
+            end->outcome =
+                r->offered ? STATE_OUTCOME_LOST : STATE_OUTCOME_NEVER_STARTED;
+        }
         break;
     case SCHED_TASK_DONE:
         end->next = STATE_TASK_ENDED;
