--- a/packages/base/clock.c
+++ b/packages/base/clock.c
@@ -7,7 +7,9 @@
 {
     struct timespec ts;
 
-    clock_gettime(CLOCK_MONOTONIC, &ts);
+    /* CLOCK_MONOTONIC stands still while a VM is suspended, and leases would
+     * outlast their deadline when it resumes. */
+    clock_gettime(CLOCK_BOOTTIME, &ts);
     return (int64_t)ts.tv_sec * NS_PER_S + ts.tv_nsec;
 }
 
--- a/packages/base/include/clock.h
+++ b/packages/base/include/clock.h
@@ -10,7 +10,7 @@
 /* A deadline that never comes. */
 #define DEADLINE_NONE INT64_MAX
 
-/* Nanoseconds on the monotonic clock. */
+/* Nanoseconds on a monotonic clock that goes on while the VM is suspended. */
 int64_t
 clock_now(void);
 
