--- a/packages/cli/bench.c
+++ b/packages/cli/bench.c
@@ -57,6 +57,8 @@
 static size_t
 drop_body(char *data, size_t size, size_t count, void *arg)
 {
+    (void)data;
+    (void)arg;
     return size * count;
 }
 
--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -167,6 +167,7 @@
 {
     struct buf out = {0};
 
+    (void)input;
     if (key != ARGP_KEY_HELP_POST_DOC) {
         return (char *)text;
     }
--- a/packages/daemon/leader.h
+++ b/packages/daemon/leader.h
@@ -40,7 +40,7 @@
 
 /* Messages of entries. */
 void
-leader_call(struct leader *l, struct link *from, const Wire__Call *call);
+leader_call(struct leader *l, struct link *from, const Wire__Call *wire);
 void
 leader_entry_sync(struct leader *l, struct link *from,
                   const Wire__EntrySync *sync);
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -131,7 +131,7 @@
 
 /* The state of a job has changed: answers calls that wait for its end. */
 void
-job_changed(struct leader *l, uint64_t job);
+job_changed(struct leader *l, uint64_t number);
 
 /* Takes a call off the list of those that wait for its job. */
 void
--- a/packages/daemon/marks.c
+++ b/packages/daemon/marks.c
@@ -145,8 +145,8 @@
 }
 
 static void
-send_end(struct entry *e, struct link *to, const struct request *r,
-         uint64_t id, Wire__EndOutcome outcome)
+send_end(struct link *to, const struct request *r, uint64_t id,
+         Wire__EndOutcome outcome)
 {
     Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
     Wire__End end = WIRE__END__INIT;
@@ -178,7 +178,7 @@
 
     if (to != NULL) {
         expect_reply(e, r, to);
-        send_end(e, to, r, r->message, WIRE__END_OUTCOME__END_DONE);
+        send_end(to, r, r->message, WIRE__END_OUTCOME__END_DONE);
     }
 }
 
@@ -195,7 +195,7 @@
     struct link *to = entry_leader_link(e);
 
     if (r->record != 0 && to != NULL) {
-        send_end(e, to, r, e->next_id++, outcome);
+        send_end(to, r, e->next_id++, outcome);
     }
 }
 
--- a/packages/daemon/replica.c
+++ b/packages/daemon/replica.c
@@ -49,8 +49,7 @@
 };
 
 static void
-log_store_error(const struct replica *r, const char *what,
-                enum store_error error)
+log_store_error(const char *what, enum store_error error)
 {
     log_write(LOG_LEVEL_CRIT,
               "storage: %s failed: %s; this member stops voting and "
@@ -296,7 +295,7 @@
 storage_failed(struct replica *r, const char *what, enum store_error error)
 {
     if (!r->failed) {
-        log_store_error(r, what, error);
+        log_store_error(what, error);
         r->failed = true;
         raft_storage_failed(r->raft, r->control->now);
     }
--- a/tests/fakes/balancer.c
+++ b/tests/fakes/balancer.c
@@ -57,6 +57,7 @@
     struct timespec pause = {0, PROBE_MS * 1000000L};
     int i = 0;
 
+    (void)arg;
     for (;;) {
         struct buf url = {0};
         struct http_answer answer;
--- a/tests/fakes/endpoint.c
+++ b/tests/fakes/endpoint.c
@@ -154,6 +154,8 @@
 {
     struct request *r = *state;
 
+    (void)cls;
+    (void)version;
     if (r == NULL) {
         *state = mem_zalloc(1, sizeof(*r));
         return MHD_YES;
@@ -172,6 +174,9 @@
 {
     struct request *r = *state;
 
+    (void)cls;
+    (void)c;
+    (void)why;
     if (r != NULL) {
         buf_free(&r->body);
         mem_free(r);
@@ -261,6 +266,7 @@
 static error_t
 parse(int key, char *arg, struct argp_state *state)
 {
+    (void)state;
     switch (key) {
     case 'i':
         opt.id = arg;
--- a/tests/fakes/worker.c
+++ b/tests/fakes/worker.c
@@ -83,6 +83,7 @@
 static void
 on_stop(int sig)
 {
+    (void)sig;
     stopping = 1;
 }
 
@@ -349,8 +350,7 @@
     struct http_answer out;
     int64_t sent = clock_now();
 
-    buf_printf(&url, "%s/v1/workers/%s/sync",
-               opt.entries[next % opt.entry_count], opt.id);
+    buf_printf(&url, "%s/v1/workers/%s/sync", opt.entries[next], opt.id);
     struct http_call call = {.method = "POST",
                              .url = url.ptr,
                              .key = opt.key,
@@ -364,7 +364,7 @@
         if (out.status != 0) {
             fprintf(stderr, "sync: %ld %s\n", out.status, out.body.ptr);
         }
-        next++;
+        next = next + 1 < opt.entry_count ? next + 1 : 0;
         struct timespec pause = {0, 100 * 1000000};
         nanosleep(&pause, NULL);
     }
