sched: try every waiting gang, not only the oldest of one account

All are now tried in turn, eight a second. Room that the reservation holds early also made the sum of free room negative, which hid that a gang could fit. test_gang_no_blocking fails without this.

--- a/packages/sched/fleet.c
+++ b/packages/sched/fleet.c
@@ -70,11 +70,21 @@
     return &w->domain->free[w->capacity.d[DIM_ACCELERATORS] > 0];
 }
 
+/* Adds what w has free to the sum; room held early makes parts negative. */
+static void
+sum_free(struct sched *s, const struct worker *w, int sign)
+{
+    for (int i = 0; i < DIMS; i++) {
+        int64_t part = w->by_fill.own.d[i];
+        s->free_sum.d[i] += part > 0 ? sign * part : 0;
+    }
+}
+
 static void
 leave_trees(struct sched *s, struct worker *w)
 {
     if (w->by_fill.in_tree) {
-        vec_sub(&s->free_sum, &w->by_fill.own);
+        sum_free(s, w, -1);
         fit_remove(free_tree(s, w), &w->by_fill);
         fit_remove(domain_tree(w), &w->by_domain);
     }
@@ -129,7 +139,7 @@
     w->by_fill.key = fill_key(w, &avail);
     w->by_domain.own = avail;
     w->by_domain.key = -w->by_fill.key;
-    vec_add(&s->free_sum, &avail);
+    sum_free(s, w, 1);
     fit_insert(free_tree(s, w), &w->by_fill);
     fit_insert(domain_tree(w), &w->by_domain);
 }
--- a/packages/sched/reserve_next.c
+++ b/packages/sched/reserve_next.c
@@ -1,9 +1,15 @@
 #include "core.h"
 
+/* Above any size. */
+#define GANG_ANY (INT64_C(1) << 60)
+
 /* Without a new slot for this long, another job may reserve. */
 static const int64_t STALL_NS = 300 * NS_PER_S;
 /* Gangs above the fleet's size that are looked at again per timer. */
 static const int PARKED_CHECKS = 4;
+/* Gangs without the reservation that are tried per timer. */
+static const int RETRIES = 8;
+static const int RETRIES_PER_LANE = 4;
 
 /* Arms the timer that looks after gangs and big tasks. */
 void
@@ -57,19 +63,39 @@
     return best;
 }
 
-/* One gang without a reservation looks whether it fits by now. */
+/* The lane's gang after the one tried last, round and round. */
+static struct queue *
+next_to_retry(struct lane *l)
+{
+    static const struct vec any = {
+        {-GANG_ANY, -GANG_ANY, -GANG_ANY, -GANG_ANY}};
+    struct fit_node *n = fit_next(&l->gangs, &any, &l->retried);
+
+    n = n == NULL ? fit_min(&l->gangs) : n;
+    if (n == NULL) {
+        return NULL;
+    }
+    l->retried.key = n->key;
+    l->retried.seq = n->seq;
+    return n->owner;
+}
+
+/* Some gangs without a reservation look whether they fit by now. */
 static void
-retry_one(struct sched *s)
+retry_some(struct sched *s)
 {
-    for (size_t i = 0; i < s->account_count; i++) {
+    int left = RETRIES;
+
+    for (size_t i = 0; i < s->account_count && left > 0; i++) {
         struct account *a;
         s->retry_cursor = (s->retry_cursor + 1) % s->account_count;
         a = s->accounts[s->retry_cursor];
-        for (int lane = 0; lane < LANES; lane++) {
-            struct fit_node *n = fit_min(&a->lanes[lane].gangs);
-            if (n != NULL) {
-                queue_move(s, n->owner, &a->lanes[lane].ready);
-                return;
+        for (int n = 0; n < LANES * RETRIES_PER_LANE; n++) {
+            struct lane *lane = &a->lanes[n % LANES];
+            struct queue *q = next_to_retry(lane);
+            if (q != NULL) {
+                queue_move(s, q, &lane->ready);
+                left--;
             }
         }
     }
@@ -96,7 +122,7 @@
     }
 }
 
-/* Lets the next job reserve, and one gang try without. */
+/* Lets the next job reserve, and some gangs try without. */
 void
 reserve_next(struct sched *s)
 {
@@ -123,7 +149,7 @@
         }
     }
     else if (q != NULL) {
-        retry_one(s);
+        retry_some(s);
     }
     if (more) {
         reserve_soon(s);
--- a/packages/sched/types.h
+++ b/packages/sched/types.h
@@ -74,6 +74,7 @@
     struct fit_tree blocked; /* no capacity; vector: minus one task */
     struct fit_tree limited; /* team limit; vector: minus one or all tasks */
     struct fit_tree gangs;   /* gangs that wait for a retry or reservation */
+    struct fit_node retried; /* key and seq of the gang retried last */
     struct fit_tree big;     /* blocked ones that small tasks may starve */
     int64_t blocked_since;   /* at most the least key of blocked */
     struct heap_node heap;   /* in sched.ready[lane] while ready has nodes */
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -183,6 +183,37 @@
     rig_close(&r);
 }
 
+/* Guards against a large gang blocking the smaller ones behind it. */
+static void
+test_gang_no_blocking(void)
+{
+    struct rig r;
+    struct sched_job_event gang = batch(8, 2, 5000);
+
+    open_one(&r);
+    rig_worker(&r, 2, SIZE(3000, 128, 0), "r2", "d1");
+    rig_job(&r, batch(6, 1, 3000));
+    rig_tick(&r);
+    g_assert_cmpuint(rig_get(&r, SCHED_ACTION_PLACE, 0)->u.place.worker, ==,
+                     2);
+    rig_run_placed(&r);
+    rig_job(&r, batch(7, 1, 6000));
+    rig_tick(&r);
+    rig_run_placed(&r);
+    gang.class = SCHED_CLASS_GANG;
+    rig_job(&r, gang);
+    rig_tick(&r);
+    gang.job = 9;
+    gang.size.cpu_milli = 1000;
+    rig_job(&r, gang);
+    rig_tick(&r);
+    g_assert_cmpuint(rig_count(&r, SCHED_ACTION_PLACE), ==, 0);
+    rig_end(&r, 1, SCHED_END_DONE);
+    rig_wait(&r, 2 * NS_PER_S);
+    g_assert_cmpuint(rig_get(&r, SCHED_ACTION_PLACE, 1)->u.place.job, ==, 9);
+    rig_close(&r);
+}
+
 /* Guards against idle reserved room while a short job could use it. */
 static void
 test_backfill(void)
@@ -698,6 +729,7 @@
     g_test_add_func("/sched/limit", test_limit);
     g_test_add_func("/sched/limit-lowered", test_limit_lowered);
     g_test_add_func("/sched/gang", test_gang);
+    g_test_add_func("/sched/gang-no-blocking", test_gang_no_blocking);
     g_test_add_func("/sched/backfill", test_backfill);
     g_test_add_func("/sched/big-not-starved", test_big_not_starved);
     g_test_add_func("/sched/service-spread", test_service_spread);
