daemon: do not walk all held calls every 50 ms

Cause: forward_step visited each forwarded call 20 times a second to look for deadlines; with 667 held syncs it was the largest single item of a profile of an entry (7.3%). Ruled out: libmicrohttpd's list of suspended connections (2.3%).

--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -5,6 +5,7 @@
 #include "confview.h"
 #include "control.h"
 #include "entry.h"
+#include "heap.h"
 #include "map.h"
 #include "router.h"
 
@@ -12,8 +13,11 @@
 struct forward {
     uint64_t id;
     struct front_call *call;
-    uint64_t link_id; /* that it was sent on; 0: to be sent */
-    bool sent;        /* a leader may have carried it out */
+    uint64_t link_id;        /* that it was sent on; 0: to be sent */
+    bool sent;               /* a leader may have carried it out */
+    struct heap_node expiry; /* key: the call's deadline */
+    struct forward *next_unsent;
+    bool unsent; /* in the list of those to be sent */
 };
 
 enum request_phase {
@@ -88,6 +92,8 @@
     struct map *keys;  /* key ids of the current configuration */
 
     struct map *forwards; /* by id */
+    struct heap forward_expiry;
+    struct forward *unsent;
     uint64_t next_id;
     struct map *requests;           /* by id */
     struct map *marks;              /* team and key to struct request */
--- a/packages/daemon/forward.c
+++ b/packages/daemon/forward.c
@@ -7,9 +7,33 @@
 #include "entry_impl.h"
 #include "mem.h"
 
+#define FORWARD_OF(node)                                                      \
+    ((struct forward *)((char *)(node)-offsetof(struct forward, expiry)))
+
+/* Puts the call on the list that forward_step works off. */
+static void
+queue_unsent(struct entry *e, struct forward *f)
+{
+    f->link_id = 0;
+    if (!f->unsent) {
+        f->unsent = true;
+        f->next_unsent = e->unsent;
+        e->unsent = f;
+    }
+}
+
 static void
 forward_free(struct entry *e, struct forward *f)
 {
+    struct forward **slot = &e->unsent;
+
+    while (f->unsent && *slot != f) {
+        slot = &(*slot)->next_unsent;
+    }
+    if (f->unsent) {
+        *slot = f->next_unsent;
+    }
+    heap_remove(&e->forward_expiry, &f->expiry);
     map_del_u64(e->forwards, f->id);
     mem_free(f);
 }
@@ -83,10 +107,16 @@
 
     f->id = e->next_id++;
     f->call = call;
+    f->expiry.key = call->deadline;
+    f->expiry.seq = f->id;
     map_put_u64(e->forwards, f->id, f);
+    heap_insert(&e->forward_expiry, &f->expiry);
     if (leader != NULL) {
         send_call(e, f, leader);
     }
+    else {
+        queue_unsent(e, f);
+    }
 }
 
 static void
@@ -128,7 +158,7 @@
         give_up(e, f);
         return;
     }
-    f->link_id = 0;
+    queue_unsent(e, f);
 }
 
 void
@@ -142,7 +172,7 @@
             continue;
         }
         if (may_repeat(f->call)) {
-            f->link_id = 0;
+            queue_unsent(e, f);
         }
         else {
             give_up(e, f);
@@ -150,21 +180,33 @@
     }
 }
 
+static void
+send_unsent(struct entry *e, struct link *leader)
+{
+    struct forward *f;
+
+    while ((f = e->unsent) != NULL) {
+        e->unsent = f->next_unsent;
+        f->unsent = false;
+        send_call(e, f, leader);
+    }
+}
+
 void
 forward_step(struct entry *e)
 {
     struct link *leader = entry_leader_link(e);
-    struct forward *f;
-    void *cursor = NULL;
+    struct heap_node *n;
 
-    while ((f = map_next(e->forwards, &cursor)) != NULL) {
-        if (f->call->deadline <= e->control->now ||
-            (f->link_id == 0 && leader == NULL && e->draining)) {
-            give_up(e, f);
-        }
-        else if (f->link_id == 0 && leader != NULL) {
-            send_call(e, f, leader);
-        }
+    while ((n = heap_min(&e->forward_expiry)) != NULL &&
+           n->key <= e->control->now) {
+        give_up(e, FORWARD_OF(n));
+    }
+    if (leader != NULL) {
+        send_unsent(e, leader);
+    }
+    while (leader == NULL && e->draining && e->unsent != NULL) {
+        give_up(e, e->unsent);
     }
 }
 
@@ -177,5 +219,6 @@
     while ((f = map_next(e->forwards, &cursor)) != NULL) {
         give_up(e, f);
     }
+    heap_free(&e->forward_expiry);
     map_destroy(e->forwards);
 }
