--- a/tests/test_e2e_jobs.c
+++ b/tests/test_e2e_jobs.c
@@ -140,7 +140,7 @@
     int64_t commits;
 
     put_jobs(c, "again", 10, true, "run_ms=30000");
-    AWAIT(status_number(c, "tasks_running") == 10);
+    AWAIT(count_starts(c, "again") == 10);
     cluster_fake_kill(c, 0);
     cluster_fake_kill(c, 1);
     commits = status_number(c, "commit_index");
