--- a/tests/test_e2e_jobs.c
+++ b/tests/test_e2e_jobs.c
@@ -213,9 +213,11 @@
         "DELETE", "/v1/jobs/huge", c->team.key, NULL, NULL, NULL, -1, 0};
 
     g_assert_cmpint(api_job_put(c, &huge), ==, 200);
-    api_await_job(c, "huge", "unschedulable");
     put_jobs(c, "small", 10, false, "run_ms=30");
     await_jobs(c, "small", 10, "done");
+    api_await_job(c, "huge", "unschedulable");
+    put_jobs(c, "late", 10, false, "run_ms=30");
+    await_jobs(c, "late", 10, "done");
     g_assert_cmpstr(api_job_state(c, "huge"), ==, "unschedulable");
     g_assert_cmpint(api_call(c, &cancel, NULL), ==, 200);
     api_await_job(c, "huge", "cancelled");
