--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -2,6 +2,7 @@
  * Model of several entries, one ledger and one service in seeded model time.
  * Prints the measures of docs/routing.md for the router and for baselines.
  * Usage: bench_route [SEED [SECTION]], with sections from 1 to 4
+ *        bench_route size ENTRIES ENDPOINTS SECONDS, at load 0.9 and seed 1
  */
 #include <math.h>
 #include <stdio.h>
@@ -53,9 +54,12 @@
 
 struct scenario {
     double load;
-    int failing; /* endpoints that reset connections */
-    bool shift;  /* demand moves to other entries half-way */
-    bool uneven; /* a third of the entries has 80 % of the demand */
+    int entries;
+    int endpoints;
+    int64_t end_ns; /* of the arrivals, in model time */
+    int failing;    /* endpoints that reset connections */
+    bool shift;     /* demand moves to other entries half-way */
+    bool uneven;    /* a third of the entries has 80 % of the demand */
 };
 
 enum event_kind {
@@ -351,7 +355,7 @@
     int hot = 0;
 
     if (!m->scenario->uneven && !m->scenario->shift) {
-        return 1.0 / ENTRIES;
+        return 1.0 / m->scenario->entries;
     }
     if (m->scenario->shift && m->now >= WARM_NS + RUN_NS / 2) {
         hot = 2;
@@ -362,7 +366,8 @@
 static int64_t
 next_gap(struct model *m, int entry)
 {
-    double rate = m->scenario->load * CAPACITY / (double)MEAN_SLOT_NS;
+    double slots = m->scenario->endpoints * SLOTS;
+    double rate = m->scenario->load * slots / (double)MEAN_SLOT_NS;
 
     return 1 + exponential(m, (int64_t)(1 / (rate * entry_share(m, entry))));
 }
@@ -408,7 +413,7 @@
     };
     m->request_count++;
     step(m, entry, &ev);
-    if (m->now < WARM_NS + RUN_NS) {
+    if (m->now < m->scenario->end_ns) {
         event_add(m, EV_ARRIVE, entry, m->now + next_gap(m, entry));
     }
 }
@@ -434,10 +439,10 @@
 sample_idle(struct model *m)
 {
     uint32_t all_waiting = 0;
-    uint32_t all_idle = CAPACITY;
+    uint32_t all_idle = (uint32_t)m->scenario->endpoints * SLOTS;
     uint32_t hot = 0;
 
-    for (int i = 0; i < ENTRIES; i++) {
+    for (int i = 0; i < m->scenario->entries; i++) {
         struct router_stats s;
         router_stats(m->routers[i], &s);
         all_waiting += s.queued;
@@ -463,7 +468,7 @@
 {
     struct router_event ev = {.kind = ROUTER_TICK};
 
-    for (int i = 0; i < ENTRIES; i++) {
+    for (int i = 0; i < m->scenario->entries; i++) {
         if (router_next_deadline(m->routers[i]) <= m->now) {
             step(m, i, &ev);
         }
@@ -508,14 +513,14 @@
                        .report_seq = 1,
                        .lease_ns = 1000 * NS_PER_S,
                        .items = items,
-                       .count = ENDPOINTS};
+                       .count = (size_t)m->scenario->endpoints};
     struct router_event ev = {.kind = ROUTER_GRANTS, .grants = &g};
 
     router_report(m->routers[entry], m->now, &m->report);
-    for (int i = 0; i < ENDPOINTS; i++) {
+    for (int i = 0; i < m->scenario->endpoints; i++) {
         uint32_t units = 0;
         for (int slot = 0; slot < SLOTS; slot++) {
-            units += (i * SLOTS + slot) % ENTRIES == entry;
+            units += (i * SLOTS + slot) % m->scenario->entries == entry;
         }
         snprintf(names[i], sizeof(names[i]), "e:%d", i);
         items[i] = (struct unit_grant){str_of(names[i]), units};
@@ -545,7 +550,7 @@
         ev = (struct router_event){.kind = ROUTER_TEAM, .team = {team, 1, 0}};
         step(m, entry, &ev);
     }
-    for (int i = 0; i < ENDPOINTS; i++) {
+    for (int i = 0; i < m->scenario->endpoints; i++) {
         char id[16];
         snprintf(id, sizeof(id), "%d", i);
         ev = (struct router_event){.kind = ROUTER_ENDPOINT,
@@ -567,7 +572,7 @@
 
     m->ledger = ledger_create(&c);
     ledger_leader_changed(m->ledger, m->now, 1, NULL, 0);
-    for (int i = 0; i < ENDPOINTS; i++) {
+    for (int i = 0; i < m->scenario->endpoints; i++) {
         char pool[16];
         snprintf(pool, sizeof(pool), "e:%d", i);
         ledger_pool_set(m->ledger, m->now, str_of(pool), STR("s"),
@@ -576,7 +581,7 @@
     for (int i = 0; i < CLASSES; i++) {
         m->waits[i].us = mem_alloc(MAX_WAITS * sizeof(uint32_t));
     }
-    for (int i = 0; i < ENTRIES; i++) {
+    for (int i = 0; i < m->scenario->entries; i++) {
         start_router(m, i);
     }
     event_add(m, EV_TICK, 0, m->now + TICK_NS);
@@ -599,7 +604,7 @@
         grants_free(&e->grants);
         mem_free(e);
     }
-    for (int i = 0; i < ENTRIES; i++) {
+    for (int i = 0; i < m->scenario->entries; i++) {
         router_destroy(m->routers[i]);
     }
     ledger_destroy(m->ledger);
@@ -626,7 +631,7 @@
     m->now = NS_PER_MS;
     start(m);
     while ((n = heap_min(&m->events)) != NULL &&
-           n->key < WARM_NS + RUN_NS + NS_PER_S) {
+           n->key < s->end_ns + NS_PER_S) {
         heap_remove(&m->events, n);
         m->now = n->key;
         handle(m, (struct event *)n);
@@ -681,7 +686,7 @@
     double total = 0;
     double samples = m->samples == 0 ? 1 : (double)m->samples;
 
-    for (int i = 0; i < ENDPOINTS; i++) {
+    for (int i = 0; i < m->scenario->endpoints; i++) {
         busiest = fmax(busiest, (double)m->started[i]);
         total += (double)m->started[i];
     }
@@ -720,6 +725,9 @@
 {
     static struct model m;
 
+    s.entries = ENTRIES;
+    s.endpoints = ENDPOINTS;
+    s.end_ns = WARM_NS + RUN_NS;
     print_head(title);
     for (size_t l = 0; l < load_count; l++) {
         s.load = loads[l];
@@ -736,6 +744,29 @@
     }
 }
 
+/* Runs a size for callgrind and prints the number of requests. */
+static int
+run_size(char **args)
+{
+    static struct model m;
+    static const struct mode leased = {.name = "leased"};
+    struct scenario s = {.load = 0.9,
+                         .entries = atoi(args[0]),
+                         .endpoints = atoi(args[1]),
+                         .end_ns = atoi(args[2]) * NS_PER_S};
+
+    if (s.entries < 1 || s.entries > ENTRIES || s.endpoints < 1 ||
+        s.endpoints > ENDPOINTS || s.end_ns < NS_PER_S) {
+        fprintf(stderr, "at most %d entries and %d endpoints, at least 1 s\n",
+                ENTRIES, ENDPOINTS);
+        return 2;
+    }
+    run(&m, &leased, &s, 1);
+    printf("%llu requests\n", (unsigned long long)m.request_count);
+    finish(&m);
+    return 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -748,6 +779,10 @@
     };
     static const double normal[] = {0.9};
     static const double loads[] = {1, 2, 10};
+
+    if (argc == 5 && strcmp(argv[1], "size") == 0) {
+        return run_size(argv + 2);
+    }
     uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
     int only = argc > 2 ? atoi(argv[2]) : 0;
 
--- /dev/null
+++ b/tests/bounds.sh
@@ -0,0 +1,45 @@
+# Sourced by the tests/bounds_*.sh scripts, which count instructions under
+# callgrind and compare them with bounds. Sets work, a folder for results that
+# is removed at exit, and failed, the number of exceeded bounds.
+failed=0
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+# instructions NAME TOGGLES COMMAND...: prints the instructions that COMMAND
+# spends in the functions TOGGLES, separated by commas, or fails. Its output
+# is kept in $work/log-NAME.
+instructions() {
+    local name=$1 toggles=$2 options=() f
+    shift 2
+    for f in ${toggles//,/ }; do
+        options+=("--toggle-collect=$f")
+    done
+    valgrind --tool=callgrind --collect-atstart=no "${options[@]}" \
+        --callgrind-out-file="$work/out-$name" "$@" \
+        >"$work/log-$name" 2>&1 || return 1
+    awk '/^(summary|totals):/ { print $2; exit }' "$work/out-$name"
+}
+
+# check NAME COST BOUND. A missing or zero cost fails, so that a function that
+# was renamed or a run that failed does not pass.
+check() {
+    if [ "${2:-0}" -le 0 ]; then
+        echo "FAILED: $1: nothing measured"
+        failed=$((failed + 1))
+    elif [ "$2" -gt "$3" ]; then
+        echo "FAILED: $1: $2 instructions, bound $3"
+        failed=$((failed + 1))
+    else
+        echo "ok: $1: $2 instructions, bound $3"
+    fi
+}
+
+# grown COST SMALL LARGE: COST times log(LARGE) / log(SMALL).
+grown() {
+    awk -v c="$1" -v s="$2" -v l="$3" 'BEGIN { print int(c * log(l) / log(s)) }'
+}
+
+# scaled COST FACTOR
+scaled() {
+    awk -v c="$1" -v f="$2" 'BEGIN { print int(c * f) }'
+}
--- a/tests/bounds_sched.sh
+++ b/tests/bounds_sched.sh
@@ -6,36 +6,18 @@
 # Usage: tests/bounds_sched.sh [BUILD_FOLDER]. Needs valgrind. One decision
 # includes the end of a task, the arrival of a job and the commit.
 set -u
+. "$(dirname "$0")/bounds.sh"
 out=${1:-build/release}
 bench=$out/bench/bench_sched_scale
 decisions=400
 most=100000
-failed=0
-work=$(mktemp -d)
-trap 'rm -rf "$work"' EXIT
 
 # Prints the instructions per decision for WORKERS QUEUED.
 cost() {
-    valgrind --tool=callgrind --toggle-collect=measure \
-        --callgrind-out-file="$work/$1-$2" "$bench" queue "$1" "$2" \
-        "$decisions" >"$work/log-$1-$2" 2>&1 || exit 1
-    awk -v n="$decisions" '/^(summary|totals):/ { print int($2 / n); exit }' \
-        "$work/$1-$2"
-}
-
-# check NAME COST BOUND
-check() {
-    if [ "$2" -gt "$3" ]; then
-        echo "FAILED: $1: $2 instructions, bound $3"
-        failed=$((failed + 1))
-    else
-        echo "ok: $1: $2 instructions, bound $3"
-    fi
-}
-
-# grown COST SMALL LARGE: COST times log(LARGE) / log(SMALL).
-grown() {
-    awk -v c="$1" -v s="$2" -v l="$3" 'BEGIN { print int(c * log(l) / log(s)) }'
+    local n
+    n=$(instructions "$1-$2" measure "$bench" queue "$1" "$2" "$decisions") ||
+        return 1
+    echo $((n / decisions))
 }
 
 cases="140:100 1400:100 14000:100 1400:1000 1400:10000"
