--- a/packages/cli/lists.c
+++ b/packages/cli/lists.c
@@ -115,7 +115,17 @@
         .idempotency_key =
             s->idempotency_key == NULL ? own_key : s->idempotency_key};
     status = cli_call(cli, &request, &response);
-    if (response.json != NULL) {
+    if (response.status == 409) {
+        fprintf(stderr,
+                "guavarock: %s: field version: the list is no longer at "
+                "version %ld; the current one follows\n",
+                s->file, s->version);
+    }
+    else if (status == CLI_REFUSED) {
+        fprintf(stderr, "guavarock: %s was not accepted\n", s->file);
+    }
+    if (response.json != NULL &&
+        (status == CLI_OK || response.status == 409)) {
         cli_print_json(&response);
     }
     if (status == CLI_UNREACHABLE || status == CLI_UNKNOWN) {
