--- a/bench/bench_state.c
+++ b/bench/bench_state.c
@@ -2,6 +2,8 @@
  * Cost of the replicated state: memory per job and per task, time per
  * command, and snapshots, at the numbers of jobs given as arguments (10000,
  * 46000 and 200000 by default). One task per job, 256 bytes of payload.
+ * "bench_state pairs JOBS PAIRS" instead starts and ends the tasks of PAIRS
+ * of JOBS live jobs, in measure_pairs(), for callgrind --toggle-collect.
  */
 #include <malloc.h>
 #include <stdio.h>
@@ -126,21 +128,41 @@
 }
 
 static void
-place_all(struct bench *b, size_t jobs)
+place_batch(struct bench *b, size_t first)
 {
     struct state_placement items[BATCH];
+
+    for (size_t k = 0; k < BATCH; k++) {
+        items[k] = (struct state_placement){
+            .job = first + k + 1,
+            .worker = 1 + (uint32_t)(first + k) % WORKERS,
+            .incarnation = 1,
+            .lease = first + k + 1};
+    }
+    state_cmd_tasks_placed(&b->cmd, &b->by, items, BATCH);
+    apply(b);
+}
+
+static void
+end_batch(struct bench *b, size_t first)
+{
+    struct state_end items[BATCH];
+
+    for (size_t k = 0; k < BATCH; k++) {
+        items[k] = (struct state_end){.lease = first + k + 1,
+                                      .outcome = STATE_OUTCOME_DONE};
+    }
+    state_cmd_tasks_ended(&b->cmd, &b->by, items, BATCH);
+    apply(b);
+}
+
+static void
+place_all(struct bench *b, size_t jobs)
+{
     size_t before = heap_bytes();
 
     for (size_t i = 0; i < jobs; i += BATCH) {
-        for (size_t k = 0; k < BATCH; k++) {
-            items[k] = (struct state_placement){
-                .job = i + k + 1,
-                .worker = 1 + (uint32_t)(i + k) % WORKERS,
-                .incarnation = 1,
-                .lease = i + k + 1};
-        }
-        state_cmd_tasks_placed(&b->cmd, &b->by, items, BATCH);
-        apply(b);
+        place_batch(b, i);
     }
     report(b, "task placed, in 100s", jobs);
     printf("  placed task's lease      %8zu bytes of heap\n",
@@ -165,16 +187,10 @@
 static void
 end_all(struct bench *b, size_t jobs)
 {
-    struct state_end items[BATCH];
     size_t before = heap_bytes();
 
     for (size_t i = 0; i < jobs; i += BATCH) {
-        for (size_t k = 0; k < BATCH; k++) {
-            items[k] = (struct state_end){.lease = i + k + 1,
-                                          .outcome = STATE_OUTCOME_DONE};
-        }
-        state_cmd_tasks_ended(&b->cmd, &b->by, items, BATCH);
-        apply(b);
+        end_batch(b, i);
     }
     report(b, "task ended, in 100s", jobs);
     for (size_t i = 0; i < jobs; i++) {
@@ -223,6 +239,39 @@
     buf_free(&b.cmd);
 }
 
+/* Places and ends the tasks of PAIRS jobs, encoding the commands as well. */
+__attribute__((noinline)) static void
+measure_pairs(struct bench *b, size_t first, size_t pairs)
+{
+    for (size_t i = first; i < first + pairs; i += BATCH) {
+        place_batch(b, i);
+        end_batch(b, i);
+    }
+}
+
+static int
+run_pairs(size_t jobs, size_t pairs)
+{
+    struct bench b;
+
+    if (pairs == 0 || pairs > jobs) {
+        fprintf(stderr, "at least %d pairs, and as many jobs\n", BATCH);
+        return 2;
+    }
+    setup(&b);
+    for (size_t i = 0; i < jobs; i++) {
+        put_job(&b, "nightly-statement", i, 1);
+    }
+    for (size_t i = 0; i < jobs - pairs; i += BATCH) {
+        place_batch(&b, i);
+    }
+    measure_pairs(&b, jobs - pairs, pairs);
+    printf("%zu pairs\n", pairs);
+    state_destroy(b.s);
+    buf_free(&b.cmd);
+    return 0;
+}
+
 static void
 run_wide(void)
 {
@@ -313,6 +362,10 @@
 {
     static const size_t sizes[] = {10000, 46000, 200000};
 
+    if (argc == 4 && strcmp(argv[1], "pairs") == 0) {
+        return run_pairs(strtoul(argv[2], NULL, 10) / BATCH * BATCH,
+                         strtoul(argv[3], NULL, 10) / BATCH * BATCH);
+    }
     for (int i = 1; i < argc; i++) {
         size_t jobs = strtoul(argv[i], NULL, 10) / BATCH * BATCH;
         if (jobs == 0) {
