--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -174,7 +174,7 @@
     buf_printf(&out, "Commands (each has --help):\n");
     for (size_t i = 0; i < COMMAND_COUNT; i++) {
         const struct command *c = &commands[i];
-        buf_printf(&out, "  %-8s%-9s %s\n", c->group ? c->group : c->name,
+        buf_printf(&out, "  %-9s%-9s %s\n", c->group ? c->group : c->name,
                    c->group ? c->name : "", c->help);
     }
     buf_printf(&out,
