--- a/packages/daemon/bootstrap.c
+++ b/packages/daemon/bootstrap.c
@@ -17,16 +17,10 @@
     MEMBERS_MAX = 16,
 };
 
-static void
-ignore_result(void *arg, const struct state_result *result)
-{
-}
-
 static void
 propose(struct leader *l, struct buf *command)
 {
-    replica_propose(l->replica, buf_str(command),
-                    (struct replica_waiter){ignore_result, NULL});
+    replica_propose(l->replica, buf_str(command), replica_no_waiter);
     buf_free(command);
 }
 
--- a/packages/daemon/entries.c
+++ b/packages/daemon/entries.c
@@ -277,11 +277,6 @@
 
 /* ---- Reports ---- */
 
-static void
-vm_registered(void *arg, const struct state_result *result)
-{
-}
-
 static bool
 ensure_registered(struct leader *l, const Wire__EntrySync *sync)
 {
@@ -297,8 +292,7 @@
     }
     state_cmd_vm_put(&command, &actor, name, str_of(sync->failure_domain),
                      str_of(sync->address), sync->run, false);
-    replica_propose(l->replica, buf_str(&command),
-                    (struct replica_waiter){vm_registered, NULL});
+    replica_propose(l->replica, buf_str(&command), replica_no_waiter);
     buf_free(&command);
     return false;
 }
@@ -315,8 +309,7 @@
         return;
     }
     state_cmd_vm_drain(&command, &actor, name, false);
-    replica_propose(l->replica, buf_str(&command),
-                    (struct replica_waiter){vm_registered, NULL});
+    replica_propose(l->replica, buf_str(&command), replica_no_waiter);
     buf_free(&command);
 }
 
@@ -390,8 +383,7 @@
     state_cmd_vm_put(&command, &actor, str_of(sync->vm),
                      str_of(sync->failure_domain), str_of(sync->address),
                      sync->run, true);
-    replica_propose(l->replica, buf_str(&command),
-                    (struct replica_waiter){vm_registered, NULL});
+    replica_propose(l->replica, buf_str(&command), replica_no_waiter);
     buf_free(&command);
 }
 
--- a/packages/daemon/placement.c
+++ b/packages/daemon/placement.c
@@ -435,12 +435,6 @@
     l->outcome_count -= done;
 }
 
-/* Samples are cumulative, so a lost command is made good by the next one. */
-static void
-usage_applied(void *arg, const struct state_result *result)
-{
-}
-
 static void
 flush_usage(struct leader *l)
 {
@@ -460,8 +454,8 @@
         list[n++] = *sample;
     }
     state_cmd_usage(&command, &actor, list, n);
-    if (replica_propose(l->replica, buf_str(&command),
-                        (struct replica_waiter){usage_applied, NULL})) {
+    /* Samples are cumulative: the next one makes good a lost command. */
+    if (replica_propose(l->replica, buf_str(&command), replica_no_waiter)) {
         cursor = NULL;
         while ((sample = map_next(l->usage, &cursor)) != NULL) {
             map_del_u64(l->usage, sample->lease);
--- a/packages/daemon/replica.h
+++ b/packages/daemon/replica.h
@@ -33,6 +33,9 @@
     void *arg;
 };
 
+/* For commands whose result nobody needs. */
+extern const struct replica_waiter replica_no_waiter;
+
 /*
  * Proposes a command. Returns false, without calling the waiter, when this
  * member does not lead or has too much uncommitted.
--- /dev/null
+++ b/packages/daemon/replica_output.c
@@ -0,0 +1,133 @@
+/*
+ * Carries out what raft puts out: messages, writes, reads and committed
+ * entries.
+ */
+#include "control.h"
+#include "counter.h"
+#include "mem.h"
+#include "replica_impl.h"
+#include "storage.h"
+
+static struct link *
+member_link(const struct replica *r, uint64_t id)
+{
+    size_t count;
+    const struct raft_member *members = raft_members(r->raft, &count);
+    struct link *l;
+    void *cursor = NULL;
+
+    for (size_t i = 0; i < count; i++) {
+        if (members[i].id != id) {
+            continue;
+        }
+        l = control_link(r->control, members[i].vm);
+        if (l != NULL && l->member_id == id) {
+            return l;
+        }
+    }
+    /* A node without a configuration answers whoever asks it. */
+    while ((l = map_next(r->control->links, &cursor)) != NULL) {
+        if (l->member_id == id && l->session != NULL) {
+            return l;
+        }
+    }
+    return NULL;
+}
+
+static void
+send_messages(struct replica *r, const struct raft_output *out)
+{
+    for (size_t i = 0; i < out->message_count; i++) {
+        struct link *l = member_link(r, out->messages[i].to);
+        Wire__Raft raft = WIRE__RAFT__INIT;
+        Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+
+        if (l == NULL) {
+            continue;
+        }
+        raft.data.data = (uint8_t *)out->messages[i].bytes.ptr;
+        raft.data.len = out->messages[i].bytes.len;
+        envelope.msg_case = WIRE__ENVELOPE__MSG_RAFT;
+        envelope.raft = &raft;
+        link_send(l, &envelope);
+    }
+}
+
+static void
+queue_reads(struct replica *r, const struct raft_output *out)
+{
+    for (size_t i = 0; i < out->read_count; i++) {
+        struct storage_job *job = storage_job_create(STORAGE_READ);
+
+        job->u.read.to = out->reads[i].to;
+        job->u.read.index = out->reads[i].index;
+        job->u.read.offset = out->reads[i].offset;
+        job->u.read.len = out->reads[i].len;
+        storage_submit(r->storage, job);
+    }
+}
+
+static void
+apply_entry(struct replica *r, const struct raft_entry *entry)
+{
+    struct state_result result = {0};
+    struct waiting *w = map_del_u64(r->waiting, entry->index);
+    bool mine = w != NULL && w->term == entry->term;
+
+    state_apply(r->state, entry->index,
+                entry->kind == RAFT_ENTRY_DATA ? entry->data
+                                               : (struct str){NULL, 0},
+                &result);
+    if (w != NULL) {
+        w->waiter.applied(w->waiter.arg, mine ? &result : NULL);
+        mem_free(w);
+    }
+}
+
+/* Copies the committed entries: applying them may propose others, which raft
+ * allows only after raft_advance. */
+static void
+copy_committed(struct replica *r, const struct raft_output *out)
+{
+    r->commit_count = out->committed_count;
+    if (r->commit_count > r->commit_cap) {
+        r->commit_cap = r->commit_count;
+        r->commits =
+            mem_realloc(r->commits, r->commit_cap, sizeof(*r->commits));
+    }
+    buf_clear(&r->commit_bytes);
+    for (size_t i = 0; i < out->committed_count; i++) {
+        r->commits[i] = out->committed[i];
+        buf_append_str(&r->commit_bytes, out->committed[i].data);
+    }
+}
+
+static void
+apply_committed(struct replica *r)
+{
+    static struct counter *applied;
+    const char *at = r->commit_bytes.ptr;
+
+    if (applied == NULL) {
+        applied = counter_get(COUNTER_SUM, "guavarock_entries_applied_total",
+                              "Log entries applied.");
+    }
+    for (size_t i = 0; i < r->commit_count; i++) {
+        r->commits[i].data.ptr = at;
+        at += r->commits[i].data.len;
+        apply_entry(r, &r->commits[i]);
+    }
+    counter_add(applied, r->commit_count);
+}
+
+void
+replica_output(struct replica *r, const struct raft_output *out)
+{
+    send_messages(r, out);
+    storage_write(r->storage, out);
+    replica_queue_installs(r, out);
+    queue_reads(r, out);
+    copy_committed(r, out);
+    raft_advance(r->raft);
+    apply_committed(r);
+}
--- a/packages/daemon/requests.c
+++ b/packages/daemon/requests.c
@@ -97,11 +97,6 @@
     buf_free(&current);
 }
 
-static void
-lost_applied(void *arg, const struct state_result *result)
-{
-}
-
 static bool
 still_reports(const struct leader *l, const struct request_owner *o)
 {
@@ -132,7 +127,7 @@
         }
         state_cmd_entry_lost(&command, &actor, o->tag);
         if (replica_propose(l->replica, buf_str(&command),
-                            (struct replica_waiter){lost_applied, NULL})) {
+                            replica_no_waiter)) {
             map_del(l->running, o->tag);
             owner_free(o);
         }
