--- /dev/null
+++ b/packages/daemon/entry_http.c
@@ -0,0 +1,183 @@
+/*
+ * HTTP calls to an entry: probes and metrics are answered here, requests to
+ * services go to serve.c, all others to the leader.
+ */
+#include <sodium.h>
+
+#include "caller.h"
+#include "counter.h"
+#include "endpoint.h"
+#include "entry_impl.h"
+#include "operator.h"
+#include "platform.h"
+#include "worker.h"
+
+static const struct api_table *const tables[] = {
+    &caller_routes, &endpoint_routes, &worker_routes, &operator_routes,
+    &platform_routes};
+
+void
+front_refuse(struct front_call *call, int status, const char *code,
+             const char *message, const char *outcome, int retry_after_s)
+{
+    struct front_response response = {.status = status};
+    struct api_error error;
+    struct buf text = {0};
+
+    api_fail(&error, status, code, "", "%s", message);
+    api_error_render(&error, &response.body);
+    http_headers_add(&response.headers, STR("Content-Type"),
+                     STR("application/json"));
+    http_headers_add(&response.headers, STR("Guavarock-Outcome"),
+                     str_of(outcome));
+    if (retry_after_s > 0) {
+        buf_printf(&text, "%d", retry_after_s);
+        http_headers_add(&response.headers, STR("Retry-After"),
+                         buf_str(&text));
+        buf_free(&text);
+    }
+    front_respond(call, &response);
+}
+
+void
+key_hash(struct str key, uint8_t hash[STATE_HASH_BYTES])
+{
+    crypto_generichash(hash, STATE_HASH_BYTES, (const unsigned char *)key.ptr,
+                       key.len, NULL, 0);
+}
+
+static void
+respond_probe(struct front_call *call, bool ok, const char *reason)
+{
+    struct front_response response = {.status = ok ? 200 : 503};
+    struct platform_probe probe = {ok, ok ? (struct str){NULL, 0}
+                                          : str_of(reason)};
+
+    platform_probe_render(&probe, &response.body);
+    http_headers_add(&response.headers, STR("Content-Type"),
+                     STR("application/json"));
+    front_respond(call, &response);
+}
+
+static void
+respond_ready(struct entry *e, struct front_call *call)
+{
+    if (e->control->drain != DRAIN_NONE) {
+        respond_probe(call, false, "draining");
+    }
+    else {
+        respond_probe(call, entry_ready(e), "no configuration lease");
+    }
+}
+
+static void
+gauge(const char *name, const char *help, uint64_t value)
+{
+    counter_set(counter_get(COUNTER_GAUGE, name, help), value);
+}
+
+static void
+refresh_gauges(const struct entry *e)
+{
+    struct router_stats stats;
+
+    router_stats(e->router, &stats);
+    gauge("guavarock_requests_queued", "Requests that wait for a slot.",
+          stats.queued);
+    gauge("guavarock_requests_in_flight", "Requests at endpoints.",
+          stats.in_flight);
+    gauge("guavarock_slots_held", "Endpoint slots leased to this entry.",
+          stats.slots_held);
+    gauge("guavarock_endpoints", "Endpoints known.", stats.endpoints);
+    gauge("guavarock_endpoints_ejected", "Endpoints ejected here.",
+          stats.ejected);
+    gauge("guavarock_requests_sent", "Attempts sent to endpoints.",
+          stats.sent);
+    gauge("guavarock_request_retries", "Attempts after the first.",
+          stats.retries);
+    gauge("guavarock_requests_refused", "Requests refused as not-run.",
+          stats.refused);
+    gauge("guavarock_requests_failed", "Requests with an unknown outcome.",
+          stats.failed);
+    gauge("guavarock_requests_completed", "Requests answered.",
+          stats.completed);
+    gauge("guavarock_config_version", "Configuration version applied.",
+          confview_version(e->config));
+    gauge("guavarock_config_lease", "1 while the configuration lease lasts.",
+          entry_ready(e));
+    gauge("guavarock_leading", "1 while this process leads.",
+          e->control->leader != NULL);
+}
+
+static void
+respond_metrics(struct entry *e, struct front_call *call)
+{
+    struct front_response response = {.status = 200};
+
+    refresh_gauges(e);
+    counter_render(&response.body);
+    http_headers_add(&response.headers, STR("Content-Type"),
+                     STR(PLATFORM_METRICS_TYPE));
+    front_respond(call, &response);
+}
+
+static void
+refuse_unmatched(struct front_call *call, const struct api_match *match,
+                 const struct api_error *error)
+{
+    struct front_response response = {.status = error->status};
+
+    api_error_render(error, &response.body);
+    http_headers_add(&response.headers, STR("Content-Type"),
+                     STR("application/json"));
+    http_headers_add(&response.headers, STR("Guavarock-Outcome"),
+                     STR("not-run"));
+    if (error->status == 405) {
+        http_headers_add(&response.headers, STR("Allow"),
+                         str_of(match->allow));
+    }
+    front_respond(call, &response);
+}
+
+static void
+handle_call(struct entry *e, struct front_call *call)
+{
+    struct api_match match = {0};
+    struct api_error error;
+
+    if (!api_match(tables, sizeof(tables) / sizeof(tables[0]), call->method,
+                   call->path, &match, &error)) {
+        refuse_unmatched(call, &match, &error);
+        return;
+    }
+    switch (match.route) {
+    case API_SERVICE_CALL:
+        serve_call(e, call, str_of(match.param), match.rest);
+        break;
+    case API_LIVE:
+        respond_probe(call, true, "");
+        break;
+    case API_READY:
+        respond_ready(e, call);
+        break;
+    case API_METRICS:
+        respond_metrics(e, call);
+        break;
+    default:
+        forward_call(e, call);
+    }
+}
+
+void
+entry_front_item(struct entry *e, struct front_item *item)
+{
+    switch (item->kind) {
+    case FRONT_ITEM_CALL:
+        handle_call(e, item->call);
+        break;
+    case FRONT_ITEM_GONE:
+        serve_gone(e, item->call);
+        break;
+    }
+    front_item_release(item);
+}
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -104,6 +104,23 @@
     int64_t sweep_due;
 };
 
+/* entry.c */
+void
+entry_endpoint_free(struct known_endpoint *k);
+
+/* entry_report.c */
+void
+entry_send_report(struct entry *e, struct link *to);
+
+/*
+ * entry_grant.c: endpoints announce themselves to a new leader within their
+ * lease. Until then those that its predecessor told of stay in use.
+ */
+void
+entry_drop_old_endpoints(struct entry *e);
+
+/* entry_http.c */
+
 /* Answers with an error body. */
 void
 front_refuse(struct front_call *call, int status, const char *code,
--- /dev/null
+++ b/packages/daemon/entry_report.c
@@ -0,0 +1,81 @@
+/*
+ * An entry's reports to the leader: units in use and wanted, and what it has
+ * applied.
+ */
+#include "entry_impl.h"
+#include "mem.h"
+
+struct sync_space {
+    Wire__UnitReport *list;
+    Wire__UnitReport **pointers;
+    struct buf names;
+};
+
+static void
+fill_units(const struct report *report, struct sync_space *space,
+           Wire__EntrySync *sync)
+{
+    size_t bytes = 0;
+
+    for (size_t i = 0; i < report->count; i++) {
+        bytes += report->items[i].pool.len + 1;
+    }
+    buf_reserve(&space->names, bytes + 1);
+    space->list = mem_zalloc(report->count + 1, sizeof(*space->list));
+    space->pointers = mem_zalloc(report->count + 1, sizeof(*space->pointers));
+    for (size_t i = 0; i < report->count; i++) {
+        Wire__UnitReport *u = &space->list[i];
+
+        wire__unit_report__init(u);
+        u->pool = space->names.ptr + space->names.len;
+        buf_append_str(&space->names, report->items[i].pool);
+        buf_append(&space->names, "", 1);
+        u->held = report->items[i].held;
+        u->used = report->items[i].used;
+        u->wanted = report->items[i].wanted;
+        space->pointers[i] = u;
+    }
+    sync->n_units = report->count;
+    sync->units = space->pointers;
+}
+
+void
+entry_send_report(struct entry *e, struct link *to)
+{
+    const struct settings *s = e->control->settings;
+    Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+    Wire__EntrySync sync = WIRE__ENTRY_SYNC__INIT;
+    struct sync_space space = {0};
+    struct report report = {0};
+    struct str vm = str_dup(s->vm);
+    struct str domain = str_dup(s->failure_domain);
+    struct str address = str_dup(s->listen);
+
+    router_report(e->router, e->control->now, &report);
+    fill_units(&report, &space, &sync);
+    sync.term = report.term;
+    sync.seq = report.seq;
+    sync.ack_term = report.ack.term;
+    sync.ack_seq = report.ack.seq;
+    sync.up_ms = report.up_ns / NS_PER_MS;
+    sync.draining = report.leaving;
+    sync.full = report.full;
+    sync.left = e->left;
+    sync.config_version = confview_version(e->config);
+    sync.endpoints_term = e->endpoints_term;
+    sync.endpoints_seq = e->endpoints_seq;
+    sync.vm = (char *)vm.ptr;
+    sync.failure_domain = (char *)domain.ptr;
+    sync.address = (char *)address.ptr;
+    sync.run = e->control->run;
+    envelope.msg_case = WIRE__ENVELOPE__MSG_ENTRY_SYNC;
+    envelope.entry_sync = &sync;
+    link_send(to, &envelope);
+    report_free(&report);
+    str_free(&vm);
+    str_free(&domain);
+    str_free(&address);
+    mem_free(space.list);
+    mem_free(space.pointers);
+    buf_free(&space.names);
+}
