--- /dev/null
+++ b/packages/daemon/pools.c
@@ -0,0 +1,52 @@
+/*
+ * The ledger and its pools of teams' request limits.
+ */
+#include <inttypes.h>
+
+#include "clock.h"
+#include "control.h"
+#include "ledger.h"
+#include "replica.h"
+#include "state.h"
+
+struct ledger *
+control_ledger(struct control *c)
+{
+    struct ledger_config config = ledger_defaults();
+
+    if (c->ledger == NULL) {
+        config.lease_ns = c->settings->config_lease_ms * NS_PER_MS;
+        config.longest_request_ns =
+            c->settings->longest_request_ms * NS_PER_MS;
+        c->ledger = ledger_create(&config);
+    }
+    return c->ledger;
+}
+
+void
+control_sync_pools(struct control *c)
+{
+    const struct state *state = replica_state(c->replica);
+    struct ledger *ledger = control_ledger(c);
+    struct buf pool = {0};
+
+    if (state_config_version(state) == c->pools_version) {
+        return;
+    }
+    c->pools_version = state_config_version(state);
+    for (uint32_t n = 1; state_team(state, n) != NULL; n++) {
+        const struct state_team *team = state_team(state, n);
+        uint64_t requests = state_limit_of(state, n)->requests;
+
+        buf_clear(&pool);
+        buf_printf(&pool, POOL_TEAM "%" PRIu32, n);
+        if (team->removed || requests == STATE_UNLIMITED) {
+            ledger_pool_gone(ledger, c->now, buf_str(&pool));
+            continue;
+        }
+        ledger_pool_set(ledger, c->now, buf_str(&pool), STR(""), STR(""),
+                        requests > UINT32_MAX ? UINT32_MAX
+                                              : (uint32_t)requests);
+    }
+    buf_free(&pool);
+}
