--- a/packages/daemon/placement.c
+++ b/packages/daemon/placement.c
@@ -1,13 +1,10 @@
 /*
- * Connects the scheduler with the replicated state: feeds it events, commits
- * what it decides, and keeps a record of each lease.
+ * Connects the scheduler with the leader: feeds it events, queues what it
+ * decides for commit or for the worker, and keeps a record of each lease.
  */
-#include <inttypes.h>
-
-#include "counter.h"
-#include "leader_impl.h"
 #include "log.h"
 #include "mem.h"
+#include "placement_impl.h"
 
 static void
 handle_actions(struct leader *l);
@@ -27,19 +24,11 @@
     handle_actions(l);
 }
 
-static void
-feed_lease(struct leader *l, enum sched_event_kind kind, uint64_t lease)
-{
-    const struct sched_event event = {.kind = kind, .u.lease = lease};
-
-    placement_feed(l, &event);
-}
-
 /* ---- Lease records ---- */
 
-static struct lease_record *
-record_create(struct leader *l, uint64_t lease, uint64_t job, uint32_t task,
-              uint32_t worker, uint64_t incarnation)
+struct lease_record *
+lease_record_create(struct leader *l, uint64_t lease, uint64_t job,
+                    uint32_t task, uint32_t worker, uint64_t incarnation)
 {
     struct lease_record *r = mem_zalloc(1, sizeof(*r));
     struct worker_session *w = worker_session(l, worker);
@@ -58,8 +47,8 @@
     return r;
 }
 
-static void
-record_free(struct leader *l, struct lease_record *r)
+void
+lease_record_free(struct leader *l, struct lease_record *r)
 {
     struct worker_session *w = worker_session(l, r->worker);
 
@@ -83,8 +72,8 @@
 {
     struct worker_session *w = worker_session(l, place->worker);
     struct lease_record *r =
-        record_create(l, place->lease, place->job, place->task, place->worker,
-                      w->incarnation);
+        lease_record_create(l, place->lease, place->job, place->task,
+                            place->worker, w->incarnation);
 
     r->size = place->size;
     GROW(l->places, l->place_count, l->place_cap);
@@ -110,7 +99,7 @@
     }
     if (!r->committed) {
         /* The state never saw this lease, so nothing has to be ended. */
-        record_free(l, r);
+        lease_record_free(l, r);
         return;
     }
     GROW(l->ends, l->end_count, l->end_cap);
@@ -227,245 +216,6 @@
     sched_actions_clear(&l->actions);
 }
 
-/* ---- Commits ---- */
-
-/* A batch of placements or ends whose command is being committed. */
-struct batch {
-    struct leader *leader;
-    size_t count;
-    uint64_t leases[];
-};
-
-static struct batch *
-batch_create(struct leader *l, size_t count)
-{
-    struct batch *b = mem_zalloc(1, sizeof(*b) + count * sizeof(b->leases[0]));
-
-    b->leader = l;
-    b->count = count;
-    return b;
-}
-
-static bool
-is_rejected(const struct state_result *result, size_t item)
-{
-    if (result->kind != STATE_APPLIED) {
-        return true;
-    }
-    for (size_t i = 0; i < result->u.applied.reject_count; i++) {
-        if (result->u.applied.rejects[i].item == item) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-places_applied(void *arg, const struct state_result *result)
-{
-    struct batch *b = arg;
-    struct leader *l = b->leader;
-
-    for (size_t i = 0; result != NULL && i < b->count; i++) {
-        struct lease_record *r = map_get_u64(l->leases, b->leases[i]);
-        bool rejected = is_rejected(result, i);
-
-        if (r != NULL) {
-            r->committed = !rejected;
-        }
-        feed_lease(l,
-                   rejected ? SCHED_EVENT_PLACEMENT_FAILED
-                            : SCHED_EVENT_PLACEMENT_COMMITTED,
-                   b->leases[i]);
-        if (rejected && r != NULL &&
-            map_get_u64(l->leases, b->leases[i]) == r) {
-            record_free(l, r);
-        }
-    }
-    mem_free(b);
-}
-
-static void
-flush_places(struct leader *l)
-{
-    struct state_actor actor = leader_actor();
-    struct buf command = {0};
-    struct batch *b;
-
-    if (l->place_count == 0) {
-        return;
-    }
-    b = batch_create(l, l->place_count);
-    for (size_t i = 0; i < b->count; i++) {
-        b->leases[i] = l->places[i].lease;
-    }
-    state_cmd_tasks_placed(&command, &actor, l->places, l->place_count);
-    if (replica_propose(l->replica, buf_str(&command),
-                        (struct replica_waiter){places_applied, b})) {
-        l->place_count = 0;
-    }
-    else {
-        mem_free(b);
-    }
-    buf_free(&command);
-}
-
-static void
-ends_applied(void *arg, const struct state_result *result)
-{
-    struct batch *b = arg;
-    struct leader *l = b->leader;
-
-    for (size_t i = 0; result != NULL && i < b->count; i++) {
-        struct lease_record *r = map_get_u64(l->leases, b->leases[i]);
-
-        if (r == NULL) {
-            continue;
-        }
-        worker_ack(l, worker_session(l, r->worker), r->lease);
-        record_free(l, r);
-    }
-    mem_free(b);
-}
-
-static bool
-flush_ends(struct leader *l)
-{
-    struct state_actor actor = leader_actor();
-    struct buf command = {0};
-    struct batch *b;
-    bool ok;
-
-    if (l->end_count == 0) {
-        return true;
-    }
-    b = batch_create(l, l->end_count);
-    for (size_t i = 0; i < b->count; i++) {
-        b->leases[i] = l->ends[i].lease;
-    }
-    state_cmd_tasks_ended(&command, &actor, l->ends, l->end_count);
-    ok = replica_propose(l->replica, buf_str(&command),
-                         (struct replica_waiter){ends_applied, b});
-    if (ok) {
-        l->end_count = 0;
-    }
-    else {
-        mem_free(b);
-    }
-    buf_free(&command);
-    return ok;
-}
-
-struct outcome_wait {
-    struct leader *leader;
-    uint64_t job;
-};
-
-static void
-outcome_applied(void *arg, const struct state_result *result)
-{
-    struct outcome_wait *w = arg;
-
-    if (result != NULL) {
-        job_changed(w->leader, w->job);
-    }
-    mem_free(w);
-}
-
-static enum state_job_state
-outcome_state(const struct state_job *job, enum sched_outcome outcome)
-{
-    switch (outcome) {
-    case SCHED_OUTCOME_DONE:
-        return STATE_JOB_DONE;
-    case SCHED_OUTCOME_FAILED:
-        return STATE_JOB_FAILED;
-    case SCHED_OUTCOME_CANCELLED:
-        return STATE_JOB_CANCELLED;
-    case SCHED_OUTCOME_UNKNOWN:
-        return STATE_JOB_UNKNOWN;
-    case SCHED_OUTCOME_UNSCHEDULABLE:
-        return STATE_JOB_UNSCHEDULABLE;
-    case SCHED_OUTCOME_SCHEDULABLE:
-        break;
-    }
-    return job->placed > 0 ? STATE_JOB_RUNNING : STATE_JOB_QUEUED;
-}
-
-static bool
-propose_outcome(struct leader *l, const struct sched_outcome_action *action)
-{
-    const struct state_job *job = state_job(leader_state(l), action->job);
-    struct state_actor actor = leader_actor();
-    struct buf command = {0};
-    struct outcome_wait *wait;
-    const char *reason = action->reason == SCHED_REASON_NONE
-                             ? ""
-                             : sched_reason_text(action->reason);
-    bool ok;
-
-    if (job == NULL || state_job_terminal(job->state)) {
-        return true;
-    }
-    wait = mem_zalloc(1, sizeof(*wait));
-    wait->leader = l;
-    wait->job = action->job;
-    state_cmd_job_outcome(&command, &actor, action->job,
-                          outcome_state(job, action->outcome), str_of(reason));
-    ok = replica_propose(l->replica, buf_str(&command),
-                         (struct replica_waiter){outcome_applied, wait});
-    if (!ok) {
-        mem_free(wait);
-    }
-    buf_free(&command);
-    return ok;
-}
-
-static void
-flush_outcomes(struct leader *l)
-{
-    size_t done = 0;
-
-    while (done < l->outcome_count && propose_outcome(l, &l->outcomes[done])) {
-        done++;
-    }
-    for (size_t i = done; i < l->outcome_count; i++) {
-        l->outcomes[i - done] = l->outcomes[i];
-    }
-    l->outcome_count -= done;
-}
-
-static void
-flush_usage(struct leader *l)
-{
-    size_t count = map_count(l->usage);
-    struct state_actor actor = leader_actor();
-    struct buf command = {0};
-    struct state_sample *list;
-    struct state_sample *sample;
-    void *cursor = NULL;
-    size_t n = 0;
-
-    if (count == 0) {
-        return;
-    }
-    list = mem_alloc(count * sizeof(*list));
-    while ((sample = map_next(l->usage, &cursor)) != NULL) {
-        list[n++] = *sample;
-    }
-    state_cmd_usage(&command, &actor, list, n);
-    /* Samples are cumulative: the next one makes good a lost command. */
-    if (replica_propose(l->replica, buf_str(&command), replica_no_waiter)) {
-        cursor = NULL;
-        while ((sample = map_next(l->usage, &cursor)) != NULL) {
-            map_del_u64(l->usage, sample->lease);
-            mem_free(sample);
-        }
-    }
-    mem_free(list);
-    buf_free(&command);
-}
-
 void
 placement_step(struct leader *l)
 {
@@ -477,16 +227,7 @@
     if (sched_next_deadline(l->sched) <= l->control->now) {
         placement_feed(l, &tick);
     }
-    /* Usage goes before the ends, whose samples are the last ones. */
-    if (l->end_count != 0 || l->usage_due <= l->control->now) {
-        flush_usage(l);
-        l->usage_due = l->control->now + USAGE_FLUSH_MS * NS_PER_MS;
-    }
-    /* A placement may use what an end has freed, so ends go first. */
-    if (flush_ends(l)) {
-        flush_places(l);
-        flush_outcomes(l);
-    }
+    placement_flush(l);
 }
 
 /* ---- Input from the replicated state ---- */
@@ -552,89 +293,6 @@
     placement_feed(l, &event);
 }
 
-static enum sched_task_state
-restored_state(const struct state_task *task)
-{
-    switch ((enum state_task_state)task->state) {
-    case STATE_TASK_WAITING:
-        return SCHED_TASK_WAITING;
-    case STATE_TASK_PLACED:
-        return SCHED_TASK_PLACED;
-    case STATE_TASK_ENDED:
-        break;
-    }
-    switch ((enum state_task_outcome)task->outcome) {
-    case STATE_OUTCOME_DONE:
-        return SCHED_TASK_DONE;
-    case STATE_OUTCOME_FAILED:
-        return SCHED_TASK_FAILED;
-    case STATE_OUTCOME_STOPPED:
-        return SCHED_TASK_CANCELLED;
-    default:
-        return SCHED_TASK_UNKNOWN;
-    }
-}
-
-static void
-restore_task(struct leader *l, const struct state_job *job, uint32_t index)
-{
-    const struct state_task *task = &job->tasks[index];
-    struct sched_event event = {.kind = SCHED_EVENT_RESTORE};
-    struct lease_record *r;
-
-    if (task->state == STATE_TASK_WAITING && task->lease == 0) {
-        return;
-    }
-    event.u.restore = (struct sched_restore_event){
-        .job = job->number,
-        .task = index,
-        .state = restored_state(task),
-        .worker = task->worker,
-        .incarnation = task->incarnation,
-        .lease = task->lease,
-        .size = {task->cpu_milli, task->memory_mib, task->accelerators},
-        .failures = task->failures,
-        .losses = task->losses};
-    if (task->state == STATE_TASK_PLACED) {
-        worker_restore(l, task->worker, task->incarnation);
-        r = record_create(l, task->lease, job->number, index, task->worker,
-                          task->incarnation);
-        r->size = event.u.restore.size;
-        r->committed = true;
-        /* The worker starts a lease at most once, so it may be offered again
-         * in case the predecessor's answer was lost. */
-        r->offered = true;
-    }
-    placement_feed(l, &event);
-}
-
-static void
-restore_jobs(struct leader *l)
-{
-    const struct state *state = leader_state(l);
-    const struct state_job *job;
-    void *cursor = NULL;
-
-    while ((job = state_job_next(state, &cursor)) != NULL) {
-        if (!state_job_terminal(job->state)) {
-            placement_job(l, job);
-        }
-    }
-    cursor = NULL;
-    while ((job = state_job_next(state, &cursor)) != NULL) {
-        for (uint32_t i = 0;
-             !state_job_terminal(job->state) && i < job->spec.tasks; i++) {
-            restore_task(l, job, i);
-        }
-    }
-    cursor = NULL;
-    while ((job = state_job_next(state, &cursor)) != NULL) {
-        if (job->cancel && !state_job_terminal(job->state)) {
-            placement_cancel(l, job->number);
-        }
-    }
-}
-
 void
 placement_create(struct leader *l)
 {
@@ -647,10 +305,7 @@
     l->sched = sched_create(&config, l->control->now);
     l->leases = map_create();
     l->usage = map_create();
-    for (size_t i = 0; i < state_team_count(state); i++) {
-        placement_team(l, state_team_at(state, i));
-    }
-    restore_jobs(l);
+    placement_restore(l);
 }
 
 void
--- /dev/null
+++ b/packages/daemon/placement_commit.c
@@ -0,0 +1,265 @@
+/*
+ * Commits what the scheduler has decided, in batches.
+ */
+#include "mem.h"
+#include "placement_impl.h"
+
+static void
+feed_lease(struct leader *l, enum sched_event_kind kind, uint64_t lease)
+{
+    const struct sched_event event = {.kind = kind, .u.lease = lease};
+
+    placement_feed(l, &event);
+}
+
+/* A batch of placements or ends whose command is being committed. */
+struct batch {
+    struct leader *leader;
+    size_t count;
+    uint64_t leases[];
+};
+
+static struct batch *
+batch_create(struct leader *l, size_t count)
+{
+    struct batch *b = mem_zalloc(1, sizeof(*b) + count * sizeof(b->leases[0]));
+
+    b->leader = l;
+    b->count = count;
+    return b;
+}
+
+static bool
+is_rejected(const struct state_result *result, size_t item)
+{
+    if (result->kind != STATE_APPLIED) {
+        return true;
+    }
+    for (size_t i = 0; i < result->u.applied.reject_count; i++) {
+        if (result->u.applied.rejects[i].item == item) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+places_applied(void *arg, const struct state_result *result)
+{
+    struct batch *b = arg;
+    struct leader *l = b->leader;
+
+    for (size_t i = 0; result != NULL && i < b->count; i++) {
+        struct lease_record *r = map_get_u64(l->leases, b->leases[i]);
+        bool rejected = is_rejected(result, i);
+
+        if (r != NULL) {
+            r->committed = !rejected;
+        }
+        feed_lease(l,
+                   rejected ? SCHED_EVENT_PLACEMENT_FAILED
+                            : SCHED_EVENT_PLACEMENT_COMMITTED,
+                   b->leases[i]);
+        if (rejected && r != NULL &&
+            map_get_u64(l->leases, b->leases[i]) == r) {
+            lease_record_free(l, r);
+        }
+    }
+    mem_free(b);
+}
+
+static void
+flush_places(struct leader *l)
+{
+    struct state_actor actor = leader_actor();
+    struct buf command = {0};
+    struct batch *b;
+
+    if (l->place_count == 0) {
+        return;
+    }
+    b = batch_create(l, l->place_count);
+    for (size_t i = 0; i < b->count; i++) {
+        b->leases[i] = l->places[i].lease;
+    }
+    state_cmd_tasks_placed(&command, &actor, l->places, l->place_count);
+    if (replica_propose(l->replica, buf_str(&command),
+                        (struct replica_waiter){places_applied, b})) {
+        l->place_count = 0;
+    }
+    else {
+        mem_free(b);
+    }
+    buf_free(&command);
+}
+
+static void
+ends_applied(void *arg, const struct state_result *result)
+{
+    struct batch *b = arg;
+    struct leader *l = b->leader;
+
+    for (size_t i = 0; result != NULL && i < b->count; i++) {
+        struct lease_record *r = map_get_u64(l->leases, b->leases[i]);
+
+        if (r == NULL) {
+            continue;
+        }
+        worker_ack(l, worker_session(l, r->worker), r->lease);
+        lease_record_free(l, r);
+    }
+    mem_free(b);
+}
+
+static bool
+flush_ends(struct leader *l)
+{
+    struct state_actor actor = leader_actor();
+    struct buf command = {0};
+    struct batch *b;
+    bool ok;
+
+    if (l->end_count == 0) {
+        return true;
+    }
+    b = batch_create(l, l->end_count);
+    for (size_t i = 0; i < b->count; i++) {
+        b->leases[i] = l->ends[i].lease;
+    }
+    state_cmd_tasks_ended(&command, &actor, l->ends, l->end_count);
+    ok = replica_propose(l->replica, buf_str(&command),
+                         (struct replica_waiter){ends_applied, b});
+    if (ok) {
+        l->end_count = 0;
+    }
+    else {
+        mem_free(b);
+    }
+    buf_free(&command);
+    return ok;
+}
+
+struct outcome_wait {
+    struct leader *leader;
+    uint64_t job;
+};
+
+static void
+outcome_applied(void *arg, const struct state_result *result)
+{
+    struct outcome_wait *w = arg;
+
+    if (result != NULL) {
+        job_changed(w->leader, w->job);
+    }
+    mem_free(w);
+}
+
+static enum state_job_state
+outcome_state(const struct state_job *job, enum sched_outcome outcome)
+{
+    switch (outcome) {
+    case SCHED_OUTCOME_DONE:
+        return STATE_JOB_DONE;
+    case SCHED_OUTCOME_FAILED:
+        return STATE_JOB_FAILED;
+    case SCHED_OUTCOME_CANCELLED:
+        return STATE_JOB_CANCELLED;
+    case SCHED_OUTCOME_UNKNOWN:
+        return STATE_JOB_UNKNOWN;
+    case SCHED_OUTCOME_UNSCHEDULABLE:
+        return STATE_JOB_UNSCHEDULABLE;
+    case SCHED_OUTCOME_SCHEDULABLE:
+        break;
+    }
+    return job->placed > 0 ? STATE_JOB_RUNNING : STATE_JOB_QUEUED;
+}
+
+static bool
+propose_outcome(struct leader *l, const struct sched_outcome_action *action)
+{
+    const struct state_job *job = state_job(leader_state(l), action->job);
+    struct state_actor actor = leader_actor();
+    struct buf command = {0};
+    struct outcome_wait *wait;
+    const char *reason = action->reason == SCHED_REASON_NONE
+                             ? ""
+                             : sched_reason_text(action->reason);
+    bool ok;
+
+    if (job == NULL || state_job_terminal(job->state)) {
+        return true;
+    }
+    wait = mem_zalloc(1, sizeof(*wait));
+    wait->leader = l;
+    wait->job = action->job;
+    state_cmd_job_outcome(&command, &actor, action->job,
+                          outcome_state(job, action->outcome), str_of(reason));
+    ok = replica_propose(l->replica, buf_str(&command),
+                         (struct replica_waiter){outcome_applied, wait});
+    if (!ok) {
+        mem_free(wait);
+    }
+    buf_free(&command);
+    return ok;
+}
+
+static void
+flush_outcomes(struct leader *l)
+{
+    size_t done = 0;
+
+    while (done < l->outcome_count && propose_outcome(l, &l->outcomes[done])) {
+        done++;
+    }
+    for (size_t i = done; i < l->outcome_count; i++) {
+        l->outcomes[i - done] = l->outcomes[i];
+    }
+    l->outcome_count -= done;
+}
+
+static void
+flush_usage(struct leader *l)
+{
+    size_t count = map_count(l->usage);
+    struct state_actor actor = leader_actor();
+    struct buf command = {0};
+    struct state_sample *list;
+    struct state_sample *sample;
+    void *cursor = NULL;
+    size_t n = 0;
+
+    if (count == 0) {
+        return;
+    }
+    list = mem_alloc(count * sizeof(*list));
+    while ((sample = map_next(l->usage, &cursor)) != NULL) {
+        list[n++] = *sample;
+    }
+    state_cmd_usage(&command, &actor, list, n);
+    /* Samples are cumulative: the next one makes good a lost command. */
+    if (replica_propose(l->replica, buf_str(&command), replica_no_waiter)) {
+        cursor = NULL;
+        while ((sample = map_next(l->usage, &cursor)) != NULL) {
+            map_del_u64(l->usage, sample->lease);
+            mem_free(sample);
+        }
+    }
+    mem_free(list);
+    buf_free(&command);
+}
+
+void
+placement_flush(struct leader *l)
+{
+    /* Usage goes before the ends, whose samples are the last ones. */
+    if (l->end_count != 0 || l->usage_due <= l->control->now) {
+        flush_usage(l);
+        l->usage_due = l->control->now + USAGE_FLUSH_MS * NS_PER_MS;
+    }
+    /* A placement may use what an end has freed, so ends go first. */
+    if (flush_ends(l)) {
+        flush_places(l);
+        flush_outcomes(l);
+    }
+}
