--- /dev/null
+++ b/packages/daemon/entries_grants.c
@@ -0,0 +1,207 @@
+/*
+ * The leader's grants to entries, and when they are sent.
+ */
+#include "entries_impl.h"
+#include "mem.h"
+
+static void
+fill_config(const struct leader *l, const struct entry_record *e,
+            struct buf *bytes, Wire__EntryGrant *grant)
+{
+    const struct state *state = leader_state(l);
+
+    grant->config_version = state_config_version(state);
+    if (e->config_version < grant->config_version) {
+        state_config_since(state, e->config_version, bytes);
+        grant->config.data = (uint8_t *)bytes->ptr;
+        grant->config.len = bytes->len;
+    }
+}
+
+static void
+fill_endpoints(const struct leader *l, const struct entry_record *e,
+               struct endpoint_changes *changes, Wire__EntryGrant *grant)
+{
+    bool full =
+        e->endpoints_seq == 0 || e->endpoints_seq < l->endpoint_gone_floor;
+
+    endpoints_since(l, e->endpoints_seq, full, changes);
+    grant->endpoints_full = full;
+    grant->endpoints_seq = l->endpoint_seq;
+    grant->n_endpoints = changes->count;
+    grant->endpoints = changes->pointers;
+    grant->n_endpoints_gone = changes->gone_count;
+    grant->endpoints_gone = changes->gone;
+}
+
+struct unit_space {
+    Wire__UnitGrant *list;
+    Wire__UnitGrant **pointers;
+    struct buf names;
+};
+
+static void
+fill_units(const struct grants *grants, struct unit_space *space,
+           Wire__EntryGrant *grant)
+{
+    size_t bytes = 0;
+
+    for (size_t i = 0; i < grants->count; i++) {
+        bytes += grants->items[i].pool.len + 1;
+    }
+    buf_reserve(&space->names, bytes + 1);
+    space->list = mem_zalloc(grants->count + 1, sizeof(*space->list));
+    space->pointers = mem_zalloc(grants->count + 1, sizeof(*space->pointers));
+    for (size_t i = 0; i < grants->count; i++) {
+        Wire__UnitGrant *u = &space->list[i];
+
+        wire__unit_grant__init(u);
+        u->pool = space->names.ptr + space->names.len;
+        buf_append_str(&space->names, grants->items[i].pool);
+        buf_append(&space->names, "", 1);
+        u->units = grants->items[i].units;
+        space->pointers[i] = u;
+    }
+    grant->n_units = grants->count;
+    grant->units = space->pointers;
+    grant->term = grants->no.term;
+    grant->seq = grants->no.seq;
+    grant->report_seq = grants->report_seq;
+    grant->unit_lease_ms = grants->lease_ns / NS_PER_MS;
+}
+
+void
+entries_send_grant(struct leader *l, struct entry_record *e)
+{
+    const struct state_vm *vm = state_vm(leader_state(l), e->vm);
+    uint32_t lease_ms = l->control->settings->config_lease_ms;
+    struct link *to = control_link_by_id(l->control, e->link_id);
+    Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+    Wire__EntryGrant grant = WIRE__ENTRY_GRANT__INIT;
+    struct endpoint_changes changes = {0};
+    struct unit_space space = {0};
+    struct grants grants = {0};
+    struct buf config = {0};
+
+    if (to == NULL || !replica_leads(l->replica) ||
+        !ledger_plan(l->ledger, l->control->now, e->run, &grants)) {
+        return;
+    }
+    fill_units(&grants, &space, &grant);
+    fill_config(l, e, &config, &grant);
+    fill_endpoints(l, e, &changes, &grant);
+    grant.config_lease_ms = lease_ms;
+    grant.drain = vm != NULL && vm->draining;
+    e->lease_end = leader_lease_end(l, lease_ms);
+    envelope.msg_case = WIRE__ENVELOPE__MSG_ENTRY_GRANT;
+    envelope.entry_grant = &grant;
+    link_send(to, &envelope);
+    endpoint_changes_free(&changes);
+    grants_free(&grants);
+    mem_free(space.list);
+    mem_free(space.pointers);
+    buf_free(&space.names);
+    buf_free(&config);
+}
+
+/* A grant of nothing but what its flags say. */
+static void
+send_flags(const struct leader *l, struct link *to, bool restart, bool left)
+{
+    Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
+    Wire__EntryGrant grant = WIRE__ENTRY_GRANT__INIT;
+
+    grant.term = l->term;
+    grant.restart = restart;
+    grant.left = left;
+    envelope.msg_case = WIRE__ENVELOPE__MSG_ENTRY_GRANT;
+    envelope.entry_grant = &grant;
+    link_send(to, &envelope);
+}
+
+void
+entries_send_restart(const struct leader *l, struct link *to)
+{
+    send_flags(l, to, true, false);
+}
+
+void
+entries_send_left(const struct leader *l, struct link *to)
+{
+    send_flags(l, to, false, true);
+}
+
+void
+entries_push_config(struct leader *l)
+{
+    uint64_t version = state_config_version(leader_state(l));
+    struct entry_record *e;
+    void *cursor = NULL;
+
+    l->pushed_version = version;
+    while ((e = map_next(l->entries, &cursor)) != NULL) {
+        if (e->run != 0 && e->config_version < version) {
+            entries_send_grant(l, e);
+        }
+    }
+}
+
+static void
+push_endpoints(struct leader *l)
+{
+    struct entry_record *e;
+    void *cursor = NULL;
+
+    if (l->pushed_endpoints == l->endpoint_seq) {
+        return;
+    }
+    l->pushed_endpoints = l->endpoint_seq;
+    while ((e = map_next(l->entries, &cursor)) != NULL) {
+        if (e->run != 0) {
+            entries_send_grant(l, e);
+        }
+    }
+}
+
+static struct entry_record *
+find_run(const struct leader *l, uint64_t run)
+{
+    struct entry_record *e;
+    void *cursor = NULL;
+
+    while ((e = map_next(l->entries, &cursor)) != NULL) {
+        if (e->run == run) {
+            return e;
+        }
+    }
+    return NULL;
+}
+
+void
+entries_step(struct leader *l)
+{
+    uint64_t run;
+
+    if (!replica_leads(l->replica)) {
+        return;
+    }
+    ledger_tick(l->ledger, l->control->now);
+    if (state_config_version(leader_state(l)) != l->pushed_version) {
+        control_sync_pools(l->control);
+        entries_push_config(l);
+    }
+    push_endpoints(l);
+    while (ledger_due(l->ledger, l->control->now, &run)) {
+        struct entry_record *e = find_run(l, run);
+        struct grants lost = {0};
+
+        if (e != NULL && control_link_by_id(l->control, e->link_id) != NULL) {
+            entries_send_grant(l, e);
+        }
+        else {
+            /* Counts as sent and lost; the ledger repeats it later. */
+            ledger_plan(l->ledger, l->control->now, run, &lost);
+            grants_free(&lost);
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/entries_impl.h
@@ -0,0 +1,18 @@
+#ifndef GV_ENTRIES_IMPL_H
+#define GV_ENTRIES_IMPL_H
+
+#include "leader_impl.h"
+
+/* entries_grants.c */
+void
+entries_send_grant(struct leader *l, struct entry_record *e);
+
+/* The leader does not know the process: it is to report in full. */
+void
+entries_send_restart(const struct leader *l, struct link *to);
+
+/* It is recorded that the process sends nothing any more. */
+void
+entries_send_left(const struct leader *l, struct link *to);
+
+#endif
--- /dev/null
+++ b/packages/daemon/inforce.c
@@ -0,0 +1,94 @@
+/*
+ * Whether a configuration is in force everywhere, and calls that wait for it.
+ */
+#include <inttypes.h>
+
+#include "leader_impl.h"
+#include "operator.h"
+
+/*
+ * old_lease_end covers processes of the VM that have not confirmed anything
+ * to this leader: earlier ones, and before the first report any.
+ */
+static bool
+entry_in_force(const struct leader *l, const struct entry_record *e,
+               uint64_t version)
+{
+    int64_t now = l->control->now;
+
+    if (e->old_lease_end > now) {
+        return false;
+    }
+    return e->config_version >= version || e->lease_end <= now;
+}
+
+bool
+entries_in_force(const struct leader *l, uint64_t version)
+{
+    const struct entry_record *e;
+    void *cursor = NULL;
+
+    while ((e = map_next(l->entries, &cursor)) != NULL) {
+        if (!entry_in_force(l, e, version)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+limits_settled(const struct leader *l)
+{
+    const struct state *state = leader_state(l);
+    struct buf pool = {0};
+    bool settled = true;
+
+    for (size_t i = 0; settled && i < state_team_count(state); i++) {
+        uint32_t team = state_team_at(state, i)->number;
+
+        buf_clear(&pool);
+        buf_printf(&pool, POOL_TEAM "%" PRIu32, team);
+        settled =
+            sched_team_within_limit(l->sched, team) &&
+            ledger_pool_settled(l->ledger, l->control->now, buf_str(&pool));
+    }
+    buf_free(&pool);
+    return settled;
+}
+
+void
+inforce_wait(struct call *call, uint64_t version)
+{
+    call->version = version;
+    call->wait_next = call->leader->inforce;
+    call->leader->inforce = call;
+}
+
+static void
+inforce_answer(struct call *call, bool in_force)
+{
+    struct operator_accepted accepted = {call->list_version, in_force};
+
+    if (call->answer.len == 0) {
+        operator_accepted_render(&accepted, &call->answer);
+    }
+    call_respond(call, call->status, &call->answer);
+}
+
+void
+inforce_step(struct leader *l)
+{
+    bool settled = l->inforce != NULL && limits_settled(l);
+    struct call *next;
+
+    for (struct call *call = l->inforce; call != NULL; call = next) {
+        next = call->wait_next;
+        if (settled && entries_in_force(l, call->version) &&
+            replica_leads(l->replica)) {
+            inforce_answer(call, true);
+        }
+        else if (call->deadline <= l->control->now) {
+            inforce_answer(call, false);
+        }
+    }
+}
--- a/packages/daemon/serve.c
+++ b/packages/daemon/serve.c
@@ -2,15 +2,12 @@
  * Requests to services: from the caller through the router to an endpoint and
  * back. marks.c handles those with an idempotency record.
  */
-#include <inttypes.h>
-#include <string.h>
 
 #include "counter.h"
 #include "mem.h"
 #include "serve_impl.h"
 
 enum {
-    ATTEMPT_BITS = 8,       /* of an upstream id; the rest is the request */
     REQUEST_OVERHEAD = 512, /* bytes of a request besides its body */
 };
 
@@ -297,137 +294,6 @@
     serve_answer(e, r);
 }
 
-/* ---- Attempts ---- */
-
-static void
-attempt_free(struct entry *e, struct attempt *a)
-{
-    map_del_u64(e->attempts, a->id);
-    front_call_unref(a->call);
-    str_free(&a->address);
-    str_free(&a->target);
-    mem_free(a);
-}
-
-static struct attempt *
-attempt_create(struct entry *e, struct request *r,
-               const struct router_action *action,
-               const struct known_endpoint *endpoint)
-{
-    struct attempt *a = mem_zalloc(1, sizeof(*a));
-
-    a->id = r->id << ATTEMPT_BITS | action->attempt;
-    a->request = r->id;
-    a->number = action->attempt;
-    a->call = r->call;
-    front_call_ref(a->call);
-    a->target = str_dup(r->target);
-    if (endpoint != NULL) {
-        a->address = str_dup(endpoint->address);
-    }
-    map_put_u64(e->attempts, a->id, a);
-    return a;
-}
-
-static bool
-start(struct entry *e, const struct attempt *a, int64_t deadline)
-{
-    const struct upstream_call call = {.id = a->id,
-                                       .address = a->address,
-                                       .method = a->call->method,
-                                       .target = a->target,
-                                       .headers = &a->call->headers,
-                                       .idempotency_key =
-                                           a->call->idempotency_key,
-                                       .body = buf_str(&a->call->body),
-                                       .idempotent = a->call->idempotent,
-                                       .deadline = deadline};
-
-    return a->address.len != 0 && upstream_send(e->control->upstream, &call);
-}
-
-/* An attempt that could not start ends without a byte sent. */
-static void
-end_unstarted(struct entry *e, struct attempt *a)
-{
-    struct router_event event = {.kind = ROUTER_ATTEMPT_ENDED};
-
-    event.attempt = (struct router_attempt){.request = a->request,
-                                            .attempt = a->number,
-                                            .result = ATTEMPT_REFUSED};
-    attempt_free(e, a);
-    serve_event(e, &event);
-}
-
-static void
-send_attempt(struct entry *e, struct request *r,
-             const struct router_action *action)
-{
-    struct attempt *a =
-        attempt_create(e, r, action, map_get(e->endpoints, action->endpoint));
-
-    r->sent = true;
-    if (!start(e, a, action->deadline)) {
-        a->next_unstarted = e->unstarted;
-        e->unstarted = a;
-    }
-}
-
-static void
-cancel(struct entry *e, const struct router_action *action)
-{
-    struct attempt *a = map_get_u64(
-        e->attempts, action->request << ATTEMPT_BITS | action->attempt);
-
-    if (a != NULL) {
-        upstream_cancel(e->control->upstream, a->address, a->id);
-    }
-}
-
-static enum attempt_result
-result_of(const struct upstream_result *result)
-{
-    switch (result->failure) {
-    case UPSTREAM_OK:
-        return result->status >= 500 ? ATTEMPT_ERROR_RESPONSE : ATTEMPT_OK;
-    case UPSTREAM_REFUSED:
-    case UPSTREAM_NO_SLOT:
-        return ATTEMPT_REFUSED;
-    case UPSTREAM_RESET:
-        return ATTEMPT_RESET;
-    case UPSTREAM_TIMED_OUT:
-        return ATTEMPT_TIMED_OUT;
-    case UPSTREAM_CANCELLED:
-        return ATTEMPT_CANCELLED;
-    case UPSTREAM_MALFORMED:
-    case UPSTREAM_TOO_LARGE:
-    case UPSTREAM_FAILURE_COUNT:
-        break;
-    }
-    return ATTEMPT_MALFORMED;
-}
-
-void
-entry_upstream_result(struct entry *e, struct upstream_result *result)
-{
-    struct attempt *a = map_get_u64(e->attempts, result->id);
-    struct router_event event = {.kind = ROUTER_ATTEMPT_ENDED};
-
-    if (a != NULL) {
-        event.attempt =
-            (struct router_attempt){.request = a->request,
-                                    .attempt = a->number,
-                                    .result = result_of(result),
-                                    .bytes_sent = result->sent,
-                                    .duration_ns = result->duration_ns};
-        attempt_free(e, a);
-        e->result = result;
-        serve_event(e, &event);
-        e->result = NULL;
-    }
-    upstream_result_free(result);
-}
-
 /* ---- The router ---- */
 
 static void
@@ -436,7 +302,7 @@
     struct request *r = map_get_u64(e->requests, action->request);
 
     if (action->kind == ROUTER_CANCEL) {
-        cancel(e, action);
+        attempt_cancel(e, action);
         return;
     }
     if (r == NULL) {
@@ -444,7 +310,7 @@
     }
     switch (action->kind) {
     case ROUTER_SEND:
-        send_attempt(e, r, action);
+        attempt_send(e, r, action);
         break;
     case ROUTER_REFUSE:
         refuse(e, r, action);
@@ -463,18 +329,13 @@
 void
 serve_event(struct entry *e, const struct router_event *event)
 {
-    struct attempt *a;
-
     router_step(e->router, e->control->now, event, &e->actions);
     for (size_t i = 0; i < e->actions.count; i++) {
         handle_action(e, &e->actions.items[i]);
     }
     e->actions.count = 0;
     /* Only now, because a further step would invalidate the actions. */
-    while ((a = e->unstarted) != NULL) {
-        e->unstarted = a->next_unstarted;
-        end_unstarted(e, a);
-    }
+    attempts_end_unstarted(e);
 }
 
 void
--- a/packages/daemon/serve_impl.h
+++ b/packages/daemon/serve_impl.h
@@ -15,6 +15,20 @@
 void
 serve_respond(struct entry *e, struct request *r);
 
+/* attempts.c: attempts at endpoints. */
+void
+attempt_send(struct entry *e, struct request *r,
+             const struct router_action *action);
+void
+attempt_cancel(struct entry *e, const struct router_action *action);
+void
+attempt_free(struct entry *e, struct attempt *a);
+
+/* Tells the router of attempts that could not start; no action of an earlier
+ * step is valid afterwards. */
+void
+attempts_end_unstarted(struct entry *e);
+
 /*
  * Requests with an idempotency record. marks_remember returns false when a
  * request with the same team and key is already here.
