--- a/packages/daemon/call.c
+++ b/packages/daemon/call.c
@@ -243,74 +243,43 @@
     buf_free(command);
 }
 
+static void (*const handlers[])(struct call *call) = {
+    [API_JOB_PUT] = api_job_put,
+    [API_JOB_GET] = api_job_get,
+    [API_JOB_LIST] = api_job_list,
+    [API_JOB_CANCEL] = api_job_cancel,
+    [API_JOB_CANCEL_PREFIX] = api_job_cancel,
+    [API_ENDPOINT_PUT] = api_endpoint_put,
+    [API_ENDPOINT_DELETE] = api_endpoint_delete,
+    [API_WORKER_SYNC] = api_worker_sync,
+    [API_TEAMS_GET] = api_list_get,
+    [API_LIMITS_GET] = api_list_get,
+    [API_TEAMS_PUT] = api_list_put,
+    [API_LIMITS_PUT] = api_list_put,
+    [API_KEY_CREATE] = api_key_create,
+    [API_KEY_LIST] = api_key_list,
+    [API_KEY_DELETE] = api_key_delete,
+    [API_AUDIT] = api_audit,
+    [API_USAGE] = api_usage,
+    [API_USAGE_CHART] = api_usage,
+    [API_STATUS] = api_status,
+    [API_VM_LIST] = api_vm_list,
+    [API_VM_DRAIN] = api_vm_drain,
+    [API_WORKER_LIST] = api_worker_list,
+    [API_ENDPOINT_LIST] = api_endpoint_list,
+};
+
 static void
 dispatch(struct call *call)
 {
-    switch (call->match.route) {
-    case API_JOB_PUT:
-        api_job_put(call);
-        break;
-    case API_JOB_GET:
-        api_job_get(call);
-        break;
-    case API_JOB_LIST:
-        api_job_list(call);
-        break;
-    case API_JOB_CANCEL:
-    case API_JOB_CANCEL_PREFIX:
-        api_job_cancel(call);
-        break;
-    case API_ENDPOINT_PUT:
-        api_endpoint_put(call);
-        break;
-    case API_ENDPOINT_DELETE:
-        api_endpoint_delete(call);
-        break;
-    case API_WORKER_SYNC:
-        api_worker_sync(call);
-        break;
-    case API_TEAMS_GET:
-    case API_LIMITS_GET:
-        api_list_get(call);
-        break;
-    case API_TEAMS_PUT:
-    case API_LIMITS_PUT:
-        api_list_put(call);
-        break;
-    case API_KEY_CREATE:
-        api_key_create(call);
-        break;
-    case API_KEY_LIST:
-        api_key_list(call);
-        break;
-    case API_KEY_DELETE:
-        api_key_delete(call);
-        break;
-    case API_AUDIT:
-        api_audit(call);
-        break;
-    case API_USAGE:
-    case API_USAGE_CHART:
-        api_usage(call);
-        break;
-    case API_STATUS:
-        api_status(call);
-        break;
-    case API_VM_LIST:
-        api_vm_list(call);
-        break;
-    case API_VM_DRAIN:
-        api_vm_drain(call);
-        break;
-    case API_WORKER_LIST:
-        api_worker_list(call);
-        break;
-    case API_ENDPOINT_LIST:
-        api_endpoint_list(call);
-        break;
-    default:
+    size_t route = (size_t)call->match.route;
+
+    if (route >= sizeof(handlers) / sizeof(handlers[0]) ||
+        handlers[route] == NULL) {
         call_fail(call, 404, "not_found", "", "no such path");
+        return;
     }
+    handlers[route](call);
 }
 
 static bool
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -17,7 +17,6 @@
     config.longest_request_ns = c->settings->longest_request_ms * NS_PER_MS;
     config.default_timeout_ns = config.longest_request_ns;
     e->control = c;
-    e->started = c->now;
     e->next_id = 1;
     e->old_endpoints_end = DEADLINE_NONE;
     e->config = confview_create();
@@ -110,7 +109,7 @@
     e->endpoints_seq = 0;
     event.term = hint->term;
     serve_event(e, &event);
-    e->report_now = 1;
+    e->report_now = true;
     forward_step(e);
     serve_step(e);
 }
@@ -133,8 +132,8 @@
         serve_event(e, &tick);
     }
     if (leader != NULL &&
-        (e->report_now != 0 || router_report_due(e->router) <= now)) {
-        e->report_now = 0;
+        (e->report_now || router_report_due(e->router) <= now)) {
+        e->report_now = false;
         entry_send_report(e, leader);
     }
     if (e->sweep_due <= now) {
@@ -169,7 +168,7 @@
     if (!e->draining) {
         e->draining = true;
         serve_event(e, &event);
-        e->report_now = 1;
+        e->report_now = true;
     }
 }
 
@@ -178,7 +177,7 @@
 {
     if (!e->left || e->leave_due <= e->control->now) {
         e->left = true;
-        e->report_now = 1;
+        e->report_now = true;
         e->leave_due = e->control->now + LEAVE_REPEAT_MS * NS_PER_MS;
     }
     return e->left_recorded;
--- a/packages/daemon/entry_grant.c
+++ b/packages/daemon/entry_grant.c
@@ -81,7 +81,7 @@
     case CONFVIEW_APPLIED:
         apply_teams(e);
         apply_keys(e);
-        e->report_now = 1;
+        e->report_now = true;
         break;
     case CONFVIEW_STALE:
         break;
@@ -281,7 +281,7 @@
     if (grant->restart) {
         restart.term = grant->term;
         serve_event(e, &restart);
-        e->report_now = 1;
+        e->report_now = true;
         return;
     }
     if (!apply_config(e, grant)) {
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -71,7 +71,6 @@
     struct control *control;
     struct confview *config;
     int64_t config_deadline; /* of the configuration lease */
-    int64_t started;
     bool draining;
     bool left;          /* sends nothing any more */
     bool left_recorded; /* ... and the state says so */
@@ -79,8 +78,7 @@
 
     struct str leader_vm; /* owned */
     uint64_t leader_term;
-    uint64_t reported_term; /* the router reports to this leader */
-    int64_t report_now;     /* send a report at once when not 0 */
+    bool report_now; /* without waiting until it is due */
 
     struct router *router;
     struct router_actions actions;
--- a/packages/daemon/leader.c
+++ b/packages/daemon/leader.c
@@ -46,7 +46,6 @@
     l->control = c;
     l->replica = c->replica;
     l->term = term;
-    l->started = c->now;
     l->job_waits = map_create();
     log_write(LOG_LEVEL_NOTICE, "leader: this VM leads in term %" PRIu64,
               term);
@@ -78,7 +77,6 @@
     }
     log_write(LOG_LEVEL_NOTICE, "leader: term %" PRIu64 " has ended here",
               l->term);
-    l->stopping = true;
     lose_calls(l);
     placement_destroy(l);
     workers_destroy(l);
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -332,8 +332,6 @@
     struct control *control;
     struct replica *replica;
     uint64_t term;
-    int64_t started;
-    bool stopping; /* being destroyed: nothing is proposed */
 
     struct call *calls;    /* all that are not answered */
     struct call *inforce;  /* wait for a configuration to be in force */
