--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -71,7 +71,6 @@
     struct control *control;
     struct confview *config;
     int64_t config_deadline; /* of the configuration lease */
-    int64_t started;
     bool draining;
     bool left;          /* sends nothing any more */
     bool left_recorded; /* ... and the state says so */
@@ -79,8 +78,7 @@
 
     struct str leader_vm; /* owned */
     uint64_t leader_term;
-    uint64_t reported_term; /* the router reports to this leader */
-    int64_t report_now;     /* send a report at once when not 0 */
+    bool report_now; /* without waiting until it is due */
 
     struct router *router;
     struct router_actions actions;
@@ -104,6 +102,23 @@
     int64_t sweep_due;
 };
 
+/* entry.c */
+void
+entry_endpoint_free(struct known_endpoint *k);
+
+/* entry_report.c */
+void
+entry_send_report(struct entry *e, struct link *to);
+
+/*
+ * entry_grant.c: endpoints announce themselves to a new leader within their
+ * lease. Until then those that its predecessor told of stay in use.
+ */
+void
+entry_drop_old_endpoints(struct entry *e);
+
+/* entry_http.c */
+
 /* Answers with an error body. */
 void
 front_refuse(struct front_call *call, int status, const char *code,
