endpoint: send nothing after the configuration lease has ended

Cause: the control thread decides with the time read at the start of a wake-up; a process that was paused after that could send a queued request long after its lease, when the key may be withdrawn. The check at the decision alone cannot cover it, so the last moment is part of the attempt, and the upstream thread checks it when the connection stands and nothing has been written. The new part of /upstream/not_sent failed before (the request was sent).

--- a/packages/daemon/attempts.c
+++ b/packages/daemon/attempts.c
@@ -50,7 +50,10 @@
                                            a->call->idempotency_key,
                                        .body = buf_str(&a->call->body),
                                        .idempotent = a->call->idempotent,
-                                       .deadline = deadline};
+                                       .deadline = deadline,
+                                       /* The process may be paused after
+                                        * the router has decided. */
+                                       .start_by = e->config_deadline};
 
     return a->address.len != 0 && upstream_send(e->control->upstream, &call);
 }
--- a/packages/endpoint/attempt.c
+++ b/packages/endpoint/attempt.c
@@ -48,6 +48,10 @@
         a->failure = UPSTREAM_TIMED_OUT;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (a->call.start_by != 0 && clock_now() >= a->call.start_by) {
+        a->failure = UPSTREAM_CANCELLED;
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (a->started_request && !a->call.idempotent) {
         a->failure = UPSTREAM_RESET;
         return CURL_PREREQFUNC_ABORT;
--- a/packages/endpoint/include/upstream.h
+++ b/packages/endpoint/include/upstream.h
@@ -46,6 +46,8 @@
     struct str idempotency_key; /* ptr NULL: none */
     struct str body;
     int64_t deadline;
+    /* No byte is sent after this; 0: the deadline alone counts. */
+    int64_t start_by;
     void *user;
     enum http_method method;
     bool idempotent; /* false: a fresh connection, never sent twice */
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -288,7 +288,13 @@
     call.address = str_of(rig.address);
     call.deadline = clock_now() - 1;
     check(&rig, &call, UPSTREAM_TIMED_OUT, FALSE);
+    /* A lease that ran out between the decision and the sending. */
+    call.deadline = clock_now() + 5 * NS_PER_S;
+    call.start_by = clock_now() - 1;
+    check(&rig, &call, UPSTREAM_CANCELLED, FALSE);
     g_assert_cmpint(stub_requests(rig.stub), ==, 0);
+    call.start_by = clock_now() + 5 * NS_PER_S;
+    check(&rig, &call, UPSTREAM_OK, TRUE);
     stop(&rig);
 }
 
