--- a/packages/daemon/api_jobs.c
+++ b/packages/daemon/api_jobs.c
@@ -1,5 +1,4 @@
 /* Callers' jobs. */
-#include <string.h>
 
 #include <sodium.h>
 
--- a/packages/daemon/call.c
+++ b/packages/daemon/call.c
@@ -3,12 +3,10 @@
 #include <sodium.h>
 
 #include "caller.h"
-#include "counter.h"
 #include "endpoint.h"
 #include "leader_impl.h"
 #include "mem.h"
 #include "operator.h"
-#include "platform.h"
 
 static const struct api_table *const tables[] = {
     &caller_routes, &endpoint_routes, &worker_routes, &operator_routes};
--- a/packages/daemon/control_start.c
+++ b/packages/daemon/control_start.c
@@ -13,7 +13,6 @@
 #include "entry.h"
 #include "ledger.h"
 #include "log.h"
-#include "mem.h"
 #include "replica.h"
 #include "storage.h"
 
--- a/packages/daemon/forward.c
+++ b/packages/daemon/forward.c
@@ -2,7 +2,6 @@
  * API calls that an entry forwards to the leader. All of them may be sent
  * again to another leader: the state recognises repetitions.
  */
-#include <string.h>
 
 #include "entry_impl.h"
 #include "mem.h"
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -2,7 +2,6 @@
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
-#include <string.h>
 
 #include <curl/curl.h>
 #include <sodium.h>
--- a/packages/daemon/marks.c
+++ b/packages/daemon/marks.c
@@ -4,11 +4,9 @@
  * gets it.
  */
 #include <inttypes.h>
-#include <string.h>
 
 #include <sodium.h>
 
-#include "mem.h"
 #include "serve_impl.h"
 
 static void
--- a/packages/daemon/serve.c
+++ b/packages/daemon/serve.c
@@ -2,7 +2,6 @@
  * Requests to services: from the caller through the router to an endpoint and
  * back. marks.c handles those with an idempotency record.
  */
-#include "counter.h"
 #include "mem.h"
 #include "serve_impl.h"
 
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -7,7 +7,6 @@
 #include <sodium.h>
 
 #include "endpoint.h"
-#include "mem.h"
 
 enum {
     CONTROL_MAX = 5,
