tests: the HTTP client of the tests sends each request once

The history shows request t31643-89 at the endpoint 0.3 ms after it was sent, the kill of its entry 3 ms later, and the answer 3.02 s later: libcurl had silently sent the request again on a new connection (SYN repeated after 1 s) to the restarted entry, which refused it at its deadline of 2 s, truthfully. Ruled out: the router (an attempt in flight ends as unknown), the endpoint client (sent is set before the first byte) and the records of idempotency keys (none was given).

--- a/tests/support/http_client.c
+++ b/tests/support/http_client.c
@@ -59,6 +59,28 @@
     return len;
 }
 
+/*
+ * libcurl sends a request again on a new connection when a reused one was
+ * closed without an answer. The history would then hold one sending and the
+ * answer to another, so only the first is allowed.
+ */
+static int
+once(void *arg, char *remote_ip, char *local_ip, int remote_port,
+     int local_port)
+{
+    bool *sent = arg;
+
+    (void)remote_ip;
+    (void)local_ip;
+    (void)remote_port;
+    (void)local_port;
+    if (*sent) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    *sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
 static struct curl_slist *
 build_headers(const struct http_call *call)
 {
@@ -85,6 +107,7 @@
                  struct http_answer *answer)
 {
     struct curl_slist *headers = build_headers(call);
+    bool sent = false;
     CURLcode code;
 
     *answer = (struct http_answer){0};
@@ -94,6 +117,8 @@
     curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, call->timeout_ms);
     curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(c->easy, CURLOPT_PREREQFUNCTION, once);
+    curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, &sent);
     curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, take_body);
     curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, &answer->body);
