base: one function replaces an owned string

The endpoint table and the replicated state's fleet each had their own; the order of copying before freeing is kept. entry_grant.c keeps its own, which copies always, because an empty field there must become non-NULL.

--- a/packages/base/include/str.h
+++ b/packages/base/include/str.h
@@ -43,6 +43,10 @@
 void
 str_free(struct str *s);
 
+/* Makes *field, a heap copy, a copy of value; false when it was equal. */
+bool
+str_replace(struct str *field, struct str value);
+
 /*
  * Parses the whole string as a decimal number.
  * Returns false on an empty string, another character or a number above max.
--- a/packages/base/str.c
+++ b/packages/base/str.c
@@ -67,6 +67,21 @@
     *s = (struct str){NULL, 0};
 }
 
+bool
+str_replace(struct str *field, struct str value)
+{
+    struct str copy;
+
+    if (str_eq(*field, value)) {
+        return false;
+    }
+    /* value may be a part of the old text. */
+    copy = str_dup(value);
+    str_free(field);
+    *field = copy;
+    return true;
+}
+
 bool
 str_to_u64(struct str s, uint64_t max, uint64_t *out)
 {
--- a/packages/daemon/endpoints.c
+++ b/packages/daemon/endpoints.c
@@ -111,25 +111,14 @@
     record_free(e);
 }
 
-static bool
-replace(struct str *field, struct str value)
-{
-    if (str_eq(*field, value)) {
-        return false;
-    }
-    str_free(field);
-    *field = str_dup(value);
-    return true;
-}
-
 static bool
 update(struct endpoint_record *e, const struct endpoint *in)
 {
     bool leaving = in->state == ENDPOINT_LEAVING;
-    bool changed = replace(&e->service, in->service);
+    bool changed = str_replace(&e->service, in->service);
 
-    changed = replace(&e->address, in->address) || changed;
-    changed = replace(&e->failure_domain, in->failure_domain) || changed;
+    changed = str_replace(&e->address, in->address) || changed;
+    changed = str_replace(&e->failure_domain, in->failure_domain) || changed;
     changed = changed || e->slots != in->slots ||
               e->connections != in->connections || e->leaving != leaving;
     e->slots = in->slots;
--- a/packages/state/fleet.c
+++ b/packages/state/fleet.c
@@ -2,15 +2,6 @@
 #include "state_impl.h"
 
 /* Replaces a string that belongs to a record. */
-static void
-replace(struct str *to, struct str from)
-{
-    struct str copy = str_dup(from);
-
-    str_free(to);
-    *to = copy;
-}
-
 /* Takes copies of the strings. */
 void
 vm_insert(struct state *s, const struct state_vm *from)
@@ -70,8 +61,8 @@
         vm_insert(a->s, &given);
     }
     else {
-        replace(&vm->failure_domain, given.failure_domain);
-        replace(&vm->address, given.address);
+        str_replace(&vm->failure_domain, given.failure_domain);
+        str_replace(&vm->address, given.address);
         take_run(vm, put);
     }
     result_applied(a, 0, 0, 1);
@@ -178,8 +169,8 @@
     else {
         worker->incarnation = given.incarnation;
         worker->capacity = given.capacity;
-        replace(&worker->rack, given.rack);
-        replace(&worker->failure_domain, given.failure_domain);
+        str_replace(&worker->rack, given.rack);
+        str_replace(&worker->failure_domain, given.failure_domain);
     }
     result_applied(a, 0, worker->number, 1);
 }
