daemon: serve requests that arrive while a VM stops

Ruled out: the accept queue (the connections were accepted and the break came 91 ms after the port was closed, not at once), and the tests' HTTP client (it sent each request once).

Now answers carry Connection: close from the first moment of the notice, the units are returned only after the last connection is gone, and a connection is closed once it has been idle for 200 ms, but not while its next request is unread.

--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -17,6 +17,8 @@
         return;
     }
     log_write(LOG_LEVEL_NOTICE, "drain: this VM is not ready any more");
+    /* Callers that keep connections open take them elsewhere now. */
+    front_drain(c->front);
     c->drain = DRAIN_NOTICE;
     c->drain_phase_end = c->now + c->settings->drain_notice_ms * NS_PER_MS;
     c->drain_deadline = c->now + c->settings->drain_deadline_ms * NS_PER_MS;
@@ -37,17 +39,19 @@
     }
     log_write(LOG_LEVEL_NOTICE, "drain: finishing requests in flight");
     front_stop_listening(c->front);
-    front_drain(c->front);
-    entry_drain(c->entry);
+    front_close_idle(c->front);
     enter(c, DRAIN_FINISH, 0);
 }
 
 static void
 hand_over(struct control *c)
 {
-    if (front_active(c->front) > 0 || !entry_idle(c->entry)) {
+    /* A connection without a request may be about to carry one. The units go
+     * back only after the last, as a request without them waits in vain. */
+    if (front_connections(c->front) > 0 || !entry_idle(c->entry)) {
         return;
     }
+    entry_drain(c->entry);
     enter(c, DRAIN_HANDOVER, LAST_REPORT_MS);
 }
 
--- a/packages/front/connection.c
+++ b/packages/front/connection.c
@@ -26,8 +26,8 @@
     c->front = f;
     c->shard = shard;
     c->fd = info == NULL ? -1 : info->connect_fd;
-    c->deadline = clock_now() + f->config.idle_timeout_ns;
     pthread_mutex_lock(&f->lock);
+    c->deadline = clock_now() + f->idle_ns;
     c->next = f->conns;
     if (c->next != NULL) {
         c->next->prev = c;
@@ -49,7 +49,7 @@
     r = c->request;
     c->request = NULL;
     c->phase = CONN_IDLE;
-    c->deadline = clock_now() + f->config.idle_timeout_ns;
+    c->deadline = clock_now() + f->idle_ns;
     if (r != NULL) {
         r->state = REQUEST_ENDED;
         r->conn = NULL;
--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -114,6 +114,7 @@
 
     f->config = *config;
     f->ring = ring;
+    f->idle_ns = config->idle_timeout_ns;
     atomic_init(&f->refs, 1);
     pthread_mutex_init(&f->lock, NULL);
     pthread_mutex_init(&f->accept_lock, NULL);
@@ -163,6 +164,30 @@
     atomic_store(&f->draining, true);
 }
 
+void
+front_close_idle(struct front *f)
+{
+    int64_t less;
+
+    pthread_mutex_lock(&f->lock);
+    less = f->idle_ns - FRONT_DRAIN_IDLE_MS * NS_PER_MS;
+    if (less > 0) {
+        f->idle_ns -= less;
+        for (struct conn *c = f->conns; c != NULL; c = c->next) {
+            if (c->phase == CONN_IDLE) {
+                c->deadline -= less;
+            }
+        }
+    }
+    pthread_mutex_unlock(&f->lock);
+}
+
+unsigned
+front_connections(const struct front *f)
+{
+    return atomic_load(&f->connections);
+}
+
 unsigned
 front_active(const struct front *f)
 {
--- a/packages/front/include/front.h
+++ b/packages/front/include/front.h
@@ -24,6 +24,11 @@
  */
 struct front;
 
+enum {
+    /* More than the way of a request from a caller to an entry. */
+    FRONT_DRAIN_IDLE_MS = 200,
+};
+
 struct front_config {
     struct sockaddr_storage address; /* AF_INET or AF_INET6; port 0: any */
     unsigned threads;
@@ -125,6 +130,15 @@
 void
 front_stop_listening(struct front *f);
 
+/* From now on a connection is closed once no request has come for
+ * FRONT_DRAIN_IDLE_MS. */
+void
+front_close_idle(struct front *f);
+
+/* Open connections. */
+unsigned
+front_connections(const struct front *f);
+
 /* Requests being received, handled or answered; 0 once a drained server has
  * sent its last answer. */
 unsigned
--- a/packages/front/watch.c
+++ b/packages/front/watch.c
@@ -114,6 +114,19 @@
     shutdown(c->fd, SHUT_RDWR);
 }
 
+/* An idle connection whose next request has arrived unread is not closed. */
+static bool
+is_expired(const struct conn *c, int64_t now)
+{
+    char byte;
+
+    if (c->phase == CONN_HANDLING || c->deadline > now) {
+        return false;
+    }
+    return c->phase != CONN_IDLE ||
+           recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
 static void
 sweep(struct front *f)
 {
@@ -121,7 +134,7 @@
 
     pthread_mutex_lock(&f->lock);
     for (struct conn *c = f->conns; c != NULL; c = c->next) {
-        if (c->phase != CONN_HANDLING && c->deadline <= now) {
+        if (is_expired(c, now)) {
             expire(c);
         }
     }
--- a/tests/support/net.c
+++ b/tests/support/net.c
@@ -1,5 +1,6 @@
 #include "net.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <stdlib.h>
@@ -34,19 +35,35 @@
     return fd;
 }
 
-int
-net_connect(uint16_t port)
+static int
+connect_address(const struct sockaddr_in *address)
 {
-    struct sockaddr_in address = loopback(port);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) < 0) {
+    if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) < 0) {
         close(fd);
         return -1;
     }
     return fd;
 }
 
+int
+net_connect(uint16_t port)
+{
+    struct sockaddr_in address = loopback(port);
+
+    return connect_address(&address);
+}
+
+int
+net_connect_to(const char *ip, uint16_t port)
+{
+    struct sockaddr_in address = loopback(port);
+
+    g_assert_cmpint(inet_pton(AF_INET, ip, &address.sin_addr), ==, 1);
+    return connect_address(&address);
+}
+
 void
 net_write(int fd, const char *text)
 {
--- a/tests/support/net.h
+++ b/tests/support/net.h
@@ -11,9 +11,11 @@
 int
 net_listen(uint16_t *port);
 
-/* Returns -1 when the connection is refused. */
+/* Return -1 when the connection is refused. */
 int
 net_connect(uint16_t port);
+int
+net_connect_to(const char *ip, uint16_t port);
 void
 net_write(int fd, const char *text);
 
--- a/tests/test_e2e_requests.c
+++ b/tests/test_e2e_requests.c
@@ -1,7 +1,9 @@
 /* End-to-end faults of requests, endpoints, operators and planned stops. */
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <glib.h>
 
@@ -9,6 +11,7 @@
 #include "cluster_api.h"
 #include "e2e.h"
 #include "load.h"
+#include "net.h"
 #include "proc.h"
 
 enum {
@@ -330,6 +333,52 @@
     finish(c);
 }
 
+/* The newest of the connections to a VM that is being stopped. */
+static int
+connect_last(const char *ip, uint16_t port)
+{
+    int last = -1;
+    int fd;
+
+    while ((fd = net_connect_to(ip, port)) >= 0) {
+        if (last >= 0) {
+            close(last);
+        }
+        last = fd;
+        await_pause();
+    }
+    return last;
+}
+
+/* Guards against a planned stop that breaks a request that arrives when all
+ * others have ended, on a connection from before the port was closed. */
+static void
+test_drain_late_request(void)
+{
+    struct cluster *c = start(1, 1);
+    int vm = cluster_follower(c);
+    char request[256];
+    GString *text;
+    int port;
+    int fd;
+
+    snprintf(request, sizeof(request),
+             "GET /v1/services/echo/x HTTP/1.1\r\nHost: h\r\n"
+             "Authorization: Bearer %s\r\n\r\n",
+             c->team.key);
+    g_assert_cmpint(sscanf(strchr(c->vms[vm].http, ':'), ":%d", &port), ==, 1);
+    kill(c->vms[vm].pid, SIGTERM);
+    fd = connect_last(c->ip, (uint16_t)port);
+    g_assert_cmpint(fd, >=, 0);
+    net_write(fd, request);
+    text = net_read_response(fd, FALSE);
+    g_assert_true(g_str_has_prefix(text->str, "HTTP/1.1 200"));
+    g_string_free(text, TRUE);
+    close(fd);
+    cluster_vm_stop(c, vm);
+    finish(c);
+}
+
 /* Guards against requests that a planned stop breaks. The checker reports
  * each request that was not answered with 200. */
 static void
@@ -353,6 +402,7 @@
     e2e_case("/e2e/request-twice", test_request_twice);
     e2e_case("/e2e/request-entry-killed", test_request_entry_killed);
     e2e_case("/e2e/endpoints", test_endpoints);
+    e2e_case("/e2e/drain-late-request", test_drain_late_request);
     e2e_case("/e2e/rolling-restart", test_rolling_restart);
     e2e_case("/e2e/rolling-restart-fast", test_rolling_restart_fast);
     return e2e_run(argc, argv);
--- a/tests/test_front_load.c
+++ b/tests/test_front_load.c
@@ -279,6 +279,40 @@
     server_stop(&s);
 }
 
+/* Guards against a planned stop that closes a connection on which a request
+ * is about to arrive, and against one that waits for idle connections. */
+static void
+test_drain_idle(void)
+{
+    struct front_config config = server_config();
+    struct server s = server_start(&config, 64);
+    int idle = net_connect(s.port);
+    int used = net_connect(s.port);
+
+    for (int i = 0; i < 3; i++) {
+        net_write(used, GET "\r\n");
+        server_respond(server_next_call(&s), 200, "before");
+        server_expect(used, "200", "before");
+    }
+    g_assert_cmpuint(front_connections(s.front), ==, 2);
+    front_drain(s.front);
+    front_stop_listening(s.front);
+    front_close_idle(s.front);
+    g_assert_cmpuint(front_active(s.front), ==, 0);
+    net_write(used, GET "\r\n");
+    server_respond(server_next_call(&s), 200, "late");
+    server_expect(used, "200", "Connection: close");
+    g_assert_true(net_closed(idle, 2000));
+    g_assert_true(net_closed(used, 1000));
+    for (int i = 0; i < 500 && front_connections(s.front) != 0; i++) {
+        g_usleep(10000);
+    }
+    g_assert_cmpuint(front_connections(s.front), ==, 0);
+    close(idle);
+    close(used);
+    server_stop(&s);
+}
+
 /* Guards against a crash when the server stops while calls are out. */
 static void
 test_destroy_with_calls(void)
@@ -351,6 +385,7 @@
     g_test_add_func("/front/storm", test_storm);
     g_test_add_func("/front/ring_full", test_ring_full);
     g_test_add_func("/front/drain", test_drain);
+    g_test_add_func("/front/drain-idle", test_drain_idle);
     g_test_add_func("/front/destroy_with_calls", test_destroy_with_calls);
     g_test_add_func("/front/head_and_abort", test_head_and_abort);
     return g_test_run();
