tests: no function typedefs, temporary directories from GLib

The table of API bodies called parsers through casts to another function type; functions with the right parameters are generated instead. The drained state of the HTTP server is a flag rather than a stored duration.

--- a/packages/front/connection.c
+++ b/packages/front/connection.c
@@ -14,6 +14,13 @@
     return info == NULL ? NULL : *(struct conn *const *)info;
 }
 
+static int64_t
+idle_deadline(const struct front *f)
+{
+    return clock_now() + (f->close_idle ? FRONT_DRAIN_IDLE_MS * NS_PER_MS
+                                        : f->config.idle_timeout_ns);
+}
+
 static void
 conn_start(struct shard *shard, struct MHD_Connection *connection,
            void **context)
@@ -27,7 +34,7 @@
     c->shard = shard;
     c->fd = info == NULL ? -1 : info->connect_fd;
     pthread_mutex_lock(&f->lock);
-    c->deadline = clock_now() + f->idle_ns;
+    c->deadline = idle_deadline(f);
     c->next = f->conns;
     if (c->next != NULL) {
         c->next->prev = c;
@@ -49,7 +56,7 @@
     r = c->request;
     c->request = NULL;
     c->phase = CONN_IDLE;
-    c->deadline = clock_now() + f->idle_ns;
+    c->deadline = idle_deadline(f);
     if (r != NULL) {
         r->state = REQUEST_ENDED;
         r->conn = NULL;
--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -114,7 +114,6 @@
 
     f->config = *config;
     f->ring = ring;
-    f->idle_ns = config->idle_timeout_ns;
     atomic_init(&f->refs, 1);
     pthread_mutex_init(&f->lock, NULL);
     pthread_mutex_init(&f->accept_lock, NULL);
@@ -167,15 +166,15 @@
 void
 front_close_idle(struct front *f)
 {
-    int64_t less;
+    int64_t sooner =
+        f->config.idle_timeout_ns - FRONT_DRAIN_IDLE_MS * NS_PER_MS;
 
     pthread_mutex_lock(&f->lock);
-    less = f->idle_ns - FRONT_DRAIN_IDLE_MS * NS_PER_MS;
-    if (less > 0) {
-        f->idle_ns -= less;
+    if (!f->close_idle && sooner > 0) {
+        f->close_idle = true;
         for (struct conn *c = f->conns; c != NULL; c = c->next) {
             if (c->phase == CONN_IDLE) {
-                c->deadline -= less;
+                c->deadline -= sooner;
             }
         }
     }
--- a/packages/front/internal.h
+++ b/packages/front/internal.h
@@ -112,7 +112,7 @@
     atomic_ullong next_id;
 
     pthread_mutex_t lock;
-    int64_t idle_ns; /* how long a connection may be idle */
+    bool close_idle; /* after FRONT_DRAIN_IDLE_MS */
     struct conn *conns;
     struct map *suspended; /* id -> struct request */
     unsigned resuming;     /* between the state's change and the resume */
--- a/tests/support/bodies.c
+++ b/tests/support/bodies.c
@@ -2,9 +2,44 @@
 
 #include <stdlib.h>
 
-#define BODY(name, text)                                                      \
+/* The functions of a body with the parameters of struct body. */
+#define CODEC(name)                                                           \
+    static struct json_doc *parse_##name(struct str text, void *out,          \
+                                         struct api_error *err)               \
     {                                                                         \
-        (body_parse_fn *)name##_parse, (body_render_fn *)name##_render, text  \
+        return name##_parse(text, out, err);                                  \
+    }                                                                         \
+    static void render_##name(const void *in, struct buf *out)                \
+    {                                                                         \
+        name##_render(in, out);                                               \
+    }
+
+CODEC(caller_job)
+CODEC(caller_job_status)
+CODEC(caller_job_list)
+CODEC(caller_cancelled)
+CODEC(endpoint)
+CODEC(endpoint_answer)
+CODEC(worker_sync)
+CODEC(worker_answer)
+CODEC(operator_teams)
+CODEC(operator_limits)
+CODEC(operator_accepted)
+CODEC(operator_key_request)
+CODEC(operator_key_created)
+CODEC(operator_keys)
+CODEC(operator_audit)
+CODEC(operator_usage)
+CODEC(operator_status)
+CODEC(operator_vms)
+CODEC(operator_workers)
+CODEC(operator_endpoints)
+CODEC(platform_probe)
+
+#define BODY(body, text)                                                      \
+    {                                                                         \
+        .name = #body, .parse = parse_##body, .render = render_##body,        \
+        .example = text                                                       \
     }
 
 #define STATUS                                                                \
--- a/tests/support/bodies.h
+++ b/tests/support/bodies.h
@@ -9,11 +9,6 @@
 
 /* All JSON bodies of the API with an example of each. */
 
-typedef struct json_doc *
-body_parse_fn(struct str, void *, struct api_error *);
-typedef void
-body_render_fn(const void *, struct buf *);
-
 union body_struct {
     struct caller_job job;
     struct caller_job_status status;
@@ -30,8 +25,9 @@
 };
 
 struct body {
-    body_parse_fn *parse;
-    body_render_fn *render;
+    const char *name;
+    struct json_doc *(*parse)(struct str, void *, struct api_error *);
+    void (*render)(const void *, struct buf *);
     const char *example; /* with the fields in the order of rendering */
 };
 
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include <curl/curl.h>
+#include <glib.h>
 
 #include "await.h"
 #include "checker.h"
@@ -207,7 +208,8 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     snprintf(c->bin, sizeof(c->bin), "%s",
              bin == NULL ? "build/release" : bin);
-    snprintf(c->dir, sizeof(c->dir), "/tmp/guavarock-e2e-XXXXXX");
+    snprintf(c->dir, sizeof(c->dir), "%s/guavarock-e2e-XXXXXX",
+             g_get_tmp_dir());
     REQUIRE(mkdtemp(c->dir) != NULL);
     choose_ip(c);
     c->control = control;
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -56,19 +56,18 @@
 }
 
 static const struct body *
-body_of(body_parse_fn *parse)
+body_of(const char *name)
 {
     size_t i = 0;
 
-    while (bodies[i].parse != parse) {
+    while (strcmp(bodies[i].name, name) != 0) {
         i++;
     }
     return &bodies[i];
 }
 
 #define CHECK_EDITS(name, edits)                                              \
-    check_edits(body_of((body_parse_fn *)name##_parse), edits,                \
-                G_N_ELEMENTS(edits))
+    check_edits(body_of(#name), edits, G_N_ELEMENTS(edits))
 
 static void
 test_refusals(void)
