--- a/packages/cli/bench.c
+++ b/packages/cli/bench.c
@@ -6,8 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <curl/curl.h>
-
 #include "cli.h"
 #include "clock.h"
 #include "mem.h"
@@ -49,7 +47,6 @@
     CURL *easy;
     struct curl_slist *headers;
     int64_t started; /* 0 while idle */
-    char outcome[16];
     char body[160];
     struct lane *next_idle;
 };
@@ -62,22 +59,6 @@
     return size * count;
 }
 
-static size_t
-take_outcome(char *data, size_t size, size_t count, void *arg)
-{
-    static const char name[] = "Guavarock-Outcome: ";
-    struct lane *l = arg;
-    size_t len = size * count;
-
-    if (len >= sizeof(name) &&
-        strncasecmp(data, name, sizeof(name) - 1) == 0) {
-        snprintf(l->outcome, sizeof(l->outcome), "%.*s",
-                 (int)strcspn(data + sizeof(name) - 1, "\r\n"),
-                 data + sizeof(name) - 1);
-    }
-    return len;
-}
-
 static void
 lane_setup(struct lane *l, struct bench *b)
 {
@@ -94,8 +75,6 @@
     curl_easy_setopt(l->easy, CURLOPT_TIMEOUT_MS, b->cli->timeout_ms);
     curl_easy_setopt(l->easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(l->easy, CURLOPT_WRITEFUNCTION, drop_body);
-    curl_easy_setopt(l->easy, CURLOPT_HEADERFUNCTION, take_outcome);
-    curl_easy_setopt(l->easy, CURLOPT_HEADERDATA, l);
     curl_easy_setopt(l->easy, CURLOPT_PRIVATE, l);
 }
 
@@ -124,7 +103,6 @@
     }
     curl_easy_setopt(l->easy, CURLOPT_URL, url.ptr);
     buf_free(&url);
-    l->outcome[0] = '\0';
     l->started = now;
     b->started++;
     curl_multi_add_handle(b->multi, l->easy);
@@ -135,17 +113,19 @@
 {
     struct bench *b = l->bench;
     int64_t now = clock_now();
+    char outcome[CLI_OUTCOME_BYTES];
     long status = 0;
 
     curl_easy_getinfo(l->easy, CURLINFO_RESPONSE_CODE, &status);
+    cli_read_outcome(l->easy, outcome);
     curl_multi_remove_handle(b->multi, l->easy);
     if (code != CURLE_OK) {
         b->broken++;
     }
-    else if (strcmp(l->outcome, "not-run") == 0) {
+    else if (strcmp(outcome, "not-run") == 0) {
         b->not_run++;
     }
-    else if (strcmp(l->outcome, "unknown") == 0) {
+    else if (strcmp(outcome, "unknown") == 0) {
         b->unknown++;
     }
     else if (status >= 400) {
--- a/packages/cli/call.c
+++ b/packages/cli/call.c
@@ -1,8 +1,6 @@
 #include <stdio.h>
 #include <string.h>
-#include <strings.h>
 
-#include <curl/curl.h>
 #include <sodium.h>
 
 #include "cli.h"
@@ -15,22 +13,16 @@
     return size * count;
 }
 
-static size_t
-take_header(char *data, size_t size, size_t count, void *arg)
+void
+cli_read_outcome(CURL *easy, char out[CLI_OUTCOME_BYTES])
 {
-    static const char name[] = "guavarock-outcome:";
-    struct cli_response *response = arg;
-    size_t len = size * count;
-    size_t skip = sizeof(name) - 1;
-
-    if (len > skip && strncasecmp(data, name, skip) == 0) {
-        while (skip < len && data[skip] == ' ') {
-            skip++;
-        }
-        snprintf(response->outcome, sizeof(response->outcome), "%.*s",
-                 (int)strcspn(data + skip, "\r\n"), data + skip);
+    struct curl_header *header;
+
+    out[0] = '\0';
+    if (curl_easy_header(easy, "Guavarock-Outcome", 0, CURLH_HEADER, -1,
+                         &header) == CURLHE_OK) {
+        snprintf(out, CLI_OUTCOME_BYTES, "%s", header->value);
     }
-    return len;
 }
 
 static struct curl_slist *
@@ -85,8 +77,6 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, cli->timeout_ms);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &response->body);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, response);
     if (request->body.ptr != NULL) {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          (curl_off_t)request->body.len);
@@ -97,6 +87,7 @@
     }
     code = curl_easy_perform(easy);
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &response->status);
+    cli_read_outcome(easy, response->outcome);
     curl_slist_free_all(headers);
     curl_easy_cleanup(easy);
     buf_free(&url);
--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include <curl/curl.h>
 #include <jansson.h>
 
 #include "str.h"
@@ -20,6 +21,7 @@
 
 enum {
     CLI_SERVERS_MAX = 32,
+    CLI_OUTCOME_BYTES = 16,
 };
 
 /* Global options, shared by all commands. */
@@ -43,7 +45,7 @@
 
 struct cli_response {
     long status;
-    char outcome[16];
+    char outcome[CLI_OUTCOME_BYTES];
     struct buf body; /* followed by a NUL byte that len leaves out */
     json_t *json;    /* NULL when the body is not JSON */
 };
@@ -59,6 +61,10 @@
 void
 cli_response_free(struct cli_response *response);
 
+/* The Guavarock-Outcome header of a finished transfer, "" without one. */
+void
+cli_read_outcome(CURL *easy, char out[CLI_OUTCOME_BYTES]);
+
 /* cli_call for commands that just print: JSON, or a table of the columns. */
 int
 cli_show(const struct cli *cli, const char *path, const char *member,
--- a/tests/support/http_client.c
+++ b/tests/support/http_client.c
@@ -1,7 +1,7 @@
 #include "http_client.h"
 
+#include <stdio.h>
 #include <string.h>
-#include <strings.h>
 
 #include <curl/curl.h>
 
@@ -37,26 +37,16 @@
     return size * count;
 }
 
-static size_t
-take_header(char *data, size_t size, size_t count, void *arg)
+static void
+read_outcome(CURL *easy, struct http_answer *answer)
 {
-    static const char name[] = "guavarock-outcome:";
-    struct http_answer *answer = arg;
-    size_t len = size * count;
-    size_t at = sizeof(name) - 1;
-    size_t out = 0;
-
-    if (len <= at || strncasecmp(data, name, at) != 0) {
-        return len;
-    }
-    while (at < len && data[at] == ' ') {
-        at++;
-    }
-    while (at < len && data[at] > ' ' && out + 1 < sizeof(answer->outcome)) {
-        answer->outcome[out++] = data[at++];
+    struct curl_header *header;
+
+    if (curl_easy_header(easy, "Guavarock-Outcome", 0, CURLH_HEADER, -1,
+                         &header) == CURLHE_OK) {
+        snprintf(answer->outcome, sizeof(answer->outcome), "%s",
+                 header->value);
     }
-    answer->outcome[out] = '\0';
-    return len;
 }
 
 /*
@@ -122,8 +112,6 @@
     curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, take_body);
     curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, &answer->body);
-    curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, take_header);
-    curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, answer);
     if (strcmp(call->method, "HEAD") == 0) {
         curl_easy_setopt(c->easy, CURLOPT_NOBODY, 1L);
     }
@@ -134,6 +122,7 @@
     }
     code = curl_easy_perform(c->easy);
     curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &answer->status);
+    read_outcome(c->easy, answer);
     answer->complete = code == CURLE_OK;
     *buf_reserve(&answer->body, 1) = '\0';
     curl_slist_free_all(headers);
