--- a/tests/support/bodies.c
+++ b/tests/support/bodies.c
@@ -39,7 +39,7 @@
 #define BODY(body, text)                                                      \
     {                                                                         \
         .name = #body, .parse = parse_##body, .render = render_##body,        \
-        .example = text                                                       \
+        .example = (text)                                                     \
     }
 
 #define STATUS                                                                \
