daemon, cli: lists longer than one page

GET /v1/jobs continued after the id of the last job: when that job had ended in between it stood in the list of ended jobs, and all live jobs that were left were missed; when it had been removed the listing began again.

Ruled out: one order by job number over all teams, which reads every job of the cluster for a page of one team.

--- a/completion/guavarock.bash
+++ b/completion/guavarock.bash
@@ -26,6 +26,7 @@
     request) echo --data= --header= --idempotency-key= --method= ;;
     "teams set" | "limits set") echo --idempotency-key= --version= ;;
     "key give") echo --kind= --team= ;;
+    audit) echo --after= --last= ;;
     usage) echo --month= --svg= ;;
     bench) echo --concurrency= --seconds= --jobs --rate= ;;
     esac
--- a/packages/caller/include/caller.h
+++ b/packages/caller/include/caller.h
@@ -109,7 +109,8 @@
 bool
 caller_wait_parse(struct str query, uint32_t *wait_ms, struct api_error *err);
 
-/* Query of GET /v1/jobs: ?after=ID&limit=N; after is a heap string. */
+/* Query of GET /v1/jobs: ?after=NEXT&limit=N, where NEXT is the next of an
+ * earlier answer; after is a heap string. */
 struct caller_page {
     struct str after; /* ptr NULL: from the start */
     uint32_t limit;   /* 1 to CALLER_LIST_MAX, which is the default */
--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -65,7 +65,8 @@
 void
 cli_read_outcome(CURL *easy, char out[CLI_OUTCOME_BYTES]);
 
-/* cli_call for commands that just print: JSON, or a table of the columns. */
+/* cli_call for commands that just print: JSON, or a table of the columns.
+ * Reads all pages of a list. */
 int
 cli_show(const struct cli *cli, const char *path, const char *member,
          const char *const *columns);
--- a/packages/cli/print.c
+++ b/packages/cli/print.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "cli.h"
 #include "mem.h"
@@ -11,14 +12,43 @@
     COLUMNS_MAX = 16,
 };
 
+/* Columns whose name ends in _ms are points in time, in milliseconds since
+ * 1970; they are shown in UTC. */
+static bool
+is_time(const char *column)
+{
+    size_t len = strlen(column);
+
+    return len > 3 && strcmp(column + len - 3, "_ms") == 0;
+}
+
+static int
+title_length(const char *column)
+{
+    return (int)strlen(column) - (is_time(column) ? 3 : 0);
+}
+
 static void
-cell(char *out, const json_t *value)
+time_cell(char *out, json_int_t ms)
+{
+    time_t seconds = (time_t)(ms / 1000);
+    struct tm utc;
+
+    gmtime_r(&seconds, &utc);
+    strftime(out, CELL_BYTES, "%Y-%m-%dT%H:%M:%SZ", &utc);
+}
+
+static void
+cell(char *out, const char *column, const json_t *value)
 {
     char *text;
 
     if (value == NULL || json_is_null(value)) {
         snprintf(out, CELL_BYTES, "-");
     }
+    else if (is_time(column) && json_is_integer(value)) {
+        time_cell(out, json_integer_value(value));
+    }
     else if (json_is_string(value)) {
         snprintf(out, CELL_BYTES, "%s", json_string_value(value));
     }
@@ -36,10 +66,11 @@
 
     for (int i = 0; columns[i] != NULL; i++) {
         if (row == NULL) {
-            snprintf(text, sizeof(text), "%s", columns[i]);
+            snprintf(text, sizeof(text), "%.*s", title_length(columns[i]),
+                     columns[i]);
         }
         else {
-            cell(text, json_object_get(row, columns[i]));
+            cell(text, columns[i], json_object_get(row, columns[i]));
         }
         if (columns[i + 1] == NULL) {
             printf("%s\n", text);
@@ -59,12 +90,12 @@
     size_t at;
 
     for (int i = 0; columns[i] != NULL; i++) {
-        width[i] = (int)strlen(columns[i]);
+        width[i] = title_length(columns[i]);
     }
     json_array_foreach(rows, at, row)
     {
         for (int i = 0; columns[i] != NULL; i++) {
-            cell(text, json_object_get(row, columns[i]));
+            cell(text, columns[i], json_object_get(row, columns[i]));
             if ((int)strlen(text) > width[i]) {
                 width[i] = (int)strlen(text);
             }
@@ -91,6 +122,51 @@
     free(text);
 }
 
+/* The path of the page that follows, "" after the last one. */
+static void
+next_page(const char *path, const json_t *json, struct buf *out)
+{
+    const json_t *next = json_object_get(json, "next");
+
+    buf_clear(out);
+    if (next == NULL ||
+        (json_is_integer(next) && json_integer_value(next) == 0)) {
+        return;
+    }
+    buf_printf(out, "%.*s?after=", (int)strcspn(path, "?"), path);
+    if (json_is_string(next)) {
+        cli_encode(out, json_string_value(next));
+    }
+    else {
+        buf_printf(out, "%" JSON_INTEGER_FORMAT, json_integer_value(next));
+    }
+    buf_append(out, "", 1);
+}
+
+/* Adds the rows of the following pages to those of the first. */
+static int
+add_pages(const struct cli *cli, const char *path, const char *member,
+          json_t *first)
+{
+    struct buf next = {0};
+    int status = CLI_OK;
+
+    next_page(path, first, &next);
+    json_object_del(first, "next");
+    while (status == CLI_OK && next.len != 0) {
+        const struct cli_request request = {.method = "GET", .path = next.ptr};
+        struct cli_response response = {0};
+
+        status = cli_call(cli, &request, &response);
+        json_array_extend(json_object_get(first, member),
+                          json_object_get(response.json, member));
+        next_page(path, response.json, &next);
+        cli_response_free(&response);
+    }
+    buf_free(&next);
+    return status;
+}
+
 int
 cli_show(const struct cli *cli, const char *path, const char *member,
          const char *const *columns)
@@ -99,6 +175,9 @@
     struct cli_response response = {0};
     int status = cli_call(cli, &request, &response);
 
+    if (status == CLI_OK && member != NULL) {
+        status = add_pages(cli, path, member, response.json);
+    }
     if (status == CLI_OK) {
         if (cli->json || member == NULL) {
             cli_print_json(&response);
--- a/packages/cli/show.c
+++ b/packages/cli/show.c
@@ -1,3 +1,4 @@
+#include <limits.h>
 #include <stdio.h>
 
 #include "cli.h"
@@ -15,7 +16,8 @@
 int
 cli_key_list(struct cli *cli, int argc, char **argv)
 {
-    static const char *const columns[] = {"id", "kind", "team", NULL};
+    static const char *const columns[] = {"id", "kind", "team", "created_ms",
+                                          NULL};
 
     return show(cli, argc, argv, "List keys without their values.", "/v1/keys",
                 "keys", columns);
@@ -54,15 +56,63 @@
                 "endpoints", columns);
 }
 
+static const struct argp_option audit_options[] = {
+    {"after", 'a', "SEQ", 0, "Only entries with a greater number", 0},
+    {"last", 'l', "N", 0, "Only the newest N entries", 0},
+    {0},
+};
+
+struct audit_range {
+    long after;
+    long last;
+};
+
+static error_t
+audit_option(int key, char *arg, struct argp_state *state)
+{
+    struct audit_range *range = state->input;
+
+    switch (key) {
+    case 'a':
+        range->after = cli_number(state, "--after", arg, LONG_MAX);
+        break;
+    case 'l':
+        range->last = cli_number(state, "--last", arg, LONG_MAX);
+        break;
+    case ARGP_KEY_ARG:
+        argp_error(state, "unexpected argument '%s'", arg);
+        break;
+    case ARGP_KEY_END:
+        if (range->after >= 0 && range->last > 0) {
+            argp_error(state, "give --after or --last, not both");
+        }
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
 int
 cli_audit(struct cli *cli, int argc, char **argv)
 {
     static const char *const columns[] = {"seq",     "time_ms", "key",
                                           "action",  "target",  "old_version",
                                           "version", "outcome", NULL};
+    const struct argp argp = {.options = audit_options,
+                              .parser = audit_option,
+                              .doc = "Print the audit trail, oldest first."};
+    struct audit_range range = {.after = -1};
+    char path[64] = "/v1/audit";
 
-    return show(cli, argc, argv, "Print the audit trail, oldest first.",
-                "/v1/audit", "entries", columns);
+    argp_parse(&argp, argc, argv, 0, NULL, &range);
+    if (range.last > 0) {
+        snprintf(path, sizeof(path), "/v1/audit?last=%ld", range.last);
+    }
+    else if (range.after >= 0) {
+        snprintf(path, sizeof(path), "/v1/audit?after=%ld", range.after);
+    }
+    return cli_show(cli, path, "entries", columns);
 }
 
 int
--- a/packages/daemon/api_jobs.c
+++ b/packages/daemon/api_jobs.c
@@ -78,8 +78,8 @@
     }
 }
 
-static struct caller_job_status
-describe_with_tasks(const struct state_job *job)
+struct caller_job_status
+job_describe(const struct state_job *job)
 {
     struct caller_job_status out = describe(job);
 
@@ -92,7 +92,7 @@
 static void
 respond_job(struct call *call, const struct state_job *job)
 {
-    struct caller_job_status status = describe_with_tasks(job);
+    struct caller_job_status status = job_describe(job);
     struct buf body = {0};
 
     caller_job_status_render(&status, &body);
@@ -333,37 +333,6 @@
     }
 }
 
-void
-api_job_list(struct call *call)
-{
-    const struct state *state = leader_state(call->leader);
-    const struct state_job *job = NULL;
-    struct caller_job_list list = {0};
-    struct caller_page page = {0};
-    struct api_error error;
-    struct buf body = {0};
-
-    if (!caller_page_parse(call->query, &page, &error)) {
-        call_fail_api(call, &error);
-        return;
-    }
-    if (page.after.ptr != NULL) {
-        job = state_job_by_name(state, call->team, page.after);
-    }
-    list.jobs = mem_zalloc(page.limit, sizeof(*list.jobs));
-    while ((job = state_team_job_next(state, call->team, job)) != NULL) {
-        if (list.count == page.limit) {
-            list.next = list.jobs[list.count - 1].id;
-            break;
-        }
-        list.jobs[list.count++] = describe_with_tasks(job);
-    }
-    caller_job_list_render(&list, &body);
-    mem_free(list.jobs);
-    str_free(&page.after);
-    call_respond(call, 200, &body);
-}
-
 /* ---- Cancellation ---- */
 
 static void
--- a/packages/daemon/api_views.c
+++ b/packages/daemon/api_views.c
@@ -6,6 +6,19 @@
 #include "mem.h"
 #include "operator.h"
 
+static uint64_t
+audit_start(const struct state *state, const struct operator_page *page)
+{
+    uint64_t first = state_audit_first(state);
+    uint64_t newest = state_audit_last(state);
+    uint64_t seq = page->after + 1;
+
+    if (page->last != 0) {
+        seq = page->last < newest ? newest - page->last + 1 : 1;
+    }
+    return seq < first ? first : seq;
+}
+
 void
 api_audit(struct call *call)
 {
@@ -23,10 +36,7 @@
     }
     list.entries = mem_zalloc(page.limit, sizeof(*list.entries));
     keys = mem_zalloc(page.limit, sizeof(*keys));
-    seq = page.after + 1;
-    if (seq < state_audit_first(state)) {
-        seq = state_audit_first(state);
-    }
+    seq = audit_start(state, &page);
     for (; seq <= state_audit_last(state) && list.count < page.limit; seq++) {
         const struct state_audit *a = state_audit(state, seq);
         struct operator_audit_entry *out = &list.entries[list.count];
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -2,6 +2,7 @@
 #define GV_LEADER_IMPL_H
 
 #include "api.h"
+#include "caller.h"
 #include "clock.h"
 #include "control.h"
 #include "heap.h"
@@ -89,6 +90,10 @@
 struct state_actor
 call_actor(const struct call *call);
 
+/* A job with its tasks counted by state. */
+struct caller_job_status
+job_describe(const struct state_job *job);
+
 /* Handlers by route. */
 void
 api_job_put(struct call *call);
--- a/packages/daemon/replica_join.c
+++ b/packages/daemon/replica_join.c
@@ -72,7 +72,8 @@
                   (int)error);
         return;
     }
-    log_write(LOG_LEVEL_NOTICE, "raft: creating a cluster of %zu members",
+    log_write(LOG_LEVEL_NOTICE,
+              "raft: creating a cluster of %zu control VM(s)",
               s->control_count);
 }
 
--- a/packages/operator/include/operator.h
+++ b/packages/operator/include/operator.h
@@ -136,9 +136,10 @@
 void
 operator_audit_render(const struct operator_audit *audit, struct buf *out);
 
-/* Query of GET /v1/audit: ?after=SEQ&limit=N. */
+/* Query of GET /v1/audit: ?after=SEQ&limit=N, or ?last=N&limit=M. */
 struct operator_page {
     uint64_t after; /* default 0 */
+    uint64_t last;  /* start with the newest so many entries; 0: use after */
     uint32_t limit; /* 1 to OPERATOR_PAGE_MAX, which is the default */
 };
 
--- a/packages/operator/reports.c
+++ b/packages/operator/reports.c
@@ -79,12 +79,12 @@
 }
 
 static bool
-check_page(const struct str values[2], struct operator_page *out,
+check_page(const struct str values[3], struct operator_page *out,
            struct api_error *err)
 {
     uint64_t limit = OPERATOR_PAGE_MAX;
 
-    *out = (struct operator_page){0, OPERATOR_PAGE_MAX};
+    *out = (struct operator_page){0};
     if (values[0].ptr != NULL &&
         !str_to_u64(values[0], INT64_MAX, &out->after)) {
         return api_fail(err, 400, "bad_value", "after",
@@ -95,6 +95,12 @@
         return api_fail(err, 400, "out_of_range", "limit",
                         "must be from 1 to %d", OPERATOR_PAGE_MAX);
     }
+    if (values[2].ptr != NULL &&
+        (!str_to_u64(values[2], INT64_MAX, &out->last) || out->last == 0 ||
+         values[0].ptr != NULL)) {
+        return api_fail(err, 400, "bad_value", "last",
+                        "must be a number of entries, without after");
+    }
     out->limit = (uint32_t)limit;
     return true;
 }
@@ -103,16 +109,17 @@
 operator_page_parse(struct str query, struct operator_page *out,
                     struct api_error *err)
 {
-    static const char *const names[] = {"after", "limit"};
-    struct str values[2];
+    static const char *const names[] = {"after", "limit", "last"};
+    struct str values[3];
     bool ok;
 
-    if (!api_query(query, names, 2, values, err)) {
+    if (!api_query(query, names, 3, values, err)) {
         return false;
     }
     ok = check_page(values, out, err);
-    str_free(&values[0]);
-    str_free(&values[1]);
+    for (int i = 0; i < 3; i++) {
+        str_free(&values[i]);
+    }
     return ok;
 }
 
--- /dev/null
+++ b/tests/test_e2e_lists.c
@@ -0,0 +1,170 @@
+/* Lists that are longer than one answer: jobs and the audit trail. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "cluster_api.h"
+#include "e2e.h"
+#include "proc.h"
+
+enum {
+    JOBS = 7,
+    PAGE = 2,
+};
+
+static json_t *
+get(const struct cluster *c, const char *key, const char *path)
+{
+    const struct api_call call = {
+        .method = "GET", .path = path, .key = key, .vm = 0};
+    json_t *out = NULL;
+
+    g_assert_cmpint(api_call(c, &call, &out), ==, 200);
+    return out;
+}
+
+static void
+cancel(const struct cluster *c, const char *id)
+{
+    char path[64];
+    const struct api_call call = {
+        .method = "DELETE", .path = path, .key = c->team.key, .vm = 0};
+
+    snprintf(path, sizeof(path), "/v1/jobs/%s", id);
+    g_assert_cmpint(api_call(c, &call, NULL), ==, 200);
+}
+
+/* Marks what the page shows and returns the id of its last job. */
+static int
+take_page(const json_t *page, bool seen[JOBS])
+{
+    const json_t *jobs = json_object_get(page, "jobs");
+    const json_t *job;
+    size_t at;
+    int last = -1;
+
+    json_array_foreach(jobs, at, job)
+    {
+        const char *id = json_string_value(json_object_get(job, "id"));
+
+        g_assert_cmpint(sscanf(id, "j%d", &last), ==, 1);
+        seen[last] = true;
+    }
+    return last;
+}
+
+/* Guards against jobs that a listing misses because the last job of a page
+ * has ended, or was removed, before the next page is read. */
+static void
+test_job_pages(void)
+{
+    struct cluster *c = cluster_start(1, 0, false);
+    char path[96] = "/v1/jobs?limit=2";
+    bool seen[JOBS] = {false};
+    bool more = true;
+    char id[8];
+
+    cluster_provision(c);
+    for (int i = 0; i < JOBS; i++) {
+        const struct api_job job = {.id = id, .payload = ""};
+
+        snprintf(id, sizeof(id), "j%d", i);
+        g_assert_cmpint(api_job_put(c, &job), ==, 200);
+    }
+    for (int pages = 0; more; pages++) {
+        json_t *page = get(c, c->team.key, path);
+        const char *next = json_string_value(json_object_get(page, "next"));
+        int last = take_page(page, seen);
+
+        g_assert_cmpint(pages, <, 2 * JOBS);
+        more = next != NULL;
+        if (more) {
+            snprintf(path, sizeof(path), "/v1/jobs?limit=%d&after=%s", PAGE,
+                     next);
+            snprintf(id, sizeof(id), "j%d", last);
+            cancel(c, id);
+        }
+        json_decref(page);
+    }
+    for (int i = 0; i < JOBS; i++) {
+        g_assert_true(seen[i]);
+    }
+    cluster_destroy(c);
+}
+
+static int64_t
+first_seq(const json_t *page)
+{
+    const json_t *entries = json_object_get(page, "entries");
+
+    return api_number(json_array_get(entries, 0), "seq");
+}
+
+/* Guards against an audit trail of which only the oldest entries can be
+ * read. */
+static void
+test_audit_pages(void)
+{
+    struct cluster *c = cluster_start(1, 0, false);
+    int64_t newest;
+    json_t *page;
+
+    cluster_provision(c);
+    page = get(c, c->operator_key, "/v1/audit");
+    newest = (int64_t)json_array_size(json_object_get(page, "entries"));
+    json_decref(page);
+    g_assert_cmpint(newest, >, 3);
+    page = get(c, c->operator_key, "/v1/audit?last=2");
+    g_assert_cmpint(first_seq(page), ==, newest - 1);
+    g_assert_cmpint(api_number(page, "next"), ==, 0);
+    json_decref(page);
+    page = get(c, c->operator_key, "/v1/audit?last=3&limit=1");
+    g_assert_cmpint(first_seq(page), ==, newest - 2);
+    g_assert_cmpint(api_number(page, "next"), ==, newest - 2);
+    json_decref(page);
+    page = get(c, c->operator_key, "/v1/audit?last=1000000");
+    g_assert_cmpint(first_seq(page), ==, 1);
+    json_decref(page);
+    cluster_destroy(c);
+}
+
+/* Guards against a command line that shows only the first answer. */
+static void
+test_command_line(void)
+{
+    struct cluster *c = cluster_start(1, 0, false);
+    char path[64];
+    char line[512];
+    int rows = 0;
+    FILE *out;
+
+    for (int i = 0; i < 1100; i++) {
+        const struct api_call call = {
+            .method = "DELETE", .path = path, .key = c->operator_key, .vm = 0};
+
+        /* Refused, which the audit trail records. */
+        snprintf(path, sizeof(path), "/v1/keys/k%d", 1000 + i);
+        g_assert_cmpint(api_call(c, &call, NULL), ==, 404);
+    }
+    snprintf(line, sizeof(line),
+             "GUAVAROCK_KEY=%s %s/guavarock --server http://%s audit",
+             c->operator_key, c->bin, c->vms[0].http);
+    out = popen(line, "r");
+    g_assert_nonnull(out);
+    while (fgets(line, sizeof(line), out) != NULL) {
+        rows++;
+    }
+    g_assert_cmpint(pclose(out), ==, 0);
+    g_assert_cmpint(rows, >, 1100);
+    cluster_destroy(c);
+}
+
+int
+main(int argc, char **argv)
+{
+    e2e_case("/e2e/lists/job-pages", test_job_pages);
+    e2e_case("/e2e/lists/audit-pages", test_audit_pages);
+    e2e_case("/e2e/lists/command-line", test_command_line);
+    return e2e_run(argc, argv);
+}
