daemon, cli: teams show

GET /v1/teams and `guavarock teams show` give per team the leased tasks and resources, share, entitlement, running and queued jobs and since when the oldest waits.

On the way: `worker list` showed "-" for sizes, which stand in nested objects; columns are now paths. The test of all routes and keys has the new route.

--- a/completion/guavarock.bash
+++ b/completion/guavarock.bash
@@ -7,7 +7,8 @@
     "") echo job request teams limits key vm worker endpoint audit usage \
         status bench ;;
     job) echo submit show list cancel ;;
-    teams | limits) echo get set ;;
+    teams) echo get set show ;;
+    limits) echo get set ;;
     key) echo give withdraw list ;;
     vm) echo list drain ;;
     worker | endpoint) echo list ;;
--- a/packages/base/include/api.h
+++ b/packages/base/include/api.h
@@ -72,6 +72,7 @@
     API_VM_DRAIN, /* param id */
     API_WORKER_LIST,
     API_ENDPOINT_LIST,
+    API_TEAM_LIST,
     API_LIVE,
     API_READY,
     API_METRICS,
--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -114,6 +114,8 @@
 int
 cli_teams_set(struct cli *cli, int argc, char **argv);
 int
+cli_teams_show(struct cli *cli, int argc, char **argv);
+int
 cli_limits_get(struct cli *cli, int argc, char **argv);
 int
 cli_limits_set(struct cli *cli, int argc, char **argv);
--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -23,6 +23,7 @@
     {NULL, "request", cli_request_send, "Send a request to a service"},
     {"teams", "get", cli_teams_get, "Print the list of teams"},
     {"teams", "set", cli_teams_set, "Replace the list of teams"},
+    {"teams", "show", cli_teams_show, "Print what each team runs and awaits"},
     {"limits", "get", cli_limits_get, "Print the list of limits"},
     {"limits", "set", cli_limits_set, "Replace the list of limits"},
     {"key", "give", cli_key_give, "Create a key and print it once"},
--- a/packages/cli/print.c
+++ b/packages/cli/print.c
@@ -12,20 +12,54 @@
     COLUMNS_MAX = 16,
 };
 
-/* Columns whose name ends in _ms are points in time, in milliseconds since
- * 1970; they are shown in UTC. */
+enum {
+    PPM_PER_PERCENT = 10000,
+};
+
 static bool
-is_time(const char *column)
+has_suffix(const char *column, const char *suffix)
 {
     size_t len = strlen(column);
+    size_t end = strlen(suffix);
+
+    return len > end && strcmp(column + len - end, suffix) == 0;
+}
 
-    return len > 3 && strcmp(column + len - 3, "_ms") == 0;
+/* A point in time, in milliseconds since 1970; shown in UTC. */
+static bool
+is_time(const char *column)
+{
+    return has_suffix(column, "_ms");
+}
+
+/* Parts per million; shown in percent. */
+static bool
+is_part(const char *column)
+{
+    return has_suffix(column, "_ppm");
+}
+
+/* The value at a path such as capacity.cpu_milli. */
+static const json_t *
+value_at(const json_t *row, const char *path)
+{
+    const char *dot = strchr(path, '.');
+    char name[64];
+
+    if (dot == NULL) {
+        return json_object_get(row, path);
+    }
+    snprintf(name, sizeof(name), "%.*s", (int)(dot - path), path);
+    return value_at(json_object_get(row, name), dot + 1);
 }
 
 static int
 title_length(const char *column)
 {
-    return (int)strlen(column) - (is_time(column) ? 3 : 0);
+    const char *end = strrchr(column, '_');
+
+    return (int)(is_time(column) || is_part(column) ? end - column
+                                                    : (long)strlen(column));
 }
 
 static void
@@ -34,6 +68,10 @@
     time_t seconds = (time_t)(ms / 1000);
     struct tm utc;
 
+    if (ms == 0) {
+        snprintf(out, CELL_BYTES, "-");
+        return;
+    }
     gmtime_r(&seconds, &utc);
     strftime(out, CELL_BYTES, "%Y-%m-%dT%H:%M:%SZ", &utc);
 }
@@ -49,6 +87,10 @@
     else if (is_time(column) && json_is_integer(value)) {
         time_cell(out, json_integer_value(value));
     }
+    else if (is_part(column) && json_is_integer(value)) {
+        snprintf(out, CELL_BYTES, "%.1f%%",
+                 (double)json_integer_value(value) / PPM_PER_PERCENT);
+    }
     else if (json_is_string(value)) {
         snprintf(out, CELL_BYTES, "%s", json_string_value(value));
     }
@@ -70,7 +112,7 @@
                      columns[i]);
         }
         else {
-            cell(text, columns[i], json_object_get(row, columns[i]));
+            cell(text, columns[i], value_at(row, columns[i]));
         }
         if (columns[i + 1] == NULL) {
             printf("%s\n", text);
@@ -95,7 +137,7 @@
     json_array_foreach(rows, at, row)
     {
         for (int i = 0; columns[i] != NULL; i++) {
-            cell(text, columns[i], json_object_get(row, columns[i]));
+            cell(text, columns[i], value_at(row, columns[i]));
             if ((int)strlen(text) > width[i]) {
                 width[i] = (int)strlen(text);
             }
--- a/packages/cli/show.c
+++ b/packages/cli/show.c
@@ -37,9 +37,18 @@
 int
 cli_worker_list(struct cli *cli, int argc, char **argv)
 {
-    static const char *const columns[] = {
-        "id",         "rack",         "failure_domain", "cpu_milli",
-        "memory_mib", "accelerators", "state",          NULL};
+    static const char *const columns[] = {"id",
+                                          "rack",
+                                          "failure_domain",
+                                          "state",
+                                          "capacity.cpu_milli",
+                                          "used.cpu_milli",
+                                          "capacity.memory_mib",
+                                          "used.memory_mib",
+                                          "capacity.accelerators",
+                                          "used.accelerators",
+                                          "tasks",
+                                          NULL};
 
     return show(cli, argc, argv, "List workers and their state.",
                 "/v1/workers", "workers", columns);
@@ -50,12 +59,36 @@
 {
     static const char *const columns[] = {
         "id",    "service",     "address", "failure_domain",
-        "slots", "connections", "state",   NULL};
+        "slots", "connections", "leased",  "state",
+        NULL};
 
     return show(cli, argc, argv, "List endpoints.", "/v1/endpoints",
                 "endpoints", columns);
 }
 
+int
+cli_teams_show(struct cli *cli, int argc, char **argv)
+{
+    static const char *const columns[] = {"team",
+                                          "weight",
+                                          "share_ppm",
+                                          "entitlement_ppm",
+                                          "tasks",
+                                          "used.cpu_milli",
+                                          "used.memory_mib",
+                                          "used.accelerators",
+                                          "jobs_running",
+                                          "jobs_queued",
+                                          "queued_since_ms",
+                                          NULL};
+
+    return show(cli, argc, argv,
+                "Print what each team has under lease, its part of the fleet, "
+                "the part that its weight entitles it to while the fleet is "
+                "full, and what waits.",
+                "/v1/teams", "teams", columns);
+}
+
 static const struct argp_option audit_options[] = {
     {"after", 'a', "SEQ", 0, "Only entries with a greater number", 0},
     {"last", 'l', "N", 0, "Only the newest N entries", 0},
--- a/packages/daemon/call.c
+++ b/packages/daemon/call.c
@@ -265,6 +265,7 @@
     [API_VM_DRAIN] = api_vm_drain,
     [API_WORKER_LIST] = api_worker_list,
     [API_ENDPOINT_LIST] = api_endpoint_list,
+    [API_TEAM_LIST] = api_team_list,
 };
 
 static void
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -128,6 +128,8 @@
 void
 api_endpoint_list(struct call *call);
 void
+api_team_list(struct call *call);
+void
 api_endpoint_put(struct call *call);
 void
 api_endpoint_delete(struct call *call);
--- a/packages/operator/fleet.c
+++ b/packages/operator/fleet.c
@@ -109,6 +109,29 @@
 static const struct json_shape endpoints_shape =
     JSON_SHAPE(operator_endpoints, endpoints_fields);
 
+static const struct json_field team_fields[] = {
+    JSON_NAME_FIELD(operator_team_status, team, JSON_UNIQUE),
+    JSON_U32_FIELD(operator_team_status, weight, 0, 0, UINT32_MAX),
+    COUNT_FIELD(operator_team_status, tasks),
+    JSON_OBJECT_FIELD(operator_team_status, used, &resources_shape),
+    JSON_U32_FIELD(operator_team_status, share_ppm, 0, 0, UINT32_MAX),
+    JSON_U32_FIELD(operator_team_status, entitlement_ppm, 0, 0, UINT32_MAX),
+    COUNT_FIELD(operator_team_status, jobs_queued),
+    COUNT_FIELD(operator_team_status, jobs_running),
+    JSON_I64_FIELD(operator_team_status, queued_since_ms, 0, 0, INT64_MAX),
+};
+
+static const struct json_shape team_shape =
+    JSON_SHAPE(operator_team_status, team_fields);
+
+static const struct json_field team_list_fields[] = {
+    JSON_LIST_FIELD(operator_team_list, teams, count, &team_shape,
+                    OPERATOR_TEAMS_MAX),
+};
+
+static const struct json_shape team_list_shape =
+    JSON_SHAPE(operator_team_list, team_list_fields);
+
 struct json_doc *
 operator_status_parse(struct str body, struct operator_status *out,
                       struct api_error *err)
@@ -165,3 +188,18 @@
 {
     json_encode(&endpoints_shape, list, out);
 }
+
+struct json_doc *
+operator_team_list_parse(struct str body, struct operator_team_list *out,
+                         struct api_error *err)
+{
+    *out = (struct operator_team_list){0};
+    return api_decode(&team_list_shape, body, out, err);
+}
+
+void
+operator_team_list_render(const struct operator_team_list *list,
+                          struct buf *out)
+{
+    json_encode(&team_list_shape, list, out);
+}
--- a/packages/operator/include/operator.h
+++ b/packages/operator/include/operator.h
@@ -292,6 +292,31 @@
 operator_endpoints_render(const struct operator_endpoints *list,
                           struct buf *out);
 
+/* What a team has and waits for now. */
+struct operator_team_status {
+    struct str team;
+    uint32_t weight;
+    uint64_t tasks; /* under lease, starting and stopping too */
+    struct operator_resources used;
+    uint32_t share_ppm;       /* its largest part of a resource of the fleet */
+    uint32_t entitlement_ppm; /* its part by weight among teams with work */
+    uint64_t jobs_queued;
+    uint64_t jobs_running;
+    int64_t queued_since_ms; /* wall clock of the oldest queued job; 0: none */
+};
+
+struct operator_team_list {
+    struct operator_team_status *teams;
+    size_t count;
+};
+
+struct json_doc *
+operator_team_list_parse(struct str body, struct operator_team_list *out,
+                         struct api_error *err);
+void
+operator_team_list_render(const struct operator_team_list *list,
+                          struct buf *out);
+
 extern const struct api_table operator_routes;
 
 #endif
--- a/packages/operator/routes.c
+++ b/packages/operator/routes.c
@@ -16,6 +16,7 @@
     {HTTP_POST, "/v1/vms/*/drain", API_VM_DRAIN, API_KEY_OPERATOR},
     {HTTP_GET, "/v1/workers", API_WORKER_LIST, API_KEY_OPERATOR},
     {HTTP_GET, "/v1/endpoints", API_ENDPOINT_LIST, API_KEY_OPERATOR},
+    {HTTP_GET, "/v1/teams", API_TEAM_LIST, API_KEY_OPERATOR},
 };
 
 const struct api_table operator_routes = {
--- a/tests/support/bodies.c
+++ b/tests/support/bodies.c
@@ -34,6 +34,7 @@
 CODEC(operator_vms)
 CODEC(operator_workers)
 CODEC(operator_endpoints)
+CODEC(operator_team_list)
 CODEC(platform_probe)
 
 #define BODY(body, text)                                                      \
@@ -113,6 +114,11 @@
          "{\"endpoints\":[{\"id\":\"e\",\"service\":\"s\","
          "\"address\":\"a:1\",\"failure_domain\":\"d\",\"slots\":8,"
          "\"connections\":64,\"leased\":2,\"state\":\"ejected\"}]}"),
+    BODY(operator_team_list,
+         "{\"teams\":[{\"team\":\"a\",\"weight\":2,\"tasks\":3,"
+         "\"used\":" RESOURCES
+         ",\"share_ppm\":250000,\"entitlement_ppm\":500000,"
+         "\"jobs_queued\":1,\"jobs_running\":2,\"queued_since_ms\":7}]}"),
     BODY(platform_probe, "{\"ok\":false,\"reason\":\"draining\"}"),
 };
 
--- a/tests/support/bodies.h
+++ b/tests/support/bodies.h
@@ -22,6 +22,7 @@
     struct operator_limits limits;
     struct operator_status cell;
     struct operator_usage usage;
+    struct operator_team_list team_list;
 };
 
 struct body {
--- a/tests/test_e2e_access.c
+++ b/tests/test_e2e_access.c
@@ -79,6 +79,7 @@
     {"GET", "/v1/vms", "operator", NULL},
     {"GET", "/v1/workers", "operator", NULL},
     {"GET", "/v1/endpoints", "operator", NULL},
+    {"GET", "/v1/teams", "operator", NULL},
 };
 
 static void
--- a/tests/test_e2e_lists.c
+++ b/tests/test_e2e_lists.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "await.h"
 #include "cluster_api.h"
 #include "e2e.h"
 #include "proc.h"
@@ -160,11 +161,78 @@
     cluster_destroy(c);
 }
 
+/* The entry of team lamps in GET /v1/teams. */
+static json_t *
+lamps(const struct cluster *c)
+{
+    json_t *list = get(c, c->operator_key, "/v1/teams");
+    const json_t *team;
+    size_t at;
+    json_t *found = NULL;
+
+    json_array_foreach(json_object_get(list, "teams"), at, team)
+    {
+        if (g_strcmp0(json_string_value(json_object_get(team, "team")),
+                      "lamps") == 0) {
+            found = json_deep_copy(team);
+        }
+    }
+    g_assert_nonnull(found);
+    json_decref(list);
+    return found;
+}
+
+static bool
+lamps_has(const struct cluster *c, const char *field, int64_t wanted)
+{
+    json_t *team = lamps(c);
+    int64_t value = api_number(team, field);
+
+    json_decref(team);
+    return value == wanted;
+}
+
+/* Guards against a team's row that disagrees with what it runs and awaits. */
+static void
+test_team_list(void)
+{
+    static const char *const options[] = {"--cpu-milli", "4000", NULL};
+    const struct api_job running = {
+        .id = "runs", .cpu_milli = 1000, .payload = "run_ms=60000"};
+    const struct api_job waiting = {
+        .id = "waits", .cpu_milli = 4000, .payload = ""};
+    struct cluster *c = cluster_start(1, 0, false);
+    json_t *team;
+
+    cluster_provision(c);
+    cluster_worker(c, "w1", options);
+    cluster_await_workers(c, 1);
+    g_assert_true(lamps_has(c, "tasks", 0));
+    g_assert_cmpint(api_job_put(c, &running), ==, 200);
+    api_await_job(c, "runs", "running");
+    g_assert_cmpint(api_job_put(c, &waiting), ==, 200);
+    AWAIT(lamps_has(c, "jobs_queued", 1));
+    team = lamps(c);
+    g_assert_cmpint(api_number(team, "tasks"), ==, 1);
+    g_assert_cmpint(api_number(team, "jobs_running"), ==, 1);
+    g_assert_cmpint(api_number(team, "used.cpu_milli"), ==, 1000);
+    g_assert_cmpint(api_number(team, "share_ppm"), >=, 250000);
+    g_assert_cmpint(api_number(team, "entitlement_ppm"), ==, 1000000);
+    g_assert_cmpint(api_number(team, "queued_since_ms"), >, 0);
+    json_decref(team);
+    cancel(c, "runs");
+    cancel(c, "waits");
+    AWAIT(lamps_has(c, "tasks", 0));
+    g_assert_true(lamps_has(c, "queued_since_ms", 0));
+    cluster_destroy(c);
+}
+
 int
 main(int argc, char **argv)
 {
     e2e_case("/e2e/lists/job-pages", test_job_pages);
     e2e_case("/e2e/lists/audit-pages", test_audit_pages);
+    e2e_case("/e2e/lists/teams", test_team_list);
     e2e_case("/e2e/lists/command-line", test_command_line);
     return e2e_run(argc, argv);
 }
