daemon: metrics of the four measures

The leader now has a histogram of the time from submission to first placement by class, gauges of capacity and leases, counters of decisions and their time, and gauges per team. Names with labels that are known at run time only are copied (counter_get_copy).

Ruled out: leased sizes summed over leases at each scrape (46,000 at the target size); the scheduler's sums per team are used instead.

--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -18,6 +18,28 @@
 static struct counter *counters;
 static pthread_mutex_t counters_lock = PTHREAD_MUTEX_INITIALIZER;
 
+static struct counter **
+find(struct str name)
+{
+    struct counter **slot = &counters;
+
+    while (*slot != NULL && !str_eq(str_of((*slot)->name), name)) {
+        slot = &(*slot)->next;
+    }
+    return slot;
+}
+
+static struct counter *
+create(enum counter_kind kind, const char *name, const char *help)
+{
+    struct counter *c = mem_zalloc(1, sizeof(*c));
+
+    c->kind = kind;
+    c->name = name;
+    c->help = help;
+    return c;
+}
+
 struct counter *
 counter_get(enum counter_kind kind, const char *name, const char *help)
 {
@@ -25,17 +47,25 @@
     struct counter *c;
 
     pthread_mutex_lock(&counters_lock);
-    for (slot = &counters; *slot != NULL; slot = &(*slot)->next) {
-        if (strcmp((*slot)->name, name) == 0) {
-            break;
-        }
+    slot = find(str_of(name));
+    if (*slot == NULL) {
+        *slot = create(kind, name, help);
     }
+    c = *slot;
+    pthread_mutex_unlock(&counters_lock);
+    return c;
+}
+
+struct counter *
+counter_get_copy(enum counter_kind kind, struct str name, const char *help)
+{
+    struct counter **slot;
+    struct counter *c;
+
+    pthread_mutex_lock(&counters_lock);
+    slot = find(name);
     if (*slot == NULL) {
-        c = mem_zalloc(1, sizeof(*c));
-        c->kind = kind;
-        c->name = name;
-        c->help = help;
-        *slot = c;
+        *slot = create(kind, str_dup(name).ptr, help);
     }
     c = *slot;
     pthread_mutex_unlock(&counters_lock);
--- a/packages/base/include/counter.h
+++ b/packages/base/include/counter.h
@@ -21,6 +21,11 @@
  */
 struct counter *
 counter_get(enum counter_kind kind, const char *name, const char *help);
+
+/* The same for a name that was built at run time, which is copied. help must
+ * outlive the process. */
+struct counter *
+counter_get_copy(enum counter_kind kind, struct str name, const char *help);
 void
 counter_add(struct counter *c, uint64_t n);
 void
--- a/packages/daemon/api_views.c
+++ b/packages/daemon/api_views.c
@@ -128,8 +128,8 @@
     }
 }
 
-static void
-count_workers(const struct leader *l, struct operator_status *out)
+void
+leader_count_workers(const struct leader *l, struct operator_status *out)
 {
     const struct state_worker *worker;
     void *cursor = NULL;
@@ -184,7 +184,7 @@
         status.vms_draining += e->draining && e->lease_end > l->control->now;
     }
     count_jobs(state, &status);
-    count_workers(l, &status);
+    leader_count_workers(l, &status);
     cursor = NULL;
     while ((w = map_next(l->workers, &cursor)) != NULL) {
         count_used(w->leases, &status.used);
--- a/packages/daemon/entry_http.c
+++ b/packages/daemon/entry_http.c
@@ -8,6 +8,7 @@
 #include "counter.h"
 #include "endpoint.h"
 #include "entry_impl.h"
+#include "leader.h"
 #include "operator.h"
 #include "platform.h"
 #include "worker.h"
@@ -115,6 +116,9 @@
     struct front_response response = {.status = 200};
 
     refresh_gauges(e);
+    if (e->control->leader != NULL) {
+        leader_refresh_metrics(e->control->leader);
+    }
     counter_render(&response.body);
     http_headers_add(&response.headers, STR("Content-Type"),
                      STR(PLATFORM_METRICS_TYPE));
--- a/packages/daemon/leader.c
+++ b/packages/daemon/leader.c
@@ -137,6 +137,12 @@
     requests_step(l);
 }
 
+void
+leader_refresh_metrics(struct leader *l)
+{
+    measures_refresh(l->measures, l);
+}
+
 int64_t
 leader_next_deadline(const struct leader *l)
 {
--- a/packages/daemon/leader.h
+++ b/packages/daemon/leader.h
@@ -49,6 +49,10 @@
 void
 leader_end(struct leader *l, struct link *from, const Wire__End *end);
 
+/* Sets the gauges of the metrics that only a leader has. */
+void
+leader_refresh_metrics(struct leader *l);
+
 /* Tells a link who leads, as far as this VM knows. */
 void
 leader_hint(const struct replica *r, struct link *to);
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -9,6 +9,8 @@
 #include "leader.h"
 #include "ledger.h"
 #include "map.h"
+#include "measures.h"
+#include "operator.h"
 #include "replica.h"
 #include "sched.h"
 #include "state.h"
@@ -94,6 +96,10 @@
 struct caller_job_status
 job_describe(const struct state_job *job);
 
+/* Sums up workers and their capacity. */
+void
+leader_count_workers(const struct leader *l, struct operator_status *out);
+
 /* Handlers by route. */
 void
 api_job_put(struct call *call);
@@ -344,6 +350,7 @@
     struct call *inforce;  /* wait for a configuration to be in force */
     struct map *job_waits; /* job number to a list of calls */
 
+    struct measures *measures;
     struct sched *sched;
     struct sched_actions actions;
     struct map *leases; /* lease number to struct lease_record */
--- a/packages/daemon/placement.c
+++ b/packages/daemon/placement.c
@@ -225,7 +225,10 @@
         return;
     }
     if (sched_next_deadline(l->sched) <= l->control->now) {
+        int64_t began = clock_now();
+
         placement_feed(l, &tick);
+        measures_decided(l->measures, clock_now() - began);
     }
     placement_flush(l);
 }
@@ -302,6 +305,7 @@
     sched_config_default(&config);
     config.next_lease = state_highest_lease(state) + 1;
     config.weights = l->control->settings->weights;
+    l->measures = measures_create();
     l->sched = sched_create(&config, l->control->now);
     l->leases = map_create();
     l->usage = map_create();
@@ -326,6 +330,7 @@
     map_destroy(l->usage);
     sched_actions_free(&l->actions);
     sched_destroy(l->sched);
+    measures_destroy(l->measures);
     mem_free(l->places);
     mem_free(l->ends);
     mem_free(l->outcomes);
--- a/packages/daemon/placement_commit.c
+++ b/packages/daemon/placement_commit.c
@@ -43,6 +43,18 @@
     return false;
 }
 
+/* Placements after the first belong to repeated runs, not to the wait. */
+static void
+observe_wait(struct leader *l, const struct lease_record *r)
+{
+    const struct state_job *job = state_job(leader_state(l), r->job);
+
+    if (r->committed && job != NULL && job->tasks != NULL &&
+        job->tasks[r->task].attempts == 1) {
+        measures_started(l->measures, job, clock_wall_ms());
+    }
+}
+
 static void
 places_applied(void *arg, const struct state_result *result)
 {
@@ -55,6 +67,7 @@
 
         if (r != NULL) {
             r->committed = !rejected;
+            observe_wait(l, r);
         }
         feed_lease(l,
                    rejected ? SCHED_EVENT_PLACEMENT_FAILED
