daemon: one usage row per team name

A team that was taken off the list and put back got a new number and with it a second row of the same name in GET /v1/usage. `guavarock usage` requires unique names (its refusal was read from the code, not run). Rows of one name are added up; usage of a removed team stays on the chart as before.

/e2e/lists/usage-of-removed-team fails before (the row has the second time's usage only) and passes now.

--- a/packages/daemon/api_views.c
+++ b/packages/daemon/api_views.c
@@ -67,6 +67,25 @@
     call_respond(call, 200, &body);
 }
 
+/* A team that was taken off the list and put back has a row for each time. */
+static void
+add_usage(struct operator_usage *usage, struct str name,
+          const struct state_usage *row)
+{
+    struct operator_usage_team *team = usage->teams;
+
+    while (team < usage->teams + usage->count && !str_eq(team->team, name)) {
+        team++;
+    }
+    if (team == usage->teams + usage->count) {
+        usage->count++;
+        team->team = name;
+    }
+    team->cpu_ms += row->cpu_ms;
+    team->memory_mib_s += row->memory_mib_s;
+    team->accelerator_ms += row->accelerator_ms;
+}
+
 void
 api_usage(struct call *call)
 {
@@ -98,9 +117,7 @@
         const struct state_team *team = state_team(state, row->team);
 
         if (row->month == wanted && team != NULL) {
-            usage.teams[usage.count++] = (struct operator_usage_team){
-                team->name, row->cpu_ms, row->memory_mib_s,
-                row->accelerator_ms};
+            add_usage(&usage, team->name, row);
         }
     }
     if (call->match.route == API_USAGE_CHART) {
--- a/tests/test_e2e_lists.c
+++ b/tests/test_e2e_lists.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <glib.h>
 
@@ -266,12 +267,99 @@
     cluster_destroy(c);
 }
 
+static void
+set_teams(const struct cluster *c, const char *items)
+{
+    g_assert_cmpint(api_list_put(c, "teams", -1, items, NULL, 0), ==, 200);
+}
+
+/* A row of GET /v1/usage of this month, "{}" while there is none; *rows is
+ * the number of rows. */
+static json_t *
+usage_row(const struct cluster *c, const char *name, int *rows)
+{
+    char path[64];
+    time_t now = time(NULL);
+    json_t *answer;
+    json_t *found = json_object();
+    const json_t *team;
+    size_t at;
+
+    strftime(path, sizeof(path), "/v1/usage?month=%Y-%m", gmtime(&now));
+    answer = get(c, c->operator_key, path);
+    *rows = 0;
+    json_array_foreach(json_object_get(answer, "teams"), at, team)
+    {
+        if (g_strcmp0(json_string_value(json_object_get(team, "team")),
+                      name) == 0) {
+            ++*rows;
+            json_object_update(found, (json_t *)team);
+        }
+    }
+    json_decref(answer);
+    return found;
+}
+
+static int64_t
+cpu_used(const struct cluster *c, const char *name)
+{
+    int rows;
+    json_t *row = usage_row(c, name, &rows);
+    int64_t used = rows == 0 ? 0 : api_number(row, "cpu_ms");
+
+    json_decref(row);
+    return used;
+}
+
+static void
+run_job(const struct cluster *c, const char *id)
+{
+    const struct api_job job = {
+        .id = id, .cpu_milli = 1000, .payload = "run_ms=300"};
+
+    g_assert_cmpint(api_job_put(c, &job), ==, 200);
+    api_await_job(c, id, "done");
+}
+
+/* Guards against usage that vanishes from the chart, or a chart that cannot
+ * be read, when a team is taken off the list and put back. */
+static void
+test_usage_of_removed_team(void)
+{
+    struct cluster *c = cluster_start(1, 0, false);
+    char line[512];
+    int64_t before;
+    int rows;
+
+    cluster_provision(c);
+    cluster_worker(c, "w1", NULL);
+    cluster_await_workers(c, 1);
+    run_job(c, "first");
+    AWAIT(cpu_used(c, "lamps") > 0);
+    before = cpu_used(c, "lamps");
+    set_teams(c, "[{\"name\":\"looms\",\"weight\":1}]");
+    g_assert_cmpint(cpu_used(c, "lamps"), >=, before);
+    set_teams(c, "[{\"name\":\"looms\",\"weight\":1},"
+                 "{\"name\":\"lamps\",\"weight\":1}]");
+    c->team = api_key_create(c, "team", "lamps");
+    run_job(c, "second");
+    AWAIT(cpu_used(c, "lamps") > before);
+    json_decref(usage_row(c, "lamps", &rows));
+    g_assert_cmpint(rows, ==, 1);
+    snprintf(line, sizeof(line),
+             "GUAVAROCK_KEY=%s %s/guavarock --server http://%s usage",
+             c->operator_key, c->bin, c->vms[0].http);
+    g_assert_cmpint(system(line), ==, 0);
+    cluster_destroy(c);
+}
+
 int
 main(int argc, char **argv)
 {
     e2e_case("/e2e/lists/job-pages", test_job_pages);
     e2e_case("/e2e/lists/audit-pages", test_audit_pages);
     e2e_case("/e2e/lists/teams", test_team_list);
+    e2e_case("/e2e/lists/usage-of-removed-team", test_usage_of_removed_team);
     e2e_case("/e2e/lists/command-line", test_command_line);
     return e2e_run(argc, argv);
 }
