daemon: a planned stop ends long polls

When a VM closes its port it now sends such calls to the leader again without the wait; the answer to the first message finds no call and is dropped. Calls without a leader are given up from the same moment, as before the units were kept until the last connection is gone: /e2e/drain/stop-all, which passed before too.

Ruled out: a message that tells the leader to answer early, since the state a caller polls for can be asked for again at any time.

--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -40,6 +40,7 @@
     log_write(LOG_LEVEL_NOTICE, "drain: finishing requests in flight");
     front_stop_listening(c->front);
     front_close_idle(c->front);
+    entry_end_waits(c->entry);
     enter(c, DRAIN_FINISH, 0);
 }
 
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -160,6 +160,12 @@
     return deadline;
 }
 
+void
+entry_end_waits(struct entry *e)
+{
+    forward_end_waits(e);
+}
+
 void
 entry_drain(struct entry *e)
 {
--- a/packages/daemon/entry.h
+++ b/packages/daemon/entry.h
@@ -61,7 +61,11 @@
 bool
 entry_ready(const struct entry *e);
 
-/* Drain: finishes what is queued and in flight. */
+/* Ends long polls of jobs; from now on none waits. */
+void
+entry_end_waits(struct entry *e);
+
+/* Drain: gives the units back; no request may come any more. */
 void
 entry_drain(struct entry *e);
 
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -135,6 +135,10 @@
 forward_link_down(struct entry *e, const struct link *l);
 void
 forward_step(struct entry *e);
+
+/* Asks the leader again, without waiting, for what callers wait for. */
+void
+forward_end_waits(struct entry *e);
 void
 forward_destroy(struct entry *e);
 
--- a/packages/daemon/forward.c
+++ b/packages/daemon/forward.c
@@ -62,6 +62,14 @@
     forward_free(e, f);
 }
 
+/* GET takes a query only to wait for a job, and to page through a list. */
+static bool
+is_long_poll(const struct front_call *call)
+{
+    return call->method == HTTP_GET &&
+           str_starts(call->path, STR("/v1/jobs/"));
+}
+
 static void
 send_call(struct entry *e, struct forward *f, struct link *to)
 {
@@ -69,7 +77,9 @@
     Wire__Call call = WIRE__CALL__INIT;
     uint8_t hash[STATE_HASH_BYTES];
     struct str path = str_dup(f->call->path);
-    struct str query = str_dup(f->call->query);
+    /* A VM that stops waits for nothing. */
+    bool no_wait = e->control->drain != DRAIN_NONE && is_long_poll(f->call);
+    struct str query = str_dup(no_wait ? STR("") : f->call->query);
     struct str idempotency = str_dup(f->call->idempotency_key);
     struct str if_match = str_dup(f->call->if_match);
 
@@ -118,6 +128,31 @@
     }
 }
 
+void
+forward_end_waits(struct entry *e)
+{
+    struct forward *f;
+    struct forward *polls = NULL;
+    void *cursor = NULL;
+
+    /* The map must not change while it is walked. */
+    while ((f = map_next(e->forwards, &cursor)) != NULL) {
+        if (is_long_poll(f->call) && !f->unsent) {
+            f->next_unsent = polls;
+            polls = f;
+        }
+    }
+    while ((f = polls) != NULL) {
+        polls = f->next_unsent;
+        /* The answer to the earlier message finds no call and is dropped. */
+        map_del_u64(e->forwards, f->id);
+        f->id = e->next_id++;
+        map_put_u64(e->forwards, f->id, f);
+        queue_unsent(e, f);
+    }
+    forward_step(e);
+}
+
 static void
 respond(struct forward *f, const Wire__Reply *reply)
 {
@@ -204,7 +239,8 @@
     if (leader != NULL) {
         send_unsent(e, leader);
     }
-    while (leader == NULL && e->draining && e->unsent != NULL) {
+    while (leader == NULL && e->control->drain >= DRAIN_FINISH &&
+           e->unsent != NULL) {
         give_up(e, e->unsent);
     }
 }
