cli: no empty refusal before a list's conflict, usage with three decimals

`limits set` from an old version printed '409: refused' before the message that names the field and the current version; usage below 18 s of a core showed as 0.00 hours.

--- a/packages/cli/call.c
+++ b/packages/cli/call.c
@@ -125,7 +125,11 @@
     if (response->status >= 200 && response->status < 300) {
         return CLI_OK;
     }
-    print_error(response);
+    /* 409 to a list carries the current list; the caller reports it. */
+    if (response->status != 409 ||
+        json_object_get(response->json, "error") != NULL) {
+        print_error(response);
+    }
     if (strcmp(response->outcome, "unknown") == 0) {
         return CLI_UNKNOWN;
     }
--- a/packages/cli/usage.c
+++ b/packages/cli/usage.c
@@ -66,7 +66,7 @@
     for (size_t i = 0; i < usage->count; i++) {
         const struct operator_usage_team *t = &usage->teams[i];
 
-        printf("%-32.*s %16.2f %18.2f %18.2f\n", STR_ARG(t->team),
+        printf("%-32.*s %16.3f %18.3f %18.3f\n", STR_ARG(t->team),
                (double)t->cpu_ms / 3.6e6,
                (double)t->memory_mib_s / 1024 / 3600,
                (double)t->accelerator_ms / 3.6e6);
