front: bound unsent answers in bytes and time

A caller that did not read its answer kept up to 8 MiB for as long as it read a byte each 76 s, and answers counted towards no bound, so that slow callers could fill the memory of an entry and hold up its planned stop. Unsent answers now count towards max_buffered, above which the entry refuses service requests as not-run, and a connection is closed 120 s after the answer was handed over.

Ruled out: refusing at the HTTP server, which cannot tell probes and operators' calls from requests.

/front/slow_reader is new; 24 cases of front, lists and drain pass under AddressSanitizer.

--- a/packages/daemon/serve.c
+++ b/packages/daemon/serve.c
@@ -88,6 +88,11 @@
                      "this entry holds no configuration lease", "not-run", 1);
         return NULL;
     }
+    if (front_overloaded(e->control->front)) {
+        front_refuse(call, 503, "overloaded", "too many answers wait",
+                     "not-run", 1);
+        return NULL;
+    }
     if (call->key.len != 0) {
         key_hash(call->key, hash);
         key = confview_key(e->config, hash);
--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -1,5 +1,6 @@
 #include "internal.h"
 
+#include "clock.h"
 #include "mem.h"
 
 struct request *
@@ -129,6 +130,10 @@
     taken = request_take_back(r);
     if (taken && response != NULL) {
         r->response = *response;
+        r->charged += response->body.len;
+        atomic_fetch_add(&r->front->buffered, response->body.len);
+        r->conn->phase = CONN_ANSWERING;
+        r->conn->deadline = clock_now() + r->front->config.send_timeout_ns;
     }
     if (taken && response == NULL) {
         r->broken = true;
--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -26,6 +26,7 @@
         .max_buffered = 256 * 1024 * 1024,
         .max_header = 16 * 1024,
         .receive_timeout_ns = 30 * NS_PER_S,
+        .send_timeout_ns = 120 * NS_PER_S,
         .idle_timeout_ns = 75 * NS_PER_S,
         .default_timeout_ns = 30 * NS_PER_S,
         .max_timeout_ns = 600 * NS_PER_S,
@@ -187,6 +188,12 @@
     return atomic_load(&f->connections);
 }
 
+bool
+front_overloaded(const struct front *f)
+{
+    return atomic_load(&f->buffered) > f->config.max_buffered;
+}
+
 unsigned
 front_active(const struct front *f)
 {
--- a/packages/front/include/front.h
+++ b/packages/front/include/front.h
@@ -34,17 +34,18 @@
     unsigned threads;
     unsigned max_connections;
     size_t max_body;            /* bytes */
-    size_t max_buffered;        /* bytes of all bodies not yet answered */
+    size_t max_buffered;        /* bytes of all bodies and unsent answers */
     size_t max_header;          /* bytes, request line included */
     int64_t receive_timeout_ns; /* from the request line to the last byte */
+    int64_t send_timeout_ns;    /* from the answer to its last byte */
     int64_t idle_timeout_ns;    /* of a connection between requests */
     int64_t default_timeout_ns; /* deadline without Guavarock-Timeout-Ms */
     int64_t max_timeout_ns;     /* greater values are cut to this */
     unsigned retry_after_s;     /* with 503 when the ring is full */
 };
 
-/* 4 threads, 4096 connections, 8 MiB, 256 MiB, 16 KiB, 30 s, 75 s, 30 s,
- * 600 s, 1 s; the address is left empty. */
+/* 4 threads, 4096 connections, 8 MiB, 256 MiB, 16 KiB, 30 s, 120 s, 75 s,
+ * 30 s, 600 s, 1 s; the address is left empty. */
 void
 front_config_default(struct front_config *config);
 
@@ -139,6 +140,11 @@
 unsigned
 front_connections(const struct front *f);
 
+/* Whether bodies and unsent answers exceed max_buffered. Calls without a body
+ * still arrive; a consumer that expects a large answer should refuse them. */
+bool
+front_overloaded(const struct front *f);
+
 /* Requests being received, handled or answered; 0 once a drained server has
  * sent its last answer. */
 unsigned
--- a/packages/front/internal.h
+++ b/packages/front/internal.h
@@ -62,7 +62,8 @@
 enum conn_phase {
     CONN_IDLE,      /* between requests */
     CONN_RECEIVING, /* the request line has arrived */
-    CONN_HANDLING,  /* with the consumer, or being answered */
+    CONN_HANDLING,  /* with the consumer */
+    CONN_ANSWERING,
 };
 
 /* A server of the library with its thread. */
@@ -105,7 +106,7 @@
 
     atomic_uint refs; /* requests, and the owner */
     atomic_uint active;
-    atomic_size_t buffered; /* bytes of bodies */
+    atomic_size_t buffered; /* bytes of bodies, of answers too */
     struct front_metrics metrics;
     atomic_bool draining;
     atomic_bool stopping;
--- a/tests/test_e2e_lists.c
+++ b/tests/test_e2e_lists.c
@@ -66,7 +66,7 @@
     char path[96] = "/v1/jobs?limit=2";
     bool seen[JOBS] = {false};
     bool more = true;
-    char id[8];
+    char id[16];
 
     cluster_provision(c);
     for (int i = 0; i < JOBS; i++) {
--- a/tests/test_front_load.c
+++ b/tests/test_front_load.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "clock.h"
 #include "net.h"
 #include "rng.h"
 #include "server.h"
@@ -40,6 +41,30 @@
     server_stop(&s);
 }
 
+/* Guards against memory held by callers that do not read their answers, for
+ * ever or beyond the bound. */
+static void
+test_slow_reader(void)
+{
+    struct front_config config = server_config();
+    g_autofree char *body = g_strnfill(8000000, 'b');
+    int fd;
+
+    config.max_buffered = 4000000;
+    config.send_timeout_ns = 500 * NS_PER_MS;
+    struct server s = server_start(&config, 64);
+    fd = net_connect(s.port);
+    net_write(fd, GET "\r\n");
+    struct front_call *call = server_next_call(&s);
+    g_assert_false(front_overloaded(s.front));
+    server_respond(call, 200, body);
+    g_assert_true(front_overloaded(s.front));
+    server_wait_idle(&s);
+    g_assert_false(front_overloaded(s.front));
+    close(fd);
+    server_stop(&s);
+}
+
 /* Guards against connections beyond the bound being served. */
 static void
 test_connection_limit(void)
@@ -379,6 +404,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/front/buffered", test_buffered);
+    g_test_add_func("/front/slow_reader", test_slow_reader);
     g_test_add_func("/front/connection_limit", test_connection_limit);
     g_test_add_func("/front/concurrent", test_concurrent);
     g_test_add_func("/front/disconnect", test_disconnect);
