tests: urgent work on a full fleet, end to end

Until now only the scheduler's own tests looked at preemption. Three workers full of one team's work: an urgent task of another team must run within the 2 s of the target, and the stopped work must run again.

--- /dev/null
+++ b/tests/test_e2e_urgent.c
@@ -0,0 +1,106 @@
+/* End-to-end tests of urgent work on a full fleet. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "await.h"
+#include "cluster_api.h"
+#include "e2e.h"
+
+enum {
+    WORKERS = 3,
+    TASKS = 12,             /* fill the workers */
+    URGENT_START_MS = 2000, /* the target for urgent work */
+};
+
+/* A fleet that team lamps fills with work of a minute. */
+static struct cluster *
+start_full(void)
+{
+    static const char *const options[] = {"--cpu-milli", "4000", NULL};
+    const struct api_job fill = {.id = "fill",
+                                 .tasks = TASKS,
+                                 .cpu_milli = 1000,
+                                 .idempotent = true,
+                                 .payload = "run_ms=60000"};
+    struct cluster *c = cluster_start(3, 0, false);
+    char id[16];
+
+    cluster_provision(c);
+    for (int i = 0; i < WORKERS; i++) {
+        snprintf(id, sizeof(id), "w%d", i + 1);
+        cluster_worker(c, id, options);
+    }
+    cluster_await_workers(c, WORKERS);
+    g_assert_cmpint(api_job_put(c, &fill), ==, 200);
+    api_await_job(c, "fill", "running");
+    return c;
+}
+
+static int64_t
+running_tasks(const struct cluster *c)
+{
+    json_t *status = api_status(c);
+    int64_t tasks = api_number(status, "tasks_running");
+
+    json_decref(status);
+    return tasks;
+}
+
+static void
+finish(struct cluster *c, const struct cluster_key *lamps)
+{
+    const struct api_call cancel = {.method = "DELETE",
+                                    .path = "/v1/jobs/fill",
+                                    .key = lamps->key,
+                                    .vm = -1};
+
+    g_assert_cmpint(api_call(c, &cancel, NULL), ==, 200);
+    c->team = *lamps;
+    api_await_jobs_ended(c);
+    api_record_usage(c);
+    cluster_check(c);
+    cluster_destroy(c);
+}
+
+static bool
+has_started(const struct cluster *c, const char *id)
+{
+    const char *state = api_job_state(c, id);
+
+    return strcmp(state, "running") == 0 || strcmp(state, "done") == 0;
+}
+
+/* Guards against urgent work that waits for a full fleet to empty, and
+ * against stopped work that does not come back. */
+static void
+test_preempts(void)
+{
+    const struct api_job urgent = {.id = "urgent",
+                                   .cpu_milli = 4000,
+                                   .urgent = true,
+                                   .payload = "run_ms=500"};
+    struct cluster *c = start_full();
+    struct cluster_key lamps = c->team;
+    int64_t until;
+
+    AWAIT(running_tasks(c) == TASKS);
+    c->team = api_key_create(c, "team", "looms");
+    until = clock_now() + URGENT_START_MS * NS_PER_MS;
+    g_assert_cmpint(api_job_put(c, &urgent), ==, 200);
+    while (!has_started(c, "urgent")) {
+        g_assert_cmpint(clock_now(), <, until);
+        await_pause();
+    }
+    api_await_job(c, "urgent", "done");
+    AWAIT(running_tasks(c) == TASKS);
+    finish(c, &lamps);
+}
+
+int
+main(int argc, char **argv)
+{
+    e2e_case("/e2e/urgent/preempts", test_preempts);
+    return e2e_run(argc, argv);
+}
