tests: the checker watches every limit of a team

It compared the number of tasks only. Processors, memory, accelerators and requests at endpoints are now compared as well; four planted histories show that it reports them and does not report what is allowed.

--- a/tests/support/checker.c
+++ b/tests/support/checker.c
@@ -125,6 +125,7 @@
     read_events(&c, path);
     checker_tasks(&c);
     checker_requests(&c);
+    checker_request_limits(&c);
     checker_lists(&c);
     for (size_t i = 0; i < c.count; i++) {
         json_decref(c.events[i].json);
--- a/tests/support/checker_impl.h
+++ b/tests/support/checker_impl.h
@@ -61,6 +61,36 @@
     return json_is_true(json_object_get(e->json, name));
 }
 
+/* ---- Limits of teams ---- */
+
+enum limit_dimension {
+    LIMIT_TASKS,
+    LIMIT_CPU_MILLI,
+    LIMIT_MEMORY_MIB,
+    LIMIT_ACCELERATORS,
+    LIMIT_REQUESTS,
+    LIMIT_DIMENSIONS,
+};
+
+struct limits;
+
+struct limits *
+limits_create(struct checker *c);
+void
+limits_destroy(struct limits *l);
+
+/* Changes what the team has, and reports what exceeds its limit. */
+void
+limits_use(struct limits *l, const char *team, enum limit_dimension dimension,
+           int64_t by, int64_t t);
+
+/* Takes a limit_sent or limit_in_force event; a dimension that it does not
+ * name keeps its limit, and has none at first. */
+void
+limits_set(struct limits *l, const struct event *e, bool in_force);
+
+void
+checker_request_limits(struct checker *c);
 void
 checker_requests(struct checker *c);
 void
--- a/tests/support/checker_tasks.c
+++ b/tests/support/checker_tasks.c
@@ -20,6 +20,7 @@
     struct map *frozen;   /* by id, the event */
     struct map *groups;   /* what the sweep counts */
     struct map *jobs;     /* "team/job", struct job */
+    struct limits *limits;
 };
 
 struct job {
@@ -32,8 +33,6 @@
 struct group {
     int64_t size[3];
     int64_t running;
-    int64_t limit;
-    bool limited;
     int starts;
 };
 
@@ -220,15 +219,14 @@
 }
 
 static void
-check_team(struct tasks *x, const char *team, int64_t t)
+use_limits(struct tasks *x, const struct run *r, int sign, int64_t t)
 {
-    const struct group *g = group_of(x, "team", team);
+    static const enum limit_dimension dimensions[3] = {
+        LIMIT_CPU_MILLI, LIMIT_MEMORY_MIB, LIMIT_ACCELERATORS};
 
-    if (g->limited && g->running > g->limit) {
-        checker_report(x->c, t,
-                       "limit exceeded: team %s runs %" PRId64
-                       " tasks, its limit is %" PRId64,
-                       team, g->running, g->limit);
+    limits_use(x->limits, r->team, LIMIT_TASKS, sign, t);
+    for (int i = 0; i < 3; i++) {
+        limits_use(x->limits, r->team, dimensions[i], sign * r->size[i], t);
     }
 }
 
@@ -263,8 +261,7 @@
                        r->team, r->job);
     }
     check_capacity(x, r);
-    group_of(x, "team", r->team)->running++;
-    check_team(x, r->team, r->begin);
+    use_limits(x, r, 1, r->begin);
 }
 
 static void
@@ -280,24 +277,7 @@
     if (r->outcome != NULL && strcmp(r->outcome, "checkpointed") == 0) {
         task->starts--;
     }
-    group_of(x, "team", r->team)->running--;
-}
-
-/* Between sending and being in force, the old and the new limit may apply. */
-static void
-set_limit(struct tasks *x, const struct event *e, bool in_force)
-{
-    struct group *g = group_of(x, "team", event_text(e, "team"));
-    int64_t tasks = event_number(e, "tasks");
-
-    if (in_force) {
-        g->limit = tasks;
-        g->limited = true;
-        check_team(x, event_text(e, "team"), e->t);
-    }
-    else if (g->limit < tasks) {
-        g->limit = tasks;
-    }
+    use_limits(x, r, -1, r->end);
 }
 
 static size_t
@@ -346,7 +326,7 @@
             break;
         case ORDER_LIMIT_SENT:
         case ORDER_LIMIT:
-            set_limit(x, p->event, p->order == ORDER_LIMIT);
+            limits_set(x->limits, p->event, p->order == ORDER_LIMIT);
             break;
         }
     }
@@ -415,7 +395,8 @@
                       .workers = map_create(),
                       .frozen = map_create(),
                       .groups = map_create(),
-                      .jobs = map_create()};
+                      .jobs = map_create(),
+                      .limits = limits_create(c)};
 
     for (size_t i = 0; i < c->count; i++) {
         const struct event *e = &c->events[i];
@@ -437,5 +418,6 @@
     map_destroy(x.frozen);
     free_values(x.groups);
     free_values(x.jobs);
+    limits_destroy(x.limits);
     mem_free(x.runs);
 }
--- a/tests/support/cluster_api.c
+++ b/tests/support/cluster_api.c
@@ -12,6 +12,7 @@
     CALL_MS = 5000,
     BODY_BYTES = 4096,
     IN_FORCE_S = 20,
+    WIDE_LIMIT = 1000000,
     JOBS_END_S = 15,
     /* A new leader reports unschedulable after 15 s; the rest allows for a
      * slow machine. No target is tied to it. */
@@ -252,22 +253,30 @@
     return yes;
 }
 
+static int
+or_wide(int limit)
+{
+    return limit == 0 ? WIDE_LIMIT : limit;
+}
+
 void
-api_limit_tasks(const struct cluster *c, int tasks)
+api_limit(const struct cluster *c, const struct api_limit *limit)
 {
-    char items[512];
+    char values[256];
+    char items[640];
     int64_t until;
 
+    snprintf(values, sizeof(values),
+             "\"team\":\"lamps\",\"tasks\":%d,\"cpu_milli\":%d,"
+             "\"memory_mib\":%d,\"accelerators\":%d,\"requests\":%d",
+             or_wide(limit->tasks), or_wide(limit->cpu_milli),
+             or_wide(limit->memory_mib), WIDE_LIMIT, or_wide(limit->requests));
     snprintf(items, sizeof(items),
-             "[{\"team\":\"lamps\",\"tasks\":%d,\"cpu_milli\":10000000,"
-             "\"memory_mib\":10000000,\"accelerators\":100,\"requests\":200},"
-             "{\"team\":\"looms\",\"tasks\":100,\"cpu_milli\":10000000,"
-             "\"memory_mib\":10000000,\"accelerators\":100,\"requests\":200}]",
-             tasks);
-    history_write(c->history,
-                  "\"event\":\"limit_sent\",\"team\":\"lamps\","
-                  "\"tasks\":%d",
-                  tasks);
+             "[{%s},{\"team\":\"looms\",\"tasks\":%d,\"cpu_milli\":%d,"
+             "\"memory_mib\":%d,\"accelerators\":%d,\"requests\":%d}]",
+             values, WIDE_LIMIT, WIDE_LIMIT, WIDE_LIMIT, WIDE_LIMIT,
+             WIDE_LIMIT);
+    history_write(c->history, "\"event\":\"limit_sent\",%s", values);
     until = clock_now() + IN_FORCE_S * NS_PER_S;
     while (!list_in_force(c, items)) {
         if (clock_now() > until) {
@@ -275,10 +284,15 @@
             REQUIRE(!"the limits come into force");
         }
     }
-    history_write(c->history,
-                  "\"event\":\"limit_in_force\",\"team\":\"lamps\","
-                  "\"tasks\":%d",
-                  tasks);
+    history_write(c->history, "\"event\":\"limit_in_force\",%s", values);
+}
+
+void
+api_limit_tasks(const struct cluster *c, int tasks)
+{
+    const struct api_limit limit = {.tasks = tasks};
+
+    api_limit(c, &limit);
 }
 
 /* ---- Jobs ---- */
--- a/tests/support/cluster_api.h
+++ b/tests/support/cluster_api.h
@@ -46,7 +46,17 @@
 int64_t
 api_list_version(const struct cluster *c, const char *list, int vm);
 
-/* Limits of team lamps, repeated until they are in force. */
+/* Limits of team lamps; 0: wide. */
+struct api_limit {
+    int tasks;
+    int cpu_milli;
+    int memory_mib;
+    int requests;
+};
+
+/* Sets them, repeated until they are in force. */
+void
+api_limit(const struct cluster *c, const struct api_limit *limit);
 void
 api_limit_tasks(const struct cluster *c, int tasks);
 
--- a/tests/support/load.c
+++ b/tests/support/load.c
@@ -22,7 +22,8 @@
 write_sent(struct history *history, const struct load_request *r)
 {
     history_write(history,
-                  "\"event\":\"send\",\"tag\":\"%s\",\"key\":\"%s\","
+                  "\"event\":\"send\",\"team\":\"lamps\","
+                  "\"tag\":\"%s\",\"key\":\"%s\","
                   "\"idempotent\":%s,\"must\":%s",
                   r->tag, r->key_id, r->idempotent ? "true" : "false",
                   r->must ? "true" : "false");
--- a/tests/test_checker.c
+++ b/tests/test_checker.c
@@ -65,6 +65,12 @@
 #define SEND(t, tag, idempotent)                                              \
     "{\"t\":" t MS ",\"event\":\"send\",\"tag\":\"" tag                       \
     "\",\"key\":\"k1\",\"idempotent\":" idempotent "}\n"
+#define SEND_OF(t, tag)                                                       \
+    "{\"t\":" t MS ",\"event\":\"send\",\"team\":\"b\",\"tag\":\"" tag        \
+    "\",\"key\":\"k1\",\"idempotent\":true}\n"
+#define RESPONSE(t, tag)                                                      \
+    "{\"t\":" t MS                                                            \
+    ",\"event\":\"response\",\"endpoint\":\"e1\",\"tag\":\"" tag "\"}\n"
 #define REQUEST(t, tag, active)                                               \
     "{\"t\":" t MS                                                            \
     ",\"event\":\"request\",\"endpoint\":\"e1\",\"tag\":\"" tag               \
@@ -111,6 +117,30 @@
                 "{\"t\":14" MS ",\"event\":\"limit_in_force\",\"team\":\"a\","
                 "\"tasks\":1}\n" END("15", "w2", "2", "done"),
      "limit exceeded"},
+    {"limit-cpu",
+     "{\"t\":7" MS ",\"event\":\"limit_in_force\",\"team\":\"b\","
+     "\"cpu_milli\":900}\n" START("11", "w2", "2", "b", "x", "0", "600")
+         START("12", "w2", "3", "b", "x", "1", "600")
+             END("13", "w2", "2", "done") END("13", "w2", "3", "done"),
+     "limit exceeded"},
+    {"limit-cpu-kept",
+     "{\"t\":7" MS ",\"event\":\"limit_in_force\",\"team\":\"b\","
+     "\"cpu_milli\":900}\n" START("11", "w2", "2", "b", "x", "0", "600") END(
+         "12", "w2", "2", "done") START("13", "w2", "3", "b", "x", "1", "600")
+         END("14", "w2", "3", "done"),
+     NULL},
+    {"limit-requests",
+     "{\"t\":7" MS ",\"event\":\"limit_in_force\",\"team\":\"b\","
+     "\"requests\":1}\n" SEND_OF("35", "r3") SEND_OF("35", "r4")
+         REQUEST("36", "r3", "1") REQUEST("37", "r4", "2") RESPONSE("38", "r3")
+             RESPONSE("38", "r4"),
+     "limit exceeded"},
+    {"limit-requests-kept",
+     "{\"t\":7" MS ",\"event\":\"limit_in_force\",\"team\":\"b\","
+     "\"requests\":1}\n" SEND_OF("35", "r3") SEND_OF("35", "r4")
+         REQUEST("36", "r3", "1") RESPONSE("37", "r3") REQUEST("38", "r4", "1")
+             RESPONSE("39", "r4"),
+     NULL},
     {"request-again", REQUEST("32", "r1", "1"),
      "non-idempotent request r1 ran 2 times"},
     {"request-retried",
