sched: urgent work within its share may stop any preemptible work

Quarantine (1 worker), claims and back-off were ruled out; held room of the reservation would have freed 1 to 4 more.

Workers are now also indexed by their room plus preemptible work, so that a worker is found whenever one exists, and urgent work within the share of its account may stop work below its share or take held room.

--- a/packages/sched/core.h
+++ b/packages/sched/core.h
@@ -69,6 +69,8 @@
 account_key(const struct sched *s, const struct account *a, int64_t since);
 double
 account_ratio(const struct sched *s, const struct account *a);
+double
+dominant_share(const struct sched *s, const struct vec *used);
 void
 shares_refresh(struct sched *s);
 
@@ -107,6 +109,9 @@
 void
 worker_update(struct sched *s, struct worker *w);
 void
+worker_count_stoppable(struct sched *s, struct worker *w,
+                       const struct vec *size, int sign);
+void
 worker_mark_dirty(struct sched *s, struct worker *w);
 void
 worker_maybe_forget(struct sched *s, struct worker *w);
@@ -240,6 +245,8 @@
 reservation_update(struct sched *s, struct worker *w);
 void
 reservation_leave(struct sched *s, struct worker *w);
+void
+reservation_yield(struct sched *s, struct worker *w);
 bool
 reservation_complete(struct sched *s);
 void
--- a/packages/sched/fleet.c
+++ b/packages/sched/fleet.c
@@ -48,6 +48,7 @@
     fit_node_init(&w->by_fill, w, id);
     fit_node_init(&w->by_domain, w, id);
     fit_node_init(&w->by_capacity, w, id);
+    fit_node_init(&w->by_stoppable, w, id);
     fit_node_init(&w->by_held, w, id);
     link_init(&w->leases, NULL);
     link_init(&w->claims, NULL);
@@ -87,6 +88,7 @@
         sum_free(s, w, -1);
         fit_remove(free_tree(s, w), &w->by_fill);
         fit_remove(domain_tree(w), &w->by_domain);
+        fit_remove(&s->stoppable, &w->by_stoppable);
     }
 }
 
@@ -123,6 +125,33 @@
     return (int64_t)(sum * FILL_SCALE);
 }
 
+/* Room that urgent work could get; the workers with most room come first. */
+static void
+enter_stoppable(struct sched *s, struct worker *w)
+{
+    struct vec room = worker_avail(w);
+
+    vec_add(&room, &w->reserved);
+    w->by_stoppable.key = -fill_key(w, &room);
+    vec_add(&room, &w->stoppable);
+    w->by_stoppable.own = room;
+    fit_insert(&s->stoppable, &w->by_stoppable);
+}
+
+/* Counts a lease in or out of what urgent work may stop on w. */
+void
+worker_count_stoppable(struct sched *s, struct worker *w,
+                       const struct vec *size, int sign)
+{
+    struct vec v = vec_scale(size, sign);
+
+    vec_add(&w->stoppable, &v);
+    if (w->by_stoppable.in_tree) {
+        fit_remove(&s->stoppable, &w->by_stoppable);
+        enter_stoppable(s, w);
+    }
+}
+
 /* Call after anything that worker_avail depends on has changed. */
 void
 worker_update(struct sched *s, struct worker *w)
@@ -142,6 +171,7 @@
     sum_free(s, w, 1);
     fit_insert(free_tree(s, w), &w->by_fill);
     fit_insert(domain_tree(w), &w->by_domain);
+    enter_stoppable(s, w);
 }
 
 void
--- a/packages/sched/lease.c
+++ b/packages/sched/lease.c
@@ -35,6 +35,9 @@
     j->tasks[task].lease = l;
     j->tasks[task].state = SCHED_TASK_PLACED;
     j->live++;
+    if (lease_preemptible(l)) {
+        worker_count_stoppable(s, w, size, 1);
+    }
     worker_charge(s, w, size, 1);
     team_charge(s, l);
     spread_count(l, 1);
@@ -185,14 +188,17 @@
 {
     const struct job *j = l->job;
 
-    return !l->stopping && !j->urgent && j->idempotent &&
+    return !l->stopping && !l->planned && !j->urgent && j->idempotent &&
            j->class != SCHED_CLASS_GANG;
 }
 
 static void
-mark_stopping(struct lease *l)
+mark_stopping(struct sched *s, struct lease *l)
 {
     if (!l->stopping) {
+        if (lease_preemptible(l)) {
+            worker_count_stoppable(s, l->worker, &l->size, -1);
+        }
         l->stopping = true;
         vec_add(&l->job->account->team->stopping, &l->size);
     }
@@ -210,7 +216,7 @@
     if (l->stop_sent || l->drop) {
         return;
     }
-    mark_stopping(l);
+    mark_stopping(s, l);
     if (l->state <= LEASE_COMMITTED) {
         l->drop = true;
         if (l->state == LEASE_COMMITTED) {
@@ -369,6 +375,9 @@
     else {
         learn_end(s, l, SCHED_END_STOPPED);
     }
+    if (lease_preemptible(l)) {
+        worker_count_stoppable(s, w, &l->size, -1);
+    }
     spread_count(l, -1);
     team_release(s, l);
     worker_charge(s, w, &l->size, -1);
--- /dev/null
+++ b/packages/sched/preempt.h
@@ -0,0 +1,28 @@
+#ifndef GV_SCHED_PREEMPT_H
+#define GV_SCHED_PREEMPT_H
+
+#include "core.h"
+
+enum {
+    VICTIMS_MAX = 64,
+};
+
+/* Leases of one worker whose end makes room, and what their end costs. */
+struct plan {
+    struct worker *worker; /* NULL: none was found */
+    struct lease *victims[VICTIMS_MAX];
+    size_t count;
+    bool any;    /* may take what the reservation holds on the worker */
+    double cost; /* seconds of a whole worker's work */
+};
+
+/* Finds the cheapest leases, at most a few workers' worth compared, whose end
+ * makes room for one task of an urgent job. */
+bool
+preempt_plan(struct sched *s, const struct job *j, struct plan *best);
+
+/* Whether the held room of the reservation may be taken for urgent work. */
+bool
+preempt_takes_held(const struct sched *s);
+
+#endif
--- a/packages/sched/reservation.c
+++ b/packages/sched/reservation.c
@@ -1,4 +1,4 @@
-#include "core.h"
+#include "preempt.h"
 
 #include "mem.h"
 
@@ -72,6 +72,28 @@
     fit_remove(&r->tree, &w->by_held);
 }
 
+/* Gives up the slots held on w that are not free, to gain others elsewhere. */
+void
+reservation_yield(struct sched *s, struct worker *w)
+{
+    struct reservation *r = &s->reservation;
+    int64_t lost = w->slots - w->slots_free;
+    struct vec size = vec_scale(&r->size, lost);
+
+    if (lost == 0 || !preempt_takes_held(s)) {
+        return;
+    }
+    if (w->slots_free == 0) {
+        reservation_leave(s, w);
+    }
+    else {
+        r->held -= lost;
+        w->slots -= lost;
+        vec_sub(&w->reserved, &size);
+    }
+    worker_update(s, w);
+}
+
 void
 reservation_drop(struct sched *s)
 {
--- a/packages/sched/team.c
+++ b/packages/sched/team.c
@@ -146,6 +146,9 @@
         vec_add(&a->team->services, &l->size);
     }
     vec_add(&a->used, &l->size);
+    if (l->job->urgent) {
+        vec_add(&a->urgent, &l->size);
+    }
     victim->key = victim_key(l);
     victim->own = l->size;
     fit_insert(&a->victims, victim);
@@ -165,6 +168,9 @@
         vec_sub(&a->team->stopping, &l->size);
     }
     vec_sub(&a->used, &l->size);
+    if (l->job->urgent) {
+        vec_sub(&a->urgent, &l->size);
+    }
     fit_remove(&a->victims, (struct fit_node *)&l->victim);
     account_update(s, a);
     team_mark_dirty(s, a->team);
@@ -261,7 +267,7 @@
     }
 }
 
-static double
+double
 dominant_share(const struct sched *s, const struct vec *used)
 {
     double share = 0;
--- a/packages/sched/types.h
+++ b/packages/sched/types.h
@@ -85,8 +85,9 @@
     struct team *team;
     double weight;
     struct vec used;
-    double dominant;  /* share of the fleet, 0 to 1 */
-    double share_key; /* the part of its order that is due to its share */
+    struct vec urgent; /* the part of used that is urgent */
+    double dominant;   /* share of the fleet, 0 to 1 */
+    double share_key;  /* the part of its order that is due to its share */
     size_t jobs;
     struct lane lanes[LANES];
     struct map *queues;      /* by shape */
@@ -192,6 +193,7 @@
     bool stop_sent;
     bool backfill;
     bool outgrew;
+    bool planned; /* to be stopped for a gang that is being planned */
     struct worker *worker;
     uint64_t incarnation; /* 0: restored, not confirmed */
     struct vec size;
@@ -249,6 +251,8 @@
     struct fit_node by_fill;   /* fullest first, in sched.free */
     struct fit_node by_domain; /* emptiest first, in its domain */
     struct fit_node by_capacity;
+    struct vec stoppable; /* leases that urgent work may stop */
+    struct fit_node by_stoppable;
     struct fit_node by_held; /* free capacity with the reservation's part */
     struct link leases;
     struct link claims;
@@ -271,7 +275,8 @@
     int64_t held;
     int64_t ready;
     int64_t shadow;
-    int64_t progress; /* when the last slot was gained */
+    int64_t progress;   /* when the last slot was gained */
+    struct vec charged; /* to the team, for a gang that work is stopped for */
     struct link workers;
     struct fit_tree tree;
 };
@@ -302,6 +307,8 @@
     struct vec fleet;
     struct vec free_sum;
     struct fit_tree free[2];
+    /* Workers that can be used, by room plus preemptible work. */
+    struct fit_tree stoppable;
     struct fit_tree capacity; /* of all workers that are up */
     struct fit_tree ends;     /* running batch leases by expected end */
     struct heap ready[LANES];
