sched: urgent gangs preempt, all tasks or none

Cause: urgent_preempt refused gangs, so an urgent gang waited like any other. Room for all tasks is now planned first, as if the victims had ended; only a complete plan stops work. The room is kept by the one reservation, which such a gang takes over, and counted under the limit of its team until it starts. Claims per task, as single urgent tasks have, were ruled out: they time out one by one, so that victims would end for a gang that does not start.

bench_sched urgent-gangs makes every fifth gang urgent.

--- a/bench/bench_sched.c
+++ b/bench/bench_sched.c
@@ -7,7 +7,8 @@
 /*
  * Seeded runs of the scheduler and two baselines in model time. off: sizes
  * and run times are off by up to a factor of 4; bad: 2% of the workers fail
- * every task; cancel: 10,000 jobs arrive and are cancelled half-way.
+ * every task; cancel: 10,000 jobs arrive and are cancelled half-way;
+ * urgent-gangs: every fifth gang is urgent.
  */
 static void
 schedule(struct model *m, struct run *r, enum kind kind, int64_t at)
@@ -217,6 +218,8 @@
 
     random_job(&m->rng, m->fleet, m->off, j);
     j->event.job = ++m->jobs_count;
+    j->event.urgent |= m->urgent_gangs && j->event.class == SCHED_CLASS_GANG &&
+                       j->event.job % 5 == 0;
     j->arrived = m->now;
     map_put_u64(m->jobs, j->event.job, j);
     enqueue(m, j);
@@ -431,6 +434,7 @@
         struct model m = {0};
         m.off = has(argc, argv, "off");
         m.bad = has(argc, argv, "bad");
+        m.urgent_gangs = has(argc, argv, "urgent-gangs");
         open_model(&m, find_fleet(argv[1]), (enum policy)p,
                    strtod(argv[2], NULL), strtol(argv[3], NULL, 10));
         m.cancel = has(argc, argv, "cancel") && p == POLICY_SCHED;
@@ -451,7 +455,8 @@
 {
     if (argc < 4) {
         (void)fprintf(stderr,
-                      "usage: %s FLEET LOAD SECONDS [off] [bad] [cancel]\n",
+                      "usage: %s FLEET LOAD SECONDS [off] [bad] [cancel] "
+                      "[urgent-gangs]\n",
                       argv[0]);
         return 2;
     }
--- a/bench/sched_load.h
+++ b/bench/sched_load.h
@@ -11,7 +11,7 @@
 
 /* Fleets, jobs and samples of the placement benchmark. */
 enum {
-    CLASSES = 4, /* service, batch, gang, urgent */
+    CLASSES = 5, /* service, batch, gang, urgent, urgent gang */
     DIMS = 3,
 };
 
--- a/bench/sched_model.h
+++ b/bench/sched_model.h
@@ -48,6 +48,7 @@
     bool off;
     bool bad;
     bool cancel;
+    bool urgent_gangs;
     uint64_t jobs_count;
     struct heap events;
     struct map *runs; /* by lease */
@@ -135,7 +136,10 @@
 static int
 class_of(const struct job *j)
 {
-    return j->event.urgent ? 3 : (int)j->event.class;
+    if (!j->event.urgent) {
+        return (int)j->event.class;
+    }
+    return j->event.class == SCHED_CLASS_GANG ? 4 : 3;
 }
 
 /* Tasks that still wait count with the time they have waited so far. */
@@ -184,7 +188,7 @@
         mine = t == 0 ? share : mine;
     }
     printf("%-9s %-10s %.2f", names[m->policy], f->name, m->load);
-    for (int c = 0; c < CLASSES; c++) {
+    for (int c = 0; c < 4; c++) {
         printf(" %7.1f/%7.1f", quantile(&m->waits[c], 0.5),
                quantile(&m->waits[c], 0.99));
     }
@@ -192,6 +196,11 @@
            (mine / sum / due - 1) * 100,
            (double)m->decisions * NS_PER_S / ((double)m->wall_ns + 1),
            quantile(&m->tick_us, 0.99));
+    if (m->urgent_gangs) {
+        printf("          urgent gangs: %zu tasks, wait p50/p99 %.1f/%.1f\n",
+               m->waits[4].count, quantile(&m->waits[4], 0.5),
+               quantile(&m->waits[4], 0.99));
+    }
 }
 
 static void
--- a/packages/sched/core.h
+++ b/packages/sched/core.h
@@ -227,6 +227,9 @@
 bool
 gang_try(struct sched *s, struct queue *q, struct job *j);
 void
+gang_occupy(struct sched *s, struct worker *w, const struct vec *size,
+            int sign);
+void
 gang_place(struct sched *s, struct job *j, struct worker **picks,
            size_t count);
 
@@ -238,6 +241,8 @@
 bool
 reservation_start(struct sched *s, struct job *j);
 void
+reservation_charge(struct sched *s);
+void
 reservation_drop(struct sched *s);
 void
 reservation_offer(struct sched *s, struct worker *w);
--- a/packages/sched/gang.c
+++ b/packages/sched/gang.c
@@ -1,4 +1,4 @@
-#include "core.h"
+#include "preempt.h"
 
 #include "mem.h"
 
@@ -14,8 +14,10 @@
     queue_remove(s, j);
 }
 
-static void
-occupy(struct sched *s, struct worker *w, const struct vec *size, int sign)
+/* Counts room on w as taken while a gang is being planned. */
+void
+gang_occupy(struct sched *s, struct worker *w, const struct vec *size,
+            int sign)
 {
     struct vec v = vec_scale(size, sign);
 
@@ -34,11 +36,11 @@
         if (w == NULL) {
             break;
         }
-        occupy(s, w, &j->ask, 1);
+        gang_occupy(s, w, &j->ask, 1);
         picks[found++] = w;
     }
     for (size_t i = 0; i < found; i++) {
-        occupy(s, picks[i], &j->ask, -1);
+        gang_occupy(s, picks[i], &j->ask, -1);
     }
     return found;
 }
@@ -91,11 +93,13 @@
     size_t found;
     bool all;
 
-    if (s->reservation.job == j) {
+    if (s->reservation.job == j &&
+        (!j->urgent || s->reservation.charged.d[DIM_TASKS] > 0)) {
         queue_move(s, q, &q->account->lanes[q->lane].gangs);
         return false;
     }
-    if (s->reservation.job != NULL && !vec_covers(&s->free_sum, &need)) {
+    if (!j->urgent && s->reservation.job != NULL &&
+        !vec_covers(&s->free_sum, &need)) {
         if (!park_too_large(s, j)) {
             queue_move(s, q, &q->account->lanes[q->lane].gangs);
         }
@@ -105,8 +109,14 @@
     found = pick_all(s, j, picks, count);
     all = found == count;
     if (all) {
+        if (s->reservation.job == j) {
+            reservation_drop(s);
+        }
         gang_place(s, j, picks, count);
     }
+    else if (j->urgent && urgent_gang_preempt(s, j)) {
+        queue_move(s, q, &q->account->lanes[q->lane].gangs);
+    }
     else {
         wait_for_room(s, q, j, picks, found);
     }
--- a/packages/sched/preempt.c
+++ b/packages/sched/preempt.c
@@ -24,15 +24,25 @@
  * that calling work urgent does not raise a team's share.
  */
 static bool
-may_stop_any(const struct sched *s, const struct account *a)
+may_stop_any(const struct sched *s, const struct job *j)
 {
-    return dominant_share(s, &a->urgent) * s->active_weight < a->weight;
+    const struct account *a = j->account;
+    struct vec before_last = a->urgent;
+
+    if (j->class == SCHED_CLASS_GANG) {
+        struct vec others = vec_scale(&j->ask, j->waiting.count - 1);
+        vec_add(&before_last, &others);
+    }
+    return dominant_share(s, &before_last) * s->active_weight < a->weight;
 }
 
 bool
-preempt_takes_held(const struct sched *s)
+preempt_takes_held(const struct sched *s, const struct job *j)
 {
-    return s->reservation.job != NULL && !s->reservation.job->urgent;
+    const struct reservation *r = &s->reservation;
+
+    return r->job != NULL && r->charged.d[DIM_TASKS] == 0 &&
+           (r->job == j || !r->job->urgent || !may_stop_any(s, r->job));
 }
 
 /* Lost work: run time times the share of the worker that was used. */
@@ -108,7 +118,7 @@
     if (!w->by_fill.in_tree || !vec_covers(&w->by_capacity.own, &j->ask)) {
         return false;
     }
-    if (any && preempt_takes_held(s)) {
+    if (any && preempt_takes_held(s, j)) {
         vec_add(&room, &w->reserved);
     }
     while (!vec_covers(&room, &j->ask)) {
@@ -202,7 +212,7 @@
     if (best->worker == NULL) {
         search_workers(s, j, false, best);
     }
-    if (best->worker == NULL && may_stop_any(s, j->account)) {
+    if (best->worker == NULL && may_stop_any(s, j)) {
         search_workers(s, j, true, best);
     }
     return best->worker != NULL;
--- a/packages/sched/preempt.h
+++ b/packages/sched/preempt.h
@@ -23,6 +23,19 @@
 
 /* Whether the held room of the reservation may be taken for urgent work. */
 bool
-preempt_takes_held(const struct sched *s);
+preempt_takes_held(const struct sched *s, const struct job *j);
+
+/* urgent_gang.c */
+
+/*
+ * Reserves room for all waiting tasks of an urgent gang and stops the work
+ * that is in the way; does neither if there is not enough such work.
+ */
+bool
+urgent_gang_preempt(struct sched *s, struct job *j);
+
+/* Replaces slots that such a reservation lost with their workers. */
+void
+urgent_gang_refill(struct sched *s);
 
 #endif
--- a/packages/sched/reservation.c
+++ b/packages/sched/reservation.c
@@ -1,4 +1,4 @@
-#include "preempt.h"
+#include "core.h"
 
 #include "mem.h"
 
@@ -80,7 +80,7 @@
     int64_t lost = w->slots - w->slots_free;
     struct vec size = vec_scale(&r->size, lost);
 
-    if (lost == 0 || !preempt_takes_held(s)) {
+    if (lost == 0) {
         return;
     }
     if (w->slots_free == 0) {
@@ -94,6 +94,31 @@
     worker_update(s, w);
 }
 
+static void
+uncharge(struct sched *s)
+{
+    struct reservation *r = &s->reservation;
+
+    if (r->charged.d[DIM_TASKS] > 0) {
+        vec_sub(&r->job->account->team->used, &r->charged);
+        team_mark_dirty(s, r->job->account->team);
+        r->charged = (struct vec){{0}};
+    }
+}
+
+/*
+ * Counts the reserved job under its team's limit already, so that nothing
+ * else takes the room that work is being stopped for.
+ */
+void
+reservation_charge(struct sched *s)
+{
+    struct reservation *r = &s->reservation;
+
+    r->charged = vec_scale(&r->size, r->need);
+    vec_add(&r->job->account->team->used, &r->charged);
+}
+
 void
 reservation_drop(struct sched *s)
 {
@@ -108,6 +133,7 @@
         worker_update(s, w);
         worker_mark_dirty(s, w);
     }
+    uncharge(s);
     r->job = NULL;
     timer_clear(s, &s->shadow);
     reserve_soon(s);
@@ -252,7 +278,9 @@
         return false;
     }
     need = vec_scale(&j->ask, r->need);
-    if (j->queue == NULL || !team_allows(j->account->team, j, &need)) {
+    uncharge(s);
+    if (j->queue == NULL || !vec_covers(&r->size, &j->ask) ||
+        !team_allows(j->account->team, j, &need)) {
         reservation_drop(s);
         return false;
     }
--- a/packages/sched/reserve_next.c
+++ b/packages/sched/reserve_next.c
@@ -1,4 +1,4 @@
-#include "core.h"
+#include "preempt.h"
 
 /* Above any size. */
 #define GANG_ANY (INT64_C(1) << 60)
@@ -101,6 +101,31 @@
     }
 }
 
+/* An urgent gang of each account looks whether it can start or preempt. */
+static void
+retry_urgent(struct sched *s)
+{
+    for (size_t i = 0; i < s->account_count; i++) {
+        struct lane *lane = &s->accounts[i]->lanes[LANE_URGENT];
+        struct queue *q = next_to_retry(lane);
+        if (q != NULL) {
+            queue_move(s, q, &lane->ready);
+        }
+    }
+}
+
+/* The work stopped for an urgent gang will end, however long it takes. */
+static bool
+stalled(const struct sched *s)
+{
+    const struct reservation *r = &s->reservation;
+
+    if (r->charged.d[DIM_TASKS] > 0 && r->held >= r->need) {
+        return false;
+    }
+    return s->now - r->progress >= STALL_NS && r->ready < r->need;
+}
+
 static void
 recheck_parked(struct sched *s)
 {
@@ -132,8 +157,9 @@
 
     recheck_parked(s);
     more = more || s->recheck_left > 0;
-    if (r->job != NULL && q != NULL && s->now - r->progress >= STALL_NS &&
-        r->ready < r->need) {
+    urgent_gang_refill(s);
+    retry_urgent(s);
+    if (r->job != NULL && q != NULL && stalled(s)) {
         r->job->enqueued = s->now;
         reservation_drop(s);
         q = next_to_reserve(s, &more);
--- a/packages/sched/team.c
+++ b/packages/sched/team.c
@@ -259,6 +259,11 @@
             claim_drop(s, c);
             continue;
         }
+        if (s->reservation.charged.d[DIM_TASKS] > 0 &&
+            s->reservation.job->account->team == t) {
+            reservation_drop(s);
+            continue;
+        }
         l = limit_victim(t, dim);
         if (l == NULL) {
             return;
