--- a/tests/test_sched_urgent.c
+++ b/tests/test_sched_urgent.c
@@ -214,6 +214,7 @@
         open_two(&r);
         rig_team(&r, 2, 1, (struct sched_limits){2, 99999, 99999, 0});
         run(&r, job_of(7, 1, 2, 9000));
+        rig_worker(&r, 3, SIZE(2000, 10240, 0), "r3", "d1");
         submit(&r, urgent_gang(8, 2, 6000));
         submit(&r, small);
         g_assert_cmpuint(rig_count(&r, SCHED_ACTION_PLACE), ==, 0);
