--- a/bench/bench_sched.c
+++ b/bench/bench_sched.c
@@ -8,7 +8,7 @@
  * Seeded runs of the scheduler and two baselines in model time. off: sizes
  * and run times are off by up to a factor of 4; bad: 2% of the workers fail
  * every task; cancel: 10,000 jobs arrive and are cancelled half-way;
- * urgent-gangs: every fifth gang is urgent.
+ * urgent-gangs: every fifth gang is urgent. The seed is 7 unless given.
  */
 static void
 schedule(struct model *m, struct run *r, enum kind kind, int64_t at)
@@ -353,7 +353,6 @@
 {
     m->fleet = f;
     m->policy = policy;
-    m->rng.state = 7;
     m->load = load;
     m->end = seconds * NS_PER_S;
     m->measured_from = m->end / 2;
@@ -423,6 +422,17 @@
     return false;
 }
 
+static uint64_t
+seed_of(int argc, char **argv)
+{
+    for (int i = 4; i < argc; i++) {
+        if (strncmp(argv[i], "seed=", 5) == 0) {
+            return strtoull(argv[i] + 5, NULL, 10);
+        }
+    }
+    return 7;
+}
+
 static void
 run_compare(int argc, char **argv)
 {
@@ -432,6 +442,7 @@
            "policy", "fleet");
     for (int p = POLICY_SCHED; p <= POLICY_BEST_FIT; p++) {
         struct model m = {0};
+        m.rng.state = seed_of(argc, argv);
         m.off = has(argc, argv, "off");
         m.bad = has(argc, argv, "bad");
         m.urgent_gangs = has(argc, argv, "urgent-gangs");
@@ -456,7 +467,7 @@
     if (argc < 4) {
         (void)fprintf(stderr,
                       "usage: %s FLEET LOAD SECONDS [off] [bad] [cancel] "
-                      "[urgent-gangs]\n",
+                      "[urgent-gangs] [seed=N]\n",
                       argv[0]);
         return 2;
     }
--- a/packages/sched/team.c
+++ b/packages/sched/team.c
@@ -4,6 +4,11 @@
 
 /* Waiting this long weighs as much as being a whole share above the own. */
 static const double WAIT_SPAN_S = 86400;
+/* What waiting moves an account at most, as a part of its share: else the
+ * backlog of a team that offers too much earns it ever more than its share. */
+static const double WAIT_SHARE_MAX = 0.02;
+/* How old the waiting time in the order of the accounts may be. */
+static const int64_t REFRESH_NS = NS_PER_S;
 static const double KEY_SCALE = 1e9;
 static const int64_t LIMIT_NONE = INT64_MAX / 4;
 
@@ -319,8 +324,12 @@
 double
 account_key(const struct sched *s, const struct account *a, int64_t since)
 {
-    return a->share_key +
-           s->config.weights.waiting * (double)since / NS_PER_S / WAIT_SPAN_S;
+    const struct sched_weights *w = &s->config.weights;
+    double scale = w->waiting / NS_PER_S / WAIT_SPAN_S;
+    double key = scale * (double)since;
+    double least = scale * (double)s->now - WAIT_SHARE_MAX * w->share;
+
+    return a->share_key + (w->share > 0 && key < least ? least : key);
 }
 
 void
@@ -345,10 +354,11 @@
 void
 shares_refresh(struct sched *s)
 {
-    if (!s->shares_stale) {
+    if (!s->shares_stale && s->now - s->shares_at < REFRESH_NS) {
         return;
     }
     s->shares_stale = false;
+    s->shares_at = s->now;
     for (size_t i = 0; i < s->account_count; i++) {
         account_update(s, s->accounts[i]);
     }
--- a/packages/sched/types.h
+++ b/packages/sched/types.h
@@ -304,6 +304,7 @@
     double total_weight;  /* of all accounts */
     double active_weight; /* of accounts with jobs */
     bool shares_stale;
+    int64_t shares_at; /* when all accounts were last ordered */
     struct vec fleet;
     struct vec free_sum;
     struct fit_tree free[2];
