sched: reservations move off workers whose tasks overrun

The missing slots were held, before they were free, on workers whose tasks outlasted the expected time, and with all slots held no other worker was asked. Tasks that had overrun also counted as about to end, and so drew the held slots to them.

Ruled out: waking aged big tasks before others of their account (no change of any figure at 0.95, as a worker that gains room seldom fits two kinds); and share order, which decides between teams but not between sizes.

--- a/packages/sched/reservation.c
+++ b/packages/sched/reservation.c
@@ -139,7 +139,26 @@
     reserve_soon(s);
 }
 
-/* A worker that gained room gives to the reservation first. */
+/* Gives up slots that are not free, once there are more than needed. */
+static void
+give_up_surplus(struct sched *s)
+{
+    struct reservation *r = &s->reservation;
+    struct link *next;
+
+    for (struct link *h = r->workers.next; h != &r->workers; h = next) {
+        next = h->next;
+        if (r->held <= r->need) {
+            return;
+        }
+        reservation_yield(s, h->owner);
+    }
+}
+
+/*
+ * A worker that gained room gives to the reservation first, also in place of
+ * slots held elsewhere that are not free yet.
+ */
 void
 reservation_offer(struct sched *s, struct worker *w)
 {
@@ -147,14 +166,15 @@
     struct vec avail;
     int64_t slots;
 
-    if (r->job == NULL || r->held >= r->need || !w->by_fill.in_tree) {
+    if (r->job == NULL || r->ready >= r->need || !w->by_fill.in_tree) {
         return;
     }
     avail = worker_avail(w);
     slots = slots_in(&avail, &r->size);
-    slots = slots > r->need - r->held ? r->need - r->held : slots;
+    slots = slots > r->need - r->ready ? r->need - r->ready : slots;
     if (slots > 0) {
         reservation_hold(s, w, slots);
+        give_up_surplus(s);
     }
 }
 
@@ -192,6 +212,20 @@
     }
 }
 
+/* A task that outlasts what was expected goes on for a part of its age, as run
+ * times have long tails; it is not about to end. */
+static bool
+expect_later(struct sched *s, struct lease *l)
+{
+    if (l->ends.key >= s->now || l->stopping) {
+        return false;
+    }
+    fit_remove(&s->ends, &l->ends);
+    l->ends.key = s->now + (s->now - l->began) / 2 + 1;
+    fit_insert(&s->ends, &l->ends);
+    return true;
+}
+
 /*
  * Foresees when the reservation can be complete if tasks end as expected, and
  * holds room on the workers that get there first. The time is at most too
@@ -208,13 +242,17 @@
     s->shadow_mark++;
     r->shadow = s->now;
     for (int i = 0; n != NULL && i < SHADOW_STEPS && missing > 0; i++) {
-        int64_t gained = slots_gained(s, n->owner);
-        if (gained > 0) {
-            missing -= gained;
-            hold_early(s, ((struct lease *)n->owner)->worker);
+        struct lease *l = n->owner;
+        struct fit_node *next = fit_next(&s->ends, &any, n);
+        if (!expect_later(s, l)) {
+            int64_t gained = slots_gained(s, l);
+            if (gained > 0) {
+                missing -= gained;
+                hold_early(s, l->worker);
+            }
+            r->shadow = n->key > s->now ? n->key : s->now;
         }
-        r->shadow = n->key > s->now ? n->key : s->now;
-        n = fit_next(&s->ends, &any, n);
+        n = next;
     }
     timer_set(s, &s->shadow,
               r->shadow > s->now ? r->shadow : s->now + SHADOW_REPEAT_NS);
@@ -239,6 +277,20 @@
     return true;
 }
 
+/* What was foreseen did not happen: the slots that are not free yet are free
+ * to be held where they are expected first by now. */
+static void
+give_up_waiting(struct sched *s)
+{
+    struct reservation *r = &s->reservation;
+    struct link *next;
+
+    for (struct link *h = r->workers.next; h != &r->workers; h = next) {
+        next = h->next;
+        reservation_yield(s, h->owner);
+    }
+}
+
 /* Backfilled tasks that did not end in time make room. */
 void
 reservation_overdue(struct sched *s)
@@ -261,6 +313,7 @@
             }
         }
     }
+    give_up_waiting(s);
     reservation_foresee(s);
 }
 
