--- a/packages/sched/reservation.c
+++ b/packages/sched/reservation.c
@@ -16,7 +16,6 @@
     w->slots += slots;
     vec_add(&w->reserved, &size);
     r->held += slots;
-    r->progress = s->now;
     if (link_empty(&w->held)) {
         link_insert_before(&r->workers, &w->held);
     }
@@ -49,6 +48,10 @@
     slots = slots > w->slots ? w->slots : slots;
     r->ready += slots - w->slots_free;
     w->slots_free = slots;
+    if (r->ready > r->most) {
+        r->most = r->ready;
+        r->progress = s->now;
+    }
     w->by_held.own = room;
     w->by_held.key = w->id;
     fit_insert(&r->tree, &w->by_held);
@@ -272,6 +275,7 @@
     r->need = j->class == SCHED_CLASS_GANG ? j->waiting.count : 1;
     r->held = 0;
     r->ready = 0;
+    r->most = 0;
     r->progress = s->now;
     s->stats.reservations++;
     return true;
--- a/packages/sched/reserve_next.c
+++ b/packages/sched/reserve_next.c
@@ -3,7 +3,7 @@
 /* Above any size. */
 #define GANG_ANY (INT64_C(1) << 60)
 
-/* Without a new slot for this long, another job may reserve. */
+/* Without another free slot for this long, another job may reserve. */
 static const int64_t STALL_NS = 300 * NS_PER_S;
 /* Gangs above the fleet's size that are looked at again per timer. */
 static const int PARKED_CHECKS = 4;
@@ -126,6 +126,20 @@
     return s->now - r->progress >= STALL_NS && r->ready < r->need;
 }
 
+/* The reserved job goes behind all that wait. */
+static void
+give_way(struct sched *s)
+{
+    struct job *j = s->reservation.job;
+    struct queue *q = j->queue;
+
+    j->enqueued = s->now;
+    reservation_drop(s);
+    if (q != NULL && q->tree != NULL) {
+        queue_move(s, q, q->tree);
+    }
+}
+
 static void
 recheck_parked(struct sched *s)
 {
@@ -160,8 +174,7 @@
     urgent_gang_refill(s);
     retry_urgent(s);
     if (r->job != NULL && q != NULL && stalled(s)) {
-        r->job->enqueued = s->now;
-        reservation_drop(s);
+        give_way(s);
         q = next_to_reserve(s, &more);
     }
     if (r->job == NULL && q != NULL) {
--- a/packages/sched/types.h
+++ b/packages/sched/types.h
@@ -274,8 +274,9 @@
     int64_t need;
     int64_t held;
     int64_t ready;
+    int64_t most; /* the most that were ready at once */
     int64_t shadow;
-    int64_t progress;   /* when the last slot was gained */
+    int64_t progress;   /* when most rose last */
     struct vec charged; /* to the team, for a gang that work is stopped for */
     struct link workers;
     struct fit_tree tree;
--- a/tests/test_sched_reserve.c
+++ b/tests/test_sched_reserve.c
@@ -52,10 +52,37 @@
     rig_close(&r);
 }
 
+/* Guards against a gang that keeps room from others for ever, because the
+ * workers it waits for are foreseen anew again and again. */
+static void
+test_stalled(void)
+{
+    struct rig r;
+    struct sched_job_event gang = job_of(3, 3, 9000, 10);
+
+    open_three(&r);
+    gang.class = SCHED_CLASS_GANG;
+    rig_job(&r, gang);
+    rig_tick(&r);
+    gang = job_of(4, 2, 5000, 10);
+    gang.class = SCHED_CLASS_GANG;
+    rig_job(&r, gang);
+    for (int i = 0; i < 400; i++) {
+        rig_wait(&r, NS_PER_S);
+        if (rig_count(&r, SCHED_ACTION_PLACE) > 0) {
+            g_assert_cmpuint(rig_count(&r, SCHED_ACTION_PLACE), ==, 2);
+            rig_close(&r);
+            return;
+        }
+    }
+    g_assert_not_reached();
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/sched/reserve/overrun", test_overrun);
+    g_test_add_func("/sched/reserve/stalled", test_stalled);
     return g_test_run();
 }
