bench_sched: compare packing at equal waiting time

wait=S seeks for each policy the load at which the mean wait of all tasks is S seconds and reports what is packed there; by-work weighs waits by the work that waited, because a plain mean favours a policy that lets few big tasks wait.

--- a/bench/bench_sched.c
+++ b/bench/bench_sched.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "sched_args.h"
 #include "sched_model.h"
 
 /*
@@ -9,7 +10,17 @@
  * and run times are off by up to a factor of 4; bad: 2% of the workers fail
  * every task; cancel: 10,000 jobs arrive and are cancelled half-way;
  * urgent-gangs: every fifth gang is urgent. The seed is 7 unless given.
+ * wait=S seeks, for each policy, the load at which the mean wait of all tasks,
+ * by-work: weighed by their work, is S seconds, so that packing is compared
+ * at equal waiting time.
  */
+enum {
+    EQUAL_STEPS = 9,
+};
+
+static const double EQUAL_LOAD_LOW = 0.5;
+static const double EQUAL_LOAD_HIGH = 1.3;
+
 static void
 schedule(struct model *m, struct run *r, enum kind kind, int64_t at)
 {
@@ -44,8 +55,7 @@
     if (first) {
         j->waiting--;
         if (j->arrived >= m->measured_from) {
-            sample_add(&m->waits[class_of(j)],
-                       (double)(m->now - j->arrived) / NS_PER_S);
+            note_wait(m, j);
         }
     }
     map_put_u64(m->runs, lease, r);
@@ -400,61 +410,68 @@
     return true;
 }
 
-static const struct fleet *
-find_fleet(const char *name)
+/* Runs one policy at a load; the caller prints and closes the model. */
+static void
+run_policy(struct model *m, int argc, char **argv, enum policy policy,
+           double load)
 {
-    for (size_t i = 0; i < sizeof(fleets) / sizeof(fleets[0]); i++) {
-        if (strcmp(fleets[i].name, name) == 0) {
-            return &fleets[i];
+    *m = (struct model){0};
+    m->rng.state = seed_of(argc, argv);
+    m->off = has(argc, argv, "off");
+    m->bad = has(argc, argv, "bad");
+    m->urgent_gangs = has(argc, argv, "urgent-gangs");
+    open_model(m, find_fleet(argv[1]), policy, load,
+               strtol(argv[3], NULL, 10));
+    m->cancel = has(argc, argv, "cancel") && policy == POLICY_SCHED;
+    arrival(m);
+    while (advance(m)) {
+        if (m->cancel && m->now >= m->measured_from) {
+            m->cancel = false;
+            cancel_wave(m);
         }
     }
-    return &fleets[0];
+    count_waiting(m);
 }
 
-static bool
-has(int argc, char **argv, const char *word)
+/* Seeks the load at which the mean wait of a policy is wait_s seconds. */
+static void
+run_equal(struct model *m, int argc, char **argv, enum policy policy,
+          double wait_s)
 {
-    for (int i = 4; i < argc; i++) {
-        if (strcmp(argv[i], word) == 0) {
-            return true;
+    double low = EQUAL_LOAD_LOW;
+    double high = EQUAL_LOAD_HIGH;
+
+    for (int i = 0; i < EQUAL_STEPS; i++) {
+        double load = (low + high) / 2;
+        run_policy(m, argc, argv, policy, load);
+        if (mean_wait(m, has(argc, argv, "by-work")) > wait_s) {
+            high = load;
         }
-    }
-    return false;
-}
-
-static uint64_t
-seed_of(int argc, char **argv)
-{
-    for (int i = 4; i < argc; i++) {
-        if (strncmp(argv[i], "seed=", 5) == 0) {
-            return strtoull(argv[i] + 5, NULL, 10);
+        else {
+            low = load;
         }
+        close_model(m);
     }
-    return 7;
+    run_policy(m, argc, argv, policy, low);
 }
 
 static void
 run_compare(int argc, char **argv)
 {
+    bool equal = strncmp(argv[2], "wait=", 5) == 0;
+
     printf("%-9s %-10s load  service p50/p99  batch p50/p99    "
            "gang p50/p99     urgent p50/p99  packed  share0  decide/s "
-           "p99 us\n",
+           "p99 us  mean wait/by work\n",
            "policy", "fleet");
     for (int p = POLICY_SCHED; p <= POLICY_BEST_FIT; p++) {
-        struct model m = {0};
-        m.rng.state = seed_of(argc, argv);
-        m.off = has(argc, argv, "off");
-        m.bad = has(argc, argv, "bad");
-        m.urgent_gangs = has(argc, argv, "urgent-gangs");
-        open_model(&m, find_fleet(argv[1]), (enum policy)p,
-                   strtod(argv[2], NULL), strtol(argv[3], NULL, 10));
-        m.cancel = has(argc, argv, "cancel") && p == POLICY_SCHED;
-        arrival(&m);
-        while (advance(&m)) {
-            if (m.cancel && m.now >= m.measured_from) {
-                m.cancel = false;
-                cancel_wave(&m);
-            }
+        struct model m;
+        if (equal) {
+            run_equal(&m, argc, argv, (enum policy)p,
+                      strtod(argv[2] + 5, NULL));
+        }
+        else {
+            run_policy(&m, argc, argv, (enum policy)p, strtod(argv[2], NULL));
         }
         print_result(&m);
         close_model(&m);
@@ -465,10 +482,11 @@
 main(int argc, char **argv)
 {
     if (argc < 4) {
-        (void)fprintf(stderr,
-                      "usage: %s FLEET LOAD SECONDS [off] [bad] [cancel] "
-                      "[urgent-gangs] [seed=N]\n",
-                      argv[0]);
+        (void)fprintf(
+            stderr,
+            "usage: %s FLEET LOAD|wait=S SECONDS [off] [bad] [cancel] "
+            "[urgent-gangs] [seed=N] [by-work]\n",
+            argv[0]);
         return 2;
     }
     run_compare(argc, argv);
--- a/bench/sched_model.h
+++ b/bench/sched_model.h
@@ -63,6 +63,8 @@
     int64_t wall_ns;
     uint64_t decisions;
     struct sample waits[CLASSES];
+    double work_waited; /* integral of waiting times the work that waited */
+    double work;
     struct sample tick_us;
     double used[DIMS]; /* integrals over the second half */
     double team_used[128][DIMS];
@@ -142,6 +144,23 @@
     return j->event.class == SCHED_CLASS_GANG ? 4 : 3;
 }
 
+/* Counts the wait of one task, also weighed by the work that waited. */
+static void
+note_wait(struct model *m, const struct job *j)
+{
+    const struct sched_size *vm = &m->fleet->size;
+    double seconds = (double)(m->now - j->arrived) / NS_PER_S;
+    double cpu =
+        (double)j->event.size.cpu_milli / (double)vm->cpu_milli;
+    double memory =
+        (double)j->event.size.memory_mib / (double)vm->memory_mib;
+    double work = fmax(cpu, memory) * (double)j->run_ns / NS_PER_S;
+
+    sample_add(&m->waits[class_of(j)], seconds);
+    m->work_waited += work * seconds;
+    m->work += work;
+}
+
 /* Tasks that still wait count with the time they have waited so far. */
 static void
 count_waiting(struct model *m)
@@ -149,15 +168,37 @@
     void *cursor = NULL;
     struct job *j;
 
+    m->now = m->end;
     while ((j = map_next(m->jobs, &cursor)) != NULL) {
         if (j->arrived < m->measured_from || j->cancelled) {
             continue;
         }
         for (uint32_t i = 0; i < j->waiting; i++) {
-            sample_add(&m->waits[class_of(j)],
-                       (double)(m->end - j->arrived) / NS_PER_S);
+            note_wait(m, j);
+        }
+    }
+}
+
+/*
+ * Over all tasks, with those that still wait, in seconds; by_work: weighed by
+ * their run time and their part of a VM, so that big tasks count for more.
+ */
+static double
+mean_wait(const struct model *m, bool by_work)
+{
+    double sum = 0;
+    size_t count = 0;
+
+    if (by_work) {
+        return m->work > 0 ? m->work_waited / m->work : 0;
+    }
+    for (int c = 0; c < CLASSES; c++) {
+        for (size_t i = 0; i < m->waits[c].count; i++) {
+            sum += m->waits[c].values[i];
         }
+        count += m->waits[c].count;
     }
+    return count == 0 ? 0 : sum / (double)count;
 }
 
 static void
@@ -171,7 +212,6 @@
     double mine = 0;
     double due = 4.0 / (4 * f->large + f->teams - f->large);
 
-    count_waiting(m);
     for (int d = 0; d < DIMS; d++) {
         double part =
             m->capacity[d] > 0 ? m->used[d] / seconds / m->capacity[d] : 0;
@@ -192,10 +232,11 @@
         printf(" %7.1f/%7.1f", quantile(&m->waits[c], 0.5),
                quantile(&m->waits[c], 0.99));
     }
-    printf(" %5.1f%% %+6.1f%% %9.0f %6.0f\n", packed * 100,
+    printf(" %5.1f%% %+6.1f%% %9.0f %6.0f %9.1f/%.1f\n", packed * 100,
            (mine / sum / due - 1) * 100,
            (double)m->decisions * NS_PER_S / ((double)m->wall_ns + 1),
-           quantile(&m->tick_us, 0.99));
+           quantile(&m->tick_us, 0.99), mean_wait(m, false),
+           mean_wait(m, true));
     if (m->urgent_gangs) {
         printf("          urgent gangs: %zu tasks, wait p50/p99 %.1f/%.1f\n",
                m->waits[4].count, quantile(&m->waits[4], 0.5),
