sched: cheaper index of what urgent work may stop

The index of workers by room plus preemptible work was updated on each change of a worker, though placing or ending preemptible work changes neither of the two together. It is now left alone then, and ordered by that sum.

--- a/bench/sched_model.h
+++ b/bench/sched_model.h
@@ -150,10 +150,8 @@
 {
     const struct sched_size *vm = &m->fleet->size;
     double seconds = (double)(m->now - j->arrived) / NS_PER_S;
-    double cpu =
-        (double)j->event.size.cpu_milli / (double)vm->cpu_milli;
-    double memory =
-        (double)j->event.size.memory_mib / (double)vm->memory_mib;
+    double cpu = (double)j->event.size.cpu_milli / (double)vm->cpu_milli;
+    double memory = (double)j->event.size.memory_mib / (double)vm->memory_mib;
     double work = fmax(cpu, memory) * (double)j->run_ns / NS_PER_S;
 
     sample_add(&m->waits[class_of(j)], seconds);
--- a/packages/sched/core.h
+++ b/packages/sched/core.h
@@ -109,8 +109,7 @@
 void
 worker_update(struct sched *s, struct worker *w);
 void
-worker_count_stoppable(struct sched *s, struct worker *w,
-                       const struct vec *size, int sign);
+worker_count_stoppable(struct worker *w, const struct vec *size, int sign);
 void
 worker_mark_dirty(struct sched *s, struct worker *w);
 void
--- a/packages/sched/fleet.c
+++ b/packages/sched/fleet.c
@@ -88,7 +88,6 @@
         sum_free(s, w, -1);
         fit_remove(free_tree(s, w), &w->by_fill);
         fit_remove(domain_tree(w), &w->by_domain);
-        fit_remove(&s->stoppable, &w->by_stoppable);
     }
 }
 
@@ -125,31 +124,36 @@
     return (int64_t)(sum * FILL_SCALE);
 }
 
-/* Room that urgent work could get; the workers with most room come first. */
-static void
-enter_stoppable(struct sched *s, struct worker *w)
+/* Counts a lease in or out of what urgent work may stop on w; worker_update
+ * follows. */
+void
+worker_count_stoppable(struct worker *w, const struct vec *size, int sign)
 {
-    struct vec room = worker_avail(w);
+    struct vec v = vec_scale(size, sign);
 
-    vec_add(&room, &w->reserved);
-    w->by_stoppable.key = -fill_key(w, &room);
-    vec_add(&room, &w->stoppable);
-    w->by_stoppable.own = room;
-    fit_insert(&s->stoppable, &w->by_stoppable);
+    vec_add(&w->stoppable, &v);
 }
 
-/* Counts a lease in or out of what urgent work may stop on w. */
-void
-worker_count_stoppable(struct sched *s, struct worker *w,
-                       const struct vec *size, int sign)
+/*
+ * Room that urgent work could get on w; the workers with most of it come
+ * first. Placing preemptible work, which is most work, leaves it as it is.
+ */
+static void
+update_stoppable(struct sched *s, struct worker *w)
 {
-    struct vec v = vec_scale(size, sign);
+    struct fit_node *n = &w->by_stoppable;
+    struct vec room = worker_avail(w);
 
-    vec_add(&w->stoppable, &v);
-    if (w->by_stoppable.in_tree) {
-        fit_remove(&s->stoppable, &w->by_stoppable);
-        enter_stoppable(s, w);
+    vec_add(&room, &w->reserved);
+    vec_add(&room, &w->stoppable);
+    if (n->in_tree && vec_covers(&n->own, &room) &&
+        vec_covers(&room, &n->own)) {
+        return;
     }
+    fit_remove(&s->stoppable, n);
+    n->own = room;
+    n->key = -fill_key(w, &room);
+    fit_insert(&s->stoppable, n);
 }
 
 /* Call after anything that worker_avail depends on has changed. */
@@ -161,6 +165,7 @@
     leave_trees(s, w);
     reservation_update(s, w);
     if (!usable(w)) {
+        fit_remove(&s->stoppable, &w->by_stoppable);
         return;
     }
     avail = worker_avail(w);
@@ -171,7 +176,7 @@
     sum_free(s, w, 1);
     fit_insert(free_tree(s, w), &w->by_fill);
     fit_insert(domain_tree(w), &w->by_domain);
-    enter_stoppable(s, w);
+    update_stoppable(s, w);
 }
 
 void
@@ -357,6 +362,7 @@
 {
     leave_trees(s, w);
     leave_capacity(s, w);
+    fit_remove(&s->stoppable, &w->by_stoppable);
     w->up = false;
     w->draining = false;
     link_remove(&w->dirty);
--- a/packages/sched/lease.c
+++ b/packages/sched/lease.c
@@ -36,7 +36,7 @@
     j->tasks[task].state = SCHED_TASK_PLACED;
     j->live++;
     if (lease_preemptible(l)) {
-        worker_count_stoppable(s, w, size, 1);
+        worker_count_stoppable(w, size, 1);
     }
     worker_charge(s, w, size, 1);
     team_charge(s, l);
@@ -197,7 +197,8 @@
 {
     if (!l->stopping) {
         if (lease_preemptible(l)) {
-            worker_count_stoppable(s, l->worker, &l->size, -1);
+            worker_count_stoppable(l->worker, &l->size, -1);
+            worker_update(s, l->worker);
         }
         l->stopping = true;
         vec_add(&l->job->account->team->stopping, &l->size);
@@ -376,7 +377,7 @@
         learn_end(s, l, SCHED_END_STOPPED);
     }
     if (lease_preemptible(l)) {
-        worker_count_stoppable(s, w, &l->size, -1);
+        worker_count_stoppable(w, &l->size, -1);
     }
     spread_count(l, -1);
     team_release(s, l);
--- a/packages/sched/urgent_gang.c
+++ b/packages/sched/urgent_gang.c
@@ -19,7 +19,7 @@
     struct account *a = l->job->account;
 
     l->planned = ended;
-    worker_count_stoppable(s, l->worker, &l->size, sign);
+    worker_count_stoppable(l->worker, &l->size, sign);
     gang_occupy(s, l->worker, &l->size, sign);
     vec_add(&a->used, &change);
     account_update(s, a);
