sched: a worker that gains room replaces only the surplus slots

A slot offered elsewhere gave up all slots that were not free on one worker, also those that are needed; for an urgent gang the missing ones were then planned anew and more work stopped than it needs. Found by review; the new test stopped one task too many before.

--- a/packages/sched/core.h
+++ b/packages/sched/core.h
@@ -250,7 +250,7 @@
 void
 reservation_leave(struct sched *s, struct worker *w);
 void
-reservation_yield(struct sched *s, struct worker *w);
+reservation_yield(struct sched *s, struct worker *w, int64_t most);
 bool
 reservation_complete(struct sched *s);
 void
--- a/packages/sched/reservation.c
+++ b/packages/sched/reservation.c
@@ -75,18 +75,20 @@
     fit_remove(&r->tree, &w->by_held);
 }
 
-/* Gives up the slots held on w that are not free, to gain others elsewhere. */
+/* Gives up at most this many slots held on w that are not free. */
 void
-reservation_yield(struct sched *s, struct worker *w)
+reservation_yield(struct sched *s, struct worker *w, int64_t most)
 {
     struct reservation *r = &s->reservation;
     int64_t lost = w->slots - w->slots_free;
-    struct vec size = vec_scale(&r->size, lost);
+    struct vec size;
 
+    lost = lost > most ? most : lost;
     if (lost == 0) {
         return;
     }
-    if (w->slots_free == 0) {
+    size = vec_scale(&r->size, lost);
+    if (lost == w->slots) {
         reservation_leave(s, w);
     }
     else {
@@ -154,7 +156,7 @@
         if (r->held <= r->need) {
             return;
         }
-        reservation_yield(s, h->owner);
+        reservation_yield(s, h->owner, r->held - r->need);
     }
 }
 
@@ -291,7 +293,7 @@
 
     for (struct link *h = r->workers.next; h != &r->workers; h = next) {
         next = h->next;
-        reservation_yield(s, h->owner);
+        reservation_yield(s, h->owner, INT64_MAX);
     }
 }
 
--- a/packages/sched/urgent.c
+++ b/packages/sched/urgent.c
@@ -45,7 +45,7 @@
     }
     claim(s, j, best.worker);
     if (best.any) {
-        reservation_yield(s, best.worker);
+        reservation_yield(s, best.worker, INT64_MAX);
     }
     if (best.count == 0) {
         worker_mark_dirty(s, best.worker);
--- a/tests/test_sched_urgent.c
+++ b/tests/test_sched_urgent.c
@@ -202,6 +202,34 @@
     rig_close(&r);
 }
 
+/* Guards against more work being stopped because a worker came that has room
+ * for a part of what victims of the gang are about to leave. */
+static void
+test_gang_surplus(void)
+{
+    struct rig r;
+
+    rig_open(&r);
+    rig_team(&r, 1, 1, NO_LIMITS);
+    rig_team(&r, 2, 3, NO_LIMITS);
+    rig_worker(&r, 4, SIZE(10000, 10240, 0), "r4", "d1");
+    run(&r, job_of(6, 1, 1, 10000));
+    rig_wait(&r, 10 * NS_PER_S);
+    rig_worker(&r, 1, SIZE(10000, 10240, 0), "r1", "d1");
+    run(&r, job_of(7, 1, 2, 5000));
+    rig_wait(&r, 10 * NS_PER_S);
+    rig_worker(&r, 2, SIZE(10000, 10240, 0), "r2", "d1");
+    run(&r, job_of(8, 1, 1, 10000));
+    submit(&r, urgent_gang(9, 3, 5000));
+    g_assert_cmpuint(rig_count(&r, SCHED_ACTION_CHECKPOINT), ==, 2);
+    rig_worker(&r, 3, SIZE(5000, 10240, 0), "r3", "d1");
+    for (int i = 0; i < 3; i++) {
+        rig_wait(&r, NS_PER_S);
+        g_assert_cmpuint(rig_count(&r, SCHED_ACTION_CHECKPOINT), ==, 0);
+    }
+    rig_close(&r);
+}
+
 /* Guards against other work of the team taking the gang's room under the
  * limit while victims end, and against a gang above a lowered limit. */
 static void
@@ -243,5 +271,6 @@
     g_test_add_func("/sched/urgent/gang-none", test_gang_none);
     g_test_add_func("/sched/urgent/gang-refill", test_gang_refill);
     g_test_add_func("/sched/urgent/gang-limit", test_gang_limit);
+    g_test_add_func("/sched/urgent/gang-surplus", test_gang_surplus);
     return g_test_run();
 }
