--- a/packages/sched/core.h
+++ b/packages/sched/core.h
@@ -111,6 +111,8 @@
 void
 worker_count_stoppable(struct worker *w, const struct vec *size, int sign);
 void
+worker_update_stoppable(struct sched *s, struct worker *w);
+void
 worker_mark_dirty(struct sched *s, struct worker *w);
 void
 worker_maybe_forget(struct sched *s, struct worker *w);
--- a/packages/sched/fleet.c
+++ b/packages/sched/fleet.c
@@ -124,8 +124,8 @@
     return (int64_t)(sum * FILL_SCALE);
 }
 
-/* Counts a lease in or out of what urgent work may stop on w; worker_update
- * follows. */
+/* Counts a lease in or out of what urgent work may stop on w; one of the
+ * updates follows. */
 void
 worker_count_stoppable(struct worker *w, const struct vec *size, int sign)
 {
@@ -156,6 +156,15 @@
     fit_insert(&s->stoppable, n);
 }
 
+/* Instead of worker_update when nothing but what is stoppable changed. */
+void
+worker_update_stoppable(struct sched *s, struct worker *w)
+{
+    if (w->by_stoppable.in_tree) {
+        update_stoppable(s, w);
+    }
+}
+
 /* Call after anything that worker_avail depends on has changed. */
 void
 worker_update(struct sched *s, struct worker *w)
--- a/packages/sched/lease.c
+++ b/packages/sched/lease.c
@@ -198,7 +198,7 @@
     if (!l->stopping) {
         if (lease_preemptible(l)) {
             worker_count_stoppable(l->worker, &l->size, -1);
-            worker_update(s, l->worker);
+            worker_update_stoppable(s, l->worker);
         }
         l->stopping = true;
         vec_add(&l->job->account->team->stopping, &l->size);
