--- a/packages/sched/core.h
+++ b/packages/sched/core.h
@@ -69,6 +69,8 @@
 account_key(const struct sched *s, const struct account *a, int64_t since);
 double
 account_ratio(const struct sched *s, const struct account *a);
+double
+dominant_share(const struct sched *s, const struct vec *used);
 void
 shares_refresh(struct sched *s);
 
@@ -107,6 +109,10 @@
 void
 worker_update(struct sched *s, struct worker *w);
 void
+worker_count_stoppable(struct worker *w, const struct vec *size, int sign);
+void
+worker_update_stoppable(struct sched *s, struct worker *w);
+void
 worker_mark_dirty(struct sched *s, struct worker *w);
 void
 worker_maybe_forget(struct sched *s, struct worker *w);
@@ -222,6 +228,9 @@
 bool
 gang_try(struct sched *s, struct queue *q, struct job *j);
 void
+gang_occupy(struct sched *s, struct worker *w, const struct vec *size,
+            int sign);
+void
 gang_place(struct sched *s, struct job *j, struct worker **picks,
            size_t count);
 
@@ -233,6 +242,8 @@
 bool
 reservation_start(struct sched *s, struct job *j);
 void
+reservation_charge(struct sched *s);
+void
 reservation_drop(struct sched *s);
 void
 reservation_offer(struct sched *s, struct worker *w);
@@ -240,6 +251,8 @@
 reservation_update(struct sched *s, struct worker *w);
 void
 reservation_leave(struct sched *s, struct worker *w);
+void
+reservation_yield(struct sched *s, struct worker *w, int64_t most);
 bool
 reservation_complete(struct sched *s);
 void
--- a/packages/sched/fleet.c
+++ b/packages/sched/fleet.c
@@ -48,6 +48,7 @@
     fit_node_init(&w->by_fill, w, id);
     fit_node_init(&w->by_domain, w, id);
     fit_node_init(&w->by_capacity, w, id);
+    fit_node_init(&w->by_stoppable, w, id);
     fit_node_init(&w->by_held, w, id);
     link_init(&w->leases, NULL);
     link_init(&w->claims, NULL);
@@ -123,6 +124,47 @@
     return (int64_t)(sum * FILL_SCALE);
 }
 
+/* Counts a lease in or out of what urgent work may stop on w; one of the
+ * updates follows. */
+void
+worker_count_stoppable(struct worker *w, const struct vec *size, int sign)
+{
+    struct vec v = vec_scale(size, sign);
+
+    vec_add(&w->stoppable, &v);
+}
+
+/*
+ * Room that urgent work could get on w; the workers with most of it come
+ * first. Placing preemptible work, which is most work, leaves it as it is.
+ */
+static void
+update_stoppable(struct sched *s, struct worker *w)
+{
+    struct fit_node *n = &w->by_stoppable;
+    struct vec room = worker_avail(w);
+
+    vec_add(&room, &w->reserved);
+    vec_add(&room, &w->stoppable);
+    if (n->in_tree && vec_covers(&n->own, &room) &&
+        vec_covers(&room, &n->own)) {
+        return;
+    }
+    fit_remove(&s->stoppable, n);
+    n->own = room;
+    n->key = -fill_key(w, &room);
+    fit_insert(&s->stoppable, n);
+}
+
+/* Instead of worker_update when nothing but what is stoppable changed. */
+void
+worker_update_stoppable(struct sched *s, struct worker *w)
+{
+    if (w->by_stoppable.in_tree) {
+        update_stoppable(s, w);
+    }
+}
+
 /* Call after anything that worker_avail depends on has changed. */
 void
 worker_update(struct sched *s, struct worker *w)
@@ -132,6 +174,7 @@
     leave_trees(s, w);
     reservation_update(s, w);
     if (!usable(w)) {
+        fit_remove(&s->stoppable, &w->by_stoppable);
         return;
     }
     avail = worker_avail(w);
@@ -142,6 +185,7 @@
     sum_free(s, w, 1);
     fit_insert(free_tree(s, w), &w->by_fill);
     fit_insert(domain_tree(w), &w->by_domain);
+    update_stoppable(s, w);
 }
 
 void
@@ -327,6 +371,7 @@
 {
     leave_trees(s, w);
     leave_capacity(s, w);
+    fit_remove(&s->stoppable, &w->by_stoppable);
     w->up = false;
     w->draining = false;
     link_remove(&w->dirty);
--- a/packages/sched/reservation.c
+++ b/packages/sched/reservation.c
@@ -16,7 +16,6 @@
     w->slots += slots;
     vec_add(&w->reserved, &size);
     r->held += slots;
-    r->progress = s->now;
     if (link_empty(&w->held)) {
         link_insert_before(&r->workers, &w->held);
     }
@@ -49,6 +48,10 @@
     slots = slots > w->slots ? w->slots : slots;
     r->ready += slots - w->slots_free;
     w->slots_free = slots;
+    if (r->ready > r->most) {
+        r->most = r->ready;
+        r->progress = s->now;
+    }
     w->by_held.own = room;
     w->by_held.key = w->id;
     fit_insert(&r->tree, &w->by_held);
@@ -72,6 +75,55 @@
     fit_remove(&r->tree, &w->by_held);
 }
 
+/* Gives up at most this many slots held on w that are not free. */
+void
+reservation_yield(struct sched *s, struct worker *w, int64_t most)
+{
+    struct reservation *r = &s->reservation;
+    int64_t lost = w->slots - w->slots_free;
+    struct vec size;
+
+    lost = lost > most ? most : lost;
+    if (lost == 0) {
+        return;
+    }
+    size = vec_scale(&r->size, lost);
+    if (lost == w->slots) {
+        reservation_leave(s, w);
+    }
+    else {
+        r->held -= lost;
+        w->slots -= lost;
+        vec_sub(&w->reserved, &size);
+    }
+    worker_update(s, w);
+}
+
+static void
+uncharge(struct sched *s)
+{
+    struct reservation *r = &s->reservation;
+
+    if (r->charged.d[DIM_TASKS] > 0) {
+        vec_sub(&r->job->account->team->used, &r->charged);
+        team_mark_dirty(s, r->job->account->team);
+        r->charged = (struct vec){{0}};
+    }
+}
+
+/*
+ * Counts the reserved job under its team's limit already, so that nothing
+ * else takes the room that work is being stopped for.
+ */
+void
+reservation_charge(struct sched *s)
+{
+    struct reservation *r = &s->reservation;
+
+    r->charged = vec_scale(&r->size, r->need);
+    vec_add(&r->job->account->team->used, &r->charged);
+}
+
 void
 reservation_drop(struct sched *s)
 {
@@ -86,12 +138,32 @@
         worker_update(s, w);
         worker_mark_dirty(s, w);
     }
+    uncharge(s);
     r->job = NULL;
     timer_clear(s, &s->shadow);
     reserve_soon(s);
 }
 
-/* A worker that gained room gives to the reservation first. */
+/* Gives up slots that are not free, once there are more than needed. */
+static void
+give_up_surplus(struct sched *s)
+{
+    struct reservation *r = &s->reservation;
+    struct link *next;
+
+    for (struct link *h = r->workers.next; h != &r->workers; h = next) {
+        next = h->next;
+        if (r->held <= r->need) {
+            return;
+        }
+        reservation_yield(s, h->owner, r->held - r->need);
+    }
+}
+
+/*
+ * A worker that gained room gives to the reservation first, also in place of
+ * slots held elsewhere that are not free yet.
+ */
 void
 reservation_offer(struct sched *s, struct worker *w)
 {
@@ -99,14 +171,15 @@
     struct vec avail;
     int64_t slots;
 
-    if (r->job == NULL || r->held >= r->need || !w->by_fill.in_tree) {
+    if (r->job == NULL || r->ready >= r->need || !w->by_fill.in_tree) {
         return;
     }
     avail = worker_avail(w);
     slots = slots_in(&avail, &r->size);
-    slots = slots > r->need - r->held ? r->need - r->held : slots;
+    slots = slots > r->need - r->ready ? r->need - r->ready : slots;
     if (slots > 0) {
         reservation_hold(s, w, slots);
+        give_up_surplus(s);
     }
 }
 
@@ -144,6 +217,20 @@
     }
 }
 
+/* A task that outlasts what was expected goes on for a part of its age, as run
+ * times have long tails; it is not about to end. */
+static bool
+expect_later(struct sched *s, struct lease *l)
+{
+    if (l->ends.key >= s->now || l->stopping) {
+        return false;
+    }
+    fit_remove(&s->ends, &l->ends);
+    l->ends.key = s->now + (s->now - l->began) / 2 + 1;
+    fit_insert(&s->ends, &l->ends);
+    return true;
+}
+
 /*
  * Foresees when the reservation can be complete if tasks end as expected, and
  * holds room on the workers that get there first. The time is at most too
@@ -160,13 +247,17 @@
     s->shadow_mark++;
     r->shadow = s->now;
     for (int i = 0; n != NULL && i < SHADOW_STEPS && missing > 0; i++) {
-        int64_t gained = slots_gained(s, n->owner);
-        if (gained > 0) {
-            missing -= gained;
-            hold_early(s, ((struct lease *)n->owner)->worker);
+        struct lease *l = n->owner;
+        struct fit_node *next = fit_next(&s->ends, &any, n);
+        if (!expect_later(s, l)) {
+            int64_t gained = slots_gained(s, l);
+            if (gained > 0) {
+                missing -= gained;
+                hold_early(s, l->worker);
+            }
+            r->shadow = n->key > s->now ? n->key : s->now;
         }
-        r->shadow = n->key > s->now ? n->key : s->now;
-        n = fit_next(&s->ends, &any, n);
+        n = next;
     }
     timer_set(s, &s->shadow,
               r->shadow > s->now ? r->shadow : s->now + SHADOW_REPEAT_NS);
@@ -186,11 +277,26 @@
     r->need = j->class == SCHED_CLASS_GANG ? j->waiting.count : 1;
     r->held = 0;
     r->ready = 0;
+    r->most = 0;
     r->progress = s->now;
     s->stats.reservations++;
     return true;
 }
 
+/* What was foreseen did not happen: the slots that are not free yet are free
+ * to be held where they are expected first by now. */
+static void
+give_up_waiting(struct sched *s)
+{
+    struct reservation *r = &s->reservation;
+    struct link *next;
+
+    for (struct link *h = r->workers.next; h != &r->workers; h = next) {
+        next = h->next;
+        reservation_yield(s, h->owner, INT64_MAX);
+    }
+}
+
 /* Backfilled tasks that did not end in time make room. */
 void
 reservation_overdue(struct sched *s)
@@ -213,6 +319,7 @@
             }
         }
     }
+    give_up_waiting(s);
     reservation_foresee(s);
 }
 
@@ -230,7 +337,9 @@
         return false;
     }
     need = vec_scale(&j->ask, r->need);
-    if (j->queue == NULL || !team_allows(j->account->team, j, &need)) {
+    uncharge(s);
+    if (j->queue == NULL || !vec_covers(&r->size, &j->ask) ||
+        !team_allows(j->account->team, j, &need)) {
         reservation_drop(s);
         return false;
     }
--- a/packages/sched/reserve_next.c
+++ b/packages/sched/reserve_next.c
@@ -1,9 +1,9 @@
-#include "core.h"
+#include "preempt.h"
 
 /* Above any size. */
 #define GANG_ANY (INT64_C(1) << 60)
 
-/* Without a new slot for this long, another job may reserve. */
+/* Without another free slot for this long, another job may reserve. */
 static const int64_t STALL_NS = 300 * NS_PER_S;
 /* Gangs above the fleet's size that are looked at again per timer. */
 static const int PARKED_CHECKS = 4;
@@ -101,6 +101,45 @@
     }
 }
 
+/* An urgent gang of each account looks whether it can start or preempt. */
+static void
+retry_urgent(struct sched *s)
+{
+    for (size_t i = 0; i < s->account_count; i++) {
+        struct lane *lane = &s->accounts[i]->lanes[LANE_URGENT];
+        struct queue *q = next_to_retry(lane);
+        if (q != NULL) {
+            queue_move(s, q, &lane->ready);
+        }
+    }
+}
+
+/* The work stopped for an urgent gang will end, however long it takes. */
+static bool
+stalled(const struct sched *s)
+{
+    const struct reservation *r = &s->reservation;
+
+    if (r->charged.d[DIM_TASKS] > 0 && r->held >= r->need) {
+        return false;
+    }
+    return s->now - r->progress >= STALL_NS && r->ready < r->need;
+}
+
+/* The reserved job goes behind all that wait. */
+static void
+give_way(struct sched *s)
+{
+    struct job *j = s->reservation.job;
+    struct queue *q = j->queue;
+
+    j->enqueued = s->now;
+    reservation_drop(s);
+    if (q != NULL && q->tree != NULL) {
+        queue_move(s, q, q->tree);
+    }
+}
+
 static void
 recheck_parked(struct sched *s)
 {
@@ -132,10 +171,10 @@
 
     recheck_parked(s);
     more = more || s->recheck_left > 0;
-    if (r->job != NULL && q != NULL && s->now - r->progress >= STALL_NS &&
-        r->ready < r->need) {
-        r->job->enqueued = s->now;
-        reservation_drop(s);
+    urgent_gang_refill(s);
+    retry_urgent(s);
+    if (r->job != NULL && q != NULL && stalled(s)) {
+        give_way(s);
         q = next_to_reserve(s, &more);
     }
     if (r->job == NULL && q != NULL) {
--- a/packages/sched/team.c
+++ b/packages/sched/team.c
@@ -4,6 +4,11 @@
 
 /* Waiting this long weighs as much as being a whole share above the own. */
 static const double WAIT_SPAN_S = 86400;
+/* What waiting moves an account at most, as a part of its share: else the
+ * backlog of a team that offers too much earns it ever more than its share. */
+static const double WAIT_SHARE_MAX = 0.02;
+/* How old the waiting time in the order of the accounts may be. */
+static const int64_t REFRESH_NS = NS_PER_S;
 static const double KEY_SCALE = 1e9;
 static const int64_t LIMIT_NONE = INT64_MAX / 4;
 
@@ -146,6 +151,9 @@
         vec_add(&a->team->services, &l->size);
     }
     vec_add(&a->used, &l->size);
+    if (l->job->urgent) {
+        vec_add(&a->urgent, &l->size);
+    }
     victim->key = victim_key(l);
     victim->own = l->size;
     fit_insert(&a->victims, victim);
@@ -165,6 +173,9 @@
         vec_sub(&a->team->stopping, &l->size);
     }
     vec_sub(&a->used, &l->size);
+    if (l->job->urgent) {
+        vec_sub(&a->urgent, &l->size);
+    }
     fit_remove(&a->victims, (struct fit_node *)&l->victim);
     account_update(s, a);
     team_mark_dirty(s, a->team);
@@ -253,6 +264,11 @@
             claim_drop(s, c);
             continue;
         }
+        if (s->reservation.charged.d[DIM_TASKS] > 0 &&
+            s->reservation.job->account->team == t) {
+            reservation_drop(s);
+            continue;
+        }
         l = limit_victim(t, dim);
         if (l == NULL) {
             return;
@@ -261,7 +277,7 @@
     }
 }
 
-static double
+double
 dominant_share(const struct sched *s, const struct vec *used)
 {
     double share = 0;
@@ -308,8 +324,12 @@
 double
 account_key(const struct sched *s, const struct account *a, int64_t since)
 {
-    return a->share_key +
-           s->config.weights.waiting * (double)since / NS_PER_S / WAIT_SPAN_S;
+    const struct sched_weights *w = &s->config.weights;
+    double scale = w->waiting / NS_PER_S / WAIT_SPAN_S;
+    double key = scale * (double)since;
+    double least = scale * (double)s->now - WAIT_SHARE_MAX * w->share;
+
+    return a->share_key + (w->share > 0 && key < least ? least : key);
 }
 
 void
@@ -334,10 +354,11 @@
 void
 shares_refresh(struct sched *s)
 {
-    if (!s->shares_stale) {
+    if (!s->shares_stale && s->now - s->shares_at < REFRESH_NS) {
         return;
     }
     s->shares_stale = false;
+    s->shares_at = s->now;
     for (size_t i = 0; i < s->account_count; i++) {
         account_update(s, s->accounts[i]);
     }
