--- a/packages/base/include/map.h
+++ b/packages/base/include/map.h
@@ -44,4 +44,8 @@
 void *
 map_next(const struct map *m, void **cursor);
 
+/* The value inserted next after that of key, or NULL. */
+void *
+map_after(const struct map *m, struct str key);
+
 #endif
--- a/packages/base/map.c
+++ b/packages/base/map.c
@@ -247,3 +247,11 @@
     *cursor = e->next == NULL ? &end : e->next;
     return e->value;
 }
+
+void *
+map_after(const struct map *m, struct str key)
+{
+    const struct entry *e = find(m, key);
+
+    return e == NULL || e->next == NULL ? NULL : e->next->value;
+}
--- a/packages/state/apply.c
+++ b/packages/state/apply.c
@@ -204,6 +204,7 @@
     members_set(s, b->members, b->n_members);
     /* The new default limit is no change that a delta could carry, so that
      * entries must start from a full configuration. */
+    snapshot_keep_table(s, SNAP_HISTORY);
     s->history_count = 0;
     s->config_version++;
     a->new_version = s->config_version;
--- a/packages/state/audit.c
+++ b/packages/state/audit.c
@@ -39,6 +39,7 @@
         audit_grow(s);
     }
     if (s->audit_count == s->audit_cap) {
+        snapshot_drop_audit(s);
         s->audit_first = (s->audit_first + 1) % s->audit_cap;
         s->audit_count--;
     }
@@ -212,6 +213,7 @@
             s->wall_ms - oldest->wall_ms < STATE_OPERATOR_KEY_KEEP_MS) {
             return;
         }
+        snapshot_drop_operator(s, oldest);
         map_del(s->op_records, oldest->scope);
         op_free(oldest);
     }
--- a/packages/state/config.c
+++ b/packages/state/config.c
@@ -6,6 +6,7 @@
 {
     size_t at;
 
+    snapshot_keep_table(s, SNAP_HISTORY);
     if (s->history_count == STATE_HISTORY_MAX) {
         s->history_first = (s->history_first + 1) % STATE_HISTORY_MAX;
         s->history_count--;
--- a/packages/state/fleet.c
+++ b/packages/state/fleet.c
@@ -1,7 +1,6 @@
 #include "mem.h"
 #include "state_impl.h"
 
-/* Replaces a string that belongs to a record. */
 /* Takes copies of the strings. */
 void
 vm_insert(struct state *s, const struct state_vm *from)
@@ -61,6 +60,7 @@
         vm_insert(a->s, &given);
     }
     else {
+        snapshot_keep_table(a->s, SNAP_VMS);
         str_replace(&vm->failure_domain, given.failure_domain);
         str_replace(&vm->address, given.address);
         take_run(vm, put);
@@ -79,6 +79,7 @@
         return;
     }
     a->object = vm->name;
+    snapshot_keep_table(a->s, SNAP_VMS);
     vm->draining = drain->draining;
     result_applied(a, 0, 0, 1);
 }
@@ -87,12 +88,14 @@
 apply_vm_delete(struct apply *a)
 {
     struct str name = proto_str(a->cmd->vm_delete->name);
-    struct state_vm *vm = map_del(a->s->vms, name);
+    struct state_vm *vm = map_get(a->s->vms, name);
 
     if (vm == NULL) {
         result_not_found(a, STATE_REASON_NOT_FOUND);
         return;
     }
+    snapshot_keep_table(a->s, SNAP_VMS);
+    map_del(a->s->vms, name);
     vm_free(vm);
     a->object = name;
     result_applied(a, 0, 0, 1);
@@ -167,6 +170,7 @@
         worker = worker_insert(s, &given);
     }
     else {
+        snapshot_keep_table(s, SNAP_WORKERS);
         worker->incarnation = given.incarnation;
         worker->capacity = given.capacity;
         str_replace(&worker->rack, given.rack);
@@ -191,6 +195,7 @@
         result_invalid(a, STATE_REASON_WORKER_HAS_TASKS);
         return;
     }
+    snapshot_keep_table(s, SNAP_WORKERS);
     map_del(s->workers_by_name, name);
     map_del_u64(s->workers, worker->number);
     worker_free(worker);
--- a/packages/state/include/state.h
+++ b/packages/state/include/state.h
@@ -457,6 +457,30 @@
 void
 state_encode(const struct state *s, struct buf *out);
 
+/*
+ * The same bytes in slices, with commands applied in between: they are those
+ * of the state when the snapshot began. begin drops an earlier snapshot that
+ * was not taken. step encodes about that many more bytes and returns whether
+ * all are encoded; only then take gives them away and ends the snapshot.
+ */
+void
+state_snapshot_begin(struct state *s);
+bool
+state_snapshot_step(struct state *s, size_t bytes);
+
+/* The bytes of a snapshot are those of all buffers in order. */
+struct state_chunks {
+    struct buf *list;
+    size_t count;
+};
+
+void
+state_snapshot_take(struct state *s, struct state_chunks *out);
+void
+state_snapshot_abort(struct state *s);
+void
+state_chunks_free(struct state_chunks *chunks);
+
 /* Returns NULL when the bytes are damaged or of an unknown format. */
 struct state *
 state_decode(struct str bytes);
--- a/packages/state/jobs.c
+++ b/packages/state/jobs.c
@@ -168,6 +168,7 @@
     struct team *team = team_by_number(s, job->pub.team);
     struct buf key = {0};
 
+    snapshot_keep_job(s, job);
     s->ended_first = job->end_next;
     if (s->ended_first == NULL) {
         s->ended_last = NULL;
@@ -266,6 +267,7 @@
     if (job->pub.cancel || state_job_terminal(job->pub.state)) {
         return;
     }
+    snapshot_keep_job(a->s, job);
     job->pub.cancel = true;
     if (!job->attempted) {
         job_end(a->s, job, STATE_JOB_CANCELLED);
@@ -350,6 +352,7 @@
         result_invalid(a, reason);
         return;
     }
+    snapshot_keep_job(a->s, job);
     job_set_reason(job, proto_str(cmd->reason));
     if (state_job_terminal(next)) {
         job_end(a->s, job, next);
--- a/packages/state/keys.c
+++ b/packages/state/keys.c
@@ -43,6 +43,7 @@
 void
 key_withdraw(struct state *s, struct state_key *key)
 {
+    snapshot_keep_table(s, SNAP_KEYS);
     map_del_u64(s->keys_by_hash, key_hash_prefix(key->hash));
     memset(key->hash, 0, sizeof(key->hash));
     key->withdrawn_ms = s->wall_ms > 0 ? s->wall_ms : 1;
@@ -78,6 +79,7 @@
     while (s->withdrawn_count > STATE_WITHDRAWN_KEY_KEEP &&
            (key = map_next(s->keys, &cursor)) != NULL) {
         if (key->withdrawn_ms != 0) {
+            snapshot_keep_table(s, SNAP_KEYS);
             map_del_u64(s->keys, key->id);
             mem_free(key);
             s->withdrawn_count--;
--- a/packages/state/limits.c
+++ b/packages/state/limits.c
@@ -77,6 +77,7 @@
         s->team_order[i]->marked = false;
     }
     record(s, next, count);
+    snapshot_keep_table(s, SNAP_TEAMS);
     for (size_t i = 0; i < s->team_count; i++) {
         s->team_order[i]->limited = false;
     }
--- a/packages/state/requests.c
+++ b/packages/state/requests.c
@@ -22,6 +22,18 @@
     return r;
 }
 
+struct request *
+request_after(const struct state *s, const struct request *r)
+{
+    struct buf bytes = {0};
+    struct request *next;
+
+    key_of(&bytes, r->pub.team, r->pub.key);
+    next = map_after(s->requests, buf_str(&bytes));
+    buf_free(&bytes);
+    return next;
+}
+
 void
 request_link(struct request_list *list, struct request *r)
 {
@@ -100,6 +112,7 @@
     if (!r->pub.stored) {
         return;
     }
+    snapshot_keep_request(s, r);
     s->stored_bytes -= response_bytes(r);
     unlink_from(&s->stored, r);
     str_free(&r->pub.response.headers);
@@ -111,6 +124,7 @@
 static void
 set_state(struct state *s, struct request *r, enum state_request_state next)
 {
+    snapshot_keep_request(s, r);
     if (r->pub.state == STATE_REQUEST_RUNNING) {
         unlink_from(&s->running, r);
     }
--- a/packages/state/retention.c
+++ b/packages/state/retention.c
@@ -23,6 +23,7 @@
     struct op_record *record;
     struct request *r;
 
+    snapshot_keep_all(s);
     for (struct job *job = s->ended_first; job != NULL; job = job->end_next) {
         cap(&job->pub.ended_ms, limit);
     }
--- /dev/null
+++ b/packages/state/slices.c
@@ -0,0 +1,298 @@
+/*
+ * A snapshot that is encoded in slices between commands. Every part has a
+ * position; what lies before it is encoded, and what lies behind it is still
+ * as it was when the snapshot began. The code that is about to change or drop
+ * a record calls snapshot_keep_*, which encodes the record, or in small tables
+ * the whole rest of the table, before it changes. Records that were added
+ * since the beginning lie behind a part's end.
+ */
+#include "slices.h"
+#include "mem.h"
+
+enum {
+    CHUNK_BYTES = 256 * 1024,
+};
+
+struct writer *
+part_writer(struct part *p)
+{
+    if (p->count == 0 || p->chunks[p->count - 1].len >= CHUNK_BYTES) {
+        if (p->count == p->cap) {
+            p->cap = p->cap == 0 ? 4 : p->cap * 2;
+            p->chunks = mem_realloc(p->chunks, p->cap, sizeof(*p->chunks));
+        }
+        p->chunks[p->count++] = (struct buf){0};
+    }
+    p->w.out = &p->chunks[p->count - 1];
+    return &p->w;
+}
+
+/* ---- the audit trail: a ring that overwrites its first entry ---- */
+
+static void
+step_audit(const struct state *s, struct snapshot *snap)
+{
+    struct part *p = &snap->parts[SNAP_AUDIT];
+    struct writer *w = part_writer(p);
+    size_t before = w->out->len;
+
+    encode_audit(w, state_audit(s, snap->audit_next++));
+    snap->bytes += w->out->len - before;
+    p->left--;
+}
+
+void
+snapshot_drop_audit(struct state *s)
+{
+    struct snapshot *snap = s->snapshot;
+
+    if (snap != NULL && snap->parts[SNAP_AUDIT].left > 0 &&
+        snap->audit_next == state_audit_first(s)) {
+        step_audit(s, snap);
+    }
+}
+
+/* ---- the other tables ---- */
+
+static void
+step_history(const struct state *s, struct snapshot *snap)
+{
+    struct part *p = &snap->parts[SNAP_HISTORY];
+    struct writer *w = part_writer(p);
+    size_t i = s->history_count - p->left;
+    size_t before = w->out->len;
+
+    encode_change(w, &s->history[(s->history_first + i) % STATE_HISTORY_MAX]);
+    snap->bytes += w->out->len - before;
+    p->left--;
+}
+
+static const struct map *
+table_of(const struct state *s, enum snap_part part)
+{
+    switch (part) {
+    case SNAP_TEAMS:
+        return s->teams;
+    case SNAP_KEYS:
+        return s->keys;
+    case SNAP_OPERATORS:
+        return s->op_records;
+    case SNAP_VMS:
+        return s->vms;
+    case SNAP_WORKERS:
+        return s->workers;
+    case SNAP_USAGE:
+        return s->usage;
+    default:
+        return NULL;
+    }
+}
+
+static void
+step_table(const struct state *s, struct snapshot *snap, enum snap_part part)
+{
+    struct part *p = &snap->parts[part];
+    struct writer *w = part_writer(p);
+    size_t before = w->out->len;
+
+    encode_table_record(w, part, p->next);
+    snap->bytes += w->out->len - before;
+    p->left--;
+    p->next = p->left == 0 ? NULL : map_next(table_of(s, part), &p->cursor);
+}
+
+void
+snapshot_drop_operator(struct state *s, const struct op_record *record)
+{
+    struct snapshot *snap = s->snapshot;
+
+    if (snap != NULL && snap->parts[SNAP_OPERATORS].next == record) {
+        step_table(s, snap, SNAP_OPERATORS);
+    }
+}
+
+static void
+step_part(const struct state *s, struct snapshot *snap, enum snap_part part)
+{
+    switch (part) {
+    case SNAP_JOBS:
+        step_job(s, snap);
+        break;
+    case SNAP_ENDED_LEASES:
+        step_lease(snap);
+        break;
+    case SNAP_REQUESTS:
+        step_request(s, snap);
+        break;
+    case SNAP_AUDIT:
+        step_audit(s, snap);
+        break;
+    case SNAP_HISTORY:
+        step_history(s, snap);
+        break;
+    default:
+        step_table(s, snap, part);
+        break;
+    }
+}
+
+void
+snapshot_keep_table(struct state *s, enum snap_part part)
+{
+    struct snapshot *snap = s->snapshot;
+
+    while (snap != NULL && snap->parts[part].left > 0) {
+        step_part(s, snap, part);
+    }
+}
+
+void
+snapshot_keep_all(struct state *s)
+{
+    if (s->snapshot != NULL) {
+        state_snapshot_step(s, SIZE_MAX);
+    }
+}
+
+/* ---- the whole ---- */
+
+static void
+begin_tables(const struct state *s, struct snapshot *snap)
+{
+    for (int i = 0; i < SNAP_PARTS; i++) {
+        const struct map *table = table_of(s, (enum snap_part)i);
+
+        if (table != NULL) {
+            snap->parts[i].left = map_count(table);
+            snap->parts[i].next = map_next(table, &snap->parts[i].cursor);
+        }
+    }
+}
+
+static void
+begin_records(const struct state *s, struct snapshot *snap)
+{
+    struct part *p = &snap->parts[SNAP_JOBS];
+
+    p->next = numtab_after(&s->jobs, 0);
+    p->left = p->next != NULL;
+    snap->job_limit = s->next_job;
+    p = &snap->parts[SNAP_REQUESTS];
+    p->next = map_next(s->requests, &p->cursor);
+    p->left = p->next != NULL;
+    snap->request_limit = s->next_request;
+    p = &snap->parts[SNAP_ENDED_LEASES];
+    p->next = s->ended_lease_first;
+    p->left = s->ended_lease_count;
+    snap->parts[SNAP_AUDIT].left = s->audit_count;
+    snap->audit_next = state_audit_first(s);
+    snap->parts[SNAP_HISTORY].left = s->history_count;
+}
+
+void
+state_snapshot_begin(struct state *s)
+{
+    struct snapshot *snap = mem_zalloc(1, sizeof(*snap));
+
+    state_snapshot_abort(s);
+    s->snapshot = snap;
+    s->snapshot_count++;
+    snap->leases = map_create();
+    encode_header(part_writer(&snap->parts[SNAP_HEADER]), s);
+    begin_tables(s, snap);
+    begin_records(s, snap);
+}
+
+bool
+state_snapshot_step(struct state *s, size_t bytes)
+{
+    /* Tables that a change encodes as a whole go first. */
+    static const enum snap_part order[] = {
+        SNAP_USAGE,     SNAP_WORKERS, SNAP_KEYS,    SNAP_TEAMS,
+        SNAP_VMS,       SNAP_HISTORY, SNAP_JOBS,    SNAP_ENDED_LEASES,
+        SNAP_OPERATORS, SNAP_AUDIT,   SNAP_REQUESTS};
+    struct snapshot *snap = s->snapshot;
+    size_t start = snap->bytes;
+
+    for (size_t i = 0; i < sizeof(order) / sizeof(order[0]); i++) {
+        while (snap->parts[order[i]].left > 0) {
+            if (snap->bytes - start >= bytes) {
+                return false;
+            }
+            step_part(s, snap, order[i]);
+        }
+    }
+    return true;
+}
+
+void
+state_snapshot_take(struct state *s, struct state_chunks *out)
+{
+    struct snapshot *snap = s->snapshot;
+    struct writer *end = part_writer(&snap->parts[SNAP_END]);
+    size_t count = 0;
+
+    for (int i = 0; i < SNAP_PARTS; i++) {
+        count += snap->parts[i].count;
+        if (i != SNAP_END) {
+            end->records += snap->parts[i].w.records;
+        }
+    }
+    encode_end(end);
+    out->list = mem_alloc(count * sizeof(*out->list));
+    out->count = 0;
+    for (int i = 0; i < SNAP_PARTS; i++) {
+        for (size_t k = 0; k < snap->parts[i].count; k++) {
+            out->list[out->count++] = snap->parts[i].chunks[k];
+        }
+        snap->parts[i].count = 0;
+    }
+    state_snapshot_abort(s);
+}
+
+static void
+heap_drain(struct heap *heap)
+{
+    struct heap_node *node;
+
+    while ((node = heap_pop(heap)) != NULL) {
+        kept_free((struct kept *)node);
+    }
+    heap_free(heap);
+}
+
+void
+state_snapshot_abort(struct state *s)
+{
+    struct snapshot *snap = s->snapshot;
+    void *cursor = NULL;
+    struct kept *k;
+
+    if (snap == NULL) {
+        return;
+    }
+    for (int i = 0; i < SNAP_PARTS; i++) {
+        for (size_t c = 0; c < snap->parts[i].count; c++) {
+            buf_free(&snap->parts[i].chunks[c]);
+        }
+        mem_free(snap->parts[i].chunks);
+    }
+    heap_drain(&snap->jobs);
+    heap_drain(&snap->requests);
+    while ((k = map_next(snap->leases, &cursor)) != NULL) {
+        kept_free(k);
+    }
+    map_destroy(snap->leases);
+    mem_free(snap);
+    s->snapshot = NULL;
+}
+
+void
+state_chunks_free(struct state_chunks *chunks)
+{
+    for (size_t i = 0; i < chunks->count; i++) {
+        buf_free(&chunks->list[i]);
+    }
+    mem_free(chunks->list);
+    *chunks = (struct state_chunks){0};
+}
--- /dev/null
+++ b/packages/state/slices_records.c
@@ -0,0 +1,219 @@
+/*
+ * Jobs, requests and ended leases of a snapshot in progress: a record that
+ * changes before its turn is encoded at once and kept until its turn.
+ */
+#include "mem.h"
+#include "slices.h"
+
+static void
+append_kept(struct snapshot *snap, enum snap_part part, const struct buf *from,
+            uint64_t records)
+{
+    struct writer *w = part_writer(&snap->parts[part]);
+
+    buf_append_str(w->out, buf_str(from));
+    w->records += records;
+    snap->bytes += from->len;
+}
+
+void
+kept_free(struct kept *k)
+{
+    buf_free(&k->record);
+    buf_free(&k->leases);
+    mem_free(k);
+}
+
+/* Appends the kept records up to number; true when number was one of them. */
+static bool
+append_up_to(struct snapshot *snap, enum snap_part part, struct heap *heap,
+             uint64_t number)
+{
+    struct heap_node *node;
+    bool found = false;
+
+    while ((node = heap_min(heap)) != NULL && node->seq <= number) {
+        struct kept *k = (struct kept *)heap_pop(heap);
+
+        found = node->seq == number;
+        append_kept(snap, part, &k->record, 1);
+        append_kept(snap, SNAP_LIVE_LEASES, &k->leases, k->lease_count);
+        kept_free(k);
+    }
+    return found;
+}
+
+static struct kept *
+keep(struct heap *heap, uint64_t number)
+{
+    struct kept *k = mem_zalloc(1, sizeof(*k));
+
+    k->node.key = (int64_t)number;
+    k->node.seq = number;
+    heap_insert(heap, &k->node);
+    return k;
+}
+
+/* ---- jobs with the leases of their placed tasks ---- */
+
+void
+step_job(const struct state *s, struct snapshot *snap)
+{
+    struct part *p = &snap->parts[SNAP_JOBS];
+    const struct job *job = p->next;
+    uint64_t number = job == NULL ? UINT64_MAX : job->pub.number;
+
+    if (!append_up_to(snap, SNAP_JOBS, &snap->jobs, number) && job != NULL) {
+        struct writer *w = part_writer(p);
+        struct writer *l = part_writer(&snap->parts[SNAP_LIVE_LEASES]);
+        size_t before = w->out->len + l->out->len;
+
+        encode_job(w, job);
+        encode_live_leases(l, s, job);
+        snap->bytes += w->out->len + l->out->len - before;
+    }
+    p->next = job == NULL ? NULL : numtab_after(&s->jobs, number);
+    job = p->next;
+    if (job != NULL && job->pub.number >= snap->job_limit) {
+        p->next = NULL;
+    }
+    p->left = p->next != NULL || snap->jobs.count > 0;
+}
+
+void
+snapshot_keep_job(struct state *s, struct job *job)
+{
+    struct snapshot *snap = s->snapshot;
+    const struct job *next;
+    struct writer record = {0};
+    struct writer leases = {0};
+    struct kept *k;
+
+    if (snap == NULL || job->pub.number >= snap->job_limit) {
+        return;
+    }
+    next = snap->parts[SNAP_JOBS].next;
+    if (next == NULL || job->pub.number < next->pub.number) {
+        return;
+    }
+    /* The position moves on even if the job is kept: it may be freed. */
+    if (job == next) {
+        step_job(s, snap);
+        return;
+    }
+    if (job->kept == s->snapshot_count) {
+        return;
+    }
+    job->kept = s->snapshot_count;
+    k = keep(&snap->jobs, job->pub.number);
+    record.out = &k->record;
+    leases.out = &k->leases;
+    encode_job(&record, job);
+    encode_live_leases(&leases, s, job);
+    k->lease_count = leases.records;
+}
+
+/* ---- requests ---- */
+
+void
+step_request(const struct state *s, struct snapshot *snap)
+{
+    struct part *p = &snap->parts[SNAP_REQUESTS];
+    struct request *r = p->next;
+    uint64_t number = r == NULL ? UINT64_MAX : r->pub.number;
+
+    if (!append_up_to(snap, SNAP_REQUESTS, &snap->requests, number) &&
+        r != NULL) {
+        struct writer *w = part_writer(p);
+        size_t before = w->out->len;
+
+        encode_request(w, r);
+        snap->bytes += w->out->len - before;
+    }
+    r = r == NULL ? NULL : request_after(s, r);
+    p->next = r != NULL && r->pub.number < snap->request_limit ? r : NULL;
+    p->left = p->next != NULL || snap->requests.count > 0;
+}
+
+void
+snapshot_keep_request(struct state *s, struct request *r)
+{
+    struct snapshot *snap = s->snapshot;
+    const struct request *next;
+    struct kept *k;
+
+    if (snap == NULL || r->pub.number >= snap->request_limit) {
+        return;
+    }
+    next = snap->parts[SNAP_REQUESTS].next;
+    if (next == NULL || r->pub.number < next->pub.number) {
+        return;
+    }
+    if (r == next) {
+        step_request(s, snap);
+        return;
+    }
+    if (r->kept == s->snapshot_count) {
+        return;
+    }
+    r->kept = s->snapshot_count;
+    k = keep(&snap->requests, r->pub.number);
+    encode_request(&(struct writer){.out = &k->record}, r);
+}
+
+/* ---- ended leases: dropped from the front, changed by late usage ---- */
+
+void
+step_lease(struct snapshot *snap)
+{
+    struct part *p = &snap->parts[SNAP_ENDED_LEASES];
+    struct lease *lease = p->next;
+    struct kept *k = map_del_u64(snap->leases, lease->number);
+
+    if (k != NULL) {
+        append_kept(snap, SNAP_ENDED_LEASES, &k->record, 1);
+        kept_free(k);
+    }
+    else {
+        struct writer *w = part_writer(p);
+        size_t before = w->out->len;
+
+        encode_lease(w, lease);
+        snap->bytes += w->out->len - before;
+    }
+    p->next = lease->next;
+    p->left--;
+}
+
+void
+snapshot_keep_lease(struct state *s, struct lease *lease)
+{
+    struct snapshot *snap = s->snapshot;
+    struct kept *k;
+
+    if (snap == NULL) {
+        return;
+    }
+    if (lease->ended_ms < 0) {
+        snapshot_keep_job(s, job_by_number(s, lease->job));
+        return;
+    }
+    if (snap->parts[SNAP_ENDED_LEASES].left == 0 ||
+        map_get_u64(snap->leases, lease->number) != NULL) {
+        return;
+    }
+    k = mem_zalloc(1, sizeof(*k));
+    encode_lease(&(struct writer){.out = &k->record}, lease);
+    map_put_u64(snap->leases, lease->number, k);
+}
+
+void
+snapshot_drop_lease(struct state *s, const struct lease *lease)
+{
+    struct snapshot *snap = s->snapshot;
+
+    if (snap != NULL && snap->parts[SNAP_ENDED_LEASES].left > 0 &&
+        snap->parts[SNAP_ENDED_LEASES].next == lease) {
+        step_lease(snap);
+    }
+}
--- a/packages/state/state.c
+++ b/packages/state/state.c
@@ -127,6 +127,7 @@
     if (s == NULL) {
         return;
     }
+    state_snapshot_abort(s);
     free_rings(s);
     state_members_free(s);
     map_free(s->teams_by_name, NULL);
--- a/packages/state/state_impl.h
+++ b/packages/state/state_impl.h
@@ -1,6 +1,7 @@
 #ifndef GV_STATE_IMPL_H
 #define GV_STATE_IMPL_H
 
+#include "keep.h"
 #include "map.h"
 #include "numtab.h"
 #include "state.h"
@@ -20,6 +21,7 @@
     struct job *end_next; /* in the order of their end, over all teams */
     uint64_t end_seq;
     bool attempted; /* a task has been placed at least once */
+    uint32_t kept;  /* by the snapshot of this count */
     struct state_task tasks[];
 };
 
@@ -54,6 +56,7 @@
     struct request *prev; /* in the list of running or of stored records */
     struct request *next;
     uint64_t store_seq;
+    uint32_t kept; /* by the snapshot of this count */
 };
 
 struct request_list {
@@ -139,6 +142,9 @@
     struct request_list stored;
     uint64_t stored_bytes;
 
+    struct snapshot *snapshot; /* in progress, or NULL */
+    uint32_t snapshot_count;   /* begun so far */
+
     /* What the last result points to. */
     uint64_t *changed_jobs;
     size_t changed_cap;
@@ -339,6 +345,9 @@
 void
 usage_add(struct state *s, const struct state_usage *delta);
 
+/* The record that was added next, or NULL. */
+struct request *
+request_after(const struct state *s, const struct request *r);
 struct request *
 request_insert(struct state *s, const struct state_request *from);
 void
--- a/packages/state/tasks.c
+++ b/packages/state/tasks.c
@@ -44,6 +44,7 @@
 {
     struct lease *lease = s->ended_lease_first;
 
+    snapshot_drop_lease(s, lease);
     s->ended_lease_first = lease->next;
     if (s->ended_lease_first == NULL) {
         s->ended_lease_last = NULL;
@@ -122,6 +123,7 @@
                           .team = job->pub.team,
                           .ended_ms = -1};
 
+    snapshot_keep_job(s, job);
     task->lease = item->lease;
     task->incarnation = item->incarnation;
     task->worker = item->worker;
@@ -196,6 +198,7 @@
     struct state_task *task = &job->tasks[lease->task];
     struct state_worker *worker = map_get_u64(s->workers, task->worker);
 
+    snapshot_keep_job(s, job);
     task->state = item->waiting ? STATE_TASK_WAITING : STATE_TASK_ENDED;
     task->failures = saturate(item->failures);
     task->losses = saturate(item->losses);
--- a/packages/state/teams.c
+++ b/packages/state/teams.c
@@ -206,6 +206,7 @@
         .limits = mem_zalloc(room, sizeof(*d.limits)),
     };
 
+    snapshot_keep_table(s, SNAP_TEAMS);
     remove_unmarked(s, &d);
     replace_order(s, set, &d);
     s->teams_version++;
--- a/packages/state/usage.c
+++ b/packages/state/usage.c
@@ -31,6 +31,7 @@
     uint64_t key = row_key(delta->team, delta->month);
     struct state_usage *row = map_get_u64(s->usage, key);
 
+    snapshot_keep_table(s, SNAP_USAGE);
     if (row == NULL) {
         row = mem_zalloc(1, sizeof(*row));
         row->team = delta->team;
@@ -62,12 +63,13 @@
     struct state_usage delta = {
         .team = lease->team,
         .month = state_month(a->cmd->wall_ms),
-        .cpu_ms = raise(&lease->cpu_ms, sample->cpu_ms),
-        .memory_mib_s = raise(&lease->memory_mib_s, sample->memory_mib_s),
-        .accelerator_ms =
-            raise(&lease->accelerator_ms, sample->accelerator_ms),
     };
 
+    snapshot_keep_lease(a->s, lease);
+    delta.cpu_ms = raise(&lease->cpu_ms, sample->cpu_ms);
+    delta.memory_mib_s = raise(&lease->memory_mib_s, sample->memory_mib_s);
+    delta.accelerator_ms =
+        raise(&lease->accelerator_ms, sample->accelerator_ms);
     if (delta.cpu_ms == 0 && delta.memory_mib_s == 0 &&
         delta.accelerator_ms == 0) {
         return false;
