--- a/packages/daemon/replica.c
+++ b/packages/daemon/replica.c
@@ -86,7 +86,7 @@
     map_destroy(r->waiting);
     raft_destroy(r->raft);
     state_destroy(r->state);
-    buf_free(&r->install);
+    replica_drop_snapshot(r);
     buf_free(&r->commit_bytes);
     mem_free(r->commits);
     mem_free(r);
@@ -179,7 +179,10 @@
 
     storage_done(r->storage, job);
     if (job->error != STORE_OK && job->kind != STORAGE_READ) {
-        replica_storage_failed(r, "a write", job->error);
+        replica_storage_failed(
+            r,
+            job->kind == STORAGE_INSTALL ? "installing a snapshot" : "a write",
+            job->error);
         storage_job_free(job);
         return;
     }
@@ -201,6 +204,8 @@
     case STORAGE_CLUSTER:
         r->stored_cluster = job->u.cluster;
         break;
+    case STORAGE_DISCARD:
+        break;
     }
     storage_job_free(job);
 }
@@ -319,5 +324,8 @@
     if (!replica_is_member(r) && r->join_due < deadline) {
         deadline = r->join_due;
     }
+    if (replica_snapshot_deadline(r) < deadline) {
+        deadline = replica_snapshot_deadline(r);
+    }
     return deadline;
 }
--- a/packages/daemon/replica_impl.h
+++ b/packages/daemon/replica_impl.h
@@ -17,8 +17,7 @@
     struct raft *raft;
     struct state *state;
     struct storage *storage;
-    struct map *waiting; /* index to struct waiting */
-    struct buf install;  /* bytes of a snapshot that is being installed */
+    struct map *waiting;        /* index to struct waiting */
     struct raft_entry *commits; /* being applied; data is in commit_bytes */
     size_t commit_count;
     size_t commit_cap;
@@ -30,6 +29,10 @@
     uint64_t hinted_leader;
     int64_t join_due;
     int64_t wait_log_due;
+    struct raft_snapshot taking; /* being encoded; index 0: none */
+    int64_t slice_due;
+    int64_t longest_slice; /* of this snapshot, nanoseconds */
+    bool installing;       /* the last chunk of a snapshot is being stored */
     bool failed; /* a write failed: this member takes no further part */
 };
 
@@ -52,7 +55,8 @@
 
 /* replica_snapshot.c */
 
-/* Takes a snapshot when enough entries were applied since the last one. */
+/* Takes a snapshot, in slices, when enough entries were applied since the
+ * last one. */
 void
 replica_take_snapshot(struct replica *r);
 
@@ -62,7 +66,13 @@
 
 /* A chunk is written; after the last one the state is replaced. */
 void
-replica_install_done(struct replica *r, const struct storage_job *job);
+replica_install_done(struct replica *r, struct storage_job *job);
+
+/* Forgets the snapshot that is being encoded. */
+void
+replica_drop_snapshot(struct replica *r);
+int64_t
+replica_snapshot_deadline(const struct replica *r);
 
 /* replica.c: a write failed; this member stops voting. */
 void
--- a/packages/daemon/replica_snapshot.c
+++ b/packages/daemon/replica_snapshot.c
@@ -1,11 +1,19 @@
 /*
  * Snapshots that this member takes of its state or installs from the leader.
  */
+#include "clock.h"
 #include "control.h"
 #include "log.h"
+#include "mem.h"
 #include "replica_impl.h"
 #include "storage.h"
 
+enum {
+    STEP_BYTES = 8 * 1024, /* encoded between two looks at the clock */
+    SLICE_US = 1000,
+    SLICE_PAUSE_MS = 2, /* a snapshot takes a third of the thread's time */
+};
+
 static void
 copy_meta(struct raft_snapshot *out, const struct raft_snapshot *in)
 {
@@ -20,60 +28,125 @@
         const struct raft_install *in = &out->installs[i];
         struct storage_job *job = storage_job_create(STORAGE_INSTALL);
 
-        if (in->offset == 0) {
-            buf_clear(&r->install);
-        }
-        buf_append_str(&r->install, in->bytes);
         copy_meta(&job->u.install.meta, &in->snapshot);
         buf_append_str(&job->u.install.bytes, in->bytes);
         job->u.install.offset = in->offset;
         job->u.install.last = in->last;
         job->u.install.reset_log = in->reset_log;
+        r->installing = r->installing || in->last;
         storage_submit(r->storage, job);
     }
 }
 
 void
-replica_install_done(struct replica *r, const struct storage_job *job)
+replica_drop_snapshot(struct replica *r)
+{
+    str_free(&r->taking.members);
+    r->taking = (struct raft_snapshot){0};
+}
+
+/* Freeing a large state takes long, so the storage thread does it. */
+static void
+discard_state(struct replica *r)
 {
-    struct state *state;
+    struct storage_job *job = storage_job_create(STORAGE_DISCARD);
 
+    job->u.discard = r->state;
+    r->state = NULL;
+    storage_submit(r->storage, job);
+}
+
+void
+replica_install_done(struct replica *r, struct storage_job *job)
+{
     if (!job->u.install.last) {
         return;
     }
-    state = state_decode(buf_str(&r->install));
-    buf_clear(&r->install);
-    if (state == NULL) {
-        replica_storage_failed(r, "decoding an installed snapshot",
-                               STORE_ERR_DAMAGED);
-        return;
-    }
-    state_destroy(r->state);
-    r->state = state;
+    r->installing = false;
+    replica_drop_snapshot(r);
+    discard_state(r);
+    r->state = job->u.install.state;
+    job->u.install.state = NULL;
     r->snapshot_index = job->u.install.meta.index;
     raft_installed(r->raft, r->control->now, job->u.install.meta.index);
     log_write(LOG_LEVEL_NOTICE, "raft: installed the snapshot at %llu",
               (unsigned long long)job->u.install.meta.index);
 }
 
-void
-replica_take_snapshot(struct replica *r)
+static bool
+may_store(const struct replica *r)
+{
+    return !r->installing && !storage_snapshot_busy(r->storage) &&
+           !raft_snapshot_busy(r->raft);
+}
+
+static void
+begin(struct replica *r)
 {
-    struct storage_job *job;
     struct raft_snapshot meta;
     uint64_t applied = state_index(r->state);
 
     if (applied - r->snapshot_index < r->control->settings->snapshot_entries ||
-        storage_snapshot_busy(r->storage) || raft_snapshot_busy(r->raft)) {
+        !may_store(r)) {
         return;
     }
     raft_snapshot_meta(r->raft, &meta);
     if (meta.index != applied) {
         return;
     }
-    job = storage_job_create(STORAGE_SNAPSHOT);
-    copy_meta(&job->u.snapshot.meta, &meta);
-    state_encode(r->state, &job->u.snapshot.bytes);
+    copy_meta(&r->taking, &meta);
     r->snapshot_index = applied;
+    r->longest_slice = 0;
+    r->slice_due = r->control->now;
+    state_snapshot_begin(r->state);
+}
+
+static bool
+encode_slice(struct replica *r)
+{
+    int64_t start = clock_now();
+    int64_t now;
+    bool done;
+
+    do {
+        done = state_snapshot_step(r->state, STEP_BYTES);
+        now = clock_now();
+    } while (!done && now - start < SLICE_US * NS_PER_US);
+    if (now - start > r->longest_slice) {
+        r->longest_slice = now - start;
+    }
+    r->slice_due = now + SLICE_PAUSE_MS * NS_PER_MS;
+    return done;
+}
+
+static void
+store(struct replica *r)
+{
+    struct storage_job *job = storage_job_create(STORAGE_SNAPSHOT);
+
+    job->u.snapshot.meta = r->taking;
+    r->taking = (struct raft_snapshot){0};
+    state_snapshot_take(r->state, &job->u.snapshot.chunks);
+    log_write(LOG_LEVEL_INFO, "raft: snapshot at %llu, longest slice %lld us",
+              (unsigned long long)job->u.snapshot.meta.index,
+              (long long)(r->longest_slice / NS_PER_US));
     storage_submit(r->storage, job);
 }
+
+void
+replica_take_snapshot(struct replica *r)
+{
+    if (r->taking.index == 0) {
+        begin(r);
+    }
+    if (r->taking.index != 0 && r->slice_due <= r->control->now &&
+        encode_slice(r) && may_store(r)) {
+        store(r);
+    }
+}
+
+int64_t
+replica_snapshot_deadline(const struct replica *r)
+{
+    return r->taking.index == 0 ? DEADLINE_NONE : r->slice_due;
+}
--- a/packages/daemon/storage.c
+++ b/packages/daemon/storage.c
@@ -11,7 +11,9 @@
     struct ring *work;
     struct ring *done;
     pthread_t thread;
-    struct store_snapshot *install; /* storage thread only */
+    /* Storage thread only: the snapshot that is being installed. */
+    struct store_snapshot *install;
+    struct buf install_bytes;
     /* Control thread only: jobs that wait for the one in flight. */
     struct storage_job *first;
     struct storage_job *last;
@@ -43,20 +45,40 @@
     case STORAGE_INSTALL:
         str_free(&job->u.install.meta.members);
         buf_free(&job->u.install.bytes);
+        state_destroy(job->u.install.state);
         break;
     case STORAGE_READ:
         buf_free(&job->u.read.bytes);
         break;
     case STORAGE_SNAPSHOT:
         str_free(&job->u.snapshot.meta.members);
-        buf_free(&job->u.snapshot.bytes);
+        state_chunks_free(&job->u.snapshot.chunks);
         break;
     case STORAGE_CLUSTER:
         break;
+    case STORAGE_DISCARD:
+        state_destroy(job->u.discard);
+        break;
     }
     mem_free(job);
 }
 
+/* Decoding takes long, so it is not left to the control thread. */
+static enum store_error
+finish_install(struct storage *s, struct storage_job *job)
+{
+    struct store_snapshot *w = s->install;
+
+    s->install = NULL;
+    job->u.install.state = state_decode(buf_str(&s->install_bytes));
+    buf_free(&s->install_bytes);
+    if (job->u.install.state == NULL) {
+        store_snapshot_abort(w);
+        return STORE_ERR_DAMAGED;
+    }
+    return store_snapshot_commit(w, job->u.install.reset_log);
+}
+
 static enum store_error
 run_install(struct storage *s, struct storage_job *job)
 {
@@ -67,16 +89,17 @@
             store_snapshot_abort(s->install);
             s->install = NULL;
         }
+        buf_clear(&s->install_bytes);
         error =
             store_snapshot_begin(s->store, &job->u.install.meta, &s->install);
     }
     if (error == STORE_OK) {
+        buf_append_str(&s->install_bytes, buf_str(&job->u.install.bytes));
         error =
             store_snapshot_write(s->install, buf_str(&job->u.install.bytes));
     }
     if (error == STORE_OK && job->u.install.last) {
-        error = store_snapshot_commit(s->install, job->u.install.reset_log);
-        s->install = NULL;
+        error = finish_install(s, job);
     }
     return error;
 }
@@ -84,6 +107,7 @@
 static enum store_error
 run_snapshot(struct storage *s, struct storage_job *job)
 {
+    struct state_chunks *chunks = &job->u.snapshot.chunks;
     struct store_snapshot *w;
     enum store_error error =
         store_snapshot_begin(s->store, &job->u.snapshot.meta, &w);
@@ -91,7 +115,11 @@
     if (error != STORE_OK) {
         return error;
     }
-    error = store_snapshot_write(w, buf_str(&job->u.snapshot.bytes));
+    for (size_t i = 0; error == STORE_OK && i < chunks->count; i++) {
+        error = store_snapshot_write(w, buf_str(&chunks->list[i]));
+    }
+    /* Not left to the control thread, which frees the job. */
+    state_chunks_free(chunks);
     if (error != STORE_OK) {
         store_snapshot_abort(w);
         return error;
@@ -115,6 +143,10 @@
         return run_snapshot(s, job);
     case STORAGE_CLUSTER:
         return store_set_cluster(s->store, job->u.cluster);
+    case STORAGE_DISCARD:
+        state_destroy(job->u.discard);
+        job->u.discard = NULL;
+        return STORE_OK;
     }
     return STORE_ERR_INVALID;
 }
@@ -176,6 +208,7 @@
     if (s->install != NULL) {
         store_snapshot_abort(s->install);
     }
+    buf_free(&s->install_bytes);
     store_close(s->store);
     ring_destroy(s->work);
     mem_free(s);
--- a/packages/daemon/storage.h
+++ b/packages/daemon/storage.h
@@ -3,6 +3,7 @@
 
 #include "raft.h"
 #include "ring.h"
+#include "state.h"
 #include "store.h"
 
 /*
@@ -18,6 +19,7 @@
     STORAGE_READ,
     STORAGE_SNAPSHOT,
     STORAGE_CLUSTER,
+    STORAGE_DISCARD,
 };
 
 struct storage_job {
@@ -35,6 +37,7 @@
             uint64_t offset;
             bool last;
             bool reset_log;
+            struct state *state; /* decoded with the last chunk */
         } install;
         struct {
             uint64_t to;
@@ -46,9 +49,10 @@
         } read;
         struct {
             struct raft_snapshot meta; /* members is a heap copy */
-            struct buf bytes;
+            struct state_chunks chunks;
         } snapshot;
         uint64_t cluster;
+        struct state *discard; /* to be freed */
     } u;
 };
 
--- a/tests/test_state_slices.c
+++ b/tests/test_state_slices.c
@@ -144,6 +144,146 @@
     state_destroy(r.plain);
 }
 
+/* A state whose bounds the random commands do not reach. */
+struct bound {
+    struct state *s;
+    struct state_actor by;
+    struct buf cmd;
+};
+
+static void
+bound_apply(struct bound *b)
+{
+    struct state_result result;
+
+    state_apply(b->s, state_index(b->s) + 1, buf_str(&b->cmd), &result);
+    buf_clear(&b->cmd);
+}
+
+static void
+bound_setup(struct bound *b, gconstpointer data)
+{
+    struct state_settings settings = state_settings_default;
+    struct state_team_item team = {STR("t"), 1};
+
+    b->s = state_create();
+    b->by.wall_ms = 1700000000000;
+    settings.request_bytes_max = 1000;
+    state_cmd_teams_set(&b->cmd, &b->by, 0, &team, 1);
+    bound_apply(b);
+    if (data == NULL) {
+        state_cmd_bootstrap(&b->cmd, &b->by, 1, NULL, 0, &settings);
+        bound_apply(b);
+    }
+}
+
+static void
+bound_teardown(struct bound *b, gconstpointer data)
+{
+    state_destroy(b->s);
+    buf_free(&b->cmd);
+}
+
+/* Applies the command in the middle of a snapshot. */
+static void
+assert_kept(struct bound *b)
+{
+    struct state_chunks chunks;
+    struct buf before = {0};
+    struct buf bytes = {0};
+
+    state_encode(b->s, &before);
+    state_snapshot_begin(b->s);
+    bound_apply(b);
+    g_assert_true(state_snapshot_step(b->s, SIZE_MAX));
+    state_snapshot_take(b->s, &chunks);
+    join(&chunks, &bytes);
+    g_assert_true(str_eq(buf_str(&bytes), buf_str(&before)));
+    buf_clear(&before);
+    state_encode(b->s, &before);
+    g_assert_false(str_eq(buf_str(&bytes), buf_str(&before)));
+    buf_free(&before);
+    buf_free(&bytes);
+}
+
+static void
+end_request(struct bound *b, const char *key, uint64_t number)
+{
+    static const char body[400];
+    struct state_response response = {200, STR(""), {body, sizeof(body)}};
+
+    state_cmd_request_end(&b->cmd, &b->by, 1, str_of(key), number,
+                          STATE_REQUEST_FINISHED, &response);
+}
+
+/* Guards against a snapshot without the response that a later one displaced.
+ */
+static void
+test_displaced_response(struct bound *b, gconstpointer data)
+{
+    static const char *const keys[] = {"a", "b", "c"};
+    uint8_t digest[STATE_DIGEST_BYTES] = {0};
+
+    for (uint64_t i = 0; i < 3; i++) {
+        state_cmd_request_begin(&b->cmd, &b->by, 1, str_of(keys[i]), digest,
+                                STR("vm"), i, 1000);
+        bound_apply(b);
+    }
+    end_request(b, "b", 2);
+    bound_apply(b);
+    end_request(b, "c", 3);
+    bound_apply(b);
+    end_request(b, "a", 1);
+    assert_kept(b);
+    g_assert_false(state_request(b->s, 1, STR("b"))->stored);
+}
+
+/* Guards against a snapshot without the entry that a full trail dropped. */
+static void
+test_full_audit(struct bound *b, gconstpointer data)
+{
+    while (state_audit_last(b->s) < STATE_AUDIT_MAX) {
+        state_cmd_teams_set(&b->cmd, &b->by, UINT64_MAX, NULL, 0);
+        bound_apply(b);
+    }
+    state_cmd_teams_set(&b->cmd, &b->by, UINT64_MAX, NULL, 0);
+    assert_kept(b);
+    g_assert_cmpuint(state_audit_first(b->s), ==, 2);
+}
+
+/* Guards against a snapshot without the tombstone that a command dropped. */
+static void
+test_expired_key(struct bound *b, gconstpointer data)
+{
+    for (uint64_t i = 1; i <= STATE_WITHDRAWN_KEY_KEEP + 1; i++) {
+        uint8_t hash[STATE_HASH_BYTES] = {(uint8_t)i, (uint8_t)(i >> 8)};
+
+        state_cmd_key_add(&b->cmd, &b->by, STATE_KEY_WORKER, STR(""), hash);
+        bound_apply(b);
+        state_cmd_key_delete(&b->cmd, &b->by, i);
+        bound_apply(b);
+    }
+    g_assert_nonnull(state_key(b->s, 1));
+    state_cmd_entry_lost(&b->cmd, &b->by, STR("vm"));
+    assert_kept(b);
+    g_assert_null(state_key(b->s, 1));
+}
+
+/* Guards against a snapshot without the history that a bootstrap clears. */
+static void
+test_late_bootstrap(struct bound *b, gconstpointer data)
+{
+    state_cmd_bootstrap(&b->cmd, &b->by, 1, NULL, 0, &state_settings_default);
+    assert_kept(b);
+}
+
+static void
+add_bound(const char *path, const void *data,
+          void (*test)(struct bound *, gconstpointer))
+{
+    g_test_add(path, struct bound, data, bound_setup, test, bound_teardown);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -153,5 +293,11 @@
         g_test_add_data_func(path, GSIZE_TO_POINTER(seed), test_slices);
         g_free(path);
     }
+    add_bound("/state/slices/displaced_response", NULL,
+              test_displaced_response);
+    add_bound("/state/slices/full_audit", NULL, test_full_audit);
+    add_bound("/state/slices/expired_key", NULL, test_expired_key);
+    add_bound("/state/slices/late_bootstrap", "no bootstrap",
+              test_late_bootstrap);
     return g_test_run();
 }
