--- a/packages/state/slices.c
+++ b/packages/state/slices.c
@@ -10,7 +10,9 @@
 #include "mem.h"
 
 enum {
-    CHUNK_BYTES = 256 * 1024,
+    /* One more record of the usual size still fits into 256 KiB, the size of
+     * the buffer by then. */
+    CHUNK_BYTES = 240 * 1024,
 };
 
 struct writer *
