--- a/tests/test_state_slices.c
+++ b/tests/test_state_slices.c
@@ -85,14 +85,16 @@
 {
     struct rng *rng = &r->gen.rng;
 
-    if (!r->active && rng_below(rng, 6) == 0) {
-        begin(r);
+    if (!r->active) {
+        if (rng_below(rng, 6) == 0) {
+            begin(r);
+        }
     }
-    else if (r->active && rng_below(rng, 400) == 0) {
+    else if (rng_below(rng, 400) == 0) {
         /* An install or a leader change that ends the snapshot half-way. */
         replace(r, buf_str(&r->expected));
     }
-    else if (r->active && rng_below(rng, 400) == 0) {
+    else if (rng_below(rng, 400) == 0) {
         begin(r);
     }
     if (r->active && rng_below(rng, 3) == 0 &&
@@ -180,6 +182,7 @@
 static void
 bound_teardown(struct bound *b, gconstpointer data)
 {
+    (void)data;
     state_destroy(b->s);
     buf_free(&b->cmd);
 }
@@ -224,6 +227,7 @@
     static const char *const keys[] = {"a", "b", "c"};
     uint8_t digest[STATE_DIGEST_BYTES] = {0};
 
+    (void)data;
     for (uint64_t i = 0; i < 3; i++) {
         state_cmd_request_begin(&b->cmd, &b->by, 1, str_of(keys[i]), digest,
                                 STR("vm"), i, 1000);
@@ -242,6 +246,7 @@
 static void
 test_full_audit(struct bound *b, gconstpointer data)
 {
+    (void)data;
     while (state_audit_last(b->s) < STATE_AUDIT_MAX) {
         state_cmd_teams_set(&b->cmd, &b->by, UINT64_MAX, NULL, 0);
         bound_apply(b);
@@ -255,6 +260,7 @@
 static void
 test_expired_key(struct bound *b, gconstpointer data)
 {
+    (void)data;
     for (uint64_t i = 1; i <= STATE_WITHDRAWN_KEY_KEEP + 1; i++) {
         uint8_t hash[STATE_HASH_BYTES] = {(uint8_t)i, (uint8_t)(i >> 8)};
 
@@ -273,6 +279,7 @@
 static void
 test_late_bootstrap(struct bound *b, gconstpointer data)
 {
+    (void)data;
     state_cmd_bootstrap(&b->cmd, &b->by, 1, NULL, 0, &state_settings_default);
     assert_kept(b);
 }
