daemon: find a gone caller's request from its call; copy no pool names

serve_gone walked all requests of the entry for each caller that hung up. The call has a field for its consumer; it now points to the request and is cleared when the request ends, because a FRONT_ITEM_GONE may follow the answer.

entry_report.c and entries_grants.c both copied pool names to end them with a NUL byte. The router and the ledger store them with one already, which units.h now promises, so nothing is left of the two copies.

--- a/packages/daemon/entries_grants.c
+++ b/packages/daemon/entries_grants.c
@@ -28,6 +28,7 @@
     endpoints_since(l, e->endpoints_seq, full, changes);
     grant->endpoints_full = full;
     grant->endpoints_seq = l->endpoint_seq;
+    grant->endpoints_complete = l->control->now >= l->endpoints_known_at;
     grant->n_endpoints = changes->count;
     grant->endpoints = changes->pointers;
     grant->n_endpoints_gone = changes->gone_count;
@@ -37,28 +38,19 @@
 struct unit_space {
     Wire__UnitGrant *list;
     Wire__UnitGrant **pointers;
-    struct buf names;
 };
 
 static void
 fill_units(const struct grants *grants, struct unit_space *space,
            Wire__EntryGrant *grant)
 {
-    size_t bytes = 0;
-
-    for (size_t i = 0; i < grants->count; i++) {
-        bytes += grants->items[i].pool.len + 1;
-    }
-    buf_reserve(&space->names, bytes + 1);
     space->list = mem_zalloc(grants->count + 1, sizeof(*space->list));
     space->pointers = mem_zalloc(grants->count + 1, sizeof(*space->pointers));
     for (size_t i = 0; i < grants->count; i++) {
         Wire__UnitGrant *u = &space->list[i];
 
         wire__unit_grant__init(u);
-        u->pool = space->names.ptr + space->names.len;
-        buf_append_str(&space->names, grants->items[i].pool);
-        buf_append(&space->names, "", 1);
+        u->pool = (char *)grants->items[i].pool.ptr;
         u->units = grants->items[i].units;
         space->pointers[i] = u;
     }
@@ -100,7 +92,6 @@
     grants_free(&grants);
     mem_free(space.list);
     mem_free(space.pointers);
-    buf_free(&space.names);
     buf_free(&config);
 }
 
--- a/packages/daemon/entry_report.c
+++ b/packages/daemon/entry_report.c
@@ -8,28 +8,19 @@
 struct sync_space {
     Wire__UnitReport *list;
     Wire__UnitReport **pointers;
-    struct buf names;
 };
 
 static void
 fill_units(const struct report *report, struct sync_space *space,
            Wire__EntrySync *sync)
 {
-    size_t bytes = 0;
-
-    for (size_t i = 0; i < report->count; i++) {
-        bytes += report->items[i].pool.len + 1;
-    }
-    buf_reserve(&space->names, bytes + 1);
     space->list = mem_zalloc(report->count + 1, sizeof(*space->list));
     space->pointers = mem_zalloc(report->count + 1, sizeof(*space->pointers));
     for (size_t i = 0; i < report->count; i++) {
         Wire__UnitReport *u = &space->list[i];
 
         wire__unit_report__init(u);
-        u->pool = space->names.ptr + space->names.len;
-        buf_append_str(&space->names, report->items[i].pool);
-        buf_append(&space->names, "", 1);
+        u->pool = (char *)report->items[i].pool.ptr;
         u->held = report->items[i].held;
         u->used = report->items[i].used;
         u->wanted = report->items[i].wanted;
@@ -55,6 +46,7 @@
     fill_units(&report, &space, &sync);
     sync.term = report.term;
     sync.seq = report.seq;
+    e->report_seq = report.seq;
     sync.ack_term = report.ack.term;
     sync.ack_seq = report.ack.seq;
     sync.up_ms = report.up_ns / NS_PER_MS;
@@ -77,5 +69,4 @@
     str_free(&address);
     mem_free(space.list);
     mem_free(space.pointers);
-    buf_free(&space.names);
 }
--- a/packages/daemon/serve.c
+++ b/packages/daemon/serve.c
@@ -21,6 +21,8 @@
     if (r->marked) {
         marks_forget(e, r);
     }
+    /* A FRONT_ITEM_GONE may follow the answer. */
+    r->call->user = NULL;
     http_headers_free(&r->response.headers);
     buf_free(&r->response.body);
     str_free(&r->service);
@@ -168,14 +170,8 @@
 serve_gone(struct entry *e, const struct front_call *call)
 {
     struct router_event event = {.kind = ROUTER_CALLER_GONE};
-    struct request *r;
-    void *cursor = NULL;
+    const struct request *r = call->user;
 
-    while ((r = map_next(e->requests, &cursor)) != NULL) {
-        if (r->call == call) {
-            break;
-        }
-    }
     /* What was sent with a record goes on, so that its outcome is stored. */
     if (r == NULL || r->phase == REQUEST_STORING || (r->marked && r->sent)) {
         return;
--- a/packages/route/include/units.h
+++ b/packages/route/include/units.h
@@ -15,6 +15,7 @@
  *   e:ID       the slots of endpoint ID
  *   t:NUMBER   the concurrent requests of the team with that number
  *   s:SERVICE  no pool: the demand of an entry for slots of that service
+ * What the router and the ledger give out ends with a NUL byte.
  */
 #define POOL_ENDPOINT "e:"
 #define POOL_TEAM "t:"
