daemon: an entry is ready once it knows every endpoint and holds units

/v1/ready answered 200 with the configuration lease, which the answer to the first report grants. A process that has just started knows no service then, so it asked for no units and got none, and a leader that was just elected had not heard of all endpoints. Requests that the load balancer sent waited.

The leader now marks its list of endpoints as complete once it has led for an endpoint lease, and readiness waits for the complete list, the answer to a later report, and a slot, for at most an endpoint and a configuration lease. An entry that was ready once depends on its configuration lease only, so that a missing leader does not take all entries out of service.

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -84,6 +84,28 @@
     return e->config_deadline > clock_now();
 }
 
+static bool
+has_units(const struct entry *e)
+{
+    struct router_stats stats;
+
+    if (!e->units_answered) {
+        return false;
+    }
+    router_stats(e->router, &stats);
+    return stats.slots_held != 0 || stats.endpoints == 0;
+}
+
+bool
+entry_settled(struct entry *e)
+{
+    if (!entry_ready(e)) {
+        return false;
+    }
+    e->settled = e->settled || clock_now() >= e->settle_by || has_units(e);
+    return e->settled;
+}
+
 struct link *
 entry_leader_link(const struct entry *e)
 {
--- a/packages/daemon/entry.h
+++ b/packages/daemon/entry.h
@@ -61,6 +61,14 @@
 bool
 entry_ready(const struct entry *e);
 
+/*
+ * Whether the load balancer should send requests here: entry_ready, and since
+ * the start of the process the entry has once known every endpoint and been
+ * granted units. The second part is waited for within a bounded time only.
+ */
+bool
+entry_settled(struct entry *e);
+
 /* Drain: finishes what is queued and in flight. */
 void
 entry_drain(struct entry *e);
--- a/packages/daemon/entry_grant.c
+++ b/packages/daemon/entry_grant.c
@@ -266,6 +266,29 @@
     serve_event(e, &event);
 }
 
+/*
+ * The first grants to a process hold no units, because a report asks for them
+ * by service, and a new leader hears of the endpoints only within their lease.
+ */
+static void
+note_start(struct entry *e, const Wire__EntryGrant *grant)
+{
+    const struct settings *s = e->control->settings;
+
+    if (e->settle_by == 0) {
+        e->settle_by = e->control->now +
+                       (s->endpoint_lease_ms + s->config_lease_ms) * NS_PER_MS;
+    }
+    if (e->listed_seq != 0) {
+        e->units_answered =
+            e->units_answered || grant->report_seq > e->listed_seq;
+    }
+    else if (grant->endpoints_complete) {
+        e->listed_seq = e->report_seq;
+        e->report_now = true;
+    }
+}
+
 void
 entry_grant(struct entry *e, const Wire__EntryGrant *grant)
 {
@@ -290,6 +313,7 @@
     apply_endpoints(e, grant);
     apply_units(e, grant);
     renew_config_lease(e, grant);
+    note_start(e, grant);
     if (grant->drain) {
         control_drain(e->control);
     }
--- a/packages/daemon/entry_http.c
+++ b/packages/daemon/entry_http.c
@@ -66,7 +66,9 @@
         respond_probe(call, false, "draining");
     }
     else {
-        respond_probe(call, entry_ready(e), "no configuration lease");
+        respond_probe(call, entry_settled(e),
+                      entry_ready(e) ? "no endpoints or units yet"
+                                     : "no configuration lease");
     }
 }
 
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -71,6 +71,11 @@
     struct control *control;
     struct confview *config;
     int64_t config_deadline; /* of the configuration lease */
+    bool settled;            /* was ready since the process started */
+    int64_t settle_by;   /* ready at the latest; 0 before the first lease */
+    uint64_t listed_seq; /* last report before the list of endpoints was
+                          * complete; 0 until then */
+    bool units_answered; /* ... and a later one was answered */
     bool draining;
     bool left;          /* sends nothing any more */
     bool left_recorded; /* ... and the state says so */
@@ -78,7 +83,8 @@
 
     struct str leader_vm; /* owned */
     uint64_t leader_term;
-    bool report_now; /* without waiting until it is due */
+    bool report_now;     /* without waiting until it is due */
+    uint64_t report_seq; /* last one sent */
 
     struct router *router;
     struct router_actions actions;
--- a/packages/daemon/leader.c
+++ b/packages/daemon/leader.c
@@ -54,6 +54,8 @@
                 1);
     entries_create(l);
     l->endpoints = map_create();
+    l->endpoints_known_at =
+        c->now + c->settings->endpoint_lease_ms * NS_PER_MS;
     workers_create(l);
     placement_create(l);
     requests_create(l);
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -360,6 +360,7 @@
 
     struct map *endpoints; /* id to struct endpoint_record */
     struct heap endpoint_expiry;
+    int64_t endpoints_known_at; /* all had time to announce themselves */
     uint64_t endpoint_seq;
     uint64_t endpoint_gone_floor; /* removals up to here are forgotten */
     struct endpoint_gone *gone_first;
--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -343,10 +343,14 @@
    * it is recorded that this process has left
    */
   protobuf_c_boolean left;
+  /*
+   * every endpoint had time to be announced
+   */
+  protobuf_c_boolean endpoints_complete;
 };
 #define WIRE__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__entry_grant__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Wire__StoredResponse
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -1920,7 +1920,7 @@
   (ProtobufCMessageInit) wire__unit_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[15] =
+static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[16] =
 {
   {
     "term",
@@ -2102,6 +2102,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoints_complete",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntryGrant, endpoints_complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__entry_grant__field_indices_by_name[] = {
   6,   /* field[6] = config */
@@ -2109,6 +2121,7 @@
   5,   /* field[5] = config_version */
   13,   /* field[13] = drain */
   10,   /* field[10] = endpoints */
+  15,   /* field[15] = endpoints_complete */
   8,   /* field[8] = endpoints_full */
   11,   /* field[11] = endpoints_gone */
   9,   /* field[9] = endpoints_seq */
@@ -2123,7 +2136,7 @@
 static const ProtobufCIntRange wire__entry_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wire__entry_grant__descriptor =
 {
@@ -2133,7 +2146,7 @@
   "Wire__EntryGrant",
   "wire",
   sizeof(Wire__EntryGrant),
-  15,
+  16,
   wire__entry_grant__field_descriptors,
   wire__entry_grant__field_indices_by_name,
   1,  wire__entry_grant__number_ranges,
