--- a/bench/cell.sh
+++ b/bench/cell.sh
@@ -51,6 +51,23 @@
     endpoint_key=$(cell_key --kind endpoint)
 }
 
+# cell_endpoints COUNT DELAY_MS: endpoints e1... of the service "echo" on ports
+# base + 201..., of 8 slots each; returns when requests are answered.
+cell_endpoints() {
+    local e
+    for e in $(seq "$1"); do
+        # shellcheck disable=SC2086
+        "$bin/fakes/endpoint" --id "e$e" --service echo \
+            --port $((base + 200 + e)) --failure-domain "fd$((e % 3))" \
+            --key "$endpoint_key" $entry_args --linger-ms 0 --delay-ms "$2" \
+            2>"$dir/e$e.log" &
+        pids="$pids $!"
+    done
+    export GUAVAROCK_KEY=$team_key
+    await "$bin/guavarock" request echo /
+    sleep 1
+}
+
 cell_key_files() { cat "$dir"/vm*/operator.key; }
 cell_key() { "$bin/guavarock" key give "$@" | sed -n 's/^key //p'; }
 
