--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -31,6 +31,8 @@
 
 #define WARM_NS (6 * NS_PER_S)
 #define RUN_NS (8 * NS_PER_S)
+/* More than the window after which a dead entry's units are free. */
+#define LONG_RUN_NS (40 * NS_PER_S)
 #define TICK_NS NS_PER_MS
 
 static const struct {
@@ -62,6 +64,8 @@
     int failing;    /* endpoints that reset connections */
     bool shift;     /* demand moves to other entries half-way */
     bool uneven;    /* a third of the entries has 80 % of the demand */
+    int64_t run_ns; /* that is measured, after WARM_NS */
+    bool kill;      /* the last entry dies when the measuring starts */
 };
 
 enum event_kind {
@@ -163,7 +167,14 @@
 static bool
 measuring(const struct model *m)
 {
-    return m->now >= WARM_NS && m->now < WARM_NS + RUN_NS;
+    return m->now >= WARM_NS && m->now < WARM_NS + m->scenario->run_ns;
+}
+
+static bool
+is_dead(const struct model *m, int entry)
+{
+    return m->scenario->kill && m->now >= WARM_NS &&
+           entry == m->scenario->entries - 1;
 }
 
 static bool
@@ -343,7 +354,9 @@
 {
     struct router_event ev = {.kind = ROUTER_GRANTS, .grants = &e->grants};
 
-    step(m, e->entry, &ev);
+    if (!is_dead(m, e->entry)) {
+        step(m, e->entry, &ev);
+    }
     for (size_t i = 0; i < e->grants.count; i++) {
         str_free(&e->grants.items[i].pool);
     }
@@ -415,9 +428,16 @@
     };
     m->request_count++;
     step(m, entry, &ev);
-    if (m->now < m->scenario->end_ns) {
-        event_add(m, EV_ARRIVE, entry, m->now + next_gap(m, entry));
-    }
+}
+
+/* The load balancer sends what would meet a dead entry to another. */
+static int
+balance(struct model *m, int entry)
+{
+    int others = m->scenario->entries - 1;
+
+    return is_dead(m, entry) ? (int)rng_below(&m->rng, (uint64_t)others)
+                             : entry;
 }
 
 static void
@@ -427,6 +447,9 @@
 
     m->running[e->endpoint]--;
     m->served[e->endpoint] += e->ok && measuring(m);
+    if (is_dead(m, e->entry)) {
+        return;
+    }
     ev.attempt = (struct router_attempt){
         .request = e->request,
         .attempt = e->attempt,
@@ -446,6 +469,9 @@
 
     for (int i = 0; i < m->scenario->entries; i++) {
         struct router_stats s;
+        if (is_dead(m, i)) {
+            continue;
+        }
         router_stats(m->routers[i], &s);
         all_waiting += s.queued;
         all_idle -= s.in_flight;
@@ -471,6 +497,9 @@
     struct router_event ev = {.kind = ROUTER_TICK};
 
     for (int i = 0; i < m->scenario->entries; i++) {
+        if (is_dead(m, i)) {
+            continue;
+        }
         if (router_next_deadline(m->routers[i]) <= m->now) {
             step(m, i, &ev);
         }
@@ -488,7 +517,10 @@
 {
     switch (e->kind) {
     case EV_ARRIVE:
-        arrive(m, e->entry);
+        arrive(m, balance(m, e->entry));
+        if (m->now < m->scenario->end_ns) {
+            event_add(m, EV_ARRIVE, e->entry, m->now + next_gap(m, e->entry));
+        }
         break;
     case EV_ENDED:
         ended(m, e);
@@ -683,7 +715,7 @@
 static void
 print_row(struct model *m)
 {
-    double seconds = (double)RUN_NS / NS_PER_S;
+    double seconds = (double)m->scenario->run_ns / NS_PER_S;
     double busiest = 0;
     double total = 0;
     double samples = m->samples == 0 ? 1 : (double)m->samples;
@@ -695,7 +727,7 @@
     printf("%-12s %5.2f %6.1f%% %8.0f %7.0f %6.1f%% %6.1f%% %8.1f %8.1f %8.1f "
            "%8.1f %6u %6.2f %5.1f%% %6.0f %5.1f%s\n",
            m->mode->name, m->scenario->load,
-           100 * m->useful_ns / (double)RUN_NS / CAPACITY,
+           100 * m->useful_ns / (double)m->scenario->run_ns / CAPACITY,
            (double)m->useful[0] / seconds, (double)m->useful[1] / seconds,
            100 * m->idle_strict / samples / CAPACITY,
            100 * m->idle_matched / samples / CAPACITY,
@@ -729,7 +761,8 @@
 
     s.entries = ENTRIES;
     s.endpoints = ENDPOINTS;
-    s.end_ns = WARM_NS + RUN_NS;
+    s.run_ns = s.run_ns == 0 ? RUN_NS : s.run_ns;
+    s.end_ns = WARM_NS + s.run_ns;
     print_head(title);
     for (size_t l = 0; l < load_count; l++) {
         s.load = loads[l];
@@ -806,6 +839,13 @@
         compare("overload, 10% of the endpoints fail", modes, 5,
                 (struct scenario){.failing = 5}, loads, 3, seed);
     }
+    if (only == 0 || only == 5) {
+        compare("40 s, no fault", modes, 1,
+                (struct scenario){.run_ns = LONG_RUN_NS}, normal, 1, seed);
+        compare("40 s, one of 9 entries dies at the start", modes, 1,
+                (struct scenario){.run_ns = LONG_RUN_NS, .kill = true}, normal,
+                1, seed);
+    }
     printf("\n%llu requests\n", (unsigned long long)requests_total);
     return 0;
 }
