--- a/bench/bench_latency.c
+++ b/bench/bench_latency.c
@@ -299,7 +299,7 @@
 measure(struct bench *b, size_t count, int64_t seconds, int repeats)
 {
     struct lane *lanes = make_lanes(b, count);
-    double added[REPEATS_MAX];
+    double added[REPEATS_MAX] = {0};
 
     for (int i = 0; i < repeats; i++) {
         added[i] = repeat(b, lanes, count, seconds);
