--- a/packages/route/router_int.h
+++ b/packages/route/router_int.h
@@ -18,7 +18,6 @@
     REPORTS_KEPT = 256,
 };
 
-TAILQ_HEAD(endpoint_list, endpoint);
 TAILQ_HEAD(units_list, units);
 TAILQ_HEAD(queue_list, queue);
 TAILQ_HEAD(request_list, request);
@@ -60,8 +59,8 @@
     uint64_t last_pick;
     struct units *units;
     struct heap_node timer;
-    bool is_free; /* on the service's list */
-    TAILQ_ENTRY(endpoint) in_free;
+    struct heap *ranked;   /* the heap of the service that holds rank */
+    struct heap_node rank; /* key: score; seq: last_pick */
 };
 
 struct cost {
@@ -97,7 +96,8 @@
     struct endpoint **endpoints;
     size_t endpoint_count;
     size_t endpoint_cap;
-    struct endpoint_list free;  /* with a held slot that is not in use */
+    struct heap open;           /* endpoints that can take a request */
+    struct heap probes;         /* those on probation without a request */
     struct map *queues;         /* by team number */
     struct heap active;         /* queues with requests whose team has units */
     struct request_list parked; /* retries that wait for another endpoint */
@@ -182,7 +182,12 @@
     struct map *keys;
     struct map *pools; /* struct units by name */
     struct units_list units;
-    struct heap timers; /* unanswered requests by deadline */
+    int64_t bound_ns;      /* attempts end within so long */
+    int64_t bound_wanted;  /* what reports say; at least bound_ns */
+    uint64_t bound_seq;    /* first report that said so */
+    int64_t bound_keep;    /* not lowered before */
+    int64_t last_deadline; /* of all requests that ever arrived */
+    struct heap timers;    /* unanswered requests by deadline */
     struct heap endpoint_timers;
     uint64_t seq;
     uint32_t serial;
@@ -218,6 +223,23 @@
 void
 report_soon(struct router *r);
 
+/* the bound on how long attempts last */
+void
+bound_init(struct router *r);
+/* Whether an attempt of the request may start now. */
+bool
+bound_allows(const struct router *r, const struct request *req, int64_t now);
+/* Call for each request before it may be sent. */
+void
+bound_arrival(struct router *r, int64_t now, int64_t deadline);
+/* What a report says: how much earlier than the longest request would all
+ * attempts end. */
+int64_t
+bound_report(struct router *r, int64_t now);
+/* The leader of the current term has taken that report. */
+void
+bound_answered(struct router *r, int64_t now, uint64_t report_seq);
+
 /* services and teams */
 struct service *
 service_find(const struct router *r, struct str name);
@@ -248,9 +270,12 @@
 endpoint_destroy(struct router *r, struct endpoint *e);
 void
 endpoint_timers(struct router *r, int64_t now, struct router_actions *out);
+/* Call after anything changed that the choice depends on. */
+void
+endpoint_rank(struct endpoint *e);
+/* The caller takes a unit of the result, which ranks it anew. */
 struct endpoint *
-endpoint_choose(struct router *r, struct service *s, const struct request *q,
-                int64_t now);
+endpoint_choose(struct router *r, struct service *s, const struct request *q);
 /* Whether the service has an endpoint that was not tried yet. */
 bool
 endpoint_untried(const struct service *s, const struct request *q,
--- a/packages/route/router_units.c
+++ b/packages/route/router_units.c
@@ -54,24 +54,6 @@
     r->report_urgent = true;
 }
 
-/* Keeps the service's list of endpoints with free slots. */
-static void
-track_free(struct endpoint *e)
-{
-    bool is_free = e->units->held > e->units->used;
-
-    if (is_free == e->is_free) {
-        return;
-    }
-    e->is_free = is_free;
-    if (is_free) {
-        TAILQ_INSERT_TAIL(&e->service->free, e, in_free);
-    }
-    else {
-        TAILQ_REMOVE(&e->service->free, e, in_free);
-    }
-}
-
 /* Sets held and keeps the count of free slots of the service. */
 static void
 set_held(struct router *r, struct units *u, uint32_t held)
@@ -84,7 +66,7 @@
     }
     u->held = held;
     if (u->endpoint != NULL) {
-        track_free(u->endpoint);
+        endpoint_rank(u->endpoint);
     }
 }
 
@@ -102,7 +84,7 @@
     u->used++;
     if (u->endpoint != NULL) {
         u->endpoint->service->free_slots--;
-        track_free(u->endpoint);
+        endpoint_rank(u->endpoint);
     }
 }
 
@@ -112,7 +94,7 @@
     u->used--;
     if (u->endpoint != NULL) {
         u->endpoint->service->free_slots++;
-        track_free(u->endpoint);
+        endpoint_rank(u->endpoint);
     }
     sink(r, u);
 }
@@ -207,6 +189,7 @@
     if (g->report_seq > r->report_acked) {
         r->report_acked = g->report_seq;
     }
+    bound_answered(r, now, g->report_seq);
     for (size_t i = 0; i < g->count; i++) {
         apply_item(r, now, &g->items[i]);
     }
@@ -230,10 +213,12 @@
 {
     void *cursor = NULL;
     const struct queue *q;
+    uint32_t parked = s->queued;
     uint32_t waiting = 0;
 
     while ((q = map_next(s->queues, &cursor)) != NULL) {
         const struct units *u = q->team->units;
+        parked -= q->count;
         uint32_t can = q->count;
         if (q->team->limited) {
             uint32_t room = u->held > u->used ? u->held - u->used : 0;
@@ -241,7 +226,7 @@
         }
         waiting += can;
     }
-    return s->in_flight + waiting;
+    return s->in_flight + waiting + parked;
 }
 
 /* Growth by an eighth is worth a report; less waits for the next one. */
@@ -373,6 +358,7 @@
     out->up_ns = now - r->started;
     out->full = r->report_acked <= r->term_seq;
     out->leaving = r->draining;
+    out->early_ns = bound_report(r, now);
     out->count = 0;
     report_units(r, now, out);
     r->report_urgent = false;
