daemon: survive a write beyond the file size limit

A control VM died of SIGXFSZ when its log reached RLIMIT_FSIZE, instead of stepping down as on a full disk. The signal is ignored now, so that write() fails with EFBIG and the member stops voting and acknowledging.

Before: /e2e/disk/leader-full and /e2e/disk/follower-full failed, the process ended without a log line. Ruled out: the raft and store code, which handled the failed write as it stands.

The cases limit the running process with prlimit(2) and strike until it logs that it stops voting. The setup that many end-to-end cases share is in tests/support/e2e_rig.c.

--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -100,6 +100,8 @@
     sigaddset(&set, SIGINT);
     pthread_sigmask(SIG_BLOCK, &set, NULL);
     signal(SIGPIPE, SIG_IGN);
+    /* A write beyond the file size limit fails with EFBIG instead. */
+    signal(SIGXFSZ, SIG_IGN);
 }
 
 int
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -24,6 +25,9 @@
 enum {
     STOP_MS = 15000,
     DAMAGE_BYTES = 64,
+    /* The limit holds for the process's log file as well, whose next lines
+     * must still fit. */
+    LIMIT_ROOM_BYTES = 8192,
 };
 
 /* ---- Files and ports ---- */
@@ -395,3 +399,35 @@
     }
     closedir(dir);
 }
+
+void
+cluster_vm_limit_files(struct cluster *c, int vm, bool limited)
+{
+    struct rlimit limit;
+    struct stat log;
+
+    history_write(c->history,
+                  "\"event\":\"fault\",\"kind\":\"%s\","
+                  "\"vm\":\"%s\"",
+                  limited ? "limit-files" : "unlimit-files", c->vms[vm].name);
+    REQUIRE(stat(c->vms[vm].log, &log) == 0);
+    REQUIRE(prlimit(c->vms[vm].pid, RLIMIT_FSIZE, NULL, &limit) == 0);
+    limit.rlim_cur =
+        limited ? (rlim_t)log.st_size + LIMIT_ROOM_BYTES : limit.rlim_max;
+    REQUIRE(prlimit(c->vms[vm].pid, RLIMIT_FSIZE, &limit, NULL) == 0);
+}
+
+bool
+cluster_vm_logged(const struct cluster *c, int vm, const char *text)
+{
+    FILE *f = fopen(c->vms[vm].log, "re");
+    char line[2048];
+    bool found = false;
+
+    REQUIRE(f != NULL);
+    while (!found && fgets(line, sizeof(line), f) != NULL) {
+        found = strstr(line, text) != NULL;
+    }
+    fclose(f);
+    return found;
+}
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -121,6 +121,16 @@
 void
 cluster_vm_damage(const struct cluster *c, int vm);
 
+/* Limits the size of the files that the running process may write to a few
+ * KiB more than its log file has, or lifts the limit. Writes beyond it fail
+ * as on a disk that is full. */
+void
+cluster_vm_limit_files(struct cluster *c, int vm, bool limited);
+
+/* Whether a line of the VM's log contains the text. */
+bool
+cluster_vm_logged(const struct cluster *c, int vm, const char *text);
+
 /* Whether /v1/ready answers 200. */
 bool
 cluster_vm_ready(const struct cluster *c, int vm);
@@ -130,6 +140,10 @@
 /* Index of the VM that leads, other than except (-1: none). */
 int
 cluster_leader(const struct cluster *c, int except);
+
+/* Whether the VM answers and says that it leads. */
+bool
+cluster_vm_leads(const struct cluster *c, int vm);
 int
 cluster_follower(const struct cluster *c);
 
--- a/tests/support/cluster_state.c
+++ b/tests/support/cluster_state.c
@@ -52,8 +52,8 @@
     AWAIT(cluster_vm_ready(c, vm));
 }
 
-static bool
-leads(const struct cluster *c, int vm)
+bool
+cluster_vm_leads(const struct cluster *c, int vm)
 {
     struct http_answer answer;
     bool yes = probe(c, vm, "/metrics", &answer) &&
@@ -67,7 +67,7 @@
 look_for_leader(const struct cluster *c, int except)
 {
     for (int i = 0; i < c->control; i++) {
-        if (i != except && leads(c, i)) {
+        if (i != except && cluster_vm_leads(c, i)) {
             return i;
         }
     }
--- /dev/null
+++ b/tests/support/e2e_rig.c
@@ -0,0 +1,112 @@
+#include "e2e_rig.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "await.h"
+#include "e2e.h"
+
+enum {
+    LOAD_DELAY_MS = 5,
+};
+
+struct cluster *
+e2e_start(int control, int entries, bool relays)
+{
+    struct cluster *c = cluster_start(control, entries, relays);
+
+    cluster_provision(c);
+    cluster_worker(c, "w1", NULL);
+    cluster_worker(c, "w2", NULL);
+    cluster_endpoint(c, "e1", NULL);
+    cluster_endpoint(c, "e2", NULL);
+    cluster_await_workers(c, 2);
+    cluster_await_endpoints(c, 2);
+    for (int vm = 0; vm < c->count; vm++) {
+        load_await(c, vm);
+    }
+    return c;
+}
+
+void
+e2e_put_jobs(const struct cluster *c, const char *prefix, int count,
+             const char *payload)
+{
+    char id[64];
+
+    for (int i = 0; i < count; i++) {
+        const struct api_job job = {
+            .id = id, .idempotent = i % 2 == 0, .payload = payload};
+
+        snprintf(id, sizeof(id), "%s-%d", prefix, i);
+        REQUIRE(api_job_put(c, &job) == 200);
+    }
+}
+
+void
+e2e_cancel(const struct cluster *c, const char *prefix)
+{
+    char path[64];
+    const struct api_call call = {"DELETE", path, c->team.key, NULL,
+                                  NULL,     NULL, -1,          0};
+
+    snprintf(path, sizeof(path), "/v1/jobs?prefix=%s", prefix);
+    AWAIT(api_call(c, &call, NULL) == 200);
+}
+
+int64_t
+e2e_change_teams(const struct cluster *c, int weight, int vm)
+{
+    char items[128];
+
+    snprintf(items, sizeof(items),
+             "[{\"name\":\"lamps\",\"weight\":%d},"
+             "{\"name\":\"looms\",\"weight\":1}]",
+             weight);
+    AWAIT(api_list_put(c, "teams", -1, items, NULL, vm) == 200);
+    return api_list_version(c, "teams", vm);
+}
+
+struct load *
+e2e_load(const struct cluster *c, int threads)
+{
+    const struct load_options options = {.threads = threads,
+                                         .delay_ms = LOAD_DELAY_MS,
+                                         .seed = (unsigned)e2e_random(1000)};
+
+    return load_start(c, &options);
+}
+
+bool
+e2e_has_arrived(const struct cluster *c, const char *tag)
+{
+    FILE *f = fopen(c->history_path, "re");
+    char line[4096];
+    bool found = false;
+
+    while (!found && fgets(line, sizeof(line), f) != NULL) {
+        found = strstr(line, "\"event\":\"request\"") != NULL &&
+                strstr(line, tag) != NULL;
+    }
+    fclose(f);
+    return found;
+}
+
+int64_t
+e2e_status(const struct cluster *c, const char *path)
+{
+    json_t *status = api_status(c);
+    int64_t number = api_number(status, path);
+
+    json_decref(status);
+    return number;
+}
+
+void
+e2e_finish(struct cluster *c)
+{
+    api_await_jobs_ended(c);
+    api_record_usage(c);
+    cluster_check(c);
+    cluster_destroy(c);
+}
--- /dev/null
+++ b/tests/support/e2e_rig.h
@@ -0,0 +1,49 @@
+#ifndef GV_TEST_E2E_RIG_H
+#define GV_TEST_E2E_RIG_H
+
+#include "cluster_api.h"
+#include "load.h"
+
+/* What many end-to-end cases share: a cluster with two workers and two
+ * endpoints, jobs, and the checks at the end. */
+
+enum {
+    /* Longer than each lease and the longest request, with margins. */
+    E2E_ALL_LEASES_MS =
+        CLUSTER_LONGEST_REQUEST_MS + CLUSTER_WORKER_LEASE_MS + 500,
+};
+
+/* Returns once each VM has answered a request with 200. */
+struct cluster *
+e2e_start(int control, int entries, bool relays);
+
+/* Submits batch jobs PREFIX-0, ..., every second one idempotent. */
+void
+e2e_put_jobs(const struct cluster *c, const char *prefix, int count,
+             const char *payload);
+
+/* Cancels the jobs with that prefix; waits until the call is accepted. */
+void
+e2e_cancel(const struct cluster *c, const char *prefix);
+
+/* Changes the weights of the teams; returns the list's new version. */
+int64_t
+e2e_change_teams(const struct cluster *c, int weight, int vm);
+
+/* Load with a seed from the test run. */
+struct load *
+e2e_load(const struct cluster *c, int threads);
+
+/* Whether the endpoints have got the request with that tag. */
+bool
+e2e_has_arrived(const struct cluster *c, const char *tag);
+
+/* A number of GET /v1/status. */
+int64_t
+e2e_status(const struct cluster *c, const char *path);
+
+/* Waits for all jobs to end, runs the history checker and destroys. */
+void
+e2e_finish(struct cluster *c);
+
+#endif
