--- a/tests/soak.c
+++ b/tests/soak.c
@@ -17,8 +17,8 @@
 #include "rng.h"
 
 enum {
-    CONTROL = 3,
-    VMS = 4,
+    CONTROL = 5, /* two of them at once are no majority */
+    VMS = 7,
     WORKERS = 3,
     ENDPOINTS = 3,
     THREADS = 6,
@@ -74,10 +74,11 @@
 
 /* ---- Faults ---- */
 
+/* Of the first so many kinds. */
 static struct fault
-choose(struct soak *s)
+choose(struct soak *s, int kinds)
 {
-    struct fault f = {(enum kind)below(s, KINDS), 0};
+    struct fault f = {(enum kind)below(s, kinds), 0};
 
     switch (f.kind) {
     case VM_KILL:
@@ -265,25 +266,29 @@
     cluster_await_endpoints(s->c, ENDPOINTS);
 }
 
-/*
- * Two VMs at once leave no quorum, so calls to the leader wait for the
- * repair; two data directories at once would lose the state for good.
- */
+enum mode {
+    ONE,
+    TWICE,
+    TOGETHER,
+    TWO_VMS,
+    MODES,
+};
+
 static bool
-go_together(const struct fault *a, const struct fault *b)
+go_together(enum mode mode, const struct fault *a, const struct fault *b)
 {
-    return !is_vm_fault(a->kind) || !is_vm_fault(b->kind);
+    return mode >= TOGETHER && (a->target != b->target ||
+                                is_vm_fault(a->kind) != is_vm_fault(b->kind));
 }
 
 static void
 run_round(struct soak *s)
 {
-    struct fault first = choose(s);
-    struct fault second = choose(s);
-    int mode = below(s, 3);
-    bool together = mode == 2 && go_together(&first, &second) &&
-                    (first.target != second.target ||
-                     is_vm_fault(first.kind) != is_vm_fault(second.kind));
+    enum mode mode = (enum mode)below(s, MODES);
+    int kinds = mode == TWO_VMS ? VM_DAMAGE + 1 : KINDS;
+    struct fault first = choose(s, kinds);
+    struct fault second = choose(s, kinds);
+    bool together = go_together(mode, &first, &second);
 
     inject(s, &first);
     if (together) {
@@ -302,7 +307,7 @@
         /* A process that has just started does not yet stop gracefully. */
         recover(s);
     }
-    if (mode == 1 && first.kind != VM_WIPE && first.kind != VM_DAMAGE) {
+    if (mode == TWICE && first.kind != VM_WIPE && first.kind != VM_DAMAGE) {
         inject(s, &first);
         pass(s);
         repair(s, &first);
--- a/tests/test_e2e.c
+++ b/tests/test_e2e.c
@@ -8,63 +8,21 @@
 #include "await.h"
 #include "cluster_api.h"
 #include "e2e.h"
+#include "e2e_rig.h"
 #include "load.h"
 
 enum {
-    /* Longer than each lease and the longest request, with margins. */
-    ALL_LEASES_MS = CLUSTER_LONGEST_REQUEST_MS + CLUSTER_WORKER_LEASE_MS + 500,
     CHANGES = 520,
 };
 
-static struct cluster *
-start(int control, int entries, bool relays)
-{
-    struct cluster *c = cluster_start(control, entries, relays);
-
-    cluster_provision(c);
-    cluster_worker(c, "w1", NULL);
-    cluster_worker(c, "w2", NULL);
-    cluster_endpoint(c, "e1", NULL);
-    cluster_endpoint(c, "e2", NULL);
-    cluster_await_workers(c, 2);
-    cluster_await_endpoints(c, 2);
-    for (int vm = 0; vm < c->count; vm++) {
-        load_await(c, vm);
-    }
-    return c;
-}
-
-static void
-put_jobs(const struct cluster *c, const char *prefix, int count)
-{
-    char id[64];
-
-    for (int i = 0; i < count; i++) {
-        const struct api_job job = {
-            .id = id, .idempotent = i % 2 == 0, .payload = "run_ms=200"};
-
-        snprintf(id, sizeof(id), "%s-%d", prefix, i);
-        g_assert_cmpint(api_job_put(c, &job), ==, 200);
-    }
-}
-
-static void
-finish(struct cluster *c)
-{
-    api_await_jobs_ended(c);
-    api_record_usage(c);
-    cluster_check(c);
-    cluster_destroy(c);
-}
-
 /* Guards against any break in the path of requests and jobs, and against a
  * planned stop that does not end with status 0. */
 static void
 test_path(void)
 {
-    struct cluster *c = start(3, 1, false);
+    struct cluster *c = e2e_start(3, 1, false);
 
-    put_jobs(c, "job", 6);
+    e2e_put_jobs(c, "job", 6, "run_ms=200");
     api_await_job(c, "job-0", "done");
     api_await_jobs_ended(c);
     api_record_usage(c);
@@ -83,23 +41,23 @@
 static void
 test_leader_killed(void)
 {
-    struct cluster *c = start(3, 0, false);
+    struct cluster *c = e2e_start(3, 0, false);
     const struct load_options options = {
         .threads = 8, .delay_ms = 5, .seed = (unsigned)e2e_random(1000)};
     struct load *load = load_start(c, &options);
     int old = cluster_leader(c, -1);
 
-    put_jobs(c, "before", 10);
+    e2e_put_jobs(c, "before", 10, "run_ms=200");
     load_await_more(load, 50);
     cluster_vm_kill(c, old);
     cluster_leader(c, old);
-    put_jobs(c, "after", 10);
+    e2e_put_jobs(c, "after", 10, "run_ms=200");
     load_await_more(load, 50);
     cluster_vm_start(c, old);
     cluster_await_whole(c);
     load_await_more(load, 50);
     load_stop(load);
-    finish(c);
+    e2e_finish(c);
 }
 
 /* Guards against a paused leader that answers from its old state when it
@@ -107,19 +65,19 @@
 static void
 test_leader_frozen(void)
 {
-    struct cluster *c = start(3, 0, false);
+    struct cluster *c = e2e_start(3, 0, false);
     struct cluster_key key = api_key_create(c, "team", "lamps");
     struct cluster_key team = c->team;
     int old = cluster_leader(c, -1);
-    int64_t until = clock_now() + ALL_LEASES_MS * NS_PER_MS;
+    int64_t until = clock_now() + E2E_ALL_LEASES_MS * NS_PER_MS;
     char outcome[16];
     int other;
 
-    put_jobs(c, "job", 6);
+    e2e_put_jobs(c, "job", 6, "run_ms=200");
     cluster_vm_freeze(c, old, true);
     other = cluster_leader(c, old);
     api_key_withdraw(c, key.id, other);
-    put_jobs(c, "meanwhile", 6);
+    e2e_put_jobs(c, "meanwhile", 6, "run_ms=200");
     AWAIT(clock_now() > until);
     cluster_vm_freeze(c, old, false);
     c->team = key;
@@ -129,7 +87,7 @@
     c->team = team;
     cluster_await_whole(c);
     load_await(c, old);
-    finish(c);
+    e2e_finish(c);
 }
 
 static void
@@ -151,7 +109,7 @@
 static void
 test_follower_behind(void)
 {
-    struct cluster *c = start(3, 0, false);
+    struct cluster *c = e2e_start(3, 0, false);
     int follower = cluster_follower(c);
     int leader;
     int64_t version;
@@ -167,19 +125,19 @@
     cluster_vm_kill(c, leader);
     cluster_leader(c, leader);
     g_assert_cmpint(api_list_version(c, "teams", follower), ==, version);
-    finish(c);
+    e2e_finish(c);
 }
 
 static void
 lose_data(bool damage)
 {
-    struct cluster *c = start(3, 0, false);
+    struct cluster *c = e2e_start(3, 0, false);
     int lost = cluster_follower(c);
     int second = (lost + 1) % 3;
     int64_t version;
 
     change_lists(c, -1, CLUSTER_SNAPSHOT_ENTRIES / 2);
-    put_jobs(c, "before", 4);
+    e2e_put_jobs(c, "before", 4, "run_ms=200");
     version = api_list_version(c, "teams", -1);
     cluster_vm_kill(c, lost);
     if (damage) {
@@ -192,12 +150,12 @@
     cluster_await_whole(c);
     cluster_vm_kill(c, second);
     cluster_leader(c, second);
-    put_jobs(c, "after", 4);
+    e2e_put_jobs(c, "after", 4, "run_ms=200");
     g_assert_cmpint(api_list_version(c, "teams", lost), ==, version);
     change_lists(c, -1, 3);
     cluster_vm_start(c, second);
     cluster_await_whole(c);
-    finish(c);
+    e2e_finish(c);
 }
 
 /* Guards against a replaced disk that counts as a vote before it holds the
--- a/tests/test_e2e_cut.c
+++ b/tests/test_e2e_cut.c
@@ -7,60 +7,15 @@
 #include "await.h"
 #include "cluster_api.h"
 #include "e2e.h"
+#include "e2e_rig.h"
 #include "load.h"
 
-enum {
-    /* Longer than each lease and the longest request, with margins. */
-    ALL_LEASES_MS = CLUSTER_LONGEST_REQUEST_MS + CLUSTER_WORKER_LEASE_MS + 500,
-};
-
-static struct cluster *
-start(int control, int entries, bool relays)
-{
-    struct cluster *c = cluster_start(control, entries, relays);
-
-    cluster_provision(c);
-    cluster_worker(c, "w1", NULL);
-    cluster_worker(c, "w2", NULL);
-    cluster_endpoint(c, "e1", NULL);
-    cluster_endpoint(c, "e2", NULL);
-    cluster_await_workers(c, 2);
-    cluster_await_endpoints(c, 2);
-    for (int vm = 0; vm < c->count; vm++) {
-        load_await(c, vm);
-    }
-    return c;
-}
-
-static void
-put_jobs(const struct cluster *c, const char *prefix, int count)
-{
-    char id[64];
-
-    for (int i = 0; i < count; i++) {
-        const struct api_job job = {
-            .id = id, .idempotent = i % 2 == 0, .payload = "run_ms=200"};
-
-        snprintf(id, sizeof(id), "%s-%d", prefix, i);
-        g_assert_cmpint(api_job_put(c, &job), ==, 200);
-    }
-}
-
-static void
-finish(struct cluster *c)
-{
-    api_await_jobs_ended(c);
-    api_record_usage(c);
-    cluster_check(c);
-    cluster_destroy(c);
-}
-
 static void
 cut_and_withdraw(struct cluster *c, int vm, enum cluster_cut how)
 {
     struct cluster_key key = api_key_create(c, "team", "lamps");
     struct cluster_key team = c->team;
-    int64_t until = clock_now() + ALL_LEASES_MS * NS_PER_MS;
+    int64_t until = clock_now() + E2E_ALL_LEASES_MS * NS_PER_MS;
     char outcome[16];
     int other;
 
@@ -73,7 +28,7 @@
         g_assert_cmpint(load_once(c, vm, outcome), !=, 200);
     }
     c->team = team;
-    put_jobs(c, vm < c->control ? "leader" : "entry", 4);
+    e2e_put_jobs(c, vm < c->control ? "leader" : "entry", 4, "run_ms=200");
     load_await(c, other);
     AWAIT(clock_now() > until);
     g_assert_cmpint(load_once(c, vm, outcome), ==, 503);
@@ -88,20 +43,20 @@
 static void
 cut_entry(enum cluster_cut how)
 {
-    struct cluster *c = start(3, 1, true);
+    struct cluster *c = e2e_start(3, 1, true);
 
     cut_and_withdraw(c, 3, how);
-    finish(c);
+    e2e_finish(c);
 }
 
 /* The same, and against a leader that grants without a quorum. */
 static void
 cut_leader(enum cluster_cut how)
 {
-    struct cluster *c = start(3, 0, true);
+    struct cluster *c = e2e_start(3, 0, true);
 
     cut_and_withdraw(c, cluster_leader(c, -1), how);
-    finish(c);
+    e2e_finish(c);
 }
 
 static void
--- a/tests/test_e2e_jobs.c
+++ b/tests/test_e2e_jobs.c
@@ -8,6 +8,7 @@
 #include "await.h"
 #include "cluster_api.h"
 #include "e2e.h"
+#include "e2e_rig.h"
 
 enum {
     WAVE = 1000,
@@ -29,15 +30,6 @@
     return c;
 }
 
-static void
-finish(struct cluster *c)
-{
-    api_await_jobs_ended(c);
-    api_record_usage(c);
-    cluster_check(c);
-    cluster_destroy(c);
-}
-
 static void
 put_jobs(const struct cluster *c, const char *prefix, int count,
          bool idempotent, const char *payload)
@@ -65,45 +57,6 @@
     }
 }
 
-/* Starts of the jobs with that prefix, from the history. */
-static int
-count_starts(const struct cluster *c, const char *prefix)
-{
-    FILE *f = fopen(c->history_path, "re");
-    char line[4096];
-    char wanted[64];
-    int count = 0;
-
-    snprintf(wanted, sizeof(wanted), "\"job\":\"%s-", prefix);
-    while (fgets(line, sizeof(line), f) != NULL) {
-        count += strstr(line, "\"event\":\"start\"") != NULL &&
-                 strstr(line, wanted) != NULL;
-    }
-    fclose(f);
-    return count;
-}
-
-static void
-cancel_all(const struct cluster *c, const char *prefix)
-{
-    char path[64];
-    const struct api_call call = {"DELETE", path, c->team.key, NULL,
-                                  NULL,     NULL, -1,          0};
-
-    snprintf(path, sizeof(path), "/v1/jobs?prefix=%s", prefix);
-    AWAIT(api_call(c, &call, NULL) == 200);
-}
-
-static int64_t
-status_number(const struct cluster *c, const char *path)
-{
-    json_t *status = api_status(c);
-    int64_t number = api_number(status, path);
-
-    json_decref(status);
-    return number;
-}
-
 /* Guards against tasks that are lost, run in two places or start twice when
  * their worker dies. */
 static void
@@ -113,7 +66,7 @@
 
     put_jobs(c, "again", 10, true, "run_ms=1000");
     put_jobs(c, "once", 10, false, "run_ms=1000");
-    AWAIT(status_number(c, "tasks_running") == 20);
+    AWAIT(e2e_status(c, "tasks_running") == 20);
     cluster_fake_kill(c, 0);
     api_await_jobs_ended(c);
     await_jobs(c, "again", 10, "done");
@@ -121,13 +74,13 @@
     cluster_await_workers(c, 2);
     put_jobs(c, "after", 4, false, "run_ms=50");
     await_jobs(c, "after", 4, "done");
-    finish(c);
+    e2e_finish(c);
 }
 
 static bool
 has_registered(const struct cluster *c, int64_t commits)
 {
-    return status_number(c, "commit_index") > commits;
+    return e2e_status(c, "commit_index") > commits;
 }
 
 /* Guards against tasks of a worker's earlier process that never end because
@@ -140,10 +93,10 @@
     int64_t commits;
 
     put_jobs(c, "again", 10, true, "run_ms=30000");
-    AWAIT(count_starts(c, "again") == 10);
+    AWAIT(e2e_starts(c, "again") == 10);
     cluster_fake_kill(c, 0);
     cluster_fake_kill(c, 1);
-    commits = status_number(c, "commit_index");
+    commits = e2e_status(c, "commit_index");
     cluster_fake_start(c, 0);
     cluster_fake_start(c, 1);
     AWAIT(has_registered(c, commits + 1));
@@ -151,9 +104,9 @@
     cluster_leader(c, old);
     cluster_await_workers(c, 2);
     /* The leases of the earlier processes end and the tasks start again. */
-    AWAIT(count_starts(c, "again") == 20);
-    cancel_all(c, "again");
-    finish(c);
+    AWAIT(e2e_starts(c, "again") == 20);
+    e2e_cancel(c, "again");
+    e2e_finish(c);
 }
 
 /* Guards against a paused worker whose tasks are started elsewhere while its
@@ -165,14 +118,14 @@
 
     put_jobs(c, "again", 10, true, "run_ms=2500");
     put_jobs(c, "once", 10, false, "run_ms=2500");
-    AWAIT(status_number(c, "tasks_running") == 20);
+    AWAIT(e2e_status(c, "tasks_running") == 20);
     cluster_fake_freeze(c, 0, true);
     cluster_await_workers(c, 1);
     cluster_fake_freeze(c, 0, false);
     cluster_await_workers(c, 2);
     api_await_jobs_ended(c);
     await_jobs(c, "again", 10, "done");
-    finish(c);
+    e2e_finish(c);
 }
 
 /* Guards against a worker that fails every task and thereby attracts and
@@ -196,11 +149,11 @@
         snprintf(id, sizeof(id), "big-%d", i);
         g_assert_cmpint(api_job_put(c, &job), ==, 200);
     }
-    AWAIT(status_number(c, "workers_quarantined") == 1);
+    AWAIT(e2e_status(c, "workers_quarantined") == 1);
     put_jobs(c, "good", 20, true, "run_ms=30");
     await_jobs(c, "good", 20, "done");
     await_jobs(c, "big", 40, "done");
-    finish(c);
+    e2e_finish(c);
 }
 
 /* Guards against head-of-line blocking by a job that no worker can hold. */
@@ -221,7 +174,7 @@
     g_assert_cmpstr(api_job_state(c, "huge"), ==, "unschedulable");
     g_assert_cmpint(api_call(c, &cancel, NULL), ==, 200);
     api_await_job(c, "huge", "cancelled");
-    finish(c);
+    e2e_finish(c);
 }
 
 struct submitter {
@@ -268,7 +221,7 @@
     json_t *answer = NULL;
 
     submit_wave(c);
-    AWAIT(status_number(c, "tasks_running") > 0);
+    AWAIT(e2e_status(c, "tasks_running") > 0);
     g_assert_cmpint(api_call(c, &cancel, &answer), ==, 200);
     g_assert_cmpint(api_number(answer, "cancelled"), ==, WAVE);
     json_decref(answer);
@@ -276,7 +229,7 @@
     api_await_job(c, "wave-0-0", "cancelled");
     put_jobs(c, "after", 4, false, "run_ms=30");
     await_jobs(c, "after", 4, "done");
-    finish(c);
+    e2e_finish(c);
 }
 
 /* Guards against a lowered limit that is reported in force while more runs;
@@ -290,18 +243,18 @@
         0};
 
     put_jobs(c, "long", 20, true, "run_ms=-1");
-    AWAIT(status_number(c, "tasks_running") == 20);
+    AWAIT(e2e_status(c, "tasks_running") == 20);
     api_limit_tasks(c, 5);
     /* The status shows committed ends, which come a moment later. */
-    AWAIT(status_number(c, "tasks_running") <= 5);
+    AWAIT(e2e_status(c, "tasks_running") <= 5);
     put_jobs(c, "more", 5, true, "run_ms=30");
     cluster_vm_kill(c, cluster_leader(c, -1));
     api_limit_tasks(c, 3);
     api_limit_tasks(c, 10);
-    AWAIT(status_number(c, "tasks_running") == 10);
+    AWAIT(e2e_status(c, "tasks_running") == 10);
     g_assert_cmpint(api_call(c, &cancel, NULL), ==, 200);
     await_jobs(c, "more", 5, "done");
-    finish(c);
+    e2e_finish(c);
 }
 
 /* Guards against work that is lost or interrupted by a planned stop of a
@@ -312,14 +265,14 @@
     struct cluster *c = start(3);
 
     put_jobs(c, "job", 12, false, "run_ms=800");
-    AWAIT(status_number(c, "tasks_running") == 12);
+    AWAIT(e2e_status(c, "tasks_running") == 12);
     cluster_fake_stop(c, 0);
     put_jobs(c, "next", 12, false, "run_ms=300");
     cluster_fake_stop(c, 1);
     await_jobs(c, "job", 12, "done");
     await_jobs(c, "next", 12, "done");
     cluster_await_workers(c, 1);
-    finish(c);
+    e2e_finish(c);
 }
 
 /* Guards against a job that runs again, or is refused, when it is submitted
@@ -340,7 +293,7 @@
     g_assert_cmpint(api_job_put(c, &job), ==, 200);
     g_assert_cmpint(api_job_put(c, &other), ==, 409);
     api_await_job(c, "same", "done");
-    finish(c);
+    e2e_finish(c);
 }
 
 /* Guards against half a gang that holds capacity, and work that is urgent but
@@ -361,11 +314,11 @@
     g_assert_cmpint(api_job_put(c, &gang), ==, 200);
     api_await_job(c, "gang", "done");
     put_jobs(c, "fill", 40, true, "run_ms=-1");
-    AWAIT(status_number(c, "tasks_running") == 32);
+    AWAIT(e2e_status(c, "tasks_running") == 32);
     g_assert_cmpint(api_job_put(c, &urgent), ==, 200);
     api_await_job(c, "urgent", "done");
     g_assert_cmpint(api_call(c, &cancel, NULL), ==, 200);
-    finish(c);
+    e2e_finish(c);
 }
 
 int
--- a/tests/test_e2e_requests.c
+++ b/tests/test_e2e_requests.c
@@ -10,6 +10,7 @@
 #include "await.h"
 #include "cluster_api.h"
 #include "e2e.h"
+#include "e2e_rig.h"
 #include "load.h"
 #include "net.h"
 #include "proc.h"
@@ -196,21 +197,6 @@
     finish(c);
 }
 
-static bool
-has_arrived(const struct cluster *c, const char *tag)
-{
-    FILE *f = fopen(c->history_path, "re");
-    char line[4096];
-    bool found = false;
-
-    while (!found && fgets(line, sizeof(line), f) != NULL) {
-        found = strstr(line, "\"event\":\"request\"") != NULL &&
-                strstr(line, tag) != NULL;
-    }
-    fclose(f);
-    return found;
-}
-
 /* Guards against a second run of a request whose entry died after it had
  * sent it. */
 static void
@@ -224,7 +210,7 @@
 
     prepare(&first, c, entry, "killed-1", 800);
     pthread_create(&thread, NULL, send_one, &first);
-    AWAIT(has_arrived(c, "killed-1"));
+    AWAIT(e2e_has_arrived(c, "killed-1"));
     cluster_vm_kill(c, entry);
     pthread_join(thread, NULL);
     prepare(&again, c, (entry + 1) % 3, "killed-1", 800);
