tests: give each process of a cluster a port of its own

cluster_port let the kernel name a free port without holding it, so two processes of a cluster could get the same one. The second could not listen and stopped, and the case ended 30 s later while it waited for the operator key, which is how /e2e/request-entry-killed and /e2e/rolling-restart failed once.

Ports that were given out are not drawn again now.

cluster_port takes a cluster that it may change; no check is changed.

--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -70,8 +70,8 @@
              (pid >> 8) % 256, 1 + pid % 250);
 }
 
-int
-cluster_port(const struct cluster *c)
+static int
+free_port(const struct cluster *c)
 {
     struct sockaddr_in a = {.sin_family = AF_INET};
     socklen_t len = sizeof(a);
@@ -84,8 +84,34 @@
     return ntohs(a.sin_port);
 }
 
+static bool
+is_given_out(const struct cluster *c, int port)
+{
+    for (int i = 0; i < c->port_count; i++) {
+        if (c->ports[i] == port) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The kernel may name the same port again while nobody listens on it, and a
+ * process that finds its port in use does not start. */
+int
+cluster_port(struct cluster *c)
+{
+    int port;
+
+    REQUIRE(c->port_count < CLUSTER_PORTS_MAX);
+    do {
+        port = free_port(c);
+    } while (is_given_out(c, port));
+    c->ports[c->port_count++] = port;
+    return port;
+}
+
 static void
-free_address(const struct cluster *c, char out[32])
+free_address(struct cluster *c, char out[32])
 {
     snprintf(out, 32, "%s:%d", c->ip, cluster_port(c));
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -21,6 +21,7 @@
     CLUSTER_FAKES_MAX = 24,
     CLUSTER_PATH_BYTES = 128,
     CLUSTER_KEY_BYTES = 64,
+    CLUSTER_PORTS_MAX = 256,
     /* Lease times of the settings. */
     CLUSTER_ELECTION_MS = 400,
     CLUSTER_CONFIG_LEASE_MS = 1000,
@@ -70,6 +71,8 @@
     int control;
     int count;
     bool relays;
+    int ports[CLUSTER_PORTS_MAX]; /* given out */
+    int port_count;
     struct cluster_vm vms[CLUSTER_VMS_MAX];
     struct cluster_fake fakes[CLUSTER_FAKES_MAX];
     int fake_count;
@@ -94,9 +97,9 @@
 void
 cluster_provision(struct cluster *c);
 
-/* A free port on the cluster's address. */
+/* A free port on the cluster's address that was not given out before. */
 int
-cluster_port(const struct cluster *c);
+cluster_port(struct cluster *c);
 
 /* ---- VMs ---- */
 
--- a/tests/test_e2e_requests.c
+++ b/tests/test_e2e_requests.c
@@ -257,7 +257,7 @@
 /* ---- Planned stops ---- */
 
 static pid_t
-start_balancer(const struct cluster *c, char url[64])
+start_balancer(struct cluster *c, char url[64])
 {
     char program[CLUSTER_PATH_BYTES + 16];
     char log[CLUSTER_PATH_BYTES];
