daemon: a lease that expires before it was offered has never started

When a worker's lease expired, all its task leases were noted as lost, also those whose placement was still being committed. The scheduler then queued the task again, as it had not been offered, but the replicated state refused each further placement of a non-idempotent one, as it counted as started: the job stayed queued for good, also under later leaders.

Ruled out: the scheduler, which places them again, the limit, and the restore by a new leader.

New case /e2e/pair/workers-frozen-queue: both workers are paused while urgent jobs wait for a limit, and the followers are paused again and again, so that a placement waits for its commit while the second lease expires. Not reproduced by pausing the leader instead, nor without urgent jobs.

--- a/packages/daemon/worker_expiry.c
+++ b/packages/daemon/worker_expiry.c
@@ -17,7 +17,11 @@
     for (struct lease_record *r = w->leases; r != NULL; r = r->next) {
         if (r->incarnation == incarnation && !r->ended) {
             r->ended = true;
-            r->outcome = STATE_OUTCOME_LOST;
+            /* The state never places a task again that may have started and
+             * must not start twice; the scheduler waits to place one that was
+             * not offered. */
+            r->outcome =
+                r->offered ? STATE_OUTCOME_LOST : STATE_OUTCOME_NEVER_STARTED;
         }
     }
     event.u.expired.worker = w->number;
--- a/tests/test_e2e_pairs.c
+++ b/tests/test_e2e_pairs.c
@@ -16,6 +16,8 @@
     LIMIT = 4,
     FILL = 8, /* a quarter of a worker each, so that they fill both */
     QUARTER_CPU_MILLI = 4000,
+    BIG_CPU_MILLI = 9000, /* one on each worker */
+    SMALL_CPU_MILLI = 1000,
 };
 
 /* Guards against work that is lost when a leader dies that has not yet
@@ -226,6 +228,78 @@
     e2e_finish(c);
 }
 
+/* Submits jobs that are not idempotent and run until they are stopped, or for
+ * a moment when they are urgent. */
+static void
+put_once(const struct cluster *c, const char *prefix, int count, int cpu_milli,
+         bool urgent)
+{
+    char id[32];
+
+    for (int i = 0; i < count; i++) {
+        const struct api_job job = {.id = id,
+                                    .cpu_milli = cpu_milli,
+                                    .urgent = urgent,
+                                    .payload =
+                                        urgent ? "run_ms=50" : "run_ms=-1"};
+
+        snprintf(id, sizeof(id), "%s-%d", prefix, i);
+        g_assert_cmpint(api_job_put(c, &job), ==, 200);
+    }
+}
+
+static void
+pass(int ms)
+{
+    int64_t until = clock_now() + ms * NS_PER_MS;
+
+    AWAIT(clock_now() > until);
+}
+
+static void
+freeze_followers(struct cluster *c, int leader, bool frozen)
+{
+    for (int vm = 0; vm < c->control; vm++) {
+        if (vm != leader) {
+            cluster_vm_freeze(c, vm, frozen);
+        }
+    }
+}
+
+/* Pauses the followers again and again, shorter than an election takes, so
+ * that a placement waits for its commit when the next lease expires. */
+static void
+expire_workers(struct cluster *c, int leader)
+{
+    do {
+        freeze_followers(c, leader, true);
+        pass(CLUSTER_ELECTION_MS / 2);
+        freeze_followers(c, leader, false);
+    } while (e2e_status(c, "workers") != 0);
+}
+
+/* Guards against a task that is placed on a worker at the moment at which the
+ * worker's lease expires, was never offered to it, and stays queued for good
+ * because it counts as started. */
+static void
+test_workers_frozen_queue(void)
+{
+    struct cluster *c = e2e_start(3, 0, false);
+
+    api_limit_tasks(c, 2);
+    put_once(c, "big", 2, BIG_CPU_MILLI, false);
+    AWAIT(e2e_starts(c, "big") == 2);
+    put_once(c, "queued", JOBS, SMALL_CPU_MILLI, true);
+    cluster_fake_freeze(c, 0, true);
+    cluster_fake_freeze(c, 1, true);
+    expire_workers(c, cluster_leader(c, -1));
+    cluster_fake_freeze(c, 0, false);
+    cluster_fake_freeze(c, 1, false);
+    cluster_await_workers(c, 2);
+    e2e_cancel(c, "big");
+    e2e_finish(c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -239,5 +313,6 @@
              test_data_emptied_other_restarted);
     e2e_case("/e2e/pair/leader-frozen-limit-cancel",
              test_leader_frozen_limit_cancel);
+    e2e_case("/e2e/pair/workers-frozen-queue", test_workers_frozen_queue);
     return e2e_run(argc, argv);
 }
