--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -24,6 +25,9 @@
 enum {
     STOP_MS = 15000,
     DAMAGE_BYTES = 64,
+    /* The limit holds for the process's log file as well, whose next lines
+     * must still fit. */
+    LIMIT_ROOM_BYTES = 8192,
 };
 
 /* ---- Files and ports ---- */
@@ -66,8 +70,8 @@
              (pid >> 8) % 256, 1 + pid % 250);
 }
 
-int
-cluster_port(const struct cluster *c)
+static int
+free_port(const struct cluster *c)
 {
     struct sockaddr_in a = {.sin_family = AF_INET};
     socklen_t len = sizeof(a);
@@ -80,8 +84,34 @@
     return ntohs(a.sin_port);
 }
 
+static bool
+is_given_out(const struct cluster *c, int port)
+{
+    for (int i = 0; i < c->port_count; i++) {
+        if (c->ports[i] == port) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The kernel may name the same port again while nobody listens on it, and a
+ * process that finds its port in use does not start. */
+int
+cluster_port(struct cluster *c)
+{
+    int port;
+
+    REQUIRE(c->port_count < CLUSTER_PORTS_MAX);
+    do {
+        port = free_port(c);
+    } while (is_given_out(c, port));
+    c->ports[c->port_count++] = port;
+    return port;
+}
+
 static void
-free_address(const struct cluster *c, char out[32])
+free_address(struct cluster *c, char out[32])
 {
     snprintf(out, 32, "%s:%d", c->ip, cluster_port(c));
 }
@@ -395,3 +425,35 @@
     }
     closedir(dir);
 }
+
+void
+cluster_vm_limit_files(struct cluster *c, int vm, bool limited)
+{
+    struct rlimit limit;
+    struct stat log;
+
+    history_write(c->history,
+                  "\"event\":\"fault\",\"kind\":\"%s\","
+                  "\"vm\":\"%s\"",
+                  limited ? "limit-files" : "unlimit-files", c->vms[vm].name);
+    REQUIRE(stat(c->vms[vm].log, &log) == 0);
+    REQUIRE(prlimit(c->vms[vm].pid, RLIMIT_FSIZE, NULL, &limit) == 0);
+    limit.rlim_cur =
+        limited ? (rlim_t)log.st_size + LIMIT_ROOM_BYTES : limit.rlim_max;
+    REQUIRE(prlimit(c->vms[vm].pid, RLIMIT_FSIZE, &limit, NULL) == 0);
+}
+
+bool
+cluster_vm_logged(const struct cluster *c, int vm, const char *text)
+{
+    FILE *f = fopen(c->vms[vm].log, "re");
+    char line[2048];
+    bool found = false;
+
+    REQUIRE(f != NULL);
+    while (!found && fgets(line, sizeof(line), f) != NULL) {
+        found = strstr(line, text) != NULL;
+    }
+    fclose(f);
+    return found;
+}
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -21,6 +21,7 @@
     CLUSTER_FAKES_MAX = 24,
     CLUSTER_PATH_BYTES = 128,
     CLUSTER_KEY_BYTES = 64,
+    CLUSTER_PORTS_MAX = 256,
     /* Lease times of the settings. */
     CLUSTER_ELECTION_MS = 400,
     CLUSTER_CONFIG_LEASE_MS = 1000,
@@ -70,6 +71,8 @@
     int control;
     int count;
     bool relays;
+    int ports[CLUSTER_PORTS_MAX]; /* given out */
+    int port_count;
     struct cluster_vm vms[CLUSTER_VMS_MAX];
     struct cluster_fake fakes[CLUSTER_FAKES_MAX];
     int fake_count;
@@ -94,9 +97,9 @@
 void
 cluster_provision(struct cluster *c);
 
-/* A free port on the cluster's address. */
+/* A free port on the cluster's address that was not given out before. */
 int
-cluster_port(const struct cluster *c);
+cluster_port(struct cluster *c);
 
 /* ---- VMs ---- */
 
@@ -121,6 +124,16 @@
 void
 cluster_vm_damage(const struct cluster *c, int vm);
 
+/* Limits the size of the files that the running process may write to a few
+ * KiB more than its log file has, or lifts the limit. Writes beyond it fail
+ * as on a disk that is full. */
+void
+cluster_vm_limit_files(struct cluster *c, int vm, bool limited);
+
+/* Whether a line of the VM's log contains the text. */
+bool
+cluster_vm_logged(const struct cluster *c, int vm, const char *text);
+
 /* Whether /v1/ready answers 200. */
 bool
 cluster_vm_ready(const struct cluster *c, int vm);
@@ -130,6 +143,10 @@
 /* Index of the VM that leads, other than except (-1: none). */
 int
 cluster_leader(const struct cluster *c, int except);
+
+/* Whether the VM answers and says that it leads. */
+bool
+cluster_vm_leads(const struct cluster *c, int vm);
 int
 cluster_follower(const struct cluster *c);
 
