--- a/bench/inforce.sh
+++ b/bench/inforce.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # Time from sending a change of the list of teams until it is reported in force
-# on 5 control VMs and 4 more entries. Usage: bench/inforce.sh [CHANGES]
+# on 5 control VMs and ENTRIES (4) more. Usage: bench/inforce.sh [CHANGES]
 set -u
 changes=${1:-200}
 . "$(dirname "$0")/cell.sh"
-cell_start 5 4
+cell_start 5 "${ENTRIES:-4}"
 sleep 2
 "$bin/guavarock" vm list
 for v in $(seq "$changes"); do
--- a/packages/state/keys.c
+++ b/packages/state/keys.c
@@ -127,7 +127,7 @@
 static void
 name_object(struct apply *a, uint64_t id)
 {
-    int len = snprintf(a->object_space, sizeof(a->object_space), "key %llu",
+    int len = snprintf(a->object_space, sizeof(a->object_space), "key k%llu",
                        (unsigned long long)id);
 
     a->object = str_from(a->object_space, len < 0 ? 0 : (size_t)len);
