--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,8 @@
 TEST_SUPPORT_OBJS := $(TEST_SUPPORT:%.c=$(OUT)/%.o)
 TEST_SRCS := $(wildcard tests/test_*.c)
 TESTS := $(TEST_SRCS:tests/%.c=$(OUT)/tests/%)
+BENCH_SUPPORT := $(wildcard bench/support/*.c)
+BENCH_SUPPORT_OBJS := $(BENCH_SUPPORT:%.c=$(OUT)/%.o)
 BENCH_SRCS := $(wildcard bench/*.c)
 BENCHES := $(BENCH_SRCS:bench/%.c=$(OUT)/bench/%)
 
@@ -74,7 +76,8 @@
 
 $(OUT)/bench/%.o: bench/%.c
 	@mkdir -p $(@D)
-	@$(CC) $(CPPFLAGS) $(ALL_INC) -Itests/support $(CFLAGS) -MMD -MP -c $< -o $@
+	@$(CC) $(CPPFLAGS) $(ALL_INC) -Itests/support -Ibench/support $(CFLAGS) \
+		-MMD -MP -c $< -o $@
 
 # A package's objects become one, in which only the names that package.mk
 # exports stay global, so that packages may use the same internal names.
@@ -112,7 +115,7 @@
 $(OUT)/soak: $(OUT)/tests/soak.o $(TEST_SUPPORT_OBJS) $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
 
-$(OUT)/bench/%: $(OUT)/bench/%.o $(LIBGV)
+$(OUT)/bench/%: $(OUT)/bench/%.o $(BENCH_SUPPORT_OBJS) $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
 
 # The test runner prints 'N passed, N failed' as its last line.
@@ -146,7 +149,8 @@
 	cd $(BUILD)/fuzz && ./fuzz_json -max_total_time=$(FUZZ_S) corpus
 
 ALL_C := $(wildcard packages/*/*.c packages/*/*.h packages/*/include/*.h \
-	tests/*.c tests/*/*.c tests/*/*.h bench/*.c)
+	tests/*.c tests/*/*.c tests/*/*.h bench/*.c bench/*.h bench/*/*.c \
+	bench/*/*.h)
 STYLED := $(filter-out %.pb-c.c %.pb-c.h,$(ALL_C))
 
 format:
@@ -160,7 +164,7 @@
 $(BUILD)/lint/%.ok: % .clang-tidy
 	@mkdir -p $(@D)
 	@clang-tidy --quiet $< -- -std=c11 $(CPPFLAGS) $(ALL_INC) -Itests/support \
-		$(GLIB_CFLAGS) 2>/dev/null
+		-Ibench/support $(GLIB_CFLAGS) 2>/dev/null
 	@touch $@
 
 lint: $(LINT_STAMPS)
