--- a/tests/support/cluster_api.c
+++ b/tests/support/cluster_api.c
@@ -13,6 +13,7 @@
     BODY_BYTES = 4096,
     IN_FORCE_S = 20,
     WIDE_LIMIT = 1000000,
+    METRICS_MS = 1000,
     JOBS_END_S = 15,
     /* A new leader reports unschedulable after 15 s; the rest allows for a
      * slow machine. No target is tied to it. */
@@ -105,6 +106,30 @@
 
 /* ---- Keys ---- */
 
+int64_t
+api_metric(const struct cluster *c, int vm, const char *name)
+{
+    char url[64];
+    char line[128];
+    const struct http_call call = {
+        .method = "GET", .url = url, .timeout_ms = METRICS_MS};
+    struct http_answer answer;
+    const char *found = NULL;
+    int64_t value = -1;
+
+    snprintf(url, sizeof(url), "http://%s/metrics", c->vms[vm].http);
+    snprintf(line, sizeof(line), "\n%s ", name);
+    http_client_call(c->client, &call, &answer);
+    if (answer.complete && answer.status == 200) {
+        found = strstr(answer.body.ptr, line);
+    }
+    if (found != NULL) {
+        value = strtoll(found + strlen(line), NULL, 10);
+    }
+    http_answer_free(&answer);
+    return value;
+}
+
 struct cluster_key
 api_key_create(const struct cluster *c, const char *kind, const char *team)
 {
--- a/tests/support/cluster_api.h
+++ b/tests/support/cluster_api.h
@@ -31,6 +31,11 @@
 json_t *
 api_status(const struct cluster *c);
 
+/* A metric of the VM, with its labels; -1 when the VM does not answer or has
+ * no metric of that name. */
+int64_t
+api_metric(const struct cluster *c, int vm, const char *name);
+
 /* POST /v1/keys; waits for it to be in force. */
 struct cluster_key
 api_key_create(const struct cluster *c, const char *kind, const char *team);
--- a/tests/support/e2e_rig.c
+++ b/tests/support/e2e_rig.c
@@ -28,6 +28,24 @@
     return c;
 }
 
+struct cluster *
+e2e_start_endpoints(int entries, int endpoints, const char *const *options)
+{
+    struct cluster *c = cluster_start(3, entries, false);
+    char id[16];
+
+    cluster_provision(c);
+    for (int i = 0; i < endpoints; i++) {
+        snprintf(id, sizeof(id), "e%d", i + 1);
+        cluster_endpoint(c, id, options);
+    }
+    cluster_await_endpoints(c, endpoints);
+    for (int vm = 0; vm < c->count; vm++) {
+        load_await(c, vm);
+    }
+    return c;
+}
+
 static void
 put_jobs(const struct cluster *c, const char *prefix, int count, int cpu_milli,
          const char *payload)
--- a/tests/support/e2e_rig.h
+++ b/tests/support/e2e_rig.h
@@ -17,6 +17,11 @@
 struct cluster *
 e2e_start(int control, int entries, bool relays);
 
+/* Three control VMs, and endpoints e1, e2, ... without workers. options are
+ * further arguments of each, or NULL. */
+struct cluster *
+e2e_start_endpoints(int entries, int endpoints, const char *const *options);
+
 /* Submits batch jobs PREFIX-0, ..., every second one idempotent. */
 void
 e2e_put_jobs(const struct cluster *c, const char *prefix, int count,
