tests: an urgent gang on a full fleet, end to end

Three tasks of 3 cores on three workers full of another team's work must start within 2 s, and the stopped work must run again.

--- a/tests/test_e2e_urgent.c
+++ b/tests/test_e2e_urgent.c
@@ -61,15 +61,11 @@
     return strcmp(state, "running") == 0 || strcmp(state, "done") == 0;
 }
 
-/* Guards against urgent work that waits for a full fleet to empty, and
- * against stopped work that does not come back. */
+/* Team looms submits the job, which must start in time, and end while the
+ * work that it stopped runs again. */
 static void
-test_preempts(void)
+run_urgent(const struct api_job *job)
 {
-    const struct api_job urgent = {.id = "urgent",
-                                   .cpu_milli = 4000,
-                                   .urgent = true,
-                                   .payload = "run_ms=500"};
     struct cluster *c = start_full();
     struct cluster_key lamps = c->team;
     int64_t until;
@@ -77,19 +73,47 @@
     AWAIT(e2e_status(c, "tasks_running") == TASKS);
     c->team = api_key_create(c, "team", "looms");
     until = clock_now() + URGENT_START_MS * NS_PER_MS;
-    g_assert_cmpint(api_job_put(c, &urgent), ==, 200);
-    while (!has_started(c, "urgent")) {
+    g_assert_cmpint(api_job_put(c, job), ==, 200);
+    while (!has_started(c, job->id)) {
         g_assert_cmpint(clock_now(), <, until);
         await_pause();
     }
-    api_await_job(c, "urgent", "done");
+    api_await_job(c, job->id, "done");
     AWAIT(e2e_status(c, "tasks_running") == TASKS);
     finish(c, &lamps);
 }
 
+/* Guards against urgent work that waits for a full fleet to empty, and
+ * against stopped work that does not come back. */
+static void
+test_preempts(void)
+{
+    const struct api_job job = {.id = "urgent",
+                                .cpu_milli = 4000,
+                                .urgent = true,
+                                .payload = "run_ms=500"};
+
+    run_urgent(&job);
+}
+
+/* The same for a gang that needs a part of each worker. */
+static void
+test_gang_preempts(void)
+{
+    const struct api_job job = {.id = "gang",
+                                .class = "gang",
+                                .tasks = WORKERS,
+                                .cpu_milli = 3000,
+                                .urgent = true,
+                                .payload = "run_ms=500"};
+
+    run_urgent(&job);
+}
+
 int
 main(int argc, char **argv)
 {
     e2e_case("/e2e/urgent/preempts", test_preempts);
+    e2e_case("/e2e/urgent/gang-preempts", test_gang_preempts);
     return e2e_run(argc, argv);
 }
