--- a/bench/cell.sh
+++ b/bench/cell.sh
@@ -52,7 +52,13 @@
 }
 
 # cell_endpoints COUNT DELAY_MS: endpoints e1... of the service "echo" on ports
-# base + 201..., of 8 slots each; returns when requests are answered.
+# base + 201..., of 8 slots each; returns when all are known and answer. A port
+# of the kernel's range for outgoing connections may be in use, so BENCH_PORT
+# stays below 32768 by some hundreds.
+cell_endpoint_count() {
+    [ "$(GUAVAROCK_KEY=$operator_key "$bin/guavarock" endpoint list |
+        grep -c ' ready$')" -eq "$1" ]
+}
 cell_endpoints() {
     local e
     for e in $(seq "$1"); do
@@ -63,6 +69,7 @@
             2>"$dir/e$e.log" &
         pids="$pids $!"
     done
+    await cell_endpoint_count "$1"
     export GUAVAROCK_KEY=$team_key
     await "$bin/guavarock" request echo /
     sleep 1
