route: a started entry gets its first unit from those who hold most

Cause, from the code and shown by the new test of the ledger: when the others hold equal parts, none exceeds its goal by more than the slack, so nothing is asked back; the goals also count the units of the dead process, which come back after lease, bound and margins (3.2 s and more in the test's settings), while readiness waits 2.5 s at most. A request at such an entry waited for a report and its answer.

Each active entry now has a goal of one unit before the rest is divided, lacks it like one for a waiting request, and it is asked from the entry that holds most, whatever that one's goal.

Ruled out: longer waiting for readiness, which keeps a whole VM out of service for nothing.

--- a/packages/route/ledger_balance.c
+++ b/packages/route/ledger_balance.c
@@ -100,7 +100,8 @@
     return d->smooth + 1;
 }
 
-/* Spare units go to entries by their average demand, for bursts. */
+/* Spare units go to entries by their average demand, for bursts, but the first
+ * unit goes to each. */
 static void
 place_spare(struct group *g, int64_t now, uint32_t spare)
 {
@@ -108,7 +109,13 @@
 
     for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
          d = TAILQ_NEXT(d, in_group)) {
-        total += spare_weight(d, now);
+        double weight = spare_weight(d, now);
+
+        total += weight;
+        if (weight > 0 && d->goal == 0 && spare > 0) {
+            d->goal = 1;
+            spare--;
+        }
     }
     if (total <= 0) {
         return;
@@ -291,11 +298,12 @@
     return part > SLACK_UNITS ? part : SLACK_UNITS;
 }
 
-/* How many units the entry lacks for waiting requests. */
+/* How many units the entry lacks for waiting requests, and for its first
+ * request: a started entry is ready only once it holds one. */
 static uint32_t
 urgent_need(const struct demand *d)
 {
-    uint32_t upto = min_u32(d->wanted, d->goal);
+    uint32_t upto = min_u32(d->wanted == 0 ? 1 : d->wanted, d->goal);
 
     return upto > d->level ? upto - d->level : 0;
 }
@@ -336,6 +344,32 @@
     }
 }
 
+/*
+ * Asks entries that hold more than one unit for the first unit of others, even
+ * if they do not exceed their goal: goals count the units of a dead entry,
+ * which come back only after a window.
+ */
+static void
+ask_first(struct ledger *l, struct group *g, uint32_t need)
+{
+    uint32_t coming = need == 0 ? 0 : units_coming(l, g);
+
+    while (coming < need) {
+        struct demand *most = NULL;
+
+        for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
+             d = TAILQ_NEXT(d, in_group)) {
+            if (d->level > 1 && (most == NULL || d->level > most->level)) {
+                most = d;
+            }
+        }
+        if (most == NULL || take_units(l, g, most, 1) == 0) {
+            return;
+        }
+        coming++;
+    }
+}
+
 static uint32_t
 spare_need(const struct demand *d)
 {
@@ -347,6 +381,7 @@
 {
     uint32_t urgent = 0;
     uint32_t spare = 0;
+    uint32_t without = 0; /* entries that hold nothing */
 
     for (struct pool *p = TAILQ_FIRST(&g->pools); p != NULL;
          p = TAILQ_NEXT(p, in_group)) {
@@ -365,9 +400,11 @@
         if (entry_active(d->entry, now)) {
             urgent += urgent_need(d);
             spare += spare_need(d);
+            without += d->level == 0 && d->goal != 0;
         }
     }
     ask_back(l, g, urgent, false);
+    ask_first(l, g, without);
     ask_back(l, g, urgent + spare, true);
     if (urgent > 0) {
         return;
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -117,6 +117,43 @@
     teardown(&f);
 }
 
+static void
+exchange(struct fixture *f, uint64_t run, uint32_t *held, uint32_t wanted)
+{
+    int units;
+
+    report(f, run, "t:1", *held, 0, wanted);
+    units = planned(f, run, "t:1");
+    *held = units < 0 ? *held : (uint32_t)units;
+}
+
+/* Guards against a started entry that holds nothing until the units of its
+ * dead predecessor come back, because nobody exceeds its goal by much. */
+static void
+test_first_unit(void)
+{
+    struct fixture f;
+    uint32_t held[5] = {0};
+
+    setup(&f);
+    for (int round = 0; round < 10; round++) {
+        for (uint64_t run = 1; run <= 4; run++) {
+            exchange(&f, run, &held[run], 2);
+        }
+    }
+    for (uint64_t run = 1; run <= 4; run++) {
+        g_assert_cmpuint(held[run], ==, 2);
+    }
+    /* Run 4 has died; run 0 is a new process. */
+    for (int round = 0; round < 10 && held[0] == 0; round++) {
+        for (uint64_t run = 0; run <= 3; run++) {
+            exchange(&f, run, &held[run], 0);
+        }
+    }
+    g_assert_cmpuint(held[0], ==, 1);
+    teardown(&f);
+}
+
 /* Guards against units handed on before they are confirmed as returned. */
 static void
 test_confirmed_return(void)
@@ -295,6 +332,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/ledger/equal-demand", test_equal_demand);
+    g_test_add_func("/ledger/first-unit", test_first_unit);
     g_test_add_func("/ledger/confirmed-return", test_confirmed_return);
     g_test_add_func("/ledger/late-reports", test_late_reports);
     g_test_add_func("/ledger/repeats-ask-back", test_repeats_ask_back);
