--- a/packages/daemon/api_teams.c
+++ b/packages/daemon/api_teams.c
@@ -3,8 +3,8 @@
 #include "mem.h"
 #include "operator.h"
 
-static uint32_t
-to_ppm(double part)
+uint32_t
+part_to_ppm(double part)
 {
     return part > 0 ? (uint32_t)(part * 1e6 + 0.5) : 0;
 }
@@ -40,8 +40,8 @@
         out->used.cpu_milli = status.used.cpu_milli;
         out->used.memory_mib = status.used.memory_mib;
         out->used.accelerators = status.used.accelerators;
-        out->share_ppm = to_ppm(status.share);
-        out->entitlement_ppm = to_ppm(status.entitlement);
+        out->share_ppm = part_to_ppm(status.share);
+        out->entitlement_ppm = part_to_ppm(status.entitlement);
     }
     count_jobs(leader_state(l), team->number, out);
 }
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -193,11 +193,8 @@
 {
     struct router_event event = {.kind = ROUTER_DRAIN};
 
-    if (!e->draining) {
-        e->draining = true;
-        serve_event(e, &event);
-        e->report_now = true;
-    }
+    serve_event(e, &event);
+    e->report_now = true;
 }
 
 bool
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -76,9 +76,8 @@
     uint64_t listed_seq; /* last report before the list of endpoints was
                           * complete; 0 until then */
     bool units_answered; /* ... and a later one was answered */
-    bool draining;
-    bool left;          /* sends nothing any more */
-    bool left_recorded; /* ... and the state says so */
+    bool left;           /* sends nothing any more */
+    bool left_recorded;  /* ... and the state says so */
     int64_t leave_due;
 
     struct str leader_vm; /* owned */
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -96,6 +96,10 @@
 struct caller_job_status
 job_describe(const struct state_job *job);
 
+/* Parts per million, rounded. */
+uint32_t
+part_to_ppm(double part);
+
 /* Sums up workers and their capacity. */
 void
 leader_count_workers(const struct leader *l, struct operator_status *out);
--- a/packages/daemon/measures.c
+++ b/packages/daemon/measures.c
@@ -6,18 +6,28 @@
 #include "leader_impl.h"
 #include "mem.h"
 
+enum wait_class {
+    WAIT_SERVICE,
+    WAIT_BATCH,
+    WAIT_GANG,
+    WAIT_URGENT, /* of any class */
+    WAIT_CLASSES,
+};
+
 enum {
-    CLASSES = 4, /* service, batch, gang, and urgent work of any class */
     BUCKETS = 10,
-    PPM = 1000000,
 };
 
 /* The last bucket has no bound. */
 static const int64_t bucket_ms[BUCKETS - 1] = {
     100, 500, 1000, 2000, 5000, 15000, 60000, 300000, 1800000};
 
-static const char *const class_names[CLASSES] = {"service", "batch", "gang",
-                                                 "urgent"};
+static const char *const class_names[WAIT_CLASSES] = {
+    [WAIT_SERVICE] = "service",
+    [WAIT_BATCH] = "batch",
+    [WAIT_GANG] = "gang",
+    [WAIT_URGENT] = "urgent",
+};
 
 struct wait_counters {
     struct counter *buckets[BUCKETS];
@@ -38,7 +48,7 @@
 };
 
 struct measures {
-    struct wait_counters waits[CLASSES];
+    struct wait_counters waits[WAIT_CLASSES];
     struct counter *decisions;
     struct counter *decision_ns;
     struct counter *waiting;
@@ -120,7 +130,7 @@
 {
     struct measures *m = mem_zalloc(1, sizeof(*m));
 
-    for (int i = 0; i < CLASSES; i++) {
+    for (int i = 0; i < WAIT_CLASSES; i++) {
         waits_create(&m->waits[i], class_names[i]);
     }
     m->decisions = counter_get(COUNTER_SUM, "guavarock_decisions_total",
@@ -161,21 +171,21 @@
     mem_free(m);
 }
 
-static int
+static enum wait_class
 class_of(const struct state_job *job)
 {
     if (job->spec.urgent) {
-        return 3;
+        return WAIT_URGENT;
     }
     switch (job->spec.class) {
     case STATE_JOB_SERVICE:
-        return 0;
+        return WAIT_SERVICE;
     case STATE_JOB_GANG:
-        return 2;
+        return WAIT_GANG;
     case STATE_JOB_BATCH:
         break;
     }
-    return 1;
+    return WAIT_BATCH;
 }
 
 void
@@ -235,8 +245,8 @@
     struct sched_team_status status = {0};
 
     sched_team_status(l->sched, team->number, &status);
-    counter_set(g->share, (uint64_t)(status.share * PPM));
-    counter_set(g->entitlement, (uint64_t)(status.entitlement * PPM));
+    counter_set(g->share, part_to_ppm(status.share));
+    counter_set(g->entitlement, part_to_ppm(status.entitlement));
     counter_set(g->tasks, status.tasks);
     leased->cpu_milli += status.used.cpu_milli;
     leased->memory_mib += status.used.memory_mib;
