tests: wait for the end of the last call before an idle drain

Cause: a call counts as active until the HTTP library reports its completion, which comes after the caller has read the answer, so the test asked too early.

--- a/tests/test_front_load.c
+++ b/tests/test_front_load.c
@@ -320,6 +320,8 @@
         server_expect(used, "200", "before");
     }
     g_assert_cmpuint(front_connections(s.front), ==, 2);
+    /* The last call ends only after its answer has been read. */
+    server_wait_idle(&s);
     front_drain(s.front);
     front_stop_listening(s.front);
     front_close_idle(s.front);
