cli: errors in a list's file name the file, the line and the field

Cause: 'teams set' and 'limits set' sent what they read to the server, whose refusal names a field but cannot know the line. Ruled out: looking up the line after the server's refusal, which would need a second reader of paths.

--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -83,6 +83,10 @@
 char *
 cli_idempotency_key(void);
 
+/* Appends a file, or standard input for "-". Prints errors. */
+bool
+cli_read_file(const char *file, struct buf *out);
+
 /*
  * Reads a JSON object from a file or, for "-", standard input. Errors name the
  * file, line and column. Returns NULL after printing one.
--- a/packages/cli/lists.c
+++ b/packages/cli/lists.c
@@ -1,11 +1,17 @@
 #include <inttypes.h>
 #include <stdio.h>
-#include <stdlib.h>
 
 #include "cli.h"
 #include "mem.h"
+#include "operator.h"
+
+enum list_id {
+    LIST_TEAMS,
+    LIST_LIMITS,
+};
 
 struct list_kind {
+    enum list_id id;
     const char *path;
     const char *member;
     const char *doc;
@@ -18,6 +24,7 @@
     "accelerators", "requests", NULL};
 
 static const struct list_kind teams = {
+    .id = LIST_TEAMS,
     .path = "/v1/lists/teams",
     .member = "teams",
     .doc = "Replace the list of teams by the one in FILE: "
@@ -26,6 +33,7 @@
     .columns = team_columns};
 
 static const struct list_kind limits = {
+    .id = LIST_LIMITS,
     .path = "/v1/lists/limits",
     .member = "limits",
     .doc = "Replace the list of limits by the one in FILE: "
@@ -38,9 +46,76 @@
 struct set {
     const char *file;
     const char *idempotency_key;
-    long version;
+    long version; /* negative: that of the file */
+};
+
+/* A list that was read from a file. */
+struct list {
+    enum list_id id;
+    union {
+        struct operator_teams teams;
+        struct operator_limits limits;
+    } u;
+    struct json_doc *doc;
 };
 
+static uint64_t *
+version_of(struct list *list)
+{
+    switch (list->id) {
+    case LIST_TEAMS:
+        break;
+    case LIST_LIMITS:
+        return &list->u.limits.version;
+    }
+    return &list->u.teams.version;
+}
+
+static void
+render(const struct list *list, struct buf *out)
+{
+    switch (list->id) {
+    case LIST_TEAMS:
+        operator_teams_render(&list->u.teams, out);
+        break;
+    case LIST_LIMITS:
+        operator_limits_render(&list->u.limits, out);
+        break;
+    }
+}
+
+static struct json_doc *
+parse(struct list *list, struct str text, struct json_error *error)
+{
+    switch (list->id) {
+    case LIST_TEAMS:
+        break;
+    case LIST_LIMITS:
+        return operator_limits_read(text, &list->u.limits, error);
+    }
+    return operator_teams_read(text, &list->u.teams, error);
+}
+
+/* Prints what is wrong and where. */
+static bool
+read_list(const char *file, struct list *list)
+{
+    struct json_error error;
+    struct buf text = {0};
+
+    if (!cli_read_file(file, &text)) {
+        return false;
+    }
+    list->doc = parse(list, buf_str(&text), &error);
+    buf_free(&text);
+    if (list->doc == NULL) {
+        fprintf(stderr, "guavarock: %s:%d: %s%s%s%s\n", file, error.line,
+                error.field[0] == '\0' ? "" : "field ", error.field,
+                error.field[0] == '\0' ? "" : ": ", error.message);
+    }
+    return list->doc != NULL;
+}
+
 static int
 get(struct cli *cli, const struct list_kind *kind, int argc, char **argv)
 {
@@ -98,19 +173,20 @@
 
 static int
 send_list(struct cli *cli, const struct list_kind *kind, const struct set *s,
-          const json_t *list)
+          struct list *list)
 {
     char *own_key = cli_idempotency_key();
-    char *body = json_dumps(list, JSON_COMPACT);
     struct cli_response response = {0};
+    struct buf body = {0};
     char version[24];
     int status;
 
-    snprintf(version, sizeof(version), "%ld", s->version);
+    render(list, &body);
+    snprintf(version, sizeof(version), "%" PRIu64, *version_of(list));
     const struct cli_request request = {
         .method = "PUT",
         .path = kind->path,
-        .body = str_of(body),
+        .body = buf_str(&body),
         .if_match = version,
         .idempotency_key =
             s->idempotency_key == NULL ? own_key : s->idempotency_key};
@@ -118,8 +194,8 @@
     if (response.status == 409) {
         fprintf(stderr,
                 "guavarock: %s: field version: the list is no longer at "
-                "version %ld; the current one follows\n",
-                s->file, s->version);
+                "version %s; the current one follows\n",
+                s->file, version);
     }
     else if (status == CLI_REFUSED) {
         fprintf(stderr, "guavarock: %s was not accepted\n", s->file);
@@ -134,7 +210,7 @@
     }
     cli_response_free(&response);
     mem_free(own_key);
-    free(body);
+    buf_free(&body);
     return status;
 }
 
@@ -146,30 +222,26 @@
                               .args_doc = "FILE",
                               .doc = kind->doc};
     struct set s = {.version = -1};
-    const json_t *version;
-    json_t *list;
+    struct list list = {.id = kind->id};
     int status = CLI_USAGE;
 
     argp_parse(&argp, argc, argv, 0, NULL, &s);
-    list = cli_read_json(s.file);
-    if (list == NULL) {
+    if (!read_list(s.file, &list)) {
         return CLI_USAGE;
     }
-    version = json_object_get(list, "version");
-    if (s.version < 0 && json_is_integer(version)) {
-        s.version = (long)json_integer_value(version);
+    if (s.version >= 0) {
+        *version_of(&list) = (uint64_t)s.version;
     }
-    if (s.version < 0) {
+    if (*version_of(&list) == OPERATOR_NO_VERSION) {
         fprintf(stderr,
                 "guavarock: %s: field version is missing; give it or "
                 "--version\n",
                 s.file);
     }
     else {
-        json_object_set_new(list, "version", json_integer(s.version));
-        status = send_list(cli, kind, &s, list);
+        status = send_list(cli, kind, &s, &list);
     }
-    json_decref(list);
+    json_doc_free(list.doc);
     return status;
 }
 
--- a/packages/cli/print.c
+++ b/packages/cli/print.c
@@ -232,6 +232,32 @@
     return status;
 }
 
+bool
+cli_read_file(const char *file, struct buf *out)
+{
+    bool is_stdin = strcmp(file, "-") == 0;
+    FILE *in = is_stdin ? stdin : fopen(file, "re");
+    char chunk[4096];
+    size_t n;
+    bool ok;
+
+    if (in == NULL) {
+        fprintf(stderr, "guavarock: %s: %s\n", file, strerror(errno));
+        return false;
+    }
+    while ((n = fread(chunk, 1, sizeof(chunk), in)) != 0) {
+        buf_append(out, chunk, n);
+    }
+    ok = ferror(in) == 0;
+    if (!ok) {
+        fprintf(stderr, "guavarock: %s: cannot be read\n", file);
+    }
+    if (!is_stdin) {
+        fclose(in);
+    }
+    return ok;
+}
+
 json_t *
 cli_read_json(const char *file)
 {
--- a/packages/operator/include/operator.h
+++ b/packages/operator/include/operator.h
@@ -18,6 +18,9 @@
     uint32_t weight;
 };
 
+/* The version of a list in a file that names none. */
+#define OPERATOR_NO_VERSION UINT64_MAX
+
 struct operator_teams {
     uint64_t version;
     struct operator_team *teams;
@@ -27,6 +30,11 @@
 struct json_doc *
 operator_teams_parse(struct str body, struct operator_teams *out,
                      struct api_error *err);
+/* Reads a list from a file's text; the version may be left out. Errors carry
+ * the line. The document must live as long as *out. */
+struct json_doc *
+operator_teams_read(struct str text, struct operator_teams *out,
+                    struct json_error *err);
 void
 operator_teams_render(const struct operator_teams *list, struct buf *out);
 
@@ -48,6 +56,9 @@
 struct json_doc *
 operator_limits_parse(struct str body, struct operator_limits *out,
                       struct api_error *err);
+struct json_doc *
+operator_limits_read(struct str text, struct operator_limits *out,
+                     struct json_error *err);
 void
 operator_limits_render(const struct operator_limits *list, struct buf *out);
 
--- a/packages/operator/lists.c
+++ b/packages/operator/lists.c
@@ -42,6 +42,25 @@
 static const struct json_shape limits_shape =
     JSON_SHAPE(operator_limits, limits_fields);
 
+/* In a file the version may be left out, when the command line gives it. */
+static const struct json_field teams_file_fields[] = {
+    JSON_U64_FIELD(operator_teams, version, JSON_OPTIONAL, 0, INT64_MAX),
+    JSON_LIST_FIELD(operator_teams, teams, count, &team_shape,
+                    OPERATOR_TEAMS_MAX),
+};
+
+static const struct json_shape teams_file_shape =
+    JSON_SHAPE(operator_teams, teams_file_fields);
+
+static const struct json_field limits_file_fields[] = {
+    JSON_U64_FIELD(operator_limits, version, JSON_OPTIONAL, 0, INT64_MAX),
+    JSON_LIST_FIELD(operator_limits, limits, count, &limit_shape,
+                    OPERATOR_TEAMS_MAX),
+};
+
+static const struct json_shape limits_file_shape =
+    JSON_SHAPE(operator_limits, limits_file_fields);
+
 static const struct json_field accepted_fields[] = {
     JSON_U64_FIELD(operator_accepted, version, 0, 0, INT64_MAX),
     JSON_BOOL_FIELD(operator_accepted, in_force, 0),
@@ -72,6 +91,22 @@
     return api_decode(&limits_shape, body, out, err);
 }
 
+struct json_doc *
+operator_teams_read(struct str text, struct operator_teams *out,
+                    struct json_error *err)
+{
+    *out = (struct operator_teams){.version = OPERATOR_NO_VERSION};
+    return json_decode(&teams_file_shape, text, out, err);
+}
+
+struct json_doc *
+operator_limits_read(struct str text, struct operator_limits *out,
+                     struct json_error *err)
+{
+    *out = (struct operator_limits){.version = OPERATOR_NO_VERSION};
+    return json_decode(&limits_file_shape, text, out, err);
+}
+
 void
 operator_limits_render(const struct operator_limits *list, struct buf *out)
 {
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -303,6 +303,30 @@
 }
 
 /* Guards against markup from a name and against a bar without its value. */
+/* Guards against an error in a list's file that does not say where it is, and
+ * against a file without a version that is refused although the command line
+ * gives it. */
+static void
+test_list_files(void)
+{
+    struct operator_limits limits;
+    struct operator_teams teams;
+    struct json_error err;
+    struct json_doc *doc;
+
+    g_assert_null(operator_limits_read(
+        STR("{\"version\":0,\n\"limits\":[\n{\"team\":\"a\",\n"
+            "\"tasks\":-1,\"cpu_milli\":1,\"memory_mib\":1,\n"
+            "\"accelerators\":0,\"requests\":1}]}"),
+        &limits, &err));
+    g_assert_cmpint(err.line, ==, 4);
+    g_assert_cmpstr(err.field, ==, "limits[0].tasks");
+    doc = operator_teams_read(STR("{\"teams\":[]}"), &teams, &err);
+    g_assert_nonnull(doc);
+    g_assert_cmpuint(teams.version, ==, OPERATOR_NO_VERSION);
+    json_doc_free(doc);
+}
+
 static void
 test_chart(void)
 {
@@ -333,6 +357,7 @@
     g_test_add_func("/codec/routes", test_routes);
     g_test_add_func("/codec/queries", test_queries);
     g_test_add_func("/codec/if_match", test_if_match);
+    g_test_add_func("/codec/list_files", test_list_files);
     g_test_add_func("/codec/chart", test_chart);
     return g_test_run();
 }
