raft: measure what the last index in replies to heartbeats saves

Ruled out: that nothing else notices the loss; the check of the match index does, one round trip later.

--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -413,6 +413,41 @@
 }
 
 /* Guards against a VM without configuration starting elections. */
+/* Guards against an entry whose only append was lost and that waits for the
+ * next proposal: the reply to a heartbeat tells the leader. */
+static void
+test_lost_append(void)
+{
+    int64_t longest = 0;
+    int64_t sum = 0;
+
+    for (uint64_t seed = 1; seed <= 100; seed++) {
+        int leader;
+        struct net *n = start(seed, &leader);
+        int64_t since;
+        guint goal;
+
+        commit(n, leader, 5);
+        run(n, 50 * NET_MS);
+        goal = n->committed->len + 1;
+        isolate(n, leader, false, true);
+        g_assert_true(net_propose(n, leader));
+        net_step(n, NET_MS);
+        net_heal(n);
+        since = n->now;
+        while (n->committed->len < goal && n->now - since < SECOND) {
+            net_step(n, NET_MS);
+        }
+        g_assert_cmpuint(n->committed->len, >=, goal);
+        longest = MAX(longest, n->now - since);
+        sum += n->now - since;
+        g_assert_cmpint(status(n, leader).role, ==, RAFT_LEADER);
+        finish(n);
+    }
+    g_test_message("committed after %.1f ms, at most %.0f ms",
+                   (double)sum / 100 / NET_MS, (double)longest / NET_MS);
+}
+
 static void
 test_no_configuration(void)
 {
@@ -557,6 +592,7 @@
     g_test_add_func("/raft/remove-leader", test_remove_leader);
     g_test_add_func("/raft/windows", test_windows);
     g_test_add_func("/raft/storage-failure", test_storage_failure);
+    g_test_add_func("/raft/lost-append", test_lost_append);
     g_test_add_func("/raft/no-configuration", test_no_configuration);
     g_test_add_func("/raft/snapshot", test_snapshot);
     g_test_add_func("/raft/malformed", test_malformed);
