--- a/bench/inforce.sh
+++ b/bench/inforce.sh
@@ -10,7 +10,7 @@
 for v in $(seq "$changes"); do
     echo "{\"version\":$v,\"teams\":[{\"name\":\"t1\",\"weight\":$((v % 9 + 1))},{\"name\":\"t2\",\"weight\":1}]}" >"$dir/c.json"
     from=$(date +%s%N)
-    "$bin/guavarock" teams set "$dir/c.json" | grep -q '"in_force": true' || echo "not in force: $v"
+    "$bin/guavarock" --json teams set "$dir/c.json" | grep -q '"in_force": true' || echo "not in force: $v"
     echo $((($(date +%s%N) - from) / 1000)) >>"$dir/times"
 done
 sort -n "$dir/times" | awk '{t[NR] = $1} END {
--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -79,6 +79,10 @@
 void
 cli_print_json(const struct cli_response *response);
 
+/* Prints the response's object: a line for each field, or JSON if asked. */
+void
+cli_print(const struct cli *cli, const struct cli_response *response);
+
 /* A random value for the Idempotency-Key header; the caller frees it. */
 char *
 cli_idempotency_key(void);
--- a/packages/cli/job.c
+++ b/packages/cli/job.c
@@ -142,7 +142,7 @@
         status = cli_call(cli, &request, &response);
         again = wait && status == CLI_OK && !is_terminal(response.json);
         if (status == CLI_OK && !again) {
-            cli_print_json(&response);
+            cli_print(cli, &response);
         }
         cli_response_free(&response);
     } while (again);
@@ -197,7 +197,7 @@
         .method = "PUT", .path = path.ptr, .body = str_of(body)};
     status = cli_call(cli, &request, &response);
     if (status == CLI_OK && !s->wait) {
-        cli_print_json(&response);
+        cli_print(cli, &response);
     }
     cli_response_free(&response);
     buf_free(&path);
@@ -267,10 +267,11 @@
 {
     static const struct argp_option options[] = {
         {"wait", 'w', NULL, 0, "Wait for the end of the job", 0}, {0}};
-    const struct argp argp = {.options = options,
-                              .parser = pick_option,
-                              .args_doc = "ID",
-                              .doc = "Show a job and its tasks."};
+    const struct argp argp = {
+        .options = options,
+        .parser = pick_option,
+        .args_doc = "ID",
+        .doc = "Show a job and how many of its tasks are in each state."};
     struct pick p = {0};
 
     argp_parse(&argp, argc, argv, 0, NULL, &p);
@@ -315,7 +316,7 @@
     const struct cli_request request = {.method = "DELETE", .path = path.ptr};
     status = cli_call(cli, &request, &response);
     if (status == CLI_OK) {
-        cli_print_json(&response);
+        cli_print(cli, &response);
     }
     cli_response_free(&response);
     buf_free(&path);
--- a/packages/cli/key.c
+++ b/packages/cli/key.c
@@ -118,7 +118,7 @@
     const struct cli_request request = {.method = method, .path = path.ptr};
     status = cli_call(cli, &request, &response);
     if (status == CLI_OK) {
-        cli_print_json(&response);
+        cli_print(cli, &response);
     }
     cli_response_free(&response);
     buf_free(&path);
--- a/packages/cli/lists.c
+++ b/packages/cli/lists.c
@@ -200,8 +200,10 @@
     else if (status == CLI_REFUSED) {
         fprintf(stderr, "guavarock: %s was not accepted\n", s->file);
     }
-    if (response.json != NULL &&
-        (status == CLI_OK || response.status == 409)) {
+    if (status == CLI_OK) {
+        cli_print(cli, &response);
+    }
+    else if (response.status == 409 && response.json != NULL) {
         cli_print_json(&response);
     }
     if (status == CLI_UNREACHABLE || status == CLI_UNKNOWN) {
--- a/packages/cli/print.c
+++ b/packages/cli/print.c
@@ -164,6 +164,61 @@
     free(text);
 }
 
+/* The longest name below prefix. */
+static int
+name_width(const json_t *object, size_t prefix)
+{
+    const char *name;
+    const json_t *value;
+    int width = 0;
+
+    json_object_foreach((json_t *)object, name, value)
+    {
+        size_t len = prefix + strlen(name);
+        int w = json_is_object(value) ? name_width(value, len + 1)
+                                      : (int)prefix + title_length(name);
+
+        width = w > width ? w : width;
+    }
+    return width;
+}
+
+static void
+print_fields(const json_t *object, const char *prefix, int width)
+{
+    const char *name;
+    const json_t *value;
+
+    json_object_foreach((json_t *)object, name, value)
+    {
+        struct buf path = {0};
+        char text[CELL_BYTES];
+
+        buf_printf(&path, "%s%s", prefix, name);
+        if (json_is_object(value)) {
+            buf_printf(&path, ".");
+            print_fields(value, path.ptr, width);
+        }
+        else {
+            cell(text, name, value);
+            printf("%-*.*s  %s\n", width, title_length(path.ptr), path.ptr,
+                   text);
+        }
+        buf_free(&path);
+    }
+}
+
+void
+cli_print(const struct cli *cli, const struct cli_response *response)
+{
+    if (cli->json || !json_is_object(response->json)) {
+        cli_print_json(response);
+    }
+    else {
+        print_fields(response->json, "", name_width(response->json, 0));
+    }
+}
+
 /* The path of the page that follows, "" after the last one. */
 static void
 next_page(const char *path, const json_t *json, struct buf *out)
@@ -221,9 +276,12 @@
         status = add_pages(cli, path, member, response.json);
     }
     if (status == CLI_OK) {
-        if (cli->json || member == NULL) {
+        if (cli->json) {
             cli_print_json(&response);
         }
+        else if (member == NULL) {
+            cli_print(cli, &response);
+        }
         else {
             cli_table(json_object_get(response.json, member), columns);
         }
