--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,8 @@
 CFLAGS_release := -O2 -g -fno-omit-frame-pointer
 CFLAGS_asan := -O1 -g -fno-omit-frame-pointer \
 	-fsanitize=address,undefined -fno-sanitize-recover=all
+CFLAGS_fuzz := -O1 -g -fno-omit-frame-pointer \
+	-fsanitize=address,undefined,fuzzer-no-link -Wno-missing-field-initializers
 CFLAGS_tsan := -O1 -g -fno-omit-frame-pointer -fsanitize=thread
 CFLAGS += -std=c11 $(WARN) $(CFLAGS_$(PROFILE))
 LDFLAGS += $(filter -fsanitize%,$(CFLAGS_$(PROFILE)))
@@ -53,7 +55,7 @@
 	$(if $(wildcard packages/cli/main.c),$(OUT)/guavarock)
 
 .PHONY: all tests benches fakes check check-asan check-tsan format \
-	format-check fuzz lint demo deps clean e2e soak proto
+	format-check fuzz fuzzers lint demo deps clean e2e soak proto
 .SECONDARY:
 
 all: $(BINS)
@@ -125,28 +127,35 @@
 check-asan:
 	$(MAKE) PROFILE=asan check
 
-# GLib's own allocator is not instrumented.
 # Random faults for a time; the same seed gives the same sequence of faults.
 SECONDS ?= 60
 SEED ?= 1
 soak: all fakes $(OUT)/soak
 	@GV_BIN=$(OUT) $(OUT)/soak $(SECONDS) $(SEED)
 
+# GLib's own allocator is not instrumented.
 check-tsan:
 	G_SLICE=always-malloc $(MAKE) PROFILE=tsan check TESTS_MATCH='$(TSAN_TESTS)'
 
+# libFuzzer targets, each for FUZZ_S seconds. Needs clang.
 FUZZ_S ?= 60
-FUZZ_PKGS := base caller endpoint operator platform worker
-FUZZ_SRCS := tests/fuzz/fuzz_json.c tests/support/bodies.c \
-	$(filter $(FUZZ_PKGS:%=packages/%/%),$(SRCS))
+FUZZERS := $(patsubst tests/fuzz/%.c,$(OUT)/fuzz/%,$(wildcard tests/fuzz/*.c))
+FUZZ_SUPPORT := $(OUT)/tests/support/bodies.o \
+	$(OUT)/tests/support/fuzz_target.o
+
+$(OUT)/fuzz/%: $(OUT)/tests/fuzz/%.o $(FUZZ_SUPPORT) $(LIBGV)
+	@mkdir -p $(@D)
+	@$(CC) $(LDFLAGS) -fsanitize=fuzzer -o $@ $^ $(LIB_LIBS)
+
+fuzzers: $(FUZZERS)
 
-# Needs clang.
 fuzz:
-	@mkdir -p $(BUILD)/fuzz/corpus
-	clang $(CPPFLAGS) $(ALL_INC) -Itests/support -std=c11 -g -O1 \
-		-fsanitize=fuzzer,address,undefined -o $(BUILD)/fuzz/fuzz_json \
-		$(FUZZ_SRCS) $(LIB_LIBS)
-	cd $(BUILD)/fuzz && ./fuzz_json -max_total_time=$(FUZZ_S) corpus
+	$(MAKE) CC=clang PROFILE=fuzz fuzzers
+	@for f in $(notdir $(FUZZERS)); do \
+		mkdir -p $(BUILD)/fuzz/corpus-$$f && \
+		(cd $(BUILD)/fuzz && fuzz/$$f -max_total_time=$(FUZZ_S) \
+			corpus-$$f) || exit 1; \
+	done
 
 ALL_C := $(wildcard packages/*/*.c packages/*/*.h packages/*/include/*.h \
 	tests/*.c tests/*/*.c tests/*/*.h bench/*.c bench/*.h bench/*/*.c \
--- a/tests/fuzz/fuzz_state_snapshot.c
+++ b/tests/fuzz/fuzz_state_snapshot.c
@@ -1,19 +1,6 @@
-/*
- * libFuzzer target; not part of make check. Build and run:
- *
- *   make CC=clang BUILD=build/fuzz PROFILE=asan \
- *       build/fuzz/asan/tests/test_fuzz \
- *       CFLAGS_asan="-O1 -g -fsanitize=address,undefined,fuzzer-no-link"
- *   clang -g -fsanitize=fuzzer,address,undefined -Ipackages/base/include \
- *       -Itests/support tests/fuzz/fuzz_state_snapshot.c \
- *       build/fuzz/asan/tests/support/fuzz_target.o \
- *       build/fuzz/asan/libguavarock.a \
- *       $(pkg-config --libs libprotobuf-c libsodium libxxhash) -lck \
- *       -lpthread -o build/fuzz/fuzz_state_snapshot
- *   build/fuzz/fuzz_state_snapshot -max_total_time=60
- */
 #include "fuzz_target.h"
 
+/* libFuzzer entry point: make fuzz. */
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
--- a/tests/support/fuzz_target.c
+++ b/tests/support/fuzz_target.c
@@ -1,9 +1,13 @@
 #include "fuzz_target.h"
 
+#include <stdio.h>
 #include <stdlib.h>
+#include <sys/mman.h>
+#include <unistd.h>
 
 #include "confview.h"
 #include "peer.h"
+#include "settings.h"
 #include "state.h"
 #include "wire.pb-c.h"
 
@@ -107,3 +111,50 @@
     confview_apply(v, bytes);
     confview_destroy(v);
 }
+
+static const char settings_example[] =
+    "{\"vm\":\"a1\",\"failure_domain\":\"fd1\","
+    "\"listen\":\"127.0.0.1:7070\",\"peer_listen\":\"127.0.0.1:7071\","
+    "\"data\":\"cell\",\"cluster_key_file\":\"cluster.key\","
+    "\"control\":[{\"vm\":\"a1\",\"address\":\"127.0.0.1:7071\"}],"
+    "\"open_queues\":[{\"name\":\"open\"}],"
+    "\"weights\":{\"waiting\":8,\"packing\":1,\"control\":1,\"share\":1},"
+    "\"election_timeout_ms\":500,\"heartbeat_ms\":100,"
+    "\"config_lease_ms\":3000,\"log_level\":\"info\"}";
+
+enum {
+    SETTINGS_EDIT_HEADER = 4,
+};
+
+void
+fuzz_settings(struct str bytes)
+{
+    const unsigned char *at = (const unsigned char *)bytes.ptr;
+    struct str example = str_of(settings_example);
+    struct settings s = {0};
+    struct buf text = {0};
+    char path[64];
+    size_t from;
+    size_t len;
+    int fd;
+
+    if (bytes.len < SETTINGS_EDIT_HEADER) {
+        return;
+    }
+    from = (size_t)(at[0] << 8 | at[1]) % (example.len + 1);
+    len = (size_t)(at[2] << 8 | at[3]) % (example.len - from + 1);
+    buf_append(&text, example.ptr, from);
+    buf_append(&text, at + SETTINGS_EDIT_HEADER,
+               bytes.len - SETTINGS_EDIT_HEADER);
+    buf_append(&text, example.ptr + from + len, example.len - from - len);
+    fd = memfd_create("settings", MFD_CLOEXEC);
+    if (fd < 0 || write(fd, text.ptr, text.len) != (ssize_t)text.len) {
+        abort();
+    }
+    snprintf(path, sizeof(path), "/proc/self/fd/%d", fd);
+    if (settings_load(&s, path)) {
+        settings_free(&s);
+    }
+    close(fd);
+    buf_free(&text);
+}
--- a/tests/support/fuzz_target.h
+++ b/tests/support/fuzz_target.h
@@ -18,4 +18,12 @@
 void
 fuzz_snapshot(struct str bytes);
 
+/*
+ * Loads settings. The input is an edit of a valid example, because random
+ * text is hardly ever JSON: position and length of the replaced part (two
+ * bytes each) and the new text. Loading must end with settings or an error.
+ */
+void
+fuzz_settings(struct str bytes);
+
 #endif
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -106,6 +106,26 @@
     }
 }
 
+/* Guards against settings that are read behind their end or leave memory
+ * behind. */
+static void
+test_settings(void)
+{
+    struct rng rng = {24};
+
+    for (int i = 0; i < 2000; i++) {
+        unsigned char edit[8];
+
+        for (size_t k = 0; k < sizeof(edit); k++) {
+            edit[k] = (unsigned char)rng_below(&rng, k < 4 ? 256 : 128);
+        }
+        /* Mostly short replacements, so that much of the example is left. */
+        edit[2] = 0;
+        edit[3] %= 8;
+        fuzz_settings(str_from(edit, 4 + rng_below(&rng, 5)));
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -113,5 +133,6 @@
     g_test_add_func("/fuzz/commands", test_commands);
     g_test_add_func("/fuzz/frames", test_frames);
     g_test_add_func("/fuzz/snapshots", test_snapshots);
+    g_test_add_func("/fuzz/settings", test_settings);
     return g_test_run();
 }
