--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -2,7 +2,8 @@
  * A load of many workers and endpoints from one process: each worker syncs as
  * soon as its last sync was answered, runs what it is given for --run-ms, and
  * each endpoint announces itself every second. Prints syncs, starts and
- * announcements per second and the latency of announcements.
+ * announcements per second, the latency of announcements, and the time from
+ * the sending of a job by "guavarock bench" on this machine to a task's start.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -19,7 +20,7 @@
 
 enum {
     ENTRIES_MAX = 16,
-    TASKS_MAX = 64, /* of one worker */
+    TASKS_MAX = 256, /* of one worker */
     ANNOUNCE_MS = 1000,
     RETRY_MS = 200,
     POLL_MS = 20,
@@ -27,6 +28,9 @@
     SAMPLES_MAX = 1000000,
 };
 
+/* In the payload of a job of "guavarock bench". */
+#define SENT_LABEL "sent_ns="
+
 struct task {
     uint64_t lease;
     int64_t end;
@@ -65,8 +69,22 @@
 static uint64_t starts;
 static uint64_t announcements;
 static uint64_t failures;
-static int64_t *samples;
-static size_t sample_count;
+
+struct samples {
+    int64_t *values;
+    size_t count;
+};
+
+static struct samples announced;
+static struct samples waited;
+
+static void
+samples_add(struct samples *s, int64_t value)
+{
+    if (s->count < SAMPLES_MAX) {
+        s->values[s->count++] = value;
+    }
+}
 
 static size_t
 take_body(char *data, size_t size, size_t count, void *arg)
@@ -172,6 +190,18 @@
     return false;
 }
 
+static void
+note_wait(const json_t *start, int64_t now)
+{
+    const char *payload = json_string_value(json_object_get(start, "payload"));
+    const char *sent = payload == NULL ? NULL : strstr(payload, SENT_LABEL);
+
+    if (sent != NULL) {
+        samples_add(&waited,
+                    now - strtoll(sent + strlen(SENT_LABEL), NULL, 10));
+    }
+}
+
 static void
 take_answer(struct client *c, int64_t now)
 {
@@ -192,6 +222,7 @@
             c->tasks[c->task_count++] = (struct task){
                 .lease = lease, .end = now + opt.run_ms * NS_PER_MS};
             starts++;
+            note_wait(item, now);
         }
     }
     json_decref(answer);
@@ -214,9 +245,7 @@
     if (c->is_endpoint) {
         announcements++;
         c->due = c->sent + ANNOUNCE_MS * NS_PER_MS;
-        if (sample_count < SAMPLES_MAX) {
-            samples[sample_count++] = now - c->sent;
-        }
+        samples_add(&announced, now - c->sent);
         return;
     }
     syncs++;
@@ -279,12 +308,23 @@
 }
 
 static double
-percentile_ms(double p)
+percentile_ms(const struct samples *s, double p)
 {
-    if (sample_count == 0) {
+    if (s->count == 0) {
         return 0;
     }
-    return (double)samples[(size_t)(p * (double)(sample_count - 1))] / 1e6;
+    return (double)s->values[(size_t)(p * (double)(s->count - 1))] / NS_PER_MS;
+}
+
+static void
+print_samples(const char *label, struct samples *s)
+{
+    if (s->count == 0) {
+        return;
+    }
+    qsort(s->values, s->count, sizeof(*s->values), by_value);
+    printf("%s ms: p50 %.2f  p99 %.2f  max %.2f\n", label,
+           percentile_ms(s, 0.5), percentile_ms(s, 0.99), percentile_ms(s, 1));
 }
 
 static void
@@ -305,14 +345,13 @@
         reap(clock_now());
         curl_multi_poll(multi, NULL, 0, POLL_MS, NULL);
     }
-    qsort(samples, sample_count, sizeof(*samples), by_value);
     printf("workers %ld endpoints %ld: syncs %.1f/s starts %.1f/s "
-           "announcements %.1f/s (p50 %.2f ms, p99 %.2f ms) failures %" PRIu64
-           "\n",
+           "announcements %.1f/s failures %" PRIu64 "\n",
            opt.workers, opt.endpoints, (double)syncs / (double)opt.seconds,
            (double)starts / (double)opt.seconds,
-           (double)announcements / (double)opt.seconds, percentile_ms(0.5),
-           percentile_ms(0.99), failures);
+           (double)announcements / (double)opt.seconds, failures);
+    print_samples("announcement", &announced);
+    print_samples("job sent to task started", &waited);
 }
 
 static const struct argp_option options[] = {
@@ -383,7 +422,8 @@
     multi = curl_multi_init();
     total = opt.workers + opt.endpoints;
     curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, total);
-    samples = mem_alloc(SAMPLES_MAX * sizeof(*samples));
+    announced.values = mem_alloc(SAMPLES_MAX * sizeof(int64_t));
+    waited.values = mem_alloc(SAMPLES_MAX * sizeof(int64_t));
     clients = mem_zalloc((size_t)total + 1, sizeof(*clients));
     worker_headers = headers(opt.worker_key == NULL ? "" : opt.worker_key);
     endpoint_headers =
@@ -407,7 +447,8 @@
     curl_slist_free_all(endpoint_headers);
     curl_multi_cleanup(multi);
     mem_free(clients);
-    mem_free(samples);
+    mem_free(announced.values);
+    mem_free(waited.values);
     curl_global_cleanup();
     return 0;
 }
--- a/completion/guavarock.bash
+++ b/completion/guavarock.bash
@@ -29,7 +29,7 @@
     "key give") echo --kind= --team= ;;
     audit) echo --after= --last= ;;
     usage) echo --month= --svg= ;;
-    bench) echo --concurrency= --seconds= --jobs --rate= ;;
+    bench) echo --concurrency= --seconds= --jobs --rate= --tasks= ;;
     esac
     echo --help --usage --version
 }
--- a/packages/cli/bench.c
+++ b/packages/cli/bench.c
@@ -15,6 +15,7 @@
     SECONDS_MAX = 3600,
     SAMPLES_MAX = 10000000,
     POLL_MS = 100,
+    TASKS_MAX = 1000,
 };
 
 enum bench_kind {
@@ -27,7 +28,8 @@
     const char *target; /* service path or full URL, or job id prefix */
     long concurrency;
     long seconds;
-    long rate; /* per second over all connections, 0 for no limit */
+    long rate;  /* per second over all connections, 0 for no limit */
+    long tasks; /* of each job */
     struct cli *cli;
     CURLM *multi;
     int64_t deadline;
@@ -90,8 +92,9 @@
         buf_printf(&url, "%s/v1/jobs/%s-%llu", server, b->target,
                    (unsigned long long)b->started);
         snprintf(l->body, sizeof(l->body),
-                 "{\"class\":\"batch\",\"tasks\":1,\"cpu_milli\":100,"
-                 "\"memory_mib\":16,\"payload\":\"run_ms=10\"}");
+                 "{\"class\":\"batch\",\"tasks\":%ld,\"cpu_milli\":100,"
+                 "\"memory_mib\":16,\"payload\":\"run_ms=10 sent_ns=%lld\"}",
+                 b->tasks, (long long)now);
         curl_easy_setopt(l->easy, CURLOPT_CUSTOMREQUEST, "PUT");
         curl_easy_setopt(l->easy, CURLOPT_POSTFIELDS, l->body);
     }
@@ -257,6 +260,7 @@
     {"seconds", 'd', "S", 0, "Duration (10)", 0},
     {"rate", 'r', "N", 0, "Calls per second at most (no limit)", 0},
     {"jobs", 'j', NULL, 0, "Submit small jobs; TARGET is their prefix", 0},
+    {"tasks", 't', "N", 0, "Tasks of each job (1)", 0},
     {0},
 };
 
@@ -279,12 +283,16 @@
     case 'j':
         b->kind = BENCH_JOBS;
         break;
+    case 't':
+        b->tasks = cli_number(state, "--tasks", arg, TASKS_MAX);
+        break;
     case ARGP_KEY_ARG:
         b->target = arg;
         break;
     case ARGP_KEY_END:
-        if (b->target == NULL || b->concurrency == 0) {
-            argp_error(state, "the target is missing or no call is allowed");
+        if (b->target == NULL || b->concurrency == 0 || b->tasks == 0) {
+            argp_error(state, "the target is missing, or no call or task is "
+                              "allowed");
         }
         break;
     default:
@@ -302,7 +310,8 @@
         .args_doc = "TARGET",
         .doc = "Measure calls to TARGET: SERVICE/PATH through the entries, or "
                "an http:// URL without them."};
-    struct bench b = {.concurrency = 16, .seconds = 10, .cli = cli};
+    struct bench b = {
+        .concurrency = 16, .seconds = 10, .tasks = 1, .cli = cli};
     int64_t begin;
 
     argp_parse(&argp, argc, argv, 0, NULL, &b);
--- a/packages/daemon/measures.c
+++ b/packages/daemon/measures.c
@@ -15,12 +15,12 @@
 };
 
 enum {
-    BUCKETS = 10,
+    BUCKETS = 13,
 };
 
 /* The last bucket has no bound. */
 static const int64_t bucket_ms[BUCKETS - 1] = {
-    100, 500, 1000, 2000, 5000, 15000, 60000, 300000, 1800000};
+    5, 20, 50, 100, 500, 1000, 2000, 5000, 15000, 60000, 300000, 1800000};
 
 static const char *const class_names[WAIT_CLASSES] = {
     [WAIT_SERVICE] = "service",
