daemon: end a leader's step when its lease ends between two grants

A leader could loop for ever and answer nobody until it was killed. Cause: entries_step looks at the quorum lease once and then sends a grant for each entry that is due. entries_send_grant looks at the lease again and returns early without it, so the entry stays due, and ledger_due returns it again. The lease cannot be renewed, because the loop is on the control thread. Seen as end-to-end cases that fail in many places, each with the log line "nothing heard" about the leader; gdb showed the control thread in this loop in all 11 processes that did not answer and still ran.

The loop now looks at the lease for each grant. What is due stays due and is sent with the next lease. Ruled out: the other callers of replica_leads, which have no loop that depends on its answer.

/entries/lease-ends-between-grants compiles entries_grants.c into the test, lets the lease end at each look at it, and fails before (SIGALRM after 10 s) and passes now.

--- a/packages/daemon/entries_grants.c
+++ b/packages/daemon/entries_grants.c
@@ -182,7 +182,9 @@
         entries_push_config(l);
     }
     push_endpoints(l);
-    while (ledger_due(l->ledger, l->control->now, &run)) {
+    /* The lease may end between two grants; what is due then stays due. */
+    while (replica_leads(l->replica) &&
+           ledger_due(l->ledger, l->control->now, &run)) {
         struct entry_record *e = find_run(l, run);
         struct grants lost = {0};
 
