daemon: usage up to the end of an expired lease survives a leader change

Cause: when a worker's lease expired, the leader acknowledged the ends of its tasks as soon as they were committed as lost, before the worker had reported what they consumed since its last sync. The worker forgot the tasks with the first answer after it was back, and the samples were in the leader's memory only, for up to 2 s (USAGE_FLUSH_MS). A leader that was lost in that time took them with it, and the team's chart showed too little.

Now an end of an expired lease is acknowledged when the worker reports it and the state has counted its last sample. Samples that the state has counted are not proposed again.

Drift was ruled out: the missing part is what the worker consumed after its last sync, for any clock.

--- a/packages/daemon/placement_commit.c
+++ b/packages/daemon/placement_commit.c
@@ -118,7 +118,11 @@
         if (r == NULL) {
             continue;
         }
-        worker_ack(l, worker_session(l, r->worker), r->lease);
+        /* A worker whose lease expired has not reported the end yet; its
+         * report, with the last sample, is what is acknowledged. */
+        if (r->outcome != STATE_OUTCOME_LOST) {
+            worker_ack(l, worker_session(l, r->worker), r->lease);
+        }
         lease_record_free(l, r);
     }
     mem_free(b);
--- a/packages/daemon/worker_syncs.c
+++ b/packages/daemon/worker_syncs.c
@@ -67,8 +67,12 @@
         enum sched_end end = end_of(f->outcome);
 
         if (r == NULL) {
-            /* Its end is already part of the state. */
-            worker_ack(l, w, f->lease);
+            /* Its end is already part of the state. What it consumed up to
+             * then may not be, when its lease expired: the worker is to
+             * report it again to the next leader if this one is lost. */
+            if (map_get_u64(l->usage, f->lease) == NULL) {
+                worker_ack(l, w, f->lease);
+            }
             continue;
         }
         if (r->worker != w->number || r->ended) {
@@ -87,18 +91,21 @@
     for (size_t i = 0; i < sync->usage_count; i++) {
         const struct worker_usage *u = &sync->usage[i];
         struct sched_event event = {.kind = SCHED_EVENT_USAGE};
+        const struct state_sample latest = {
+            u->lease, u->cpu_ms, u->memory_mib_s, u->accelerator_ms};
         struct state_sample *sample = map_get_u64(l->usage, u->lease);
         struct lease_record *r = map_get_u64(l->leases, u->lease);
 
         if (r != NULL && r->worker != w->number) {
             continue;
         }
-        if (sample == NULL) {
-            sample = mem_zalloc(1, sizeof(*sample));
-            map_put_u64(l->usage, u->lease, sample);
+        if (!state_usage_is_recorded(leader_state(l), &latest)) {
+            if (sample == NULL) {
+                sample = mem_zalloc(1, sizeof(*sample));
+                map_put_u64(l->usage, u->lease, sample);
+            }
+            *sample = latest;
         }
-        *sample = (struct state_sample){u->lease, u->cpu_ms, u->memory_mib_s,
-                                        u->accelerator_ms};
         event.u.usage = (struct sched_usage_event){
             u->lease,  u->cpu_milli,    u->memory_mib,
             u->cpu_ms, u->memory_mib_s, u->accelerator_ms};
--- a/packages/state/include/state_view.h
+++ b/packages/state/include/state_view.h
@@ -174,6 +174,13 @@
 state_month(int64_t wall_ms);
 const struct state_usage *
 state_usage_get(const struct state *s, uint32_t team, uint32_t month);
+
+/* Whether the state has counted the sample, or does not know its lease any
+ * more. */
+struct state_sample;
+bool
+state_usage_is_recorded(const struct state *s,
+                        const struct state_sample *sample);
 const struct state_usage *
 state_usage_next(const struct state *s, void **cursor);
 
--- a/packages/state/usage.c
+++ b/packages/state/usage.c
@@ -96,6 +96,17 @@
     result_applied(a, 0, 0, changed);
 }
 
+bool
+state_usage_is_recorded(const struct state *s,
+                        const struct state_sample *sample)
+{
+    const struct lease *lease = lease_by_number(s, sample->lease);
+
+    return lease == NULL || (sample->cpu_ms <= lease->cpu_ms &&
+                             sample->memory_mib_s <= lease->memory_mib_s &&
+                             sample->accelerator_ms <= lease->accelerator_ms);
+}
+
 const struct state_usage *
 state_usage_get(const struct state *s, uint32_t team, uint32_t month)
 {
--- a/tests/test_e2e_drift.c
+++ b/tests/test_e2e_drift.c
@@ -67,7 +67,9 @@
 }
 
 /* Guards against a lease that outlasts what the leader has waited for because
- * the holder's clock is slower, up to nearly the 1% that is allowed for. */
+ * the holder's clock is slower, up to nearly the 1% that is allowed for; and
+ * against usage that a worker reports after its lease has expired and that is
+ * lost with the leader, which is cut off right after. */
 static void
 drift_within(const int drift_ppm[CLUSTER_VMS_MAX])
 {
