daemon: metrics and log lines for long steps and pauses of the control loop

Cause: heartbeats and leases depend on short steps of the control thread, and neither a long step nor a paused process showed anywhere; the endless loop that corrects could only be found with a debugger. Steps are counted by their time, the busy time is summed, and what exceeds the election timeout is logged.

--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -15,6 +15,7 @@
 #include "leader.h"
 #include "log.h"
 #include "replica.h"
+#include "step_times.h"
 #include "storage.h"
 
 enum {
@@ -149,12 +150,13 @@
 }
 
 static void
-run(struct control *c, int signals)
+run(struct control *c, struct step_times *times, int signals)
 {
     struct epoll_event events[EVENTS_MAX];
 
     while (c->drain != DRAIN_DONE) {
-        int wait = clock_wait_ms(clock_now(), next_deadline(c), WAIT_MAX_MS);
+        int64_t now = clock_now();
+        int wait = clock_wait_ms(now, next_deadline(c), WAIT_MAX_MS);
 
         if (epoll_wait(c->epoll, events, EVENTS_MAX, wait) < 0 &&
             errno != EINTR) {
@@ -165,6 +167,8 @@
         }
         take_signal(c, signals);
         wake(c);
+        step_times_woke(times, now + wait * NS_PER_MS, c->now);
+        step_times_add(times, c->now, clock_now());
     }
 }
 
@@ -172,6 +176,8 @@
 control_run(const struct settings *settings)
 {
     struct control c = {.settings = settings, .now = clock_now()};
+    struct step_times *times =
+        step_times_create(settings->election_timeout_ms * NS_PER_MS);
     int signals = -1;
 
     randombytes_buf(&c.run, sizeof(c.run));
@@ -188,9 +194,10 @@
         c.exit_status = 0;
         log_write(LOG_LEVEL_NOTICE, "control: VM %.*s serves on %.*s",
                   STR_ARG(settings->vm), STR_ARG(settings->listen));
-        run(&c, signals);
+        run(&c, times, signals);
     }
     control_stop(&c);
+    step_times_destroy(times);
     if (signals >= 0) {
         close(signals);
     }
--- a/tests/test_e2e.c
+++ b/tests/test_e2e.c
@@ -87,6 +87,9 @@
     c->team = team;
     cluster_await_whole(c);
     load_await(c, old);
+    /* Operators can tell the pause from the metrics. */
+    g_assert_cmpint(api_metric(c, old, "guavarock_control_pauses_total"), >=,
+                    1);
     e2e_finish(c);
 }
 
