--- a/packages/base/include/json.h
+++ b/packages/base/include/json.h
@@ -165,6 +165,11 @@
 void
 json_doc_free(struct json_doc *doc);
 
+/* The line, from 1, of a member of the object in text, which json_decode has
+ * accepted; 0 without such a member. */
+int
+json_member_line(struct str text, const char *member);
+
 /* Appends the struct as JSON without white space. */
 void
 json_encode(const struct json_shape *shape, const void *in, struct buf *out);
--- a/packages/base/json_path.c
+++ b/packages/base/json_path.c
@@ -121,6 +121,14 @@
     return line;
 }
 
+int
+json_member_line(struct str text, const char *member)
+{
+    const struct json_path path = {.steps = {{.key = member}}, .count = 1};
+
+    return json_path_line(text, &path);
+}
+
 void
 json_path_format(const struct json_path *path, char *out, size_t size)
 {
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -136,6 +136,12 @@
     };
 }
 
+/* Where settings come from, for errors. */
+struct source {
+    const char *file;
+    struct buf text;
+};
+
 static bool
 fail(const char *file, int line, const char *field, const char *message)
 {
@@ -144,6 +150,17 @@
     return false;
 }
 
+/* An error of a member that has been read. A missing one has no line: that of
+ * the object, 1, is given. */
+static bool
+fail_member(const struct source *source, const char *member,
+            const char *message)
+{
+    int line = json_member_line(buf_str(&source->text), member);
+
+    return fail(source->file, line == 0 ? 1 : line, member, message);
+}
+
 static bool
 read_file(const char *file, struct buf *out)
 {
@@ -164,7 +181,7 @@
 /* The key is derived from the file's text, so that any text of enough length
  * serves, such as the output of "openssl rand -hex 32". */
 static bool
-read_cluster_key(struct settings *s, const char *file)
+read_cluster_key(struct settings *s, const struct source *source)
 {
     struct buf path = {0};
     struct buf text = {0};
@@ -176,11 +193,11 @@
         text.len--;
     }
     if (!ok) {
-        fail(file, 0, "cluster_key_file", strerror(errno));
+        fail_member(source, "cluster_key_file", strerror(errno));
     }
     else if (text.len < KEY_TEXT_MIN) {
-        ok = fail(file, 0, "cluster_key_file",
-                  "the file holds fewer than 32 characters");
+        ok = fail_member(source, "cluster_key_file",
+                         "the file holds fewer than 32 characters");
     }
     else {
         crypto_generichash(s->cluster_key, sizeof(s->cluster_key),
@@ -204,31 +221,40 @@
 }
 
 static bool
-check(const struct settings *s, const char *file)
+check(const struct settings *s, const struct source *source)
 {
     bool control = settings_is_control(s);
 
     if (!endpoint_address_ok(s->listen)) {
-        return fail(file, 0, "listen", "not a numeric IP:PORT");
+        return fail_member(source, "listen", "not a numeric IP:PORT");
+    }
+    if (s->peer_listen.ptr != NULL && !endpoint_address_ok(s->peer_listen)) {
+        return fail_member(source, "peer_listen", "not a numeric IP:PORT");
     }
     for (size_t i = 0; i < s->control_count; i++) {
         if (!endpoint_address_ok(s->control[i].address)) {
-            return fail(file, 0, "control.address", "not a numeric IP:PORT");
+            return fail_member(source, "control", "not a numeric IP:PORT");
         }
     }
     if (s->control_count % 2 == 0) {
-        return fail(file, 0, "control", "list 1, 3 or 5 control VMs");
+        return fail_member(source, "control", "list 1, 3 or 5 control VMs");
     }
     if (control && (s->data.ptr == NULL || s->peer_listen.ptr == NULL)) {
-        return fail(file, 0, s->data.ptr == NULL ? "data" : "peer_listen",
-                    "is needed on a control VM");
+        return fail_member(source,
+                           s->data.ptr == NULL ? "data" : "peer_listen",
+                           "is needed on a control VM");
     }
     if (!control && s->data.ptr != NULL) {
-        return fail(file, 0, "data", "this VM is not listed under control");
+        return fail_member(source, "data",
+                           "this VM is not listed under control");
     }
     if (s->heartbeat_ms * 2 > s->election_timeout_ms) {
-        return fail(file, 0, "heartbeat_ms",
-                    "must be at most half of election_timeout_ms");
+        return fail_member(source, "heartbeat_ms",
+                           "must be at most half of election_timeout_ms");
+    }
+    if (s->drain_notice_ms >= s->drain_deadline_ms) {
+        return fail_member(source, "drain_notice_ms",
+                           "must be less than drain_deadline_ms");
     }
     return true;
 }
@@ -236,25 +262,26 @@
 bool
 settings_load(struct settings *s, const char *file)
 {
+    struct source source = {.file = file};
     struct json_error error;
-    struct buf text = {0};
-    bool ok;
+    bool ok = false;
 
     defaults(s);
-    if (!read_file(file, &text)) {
+    if (!read_file(file, &source.text)) {
         fprintf(stderr, "guavarockd: %s: cannot be read\n", file);
-        buf_free(&text);
-        return false;
+        goto out;
     }
-    s->doc = json_decode(&shape, buf_str(&text), s, &error);
-    buf_free(&text);
+    s->doc = json_decode(&shape, buf_str(&source.text), s, &error);
     if (s->doc == NULL) {
-        return fail(file, error.line, error.field, error.message);
+        fail(file, error.line, error.field, error.message);
+        goto out;
     }
-    ok = check(s, file) && read_cluster_key(s, file);
+    ok = check(s, &source) && read_cluster_key(s, &source);
     if (!ok) {
         settings_free(s);
     }
+out:
+    buf_free(&source.text);
     return ok;
 }
 
