--- a/tests/support/cluster_api.c
+++ b/tests/support/cluster_api.c
@@ -335,12 +335,13 @@
     snprintf(body, sizeof(body),
              "{\"class\":\"%s\",\"tasks\":%d,\"cpu_milli\":%d,"
              "\"memory_mib\":64,\"urgent\":%s,\"idempotent\":%s,"
-             "\"run_time_s\":1,\"payload\":\"%s\"}",
+             "\"run_time_s\":%d,\"payload\":\"%s\"}",
              job->class == NULL ? "batch" : job->class,
              job->tasks == 0 ? 1 : job->tasks,
              job->cpu_milli == 0 ? 1000 : job->cpu_milli,
              job->urgent ? "true" : "false",
              job->idempotent ? "true" : "false",
+             job->run_time_s == 0 ? 1 : job->run_time_s,
              job->payload == NULL ? "" : job->payload);
     history_write(c->history,
                   "\"event\":\"submit\",\"team\":\"lamps\",\"job\":\"%s\","
--- a/tests/support/cluster_api.h
+++ b/tests/support/cluster_api.h
@@ -70,6 +70,7 @@
     const char *class; /* NULL: batch */
     int tasks;         /* 0: 1 */
     int cpu_milli;     /* 0: 1000 */
+    int run_time_s;    /* declared; 0: 1 */
     bool idempotent;
     bool urgent;
     const char *payload;
--- a/tests/test_e2e.c
+++ b/tests/test_e2e.c
@@ -69,6 +69,8 @@
     struct cluster_key key = api_key_create(c, "team", "lamps");
     struct cluster_key team = c->team;
     int old = cluster_leader(c, -1);
+    struct cluster *user = e2e_clone(c); /* keeps the key that stays valid */
+    struct load *load = e2e_load(user, 4);
     int64_t until = clock_now() + E2E_ALL_LEASES_MS * NS_PER_MS;
     char outcome[16];
     int other;
@@ -87,6 +89,9 @@
     c->team = team;
     cluster_await_whole(c);
     load_await(c, old);
+    load_await_more(load, 20);
+    load_stop(load);
+    e2e_clone_free(user);
     e2e_finish(c);
 }
 
--- a/tests/test_e2e_access.c
+++ b/tests/test_e2e_access.c
@@ -1,5 +1,7 @@
 /* End-to-end tests of refused access: keys and the internal port. */
 #include <arpa/inet.h>
+#include <pthread.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -10,6 +12,7 @@
 #include "await.h"
 #include "cluster_api.h"
 #include "e2e.h"
+#include "e2e_rig.h"
 #include "load.h"
 #include "proc.h"
 #include "rng.h"
@@ -133,6 +136,62 @@
     finish(c);
 }
 
+/* ---- Waiting requests ---- */
+
+struct waiting {
+    struct cluster *c;
+    struct cluster_key key;
+    const char *tag;
+    char outcome[16];
+    long status;
+};
+
+static void *
+send_slow(void *arg)
+{
+    struct waiting *w = arg;
+    char url[64];
+    const struct load_request r = {.url = url,
+                                   .tag = w->tag,
+                                   .key_id = w->key.id,
+                                   .key = w->key.key,
+                                   .delay_ms = 1500};
+
+    snprintf(url, sizeof(url), "http://%s", w->c->vms[0].http);
+    w->status = load_send(w->c->client, w->c->history, &r, w->outcome);
+    return NULL;
+}
+
+/* Guards against a request that waits at an entry for the team's limit and is
+ * sent after its key was withdrawn, or never answered. */
+static void
+test_withdrawn_waiting(void)
+{
+    const struct api_limit limit = {.requests = 1};
+    struct cluster *c = start();
+    struct waiting first = {e2e_clone(c), c->team, "first", "", 0};
+    struct waiting second = {e2e_clone(c), api_key_create(c, "team", "lamps"),
+                             "second", "", 0};
+    pthread_t threads[2];
+
+    api_limit(c, &limit);
+    REQUIRE(pthread_create(&threads[0], NULL, send_slow, &first) == 0);
+    AWAIT(e2e_has_arrived(c, "first"));
+    REQUIRE(pthread_create(&threads[1], NULL, send_slow, &second) == 0);
+    AWAIT(api_metric(c, 0, "guavarock_requests_queued") == 1);
+    api_key_withdraw(c, second.key.id, -1);
+    pthread_join(threads[1], NULL);
+    g_assert_cmpint(second.status, ==, 401);
+    g_assert_cmpstr(second.outcome, ==, "not-run");
+    pthread_join(threads[0], NULL);
+    g_assert_cmpint(first.status, ==, 200);
+    load_await(c, 0);
+    g_assert_false(e2e_has_arrived(c, "second"));
+    e2e_clone_free(first.c);
+    e2e_clone_free(second.c);
+    finish(c);
+}
+
 /* ---- The internal port ---- */
 
 static void
@@ -198,6 +257,7 @@
 main(int argc, char **argv)
 {
     e2e_case("/e2e/keys", test_keys);
+    e2e_case("/e2e/withdrawn-waiting", test_withdrawn_waiting);
     e2e_case("/e2e/frames", test_frames);
     return e2e_run(argc, argv);
 }
--- a/tests/test_e2e_domain.c
+++ b/tests/test_e2e_domain.c
@@ -93,14 +93,18 @@
 }
 
 static void
-lose_domain(bool with_leader)
+lose_domain(bool with_leader, bool again)
 {
     struct cluster *c = start();
     struct load *load = e2e_load(c, 8);
     int domain = with_leader ? cluster_leader(c, -1) : cluster_follower(c);
+    int away = DOMAINS + (domain + 1) % DOMAINS;
     int64_t version;
 
     e2e_run_jobs(c, "before", JOBS, QUARTER_CPU_MILLI, "run_ms=1000");
+    if (again) {
+        cluster_vm_kill(c, away);
+    }
     kill_domain(c, domain);
     cluster_leader(c, domain);
     load_await_more(load, 50);
@@ -111,6 +115,14 @@
     cluster_await_workers(c, WORKERS - 1);
     cluster_await_endpoints(c, WORKERS - 1);
     start_domain(c, domain);
+    if (again) {
+        cluster_await_workers(c, WORKERS);
+        e2e_put_jobs(c, "again", JOBS, "run_ms=500");
+        kill_domain(c, domain);
+        load_await_more(load, 50);
+        start_domain(c, domain);
+        cluster_vm_start(c, away);
+    }
     cluster_await_whole(c);
     cluster_await_workers(c, WORKERS);
     cluster_await_endpoints(c, FAKES - WORKERS);
@@ -129,14 +141,22 @@
 static void
 test_follower(void)
 {
-    lose_domain(false);
+    lose_domain(false, false);
 }
 
 /* The same when the new leader does not know what the lost one granted. */
 static void
 test_leader(void)
 {
-    lose_domain(true);
+    lose_domain(true, false);
+}
+
+/* The same while an entry of another domain is away, and once more before the
+ * first loss is settled. */
+static void
+test_again(void)
+{
+    lose_domain(true, true);
 }
 
 int
@@ -144,5 +164,6 @@
 {
     e2e_case("/e2e/domain/follower", test_follower);
     e2e_case("/e2e/domain/leader", test_leader);
+    e2e_case("/e2e/domain/again", test_again);
     return e2e_run(argc, argv);
 }
