--- a/tests/test_e2e.c
+++ b/tests/test_e2e.c
@@ -69,6 +69,8 @@
     struct cluster_key key = api_key_create(c, "team", "lamps");
     struct cluster_key team = c->team;
     int old = cluster_leader(c, -1);
+    struct cluster *user = e2e_clone(c); /* keeps the key that stays valid */
+    struct load *load = e2e_load(user, 4);
     int64_t until = clock_now() + E2E_ALL_LEASES_MS * NS_PER_MS;
     char outcome[16];
     int other;
@@ -89,6 +91,9 @@
     load_await(c, old);
     /* Operators can tell the pause from the metrics. */
     AWAIT(api_metric(c, old, "guavarock_control_stalls_total") >= 1);
+    load_await_more(load, 20);
+    load_stop(load);
+    e2e_clone_free(user);
     e2e_finish(c);
 }
 
