--- /dev/null
+++ b/packages/announce/package.mk
@@ -0,0 +1,1 @@
+announce_DEPS := base
--- a/packages/daemon/api_lists.c
+++ b/packages/daemon/api_lists.c
@@ -321,6 +321,7 @@
         return;
     }
     call_refuse_key(call->leader, call->subject, call);
+    endpoints_key_withdrawn(call->leader, call->subject);
     call->status = 200;
     call->list_version = state_config_version(leader_state(call->leader));
     inforce_wait(call, call->list_version);
--- a/packages/daemon/call.c
+++ b/packages/daemon/call.c
@@ -74,6 +74,8 @@
     reply.content_type =
         (char *)(call->content_type == NULL ? "application/json"
                                             : call->content_type);
+    reply.claim = call->claim;
+    reply.claim_group = call->group;
     reply.body.data = (uint8_t *)body->ptr;
     reply.body.len = body->len;
     send_reply(call, &reply);
@@ -369,6 +371,12 @@
     call->deadline =
         l->control->now + (remaining > 0 ? remaining : 0) * NS_PER_MS;
     take_texts(call, wire);
+    if (wire->arrival != NULL) {
+        call->run = wire->arrival->run;
+        call->group = wire->arrival->group;
+        call->arrived.earliest = wire->arrival->earliest_ns;
+        call->arrived.latest = wire->arrival->latest_ns;
+    }
     call->next = l->calls;
     if (l->calls != NULL) {
         l->calls->prev = call;
--- a/packages/daemon/dispatch.c
+++ b/packages/daemon/dispatch.c
@@ -50,6 +50,11 @@
             leader_entry_sync(c->leader, from, env->entry_sync);
         }
         break;
+    case WIRE__ENVELOPE__MSG_VOUCH:
+        if (c->leader != NULL) {
+            leader_vouch(c->leader, from, env->vouch);
+        }
+        break;
     case WIRE__ENVELOPE__MSG_BEGIN:
         if (c->leader == NULL) {
             refuse_begin(from, env->begin->id);
@@ -94,6 +99,9 @@
     case WIRE__ENVELOPE__MSG_ENTRY_GRANT:
         entry_grant(c->entry, env->entry_grant);
         break;
+    case WIRE__ENVELOPE__MSG_VOUCH_ANSWER:
+        entry_vouch_answer(c->entry, env->vouch_answer);
+        break;
     case WIRE__ENVELOPE__MSG_REPLY:
         entry_reply(c->entry, env->reply);
         break;
--- a/packages/daemon/endpoints.c
+++ b/packages/daemon/endpoints.c
@@ -1,6 +1,6 @@
 /*
- * The leader's table of endpoints: announcements, their leases, and what has
- * changed since an entry last heard.
+ * The leader's table of endpoints: announcements, and what has changed since
+ * an entry last heard. Their leases are kept by the announce package.
  */
 #include "endpoint.h"
 #include "leader_impl.h"
@@ -13,10 +13,6 @@
     GONE_MAX = 10000,
 };
 
-#define RECORD_OF(node)                                                       \
-    ((struct endpoint_record *)((char *)(node)-offsetof(                      \
-        struct endpoint_record, expiry)))
-
 static void
 record_free(struct endpoint_record *e)
 {
@@ -42,6 +38,20 @@
     mem_free(g);
 }
 
+void
+endpoints_create(struct leader *l)
+{
+    const struct settings *s = l->control->settings;
+    int64_t end = leader_lease_end(l, s->endpoint_lease_ms);
+    struct announce_table_config config = {
+        .lease_ns = s->endpoint_lease_ms * NS_PER_MS, .term = l->term};
+
+    config.margin_ns = end - l->control->now - config.lease_ns;
+    l->announced = announce_table_create(&config);
+    l->endpoints = map_create();
+    l->endpoints_known_at = l->control->now + config.lease_ns;
+}
+
 void
 endpoints_destroy(struct leader *l)
 {
@@ -55,7 +65,7 @@
         gone_pop(l);
     }
     map_destroy(l->endpoints);
-    heap_free(&l->endpoint_expiry);
+    announce_table_destroy(l->announced);
 }
 
 static void
@@ -107,7 +117,6 @@
         gone_pop(l);
     }
     map_del(l->endpoints, e->id);
-    heap_remove(&l->endpoint_expiry, &e->expiry);
     record_free(e);
 }
 
@@ -127,6 +136,13 @@
     return changed;
 }
 
+static void
+fail_superseded(struct call *call)
+{
+    call_fail(call, 409, "superseded", "",
+              "a later announcement has come through another entry");
+}
+
 void
 api_endpoint_put(struct call *call)
 {
@@ -137,6 +153,11 @@
     struct endpoint_record *e = map_get(l->endpoints, id);
     struct api_error error;
     struct endpoint in = {0};
+    struct announce_put put = {.id = id,
+                               .key = call->key_id,
+                               .run = call->run,
+                               .group = call->group,
+                               .when = call->arrived};
     struct buf body = {0};
 
     call->doc = endpoint_parse(call->body, &in, &error);
@@ -144,15 +165,16 @@
         call_fail_api(call, &error);
         return;
     }
+    if (announce_table_put(l->announced, clock_now(), &put, &call->claim) ==
+        ANNOUNCE_LATE) {
+        fail_superseded(call);
+        return;
+    }
     if (e == NULL) {
         e = mem_zalloc(1, sizeof(*e));
         e->id = str_dup(id);
         map_put(l->endpoints, id, e);
     }
-    heap_remove(&l->endpoint_expiry, &e->expiry);
-    e->expiry.key =
-        leader_lease_end(l, l->control->settings->endpoint_lease_ms);
-    heap_insert(&l->endpoint_expiry, &e->expiry);
     if (update(e, &in)) {
         e->changed = ++l->endpoint_seq;
         set_pool(l, e);
@@ -173,6 +195,11 @@
         call_fail(call, 404, "not_found", "", "no such endpoint");
         return;
     }
+    if (announce_table_delete(l->announced, clock_now(), e->id,
+                              call->arrived) == ANNOUNCE_LATE) {
+        fail_superseded(call);
+        return;
+    }
     remove_record(l, e);
     buf_printf(&body, "{}");
     call_respond(call, 200, &body);
@@ -181,18 +208,26 @@
 void
 endpoints_step(struct leader *l)
 {
-    struct heap_node *n;
+    struct str id;
 
-    while ((n = heap_min(&l->endpoint_expiry)) != NULL &&
-           n->key <= l->control->now) {
-        struct endpoint_record *e = RECORD_OF(n);
+    while (announce_table_lapsed(l->announced, l->control->now, &id)) {
+        struct endpoint_record *e = map_get(l->endpoints, id);
 
         log_write(LOG_LEVEL_NOTICE, "endpoint: the lease of %.*s has expired",
-                  STR_ARG(e->id));
-        remove_record(l, e);
+                  STR_ARG(id));
+        if (e != NULL) {
+            remove_record(l, e);
+        }
+        str_free(&id);
     }
 }
 
+void
+endpoints_key_withdrawn(struct leader *l, uint64_t key_id)
+{
+    announce_table_key_withdrawn(l->announced, key_id);
+}
+
 static void
 add_change(struct endpoint_changes *out, const struct endpoint_record *e)
 {
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -25,6 +25,8 @@
     e->teams = map_create();
     e->keys = map_create();
     e->forwards = map_create();
+    e->announced =
+        announce_cache_create(c->settings->endpoint_lease_ms * NS_PER_MS);
     e->requests = map_create();
     e->marks = map_create();
     e->messages = map_create();
@@ -64,6 +66,7 @@
         return;
     }
     forward_destroy(e);
+    announce_cache_destroy(e->announced);
     serve_destroy(e);
     while ((k = map_next(e->endpoints, &cursor)) != NULL) {
         entry_endpoint_free(k);
@@ -131,6 +134,7 @@
     e->endpoints_seq = 0;
     event.term = hint->term;
     serve_event(e, &event);
+    announce_leader_changed(e);
     e->report_now = true;
     forward_step(e);
     serve_step(e);
@@ -158,6 +162,7 @@
         e->report_now = false;
         entry_send_report(e, leader);
     }
+    announce_step(e, leader);
     if (e->sweep_due <= now) {
         e->sweep_due = now + SWEEP_MS * NS_PER_MS;
         entry_drop_old_endpoints(e);
@@ -172,10 +177,14 @@
     int64_t deadline = e->sweep_due;
     int64_t router = router_next_deadline(e->router);
     int64_t report = router_report_due(e->router);
+    int64_t announce = announce_next_deadline(e);
 
     if (router < deadline) {
         deadline = router;
     }
+    if (announce < deadline) {
+        deadline = announce;
+    }
     if (report < deadline && entry_leader_link(e) != NULL) {
         deadline = report;
     }
--- a/packages/daemon/entry.h
+++ b/packages/daemon/entry.h
@@ -37,6 +37,8 @@
 void
 entry_grant(struct entry *e, const Wire__EntryGrant *grant);
 void
+entry_vouch_answer(struct entry *e, const Wire__VouchAnswer *wire);
+void
 entry_reply(struct entry *e, const Wire__Reply *reply);
 void
 entry_begin_reply(struct entry *e, const Wire__BeginReply *reply);
--- a/packages/daemon/entry_http.c
+++ b/packages/daemon/entry_http.c
@@ -108,6 +108,9 @@
           confview_version(e->config));
     gauge("guavarock_config_lease", "1 while the configuration lease lasts.",
           entry_ready(e));
+    gauge("guavarock_endpoints_vouched",
+          "Endpoints that announce themselves to this entry.",
+          announce_cache_count(e->announced));
     gauge("guavarock_leading", "1 while this process leads.",
           e->control->leader != NULL);
 }
@@ -169,6 +172,10 @@
     case API_METRICS:
         respond_metrics(e, call);
         break;
+    case API_ENDPOINT_PUT:
+    case API_ENDPOINT_DELETE:
+        announce_call(e, call, str_of(match.param));
+        break;
     default:
         forward_call(e, call);
     }
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -1,6 +1,7 @@
 #ifndef GV_ENTRY_IMPL_H
 #define GV_ENTRY_IMPL_H
 
+#include "announce.h"
 #include "clock.h"
 #include "confview.h"
 #include "control.h"
@@ -18,6 +19,12 @@
     struct heap_node expiry; /* key: the call's deadline */
     struct forward *next_unsent;
     bool unsent; /* in the list of those to be sent */
+    /* An announcement of an endpoint, or its end; owned. */
+    struct str endpoint;
+    uint64_t key_id;
+    uint64_t confirm_seq; /* message to the leader that confirms it; 0: the
+                           * call itself is forwarded */
+    struct forward *next_confirm;
 };
 
 enum request_phase {
@@ -97,6 +104,11 @@
     struct map *forwards; /* by id */
     struct heap forward_expiry;
     struct forward *unsent;
+    struct announce_cache *announced; /* endpoints it vouches for */
+    struct forward *confirms;         /* wait for the leader's answer */
+    bool vouch_open;                  /* the last message is unanswered */
+    bool vouch_wanted;                /* ... and another is to follow */
+    int64_t vouch_sent;
     uint64_t next_id;
     struct map *requests;           /* by id */
     struct map *marks;              /* team and key to struct request */
@@ -147,6 +159,41 @@
 void
 forward_destroy(struct entry *e);
 
+/* Registers a call that is neither sent nor queued yet. */
+struct forward *
+forward_create(struct entry *e, struct front_call *call);
+
+/* forward_step sends it, an announcement once its arrival is known in the
+ * leader's time. */
+void
+forward_queue(struct entry *e, struct forward *f);
+void
+forward_free(struct entry *e, struct forward *f);
+
+/* entry_announce.c */
+
+/* An announcement of an endpoint, or its end. */
+void
+announce_call(struct entry *e, struct front_call *call, struct str id);
+
+/* The leader has accepted a forwarded announcement. */
+void
+announce_granted(struct entry *e, const struct forward *f,
+                 const Wire__Reply *reply);
+
+/* When the call arrived, in the leader's time; false while that is unknown. */
+bool
+announce_arrival(const struct entry *e, const struct forward *f,
+                 Wire__Arrival *out);
+void
+announce_unlink(struct entry *e, struct forward *f);
+void
+announce_leader_changed(struct entry *e);
+void
+announce_step(struct entry *e, struct link *leader);
+int64_t
+announce_next_deadline(const struct entry *e);
+
 /* serve.c */
 void
 serve_call(struct entry *e, struct front_call *call, struct str service,
--- a/packages/daemon/forward.c
+++ b/packages/daemon/forward.c
@@ -10,8 +10,8 @@
     ((struct forward *)((char *)(node)-offsetof(struct forward, expiry)))
 
 /* Puts the call on the list that forward_step works off. */
-static void
-queue_unsent(struct entry *e, struct forward *f)
+void
+forward_queue(struct entry *e, struct forward *f)
 {
     f->link_id = 0;
     if (!f->unsent) {
@@ -21,11 +21,12 @@
     }
 }
 
-static void
+void
 forward_free(struct entry *e, struct forward *f)
 {
     struct forward **slot = &e->unsent;
 
+    announce_unlink(e, f);
     while (f->unsent && *slot != f) {
         slot = &(*slot)->next_unsent;
     }
@@ -34,6 +35,7 @@
     }
     heap_remove(&e->forward_expiry, &f->expiry);
     map_del_u64(e->forwards, f->id);
+    str_free(&f->endpoint);
     mem_free(f);
 }
 
@@ -75,6 +77,7 @@
 {
     Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
     Wire__Call call = WIRE__CALL__INIT;
+    Wire__Arrival arrival = WIRE__ARRIVAL__INIT;
     uint8_t hash[STATE_HASH_BYTES];
     struct str path = str_dup(f->call->path);
     /* A VM that stops waits for nothing. */
@@ -94,6 +97,9 @@
         call.key_hash.data = hash;
         call.key_hash.len = sizeof(hash);
     }
+    if (announce_arrival(e, f, &arrival)) {
+        call.arrival = &arrival;
+    }
     call.body.data = (uint8_t *)f->call->body.ptr;
     call.body.len = f->call->body.len;
     call.deadline_ms = (f->call->deadline - e->control->now) / NS_PER_MS;
@@ -108,11 +114,10 @@
     str_free(&if_match);
 }
 
-void
-forward_call(struct entry *e, struct front_call *call)
+struct forward *
+forward_create(struct entry *e, struct front_call *call)
 {
     struct forward *f = mem_zalloc(1, sizeof(*f));
-    struct link *leader = entry_leader_link(e);
 
     f->id = e->next_id++;
     f->call = call;
@@ -120,11 +125,20 @@
     f->expiry.seq = f->id;
     map_put_u64(e->forwards, f->id, f);
     heap_insert(&e->forward_expiry, &f->expiry);
+    return f;
+}
+
+void
+forward_call(struct entry *e, struct front_call *call)
+{
+    struct forward *f = forward_create(e, call);
+    struct link *leader = entry_leader_link(e);
+
     if (leader != NULL) {
         send_call(e, f, leader);
     }
     else {
-        queue_unsent(e, f);
+        forward_queue(e, f);
     }
 }
 
@@ -148,7 +162,7 @@
         map_del_u64(e->forwards, f->id);
         f->id = e->next_id++;
         map_put_u64(e->forwards, f->id, f);
-        queue_unsent(e, f);
+        forward_queue(e, f);
     }
     forward_step(e);
 }
@@ -183,6 +197,7 @@
         return;
     }
     if (!reply->not_leader) {
+        announce_granted(e, f, reply);
         respond(f, reply);
         forward_free(e, f);
         return;
@@ -192,7 +207,7 @@
         give_up(e, f);
         return;
     }
-    queue_unsent(e, f);
+    forward_queue(e, f);
 }
 
 void
@@ -206,7 +221,7 @@
             continue;
         }
         if (may_repeat(f->call)) {
-            queue_unsent(e, f);
+            forward_queue(e, f);
         }
         else {
             give_up(e, f);
@@ -217,12 +232,20 @@
 static void
 send_unsent(struct entry *e, struct link *leader)
 {
-    struct forward *f;
+    struct forward *f = e->unsent;
+    struct forward *next;
+    Wire__Arrival arrival = WIRE__ARRIVAL__INIT;
 
-    while ((f = e->unsent) != NULL) {
-        e->unsent = f->next_unsent;
+    e->unsent = NULL;
+    for (; f != NULL; f = next) {
+        next = f->next_unsent;
         f->unsent = false;
-        send_call(e, f, leader);
+        if (f->endpoint.len != 0 && !announce_arrival(e, f, &arrival)) {
+            forward_queue(e, f);
+        }
+        else {
+            send_call(e, f, leader);
+        }
     }
 }
 
--- a/packages/daemon/leader.c
+++ b/packages/daemon/leader.c
@@ -53,9 +53,7 @@
                             "Times this process became leader."),
                 1);
     entries_create(l);
-    l->endpoints = map_create();
-    l->endpoints_known_at =
-        c->now + c->settings->endpoint_lease_ms * NS_PER_MS;
+    endpoints_create(l);
     workers_create(l);
     placement_create(l);
     requests_create(l);
--- a/packages/daemon/leader.h
+++ b/packages/daemon/leader.h
@@ -45,6 +45,8 @@
 leader_entry_sync(struct leader *l, struct link *from,
                   const Wire__EntrySync *sync);
 void
+leader_vouch(struct leader *l, struct link *from, const Wire__Vouch *wire);
+void
 leader_begin(struct leader *l, struct link *from, const Wire__Begin *begin);
 void
 leader_end(struct leader *l, struct link *from, const Wire__End *end);
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -1,6 +1,7 @@
 #ifndef GV_LEADER_IMPL_H
 #define GV_LEADER_IMPL_H
 
+#include "announce.h"
 #include "api.h"
 #include "caller.h"
 #include "clock.h"
@@ -58,6 +59,12 @@
     const char *content_type; /* NULL: JSON */
     struct buf answer;        /* the body once in force */
     struct json_doc *doc;     /* owns a parsed body */
+    /* Of an announcement: when it arrived, at which process, and the claim
+     * that the process gets. */
+    struct announce_when arrived;
+    uint64_t run;
+    uint64_t group;
+    uint64_t claim;
     struct worker_sync sync;
 };
 
@@ -262,7 +269,6 @@
     uint32_t connections;
     bool leaving;
     uint64_t changed; /* number of its last change */
-    struct heap_node expiry;
 };
 
 /* Remembers a removal until every entry has heard of it. */
@@ -272,11 +278,17 @@
     struct endpoint_gone *next;
 };
 
+void
+endpoints_create(struct leader *l);
 void
 endpoints_destroy(struct leader *l);
 void
 endpoints_step(struct leader *l);
 
+/* Endpoints that were announced with the key are not vouched for any more. */
+void
+endpoints_key_withdrawn(struct leader *l, uint64_t key_id);
+
 /* Adds the changes after seq to a grant, or all when full is set. */
 struct endpoint_changes {
     Wire__Endpoint *list;
@@ -376,9 +388,9 @@
     struct heap old_incarnations; /* earlier processes, by lease end */
     struct worker_session *ready;
 
-    struct map *endpoints; /* id to struct endpoint_record */
-    struct heap endpoint_expiry;
-    int64_t endpoints_known_at; /* all had time to announce themselves */
+    struct map *endpoints;            /* id to struct endpoint_record */
+    struct announce_table *announced; /* their leases */
+    int64_t endpoints_known_at;       /* all had time to announce themselves */
     uint64_t endpoint_seq;
     uint64_t endpoint_gone_floor; /* removals up to here are forgotten */
     struct endpoint_gone *gone_first;
--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Wire__Join Wire__Join;
 typedef struct Wire__Header Wire__Header;
 typedef struct Wire__Call Wire__Call;
+typedef struct Wire__Arrival Wire__Arrival;
 typedef struct Wire__Reply Wire__Reply;
 typedef struct Wire__Leader Wire__Leader;
 typedef struct Wire__UnitReport Wire__UnitReport;
@@ -32,6 +33,9 @@
 typedef struct Wire__BeginReply Wire__BeginReply;
 typedef struct Wire__End Wire__End;
 typedef struct Wire__EndReply Wire__EndReply;
+typedef struct Wire__Released Wire__Released;
+typedef struct Wire__Vouch Wire__Vouch;
+typedef struct Wire__VouchAnswer Wire__VouchAnswer;
 
 
 /* --- enums --- */
@@ -69,7 +73,9 @@
   WIRE__ENVELOPE__MSG_BEGIN_REPLY = 10,
   WIRE__ENVELOPE__MSG_END = 11,
   WIRE__ENVELOPE__MSG_END_REPLY = 12,
-  WIRE__ENVELOPE__MSG_LEADER = 14
+  WIRE__ENVELOPE__MSG_LEADER = 14,
+  WIRE__ENVELOPE__MSG_VOUCH = 20,
+  WIRE__ENVELOPE__MSG_VOUCH_ANSWER = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__MSG__CASE)
 } Wire__Envelope__MsgCase;
 
@@ -93,6 +99,8 @@
     Wire__End *end;
     Wire__EndReply *end_reply;
     Wire__Leader *leader;
+    Wire__Vouch *vouch;
+    Wire__VouchAnswer *vouch_answer;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -159,10 +167,31 @@
    */
   int64_t deadline_ms;
   char *entry_vm;
+  /*
+   * of an announcement
+   */
+  Wire__Arrival *arrival;
 };
 #define WIRE__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__call__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string, NULL }
+
+
+/*
+ * When an announcement of an endpoint arrived at the entry process, in the
+ * leader's time: struct announce_when of announce/announce.h.
+ */
+struct  Wire__Arrival
+{
+  ProtobufCMessage base;
+  uint64_t run;
+  uint64_t group;
+  int64_t earliest_ns;
+  int64_t latest_ns;
+};
+#define WIRE__ARRIVAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__arrival__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 struct  Wire__Reply
@@ -181,10 +210,15 @@
   protobuf_c_boolean not_leader;
   char *leader_vm;
   char *content_type;
+  /*
+   * of the announced endpoint; 0: none
+   */
+  uint64_t claim;
+  uint64_t claim_group;
 };
 #define WIRE__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -446,6 +480,61 @@
     , 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
+struct  Wire__Released
+{
+  ProtobufCMessage base;
+  uint64_t claim;
+  int64_t earliest_ns;
+};
+#define WIRE__RELEASED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__released__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * An entry vouches for endpoints that announce themselves to it: struct
+ * announce_vouch of announce/announce.h. Times are the leader's.
+ */
+struct  Wire__Vouch
+{
+  ProtobufCMessage base;
+  /*
+   * of the leader that is addressed
+   */
+  uint64_t term;
+  uint64_t run;
+  uint64_t seq;
+  uint64_t heard;
+  uint64_t group;
+  int64_t oldest_ns;
+  size_t n_taken;
+  uint64_t *taken;
+  size_t n_released;
+  Wire__Released **released;
+};
+#define WIRE__VOUCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__vouch__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * struct announce_answer.
+ */
+struct  Wire__VouchAnswer
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  uint64_t seq;
+  uint64_t group;
+  int64_t stamp_ns;
+  size_t n_revoked;
+  uint64_t *revoked;
+};
+#define WIRE__VOUCH_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__vouch_answer__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
 /* Wire__Envelope methods */
 void   wire__envelope__init
                      (Wire__Envelope         *message);
@@ -541,6 +630,25 @@
 void   wire__call__free_unpacked
                      (Wire__Call *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Arrival methods */
+void   wire__arrival__init
+                     (Wire__Arrival         *message);
+size_t wire__arrival__get_packed_size
+                     (const Wire__Arrival   *message);
+size_t wire__arrival__pack
+                     (const Wire__Arrival   *message,
+                      uint8_t             *out);
+size_t wire__arrival__pack_to_buffer
+                     (const Wire__Arrival   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Arrival *
+       wire__arrival__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__arrival__free_unpacked
+                     (Wire__Arrival *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__Reply methods */
 void   wire__reply__init
                      (Wire__Reply         *message);
@@ -769,6 +877,63 @@
 void   wire__end_reply__free_unpacked
                      (Wire__EndReply *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Released methods */
+void   wire__released__init
+                     (Wire__Released         *message);
+size_t wire__released__get_packed_size
+                     (const Wire__Released   *message);
+size_t wire__released__pack
+                     (const Wire__Released   *message,
+                      uint8_t             *out);
+size_t wire__released__pack_to_buffer
+                     (const Wire__Released   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Released *
+       wire__released__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__released__free_unpacked
+                     (Wire__Released *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Vouch methods */
+void   wire__vouch__init
+                     (Wire__Vouch         *message);
+size_t wire__vouch__get_packed_size
+                     (const Wire__Vouch   *message);
+size_t wire__vouch__pack
+                     (const Wire__Vouch   *message,
+                      uint8_t             *out);
+size_t wire__vouch__pack_to_buffer
+                     (const Wire__Vouch   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Vouch *
+       wire__vouch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__vouch__free_unpacked
+                     (Wire__Vouch *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__VouchAnswer methods */
+void   wire__vouch_answer__init
+                     (Wire__VouchAnswer         *message);
+size_t wire__vouch_answer__get_packed_size
+                     (const Wire__VouchAnswer   *message);
+size_t wire__vouch_answer__pack
+                     (const Wire__VouchAnswer   *message,
+                      uint8_t             *out);
+size_t wire__vouch_answer__pack_to_buffer
+                     (const Wire__VouchAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__VouchAnswer *
+       wire__vouch_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__vouch_answer__free_unpacked
+                     (Wire__VouchAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Envelope_Closure)
@@ -786,6 +951,9 @@
 typedef void (*Wire__Call_Closure)
                  (const Wire__Call *message,
                   void *closure_data);
+typedef void (*Wire__Arrival_Closure)
+                 (const Wire__Arrival *message,
+                  void *closure_data);
 typedef void (*Wire__Reply_Closure)
                  (const Wire__Reply *message,
                   void *closure_data);
@@ -822,6 +990,15 @@
 typedef void (*Wire__EndReply_Closure)
                  (const Wire__EndReply *message,
                   void *closure_data);
+typedef void (*Wire__Released_Closure)
+                 (const Wire__Released *message,
+                  void *closure_data);
+typedef void (*Wire__Vouch_Closure)
+                 (const Wire__Vouch *message,
+                  void *closure_data);
+typedef void (*Wire__VouchAnswer_Closure)
+                 (const Wire__VouchAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -835,6 +1012,7 @@
 extern const ProtobufCMessageDescriptor wire__join__descriptor;
 extern const ProtobufCMessageDescriptor wire__header__descriptor;
 extern const ProtobufCMessageDescriptor wire__call__descriptor;
+extern const ProtobufCMessageDescriptor wire__arrival__descriptor;
 extern const ProtobufCMessageDescriptor wire__reply__descriptor;
 extern const ProtobufCMessageDescriptor wire__leader__descriptor;
 extern const ProtobufCMessageDescriptor wire__unit_report__descriptor;
@@ -847,6 +1025,9 @@
 extern const ProtobufCMessageDescriptor wire__begin_reply__descriptor;
 extern const ProtobufCMessageDescriptor wire__end__descriptor;
 extern const ProtobufCMessageDescriptor wire__end_reply__descriptor;
+extern const ProtobufCMessageDescriptor wire__released__descriptor;
+extern const ProtobufCMessageDescriptor wire__vouch__descriptor;
+extern const ProtobufCMessageDescriptor wire__vouch_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &wire__call__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__arrival__init
+                     (Wire__Arrival         *message)
+{
+  static const Wire__Arrival init_value = WIRE__ARRIVAL__INIT;
+  *message = init_value;
+}
+size_t wire__arrival__get_packed_size
+                     (const Wire__Arrival *message)
+{
+  assert(message->base.descriptor == &wire__arrival__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__arrival__pack
+                     (const Wire__Arrival *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__arrival__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__arrival__pack_to_buffer
+                     (const Wire__Arrival *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__arrival__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Arrival *
+       wire__arrival__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Arrival *)
+     protobuf_c_message_unpack (&wire__arrival__descriptor,
+                                allocator, len, data);
+}
+void   wire__arrival__free_unpacked
+                     (Wire__Arrival *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__arrival__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__reply__init
                      (Wire__Reply         *message)
 {
@@ -772,7 +817,142 @@
   assert(message->base.descriptor == &wire__end_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[11] =
+void   wire__released__init
+                     (Wire__Released         *message)
+{
+  static const Wire__Released init_value = WIRE__RELEASED__INIT;
+  *message = init_value;
+}
+size_t wire__released__get_packed_size
+                     (const Wire__Released *message)
+{
+  assert(message->base.descriptor == &wire__released__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__released__pack
+                     (const Wire__Released *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__released__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__released__pack_to_buffer
+                     (const Wire__Released *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__released__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Released *
+       wire__released__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Released *)
+     protobuf_c_message_unpack (&wire__released__descriptor,
+                                allocator, len, data);
+}
+void   wire__released__free_unpacked
+                     (Wire__Released *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__released__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__vouch__init
+                     (Wire__Vouch         *message)
+{
+  static const Wire__Vouch init_value = WIRE__VOUCH__INIT;
+  *message = init_value;
+}
+size_t wire__vouch__get_packed_size
+                     (const Wire__Vouch *message)
+{
+  assert(message->base.descriptor == &wire__vouch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__vouch__pack
+                     (const Wire__Vouch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__vouch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__vouch__pack_to_buffer
+                     (const Wire__Vouch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__vouch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Vouch *
+       wire__vouch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Vouch *)
+     protobuf_c_message_unpack (&wire__vouch__descriptor,
+                                allocator, len, data);
+}
+void   wire__vouch__free_unpacked
+                     (Wire__Vouch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__vouch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__vouch_answer__init
+                     (Wire__VouchAnswer         *message)
+{
+  static const Wire__VouchAnswer init_value = WIRE__VOUCH_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wire__vouch_answer__get_packed_size
+                     (const Wire__VouchAnswer *message)
+{
+  assert(message->base.descriptor == &wire__vouch_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__vouch_answer__pack
+                     (const Wire__VouchAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__vouch_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__vouch_answer__pack_to_buffer
+                     (const Wire__VouchAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__vouch_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__VouchAnswer *
+       wire__vouch_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__VouchAnswer *)
+     protobuf_c_message_unpack (&wire__vouch_answer__descriptor,
+                                allocator, len, data);
+}
+void   wire__vouch_answer__free_unpacked
+                     (Wire__VouchAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__vouch_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[13] =
 {
   {
     "raft",
@@ -906,6 +1086,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vouch",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, msg_case),
+    offsetof(Wire__Envelope, vouch),
+    &wire__vouch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vouch_answer",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Envelope, msg_case),
+    offsetof(Wire__Envelope, vouch_answer),
+    &wire__vouch_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__envelope__field_indices_by_name[] = {
   6,   /* field[6] = begin */
@@ -919,13 +1123,16 @@
   10,   /* field[10] = leader */
   0,   /* field[0] = raft */
   3,   /* field[3] = reply */
+  11,   /* field[11] = vouch */
+  12,   /* field[12] = vouch_answer */
 };
-static const ProtobufCIntRange wire__envelope__number_ranges[3 + 1] =
+static const ProtobufCIntRange wire__envelope__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 5, 2 },
   { 14, 10 },
-  { 0, 11 }
+  { 20, 11 },
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wire__envelope__descriptor =
 {
@@ -935,10 +1142,10 @@
   "Wire__Envelope",
   "wire",
   sizeof(Wire__Envelope),
-  11,
+  13,
   wire__envelope__field_descriptors,
   wire__envelope__field_indices_by_name,
-  3,  wire__envelope__number_ranges,
+  4,  wire__envelope__number_ranges,
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1095,7 +1302,7 @@
   (ProtobufCMessageInit) wire__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__call__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__call__field_descriptors[11] =
 {
   {
     "id",
@@ -1217,8 +1424,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "arrival",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Call, arrival),
+    &wire__arrival__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__call__field_indices_by_name[] = {
+  10,   /* field[10] = arrival */
   7,   /* field[7] = body */
   8,   /* field[8] = deadline_ms */
   9,   /* field[9] = entry_vm */
@@ -1230,10 +1450,11 @@
   2,   /* field[2] = path */
   3,   /* field[3] = query */
 };
-static const ProtobufCIntRange wire__call__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__call__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 20, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__call__descriptor =
 {
@@ -1243,14 +1464,91 @@
   "Wire__Call",
   "wire",
   sizeof(Wire__Call),
-  10,
+  11,
   wire__call__field_descriptors,
   wire__call__field_indices_by_name,
-  1,  wire__call__number_ranges,
+  2,  wire__call__number_ranges,
   (ProtobufCMessageInit) wire__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__reply__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wire__arrival__field_descriptors[4] =
+{
+  {
+    "run",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Arrival, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Arrival, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "earliest_ns",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Arrival, earliest_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latest_ns",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Arrival, latest_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__arrival__field_indices_by_name[] = {
+  2,   /* field[2] = earliest_ns */
+  1,   /* field[1] = group */
+  3,   /* field[3] = latest_ns */
+  0,   /* field[0] = run */
+};
+static const ProtobufCIntRange wire__arrival__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__arrival__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Arrival",
+  "Arrival",
+  "Wire__Arrival",
+  "wire",
+  sizeof(Wire__Arrival),
+  4,
+  wire__arrival__field_descriptors,
+  wire__arrival__field_indices_by_name,
+  1,  wire__arrival__number_ranges,
+  (ProtobufCMessageInit) wire__arrival__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__reply__field_descriptors[11] =
 {
   {
     "id",
@@ -1360,9 +1658,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "claim",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, claim),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_group",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, claim_group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__reply__field_indices_by_name[] = {
   5,   /* field[5] = body */
+  9,   /* field[9] = claim */
+  10,   /* field[10] = claim_group */
   8,   /* field[8] = content_type */
   4,   /* field[4] = headers */
   0,   /* field[0] = id */
@@ -1372,10 +1696,11 @@
   3,   /* field[3] = retry_after_s */
   1,   /* field[1] = status */
 };
-static const ProtobufCIntRange wire__reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__reply__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 20, 9 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__reply__descriptor =
 {
@@ -1385,10 +1710,10 @@
   "Wire__Reply",
   "wire",
   sizeof(Wire__Reply),
-  9,
+  11,
   wire__reply__field_descriptors,
   wire__reply__field_indices_by_name,
-  1,  wire__reply__number_ranges,
+  2,  wire__reply__number_ranges,
   (ProtobufCMessageInit) wire__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2668,6 +2993,276 @@
   (ProtobufCMessageInit) wire__end_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__released__field_descriptors[2] =
+{
+  {
+    "claim",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Released, claim),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "earliest_ns",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Released, earliest_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__released__field_indices_by_name[] = {
+  0,   /* field[0] = claim */
+  1,   /* field[1] = earliest_ns */
+};
+static const ProtobufCIntRange wire__released__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__released__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Released",
+  "Released",
+  "Wire__Released",
+  "wire",
+  sizeof(Wire__Released),
+  2,
+  wire__released__field_descriptors,
+  wire__released__field_indices_by_name,
+  1,  wire__released__number_ranges,
+  (ProtobufCMessageInit) wire__released__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__vouch__field_descriptors[8] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Vouch, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Vouch, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Vouch, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Vouch, heard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Vouch, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "oldest_ns",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Vouch, oldest_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "taken",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__Vouch, n_taken),
+    offsetof(Wire__Vouch, taken),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "released",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Vouch, n_released),
+    offsetof(Wire__Vouch, released),
+    &wire__released__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__vouch__field_indices_by_name[] = {
+  4,   /* field[4] = group */
+  3,   /* field[3] = heard */
+  5,   /* field[5] = oldest_ns */
+  7,   /* field[7] = released */
+  1,   /* field[1] = run */
+  2,   /* field[2] = seq */
+  6,   /* field[6] = taken */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange wire__vouch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wire__vouch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Vouch",
+  "Vouch",
+  "Wire__Vouch",
+  "wire",
+  sizeof(Wire__Vouch),
+  8,
+  wire__vouch__field_descriptors,
+  wire__vouch__field_indices_by_name,
+  1,  wire__vouch__number_ranges,
+  (ProtobufCMessageInit) wire__vouch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__vouch_answer__field_descriptors[5] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__VouchAnswer, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__VouchAnswer, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__VouchAnswer, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_ns",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__VouchAnswer, stamp_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revoked",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__VouchAnswer, n_revoked),
+    offsetof(Wire__VouchAnswer, revoked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__vouch_answer__field_indices_by_name[] = {
+  2,   /* field[2] = group */
+  4,   /* field[4] = revoked */
+  1,   /* field[1] = seq */
+  3,   /* field[3] = stamp_ns */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange wire__vouch_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wire__vouch_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.VouchAnswer",
+  "VouchAnswer",
+  "Wire__VouchAnswer",
+  "wire",
+  sizeof(Wire__VouchAnswer),
+  5,
+  wire__vouch_answer__field_descriptors,
+  wire__vouch_answer__field_indices_by_name,
+  1,  wire__vouch_answer__number_ranges,
+  (ProtobufCMessageInit) wire__vouch_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue wire__verdict__enum_values_by_number[6] =
 {
   { "VERDICT_NONE", "WIRE__VERDICT__VERDICT_NONE", 0 },
--- /dev/null
+++ b/tests/test_announce.c
@@ -0,0 +1,436 @@
+/* Who vouches for an endpoint until when: late, reordered and lost messages
+ * between entries and the leader. */
+#include <glib.h>
+
+#include "announce.h"
+#include "clock.h"
+
+#define MS NS_PER_MS
+#define LEASE (3000 * MS)
+#define MARGIN (200 * MS)
+#define KEY 7
+/* The entries' clocks differ from the leader's. */
+#define SKEW (5000 * MS)
+
+struct fixture {
+    struct announce_table *t;
+    struct announce_cache *c[2];
+    int64_t now; /* the leader's time */
+};
+
+static void
+setup(struct fixture *f)
+{
+    struct announce_table_config config = {LEASE, MARGIN, 1};
+
+    f->t = announce_table_create(&config);
+    f->now = 1000 * NS_PER_S;
+    for (int i = 0; i < 2; i++) {
+        f->c[i] = announce_cache_create(LEASE);
+    }
+}
+
+static void
+teardown(struct fixture *f)
+{
+    announce_table_destroy(f->t);
+    announce_cache_destroy(f->c[0]);
+    announce_cache_destroy(f->c[1]);
+}
+
+static uint64_t
+run_of(int entry)
+{
+    return 100 + (uint64_t)entry;
+}
+
+/* The leader gets the message now; its answer arrives unless it is lost. */
+static bool
+deliver(struct fixture *f, int entry, struct announce_vouch *v, bool lost)
+{
+    struct announce_answer a;
+    bool took = false;
+
+    if (announce_table_vouch(f->t, f->now, run_of(entry), v, &a) && !lost) {
+        took = announce_cache_answered(f->c[entry], f->now + SKEW, &a);
+    }
+    announce_answer_free(&a);
+    announce_vouch_free(v);
+    return took;
+}
+
+static struct announce_vouch
+vouch_message(struct fixture *f, int entry)
+{
+    struct announce_vouch v;
+
+    announce_cache_vouch(f->c[entry], f->now + SKEW, &v);
+    return v;
+}
+
+static void
+vouch(struct fixture *f, int entry)
+{
+    struct announce_vouch v = vouch_message(f, entry);
+
+    deliver(f, entry, &v, false);
+}
+
+/* The leader gets an announcement that arrived at the entry so long ago. */
+static enum announce_result
+forward(struct fixture *f, int entry, const char *id, const char *body,
+        int64_t age)
+{
+    struct announce_put put = {.id = str_of(id),
+                               .key = KEY,
+                               .run = run_of(entry),
+                               .group = announce_cache_group(f->c[entry])};
+    int64_t at = f->now + SKEW - age;
+    enum announce_result result;
+    uint64_t claim;
+
+    g_assert_true(announce_cache_when(f->c[entry], at, &put.when));
+    result = announce_table_put(f->t, f->now, &put, &claim);
+    announce_cache_granted(f->c[entry], put.id, str_of(body), KEY, at,
+                           put.group, claim);
+    return result;
+}
+
+static bool
+holds(struct fixture *f, int entry, const char *id, const char *body)
+{
+    return announce_cache_holds(f->c[entry], str_of(id), str_of(body), KEY);
+}
+
+static void
+seen(struct fixture *f, int entry, const char *id)
+{
+    announce_cache_seen(f->c[entry], str_of(id), f->now + SKEW);
+}
+
+/* How many leases have ended. */
+static int
+lapsed(struct fixture *f)
+{
+    struct str id;
+    int count = 0;
+
+    while (announce_table_lapsed(f->t, f->now, &id)) {
+        str_free(&id);
+        count++;
+    }
+    return count;
+}
+
+/* "a" is announced to entry 0, which vouches for it. */
+static void
+setup_vouched(struct fixture *f)
+{
+    setup(f);
+    vouch(f, 0);
+    vouch(f, 1);
+    g_assert_cmpint(forward(f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
+    vouch(f, 0);
+    g_assert_true(holds(f, 0, "a", "x"));
+}
+
+/* For so long, with messages and announcements each 200 ms. */
+static void
+run(struct fixture *f, int64_t time, const char *id)
+{
+    for (int64_t end = f->now + time; f->now < end; f->now += 200 * MS) {
+        if (id != NULL) {
+            seen(f, 0, id);
+        }
+        vouch(f, 0);
+        g_assert_cmpint(lapsed(f), ==, 0);
+    }
+}
+
+/* Guards against an endpoint that lapses although it announces itself. */
+static void
+test_vouched(void)
+{
+    struct fixture f;
+
+    setup_vouched(&f);
+    run(&f, 60000 * MS, "a");
+    g_assert_true(holds(&f, 0, "a", "x"));
+    g_assert_false(holds(&f, 0, "a", "y"));
+    g_assert_false(announce_cache_holds(f.c[0], STR("a"), STR("x"), KEY + 1));
+    teardown(&f);
+}
+
+/* Guards against a lease that the entry's messages make longer than one from
+ * the last announcement, and against one that ends at half of it. */
+static void
+test_silent_endpoint(void)
+{
+    struct fixture f;
+    int64_t last;
+
+    setup_vouched(&f);
+    forward(&f, 0, "b", "x", 0);
+    run(&f, 1000 * MS, "a");
+    last = f.now - 200 * MS;
+    forward(&f, 0, "a", "x", 200 * MS);
+    while (f.now < last + 2800 * MS) {
+        seen(&f, 0, "b");
+        vouch(&f, 0);
+        f.now += 200 * MS;
+        g_assert_cmpint(lapsed(&f), <=, 0);
+    }
+    g_assert_false(holds(&f, 0, "a", "x"));
+    f.now = last + LEASE + MARGIN;
+    g_assert_cmpint(lapsed(&f), ==, 1);
+    teardown(&f);
+}
+
+/* Guards against endpoints that stay in use when the entry that vouched for
+ * them dies or is cut off, and against a claim that it keeps. */
+static void
+test_silent_entry(void)
+{
+    struct fixture f;
+    int64_t last;
+
+    setup_vouched(&f);
+    run(&f, 2000 * MS, "a");
+    last = f.now - 200 * MS;
+    f.now = last + LEASE - 10 * MS;
+    g_assert_cmpint(lapsed(&f), ==, 0);
+    f.now = last + LEASE + MARGIN;
+    g_assert_cmpint(lapsed(&f), ==, 1);
+    seen(&f, 0, "a");
+    vouch(&f, 0);
+    g_assert_false(holds(&f, 0, "a", "x"));
+    teardown(&f);
+}
+
+/* Guards against a message that was held up and extends leases when it
+ * arrives. */
+static void
+test_late_message(void)
+{
+    struct fixture f;
+    struct announce_vouch late;
+    int64_t last;
+
+    setup_vouched(&f);
+    run(&f, 1000 * MS, "a");
+    seen(&f, 0, "a");
+    last = f.now;
+    late = vouch_message(&f, 0);
+    f.now += 2000 * MS;
+    deliver(&f, 0, &late, true);
+    f.now = last + LEASE + MARGIN;
+    g_assert_cmpint(lapsed(&f), ==, 1);
+    teardown(&f);
+}
+
+/* Guards against an older message that undoes a newer one. */
+static void
+test_reordered(void)
+{
+    struct fixture f;
+    struct announce_vouch first;
+    struct announce_vouch second;
+
+    setup_vouched(&f);
+    forward(&f, 0, "b", "x", 0);
+    first = vouch_message(&f, 0); /* takes b */
+    f.now += 2000 * MS;
+    second = vouch_message(&f, 0); /* releases both */
+    g_assert_cmpuint(second.released_count, ==, 2);
+    g_assert_true(deliver(&f, 0, &second, false));
+    g_assert_false(deliver(&f, 0, &first, false));
+    f.now += 1200 * MS;
+    g_assert_cmpint(lapsed(&f), ==, 2);
+    teardown(&f);
+}
+
+/* Guards against a claim or a release that is lost with its message, and a
+ * revocation that is lost with its answer. */
+static void
+test_lost(void)
+{
+    struct fixture f;
+    struct announce_vouch v;
+
+    setup_vouched(&f);
+    forward(&f, 0, "b", "x", 0);
+    v = vouch_message(&f, 0);
+    announce_vouch_free(&v);
+    v = vouch_message(&f, 0);
+    g_assert_cmpuint(v.taken_count, ==, 1);
+    deliver(&f, 0, &v, true);
+    v = vouch_message(&f, 0);
+    g_assert_cmpuint(v.taken_count, ==, 1);
+    g_assert_true(deliver(&f, 0, &v, false));
+    forward(&f, 1, "a", "x", 0);
+    v = vouch_message(&f, 0);
+    g_assert_cmpuint(v.taken_count, ==, 0);
+    deliver(&f, 0, &v, true);
+    g_assert_true(holds(&f, 0, "a", "x"));
+    vouch(&f, 0);
+    g_assert_false(holds(&f, 0, "a", "x"));
+    g_assert_true(holds(&f, 0, "b", "x"));
+    f.now += 2000 * MS;
+    v = vouch_message(&f, 0);
+    announce_vouch_free(&v);
+    v = vouch_message(&f, 0);
+    g_assert_cmpuint(v.released_count, ==, 1);
+    announce_vouch_free(&v);
+    teardown(&f);
+}
+
+/* Guards against a claim whose reply is lost: the entry does not know of it,
+ * and must not extend it with those that it knows. */
+static void
+test_lost_reply(void)
+{
+    struct fixture f;
+    struct announce_put put = {.id = STR("b"), .key = KEY, .run = run_of(0)};
+    uint64_t claim;
+
+    setup_vouched(&f);
+    put.group = announce_cache_group(f.c[0]);
+    put.when = (struct announce_when){f.now, f.now};
+    announce_table_put(f.t, f.now, &put, &claim);
+    for (int i = 0; i < 15; i++) {
+        seen(&f, 0, "a");
+        vouch(&f, 0);
+        f.now += 200 * MS;
+        g_assert_cmpint(lapsed(&f), ==, 0);
+    }
+    f.now += MARGIN;
+    g_assert_cmpint(lapsed(&f), ==, 1);
+    teardown(&f);
+}
+
+/* Guards against an endpoint that alternates and is vouched for by the entry
+ * that it left, and against a late announcement that undoes a newer one. */
+static void
+test_alternating(void)
+{
+    struct fixture f;
+
+    setup_vouched(&f);
+    f.now += 500 * MS;
+    g_assert_cmpint(forward(&f, 1, "a", "y", 0), ==, ANNOUNCE_OK);
+    vouch(&f, 1);
+    vouch(&f, 0);
+    g_assert_false(holds(&f, 0, "a", "x"));
+    g_assert_true(holds(&f, 1, "a", "y"));
+    f.now += 500 * MS;
+    g_assert_cmpint(forward(&f, 0, "a", "x", 700 * MS), ==, ANNOUNCE_LATE);
+    vouch(&f, 1);
+    g_assert_true(holds(&f, 1, "a", "y"));
+    g_assert_cmpint(forward(&f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
+    vouch(&f, 1);
+    g_assert_false(holds(&f, 1, "a", "y"));
+    teardown(&f);
+}
+
+/* Guards against a late announcement that replaces what another entry has
+ * vouched for since. */
+static void
+test_late_after_vouches(void)
+{
+    struct fixture f;
+
+    setup_vouched(&f);
+    run(&f, 1000 * MS, "a");
+    g_assert_cmpint(forward(&f, 1, "a", "y", 600 * MS), ==, ANNOUNCE_LATE);
+    g_assert_cmpint(forward(&f, 1, "a", "y", LEASE + MARGIN), ==,
+                    ANNOUNCE_LATE);
+    teardown(&f);
+}
+
+/* Guards against an announcement from before that brings back an endpoint
+ * which was deleted, and one from after that is refused. */
+static void
+test_deleted(void)
+{
+    struct fixture f;
+    struct announce_when when;
+
+    setup_vouched(&f);
+    f.now += 500 * MS;
+    announce_cache_when(f.c[1], f.now + SKEW, &when);
+    g_assert_cmpint(announce_table_delete(f.t, f.now, STR("a"), when), ==,
+                    ANNOUNCE_OK);
+    g_assert_cmpint(forward(&f, 0, "a", "x", 300 * MS), ==, ANNOUNCE_LATE);
+    vouch(&f, 0);
+    g_assert_false(holds(&f, 0, "a", "x"));
+    f.now += 100 * MS;
+    g_assert_cmpint(forward(&f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
+    announce_cache_when(f.c[1], f.now + SKEW - 300 * MS, &when);
+    g_assert_cmpint(announce_table_delete(f.t, f.now, STR("a"), when), ==,
+                    ANNOUNCE_LATE);
+    teardown(&f);
+}
+
+/* Guards against endpoints of a withdrawn key that stay vouched for. */
+static void
+test_key_withdrawn(void)
+{
+    struct fixture f;
+    int64_t last;
+
+    setup_vouched(&f);
+    run(&f, 1000 * MS, "a");
+    last = f.now - 200 * MS;
+    announce_table_key_withdrawn(f.t, KEY);
+    seen(&f, 0, "a");
+    vouch(&f, 0);
+    g_assert_false(holds(&f, 0, "a", "x"));
+    f.now = last + LEASE + MARGIN;
+    g_assert_cmpint(lapsed(&f), ==, 1);
+    teardown(&f);
+}
+
+/* Guards against an entry that forgets what it vouched for, as after another
+ * leader, while the leader counts on it; and against a claim of the old
+ * leader. */
+static void
+test_reset(void)
+{
+    struct fixture f;
+    uint64_t group;
+    int64_t last;
+
+    setup_vouched(&f);
+    last = f.now;
+    group = announce_cache_group(f.c[0]);
+    announce_cache_reset(f.c[0]);
+    vouch(&f, 0);
+    announce_cache_granted(f.c[0], STR("a"), STR("x"), KEY, f.now, group, 99);
+    g_assert_false(holds(&f, 0, "a", "x"));
+    for (f.now = last; f.now < last + LEASE; f.now += 200 * MS) {
+        vouch(&f, 0);
+        g_assert_cmpint(lapsed(&f), ==, 0);
+    }
+    f.now = last + LEASE + MARGIN;
+    g_assert_cmpint(lapsed(&f), ==, 1);
+    teardown(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/announce/vouched", test_vouched);
+    g_test_add_func("/announce/silent-endpoint", test_silent_endpoint);
+    g_test_add_func("/announce/silent-entry", test_silent_entry);
+    g_test_add_func("/announce/late-message", test_late_message);
+    g_test_add_func("/announce/reordered", test_reordered);
+    g_test_add_func("/announce/lost", test_lost);
+    g_test_add_func("/announce/lost-reply", test_lost_reply);
+    g_test_add_func("/announce/alternating", test_alternating);
+    g_test_add_func("/announce/late-after-vouches", test_late_after_vouches);
+    g_test_add_func("/announce/deleted", test_deleted);
+    g_test_add_func("/announce/key-withdrawn", test_key_withdrawn);
+    g_test_add_func("/announce/reset", test_reset);
+    return g_test_run();
+}
