route: entries' promises are recorded for the next leader

Cause: the bound on an entry's requests was known only to the leader that took its report. A new leader counted the units of a VM that did not report for lease plus the longest request (33 s), whatever its callers' timeouts.

A process younger than a window, or beside another one of its VM, records nothing.

Ruled out: promises sent to all control VMs (a raise waits for unreachable ones), and followers told by the leader (a follower may have missed a raise).

Tests: the fault sequences model the log (late and lost commits) and cut an entry off beside a leader change; endpoint announcements last for 300 ms instead of 200 ms, so that a cut-off entry sends until its lease ends. Two more planted faults (a raise that the state misses, an answer before the commit) are found.

--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -1,7 +1,7 @@
 /*
  * Model of several entries, one ledger and one service in seeded model time.
  * Prints the measures of docs/routing.md for the router and for baselines.
- * Usage: bench_route [SEED [SECTION]], with sections from 1 to 4
+ * Usage: bench_route [SEED [SECTION]], with sections from 1 to 6
  *        bench_route size ENTRIES ENDPOINTS SECONDS, at load 0.9 and seed 1
  */
 #include <math.h>
@@ -113,6 +113,10 @@
                 printf("%-12s reassigned after %.0f ms\n", "",
                        reassign_ms(&m));
             }
+            if (s.elect) {
+                printf("%-12s %llu promises recorded\n", "",
+                       (unsigned long long)m.commits);
+            }
             model_finish(&m);
         }
     }
@@ -185,6 +189,15 @@
                 (struct scenario){.run_ns = LONG_RUN_NS, .kill = true}, normal,
                 1, seed);
     }
+    if (only == 0 || only == 6) {
+        struct scenario s = {.run_ns = LONG_RUN_NS, .elect = true};
+
+        compare("40 s, another leader from 1 s on", modes, 1, s, normal, 1,
+                seed);
+        s.kill = true;
+        compare("40 s, another leader from 1 s on, one of 9 entries dies",
+                modes, 1, s, normal, 1, seed);
+    }
     printf("\n%llu requests\n", (unsigned long long)requests_total);
     return 0;
 }
--- a/bench/support/route_model.c
+++ b/bench/support/route_model.c
@@ -179,13 +179,62 @@
     m->moved += measuring(m) ? m->grants.count : 0;
 }
 
+static void
+lead(struct model *m);
+
+static bool
+leaderless(const struct model *m)
+{
+    return m->scenario->elect && m->now >= WARM_NS &&
+           m->now < WARM_NS + ELECTION_NS;
+}
+
+/* A new leader forgets all holdings, and every entry is told of it. */
+static void
+elect(struct model *m)
+{
+    struct router_event ev = {.kind = ROUTER_LEADER, .term = ++m->term};
+
+    ledger_leader_changed(m->ledger, m->now, m->term, m->vms,
+                          (size_t)m->scenario->entries);
+    for (int i = 0; i < m->scenario->entries; i++) {
+        if (!is_dead(m, i)) {
+            model_step(m, i, &ev);
+        }
+    }
+}
+
+static void
+record_promises(struct model *m)
+{
+    struct ledger_record r;
+
+    while (ledger_record_due(m->ledger, &r)) {
+        model_event_add(m, EV_COMMITTED, (int)r.run, m->now + COMMIT_NS)
+            ->record = r;
+    }
+}
+
+static void
+committed(struct model *m, const struct event *e)
+{
+    m->commits += measuring(m);
+    m->vms[e->entry].early_ns = e->record.early_ns;
+    ledger_recorded(m->ledger, &e->record);
+    lead(m);
+}
+
 static void
 lead(struct model *m)
 {
     int64_t start = clock_now();
     uint64_t run;
 
+    if (leaderless(m)) {
+        return;
+    }
     ledger_tick(m->ledger, m->now);
+    record_promises(m);
     while (ledger_due(m->ledger, m->now, &run)) {
         ledger_plan(m->ledger, m->now, run, &m->grants);
         send_grants(m, (int)run);
@@ -208,9 +257,12 @@
     int64_t start = clock_now();
 
     snprintf(vm, sizeof(vm), "vm%d", e->entry);
-    ledger_report(m->ledger, m->now, (uint64_t)e->entry, str_of(vm),
-                  model_domain_of(e->entry), &e->report);
-    if (ledger_plan(m->ledger, m->now, (uint64_t)e->entry, &m->grants)) {
+    if (!leaderless(m)) {
+        ledger_report(m->ledger, m->now, (uint64_t)e->entry, str_of(vm),
+                      model_domain_of(e->entry), &e->report);
+    }
+    if (!leaderless(m) &&
+        ledger_plan(m->ledger, m->now, (uint64_t)e->entry, &m->grants)) {
         send_grants(m, e->entry);
     }
     m->cpu_ns += clock_now() - start;
@@ -377,6 +429,10 @@
         }
         send_report(m, i);
     }
+    if (m->scenario->elect && m->term == 1 &&
+        m->now >= WARM_NS + ELECTION_NS) {
+        elect(m);
+    }
     if (!m->mode->fixed) {
         lead(m);
     }
@@ -404,6 +460,9 @@
     case EV_GRANTS:
         take_grants(m, e);
         break;
+    case EV_COMMITTED:
+        committed(m, e);
+        break;
     case EV_TICK:
         tick(m);
         break;
--- a/bench/support/route_model.h
+++ b/bench/support/route_model.h
@@ -28,6 +28,12 @@
 /* More than the window after which a dead entry's units are free. */
 #define LONG_RUN_NS (40 * NS_PER_S)
 #define TICK_NS NS_PER_MS
+/* Until a record of the leader is applied. */
+#define COMMIT_NS (5 * NS_PER_MS)
+/* Without a leader, when it changes. */
+#define ELECTION_NS NS_PER_S
+/* Processes and pools are older than the window of a leader change. */
+#define AGE_NS (60 * NS_PER_S)
 
 struct request_class {
     double share; /* of all requests */
@@ -59,6 +65,7 @@
     bool uneven;    /* a third of the entries has 80 % of the demand */
     int64_t run_ns; /* that is measured, after WARM_NS */
     bool kill;      /* the last entry dies when the measuring starts */
+    bool elect;     /* so does the leader; another leads ELECTION_NS later */
 };
 
 enum event_kind {
@@ -66,6 +73,7 @@
     EV_ENDED,
     EV_REPORT,
     EV_GRANTS,
+    EV_COMMITTED,
     EV_TICK,
 };
 
@@ -80,6 +88,7 @@
     int64_t sent_at;
     struct report report;
     struct grants grants;
+    struct ledger_record record;
 };
 
 struct request {
@@ -104,6 +113,9 @@
     struct heap events;
     struct router *routers[ENTRIES_MAX];
     struct ledger *ledger;
+    uint64_t term;
+    struct ledger_vm vms[ENTRIES_MAX]; /* in the replicated state */
+    uint64_t commits;
     struct router_actions actions;
     struct report report;
     struct grants grants;
--- a/bench/support/route_run.c
+++ b/bench/support/route_run.c
@@ -37,6 +37,7 @@
                               .seed = rng_next(&m->rng)};
     struct router_event ev = {.kind = ROUTER_CONFIG_LEASE,
                               .deadline = 1000 * NS_PER_S};
+    char vm[16];
 
     c.longest_request_ns = m->mode->no_refusal ? 900 * NS_PER_S : 0;
     if (m->mode->unlimited) {
@@ -44,7 +45,7 @@
         c.retry_burst = 1000000;
         c.eject_percent = 1;
     }
-    m->routers[entry] = router_create(&c, m->now);
+    m->routers[entry] = router_create(&c, m->now - AGE_NS);
     model_step(m, entry, &ev);
     ev = (struct router_event){.kind = ROUTER_LEADER, .term = 1};
     model_step(m, entry, &ev);
@@ -64,6 +65,9 @@
     if (m->mode->fixed) {
         grant_fixed(m, entry);
     }
+    snprintf(vm, sizeof(vm), "vm%d", entry);
+    m->vms[entry] =
+        (struct ledger_vm){str_dup(str_of(vm)), (uint64_t)entry, 0};
     model_event_add(m, EV_ARRIVE, entry, m->now + model_next_gap(m, entry));
 }
 
@@ -73,11 +77,12 @@
     struct ledger_config c = {0};
 
     m->ledger = ledger_create(&c);
-    ledger_leader_changed(m->ledger, m->now, 1, NULL, 0);
+    m->term = 1;
+    ledger_leader_changed(m->ledger, m->now, m->term, NULL, 0);
     for (int i = 0; i < m->scenario->endpoints; i++) {
         char pool[16];
         snprintf(pool, sizeof(pool), "e:%d", i);
-        ledger_pool_set(m->ledger, m->now, str_of(pool), STR("s"),
+        ledger_pool_set(m->ledger, m->now - AGE_NS, str_of(pool), STR("s"),
                         model_domain_of(i), SLOTS);
     }
     for (int i = 0; i < CLASSES; i++) {
@@ -108,6 +113,7 @@
     }
     for (int i = 0; i < m->scenario->entries; i++) {
         router_destroy(m->routers[i]);
+        str_free(&m->vms[i].name);
     }
     ledger_destroy(m->ledger);
     heap_free(&m->events);
--- a/packages/daemon/entries.c
+++ b/packages/daemon/entries.c
@@ -29,7 +29,7 @@
 {
     const struct state *state = leader_state(l);
     const struct state_vm *vm;
-    struct str *names = NULL;
+    struct ledger_vm *vms = NULL;
     size_t count = 0;
     void *cursor = NULL;
 
@@ -43,11 +43,12 @@
         }
         e->old_lease_end =
             leader_lease_end(l, l->control->settings->config_lease_ms);
-        names = mem_realloc(names, count + 1, sizeof(*names));
-        names[count++] = vm->name;
+        vms = mem_realloc(vms, count + 1, sizeof(*vms));
+        vms[count++] = (struct ledger_vm){vm->name, vm->run,
+                                          (int64_t)vm->early_ms * NS_PER_MS};
     }
-    ledger_leader_changed(l->ledger, l->control->now, l->term, names, count);
-    mem_free(names);
+    ledger_leader_changed(l->ledger, l->control->now, l->term, vms, count);
+    mem_free(vms);
     l->pushed_version = state_config_version(state);
 }
 
@@ -231,5 +232,6 @@
     if (sync->draining) {
         clear_drain(l, str_of(sync->vm));
     }
+    entries_record_promises(l);
     entries_send_grant(l, entry_record(l, str_of(sync->vm)));
 }
--- a/packages/daemon/entries_grants.c
+++ b/packages/daemon/entries_grants.c
@@ -60,6 +60,7 @@
     grant->seq = grants->no.seq;
     grant->report_seq = grants->report_seq;
     grant->unit_lease_ms = grants->lease_ns / NS_PER_MS;
+    grant->early_ms = grants->early_ns / NS_PER_MS;
 }
 
 void
@@ -182,6 +183,7 @@
         entries_push_config(l);
     }
     push_endpoints(l);
+    entries_take_promises(l);
     while (ledger_due(l->ledger, l->control->now, &run)) {
         struct entry_record *e = find_run(l, run);
         struct grants lost = {0};
--- a/packages/daemon/entries_impl.h
+++ b/packages/daemon/entries_impl.h
@@ -7,6 +7,13 @@
 void
 entries_send_grant(struct leader *l, struct entry_record *e);
 
+/* entries_promise.c */
+void
+entries_record_promises(struct leader *l);
+/* Tells the ledger which promises the state holds by now. */
+void
+entries_take_promises(struct leader *l);
+
 /* The leader does not know the process: it is to report in full. */
 void
 entries_send_restart(const struct leader *l, struct link *to);
--- a/packages/daemon/entry_grant.c
+++ b/packages/daemon/entry_grant.c
@@ -229,6 +229,7 @@
     struct grants grants = {.no = {grant->term, grant->seq},
                             .report_seq = grant->report_seq,
                             .lease_ns = grant->unit_lease_ms * NS_PER_MS,
+                            .early_ns = grant->early_ms * NS_PER_MS,
                             .count = grant->n_units};
 
     grants.items = mem_zalloc(grant->n_units + 1, sizeof(*grants.items));
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -385,6 +385,8 @@
     struct endpoint_gone *gone_last;
     size_t gone_count;
     uint64_t pushed_endpoints; /* last change sent to all entries */
+    uint64_t promises_index;   /* of the state that was told to the ledger */
+    bool promises_open;        /* some are proposed and not applied */
 
     struct map *entries; /* VM to struct entry_record */
     struct ledger *ledger;
--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -351,10 +351,14 @@
    * every endpoint had time to be announced
    */
   protobuf_c_boolean endpoints_complete;
+  /*
+   * struct grants, early_ns
+   */
+  int64_t early_ms;
 };
 #define WIRE__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__entry_grant__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Wire__StoredResponse
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -1933,7 +1933,7 @@
   (ProtobufCMessageInit) wire__unit_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[17] =
 {
   {
     "term",
@@ -2127,12 +2127,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "early_ms",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntryGrant, early_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__entry_grant__field_indices_by_name[] = {
   6,   /* field[6] = config */
   7,   /* field[7] = config_lease_ms */
   5,   /* field[5] = config_version */
   13,   /* field[13] = drain */
+  16,   /* field[16] = early_ms */
   10,   /* field[10] = endpoints */
   15,   /* field[15] = endpoints_complete */
   8,   /* field[8] = endpoints_full */
@@ -2146,10 +2159,11 @@
   3,   /* field[3] = unit_lease_ms */
   4,   /* field[4] = units */
 };
-static const ProtobufCIntRange wire__entry_grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__entry_grant__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 40, 16 },
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wire__entry_grant__descriptor =
 {
@@ -2159,10 +2173,10 @@
   "Wire__EntryGrant",
   "wire",
   sizeof(Wire__EntryGrant),
-  16,
+  17,
   wire__entry_grant__field_descriptors,
   wire__entry_grant__field_indices_by_name,
-  1,  wire__entry_grant__number_ranges,
+  2,  wire__entry_grant__number_ranges,
   (ProtobufCMessageInit) wire__entry_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/packages/route/include/ledger.h
+++ b/packages/route/include/ledger.h
@@ -28,6 +28,9 @@
     int64_t longest_request_ns; /* includes the time to end a cancelled one */
     int64_t balance_ns;         /* least time between balances of a group */
     int64_t resend_ns;          /* unconfirmed grants are repeated after */
+    int64_t record_ns; /* least time until a larger promise is recorded, so
+                          that a bound that goes up and down costs few
+                          commits */
 };
 
 struct ledger_config
@@ -51,14 +54,46 @@
 void
 ledger_pool_gone(struct ledger *l, int64_t now, struct str pool);
 
+/* A registered VM; early_ns is what was recorded for its newest process. */
+struct ledger_vm {
+    struct str name;
+    uint64_t run;
+    int64_t early_ns;
+};
+
 /*
  * This process became leader in term. vms are the registered VMs: each may
  * hold units until a process on it that has run for longer than
- * ledger_window reported, or the window has passed. Forgets all holdings.
+ * ledger_window reported, or the window less early_ns has passed. Forgets all
+ * holdings.
  */
 void
 ledger_leader_changed(struct ledger *l, int64_t now, uint64_t term,
-                      const struct str *vms, size_t count);
+                      const struct ledger_vm *vms, size_t count);
+
+/* A process's promise (early_ns of a report) for the replicated state. */
+struct ledger_record {
+    struct str vm;
+    uint64_t run;
+    int64_t early_ns;
+    uint64_t seq; /* rises with each record of that process */
+};
+
+/*
+ * Returns a record to commit; the string is valid until the next call. Records
+ * of a process are to be applied in the order in which they were given out, if
+ * at all, and only while it is the VM's newest process in the state: the
+ * record of another process starts with early_ns 0. Call it after reports.
+ */
+bool
+ledger_record_due(struct ledger *l, struct ledger_record *out);
+
+/*
+ * The state of this leader now holds that record. Returns whether a later one
+ * of the process was given out.
+ */
+bool
+ledger_recorded(struct ledger *l, const struct ledger_record *r);
 
 /* Lease, margins and longest request: all older units have then ended. */
 int64_t
--- a/packages/route/include/units.h
+++ b/packages/route/include/units.h
@@ -57,7 +57,8 @@
     /* Every attempt of this process, those that it starts before it sends a
      * smaller number included, ends so much earlier than the longest request
      * that starts at the same time would. A smaller number is used only once
-     * the leader has answered a report with it. */
+     * the leader has answered a report with it, and that answer's early_ns is
+     * no larger. */
     int64_t early_ns;
     struct unit_report *items;
     size_t count;
@@ -74,6 +75,10 @@
     struct grant_no no;
     uint64_t report_seq; /* last report received: starts the lease */
     int64_t lease_ns;
+    /* The most that the replicated state may tell a new leader of this
+     * process's promise, as early_ns of a report. Attempts that end later
+     * than that wait. */
+    int64_t early_ns;
     struct unit_grant *items;
     size_t count;
     size_t cap;
--- a/packages/route/ledger.c
+++ b/packages/route/ledger.c
@@ -14,6 +14,7 @@
         .longest_request_ns = 30 * NS_PER_S,
         .balance_ns = 2 * NS_PER_MS,
         .resend_ns = 100 * NS_PER_MS,
+        .record_ns = NS_PER_S,
     };
 }
 
@@ -35,6 +36,7 @@
     DEFAULT(longest_request_ns);
     DEFAULT(balance_ns);
     DEFAULT(resend_ns);
+    DEFAULT(record_ns);
 }
 
 struct ledger *
@@ -49,7 +51,7 @@
     l->pools = map_create();
     l->groups = map_create();
     l->entries = map_create();
-    l->unreported = map_create();
+    l->vms = map_create();
     return l;
 }
 
@@ -64,13 +66,6 @@
     }
 }
 
-static void
-clear_unreported(struct ledger *l)
-{
-    map_destroy(l->unreported);
-    l->unreported = map_create();
-}
-
 void
 ledger_destroy(struct ledger *l)
 {
@@ -92,7 +87,8 @@
     map_destroy(l->pools);
     map_destroy(l->groups);
     map_destroy(l->entries);
-    map_destroy(l->unreported);
+    vms_clear(l);
+    map_destroy(l->vms);
     heap_free(&l->timers);
     mem_free(l);
 }
@@ -115,17 +111,18 @@
 
 void
 ledger_leader_changed(struct ledger *l, int64_t now, uint64_t term,
-                      const struct str *vms, size_t count)
+                      const struct ledger_vm *vms, size_t count)
 {
     clear_entries(l);
-    clear_unreported(l);
+    vms_clear(l);
     settle_peaks(l, now);
     l->term = term;
     l->grant_seq = 0;
     l->changed_at = now;
-    l->recover_until = count == 0 ? 0 : now + ledger_window(l);
+    l->recover_until = 0;
+    l->records_due = false;
     for (size_t i = 0; i < count; i++) {
-        map_put(l->unreported, vms[i], l);
+        vm_unreported(l, &vms[i], now);
     }
 }
 
@@ -136,7 +133,6 @@
     struct group *g;
 
     l->recover_until = 0;
-    clear_unreported(l);
     while ((g = map_next(l->groups, &cursor)) != NULL) {
         group_touch(l, g);
     }
@@ -164,7 +160,7 @@
         entry_destroy(l, e);
     }
     if (l->recover_until != 0 && now >= l->recover_until) {
-        ledger_end_recovery(l);
+        vms_expire(l, now);
     }
     ledger_balance(l, now);
 }
--- a/packages/route/ledger_int.h
+++ b/packages/route/ledger_int.h
@@ -98,14 +98,30 @@
     TAILQ_ENTRY(entry) in_due;
 };
 
+/* A VM and what the replicated state says of its process. */
+struct vm {
+    struct str name;
+    uint64_t run;
+    int64_t unreported_until; /* may hold unknown units; 0: no */
+    int64_t recorded;         /* promise in the state, as early_ns */
+    uint64_t recorded_seq;    /* report that it is from */
+    int64_t proposed;         /* last one given to be recorded */
+    uint64_t proposed_seq;
+    int64_t proposed_at;
+    int64_t high; /* largest that may be in flight; 0: none above recorded */
+    uint64_t high_seq;
+    bool due;
+};
+
 struct ledger {
     struct ledger_config config;
     uint64_t term;
     uint64_t grant_seq;
-    struct map *pools;      /* by name */
-    struct map *groups;     /* by name */
-    struct map *entries;    /* by run */
-    struct map *unreported; /* registered VMs, by name */
+    struct map *pools;   /* by name */
+    struct map *groups;  /* by name */
+    struct map *entries; /* by run */
+    struct map *vms;     /* registered and reporting ones, by name */
+    bool records_due;
     int64_t changed_at;
     int64_t recover_until; /* 0 when every VM has reported */
     struct heap timers;    /* entries */
@@ -179,6 +195,27 @@
 void
 ledger_balance(struct ledger *l, int64_t now);
 
+struct vm *
+vm_make(struct ledger *l, struct str name);
+void
+vms_clear(struct ledger *l);
+/* A new leader has not heard from that VM. */
+void
+vm_unreported(struct ledger *l, const struct ledger_vm *known, int64_t now);
+void
+vm_reported(struct ledger *l, struct str name);
+/* Ends the waits for VMs whose units have certainly ended. */
+void
+vms_expire(struct ledger *l, int64_t now);
+
+/* Takes what a report promises; ledger_record_due then gives it out. */
+void
+promise_reported(struct ledger *l, int64_t now, struct entry *e,
+                 const struct report *report);
+/* The most that the state may say for that process, as early_ns. */
+int64_t
+promise_most(const struct ledger *l, const struct entry *e);
+
 /* Every registered VM has reported, or its units have certainly ended. */
 void
 ledger_end_recovery(struct ledger *l);
--- a/packages/route/ledger_plan.c
+++ b/packages/route/ledger_plan.c
@@ -50,6 +50,7 @@
     out->no = (struct grant_no){l->term, l->grant_seq};
     out->report_seq = e->seq;
     out->lease_ns = l->config.lease_ns;
+    out->early_ns = promise_most(l, e);
     out->count = 0;
     for (struct share *s = TAILQ_FIRST(&e->pending); s != NULL;
          s = TAILQ_NEXT(s, in_pending)) {
--- a/packages/route/ledger_report.c
+++ b/packages/route/ledger_report.c
@@ -5,14 +5,10 @@
  * only after a window have they certainly ended.
  */
 static void
-vm_reported(struct ledger *l, const struct entry *e, const struct report *r)
+note_vm(struct ledger *l, const struct entry *e, const struct report *r)
 {
-    if (l->recover_until == 0 || r->up_ns < ledger_window(l)) {
-        return;
-    }
-    map_del(l->unreported, e->vm);
-    if (map_count(l->unreported) == 0) {
-        ledger_end_recovery(l);
+    if (l->recover_until != 0 && r->up_ns >= ledger_window(l)) {
+        vm_reported(l, e->vm);
     }
 }
 
@@ -173,6 +169,7 @@
         take_item(l, now, e, &report->items[i], first);
     }
     settle_pending(l, e);
-    vm_reported(l, e, report);
+    promise_reported(l, now, e, report);
+    note_vm(l, e, report);
     return LEDGER_OK;
 }
--- a/packages/route/router_bound.c
+++ b/packages/route/router_bound.c
@@ -7,7 +7,8 @@
  * every request that ever arrived ends within half of it, so nothing that was
  * sent under the higher bound outlasts the lower one. It is raised for a
  * request with a longer timeout, which is sent only after the leader has
- * answered a report of the raised bound.
+ * answered a report of the raised bound and no later leader can know of a
+ * lower one.
  */
 #include "router_int.h"
 
@@ -78,9 +79,10 @@
 }
 
 void
-bound_answered(struct router *r, int64_t now, uint64_t report_seq)
+bound_answered(struct router *r, int64_t now, const struct grants *g)
 {
-    if (r->bound_wanted == r->bound_ns || report_seq < r->bound_seq) {
+    if (r->bound_wanted == r->bound_ns || g->report_seq < r->bound_seq ||
+        g->early_ns > r->config.longest_request_ns - r->bound_wanted) {
         return;
     }
     r->bound_ns = r->bound_wanted;
--- a/packages/route/router_int.h
+++ b/packages/route/router_int.h
@@ -236,9 +236,9 @@
  * attempts end. */
 int64_t
 bound_report(struct router *r, int64_t now);
-/* The leader of the current term has taken that report. */
+/* A grant of the leader of the current term. */
 void
-bound_answered(struct router *r, int64_t now, uint64_t report_seq);
+bound_answered(struct router *r, int64_t now, const struct grants *g);
 
 /* services and teams */
 struct service *
--- a/packages/route/router_units.c
+++ b/packages/route/router_units.c
@@ -189,7 +189,7 @@
     if (g->report_seq > r->report_acked) {
         r->report_acked = g->report_seq;
     }
-    bound_answered(r, now, g->report_seq);
+    bound_answered(r, now, g);
     for (size_t i = 0; i < g->count; i++) {
         apply_item(r, now, &g->items[i]);
     }
--- a/packages/state/cmd.c
+++ b/packages/state/cmd.c
@@ -167,6 +167,21 @@
     append(out, &cmd, &op);
 }
 
+void
+state_cmd_vm_promise(struct buf *out, const struct state_actor *by,
+                     struct str name, uint64_t run, uint64_t early_ms,
+                     uint64_t early_seq)
+{
+    State__Command cmd = command(by, STATE__COMMAND__OP_VM_PUT);
+    State__VmPut op = STATE__VM_PUT__INIT;
+
+    op.name = proto_bin(name);
+    op.run = run;
+    op.early_ms = early_ms;
+    op.early_seq = early_seq;
+    append(out, &cmd, &op);
+}
+
 void
 state_cmd_vm_drain(struct buf *out, const struct state_actor *by,
                    struct str name, bool draining)
--- a/packages/state/decode.c
+++ b/packages/state/decode.c
@@ -167,7 +167,9 @@
                           .draining = m->draining,
                           .run = m->run,
                           .clean_run = m->clean_run,
-                          .left = m->left};
+                          .left = m->left,
+                          .early_ms = m->early_ms,
+                          .early_seq = m->early_seq};
 
     if (!name_valid(vm.name) || map_get(s->vms, vm.name) != NULL) {
         return false;
--- a/packages/state/encode.c
+++ b/packages/state/encode.c
@@ -190,6 +190,8 @@
     m.run = vm->run;
     m.clean_run = vm->clean_run;
     m.left = vm->left;
+    m.early_ms = vm->early_ms;
+    m.early_seq = vm->early_seq;
     encode_record(w, STATE__SNAP_RECORD__ITEM_VM, &m);
 }
 
--- a/packages/state/fleet.c
+++ b/packages/state/fleet.c
@@ -35,6 +35,23 @@
     }
     vm->run = put->run;
     vm->left = put->left;
+    vm->early_ms = 0;
+    vm->early_seq = 0;
+}
+
+static void
+take_promise(struct apply *a, const State__VmPut *put)
+{
+    struct state_vm *vm = map_get(a->s->vms, proto_str(put->name));
+
+    if (vm == NULL || vm->run != put->run) {
+        result_not_found(a, STATE_REASON_NOT_FOUND);
+        return;
+    }
+    snapshot_keep_table(a->s, SNAP_VMS);
+    vm->early_ms = put->early_ms;
+    vm->early_seq = put->early_seq;
+    result_applied(a, 0, 0, 1);
 }
 
 void
@@ -49,6 +66,10 @@
                              .left = put->left};
     struct state_vm *vm;
 
+    if (put->early_seq != 0) {
+        take_promise(a, put);
+        return;
+    }
     if (!name_valid(given.name) ||
         !name_valid_or_empty(given.failure_domain) ||
         !name_valid_or_empty(given.address)) {
--- a/packages/state/include/state.pb-c.h
+++ b/packages/state/include/state.pb-c.h
@@ -201,10 +201,15 @@
   ProtobufCBinaryData address;
   uint64_t run;
   protobuf_c_boolean left;
+  /*
+   * Not 0: a promise of this process, which is registered already.
+   */
+  uint64_t early_seq;
+  uint64_t early_ms;
 };
 #define STATE__VM_PUT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__vm_put__descriptor) \
-    , {0,NULL}, {0,NULL}, {0,NULL}, 0, 0 }
+    , {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  State__VmDrain
@@ -707,10 +712,12 @@
   uint64_t run;
   uint64_t clean_run;
   protobuf_c_boolean left;
+  uint64_t early_seq;
+  uint64_t early_ms;
 };
 #define STATE__SNAP_VM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__snap_vm__descriptor) \
-    , {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0 }
+    , {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0 }
 
 
 struct  State__SnapWorker
--- a/packages/state/include/state_cmd.h
+++ b/packages/state/include/state_cmd.h
@@ -98,6 +98,16 @@
 state_cmd_vm_put(struct buf *out, const struct state_actor *by,
                  struct str name, struct str failure_domain,
                  struct str address, uint64_t run, bool left);
+
+/*
+ * Records that the requests of the VM's process end early_ms earlier than the
+ * longest request would (route/units.h), as its report early_seq, at least 1,
+ * says. Not found when another process is registered.
+ */
+void
+state_cmd_vm_promise(struct buf *out, const struct state_actor *by,
+                     struct str name, uint64_t run, uint64_t early_ms,
+                     uint64_t early_seq);
 void
 state_cmd_vm_drain(struct buf *out, const struct state_actor *by,
                    struct str name, bool draining);
--- a/packages/state/include/state_view.h
+++ b/packages/state/include/state_view.h
@@ -85,6 +85,8 @@
     uint64_t run;       /* of the newest process */
     uint64_t clean_run; /* equals run when no older process holds anything */
     bool left;          /* the newest process has stopped, holding nothing */
+    uint64_t early_ms;  /* its promise; state_cmd_vm_promise */
+    uint64_t early_seq; /* ... and the report that it is from */
 };
 
 const struct state_vm *
--- a/packages/state/state.pb-c.c
+++ b/packages/state/state.pb-c.c
@@ -2903,7 +2903,7 @@
   (ProtobufCMessageInit) state__key_delete__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__vm_put__field_descriptors[5] =
+static const ProtobufCFieldDescriptor state__vm_put__field_descriptors[7] =
 {
   {
     "name",
@@ -2965,9 +2965,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "early_seq",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(State__VmPut, early_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "early_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(State__VmPut, early_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned state__vm_put__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  6,   /* field[6] = early_ms */
+  5,   /* field[5] = early_seq */
   1,   /* field[1] = failure_domain */
   4,   /* field[4] = left */
   0,   /* field[0] = name */
@@ -2976,7 +3002,7 @@
 static const ProtobufCIntRange state__vm_put__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor state__vm_put__descriptor =
 {
@@ -2986,7 +3012,7 @@
   "State__VmPut",
   "state",
   sizeof(State__VmPut),
-  5,
+  7,
   state__vm_put__field_descriptors,
   state__vm_put__field_indices_by_name,
   1,  state__vm_put__number_ranges,
@@ -5875,7 +5901,7 @@
   (ProtobufCMessageInit) state__snap_operator__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__snap_vm__field_descriptors[7] =
+static const ProtobufCFieldDescriptor state__snap_vm__field_descriptors[9] =
 {
   {
     "name",
@@ -5961,11 +5987,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "early_seq",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapVm, early_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "early_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(State__SnapVm, early_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned state__snap_vm__field_indices_by_name[] = {
   2,   /* field[2] = address */
   5,   /* field[5] = clean_run */
   3,   /* field[3] = draining */
+  8,   /* field[8] = early_ms */
+  7,   /* field[7] = early_seq */
   1,   /* field[1] = failure_domain */
   6,   /* field[6] = left */
   0,   /* field[0] = name */
@@ -5974,7 +6026,7 @@
 static const ProtobufCIntRange state__snap_vm__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor state__snap_vm__descriptor =
 {
@@ -5984,7 +6036,7 @@
   "State__SnapVm",
   "state",
   sizeof(State__SnapVm),
-  7,
+  9,
   state__snap_vm__field_descriptors,
   state__snap_vm__field_indices_by_name,
   1,  state__snap_vm__number_ranges,
--- a/tests/support/route_net.c
+++ b/tests/support/route_net.c
@@ -59,7 +59,7 @@
         }
     }
     if (w->plant == PLANT_EARLY_RECLAIM || w->plant == PLANT_EARLY_END ||
-        w->plant == PLANT_LOST_RAISE) {
+        w->plant >= PLANT_LOST_RAISE) {
         f.end = w->t + ROUTER_LONGEST_NS;
     }
     /* The endpoint drops what is past the deadline sent along. */
@@ -190,6 +190,9 @@
     if (w->plant == PLANT_DEAF) {
         return;
     }
+    if (w->plant == PLANT_LOST_RAISE || w->plant == PLANT_EARLY_ANSWER) {
+        mail.grants.early_ns = 0;
+    }
     world_post(w, mail);
     if (w->plant == PLANT_STALE_GRANT && world_chance(w, 300)) {
         mail.grants.no.seq += 10;
@@ -210,12 +213,95 @@
     return -1;
 }
 
+static void
+propose(struct world *w, int entry, struct ledger_record r)
+{
+    struct command c = {
+        .at = w->t + world_between(w, 1, 60), .entry = entry, .record = r};
+    bool slow = w->plant == PLANT_EARLY_ANSWER; /* waiting shows then */
+
+    if (!w->quiet && world_chance(w, slow ? 500 : 40)) {
+        c.at += world_between(w, 20, 800);
+    }
+    if (w->log->len > 0) {
+        c.at = MAX(c.at,
+                   g_array_index(w->log, struct command, w->log->len - 1).at);
+    }
+    if (w->quiet || !world_chance(w, 50)) {
+        g_array_append_val(w->log, c);
+    }
+}
+
+static void
+apply(struct world *w, const struct command *c, bool leads)
+{
+    struct ledger_vm *vm = &w->vms[c->entry];
+    const struct ledger_record *r = &c->record;
+
+    if (r->seq == 0) {
+        if (vm->run != r->run) {
+            vm->run = r->run;
+            vm->early_ns = 0;
+        }
+        return;
+    }
+    if (vm->run == r->run) {
+        if (w->plant != PLANT_LOST_RECORD || r->early_ns > vm->early_ns) {
+            vm->early_ns = r->early_ns;
+        }
+        if (leads) {
+            ledger_recorded(w->ledgers[w->leader], r);
+        }
+    }
+}
+
+void
+world_commit(struct world *w, bool leader_lost)
+{
+    while (w->log->len > 0) {
+        struct command c = g_array_index(w->log, struct command, 0);
+        if (leader_lost ? world_chance(w, 500) : c.at > w->t) {
+            break;
+        }
+        g_array_remove_index(w->log, 0);
+        apply(w, &c, !leader_lost);
+    }
+    if (leader_lost) {
+        g_array_set_size(w->log, 0);
+    }
+}
+
+static void
+record_promises(struct world *w)
+{
+    struct ledger_record r;
+
+    while (ledger_record_due(w->ledgers[w->leader], &r)) {
+        int entry = r.vm.ptr[2] - '0';
+        r.vm = w->vms[entry].name;
+        propose(w, entry, r);
+    }
+}
+
+/* A leader takes the reports of the process that the state names. */
+static bool
+registered(struct world *w, const struct mail *m)
+{
+    if (w->vms[m->entry].run == m->run) {
+        return true;
+    }
+    propose(w, m->entry, (struct ledger_record){.run = m->run});
+    return false;
+}
+
 void
 world_lead(struct world *w)
 {
     struct ledger *l = w->ledgers[w->leader];
     uint64_t run;
 
+    world_commit(w, false);
+    record_promises(w);
     ledger_tick(l, w->t);
     while (ledger_due(l, w->t, &run)) {
         g_assert_true(ledger_plan(l, w->t, run, &w->grants));
@@ -233,10 +319,14 @@
     char domain[16];
     enum ledger_result result;
 
+    if (!registered(w, m)) {
+        return;
+    }
     snprintf(vm, sizeof(vm), "vm%d", m->entry);
     snprintf(domain, sizeof(domain), "d%d", m->entry % 2);
     result =
         ledger_report(l, w->t, m->run, str_of(vm), str_of(domain), &m->report);
+    record_promises(w);
     if (result == LEDGER_UNKNOWN) {
         world_post(w, (struct mail){.kind = MAIL_LEADER,
                                     .entry = m->entry,
--- a/tests/support/route_world.c
+++ b/tests/support/route_world.c
@@ -173,7 +173,9 @@
     *m = (struct member){.run = ++w->runs,
                          .offset = world_between(w, 1000, 100000),
                          .ppm = (int64_t)rng_below(&w->rng, 801) - 400};
-    m->router = router_create(&config, local_now(w, entry));
+    /* The first processes are old enough to record a promise. */
+    int64_t age = w->runs <= ENTRIES ? WINDOW_NS : 0;
+    m->router = router_create(&config, local_now(w, entry) - age);
     for (int team = 0; team < TEAMS; team++) {
         set_team(w, entry, team);
     }
@@ -203,12 +205,12 @@
 static void
 change_leader(struct world *w)
 {
-    struct str vms[] = {STR("vm0"), STR("vm1"), STR("vm2"), STR("vm3")};
     size_t count = w->plant == PLANT_FORGET_VMS ? 0 : ENTRIES;
 
+    world_commit(w, true);
     w->leader = (int)rng_below(&w->rng, LEDGERS);
     w->term++;
-    ledger_leader_changed(w->ledgers[w->leader], w->t, w->term, vms, count);
+    ledger_leader_changed(w->ledgers[w->leader], w->t, w->term, w->vms, count);
     for (int i = 0; i < ENTRIES; i++) {
         g_ptr_array_add(w->mails, mail_copy(&(struct mail){
                                       .kind = MAIL_LEADER,
@@ -234,6 +236,25 @@
     }
 }
 
+/*
+ * Cuts an entry off beside a leader change, when requests have become longer.
+ * What shows only then is rare among all faults, because every other entry has
+ * to report, from a process that is old enough.
+ */
+static void
+isolate(struct world *w, int entry)
+{
+    bool cut = false;
+
+    for (int i = 0; i < ENTRIES; i++) {
+        cut = cut || w->members[i].cut > 0;
+    }
+    if (!cut && w->t / BRIEF_NS % 2 != 0) {
+        w->members[entry].cut = STEPS / 2;
+        change_leader(w);
+    }
+}
+
 static void
 chaos(struct world *w)
 {
@@ -242,6 +263,10 @@
     struct member *m = &w->members[entry];
     struct router_event ev = {.kind = ROUTER_CALLER_GONE};
 
+    if (w->plant >= PLANT_LOST_RECORD) {
+        isolate(w, entry);
+        return;
+    }
     switch (rng_below(&w->rng, 12)) {
     case 0:
         start_entry(w, entry);
@@ -251,6 +276,10 @@
         break;
     case 2:
         m->cut = (int)rng_below(&w->rng, 150);
+        /* The next leader does not hear from an entry that goes on. */
+        if (world_chance(w, 500)) {
+            change_leader(w);
+        }
         break;
     case 3:
         change_leader(w);
@@ -364,13 +393,17 @@
                                    .drift_ppm = 2 * DRIFT_PPM,
                                    .longest_request_ns = LEDGER_LONGEST_NS,
                                    .balance_ns = STEP_NS,
-                                   .resend_ns = 40 * NS_PER_MS};
+                                   .resend_ns = 40 * NS_PER_MS,
+                                   .record_ns = 20 * NS_PER_MS};
 
     bool failing = plant == PLANT_BUDGET || plant == PLANT_EJECT;
+    static const struct str names[] = {STR("vm0"), STR("vm1"), STR("vm2"),
+                                       STR("vm3")};
 
     *w = (struct world){
         .rng = {seed}, .plant = plant, .t = NS_PER_S, .brief = brief};
     w->mails = g_ptr_array_new();
+    w->log = g_array_new(FALSE, FALSE, sizeof(struct command));
     w->flights = g_array_new(FALSE, FALSE, sizeof(struct flight));
     if (plant == PLANT_EARLY_RECLAIM) {
         config.longest_request_ns = 1;
@@ -389,6 +422,7 @@
     }
     for (int i = 0; i < ENTRIES; i++) {
         start_entry(w, i);
+        w->vms[i] = (struct ledger_vm){names[i], w->members[i].run, 0};
     }
 }
 
@@ -406,6 +440,7 @@
     }
     g_ptr_array_free(w->mails, TRUE);
     g_array_free(w->flights, TRUE);
+    g_array_free(w->log, TRUE);
     router_actions_free(&w->actions);
     report_free(&w->report);
     grants_free(&w->grants);
--- a/tests/support/route_world.h
+++ b/tests/support/route_world.h
@@ -37,7 +37,7 @@
 #define MARGIN_NS (5 * NS_PER_MS)
 #define DRIFT_PPM 500
 #define WINDOW_NS (LEASE_NS + LEDGER_LONGEST_NS + 2 * MARGIN_NS)
-#define ANNOUNCED_NS (200 * NS_PER_MS)
+#define ANNOUNCED_NS (300 * NS_PER_MS)
 #define BRIEF_NS (500 * NS_PER_MS)
 
 /* What the checker can find; planted faults name the one they must cause. */
@@ -76,6 +76,8 @@
     PLANT_FORGET_VMS,    /* a new leader knows of no registered entries */
     PLANT_EARLY_END,     /* reports say that attempts end at once */
     PLANT_LOST_RAISE,    /* reports never say that attempts take longer */
+    PLANT_LOST_RECORD,   /* the state never says so */
+    PLANT_EARLY_ANSWER,  /* answers say that the state does already */
 };
 
 struct track {
@@ -123,6 +125,14 @@
     uint64_t term;
 };
 
+/* A command to the replicated state: a promise or, with seq 0, another
+ * process of the VM. */
+struct command {
+    int64_t at; /* committed */
+    int entry;
+    struct ledger_record record;
+};
+
 struct member {
     struct router *router;
     uint64_t run;
@@ -153,6 +163,8 @@
     int64_t allowed_until[POOLS];
     bool leaving[ENDPOINTS];
     bool failing[ENDPOINTS];
+    struct ledger_vm vms[ENTRIES]; /* in the replicated state */
+    GArray *log;                   /* not committed yet, in order */
     GPtrArray *mails;
     GArray *flights;
     struct track tracks[REQUESTS];
@@ -199,6 +211,10 @@
 world_post(struct world *w, struct mail mail);
 void
 world_deliver(struct world *w);
+/* Commits what is due of the log. With leader_lost, the next leader has a part
+ * of the rest. */
+void
+world_commit(struct world *w, bool leader_lost);
 /* The leader's timers and grants. */
 void
 world_lead(struct world *w);
--- a/tests/support/state_gen.c
+++ b/tests/support/state_gen.c
@@ -102,7 +102,7 @@
     char space[32];
 
     (void)s;
-    switch (below(g, 6)) {
+    switch (below(g, 7)) {
     case 0:
         state_cmd_vm_put(out, &by, name(g, "vm", space), STR("fd"),
                          STR("10.0.0.1:1"), 1 + below(g, 3), below(g, 2) == 0);
@@ -111,9 +111,13 @@
         state_cmd_vm_drain(out, &by, name(g, "vm", space), below(g, 2) == 0);
         break;
     case 2:
-        state_cmd_vm_delete(out, &by, name(g, "vm", space));
+        state_cmd_vm_promise(out, &by, name(g, "vm", space), 1 + below(g, 3),
+                             below(g, 1000), 1 + below(g, 9));
         break;
     case 3:
+        state_cmd_vm_delete(out, &by, name(g, "vm", space));
+        break;
+    case 4:
         state_cmd_worker_delete(out, &by, name(g, "worker", space));
         break;
     default:
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -261,7 +261,7 @@
 test_new_leader(void)
 {
     struct fixture f;
-    struct str vms[] = {STR("vm1"), STR("vm2")};
+    struct ledger_vm vms[] = {{.name = STR("vm1")}, {.name = STR("vm2")}};
 
     setup(&f);
     f.now += 1000 * NS_PER_S;
--- a/tests/test_route_bound.c
+++ b/tests/test_route_bound.c
@@ -13,6 +13,7 @@
     struct router_actions out;
     struct report report;
     int64_t now;
+    int64_t early_ns; /* in answers */
     uint64_t grant;
 };
 
@@ -30,6 +31,7 @@
     struct grants g = {.no = {1, ++f->grant},
                        .report_seq = report_seq,
                        .lease_ns = 60 * NS_PER_S,
+                       .early_ns = f->early_ns,
                        .items = &item,
                        .count = 1};
     struct router_event ev = {.kind = ROUTER_GRANTS, .grants = &g};
@@ -127,6 +129,25 @@
     teardown(&f);
 }
 
+/* Guards against a long request that is sent while a later leader may know of
+ * a lower bound only. */
+static void
+test_raise_recorded(void)
+{
+    struct fixture f;
+
+    setup(&f);
+    f.early_ns = LONGEST - NS_PER_S;
+    arrive(&f, 1, 10 * NS_PER_S);
+    g_assert_cmpint(bound_s(&f), ==, 16);
+    answer(&f, f.report.seq);
+    g_assert_cmpuint(f.out.count, ==, 0);
+    f.early_ns = 0;
+    answer(&f, f.report.seq);
+    expect_sent(&f, 1);
+    teardown(&f);
+}
+
 /* Guards against a promise that a request in flight does not keep. */
 static void
 test_lower(void)
@@ -190,6 +211,81 @@
     ledger_destroy(l);
 }
 
+struct records {
+    struct ledger *l;
+    struct grants grants;
+    uint64_t seq;
+    int64_t now;
+};
+
+/* Reports a promise; returns the most that the state may say, in seconds. */
+static int64_t
+promise(struct records *f, int64_t early_s, int64_t up_s)
+{
+    struct report report = {.term = 1,
+                            .seq = ++f->seq,
+                            .full = f->seq == 1,
+                            .up_ns = up_s * NS_PER_S,
+                            .early_ns = early_s * NS_PER_S};
+
+    f->now += 2 * NS_PER_S;
+    ledger_report(f->l, f->now, 1, STR("vm1"), STR("d0"), &report);
+    ledger_plan(f->l, f->now, 1, &f->grants);
+    return f->grants.early_ns / NS_PER_S;
+}
+
+static struct ledger_record
+expect_record(struct records *f, int64_t early_s)
+{
+    struct ledger_record r = {0};
+
+    g_assert_true(ledger_record_due(f->l, &r));
+    g_assert_cmpint(r.early_ns, ==, early_s * NS_PER_S);
+    g_assert_false(ledger_record_due(f->l, &r));
+    return r;
+}
+
+/* Guards against an entry that is told that no later leader can know of a
+ * promise while a record of it may still be applied, against promises of a
+ * process whose predecessor's requests may last longer, and against a new
+ * leader that does not use them. */
+static void
+test_records(void)
+{
+    struct ledger_config c = {.lease_ns = NS_PER_S,
+                              .longest_request_ns = 5 * NS_PER_S};
+    struct records f = {.l = ledger_create(&c), .now = T0};
+    struct ledger_record none;
+
+    ledger_leader_changed(f.l, T0 - 60 * NS_PER_S, 1, NULL, 0);
+    g_assert_cmpint(promise(&f, 4, 3), ==, 0);
+    g_assert_false(ledger_record_due(f.l, &none));
+    g_assert_cmpint(promise(&f, 4, 60), ==, 4);
+    struct ledger_record four = expect_record(&f, 4);
+    g_assert_cmpint(promise(&f, 1, 60), ==, 4);
+    struct ledger_record one = expect_record(&f, 1);
+    ledger_recorded(f.l, &four);
+    g_assert_cmpint(promise(&f, 3, 60), ==, 4);
+    struct ledger_record three = expect_record(&f, 3);
+    ledger_recorded(f.l, &one);
+    g_assert_cmpint(promise(&f, 0, 60), ==, 3);
+    ledger_recorded(f.l, &three);
+    struct ledger_record zero = expect_record(&f, 0);
+    ledger_recorded(f.l, &zero);
+    g_assert_cmpint(promise(&f, 0, 60), ==, 0);
+
+    struct ledger_vm vms[] = {{STR("vm1"), 1, 4 * NS_PER_S},
+                              {STR("vm2"), 2, 3 * NS_PER_S}};
+    int64_t window = ledger_window(f.l);
+    ledger_leader_changed(f.l, f.now, 2, vms, 2);
+    ledger_tick(f.l, f.now + window - 3 * NS_PER_S - 1);
+    g_assert_false(ledger_pool_settled(f.l, f.now, STR("t:2")));
+    ledger_tick(f.l, f.now + window - 3 * NS_PER_S);
+    g_assert_true(ledger_pool_settled(f.l, f.now, STR("t:2")));
+    grants_free(&f.grants);
+    ledger_destroy(f.l);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -197,5 +293,7 @@
     g_test_add_func("/bound/raise", test_raise);
     g_test_add_func("/bound/lower", test_lower);
     g_test_add_func("/bound/reclaim", test_reclaim);
+    g_test_add_func("/bound/raise-recorded", test_raise_recorded);
+    g_test_add_func("/bound/records", test_records);
     return g_test_run();
 }
--- a/tests/test_route_faults.c
+++ b/tests/test_route_faults.c
@@ -56,7 +56,7 @@
 test_planted(gconstpointer data)
 {
     const struct planted *p = data;
-    bool brief = p->plant == PLANT_LOST_RAISE;
+    bool brief = p->plant >= PLANT_LOST_RAISE;
 
     /* They show only when an entry is cut off and then dies with a long
      * request, of which it sent some after its last report. */
@@ -65,6 +65,7 @@
 
     for (uint64_t seed = 1; seed <= seeds; seed++) {
         if ((world_run(seed, p->plant, brief) & (1U << p->expect)) != 0) {
+            g_test_message("found with seed %" G_GUINT64_FORMAT, seed);
             return;
         }
     }
@@ -84,6 +85,7 @@
         {PLANT_QUEUE, V_QUEUE},         {PLANT_HIDE_KEY, V_LEASE},
         {PLANT_SLOW_CLOCK, V_DEADLINE}, {PLANT_DEAF, V_STUCK},
         {PLANT_EARLY_END, V_POOL},      {PLANT_LOST_RAISE, V_POOL},
+        {PLANT_LOST_RECORD, V_POOL},    {PLANT_EARLY_ANSWER, V_POOL},
     };
     char name[64];
 
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -221,6 +221,38 @@
     }
 }
 
+static uint64_t
+put_vm(struct fixture *f, uint64_t run, uint64_t early_ms)
+{
+    if (early_ms == 0) {
+        state_cmd_vm_put(&f->cmd, &f->by, STR("vm"), STR("d0"),
+                         STR("10.0.0.1:1"), run, false);
+    }
+    else {
+        state_cmd_vm_promise(&f->cmd, &f->by, STR("vm"), run, early_ms, run);
+    }
+    fixture_apply(f);
+    return state_vm(f->s, STR("vm"))->early_ms;
+}
+
+/* Guards against the promise of one process that is taken for another's, or
+ * that a snapshot or an address change loses. */
+static void
+test_vm_promise(struct fixture *f, gconstpointer data)
+{
+    (void)data;
+    g_assert_cmpuint(put_vm(f, 1, 0), ==, 0);
+    g_assert_cmpuint(put_vm(f, 1, 700), ==, 700);
+    g_assert_cmpuint(put_vm(f, 1, 0), ==, 700);
+    fixture_restart(f);
+    g_assert_cmpuint(state_vm(f->s, STR("vm"))->early_ms, ==, 700);
+    g_assert_cmpuint(state_vm(f->s, STR("vm"))->early_seq, ==, 1);
+    g_assert_cmpuint(put_vm(f, 2, 500), ==, 700);
+    g_assert_cmpuint(put_vm(f, 2, 0), ==, 0);
+    g_assert_cmpuint(put_vm(f, 1, 700), ==, 0);
+    g_assert_cmpuint(state_vm(f->s, STR("vm"))->run, ==, 2);
+}
+
 static size_t
 heap_bytes(void)
 {
@@ -284,5 +316,6 @@
     fixture_add("/state/malformed", test_malformed);
     fixture_add("/state/audit_bound", test_audit_bound);
     fixture_add("/state/memory_settles", test_memory_settles);
+    fixture_add("/state/vm_promise", test_vm_promise);
     return g_test_run();
 }
