daemon: giving up a forwarded call takes constant time

Cause: forward_free searched the list of unsent calls for the one that it removes. The oldest expires first and is at the end of the list, so that giving up n calls without a leader took n squared steps.

Each call now knows the pointer that points to it.

test_e2e and test_e2e_drain pass. Conclusion: constant per call.

--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -17,7 +17,8 @@
     bool sent;               /* a leader may have carried it out */
     struct heap_node expiry; /* key: the call's deadline */
     struct forward *next_unsent;
-    bool unsent; /* in the list of those to be sent */
+    struct forward **unsent_slot; /* the pointer in the list to this one */
+    bool unsent;                  /* in the list of those to be sent */
 };
 
 enum request_phase {
--- a/packages/daemon/forward.c
+++ b/packages/daemon/forward.c
@@ -17,21 +17,31 @@
     if (!f->unsent) {
         f->unsent = true;
         f->next_unsent = e->unsent;
+        f->unsent_slot = &e->unsent;
+        if (f->next_unsent != NULL) {
+            f->next_unsent->unsent_slot = &f->next_unsent;
+        }
         e->unsent = f;
     }
 }
 
 static void
-forward_free(struct entry *e, struct forward *f)
+unqueue_unsent(struct forward *f)
 {
-    struct forward **slot = &e->unsent;
-
-    while (f->unsent && *slot != f) {
-        slot = &(*slot)->next_unsent;
+    if (!f->unsent) {
+        return;
     }
-    if (f->unsent) {
-        *slot = f->next_unsent;
+    f->unsent = false;
+    *f->unsent_slot = f->next_unsent;
+    if (f->next_unsent != NULL) {
+        f->next_unsent->unsent_slot = f->unsent_slot;
     }
+}
+
+static void
+forward_free(struct entry *e, struct forward *f)
+{
+    unqueue_unsent(f);
     heap_remove(&e->forward_expiry, &f->expiry);
     map_del_u64(e->forwards, f->id);
     mem_free(f);
@@ -220,8 +230,7 @@
     struct forward *f;
 
     while ((f = e->unsent) != NULL) {
-        e->unsent = f->next_unsent;
-        f->unsent = false;
+        unqueue_unsent(f);
         send_call(e, f, leader);
     }
 }
