front: end a request that is cut short together with its last bytes

/front/truncated failed in 2 of 15 runs beside 20 busy loops: a call stayed active after its caller had gone. Cause: libmicrohttpd 0.9.75 uses edge-triggered events and takes a read that does not fill its buffer for the last one. When the end of the connection arrives together with the last bytes there is no other event, and the connection and its call stay until the time to receive a request has passed (30 s), which holds up a planned stop until its deadline. Ruled out: a counter that is not decremented; the call ends after 30 s.

--- a/packages/front/internal.h
+++ b/packages/front/internal.h
@@ -83,6 +83,7 @@
     int fd;
     enum conn_phase phase;
     bool expired; /* shut down by the watch thread */
+    bool ended;   /* the peer sends nothing more, and all of it was read */
     int64_t deadline;
 };
 
--- a/packages/front/watch.c
+++ b/packages/front/watch.c
@@ -19,6 +19,8 @@
     EVENTS = 64,
     SWEEP_MS = 100,
     RETRY_MS = 5, /* while the ring is full */
+    /* For the library to handle what it has read. */
+    ENDED_MS = 1000,
 };
 
 #define TIMEOUT_BODY                                                          \
@@ -127,6 +129,26 @@
            recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
 }
 
+/*
+ * The library 0.9.75 waits for the next event after a read that did not fill
+ * its buffer. It therefore misses the end of a request that is cut short when
+ * the end arrives together with the last bytes.
+ */
+static void
+check_ended(struct conn *c, int64_t now)
+{
+    char byte;
+
+    if (c->phase != CONN_RECEIVING || c->ended ||
+        recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0) {
+        return;
+    }
+    c->ended = true;
+    if (c->deadline > now + ENDED_MS * NS_PER_MS) {
+        c->deadline = now + ENDED_MS * NS_PER_MS;
+    }
+}
+
 static void
 sweep(struct front *f)
 {
@@ -134,6 +156,9 @@
 
     pthread_mutex_lock(&f->lock);
     for (struct conn *c = f->conns; c != NULL; c = c->next) {
+        if (!c->expired) {
+            check_ended(c, now);
+        }
         if (is_expired(c, now)) {
             expire(c);
         }
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -256,6 +256,32 @@
     server_stop(&s);
 }
 
+/* Guards against a caller that is gone but holds its connection, and thereby a
+ * planned stop, until the time to send a request has passed: its last bytes
+ * and its end arrive before the connection is accepted. */
+static void
+test_truncated_at_once(void)
+{
+    struct front_config config = server_config();
+
+    config.max_connections = 1;
+    struct server s = server_start(&config, 64);
+    int first = net_connect(s.port);
+    net_write(first, GET "\r\n");
+    struct front_call *call = server_next_call(&s);
+    int fd = net_connect(s.port);
+    net_write(fd,
+              "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    shutdown(fd, SHUT_WR);
+    server_respond(call, 200, "ok");
+    server_expect(first, "200", "ok");
+    close(first);
+    server_expect(fd, "408", "\"code\":\"timeout\"");
+    server_wait_closed(&s, false);
+    close(fd);
+    server_stop(&s);
+}
+
 static void
 test_pipelined(void)
 {
@@ -289,6 +315,7 @@
     g_test_add_func("/front/slow_sender", test_slow_sender);
     g_test_add_func("/front/idle", test_idle);
     g_test_add_func("/front/truncated", test_truncated);
+    g_test_add_func("/front/truncated-at-once", test_truncated_at_once);
     g_test_add_func("/front/pipelined", test_pipelined);
     return g_test_run();
 }
