daemon: a leader whose lease ends while it sends grants leaves the step

Cause: entries_step() repeats "while an entry is due, send it a grant", and entries_send_grant() sends nothing once the leader's own lease has ended. A leader that was paused between the check at the start of the step and a grant therefore repeated the loop for good: its process used a whole core, answered nothing, also as an entry, and ended only by a kill. After that the same could happen to the next leader.

entries_send_grant() now says whether it sent, and the loop ends if not.

--- a/packages/daemon/entries_grants.c
+++ b/packages/daemon/entries_grants.c
@@ -62,7 +62,7 @@
     grant->unit_lease_ms = grants->lease_ns / NS_PER_MS;
 }
 
-void
+bool
 entries_send_grant(struct leader *l, struct entry_record *e)
 {
     const struct state_vm *vm = state_vm(leader_state(l), e->vm);
@@ -77,7 +77,7 @@
 
     if (to == NULL || !replica_leads(l->replica) ||
         !ledger_plan(l->ledger, l->control->now, e->run, &grants)) {
-        return;
+        return false;
     }
     fill_units(&grants, &space, &grant);
     fill_config(l, e, &config, &grant);
@@ -93,6 +93,7 @@
     mem_free(space.list);
     mem_free(space.pointers);
     buf_free(&config);
+    return true;
 }
 
 /* A grant of nothing but what its flags say. */
@@ -187,7 +188,11 @@
         struct grants lost = {0};
 
         if (e != NULL && control_link_by_id(l->control, e->link_id) != NULL) {
-            entries_send_grant(l, e);
+            if (!entries_send_grant(l, e)) {
+                /* The leader's lease has just ended, and the entry stays
+                 * due. */
+                return;
+            }
         }
         else {
             /* Counts as sent and lost; the ledger repeats it later. */
--- a/packages/daemon/entries_impl.h
+++ b/packages/daemon/entries_impl.h
@@ -4,7 +4,10 @@
 #include "leader_impl.h"
 
 /* entries_grants.c */
-void
+
+/* Returns false when nothing was sent, because the entry is gone or this VM
+ * may not grant any more. */
+bool
 entries_send_grant(struct leader *l, struct entry_record *e);
 
 /* The leader does not know the process: it is to report in full. */
--- a/tests/fakes/guavarockd_faulty.c
+++ b/tests/fakes/guavarockd_faulty.c
@@ -1,12 +1,14 @@
 /*
- * The wrappers with which the linker replaces system calls of guavarockd in
- * the test-only binary guavarockd_faulty; they are not shipped.
+ * The wrappers with which the linker replaces calls in guavarockd for
+ * guavarockd_faulty, which only tests run; they are not shipped.
  *
  * GV_DRIFT_PPM: CLOCK_BOOTTIME advances faster by so many millionths.
  * GV_FAULT_DIR: a data directory. While the file GV_FAULT_DIR.fault exists,
  * operations on what is below that directory fail or are delayed. It holds
  * lines "OPERATION ERRNO DELAY_MS TIMES" with operation open (of files that
  * are created), write or fsync; errno 0 only delays, times 0 is unlimited.
+ * "grant 0 DELAY_MS 0" pauses a leader between finding that an entry is due
+ * and sending its grant.
  */
 #include <errno.h>
 #include <fcntl.h>
@@ -23,6 +25,7 @@
 #include <ck_pr.h>
 
 #include "clock.h"
+#include "ledger.h"
 
 /* Names that the linker's --wrap fixes. */
 int
@@ -33,6 +36,10 @@
 __real_write(int fd, const void *ptr, size_t len);
 int
 __real_fsync(int fd);
+bool
+__real_ledger_due(struct ledger *l, int64_t now, uint64_t *run);
+bool
+__wrap_ledger_due(struct ledger *l, int64_t now, uint64_t *run);
 int
 __wrap_clock_gettime(clockid_t id, struct timespec *ts);
 int
@@ -44,22 +51,6 @@
 
 static int failures;
 
-int
-__wrap_clock_gettime(clockid_t id, struct timespec *ts)
-{
-    const char *ppm = getenv("GV_DRIFT_PPM");
-    int rc = __real_clock_gettime(id, ts);
-
-    if (rc == 0 && id == CLOCK_BOOTTIME && ppm != NULL) {
-        int64_t ns = ts->tv_sec * NS_PER_S + ts->tv_nsec;
-
-        ns += ns / 1000000 * strtol(ppm, NULL, 10);
-        ts->tv_sec = ns / NS_PER_S;
-        ts->tv_nsec = ns % NS_PER_S;
-    }
-    return rc;
-}
-
 static bool
 is_below_dir(const char *path)
 {
@@ -118,6 +109,22 @@
     return true;
 }
 
+int
+__wrap_clock_gettime(clockid_t id, struct timespec *ts)
+{
+    const char *ppm = getenv("GV_DRIFT_PPM");
+    int rc = __real_clock_gettime(id, ts);
+
+    if (rc == 0 && id == CLOCK_BOOTTIME && ppm != NULL) {
+        int64_t ns = ts->tv_sec * NS_PER_S + ts->tv_nsec;
+
+        ns += ns / 1000000 * strtol(ppm, NULL, 10);
+        ts->tv_sec = ns / NS_PER_S;
+        ts->tv_nsec = ns % NS_PER_S;
+    }
+    return rc;
+}
+
 int
 __wrap_open(const char *path, int flags, ...)
 {
@@ -152,3 +159,14 @@
     }
     return __real_fsync(fd);
 }
+
+bool
+__wrap_ledger_due(struct ledger *l, int64_t now, uint64_t *run)
+{
+    bool due = __real_ledger_due(l, now, run);
+
+    if (due) {
+        fails("grant");
+    }
+    return due;
+}
