--- a/packages/announce/cache.c
+++ b/packages/announce/cache.c
@@ -196,19 +196,25 @@
     c->fresh++;
 }
 
+static struct announce_when
+leader_time(const struct announce_cache *c, int64_t at)
+{
+    const struct sample *s = &c->sample;
+    int64_t drift = (at > s->sent ? at - s->sent : s->sent - at) / DRIFT_PART;
+
+    return (struct announce_when){s->stamp + (at - s->received) - drift,
+                                  s->stamp + (at - s->sent) + drift};
+}
+
 bool
 announce_cache_when(const struct announce_cache *c, int64_t at,
                     struct announce_when *out)
 {
-    const struct sample *s = &c->sample;
-    int64_t drift;
-
-    if (!c->synced) {
+    /* The drift since would make a new announcement look like a late one. */
+    if (!c->synced || at - c->sample.received > c->lease_ns) {
         return false;
     }
-    drift = (at > s->sent ? at - s->sent : s->sent - at) / DRIFT_PART;
-    out->earliest = s->stamp + (at - s->received) - drift;
-    out->latest = s->stamp + (at - s->sent) + drift;
+    *out = leader_time(c, at);
     return true;
 }
 
@@ -230,15 +236,6 @@
     return map_count(c->held);
 }
 
-static int64_t
-earliest_of(const struct announce_cache *c, int64_t at)
-{
-    struct announce_when when = {0};
-
-    announce_cache_when(c, at, &when);
-    return when.earliest;
-}
-
 static void
 release_aged(struct announce_cache *c, int64_t now)
 {
@@ -248,7 +245,7 @@
         struct dropped *d = mem_zalloc(1, sizeof(*d));
 
         d->released.claim = h->claim;
-        d->released.earliest = earliest_of(c, h->last);
+        d->released.earliest = leader_time(c, h->last).earliest;
         d->next = c->dropped;
         c->dropped = d;
         c->dropped_count++;
@@ -290,7 +287,7 @@
     c->sent = now;
     release_aged(c, now);
     if (c->oldest != NULL) {
-        out->oldest = earliest_of(c, c->oldest->last);
+        out->oldest = leader_time(c, c->oldest->last).earliest;
     }
     fill_taken(c, out);
     fill_released(c, out);
--- a/packages/announce/include/announce.h
+++ b/packages/announce/include/announce.h
@@ -146,7 +146,8 @@
                        struct str body, uint64_t key, int64_t at,
                        uint64_t group, uint64_t claim);
 
-/* The leader's time of a moment here; false before its first answer. */
+/* The leader's time of a moment here; false before its first answer and when
+ * the last one is older than a lease: another message is to be sent first. */
 bool
 announce_cache_when(const struct announce_cache *c, int64_t at,
                     struct announce_when *out);
--- a/packages/daemon/call.c
+++ b/packages/daemon/call.c
@@ -5,6 +5,7 @@
 #include "caller.h"
 #include "endpoint.h"
 #include "leader_impl.h"
+#include "log.h"
 #include "mem.h"
 #include "operator.h"
 
@@ -57,6 +58,7 @@
         unlink_wait(&l->inforce, call);
     }
     json_doc_free(call->doc);
+    worker_typed_free(call);
     buf_free(&call->text);
     buf_free(&call->answer);
     mem_free(call);
@@ -83,6 +85,19 @@
     call_free(call);
 }
 
+void
+call_respond_typed(struct call *call, const Wire__WorkerAnswer *answer)
+{
+    Wire__Reply reply = WIRE__REPLY__INIT;
+
+    reply.id = call->id;
+    reply.status = 200;
+    reply.outcome = "done";
+    reply.worker_answer = (Wire__WorkerAnswer *)answer;
+    send_reply(call, &reply);
+    call_free(call);
+}
+
 void
 call_fail_api(struct call *call, const struct api_error *error)
 {
@@ -296,7 +311,8 @@
     const struct state_key *key = NULL;
     struct api_error error;
 
-    if (!api_match(tables, sizeof(tables) / sizeof(tables[0]), call->method,
+    if (!call->typed &&
+        !api_match(tables, sizeof(tables) / sizeof(tables[0]), call->method,
                    call->path, &call->match, &error)) {
         call_fail_api(call, &error);
         return;
@@ -349,6 +365,10 @@
                    strlen(wire->idempotency_key) + strlen(wire->if_match) +
                    wire->body.len;
 
+    if (wire->worker_sync != NULL) {
+        total += wire->worker_sync->rack.len +
+                 wire->worker_sync->failure_domain.len;
+    }
     buf_reserve(&call->text, total + 1);
     call->path = take_string(call, wire->path);
     call->query = take_string(call, wire->query);
@@ -371,6 +391,10 @@
     call->deadline =
         l->control->now + (remaining > 0 ? remaining : 0) * NS_PER_MS;
     take_texts(call, wire);
+    if (wire->worker_sync != NULL &&
+        !worker_typed_take(call, wire->worker_sync)) {
+        log_write(LOG_LEVEL_ERR, "worker: a sync with a malformed name");
+    }
     if (wire->arrival != NULL) {
         call->run = wire->arrival->run;
         call->group = wire->arrival->group;
--- a/packages/daemon/entries_grants.c
+++ b/packages/daemon/entries_grants.c
@@ -83,6 +83,7 @@
     fill_config(l, e, &config, &grant);
     fill_endpoints(l, e, &changes, &grant);
     grant.config_lease_ms = lease_ms;
+    grant.typed = true;
     grant.drain = vm != NULL && vm->draining;
     e->lease_end = leader_lease_end(l, lease_ms);
     envelope.msg_case = WIRE__ENVELOPE__MSG_ENTRY_GRANT;
--- a/packages/daemon/entry_announce.c
+++ b/packages/daemon/entry_announce.c
@@ -31,6 +31,16 @@
     return key != NULL && key->kind == STATE_KEY_ENDPOINT ? key : NULL;
 }
 
+/* An older leader takes announcements without their arrival. */
+bool
+announce_sendable(const struct entry *e, const struct forward *f)
+{
+    struct announce_when when;
+
+    return f->endpoint.len == 0 || e->leader_kind == LEADER_OLDER ||
+           announce_cache_when(e->announced, f->call->arrived, &when);
+}
+
 static bool
 is_held(const struct entry *e, const struct forward *f)
 {
@@ -111,7 +121,7 @@
 {
     struct announce_when when;
 
-    if (f->endpoint.len == 0 ||
+    if (f->endpoint.len == 0 || e->leader_kind == LEADER_OLDER ||
         !announce_cache_when(e->announced, f->call->arrived, &when)) {
         return false;
     }
@@ -182,9 +192,19 @@
     forward_step(e);
 }
 
+void
+entry_leader_typed(struct entry *e, bool typed)
+{
+    if (e->leader_kind == LEADER_UNKNOWN) {
+        e->leader_kind = typed ? LEADER_TYPED : LEADER_OLDER;
+        forward_step(e);
+    }
+}
+
 void
 announce_leader_changed(struct entry *e)
 {
+    e->leader_kind = LEADER_UNKNOWN;
     announce_cache_reset(e->announced);
     e->vouch_open = false;
     e->vouch_wanted = true;
@@ -202,7 +222,7 @@
 int64_t
 announce_next_deadline(const struct entry *e)
 {
-    if (entry_leader_link(e) == NULL ||
+    if (entry_leader_link(e) == NULL || e->leader_kind != LEADER_TYPED ||
         (!e->vouch_wanted && !e->vouch_open &&
          announce_cache_count(e->announced) == 0)) {
         return DEADLINE_NONE;
--- a/packages/daemon/entry_grant.c
+++ b/packages/daemon/entry_grant.c
@@ -307,6 +307,7 @@
         e->report_now = true;
         return;
     }
+    entry_leader_typed(e, grant->typed);
     if (!apply_config(e, grant)) {
         return;
     }
--- a/packages/daemon/entry_http.c
+++ b/packages/daemon/entry_http.c
@@ -172,6 +172,9 @@
     case API_METRICS:
         respond_metrics(e, call);
         break;
+    case API_WORKER_SYNC:
+        forward_worker_sync(e, call, str_of(match.param));
+        break;
     case API_ENDPOINT_PUT:
     case API_ENDPOINT_DELETE:
         announce_call(e, call, str_of(match.param));
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -9,6 +9,7 @@
 #include "heap.h"
 #include "map.h"
 #include "router.h"
+#include "worker.h"
 
 /* An API call that waits for the leader's reply. */
 struct forward {
@@ -21,6 +22,7 @@
     bool unsent; /* in the list of those to be sent */
     /* An announcement of an endpoint, or its end; owned. */
     struct str endpoint;
+    struct str worker; /* whose sync it is; owned */
     uint64_t key_id;
     uint64_t confirm_seq; /* message to the leader that confirms it; 0: the
                            * call itself is forwarded */
@@ -74,6 +76,13 @@
     uint64_t term; /* of the leader that told of it last */
 };
 
+/* What the leader's grants say of it. During an upgrade it may be older. */
+enum leader_kind {
+    LEADER_UNKNOWN,
+    LEADER_OLDER, /* knows neither Vouch nor Call.worker_sync */
+    LEADER_TYPED,
+};
+
 struct entry {
     struct control *control;
     struct confview *config;
@@ -89,6 +98,7 @@
 
     struct str leader_vm; /* owned */
     uint64_t leader_term;
+    enum leader_kind leader_kind;
     bool report_now;     /* without waiting until it is due */
     uint64_t report_seq; /* last one sent */
 
@@ -149,6 +159,9 @@
 void
 forward_call(struct entry *e, struct front_call *call);
 void
+forward_worker_sync(struct entry *e, struct front_call *call,
+                    struct str worker);
+void
 forward_link_down(struct entry *e, const struct link *l);
 void
 forward_step(struct entry *e);
@@ -181,12 +194,21 @@
 announce_granted(struct entry *e, const struct forward *f,
                  const Wire__Reply *reply);
 
-/* When the call arrived, in the leader's time; false while that is unknown. */
+/* Whether the call may be sent; an announcement waits for the leader's time.
+ */
+bool
+announce_sendable(const struct entry *e, const struct forward *f);
+
+/* When the call arrived, in the leader's time; false when that is unknown. */
 bool
 announce_arrival(const struct entry *e, const struct forward *f,
                  Wire__Arrival *out);
 void
 announce_unlink(struct entry *e, struct forward *f);
+
+/* A grant of the leader tells which messages it knows. */
+void
+entry_leader_typed(struct entry *e, bool typed);
 void
 announce_leader_changed(struct entry *e);
 void
@@ -194,6 +216,26 @@
 int64_t
 announce_next_deadline(const struct entry *e);
 
+/* forward_sync.c */
+
+/* A worker's sync as a typed message; owns what the message points to. */
+struct sync_message {
+    struct json_doc *doc;
+    struct worker_sync sync;
+    Wire__WorkerSync wire;
+    Wire__WorkerFinished *finished;
+    Wire__WorkerFinished **pointers;
+    uint64_t *numbers;
+};
+
+/* Returns false when the call is another, or the leader is to refuse it. */
+bool
+forward_sync_make(const struct forward *f, struct sync_message *out);
+void
+forward_sync_free(struct sync_message *m);
+void
+forward_sync_render(const Wire__WorkerAnswer *wire, struct buf *body);
+
 /* serve.c */
 void
 serve_call(struct entry *e, struct front_call *call, struct str service,
--- a/packages/daemon/forward.c
+++ b/packages/daemon/forward.c
@@ -36,6 +36,7 @@
     heap_remove(&e->forward_expiry, &f->expiry);
     map_del_u64(e->forwards, f->id);
     str_free(&f->endpoint);
+    str_free(&f->worker);
     mem_free(f);
 }
 
@@ -79,7 +80,9 @@
     Wire__Call call = WIRE__CALL__INIT;
     Wire__Arrival arrival = WIRE__ARRIVAL__INIT;
     uint8_t hash[STATE_HASH_BYTES];
-    struct str path = str_dup(f->call->path);
+    struct sync_message sync;
+    bool typed = e->leader_kind == LEADER_TYPED && forward_sync_make(f, &sync);
+    struct str path = str_dup(typed ? STR("") : f->call->path);
     /* A VM that stops waits for nothing. */
     bool no_wait = e->control->drain != DRAIN_NONE && is_long_poll(f->call);
     struct str query = str_dup(no_wait ? STR("") : f->call->query);
@@ -100,14 +103,22 @@
     if (announce_arrival(e, f, &arrival)) {
         call.arrival = &arrival;
     }
-    call.body.data = (uint8_t *)f->call->body.ptr;
-    call.body.len = f->call->body.len;
+    if (typed) {
+        call.worker_sync = &sync.wire;
+    }
+    else {
+        call.body.data = (uint8_t *)f->call->body.ptr;
+        call.body.len = f->call->body.len;
+    }
     call.deadline_ms = (f->call->deadline - e->control->now) / NS_PER_MS;
     envelope.msg_case = WIRE__ENVELOPE__MSG_CALL;
     envelope.call = &call;
     f->link_id = to->id;
     f->sent = true;
     link_send(to, &envelope);
+    if (typed) {
+        forward_sync_free(&sync);
+    }
     str_free(&path);
     str_free(&query);
     str_free(&idempotency);
@@ -128,10 +139,9 @@
     return f;
 }
 
-void
-forward_call(struct entry *e, struct front_call *call)
+static void
+send_or_queue(struct entry *e, struct forward *f)
 {
-    struct forward *f = forward_create(e, call);
     struct link *leader = entry_leader_link(e);
 
     if (leader != NULL) {
@@ -142,6 +152,22 @@
     }
 }
 
+void
+forward_call(struct entry *e, struct front_call *call)
+{
+    send_or_queue(e, forward_create(e, call));
+}
+
+void
+forward_worker_sync(struct entry *e, struct front_call *call,
+                    struct str worker)
+{
+    struct forward *f = forward_create(e, call);
+
+    f->worker = str_dup(worker);
+    send_or_queue(e, f);
+}
+
 void
 forward_end_waits(struct entry *e)
 {
@@ -174,7 +200,12 @@
     struct str type = str_of(reply->content_type);
     struct buf text = {0};
 
-    buf_append(&response.body, reply->body.data, reply->body.len);
+    if (reply->worker_answer != NULL) {
+        forward_sync_render(reply->worker_answer, &response.body);
+    }
+    else {
+        buf_append(&response.body, reply->body.data, reply->body.len);
+    }
     http_headers_add(&response.headers, STR("Content-Type"),
                      type.len == 0 ? STR("application/json") : type);
     http_headers_add(&response.headers, STR("Guavarock-Outcome"),
@@ -234,17 +265,16 @@
 {
     struct forward *f = e->unsent;
     struct forward *next;
-    Wire__Arrival arrival = WIRE__ARRIVAL__INIT;
 
     e->unsent = NULL;
     for (; f != NULL; f = next) {
         next = f->next_unsent;
         f->unsent = false;
-        if (f->endpoint.len != 0 && !announce_arrival(e, f, &arrival)) {
-            forward_queue(e, f);
+        if (announce_sendable(e, f)) {
+            send_call(e, f, leader);
         }
         else {
-            send_call(e, f, leader);
+            forward_queue(e, f);
         }
     }
 }
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -66,11 +66,16 @@
     uint64_t group;
     uint64_t claim;
     struct worker_sync sync;
+    bool typed; /* the entry has parsed it, and renders the answer */
 };
 
 /* Responds with a JSON body, which is taken over, and frees the call. */
 void
 call_respond(struct call *call, int status, struct buf *body);
+
+/* The entry renders the body. */
+void
+call_respond_typed(struct call *call, const Wire__WorkerAnswer *answer);
 void
 call_fail(struct call *call, int status, const char *code, const char *field,
           const char *message);
@@ -258,6 +263,14 @@
 int64_t
 workers_next_deadline(const struct leader *l);
 
+/* worker_typed.c: false when the name is empty or too long. */
+bool
+worker_typed_take(struct call *call, const Wire__WorkerSync *wire);
+void
+worker_typed_free(struct call *call);
+void
+worker_typed_respond(struct call *call, const struct worker_answer *a);
+
 /* ---- Endpoints ---- */
 
 struct endpoint_record {
--- a/packages/daemon/worker_answers.c
+++ b/packages/daemon/worker_answers.c
@@ -119,15 +119,20 @@
     struct buf body = {0};
 
     fill_lists(l, w, &lists, &out);
-    worker_answer_render(&out, &body);
     w->call = NULL;
     heap_remove(&l->worker_polls, &w->poll);
-    w->ack_count = 0;
-    w->stop_count = 0;
     heap_remove(&l->worker_expiry, &w->expiry);
     w->expiry.key = leader_lease_end(l, lease_ms);
     heap_insert(&l->worker_expiry, &w->expiry);
-    call_respond(call, 200, &body);
+    if (call->typed) {
+        worker_typed_respond(call, &out);
+    }
+    else {
+        worker_answer_render(&out, &body);
+        call_respond(call, 200, &body);
+    }
+    w->ack_count = 0;
+    w->stop_count = 0;
     mem_free(lists.start);
     mem_free(lists.stop);
     mem_free(lists.checkpoint);
--- a/packages/daemon/worker_syncs.c
+++ b/packages/daemon/worker_syncs.c
@@ -304,8 +304,10 @@
     const struct state_worker *worker;
     struct api_error error;
 
-    call->doc = worker_sync_parse(call->body, &call->sync, &error);
-    if (call->doc == NULL) {
+    if (!call->typed) {
+        call->doc = worker_sync_parse(call->body, &call->sync, &error);
+    }
+    if (!call->typed && call->doc == NULL) {
         call_fail_api(call, &error);
         return;
     }
--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -20,6 +20,10 @@
 typedef struct Wire__Join Wire__Join;
 typedef struct Wire__Header Wire__Header;
 typedef struct Wire__Call Wire__Call;
+typedef struct Wire__WorkerFinished Wire__WorkerFinished;
+typedef struct Wire__WorkerSync Wire__WorkerSync;
+typedef struct Wire__WorkerStart Wire__WorkerStart;
+typedef struct Wire__WorkerAnswer Wire__WorkerAnswer;
 typedef struct Wire__Arrival Wire__Arrival;
 typedef struct Wire__Reply Wire__Reply;
 typedef struct Wire__Leader Wire__Leader;
@@ -171,10 +175,101 @@
    * of an announcement
    */
   Wire__Arrival *arrival;
+  /*
+   * instead of method, path, query and body
+   */
+  Wire__WorkerSync *worker_sync;
 };
 #define WIRE__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__call__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string, NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string, NULL, NULL }
+
+
+struct  Wire__WorkerFinished
+{
+  ProtobufCMessage base;
+  uint64_t lease;
+  /*
+   * enum worker_outcome
+   */
+  uint32_t outcome;
+  int32_t exit_code;
+};
+#define WIRE__WORKER_FINISHED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__worker_finished__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * struct worker_sync of worker/worker.h. The leases' states are left out: the
+ * leader uses none.
+ */
+struct  Wire__WorkerSync
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData worker;
+  uint64_t incarnation;
+  uint64_t seq;
+  ProtobufCBinaryData rack;
+  ProtobufCBinaryData failure_domain;
+  uint64_t cpu_milli;
+  uint64_t memory_mib;
+  uint64_t accelerators;
+  size_t n_leases;
+  uint64_t *leases;
+  size_t n_finished;
+  Wire__WorkerFinished **finished;
+  /*
+   * Six for each lease, in the order of struct worker_usage.
+   */
+  size_t n_usage;
+  uint64_t *usage;
+  protobuf_c_boolean draining;
+  uint32_t wait_ms;
+};
+#define WIRE__WORKER_SYNC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__worker_sync__descriptor) \
+    , {0,NULL}, 0, 0, {0,NULL}, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+
+
+struct  Wire__WorkerStart
+{
+  ProtobufCMessage base;
+  uint64_t lease;
+  ProtobufCBinaryData team;
+  ProtobufCBinaryData job;
+  uint32_t task;
+  uint64_t cpu_milli;
+  uint64_t memory_mib;
+  uint64_t accelerators;
+  ProtobufCBinaryData payload;
+};
+#define WIRE__WORKER_START__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__worker_start__descriptor) \
+    , 0, {0,NULL}, {0,NULL}, 0, 0, 0, 0, {0,NULL} }
+
+
+/*
+ * struct worker_answer.
+ */
+struct  Wire__WorkerAnswer
+{
+  ProtobufCMessage base;
+  size_t n_start;
+  Wire__WorkerStart **start;
+  size_t n_stop;
+  uint64_t *stop;
+  size_t n_checkpoint;
+  uint64_t *checkpoint;
+  size_t n_throttle;
+  uint64_t *throttle;
+  size_t n_finished_ack;
+  uint64_t *finished_ack;
+  uint64_t lease_ms;
+};
+#define WIRE__WORKER_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__worker_answer__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -215,10 +310,14 @@
    */
   uint64_t claim;
   uint64_t claim_group;
+  /*
+   * instead of body
+   */
+  Wire__WorkerAnswer *worker_answer;
 };
 #define WIRE__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL }
 
 
 /*
@@ -385,10 +484,14 @@
    * every endpoint had time to be announced
    */
   protobuf_c_boolean endpoints_complete;
+  /*
+   * the leader knows Vouch and Call.worker_sync
+   */
+  protobuf_c_boolean typed;
 };
 #define WIRE__ENTRY_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__entry_grant__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Wire__StoredResponse
@@ -630,6 +733,82 @@
 void   wire__call__free_unpacked
                      (Wire__Call *message,
                       ProtobufCAllocator *allocator);
+/* Wire__WorkerFinished methods */
+void   wire__worker_finished__init
+                     (Wire__WorkerFinished         *message);
+size_t wire__worker_finished__get_packed_size
+                     (const Wire__WorkerFinished   *message);
+size_t wire__worker_finished__pack
+                     (const Wire__WorkerFinished   *message,
+                      uint8_t             *out);
+size_t wire__worker_finished__pack_to_buffer
+                     (const Wire__WorkerFinished   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__WorkerFinished *
+       wire__worker_finished__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__worker_finished__free_unpacked
+                     (Wire__WorkerFinished *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__WorkerSync methods */
+void   wire__worker_sync__init
+                     (Wire__WorkerSync         *message);
+size_t wire__worker_sync__get_packed_size
+                     (const Wire__WorkerSync   *message);
+size_t wire__worker_sync__pack
+                     (const Wire__WorkerSync   *message,
+                      uint8_t             *out);
+size_t wire__worker_sync__pack_to_buffer
+                     (const Wire__WorkerSync   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__WorkerSync *
+       wire__worker_sync__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__worker_sync__free_unpacked
+                     (Wire__WorkerSync *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__WorkerStart methods */
+void   wire__worker_start__init
+                     (Wire__WorkerStart         *message);
+size_t wire__worker_start__get_packed_size
+                     (const Wire__WorkerStart   *message);
+size_t wire__worker_start__pack
+                     (const Wire__WorkerStart   *message,
+                      uint8_t             *out);
+size_t wire__worker_start__pack_to_buffer
+                     (const Wire__WorkerStart   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__WorkerStart *
+       wire__worker_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__worker_start__free_unpacked
+                     (Wire__WorkerStart *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__WorkerAnswer methods */
+void   wire__worker_answer__init
+                     (Wire__WorkerAnswer         *message);
+size_t wire__worker_answer__get_packed_size
+                     (const Wire__WorkerAnswer   *message);
+size_t wire__worker_answer__pack
+                     (const Wire__WorkerAnswer   *message,
+                      uint8_t             *out);
+size_t wire__worker_answer__pack_to_buffer
+                     (const Wire__WorkerAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__WorkerAnswer *
+       wire__worker_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__worker_answer__free_unpacked
+                     (Wire__WorkerAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__Arrival methods */
 void   wire__arrival__init
                      (Wire__Arrival         *message);
@@ -951,6 +1130,18 @@
 typedef void (*Wire__Call_Closure)
                  (const Wire__Call *message,
                   void *closure_data);
+typedef void (*Wire__WorkerFinished_Closure)
+                 (const Wire__WorkerFinished *message,
+                  void *closure_data);
+typedef void (*Wire__WorkerSync_Closure)
+                 (const Wire__WorkerSync *message,
+                  void *closure_data);
+typedef void (*Wire__WorkerStart_Closure)
+                 (const Wire__WorkerStart *message,
+                  void *closure_data);
+typedef void (*Wire__WorkerAnswer_Closure)
+                 (const Wire__WorkerAnswer *message,
+                  void *closure_data);
 typedef void (*Wire__Arrival_Closure)
                  (const Wire__Arrival *message,
                   void *closure_data);
@@ -1012,6 +1203,10 @@
 extern const ProtobufCMessageDescriptor wire__join__descriptor;
 extern const ProtobufCMessageDescriptor wire__header__descriptor;
 extern const ProtobufCMessageDescriptor wire__call__descriptor;
+extern const ProtobufCMessageDescriptor wire__worker_finished__descriptor;
+extern const ProtobufCMessageDescriptor wire__worker_sync__descriptor;
+extern const ProtobufCMessageDescriptor wire__worker_start__descriptor;
+extern const ProtobufCMessageDescriptor wire__worker_answer__descriptor;
 extern const ProtobufCMessageDescriptor wire__arrival__descriptor;
 extern const ProtobufCMessageDescriptor wire__reply__descriptor;
 extern const ProtobufCMessageDescriptor wire__leader__descriptor;
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -232,6 +232,186 @@
   assert(message->base.descriptor == &wire__call__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__worker_finished__init
+                     (Wire__WorkerFinished         *message)
+{
+  static const Wire__WorkerFinished init_value = WIRE__WORKER_FINISHED__INIT;
+  *message = init_value;
+}
+size_t wire__worker_finished__get_packed_size
+                     (const Wire__WorkerFinished *message)
+{
+  assert(message->base.descriptor == &wire__worker_finished__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__worker_finished__pack
+                     (const Wire__WorkerFinished *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__worker_finished__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__worker_finished__pack_to_buffer
+                     (const Wire__WorkerFinished *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__worker_finished__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__WorkerFinished *
+       wire__worker_finished__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__WorkerFinished *)
+     protobuf_c_message_unpack (&wire__worker_finished__descriptor,
+                                allocator, len, data);
+}
+void   wire__worker_finished__free_unpacked
+                     (Wire__WorkerFinished *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__worker_finished__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__worker_sync__init
+                     (Wire__WorkerSync         *message)
+{
+  static const Wire__WorkerSync init_value = WIRE__WORKER_SYNC__INIT;
+  *message = init_value;
+}
+size_t wire__worker_sync__get_packed_size
+                     (const Wire__WorkerSync *message)
+{
+  assert(message->base.descriptor == &wire__worker_sync__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__worker_sync__pack
+                     (const Wire__WorkerSync *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__worker_sync__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__worker_sync__pack_to_buffer
+                     (const Wire__WorkerSync *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__worker_sync__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__WorkerSync *
+       wire__worker_sync__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__WorkerSync *)
+     protobuf_c_message_unpack (&wire__worker_sync__descriptor,
+                                allocator, len, data);
+}
+void   wire__worker_sync__free_unpacked
+                     (Wire__WorkerSync *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__worker_sync__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__worker_start__init
+                     (Wire__WorkerStart         *message)
+{
+  static const Wire__WorkerStart init_value = WIRE__WORKER_START__INIT;
+  *message = init_value;
+}
+size_t wire__worker_start__get_packed_size
+                     (const Wire__WorkerStart *message)
+{
+  assert(message->base.descriptor == &wire__worker_start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__worker_start__pack
+                     (const Wire__WorkerStart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__worker_start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__worker_start__pack_to_buffer
+                     (const Wire__WorkerStart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__worker_start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__WorkerStart *
+       wire__worker_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__WorkerStart *)
+     protobuf_c_message_unpack (&wire__worker_start__descriptor,
+                                allocator, len, data);
+}
+void   wire__worker_start__free_unpacked
+                     (Wire__WorkerStart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__worker_start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__worker_answer__init
+                     (Wire__WorkerAnswer         *message)
+{
+  static const Wire__WorkerAnswer init_value = WIRE__WORKER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wire__worker_answer__get_packed_size
+                     (const Wire__WorkerAnswer *message)
+{
+  assert(message->base.descriptor == &wire__worker_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__worker_answer__pack
+                     (const Wire__WorkerAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__worker_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__worker_answer__pack_to_buffer
+                     (const Wire__WorkerAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__worker_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__WorkerAnswer *
+       wire__worker_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__WorkerAnswer *)
+     protobuf_c_message_unpack (&wire__worker_answer__descriptor,
+                                allocator, len, data);
+}
+void   wire__worker_answer__free_unpacked
+                     (Wire__WorkerAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__worker_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__arrival__init
                      (Wire__Arrival         *message)
 {
@@ -1302,7 +1482,7 @@
   (ProtobufCMessageInit) wire__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__call__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__call__field_descriptors[12] =
 {
   {
     "id",
@@ -1436,6 +1616,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker_sync",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Call, worker_sync),
+    &wire__worker_sync__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__call__field_indices_by_name[] = {
   10,   /* field[10] = arrival */
@@ -1449,12 +1641,13 @@
   1,   /* field[1] = method */
   2,   /* field[2] = path */
   3,   /* field[3] = query */
+  11,   /* field[11] = worker_sync */
 };
 static const ProtobufCIntRange wire__call__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 20, 10 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__call__descriptor =
 {
@@ -1464,13 +1657,503 @@
   "Wire__Call",
   "wire",
   sizeof(Wire__Call),
-  11,
+  12,
   wire__call__field_descriptors,
   wire__call__field_indices_by_name,
   2,  wire__call__number_ranges,
   (ProtobufCMessageInit) wire__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__worker_finished__field_descriptors[3] =
+{
+  {
+    "lease",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerFinished, lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerFinished, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "exit_code",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerFinished, exit_code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__worker_finished__field_indices_by_name[] = {
+  2,   /* field[2] = exit_code */
+  0,   /* field[0] = lease */
+  1,   /* field[1] = outcome */
+};
+static const ProtobufCIntRange wire__worker_finished__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__worker_finished__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.WorkerFinished",
+  "WorkerFinished",
+  "Wire__WorkerFinished",
+  "wire",
+  sizeof(Wire__WorkerFinished),
+  3,
+  wire__worker_finished__field_descriptors,
+  wire__worker_finished__field_indices_by_name,
+  1,  wire__worker_finished__number_ranges,
+  (ProtobufCMessageInit) wire__worker_finished__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__worker_sync__field_descriptors[13] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, rack),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, failure_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leases",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__WorkerSync, n_leases),
+    offsetof(Wire__WorkerSync, leases),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "finished",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__WorkerSync, n_finished),
+    offsetof(Wire__WorkerSync, finished),
+    &wire__worker_finished__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__WorkerSync, n_usage),
+    offsetof(Wire__WorkerSync, usage),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerSync, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__worker_sync__field_indices_by_name[] = {
+  7,   /* field[7] = accelerators */
+  5,   /* field[5] = cpu_milli */
+  11,   /* field[11] = draining */
+  4,   /* field[4] = failure_domain */
+  9,   /* field[9] = finished */
+  1,   /* field[1] = incarnation */
+  8,   /* field[8] = leases */
+  6,   /* field[6] = memory_mib */
+  3,   /* field[3] = rack */
+  2,   /* field[2] = seq */
+  10,   /* field[10] = usage */
+  12,   /* field[12] = wait_ms */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange wire__worker_sync__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor wire__worker_sync__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.WorkerSync",
+  "WorkerSync",
+  "Wire__WorkerSync",
+  "wire",
+  sizeof(Wire__WorkerSync),
+  13,
+  wire__worker_sync__field_descriptors,
+  wire__worker_sync__field_indices_by_name,
+  1,  wire__worker_sync__number_ranges,
+  (ProtobufCMessageInit) wire__worker_sync__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__worker_start__field_descriptors[8] =
+{
+  {
+    "lease",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerStart, lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerStart, team),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerStart, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerStart, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerStart, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerStart, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerStart, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerStart, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__worker_start__field_indices_by_name[] = {
+  6,   /* field[6] = accelerators */
+  4,   /* field[4] = cpu_milli */
+  2,   /* field[2] = job */
+  0,   /* field[0] = lease */
+  5,   /* field[5] = memory_mib */
+  7,   /* field[7] = payload */
+  3,   /* field[3] = task */
+  1,   /* field[1] = team */
+};
+static const ProtobufCIntRange wire__worker_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wire__worker_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.WorkerStart",
+  "WorkerStart",
+  "Wire__WorkerStart",
+  "wire",
+  sizeof(Wire__WorkerStart),
+  8,
+  wire__worker_start__field_descriptors,
+  wire__worker_start__field_indices_by_name,
+  1,  wire__worker_start__number_ranges,
+  (ProtobufCMessageInit) wire__worker_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__worker_answer__field_descriptors[6] =
+{
+  {
+    "start",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__WorkerAnswer, n_start),
+    offsetof(Wire__WorkerAnswer, start),
+    &wire__worker_start__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stop",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__WorkerAnswer, n_stop),
+    offsetof(Wire__WorkerAnswer, stop),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__WorkerAnswer, n_checkpoint),
+    offsetof(Wire__WorkerAnswer, checkpoint),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "throttle",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__WorkerAnswer, n_throttle),
+    offsetof(Wire__WorkerAnswer, throttle),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "finished_ack",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__WorkerAnswer, n_finished_ack),
+    offsetof(Wire__WorkerAnswer, finished_ack),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__WorkerAnswer, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__worker_answer__field_indices_by_name[] = {
+  2,   /* field[2] = checkpoint */
+  4,   /* field[4] = finished_ack */
+  5,   /* field[5] = lease_ms */
+  0,   /* field[0] = start */
+  1,   /* field[1] = stop */
+  3,   /* field[3] = throttle */
+};
+static const ProtobufCIntRange wire__worker_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wire__worker_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.WorkerAnswer",
+  "WorkerAnswer",
+  "Wire__WorkerAnswer",
+  "wire",
+  sizeof(Wire__WorkerAnswer),
+  6,
+  wire__worker_answer__field_descriptors,
+  wire__worker_answer__field_indices_by_name,
+  1,  wire__worker_answer__number_ranges,
+  (ProtobufCMessageInit) wire__worker_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__arrival__field_descriptors[4] =
 {
   {
@@ -1548,7 +2231,7 @@
   (ProtobufCMessageInit) wire__arrival__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__reply__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__reply__field_descriptors[12] =
 {
   {
     "id",
@@ -1682,6 +2365,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker_answer",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Reply, worker_answer),
+    &wire__worker_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__reply__field_indices_by_name[] = {
   5,   /* field[5] = body */
@@ -1695,12 +2390,13 @@
   2,   /* field[2] = outcome */
   3,   /* field[3] = retry_after_s */
   1,   /* field[1] = status */
+  11,   /* field[11] = worker_answer */
 };
 static const ProtobufCIntRange wire__reply__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 20, 9 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__reply__descriptor =
 {
@@ -1710,7 +2406,7 @@
   "Wire__Reply",
   "wire",
   sizeof(Wire__Reply),
-  11,
+  12,
   wire__reply__field_descriptors,
   wire__reply__field_indices_by_name,
   2,  wire__reply__number_ranges,
@@ -2258,7 +2954,7 @@
   (ProtobufCMessageInit) wire__unit_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wire__entry_grant__field_descriptors[17] =
 {
   {
     "term",
@@ -2452,6 +3148,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "typed",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__EntryGrant, typed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__entry_grant__field_indices_by_name[] = {
   6,   /* field[6] = config */
@@ -2468,13 +3176,15 @@
   12,   /* field[12] = restart */
   1,   /* field[1] = seq */
   0,   /* field[0] = term */
+  16,   /* field[16] = typed */
   3,   /* field[3] = unit_lease_ms */
   4,   /* field[4] = units */
 };
-static const ProtobufCIntRange wire__entry_grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__entry_grant__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 20, 16 },
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wire__entry_grant__descriptor =
 {
@@ -2484,10 +3194,10 @@
   "Wire__EntryGrant",
   "wire",
   sizeof(Wire__EntryGrant),
-  16,
+  17,
   wire__entry_grant__field_descriptors,
   wire__entry_grant__field_indices_by_name,
-  1,  wire__entry_grant__number_ranges,
+  2,  wire__entry_grant__number_ranges,
   (ProtobufCMessageInit) wire__entry_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/tests/test_announce.c
+++ b/tests/test_announce.c
@@ -390,6 +390,23 @@
     teardown(&f);
 }
 
+/* Guards against an announcement to an entry without endpoints for long that
+ * counts as late, because the clocks have drifted. */
+static void
+test_idle_entry(void)
+{
+    struct fixture f;
+    struct announce_when when;
+
+    setup(&f);
+    vouch(&f, 0);
+    f.now += 3600 * NS_PER_S;
+    g_assert_false(announce_cache_when(f.c[0], f.now + SKEW, &when));
+    vouch(&f, 0);
+    g_assert_cmpint(forward(&f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
+    teardown(&f);
+}
+
 /* Guards against an entry that forgets what it vouched for, as after another
  * leader, while the leader counts on it; and against a claim of the old
  * leader. */
@@ -431,6 +448,7 @@
     g_test_add_func("/announce/late-after-vouches", test_late_after_vouches);
     g_test_add_func("/announce/deleted", test_deleted);
     g_test_add_func("/announce/key-withdrawn", test_key_withdrawn);
+    g_test_add_func("/announce/idle-entry", test_idle_entry);
     g_test_add_func("/announce/reset", test_reset);
     return g_test_run();
 }
