daemon: a leader that loses its quorum while it sends grants no longer hangs

Cause: entries_step repeats ledger_due until no entry is due. entries_send_grant returns at once when the quorum's lease has run out, which replica_leads checks with the current clock, so that the entry stays due and the loop never ends. Found by gdb on a control thread of /e2e/limit-lowered under AddressSanitizer.

No deterministic test: the daemon's parts are not linked into tests, and the lease must run out between two statements.

--- a/packages/daemon/entries_grants.c
+++ b/packages/daemon/entries_grants.c
@@ -183,7 +183,10 @@
         entries_push_config(l);
     }
     push_endpoints(l);
-    while (ledger_due(l->ledger, l->control->now, &run)) {
+    /* Without a quorum no grant is sent and the entry would stay due. The
+     * lease may run out at any time, also within this loop. */
+    while (replica_leads(l->replica) &&
+           ledger_due(l->ledger, l->control->now, &run)) {
         struct entry_record *e = find_run(l, run);
         struct grants lost = {0};
 
