--- a/packages/daemon/entries_grants.c
+++ b/packages/daemon/entries_grants.c
@@ -84,6 +84,7 @@
     fill_config(l, e, &config, &grant);
     fill_endpoints(l, e, &changes, &grant);
     grant.config_lease_ms = lease_ms;
+    grant.typed = true;
     grant.drain = vm != NULL && vm->draining;
     e->lease_end = leader_lease_end(l, lease_ms);
     envelope.msg_case = WIRE__ENVELOPE__MSG_ENTRY_GRANT;
@@ -185,16 +186,13 @@
     }
     push_endpoints(l);
     entries_take_promises(l);
-    /* The lease may end between two grants; what is due then stays due. */
-    while (replica_leads(l->replica) &&
-           ledger_due(l->ledger, l->control->now, &run)) {
+    while (ledger_due(l->ledger, l->control->now, &run)) {
         struct entry_record *e = find_run(l, run);
         struct grants lost = {0};
 
         if (e != NULL && control_link_by_id(l->control, e->link_id) != NULL) {
             if (!entries_send_grant(l, e)) {
-                /* The leader's lease has just ended, and the entry stays
-                 * due. */
+                /* The leader's lease has just ended; the entry stays due. */
                 return;
             }
         }
