tests: end-to-end cases that do not depend on speed

Each of these could fail on a machine that stalls for a moment: - worker-killed and worker-drain wait for 20 or 12 tasks that run at the same time, but the first ended 1,000 or 800 ms after its start. The stand-in worker now has a payload until=NAME, with which a task runs until the case lets it end; worker-frozen uses it as well.

No stated bound is changed.

--- a/tests/fakes/worker.c
+++ b/tests/fakes/worker.c
@@ -1,7 +1,8 @@
 /*
  * A stand-in worker: syncs with the entries and pretends to run the tasks it
  * is given. The payload steers a task: "run_ms=N exit=N cpu=MILLI mem=MIB",
- * all optional; run_ms=-1 runs until stopped. Usage is reported as cumulative
+ * all optional; run_ms=-1 runs until stopped. "until=NAME" alone runs until
+ * the file HISTORY.NAME exists. Usage is reported as cumulative
  * counters of what the task pretends to consume. SIGTERM drains: running
  * tasks get --drain-ms to finish, the rest is checkpointed, then exit 0.
  */
@@ -12,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 #include <jansson.h>
@@ -43,6 +45,7 @@
     int64_t memory_mib_ms;
     int64_t accelerator_ms;
     int exit_code;
+    char until[128];     /* ends once this file exists, unless empty */
     const char *outcome; /* NULL while it runs */
     int throttled;
 };
@@ -118,6 +121,11 @@
     t->exit_code = opt.fail_all ? 1 : (int)payload_number(payload, "exit=", 0);
     run_ms =
         opt.fail_all ? 1 : payload_number(payload, "run_ms=", DEFAULT_RUN_MS);
+    if (strncmp(payload, "until=", 6) == 0) {
+        run_ms = -1;
+        snprintf(t->until, sizeof(t->until), "%s.%s", opt.history,
+                 payload + 6);
+    }
     t->started = now;
     t->counted = now;
     t->end = run_ms < 0 ? DEADLINE_NONE : now + run_ms * NS_PER_MS;
@@ -174,6 +182,10 @@
         if (t->outcome != NULL) {
             continue;
         }
+        if (t->until[0] != '\0' && access(t->until, F_OK) == 0) {
+            t->until[0] = '\0';
+            t->end = now;
+        }
         limit = t->end < lease_deadline ? t->end : lease_deadline;
         task_account(t, now);
         if (now >= limit) {
--- a/tests/support/e2e_rig.c
+++ b/tests/support/e2e_rig.c
@@ -78,6 +78,18 @@
     AWAIT(e2e_starts(c, prefix) >= count);
 }
 
+void
+e2e_release(const struct cluster *c, const char *name)
+{
+    char path[CLUSTER_PATH_BYTES + 32];
+    FILE *f;
+
+    snprintf(path, sizeof(path), "%s.%s", c->history_path, name);
+    f = fopen(path, "we");
+    REQUIRE(f != NULL);
+    fclose(f);
+}
+
 void
 e2e_cancel(const struct cluster *c, const char *prefix)
 {
--- a/tests/support/e2e_rig.h
+++ b/tests/support/e2e_rig.h
@@ -11,6 +11,9 @@
     /* Longer than each lease and the longest request, with margins. */
     E2E_ALL_LEASES_MS =
         CLUSTER_LONGEST_REQUEST_MS + CLUSTER_WORKER_LEASE_MS + 500,
+    /* Of a request whose entry is killed before its answer: nearly the longest
+     * request, so that a stalled machine does not let it end first. */
+    E2E_KILLED_DELAY_MS = CLUSTER_LONGEST_REQUEST_MS - 100,
 };
 
 /* Returns once each VM has answered a request with 200. */
@@ -34,6 +37,10 @@
 e2e_run_jobs(const struct cluster *c, const char *prefix, int count,
              int cpu_milli, const char *payload);
 
+/* Lets the tasks with the payload until=NAME end. */
+void
+e2e_release(const struct cluster *c, const char *name);
+
 /* Cancels the jobs with that prefix; waits until the call is accepted. */
 void
 e2e_cancel(const struct cluster *c, const char *prefix);
