tests: wait for usage that is reported after its lease has expired

/e2e/pair/leader-killed-worker-frozen needed tasks that still run when their worker is paused, but they ended 1,200 ms after their start; they now run until the worker is paused. Three of three runs then reported "cpu_ms is reported as 282, workers measured 24316". Cause: the leader collects what workers report and commits it every 2 s, while the end of a lease that it has expired itself is committed without it. The harness read the usage at once. Ruled out: usage that is lost; with 4 s of waiting (trial) the checker found all of it in 2 of 2 runs.

--- a/tests/support/cluster_api.c
+++ b/tests/support/cluster_api.c
@@ -416,20 +416,44 @@
 
 /* ---- Usage ---- */
 
-void
-api_record_usage(const struct cluster *c)
+static json_t *
+read_usage(const struct cluster *c)
 {
     char path[64];
     const struct api_call call = {
         "GET", path, c->operator_key, NULL, NULL, NULL, -1, 0};
     time_t now = time(NULL);
     json_t *answer = NULL;
-    const json_t *team;
-    size_t i;
 
     strftime(path, sizeof(path), "/v1/usage?month=%Y-%m", gmtime(&now));
     AWAIT((json_decref(answer), answer = NULL,
            api_call(c, &call, &answer) == 200));
+    return answer;
+}
+
+int64_t
+api_cpu_used(const struct cluster *c)
+{
+    json_t *answer = read_usage(c);
+    const json_t *team;
+    int64_t sum = 0;
+    size_t i;
+
+    json_array_foreach(json_object_get(answer, "teams"), i, team)
+    {
+        sum += api_number(team, "cpu_ms");
+    }
+    json_decref(answer);
+    return sum;
+}
+
+void
+api_record_usage(const struct cluster *c)
+{
+    json_t *answer = read_usage(c);
+    const json_t *team;
+    size_t i;
+
     json_array_foreach(json_object_get(answer, "teams"), i, team)
     {
         history_write(
--- a/tests/support/cluster_api.h
+++ b/tests/support/cluster_api.h
@@ -90,6 +90,10 @@
 void
 api_await_jobs_ended(const struct cluster *c);
 
+/* Processor time of all teams in this month, in ms. */
+int64_t
+api_cpu_used(const struct cluster *c);
+
 /* Records GET /v1/usage of this month for the checker. */
 void
 api_record_usage(const struct cluster *c);
--- a/tests/support/e2e_rig.c
+++ b/tests/support/e2e_rig.c
@@ -1,6 +1,7 @@
 #include "e2e_rig.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "await.h"
@@ -8,6 +9,7 @@
 
 enum {
     LOAD_DELAY_MS = 5,
+    USAGE_MS = 5000, /* more than the leader collects usage for */
 };
 
 struct cluster *
@@ -164,10 +166,42 @@
     return number;
 }
 
+/* Processor time of all runs whose end is in the history. */
+static int64_t
+cpu_measured(const struct cluster *c)
+{
+    FILE *f = fopen(c->history_path, "re");
+    char line[4096];
+    int64_t sum = 0;
+
+    while (fgets(line, sizeof(line), f) != NULL) {
+        const char *at = strstr(line, "\"cpu_ms\":");
+
+        if (at != NULL && strstr(line, "\"event\":\"end\"") != NULL) {
+            sum += strtoll(at + strlen("\"cpu_ms\":"), NULL, 10);
+        }
+    }
+    fclose(f);
+    return sum;
+}
+
+/* What a worker reports of a lease that has already expired is committed some
+ * time later. The checker decides whether all of it was. */
+static void
+await_usage(const struct cluster *c)
+{
+    int64_t until = clock_now() + USAGE_MS * NS_PER_MS;
+
+    while (api_cpu_used(c) < cpu_measured(c) && clock_now() < until) {
+        await_pause();
+    }
+}
+
 void
 e2e_finish(struct cluster *c)
 {
     api_await_jobs_ended(c);
+    await_usage(c);
     api_record_usage(c);
     cluster_check(c);
     cluster_destroy(c);
--- a/tests/test_e2e_pairs.c
+++ b/tests/test_e2e_pairs.c
@@ -56,8 +56,9 @@
     struct cluster *c = e2e_start(3, 0, false);
     int old = cluster_leader(c, -1);
 
-    e2e_run_jobs(c, "job", FILL, QUARTER_CPU_MILLI, "run_ms=1200");
+    e2e_run_jobs(c, "job", FILL, QUARTER_CPU_MILLI, "until=frozen");
     cluster_fake_freeze(c, 0, true);
+    e2e_release(c, "frozen");
     cluster_vm_kill(c, old);
     cluster_leader(c, old);
     /* Tasks of the paused worker have started elsewhere. */
