--- a/tests/test_e2e_disk.c
+++ b/tests/test_e2e_disk.c
@@ -16,8 +16,8 @@
 enum {
     JOBS = 4,
     SMALL_CPU_MILLI = 1000,
-    /* With what the start and the jobs have written. */
-    SNAPSHOT_CHANGES = CLUSTER_SNAPSHOT_ENTRIES * 3 / 4,
+    /* More than lead to a snapshot. */
+    SNAPSHOT_CHANGES = 2 * CLUSTER_SNAPSHOT_ENTRIES,
 };
 
 static const char step_down[] = "this member stops voting and acknowledging";
@@ -181,11 +181,11 @@
     good = (leader + 2) % 3;
     cluster_vm_fault(c, leader, "fsync 0 1500 0\n");
     e2e_run_jobs(c, "leader-slow", JOBS, SMALL_CPU_MILLI, "run_ms=300");
-    for (int i = 0; i < SNAPSHOT_CHANGES; i++) {
+    for (int i = 0; !cluster_vm_logged(c, leader, "raft: snapshot at"); i++) {
+        g_assert_cmpint(i, <, SNAPSHOT_CHANGES);
         e2e_change_teams(c, i + 2, -1);
     }
     load_await_more(load, 30);
-    g_assert_true(cluster_vm_logged(c, leader, "raft: snapshot at"));
     g_assert_true(cluster_vm_leads(c, leader));
     cluster_vm_fault(c, leader, "fsync 0 300 0\n");
     cluster_vm_fault(c, slow, "fsync 0 300 0\n");
