--- a/tests/test_e2e_disk.c
+++ b/tests/test_e2e_disk.c
@@ -16,7 +16,8 @@
 enum {
     JOBS = 4,
     SMALL_CPU_MILLI = 1000,
-    SNAPSHOT_CHANGES = CLUSTER_SNAPSHOT_ENTRIES,
+    /* More than lead to a snapshot. */
+    SNAPSHOT_CHANGES = 2 * CLUSTER_SNAPSHOT_ENTRIES,
 };
 
 static const char step_down[] = "this member stops voting and acknowledging";
@@ -180,7 +181,8 @@
     good = (leader + 2) % 3;
     cluster_vm_fault(c, leader, "fsync 0 1500 0\n");
     e2e_run_jobs(c, "leader-slow", JOBS, SMALL_CPU_MILLI, "run_ms=300");
-    for (int i = 0; i < SNAPSHOT_CHANGES; i++) {
+    for (int i = 0; !cluster_vm_logged(c, leader, "raft: snapshot at"); i++) {
+        g_assert_cmpint(i, <, SNAPSHOT_CHANGES);
         e2e_change_teams(c, i + 2, -1);
     }
     load_await_more(load, 30);
