sched: reclaim lent shares by preemption

Started idempotent batch work of accounts more than 2% above their share is now checkpointed, cheapest first, for blocked work of accounts below theirs while at least 85% of the fleet is in use. The room is claimed for that work. The run time lost is bounded by a budget of 1% of all run time; a task is reclaimed once; an account yields only if it stays above the other one. A pass looks at 256 workers at most.

The bench reports the run time lost by preemption.

--- a/bench/bench_sched.c
+++ b/bench/bench_sched.c
@@ -12,7 +12,8 @@
  * urgent-gangs: every fifth gang is urgent. The seed is 7 unless given.
  * wait=S seeks, for each policy, the load at which the mean wait of all tasks,
  * by-work: weighed by their work, is S seconds, so that packing is compared
- * at equal waiting time.
+ * at equal waiting time. reclaim=P and above=P set the part of all run time
+ * that may be lost by reclaiming shares, 0 for none, and the tolerance.
  */
 enum {
     EQUAL_STEPS = 9,
@@ -49,6 +50,7 @@
     r->worker = worker;
     r->size = *size;
     r->lease = lease;
+    r->began = m->now;
     r->bad = m->bad && worker % 50 == 7;
     r->ends = m->now + (r->bad ? NS_PER_S : j->run_ns);
     m->decisions++;
@@ -239,6 +241,7 @@
 end_run(struct model *m, struct run *r, enum sched_end end)
 {
     account(m, r, -1);
+    note_run(m, r, end == SCHED_END_CHECKPOINTED);
     map_del_u64(m->runs, r->lease);
     if (m->policy == POLICY_SCHED) {
         struct sched_event e = {.kind = SCHED_EVENT_TASK_ENDED};
@@ -330,8 +333,7 @@
     struct sched_config config;
     const struct fleet *f = m->fleet;
 
-    sched_config_default(&config);
-    config.weights = f->weights;
+    configure(m, &config);
     m->s = sched_create(&config, 0);
     for (uint32_t t = 0; t < f->teams; t++) {
         struct sched_event e = {.kind = SCHED_EVENT_TEAM};
@@ -420,6 +422,8 @@
     m->off = has(argc, argv, "off");
     m->bad = has(argc, argv, "bad");
     m->urgent_gangs = has(argc, argv, "urgent-gangs");
+    m->reclaim_part = number_of(argc, argv, "reclaim", -1);
+    m->reclaim_above = number_of(argc, argv, "above", -1);
     open_model(m, find_fleet(argv[1]), policy, load,
                strtol(argv[3], NULL, 10));
     m->cancel = has(argc, argv, "cancel") && policy == POLICY_SCHED;
--- a/bench/sched_args.h
+++ b/bench/sched_args.h
@@ -39,4 +39,18 @@
     return 7;
 }
 
+/* The number of an argument NAME=NUMBER, otherwise as it is by default. */
+static double
+number_of(int argc, char **argv, const char *name, double otherwise)
+{
+    size_t len = strlen(name);
+
+    for (int i = 4; i < argc; i++) {
+        if (strncmp(argv[i], name, len) == 0 && argv[i][len] == '=') {
+            return strtod(argv[i] + len + 1, NULL);
+        }
+    }
+    return otherwise;
+}
+
 #endif
--- a/bench/sched_model.h
+++ b/bench/sched_model.h
@@ -32,6 +32,7 @@
     struct sched_size size; /* granted */
     uint64_t lease;
     uint32_t worker;
+    int64_t began;
     int64_t ends;
     int64_t used_s;
     bool bad;
@@ -55,6 +56,8 @@
     struct map *jobs;
     struct sched *s;
     struct sched_actions actions;
+    double reclaim_above; /* as in struct sched_config */
+    double reclaim_part;
     int64_t (*free)[DIMS];
     struct job **queue; /* baselines: FIFO */
     size_t queue_head;
@@ -65,6 +68,8 @@
     struct sample waits[CLASSES];
     double work_waited; /* integral of waiting times the work that waited */
     double work;
+    double run_s;  /* run time in seconds of a worker, and the part of it */
+    double lost_s; /* that preempted tasks lost */
     struct sample tick_us;
     double used[DIMS]; /* integrals over the second half */
     double team_used[128][DIMS];
@@ -75,6 +80,19 @@
     int64_t last;
 };
 
+static void
+configure(const struct model *m, struct sched_config *config)
+{
+    sched_config_default(config);
+    config->weights = m->fleet->weights;
+    if (m->reclaim_part >= 0) {
+        config->reclaim_part = m->reclaim_part;
+    }
+    if (m->reclaim_above >= 0) {
+        config->reclaim_above = m->reclaim_above;
+    }
+}
+
 /* The rate at which the binding resource is offered load times over. */
 static void
 set_rate(struct model *m, double load)
@@ -117,6 +135,34 @@
     }
 }
 
+/* Adds up the run time of a task, and what is lost of it when it is stopped:
+ * all of it, as if its checkpoint were of no use. */
+static void
+note_run(struct model *m, const struct run *r, bool stopped)
+{
+    const struct sched_size *vm = &m->fleet->size;
+    double part = fmax((double)r->size.cpu_milli / (double)vm->cpu_milli,
+                       (double)r->size.memory_mib / (double)vm->memory_mib);
+    double work = part * (double)(m->now - r->began) / NS_PER_S;
+
+    m->run_s += work;
+    m->lost_s += stopped ? work : 0;
+}
+
+/* Run time lost by preemption as a part of all run time, of tasks that ended;
+ * by reclaiming as the scheduler counts it. */
+static void
+print_lost(const struct model *m)
+{
+    struct sched_stats stats;
+
+    sched_stats(m->s, &stats);
+    printf("          preempted %lu, reclaimed %lu; lost of run time %.2f%%, "
+           "by reclaiming %.2f%%\n",
+           (unsigned long)stats.preemptions, (unsigned long)stats.reclaims,
+           m->lost_s / m->run_s * 100, stats.reclaimed_s / m->run_s * 100);
+}
+
 static void
 integrate(struct model *m, int64_t to)
 {
@@ -235,6 +281,9 @@
            (double)m->decisions * NS_PER_S / ((double)m->wall_ns + 1),
            quantile(&m->tick_us, 0.99), mean_wait(m, false),
            mean_wait(m, true));
+    if (m->policy == POLICY_SCHED) {
+        print_lost(m);
+    }
     if (m->urgent_gangs) {
         printf("          urgent gangs: %zu tasks, wait p50/p99 %.1f/%.1f\n",
                m->waits[4].count, quantile(&m->waits[4], 0.5),
--- a/packages/sched/core.h
+++ b/packages/sched/core.h
@@ -264,10 +264,16 @@
 void
 reserve_soon(struct sched *s);
 
+/* reclaim.c */
+void
+reclaim_shares(struct sched *s);
+
 /* urgent.c */
 bool
 urgent_preempt(struct sched *s, struct job *j);
 void
+claim_room(struct sched *s, struct job *j, struct worker *w, int64_t wait_ns);
+void
 claims_serve(struct sched *s, struct worker *w);
 void
 claim_drop(struct sched *s, struct claim *c);
--- a/packages/sched/include/sched.h
+++ b/packages/sched/include/sched.h
@@ -78,6 +78,10 @@
     double quarantine_score;   /* failures not explained by the jobs */
     uint32_t quarantine_jobs;  /* least number of different jobs failing */
     size_t max_profiles;       /* learned (team, job name) pairs kept */
+    double reclaim_above; /* an account this much above its share yields work,
+                             as a part of the share */
+    double reclaim_part;  /* run time lost by that, as a part of all run time;
+                             0: no work is reclaimed */
 };
 
 enum sched_event_kind {
@@ -349,6 +353,8 @@
     uint64_t decisions; /* placements decided since creation */
     uint64_t attempts;  /* searches, successful or not */
     uint64_t preemptions;
+    uint64_t reclaims;  /* preemptions for an account below its share */
+    double reclaimed_s; /* run time lost by those, in seconds of a worker */
     uint64_t backfills;
     uint64_t reservations;
     size_t jobs;
--- a/packages/sched/preempt.c
+++ b/packages/sched/preempt.c
@@ -3,6 +3,8 @@
 enum {
     ACCOUNTS_TRIED = 4,
     VICTIMS_TRIED = 8,
+    /* Accounts above their share have few workers where enough is theirs. */
+    VICTIMS_TRIED_RECLAIM = 32,
     WORKERS_TRIED = 8,
 };
 
@@ -73,9 +75,27 @@
     return false;
 }
 
+static bool
+may_stop(const struct sched *s, const struct lease *l, const struct job *j,
+         enum reach reach)
+{
+    if (!lease_preemptible(l)) {
+        return false;
+    }
+    switch (reach) {
+    case REACH_ABOVE:
+        return yields(s, l->job->account, j->account);
+    case REACH_ANY:
+        return true;
+    case REACH_RECLAIM:
+        return reclaim_yields(s, l, j);
+    }
+    return false;
+}
+
 static struct lease *
 cheapest(struct sched *s, const struct plan *p, const struct vec *room,
-         const struct job *j, bool any)
+         const struct job *j)
 {
     struct lease *best = NULL;
     double best_cost = 0;
@@ -85,8 +105,7 @@
         struct lease *lease = l->owner;
         bool taken = false;
         double cost;
-        if (!lease_preemptible(lease) || !helps(room, &j->ask, lease) ||
-            (!any && !yields(s, lease->job->account, j->account))) {
+        if (!helps(room, &j->ask, lease) || !may_stop(s, lease, j, p->reach)) {
             continue;
         }
         for (size_t i = 0; i < p->count; i++) {
@@ -101,28 +120,25 @@
     return best;
 }
 
-/*
- * Whether ending cheap leases of w makes room for a task of j; any: also
- * leases of accounts below their share, and the reservation's held room.
- */
+/* Whether ending cheap leases of w makes room for a task of j. */
 static bool
-make_plan(struct sched *s, struct worker *w, const struct job *j, bool any,
-          struct plan *p)
+make_plan(struct sched *s, struct worker *w, const struct job *j,
+          enum reach reach, struct plan *p)
 {
     struct vec room = worker_avail(w);
 
     p->worker = w;
     p->count = 0;
-    p->any = any;
+    p->reach = reach;
     p->cost = 0;
     if (!w->by_fill.in_tree || !vec_covers(&w->by_capacity.own, &j->ask)) {
         return false;
     }
-    if (any && preempt_takes_held(s, j)) {
+    if (reach == REACH_ANY && preempt_takes_held(s, j)) {
         vec_add(&room, &w->reserved);
     }
     while (!vec_covers(&room, &j->ask)) {
-        struct lease *l = cheapest(s, p, &room, j, any);
+        struct lease *l = cheapest(s, p, &room, j);
         if (l == NULL || p->count == VICTIMS_MAX) {
             return false;
         }
@@ -159,17 +175,20 @@
     return count;
 }
 
-/* Tries the workers of the account's cheapest leases that cover need. */
-static void
-search_account(struct sched *s, const struct account *a, const struct job *j,
-               const struct vec *need, struct plan *best)
+void
+preempt_search(struct sched *s, const struct account *a, const struct job *j,
+               const struct vec *need, enum reach reach, int *left,
+               struct plan *best)
 {
     struct fit_node *n = fit_next(&a->victims, need, NULL);
+    int most = reach == REACH_RECLAIM ? VICTIMS_TRIED_RECLAIM : VICTIMS_TRIED;
 
-    for (int i = 0; n != NULL && i < VICTIMS_TRIED; i++) {
+    for (int i = 0; n != NULL && i<most && * left> 0; i++) {
         struct lease *l = n->owner;
         struct plan p;
-        if (lease_preemptible(l) && make_plan(s, l->worker, j, false, &p) &&
+        (*left)--;
+        if (may_stop(s, l, j, reach) &&
+            make_plan(s, l->worker, j, reach, &p) &&
             (best->worker == NULL || p.cost < best->cost)) {
             *best = p;
         }
@@ -179,14 +198,14 @@
 
 /* Tries the first workers that ending all preemptible work would make fit. */
 static void
-search_workers(struct sched *s, const struct job *j, bool any,
+search_workers(struct sched *s, const struct job *j, enum reach reach,
                struct plan *best)
 {
     struct fit_node *n = fit_next(&s->stoppable, &j->ask, NULL);
 
     for (int i = 0; n != NULL && i < WORKERS_TRIED; i++) {
         struct plan p;
-        if (make_plan(s, n->owner, j, any, &p) &&
+        if (make_plan(s, n->owner, j, reach, &p) &&
             (best->worker == NULL || p.cost < best->cost)) {
             *best = p;
         }
@@ -200,20 +219,21 @@
     struct account *accounts[ACCOUNTS_TRIED];
     struct vec one = {{0}};
     int count = tried_accounts(s, j, accounts);
+    int left = 2 * ACCOUNTS_TRIED * VICTIMS_TRIED;
 
     best->worker = NULL;
     one.d[DIM_ACCELERATORS] = j->ask.d[DIM_ACCELERATORS] > 0;
     for (int i = 0; i < count && best->worker == NULL; i++) {
-        search_account(s, accounts[i], j, &j->ask, best);
+        preempt_search(s, accounts[i], j, &j->ask, REACH_ABOVE, &left, best);
         if (best->worker == NULL) {
-            search_account(s, accounts[i], j, &one, best);
+            preempt_search(s, accounts[i], j, &one, REACH_ABOVE, &left, best);
         }
     }
     if (best->worker == NULL) {
-        search_workers(s, j, false, best);
+        search_workers(s, j, REACH_ABOVE, best);
     }
     if (best->worker == NULL && may_stop_any(s, j)) {
-        search_workers(s, j, true, best);
+        search_workers(s, j, REACH_ANY, best);
     }
     return best->worker != NULL;
 }
--- a/packages/sched/reserve_next.c
+++ b/packages/sched/reserve_next.c
@@ -167,8 +167,10 @@
 {
     bool more = false;
     struct reservation *r = &s->reservation;
-    struct queue *q = next_to_reserve(s, &more);
+    struct queue *q;
 
+    reclaim_shares(s);
+    q = next_to_reserve(s, &more);
     recheck_parked(s);
     more = more || s->recheck_left > 0;
     urgent_gang_refill(s);
--- a/packages/sched/sched.c
+++ b/packages/sched/sched.c
@@ -34,6 +34,8 @@
         .quarantine_score = 2.5,
         .quarantine_jobs = 3,
         .max_profiles = 20000,
+        .reclaim_above = 0.02,
+        .reclaim_part = 0.01,
     };
 }
 
@@ -104,6 +106,7 @@
 
     s->config = *config;
     s->created = now;
+    s->reclaim_at = now;
     s->now = now;
     s->next_lease = config->next_lease == 0 ? 1 : config->next_lease;
     s->next_id = 1;
--- a/packages/sched/types.h
+++ b/packages/sched/types.h
@@ -112,6 +112,7 @@
 struct task {
     uint8_t state; /* enum sched_task_state */
     bool delayed;
+    bool reclaimed; /* stopped for another account's share already */
     uint8_t failures;
     uint8_t losses;
     uint32_t prev;
@@ -330,6 +331,10 @@
     struct timer reserve;
     struct timer shadow;
     struct timer urgent;
+    int64_t reclaim_at;    /* when it was last looked for */
+    double in_use;         /* of the fleet then, as a sum of dominant shares */
+    size_t reclaim_cursor; /* account that was looked at last */
+    double reclaim_budget; /* run time that may be lost, as reclaimed_s */
     uint64_t shadow_mark;
     double fleet_failures; /* decayed fraction of tasks that fail */
     size_t quarantined;
--- a/packages/sched/urgent.c
+++ b/packages/sched/urgent.c
@@ -2,8 +2,9 @@
 
 #include "mem.h"
 
-static void
-claim(struct sched *s, struct job *j, struct worker *w)
+/* Keeps room on w for the next task of j, for at most wait_ns. */
+void
+claim_room(struct sched *s, struct job *j, struct worker *w, int64_t wait_ns)
 {
     struct claim *c = mem_zalloc(1, sizeof(*c));
     struct team *t = j->account->team;
@@ -19,7 +20,7 @@
     link_insert_before(&j->claims, &c->of_job);
     link_insert_before(&t->claims, &c->of_team);
     timer_init(&c->timer, TIMER_CLAIM, c);
-    timer_set(s, &c->timer, s->now + s->config.claim_ns);
+    timer_set(s, &c->timer, s->now + wait_ns);
     j->live++;
     vec_add(&t->used, &c->size);
     vec_add(&w->claimed, &c->size);
@@ -43,8 +44,8 @@
         s->stats.preemptions++;
         lease_stop(s, best.victims[i], s->config.preempt_ns);
     }
-    claim(s, j, best.worker);
-    if (best.any) {
+    claim_room(s, j, best.worker, s->config.claim_ns);
+    if (best.reach == REACH_ANY) {
         reservation_yield(s, best.worker, INT64_MAX);
     }
     if (best.count == 0) {
--- a/tests/support/sched_check.c
+++ b/tests/support/sched_check.c
@@ -154,9 +154,56 @@
     j->ended = true;
 }
 
+/* Only started batch work that may be stopped is reclaimed, and once. */
+static void
+note_reclaim(struct world *w, const struct world_lease *l)
+{
+    const struct sched_job_event *e = &w->jobs[l->job].event;
+    struct world_task *t = &w->jobs[l->job].tasks[l->task];
+
+    violate(w,
+            e->class == SCHED_CLASS_BATCH && e->idempotent && !e->urgent &&
+                l->start_epoch != 0,
+            "reclaimed what must go on");
+    violate(w, t->reclaim_epoch != w->epoch, "reclaimed twice");
+    t->reclaim_epoch = w->epoch;
+}
+
+/* Judges the steps whose only stops are for another account's share. */
+static void
+check_reclaims(struct world *w)
+{
+    struct sched_stats before = w->stats;
+    double passed = (double)(w->now - w->opened) / NS_PER_S;
+    size_t checkpoints = 0;
+    uint64_t count;
+
+    sched_stats(w->s, &w->stats);
+    count = w->stats.reclaims - before.reclaims;
+    /* At most each dimension is in use as the dominant one of an account. */
+    violate(w,
+            w->stats.reclaimed_s <=
+                3 * WORLD_WORKERS * WORLD_RECLAIM_PART * passed,
+            "reclaimed too much");
+    for (size_t i = 0; i < w->actions.count; i++) {
+        checkpoints += w->actions.items[i].kind == SCHED_ACTION_CHECKPOINT;
+    }
+    if (count == 0 || checkpoints != count ||
+        w->stats.preemptions - before.preemptions != count) {
+        return;
+    }
+    for (size_t i = 0; i < w->actions.count; i++) {
+        const struct sched_action *a = &w->actions.items[i];
+        if (a->kind == SCHED_ACTION_CHECKPOINT) {
+            note_reclaim(w, world_lease(w, a->u.lease));
+        }
+    }
+}
+
 void
 check_actions(struct world *w)
 {
+    check_reclaims(w);
     for (size_t i = 0; i < w->actions.count; i++) {
         const struct sched_action *a = &w->actions.items[i];
         switch (a->kind) {
--- a/tests/support/sched_world.c
+++ b/tests/support/sched_world.c
@@ -455,7 +455,10 @@
     config.checkpoint_ns = NS_PER_S;
     config.quarantine_ns = 3 * NS_PER_S;
     config.quarantine_cap = 0.4;
+    config.reclaim_part = WORLD_RECLAIM_PART;
     w->s = sched_create(&config, w->now);
+    w->opened = w->now;
+    w->stats = (struct sched_stats){0};
     w->epoch++;
     for (uint32_t t = 0; t < WORLD_TEAMS; t++) {
         send_team(w, t);
--- a/tests/support/sched_world.h
+++ b/tests/support/sched_world.h
@@ -17,6 +17,7 @@
     WORLD_TEAMS = 3,
     WORLD_JOBS = 24,
     WORLD_TASKS = 5,
+    WORLD_RECLAIM_PART = 1, /* so that much is reclaimed */
 };
 
 /* A lie told to the scheduler, to see that the checker notices. */
@@ -63,6 +64,7 @@
     bool placed;     /* ever committed as placed */
     uint32_t starts; /* by workers */
     uint32_t completions;
+    uint64_t reclaim_epoch; /* of the leader that reclaimed it last */
 };
 
 struct world_job {
@@ -100,8 +102,10 @@
     struct world_worker workers[WORLD_WORKERS];
     struct world_job jobs[WORLD_JOBS];
     struct sched_limits limits[WORLD_TEAMS];
-    bool calm;             /* no faults, everything allowed */
-    const char *violation; /* the first one found, or NULL */
+    bool calm;                /* no faults, everything allowed */
+    struct sched_stats stats; /* after the last step */
+    int64_t opened;           /* when this leader began */
+    const char *violation;    /* the first one found, or NULL */
 };
 
 void
--- a/tests/test_sched_property.c
+++ b/tests/test_sched_property.c
@@ -59,6 +59,7 @@
     {"/sched/planted/one-place", FAULT_EARLY_EXPIRY, "one place"},
     {"/sched/planted/limit", FAULT_LIMIT, "limit"},
     {"/sched/planted/at-most-once", FAULT_RESTART, "started twice"},
+    {"/sched/planted/reclaim", FAULT_RESTART, "reclaimed what must go on"},
     {"/sched/planted/gang", FAULT_HALF_GANG, "gang placed in part"},
     {"/sched/planted/lost-job", FAULT_LOST_JOB, "job lost"},
     {"/sched/planted/lease", FAULT_LEASE_REUSE, "lease used twice"},
