daemon: a leader whose quorum lease ends while it sends grants goes on

Cause: entries_step sends grants until no entry is due. Whether this VM still leads is read from the clock for each grant, so that the lease may end between two of them. Then nothing was sent, the entry stayed due, and the control thread never left the loop: the VM answered nothing any more, and with a second VM cut off the cluster had no leader. gdb showed three such processes in that loop. A grant that is not sent now counts as lost, as for an entry without a link.

There is no test of its own: the fault needs the lease to end within one step, and the daemon's clock cannot be set.

--- a/packages/daemon/entries_grants.c
+++ b/packages/daemon/entries_grants.c
@@ -63,7 +63,7 @@
     grant->early_ms = grants->early_ns / NS_PER_MS;
 }
 
-void
+bool
 entries_send_grant(struct leader *l, struct entry_record *e)
 {
     const struct state_vm *vm = state_vm(leader_state(l), e->vm);
@@ -78,7 +78,7 @@
 
     if (to == NULL || !replica_leads(l->replica) ||
         !ledger_plan(l->ledger, l->control->now, e->run, &grants)) {
-        return;
+        return false;
     }
     fill_units(&grants, &space, &grant);
     fill_config(l, e, &config, &grant);
@@ -94,6 +94,7 @@
     mem_free(space.list);
     mem_free(space.pointers);
     buf_free(&config);
+    return true;
 }
 
 /* A grant of nothing but what its flags say. */
@@ -188,10 +189,8 @@
         struct entry_record *e = find_run(l, run);
         struct grants lost = {0};
 
-        if (e != NULL && control_link_by_id(l->control, e->link_id) != NULL) {
-            entries_send_grant(l, e);
-        }
-        else {
+        /* The quorum lease may end between two grants. */
+        if (e == NULL || !entries_send_grant(l, e)) {
             /* Counts as sent and lost; the ledger repeats it later. */
             ledger_plan(l->ledger, l->control->now, run, &lost);
             grants_free(&lost);
--- a/packages/daemon/entries_impl.h
+++ b/packages/daemon/entries_impl.h
@@ -3,8 +3,8 @@
 
 #include "leader_impl.h"
 
-/* entries_grants.c */
-void
+/* entries_grants.c; returns false when nothing was sent. */
+bool
 entries_send_grant(struct leader *l, struct entry_record *e);
 
 /* entries_promise.c */
