--- a/packages/daemon/control.h
+++ b/packages/daemon/control.h
@@ -18,6 +18,11 @@
 struct ledger;
 struct replica;
 
+enum {
+    /* Relative drift between the clocks of two VMs that leases allow for. */
+    LEASE_DRIFT_PPM = 10000,
+};
+
 /* A way to another process, or to the other role of this one. */
 struct link {
     uint64_t id; /* never reused in this process */
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -20,7 +20,6 @@
 enum {
     /* Allowance for the resolution of timers and the cost of a wake-up. */
     LEASE_MARGIN_MS = 200,
-    LEASE_DRIFT_PPM = 10000,
     /* A call is answered this long before its caller gives up. */
     CALL_MARGIN_MS = 300,
     USAGE_FLUSH_MS = 2000,
--- a/packages/daemon/pools.c
+++ b/packages/daemon/pools.c
@@ -9,6 +9,11 @@
 #include "replica.h"
 #include "state.h"
 
+enum {
+    /* From the deadline of a request until its attempt has certainly ended. */
+    ATTEMPT_END_MS = 200,
+};
+
 struct ledger *
 control_ledger(struct control *c)
 {
@@ -17,7 +22,8 @@
     if (c->ledger == NULL) {
         config.lease_ns = c->settings->config_lease_ms * NS_PER_MS;
         config.longest_request_ns =
-            c->settings->longest_request_ms * NS_PER_MS;
+            (c->settings->longest_request_ms + ATTEMPT_END_MS) * NS_PER_MS;
+        config.drift_ppm = LEASE_DRIFT_PPM;
         c->ledger = ledger_create(&config);
     }
     return c->ledger;
--- a/packages/route/ledger.c
+++ b/packages/route/ledger.c
@@ -10,7 +10,7 @@
     return (struct ledger_config){
         .lease_ns = 3 * NS_PER_S,
         .margin_ns = 100 * NS_PER_MS,
-        .drift_ppm = 500,
+        .drift_ppm = 10000,
         .longest_request_ns = 30 * NS_PER_S,
         .balance_ns = 2 * NS_PER_MS,
         .resend_ns = 100 * NS_PER_MS,
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -16,17 +16,23 @@
 };
 
 static void
-setup(struct fixture *f)
+setup_with(struct fixture *f, const struct ledger_config *c)
 {
-    struct ledger_config c = {.lease_ns = NS_PER_S,
-                              .longest_request_ns = 5 * NS_PER_S};
-
     *f = (struct fixture){.now = T0};
-    f->l = ledger_create(&c);
+    f->l = ledger_create(c);
     ledger_leader_changed(f->l, f->now, 1, NULL, 0);
     ledger_pool_set(f->l, f->now, STR("t:1"), STR(""), STR(""), 8);
 }
 
+static void
+setup(struct fixture *f)
+{
+    const struct ledger_config c = {.lease_ns = NS_PER_S,
+                                    .longest_request_ns = 5 * NS_PER_S};
+
+    setup_with(f, &c);
+}
+
 static void
 teardown(struct fixture *f)
 {
@@ -231,6 +237,25 @@
     teardown(&f);
 }
 
+/* Guards against units that are reclaimed from a silent entry whose clock is
+ * 1% slower while it may still use them. */
+static void
+test_reclaim_drift(void)
+{
+    struct ledger_config c = {.lease_ns = 3 * NS_PER_S,
+                              .longest_request_ns = 30 * NS_PER_S};
+    const int64_t span = c.lease_ns + c.longest_request_ns;
+    struct fixture f;
+
+    setup_with(&f, &c);
+    report(&f, 1, "t:1", 0, 0, 8);
+    planned(&f, 1, "t:1");
+    f.now += span + span / 100;
+    ledger_tick(f.l, f.now);
+    expect_possible(&f, "t:1", 8);
+    teardown(&f);
+}
+
 /* Guards against new grants while a pool drains after a shrink. */
 static void
 test_shrink(void)
@@ -337,6 +362,7 @@
     g_test_add_func("/ledger/late-reports", test_late_reports);
     g_test_add_func("/ledger/repeats-ask-back", test_repeats_ask_back);
     g_test_add_func("/ledger/reclaim", test_reclaim);
+    g_test_add_func("/ledger/reclaim-drift", test_reclaim_drift);
     g_test_add_func("/ledger/shrink", test_shrink);
     g_test_add_func("/ledger/new-leader", test_new_leader);
     g_test_add_func("/ledger/unknown", test_unknown);
