--- a/packages/announce/cache.c
+++ b/packages/announce/cache.c
@@ -1,5 +1,5 @@
 /*
- * The entry's half: endpoints that this entry vouches for, in the order of
+ * The entry's half: endpoints whose leases this entry renews, in the order of
  * their last announcement.
  */
 #include "announce.h"
@@ -254,7 +254,7 @@
 }
 
 static void
-fill_taken(struct announce_cache *c, struct announce_vouch *out)
+fill_taken(struct announce_cache *c, struct announce_renewal *out)
 {
     out->taken = mem_zalloc(c->fresh + 1, sizeof(*out->taken));
     /* New claims are near the end of the list. */
@@ -269,7 +269,7 @@
 }
 
 static void
-fill_released(struct announce_cache *c, struct announce_vouch *out)
+fill_released(struct announce_cache *c, struct announce_renewal *out)
 {
     out->released = mem_zalloc(c->dropped_count + 1, sizeof(*out->released));
     for (struct dropped *d = c->dropped; d != NULL; d = d->next) {
@@ -279,10 +279,10 @@
 }
 
 void
-announce_cache_vouch(struct announce_cache *c, int64_t now,
-                     struct announce_vouch *out)
+announce_cache_renewal(struct announce_cache *c, int64_t now,
+                       struct announce_renewal *out)
 {
-    *out = (struct announce_vouch){
+    *out = (struct announce_renewal){
         .seq = ++c->seq, .heard = c->heard, .group = c->group};
     c->sent = now;
     release_aged(c, now);
@@ -294,7 +294,7 @@
 }
 
 void
-announce_vouch_free(struct announce_vouch *v)
+announce_renewal_free(struct announce_renewal *v)
 {
     mem_free(v->taken);
     mem_free(v->released);
--- a/packages/announce/include/announce.h
+++ b/packages/announce/include/announce.h
@@ -8,8 +8,8 @@
 #include "str.h"
 
 /*
- * Which entry vouches for which endpoints until when. Both halves are pure:
- * time is an argument, messages go in and out as structs.
+ * Which entry renews the leases of which endpoints until when. Both halves are
+ * pure: time is an argument, messages go in and out as structs.
  *
  * Times that are exchanged are of the leader's clock in nanoseconds. An entry
  * derives them from the leader's answers: an answer gives the leader's time at
@@ -25,28 +25,28 @@
     int64_t latest;
 };
 
-/* A claim that its entry vouches for no longer. */
+/* A claim whose lease its entry no longer renews. */
 struct announce_released {
     uint64_t claim;
     int64_t earliest; /* of the last announcement */
 };
 
 /* From an entry to the leader. */
-struct announce_vouch {
+struct announce_renewal {
     uint64_t seq;   /* increases by one with each message to a leader */
     uint64_t heard; /* last seq that was answered */
     uint64_t group; /* given by the leader; 0: none */
     /* Earliest time of the last announcement of each endpoint that the entry
-     * vouches for; 0: it vouches for none. */
+     * renews; 0: it renews none. */
     int64_t oldest;
-    uint64_t *taken; /* claims vouched for from now on */
+    uint64_t *taken; /* claims whose leases are renewed from now on */
     size_t taken_count;
     struct announce_released *released;
     size_t released_count;
 };
 
 void
-announce_vouch_free(struct announce_vouch *v);
+announce_renewal_free(struct announce_renewal *v);
 
 /* The leader's answer. */
 struct announce_answer {
@@ -90,7 +90,7 @@
 
 /*
  * An announcement that an entry forwarded. *claim, unless 0, is what the entry
- * may vouch for; it counts once the entry has named it as taken.
+ * may renew; it counts once the entry has named it as taken.
  */
 enum announce_result
 announce_table_put(struct announce_table *t, int64_t now,
@@ -104,11 +104,12 @@
 
 /* Returns false when the message is older than another: no answer. */
 bool
-announce_table_vouch(struct announce_table *t, int64_t now, uint64_t run,
-                     const struct announce_vouch *v,
+announce_table_renew(struct announce_table *t, int64_t now, uint64_t run,
+                     const struct announce_renewal *v,
                      struct announce_answer *out);
 
-/* No entry may vouch any longer for endpoints that were announced with it. */
+/* No entry may renew the leases of endpoints that were announced with it.
+ */
 void
 announce_table_key_withdrawn(struct announce_table *t, uint64_t key);
 
@@ -126,7 +127,7 @@
 void
 announce_cache_destroy(struct announce_cache *c);
 
-/* Another leader: nothing is vouched for until it has answered. */
+/* Another leader: no lease is renewed until it has answered. */
 void
 announce_cache_reset(struct announce_cache *c);
 
@@ -163,8 +164,8 @@
 /* The next message. Endpoints that have not announced themselves for half
  * their lease are released. */
 void
-announce_cache_vouch(struct announce_cache *c, int64_t now,
-                     struct announce_vouch *out);
+announce_cache_renewal(struct announce_cache *c, int64_t now,
+                       struct announce_renewal *out);
 
 /* Returns false when it answers an older message: nothing changed. */
 bool
--- a/packages/announce/table.c
+++ b/packages/announce/table.c
@@ -1,5 +1,5 @@
 /*
- * The leader's half: each endpoint's lease and who may vouch for it.
+ * The leader's half: each endpoint's lease and which entry may renew it.
  */
 #include "table.h"
 
@@ -71,7 +71,7 @@
 static int64_t
 known_since(const struct record *r)
 {
-    if (r->vouched && r->group->base > r->earliest) {
+    if (r->renewed && r->group->base > r->earliest) {
         return r->group->base;
     }
     return r->earliest;
@@ -174,7 +174,7 @@
 
     while ((r = map_next(t->records, &cursor)) != NULL) {
         if (r->key == key && r->group != NULL) {
-            group_revoke(t, r, r->vouched ? r->group->node.key : r->node.key);
+            group_revoke(t, r, r->renewed ? r->group->node.key : r->node.key);
         }
     }
 }
--- a/packages/announce/table.h
+++ b/packages/announce/table.h
@@ -9,10 +9,10 @@
 struct record {
     struct str id;
     uint64_t key;
-    uint64_t claim; /* 0: no entry may vouch for it */
+    uint64_t claim; /* 0: no entry may renew it */
     bool deleted;
-    bool vouched;          /* its lease is that of its group */
-    int64_t earliest;      /* of its last announcement, while not vouched */
+    bool renewed;          /* its lease is that of its group */
+    int64_t earliest;      /* of its last announcement, unless renewed */
     struct heap_node node; /* key: end of its own lease */
     struct group *group;   /* whose entry has the claim, or NULL */
     struct record *prev;   /* in the group */
@@ -26,15 +26,15 @@
     struct revoked *next;
 };
 
-/* What one entry process vouches for. */
+/* The leases that one entry process renews. */
 struct group {
     uint64_t run;
     uint64_t id;
     uint64_t seq;          /* last message received */
-    int64_t base;          /* all that it vouches for announced since */
+    int64_t base;          /* all of them were announced since */
     struct heap_node node; /* key: end of the lease, or of its idle time */
     struct record *records;
-    size_t vouched;
+    size_t renewed;
     struct revoked *revoked;
 };
 
@@ -43,7 +43,7 @@
     struct map *records; /* by id */
     struct map *claims;  /* number to struct record */
     struct map *groups;  /* run to struct group */
-    struct heap leases;  /* of records that are not vouched for */
+    struct heap leases;  /* of records that no entry renews */
     struct heap expiry;  /* of groups */
     uint64_t last_claim;
     uint64_t last_group;
--- a/packages/announce/table_group.c
+++ b/packages/announce/table_group.c
@@ -1,11 +1,11 @@
 /*
- * What one entry vouches for, and its messages.
+ * The leases that one entry renews, and its messages.
  */
 #include "mem.h"
 #include "table.h"
 
 enum {
-    /* An entry that vouches for nothing is forgotten after so many leases
+    /* An entry that renews no lease is forgotten after so many leases
      * without a message. */
     IDLE_LEASES = 10,
 };
@@ -35,12 +35,12 @@
         r->next->prev = r->prev;
     }
     map_del_u64(t->claims, r->claim);
-    if (r->vouched) {
+    if (r->renewed) {
         r->earliest = g->base > r->earliest ? g->base : r->earliest;
-        g->vouched--;
+        g->renewed--;
     }
     r->claim = 0;
-    r->vouched = false;
+    r->renewed = false;
     r->group = NULL;
     heap_remove(&t->leases, &r->node);
     r->node.key = end;
@@ -82,7 +82,7 @@
     while (g->records != NULL) {
         struct record *r = g->records;
 
-        group_remove(t, r, r->vouched ? g->node.key : r->node.key);
+        group_remove(t, r, r->renewed ? g->node.key : r->node.key);
     }
     drop_revoked(g, 0, true);
 }
@@ -125,9 +125,9 @@
 {
     struct record *r = map_get_u64(t->claims, claim);
 
-    if (r != NULL && r->group == g && !r->vouched) {
-        r->vouched = true;
-        g->vouched++;
+    if (r != NULL && r->group == g && !r->renewed) {
+        r->renewed = true;
+        g->renewed++;
         heap_remove(&t->leases, &r->node);
     }
 }
@@ -148,23 +148,24 @@
 }
 
 /*
- * Everything that the entry vouches for was announced at oldest or later. With
- * new members the end may come closer: they may be older than the others.
+ * All endpoints whose leases the entry renews were announced at oldest or
+ * later. With new members the end may come closer: they may be older than the
+ * others.
  */
 static void
 extend(struct announce_table *t, struct group *g, int64_t now,
-       const struct announce_vouch *v)
+       const struct announce_renewal *v)
 {
     int64_t oldest = v->oldest < now ? v->oldest : now;
-    size_t before = g->vouched;
+    size_t before = g->renewed;
 
     for (size_t i = 0; i < v->taken_count && v->oldest != 0; i++) {
         take(t, g, v->taken[i]);
     }
-    if (g->vouched == 0) {
+    if (g->renewed == 0) {
         return;
     }
-    if (v->oldest != 0 && (oldest > g->base || g->vouched != before)) {
+    if (v->oldest != 0 && (oldest > g->base || g->renewed != before)) {
         g->base = oldest;
     }
 }
@@ -173,7 +174,7 @@
 set_expiry(struct announce_table *t, struct group *g, int64_t now)
 {
     heap_remove(&t->expiry, &g->node);
-    g->node.key = g->vouched == 0 ? now + IDLE_LEASES * t->config.lease_ns
+    g->node.key = g->renewed == 0 ? now + IDLE_LEASES * t->config.lease_ns
                                   : lease_end(t, g->base);
     heap_insert(&t->expiry, &g->node);
 }
@@ -197,8 +198,8 @@
 }
 
 bool
-announce_table_vouch(struct announce_table *t, int64_t now, uint64_t run,
-                     const struct announce_vouch *v,
+announce_table_renew(struct announce_table *t, int64_t now, uint64_t run,
+                     const struct announce_renewal *v,
                      struct announce_answer *out)
 {
     struct group *g;
@@ -218,7 +219,7 @@
         extend(t, g, now, v);
     }
     else {
-        /* The entry knows nothing of what it vouched for before. */
+        /* The entry has forgotten what it renewed before. */
         empty(t, g);
         g->id = ++t->last_group;
         g->base = 0;
--- a/packages/daemon/dispatch.c
+++ b/packages/daemon/dispatch.c
@@ -50,9 +50,9 @@
             leader_entry_sync(c->leader, from, env->entry_sync);
         }
         break;
-    case WIRE__ENVELOPE__MSG_VOUCH:
+    case WIRE__ENVELOPE__MSG_RENEWAL:
         if (c->leader != NULL) {
-            leader_vouch(c->leader, from, env->vouch);
+            leader_renewal(c->leader, from, env->renewal);
         }
         break;
     case WIRE__ENVELOPE__MSG_BEGIN:
@@ -99,8 +99,8 @@
     case WIRE__ENVELOPE__MSG_ENTRY_GRANT:
         entry_grant(c->entry, env->entry_grant);
         break;
-    case WIRE__ENVELOPE__MSG_VOUCH_ANSWER:
-        entry_vouch_answer(c->entry, env->vouch_answer);
+    case WIRE__ENVELOPE__MSG_RENEWAL_REPLY:
+        entry_renewal_reply(c->entry, env->renewal_reply);
         break;
     case WIRE__ENVELOPE__MSG_REPLY:
         entry_reply(c->entry, env->reply);
--- a/packages/daemon/entry.h
+++ b/packages/daemon/entry.h
@@ -37,7 +37,7 @@
 void
 entry_grant(struct entry *e, const Wire__EntryGrant *grant);
 void
-entry_vouch_answer(struct entry *e, const Wire__VouchAnswer *wire);
+entry_renewal_reply(struct entry *e, const Wire__RenewalReply *wire);
 void
 entry_reply(struct entry *e, const Wire__Reply *reply);
 void
--- a/packages/daemon/entry_announce.c
+++ b/packages/daemon/entry_announce.c
@@ -10,8 +10,8 @@
     /* Between two messages: while calls wait, and otherwise. Parts of the
      * lease apply where they are less. */
     CONFIRM_MS = 50,
-    VOUCH_MS = 200,
-    VOUCH_PART = 10,
+    RENEWAL_MS = 200,
+    RENEWAL_PART = 10,
     /* An unanswered message counts as lost. */
     LOST_MS = 500,
     LOST_PART = 4,
@@ -78,7 +78,7 @@
     f = forward_create(e, call);
     f->endpoint = str_dup(id);
     f->key_id = key->id;
-    e->vouch_wanted = true;
+    e->renewal_wanted = true;
     if (is_held(e, f)) {
         await_confirm(e, f);
     }
@@ -111,7 +111,7 @@
         announce_cache_granted(
             e->announced, f->endpoint, buf_str(&f->call->body), f->key_id,
             f->call->arrived, reply->claim_group, reply->claim);
-        e->vouch_wanted = true;
+        e->renewal_wanted = true;
     }
 }
 
@@ -174,7 +174,7 @@
 }
 
 void
-entry_vouch_answer(struct entry *e, const Wire__VouchAnswer *wire)
+entry_renewal_reply(struct entry *e, const Wire__RenewalReply *wire)
 {
     struct announce_answer a = {.seq = wire->seq,
                                 .group = wire->group,
@@ -186,9 +186,9 @@
         !announce_cache_answered(e->announced, clock_now(), &a)) {
         return;
     }
-    e->vouch_open = false;
+    e->renewal_open = false;
     confirm(e, wire->seq);
-    e->vouch_wanted = e->vouch_wanted || e->confirms != NULL;
+    e->renewal_wanted = e->renewal_wanted || e->confirms != NULL;
     forward_step(e);
 }
 
@@ -206,9 +206,9 @@
 {
     e->leader_kind = LEADER_UNKNOWN;
     announce_cache_reset(e->announced);
-    e->vouch_open = false;
-    e->vouch_wanted = true;
-    e->vouch_sent = 0;
+    e->renewal_open = false;
+    e->renewal_wanted = true;
+    e->renewal_sent = 0;
 }
 
 static int64_t
@@ -223,16 +223,16 @@
 announce_next_deadline(const struct entry *e)
 {
     if (entry_leader_link(e) == NULL || e->leader_kind != LEADER_TYPED ||
-        (!e->vouch_wanted && !e->vouch_open &&
+        (!e->renewal_wanted && !e->renewal_open &&
          announce_cache_count(e->announced) == 0)) {
         return DEADLINE_NONE;
     }
-    if (e->vouch_open) {
-        return e->vouch_sent + part_of_lease(e, LOST_MS, LOST_PART);
+    if (e->renewal_open) {
+        return e->renewal_sent + part_of_lease(e, LOST_MS, LOST_PART);
     }
-    return e->vouch_sent +
-           part_of_lease(e, e->vouch_wanted ? CONFIRM_MS : VOUCH_MS,
-                         VOUCH_PART);
+    return e->renewal_sent +
+           part_of_lease(e, e->renewal_wanted ? CONFIRM_MS : RENEWAL_MS,
+                         RENEWAL_PART);
 }
 
 struct released_space {
@@ -241,8 +241,8 @@
 };
 
 static void
-fill_released(const struct announce_vouch *v, struct released_space *space,
-              Wire__Vouch *wire)
+fill_released(const struct announce_renewal *v, struct released_space *space,
+              Wire__Renewal *wire)
 {
     space->list = mem_zalloc(v->released_count + 1, sizeof(*space->list));
     space->pointers =
@@ -260,14 +260,14 @@
 }
 
 static void
-send_vouch(struct entry *e, struct link *leader)
+send_renewal(struct entry *e, struct link *leader)
 {
     Wire__Envelope envelope = WIRE__ENVELOPE__INIT;
-    Wire__Vouch wire = WIRE__VOUCH__INIT;
+    Wire__Renewal wire = WIRE__RENEWAL__INIT;
     struct released_space space;
-    struct announce_vouch v;
+    struct announce_renewal v;
 
-    announce_cache_vouch(e->announced, e->control->now, &v);
+    announce_cache_renewal(e->announced, e->control->now, &v);
     wire.term = e->leader_term;
     wire.run = e->control->run;
     wire.seq = v.seq;
@@ -277,12 +277,12 @@
     wire.n_taken = v.taken_count;
     wire.taken = v.taken;
     fill_released(&v, &space, &wire);
-    envelope.msg_case = WIRE__ENVELOPE__MSG_VOUCH;
-    envelope.vouch = &wire;
+    envelope.msg_case = WIRE__ENVELOPE__MSG_RENEWAL;
+    envelope.renewal = &wire;
     link_send(leader, &envelope);
     mem_free(space.list);
     mem_free(space.pointers);
-    announce_vouch_free(&v);
+    announce_renewal_free(&v);
 }
 
 void
@@ -291,8 +291,8 @@
     if (leader == NULL || announce_next_deadline(e) > e->control->now) {
         return;
     }
-    e->vouch_open = true;
-    e->vouch_wanted = false;
-    e->vouch_sent = e->control->now;
-    send_vouch(e, leader);
+    e->renewal_open = true;
+    e->renewal_wanted = false;
+    e->renewal_sent = e->control->now;
+    send_renewal(e, leader);
 }
--- a/packages/daemon/entry_http.c
+++ b/packages/daemon/entry_http.c
@@ -108,7 +108,7 @@
           confview_version(e->config));
     gauge("guavarock_config_lease", "1 while the configuration lease lasts.",
           entry_ready(e));
-    gauge("guavarock_endpoints_vouched",
+    gauge("guavarock_endpoints_renewed",
           "Endpoints that announce themselves to this entry.",
           announce_cache_count(e->announced));
     gauge("guavarock_leading", "1 while this process leads.",
--- a/packages/daemon/entry_impl.h
+++ b/packages/daemon/entry_impl.h
@@ -80,7 +80,7 @@
 /* What the leader's grants say of it. During an upgrade it may be older. */
 enum leader_kind {
     LEADER_UNKNOWN,
-    LEADER_OLDER, /* knows neither Vouch nor Call.worker_sync */
+    LEADER_OLDER, /* knows neither Renewal nor Call.worker_sync */
     LEADER_TYPED,
 };
 
@@ -115,11 +115,11 @@
     struct map *forwards; /* by id */
     struct heap forward_expiry;
     struct forward *unsent;
-    struct announce_cache *announced; /* endpoints it vouches for */
+    struct announce_cache *announced; /* whose leases it renews */
     struct forward *confirms;         /* wait for the leader's answer */
-    bool vouch_open;                  /* the last message is unanswered */
-    bool vouch_wanted;                /* ... and another is to follow */
-    int64_t vouch_sent;
+    bool renewal_open;                /* the last message is unanswered */
+    bool renewal_wanted;              /* ... and another is to follow */
+    int64_t renewal_sent;
     uint64_t next_id;
     struct map *requests;           /* by id */
     struct map *marks;              /* team and key to struct request */
--- a/packages/daemon/leader.h
+++ b/packages/daemon/leader.h
@@ -45,7 +45,7 @@
 leader_entry_sync(struct leader *l, struct link *from,
                   const Wire__EntrySync *sync);
 void
-leader_vouch(struct leader *l, struct link *from, const Wire__Vouch *wire);
+leader_renewal(struct leader *l, struct link *from, const Wire__Renewal *wire);
 void
 leader_begin(struct leader *l, struct link *from, const Wire__Begin *begin);
 void
--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -297,7 +297,7 @@
 void
 endpoints_step(struct leader *l);
 
-/* Endpoints that were announced with the key are not vouched for any more. */
+/* Entries may not renew endpoints that were announced with the key. */
 void
 endpoints_key_withdrawn(struct leader *l, uint64_t key_id);
 
--- a/packages/peer/include/wire.pb-c.h
+++ b/packages/peer/include/wire.pb-c.h
@@ -38,8 +38,8 @@
 typedef struct Wire__End Wire__End;
 typedef struct Wire__EndReply Wire__EndReply;
 typedef struct Wire__Released Wire__Released;
-typedef struct Wire__Vouch Wire__Vouch;
-typedef struct Wire__VouchAnswer Wire__VouchAnswer;
+typedef struct Wire__Renewal Wire__Renewal;
+typedef struct Wire__RenewalReply Wire__RenewalReply;
 
 
 /* --- enums --- */
@@ -78,8 +78,8 @@
   WIRE__ENVELOPE__MSG_END = 11,
   WIRE__ENVELOPE__MSG_END_REPLY = 12,
   WIRE__ENVELOPE__MSG_LEADER = 14,
-  WIRE__ENVELOPE__MSG_VOUCH = 20,
-  WIRE__ENVELOPE__MSG_VOUCH_ANSWER = 21
+  WIRE__ENVELOPE__MSG_RENEWAL = 20,
+  WIRE__ENVELOPE__MSG_RENEWAL_REPLY = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__ENVELOPE__MSG__CASE)
 } Wire__Envelope__MsgCase;
 
@@ -103,8 +103,8 @@
     Wire__End *end;
     Wire__EndReply *end_reply;
     Wire__Leader *leader;
-    Wire__Vouch *vouch;
-    Wire__VouchAnswer *vouch_answer;
+    Wire__Renewal *renewal;
+    Wire__RenewalReply *renewal_reply;
   };
 };
 #define WIRE__ENVELOPE__INIT \
@@ -485,7 +485,7 @@
    */
   protobuf_c_boolean endpoints_complete;
   /*
-   * the leader knows Vouch and Call.worker_sync
+   * the leader knows Renewal and Call.worker_sync
    */
   protobuf_c_boolean typed;
   /*
@@ -599,10 +599,10 @@
 
 
 /*
- * An entry vouches for endpoints that announce themselves to it: struct
- * announce_vouch of announce/announce.h. Times are the leader's.
+ * An entry renews endpoints that announce themselves to it: struct
+ * announce_renewal of announce/announce.h. Times are the leader's.
  */
-struct  Wire__Vouch
+struct  Wire__Renewal
 {
   ProtobufCMessage base;
   /*
@@ -619,15 +619,15 @@
   size_t n_released;
   Wire__Released **released;
 };
-#define WIRE__VOUCH__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__vouch__descriptor) \
+#define WIRE__RENEWAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__renewal__descriptor) \
     , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
  * struct announce_answer.
  */
-struct  Wire__VouchAnswer
+struct  Wire__RenewalReply
 {
   ProtobufCMessage base;
   uint64_t term;
@@ -637,8 +637,8 @@
   size_t n_revoked;
   uint64_t *revoked;
 };
-#define WIRE__VOUCH_ANSWER__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wire__vouch_answer__descriptor) \
+#define WIRE__RENEWAL_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__renewal_reply__descriptor) \
     , 0, 0, 0, 0, 0,NULL }
 
 
@@ -1079,43 +1079,43 @@
 void   wire__released__free_unpacked
                      (Wire__Released *message,
                       ProtobufCAllocator *allocator);
-/* Wire__Vouch methods */
-void   wire__vouch__init
-                     (Wire__Vouch         *message);
-size_t wire__vouch__get_packed_size
-                     (const Wire__Vouch   *message);
-size_t wire__vouch__pack
-                     (const Wire__Vouch   *message,
+/* Wire__Renewal methods */
+void   wire__renewal__init
+                     (Wire__Renewal         *message);
+size_t wire__renewal__get_packed_size
+                     (const Wire__Renewal   *message);
+size_t wire__renewal__pack
+                     (const Wire__Renewal   *message,
                       uint8_t             *out);
-size_t wire__vouch__pack_to_buffer
-                     (const Wire__Vouch   *message,
+size_t wire__renewal__pack_to_buffer
+                     (const Wire__Renewal   *message,
                       ProtobufCBuffer     *buffer);
-Wire__Vouch *
-       wire__vouch__unpack
+Wire__Renewal *
+       wire__renewal__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wire__vouch__free_unpacked
-                     (Wire__Vouch *message,
+void   wire__renewal__free_unpacked
+                     (Wire__Renewal *message,
                       ProtobufCAllocator *allocator);
-/* Wire__VouchAnswer methods */
-void   wire__vouch_answer__init
-                     (Wire__VouchAnswer         *message);
-size_t wire__vouch_answer__get_packed_size
-                     (const Wire__VouchAnswer   *message);
-size_t wire__vouch_answer__pack
-                     (const Wire__VouchAnswer   *message,
+/* Wire__RenewalReply methods */
+void   wire__renewal_reply__init
+                     (Wire__RenewalReply         *message);
+size_t wire__renewal_reply__get_packed_size
+                     (const Wire__RenewalReply   *message);
+size_t wire__renewal_reply__pack
+                     (const Wire__RenewalReply   *message,
                       uint8_t             *out);
-size_t wire__vouch_answer__pack_to_buffer
-                     (const Wire__VouchAnswer   *message,
+size_t wire__renewal_reply__pack_to_buffer
+                     (const Wire__RenewalReply   *message,
                       ProtobufCBuffer     *buffer);
-Wire__VouchAnswer *
-       wire__vouch_answer__unpack
+Wire__RenewalReply *
+       wire__renewal_reply__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wire__vouch_answer__free_unpacked
-                     (Wire__VouchAnswer *message,
+void   wire__renewal_reply__free_unpacked
+                     (Wire__RenewalReply *message,
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
@@ -1188,11 +1188,11 @@
 typedef void (*Wire__Released_Closure)
                  (const Wire__Released *message,
                   void *closure_data);
-typedef void (*Wire__Vouch_Closure)
-                 (const Wire__Vouch *message,
+typedef void (*Wire__Renewal_Closure)
+                 (const Wire__Renewal *message,
                   void *closure_data);
-typedef void (*Wire__VouchAnswer_Closure)
-                 (const Wire__VouchAnswer *message,
+typedef void (*Wire__RenewalReply_Closure)
+                 (const Wire__RenewalReply *message,
                   void *closure_data);
 
 /* --- services --- */
@@ -1225,8 +1225,8 @@
 extern const ProtobufCMessageDescriptor wire__end__descriptor;
 extern const ProtobufCMessageDescriptor wire__end_reply__descriptor;
 extern const ProtobufCMessageDescriptor wire__released__descriptor;
-extern const ProtobufCMessageDescriptor wire__vouch__descriptor;
-extern const ProtobufCMessageDescriptor wire__vouch_answer__descriptor;
+extern const ProtobufCMessageDescriptor wire__renewal__descriptor;
+extern const ProtobufCMessageDescriptor wire__renewal_reply__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/packages/peer/wire.pb-c.c
+++ b/packages/peer/wire.pb-c.c
@@ -1042,94 +1042,94 @@
   assert(message->base.descriptor == &wire__released__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wire__vouch__init
-                     (Wire__Vouch         *message)
+void   wire__renewal__init
+                     (Wire__Renewal         *message)
 {
-  static const Wire__Vouch init_value = WIRE__VOUCH__INIT;
+  static const Wire__Renewal init_value = WIRE__RENEWAL__INIT;
   *message = init_value;
 }
-size_t wire__vouch__get_packed_size
-                     (const Wire__Vouch *message)
+size_t wire__renewal__get_packed_size
+                     (const Wire__Renewal *message)
 {
-  assert(message->base.descriptor == &wire__vouch__descriptor);
+  assert(message->base.descriptor == &wire__renewal__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t wire__vouch__pack
-                     (const Wire__Vouch *message,
+size_t wire__renewal__pack
+                     (const Wire__Renewal *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &wire__vouch__descriptor);
+  assert(message->base.descriptor == &wire__renewal__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t wire__vouch__pack_to_buffer
-                     (const Wire__Vouch *message,
+size_t wire__renewal__pack_to_buffer
+                     (const Wire__Renewal *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__vouch__descriptor);
+  assert(message->base.descriptor == &wire__renewal__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Wire__Vouch *
-       wire__vouch__unpack
+Wire__Renewal *
+       wire__renewal__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Wire__Vouch *)
-     protobuf_c_message_unpack (&wire__vouch__descriptor,
+  return (Wire__Renewal *)
+     protobuf_c_message_unpack (&wire__renewal__descriptor,
                                 allocator, len, data);
 }
-void   wire__vouch__free_unpacked
-                     (Wire__Vouch *message,
+void   wire__renewal__free_unpacked
+                     (Wire__Renewal *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &wire__vouch__descriptor);
+  assert(message->base.descriptor == &wire__renewal__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wire__vouch_answer__init
-                     (Wire__VouchAnswer         *message)
+void   wire__renewal_reply__init
+                     (Wire__RenewalReply         *message)
 {
-  static const Wire__VouchAnswer init_value = WIRE__VOUCH_ANSWER__INIT;
+  static const Wire__RenewalReply init_value = WIRE__RENEWAL_REPLY__INIT;
   *message = init_value;
 }
-size_t wire__vouch_answer__get_packed_size
-                     (const Wire__VouchAnswer *message)
+size_t wire__renewal_reply__get_packed_size
+                     (const Wire__RenewalReply *message)
 {
-  assert(message->base.descriptor == &wire__vouch_answer__descriptor);
+  assert(message->base.descriptor == &wire__renewal_reply__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t wire__vouch_answer__pack
-                     (const Wire__VouchAnswer *message,
+size_t wire__renewal_reply__pack
+                     (const Wire__RenewalReply *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &wire__vouch_answer__descriptor);
+  assert(message->base.descriptor == &wire__renewal_reply__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t wire__vouch_answer__pack_to_buffer
-                     (const Wire__VouchAnswer *message,
+size_t wire__renewal_reply__pack_to_buffer
+                     (const Wire__RenewalReply *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wire__vouch_answer__descriptor);
+  assert(message->base.descriptor == &wire__renewal_reply__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Wire__VouchAnswer *
-       wire__vouch_answer__unpack
+Wire__RenewalReply *
+       wire__renewal_reply__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Wire__VouchAnswer *)
-     protobuf_c_message_unpack (&wire__vouch_answer__descriptor,
+  return (Wire__RenewalReply *)
+     protobuf_c_message_unpack (&wire__renewal_reply__descriptor,
                                 allocator, len, data);
 }
-void   wire__vouch_answer__free_unpacked
-                     (Wire__VouchAnswer *message,
+void   wire__renewal_reply__free_unpacked
+                     (Wire__RenewalReply *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &wire__vouch_answer__descriptor);
+  assert(message->base.descriptor == &wire__renewal_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 static const ProtobufCFieldDescriptor wire__envelope__field_descriptors[13] =
@@ -1267,25 +1267,25 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vouch",
+    "renewal",
     20,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Wire__Envelope, msg_case),
-    offsetof(Wire__Envelope, vouch),
-    &wire__vouch__descriptor,
+    offsetof(Wire__Envelope, renewal),
+    &wire__renewal__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vouch_answer",
+    "renewal_reply",
     21,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Wire__Envelope, msg_case),
-    offsetof(Wire__Envelope, vouch_answer),
-    &wire__vouch_answer__descriptor,
+    offsetof(Wire__Envelope, renewal_reply),
+    &wire__renewal_reply__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1302,9 +1302,9 @@
   1,   /* field[1] = join */
   10,   /* field[10] = leader */
   0,   /* field[0] = raft */
+  11,   /* field[11] = renewal */
+  12,   /* field[12] = renewal_reply */
   3,   /* field[3] = reply */
-  11,   /* field[11] = vouch */
-  12,   /* field[12] = vouch_answer */
 };
 static const ProtobufCIntRange wire__envelope__number_ranges[4 + 1] =
 {
@@ -3768,7 +3768,7 @@
   (ProtobufCMessageInit) wire__released__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__vouch__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wire__renewal__field_descriptors[8] =
 {
   {
     "term",
@@ -3776,7 +3776,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Vouch, term),
+    offsetof(Wire__Renewal, term),
     NULL,
     NULL,
     0,             /* flags */
@@ -3788,7 +3788,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Vouch, run),
+    offsetof(Wire__Renewal, run),
     NULL,
     NULL,
     0,             /* flags */
@@ -3800,7 +3800,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Vouch, seq),
+    offsetof(Wire__Renewal, seq),
     NULL,
     NULL,
     0,             /* flags */
@@ -3812,7 +3812,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Vouch, heard),
+    offsetof(Wire__Renewal, heard),
     NULL,
     NULL,
     0,             /* flags */
@@ -3824,7 +3824,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Vouch, group),
+    offsetof(Wire__Renewal, group),
     NULL,
     NULL,
     0,             /* flags */
@@ -3836,7 +3836,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_SFIXED64,
     0,   /* quantifier_offset */
-    offsetof(Wire__Vouch, oldest_ns),
+    offsetof(Wire__Renewal, oldest_ns),
     NULL,
     NULL,
     0,             /* flags */
@@ -3847,8 +3847,8 @@
     7,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    offsetof(Wire__Vouch, n_taken),
-    offsetof(Wire__Vouch, taken),
+    offsetof(Wire__Renewal, n_taken),
+    offsetof(Wire__Renewal, taken),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -3859,15 +3859,15 @@
     8,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wire__Vouch, n_released),
-    offsetof(Wire__Vouch, released),
+    offsetof(Wire__Renewal, n_released),
+    offsetof(Wire__Renewal, released),
     &wire__released__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__vouch__field_indices_by_name[] = {
+static const unsigned wire__renewal__field_indices_by_name[] = {
   4,   /* field[4] = group */
   3,   /* field[3] = heard */
   5,   /* field[5] = oldest_ns */
@@ -3877,27 +3877,27 @@
   6,   /* field[6] = taken */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange wire__vouch__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__renewal__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 8 }
 };
-const ProtobufCMessageDescriptor wire__vouch__descriptor =
+const ProtobufCMessageDescriptor wire__renewal__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.Vouch",
-  "Vouch",
-  "Wire__Vouch",
+  "wire.Renewal",
+  "Renewal",
+  "Wire__Renewal",
   "wire",
-  sizeof(Wire__Vouch),
+  sizeof(Wire__Renewal),
   8,
-  wire__vouch__field_descriptors,
-  wire__vouch__field_indices_by_name,
-  1,  wire__vouch__number_ranges,
-  (ProtobufCMessageInit) wire__vouch__init,
+  wire__renewal__field_descriptors,
+  wire__renewal__field_indices_by_name,
+  1,  wire__renewal__number_ranges,
+  (ProtobufCMessageInit) wire__renewal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__vouch_answer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wire__renewal_reply__field_descriptors[5] =
 {
   {
     "term",
@@ -3905,7 +3905,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__VouchAnswer, term),
+    offsetof(Wire__RenewalReply, term),
     NULL,
     NULL,
     0,             /* flags */
@@ -3917,7 +3917,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__VouchAnswer, seq),
+    offsetof(Wire__RenewalReply, seq),
     NULL,
     NULL,
     0,             /* flags */
@@ -3929,7 +3929,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wire__VouchAnswer, group),
+    offsetof(Wire__RenewalReply, group),
     NULL,
     NULL,
     0,             /* flags */
@@ -3941,7 +3941,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_SFIXED64,
     0,   /* quantifier_offset */
-    offsetof(Wire__VouchAnswer, stamp_ns),
+    offsetof(Wire__RenewalReply, stamp_ns),
     NULL,
     NULL,
     0,             /* flags */
@@ -3952,39 +3952,39 @@
     5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    offsetof(Wire__VouchAnswer, n_revoked),
-    offsetof(Wire__VouchAnswer, revoked),
+    offsetof(Wire__RenewalReply, n_revoked),
+    offsetof(Wire__RenewalReply, revoked),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wire__vouch_answer__field_indices_by_name[] = {
+static const unsigned wire__renewal_reply__field_indices_by_name[] = {
   2,   /* field[2] = group */
   4,   /* field[4] = revoked */
   1,   /* field[1] = seq */
   3,   /* field[3] = stamp_ns */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange wire__vouch_answer__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__renewal_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 5 }
 };
-const ProtobufCMessageDescriptor wire__vouch_answer__descriptor =
+const ProtobufCMessageDescriptor wire__renewal_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wire.VouchAnswer",
-  "VouchAnswer",
-  "Wire__VouchAnswer",
+  "wire.RenewalReply",
+  "RenewalReply",
+  "Wire__RenewalReply",
   "wire",
-  sizeof(Wire__VouchAnswer),
+  sizeof(Wire__RenewalReply),
   5,
-  wire__vouch_answer__field_descriptors,
-  wire__vouch_answer__field_indices_by_name,
-  1,  wire__vouch_answer__number_ranges,
-  (ProtobufCMessageInit) wire__vouch_answer__init,
+  wire__renewal_reply__field_descriptors,
+  wire__renewal_reply__field_indices_by_name,
+  1,  wire__renewal_reply__number_ranges,
+  (ProtobufCMessageInit) wire__renewal_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCEnumValue wire__verdict__enum_values_by_number[6] =
--- a/tests/test_announce.c
+++ b/tests/test_announce.c
@@ -1,5 +1,5 @@
-/* Who vouches for an endpoint until when: late, reordered and lost messages
- * between entries and the leader. */
+/* Which entry renews an endpoint's lease until when: late, reordered and lost
+ * messages between entries and the leader. */
 #include <glib.h>
 
 #include "announce.h"
@@ -46,32 +46,32 @@
 
 /* The leader gets the message now; its answer arrives unless it is lost. */
 static bool
-deliver(struct fixture *f, int entry, struct announce_vouch *v, bool lost)
+deliver(struct fixture *f, int entry, struct announce_renewal *v, bool lost)
 {
     struct announce_answer a;
     bool took = false;
 
-    if (announce_table_vouch(f->t, f->now, run_of(entry), v, &a) && !lost) {
+    if (announce_table_renew(f->t, f->now, run_of(entry), v, &a) && !lost) {
         took = announce_cache_answered(f->c[entry], f->now + SKEW, &a);
     }
     announce_answer_free(&a);
-    announce_vouch_free(v);
+    announce_renewal_free(v);
     return took;
 }
 
-static struct announce_vouch
-vouch_message(struct fixture *f, int entry)
+static struct announce_renewal
+renewal_message(struct fixture *f, int entry)
 {
-    struct announce_vouch v;
+    struct announce_renewal v;
 
-    announce_cache_vouch(f->c[entry], f->now + SKEW, &v);
+    announce_cache_renewal(f->c[entry], f->now + SKEW, &v);
     return v;
 }
 
 static void
-vouch(struct fixture *f, int entry)
+renew(struct fixture *f, int entry)
 {
-    struct announce_vouch v = vouch_message(f, entry);
+    struct announce_renewal v = renewal_message(f, entry);
 
     deliver(f, entry, &v, false);
 }
@@ -122,15 +122,15 @@
     return count;
 }
 
-/* "a" is announced to entry 0, which vouches for it. */
+/* "a" is announced to entry 0, which renews its lease. */
 static void
-setup_vouched(struct fixture *f)
+setup_renewed(struct fixture *f)
 {
     setup(f);
-    vouch(f, 0);
-    vouch(f, 1);
+    renew(f, 0);
+    renew(f, 1);
     g_assert_cmpint(forward(f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
-    vouch(f, 0);
+    renew(f, 0);
     g_assert_true(holds(f, 0, "a", "x"));
 }
 
@@ -142,18 +142,18 @@
         if (id != NULL) {
             seen(f, 0, id);
         }
-        vouch(f, 0);
+        renew(f, 0);
         g_assert_cmpint(lapsed(f), ==, 0);
     }
 }
 
 /* Guards against an endpoint that lapses although it announces itself. */
 static void
-test_vouched(void)
+test_renewed(void)
 {
     struct fixture f;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     run(&f, 60000 * MS, "a");
     g_assert_true(holds(&f, 0, "a", "x"));
     g_assert_false(holds(&f, 0, "a", "y"));
@@ -169,14 +169,14 @@
     struct fixture f;
     int64_t last;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     forward(&f, 0, "b", "x", 0);
     run(&f, 1000 * MS, "a");
     last = f.now - 200 * MS;
     forward(&f, 0, "a", "x", 200 * MS);
     while (f.now < last + 2800 * MS) {
         seen(&f, 0, "b");
-        vouch(&f, 0);
+        renew(&f, 0);
         f.now += 200 * MS;
         g_assert_cmpint(lapsed(&f), <=, 0);
     }
@@ -186,7 +186,7 @@
     teardown(&f);
 }
 
-/* Guards against endpoints that stay in use when the entry that vouched for
+/* Guards against endpoints that stay in use when the entry that renewed
  * them dies or is cut off, and against a claim that it keeps. */
 static void
 test_silent_entry(void)
@@ -194,7 +194,7 @@
     struct fixture f;
     int64_t last;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     run(&f, 2000 * MS, "a");
     last = f.now - 200 * MS;
     f.now = last + LEASE - 10 * MS;
@@ -202,7 +202,7 @@
     f.now = last + LEASE + MARGIN;
     g_assert_cmpint(lapsed(&f), ==, 1);
     seen(&f, 0, "a");
-    vouch(&f, 0);
+    renew(&f, 0);
     g_assert_false(holds(&f, 0, "a", "x"));
     teardown(&f);
 }
@@ -215,10 +215,10 @@
     struct fixture f;
     int64_t last;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     last = f.now;
     f.now += 1000 * MS;
-    vouch(&f, 0);
+    renew(&f, 0);
     g_assert_true(holds(&f, 0, "a", "x"));
     f.now = last + LEASE + MARGIN;
     g_assert_cmpint(lapsed(&f), ==, 1);
@@ -233,13 +233,13 @@
     struct fixture f;
     int64_t last;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     last = f.now + 200 * MS;
     f.now += 1000 * MS;
     seen(&f, 0, "a");
-    vouch(&f, 0);
+    renew(&f, 0);
     forward(&f, 0, "b", "x", 800 * MS);
-    vouch(&f, 0);
+    renew(&f, 0);
     f.now = last + LEASE + MARGIN;
     g_assert_cmpint(lapsed(&f), >=, 1);
     teardown(&f);
@@ -251,14 +251,14 @@
 test_late_message(void)
 {
     struct fixture f;
-    struct announce_vouch late;
+    struct announce_renewal late;
     int64_t last;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     run(&f, 1000 * MS, "a");
     seen(&f, 0, "a");
     last = f.now;
-    late = vouch_message(&f, 0);
+    late = renewal_message(&f, 0);
     f.now += 2000 * MS;
     deliver(&f, 0, &late, true);
     f.now = last + LEASE + MARGIN;
@@ -271,21 +271,21 @@
 test_reordered(void)
 {
     struct fixture f;
-    struct announce_vouch first;
-    struct announce_vouch second;
+    struct announce_renewal first;
+    struct announce_renewal second;
     struct announce_answer answer;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     forward(&f, 0, "b", "x", 0);
-    first = vouch_message(&f, 0); /* takes b */
+    first = renewal_message(&f, 0); /* takes b */
     f.now += 2000 * MS;
-    second = vouch_message(&f, 0); /* releases both */
+    second = renewal_message(&f, 0); /* releases both */
     g_assert_cmpuint(second.released_count, ==, 2);
     g_assert_true(deliver(&f, 0, &second, false));
     g_assert_false(
-        announce_table_vouch(f.t, f.now, run_of(0), &first, &answer));
+        announce_table_renew(f.t, f.now, run_of(0), &first, &answer));
     announce_answer_free(&answer);
-    announce_vouch_free(&first);
+    announce_renewal_free(&first);
     f.now += 1200 * MS;
     g_assert_cmpint(lapsed(&f), ==, 2);
     teardown(&f);
@@ -297,32 +297,32 @@
 test_lost(void)
 {
     struct fixture f;
-    struct announce_vouch v;
+    struct announce_renewal v;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     forward(&f, 0, "b", "x", 0);
-    v = vouch_message(&f, 0);
-    announce_vouch_free(&v);
-    v = vouch_message(&f, 0);
+    v = renewal_message(&f, 0);
+    announce_renewal_free(&v);
+    v = renewal_message(&f, 0);
     g_assert_cmpuint(v.taken_count, ==, 1);
     deliver(&f, 0, &v, true);
-    v = vouch_message(&f, 0);
+    v = renewal_message(&f, 0);
     g_assert_cmpuint(v.taken_count, ==, 1);
     g_assert_true(deliver(&f, 0, &v, false));
     forward(&f, 1, "a", "x", 0);
-    v = vouch_message(&f, 0);
+    v = renewal_message(&f, 0);
     g_assert_cmpuint(v.taken_count, ==, 0);
     deliver(&f, 0, &v, true);
     g_assert_true(holds(&f, 0, "a", "x"));
-    vouch(&f, 0);
+    renew(&f, 0);
     g_assert_false(holds(&f, 0, "a", "x"));
     g_assert_true(holds(&f, 0, "b", "x"));
     f.now += 2000 * MS;
-    v = vouch_message(&f, 0);
-    announce_vouch_free(&v);
-    v = vouch_message(&f, 0);
+    v = renewal_message(&f, 0);
+    announce_renewal_free(&v);
+    v = renewal_message(&f, 0);
     g_assert_cmpuint(v.released_count, ==, 1);
-    announce_vouch_free(&v);
+    announce_renewal_free(&v);
     teardown(&f);
 }
 
@@ -335,13 +335,13 @@
     struct announce_put put = {.id = STR("b"), .key = KEY, .run = run_of(0)};
     uint64_t claim;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     put.group = announce_cache_group(f.c[0]);
     put.when = (struct announce_when){f.now, f.now};
     announce_table_put(f.t, f.now, &put, &claim);
     for (int i = 0; i < 15; i++) {
         seen(&f, 0, "a");
-        vouch(&f, 0);
+        renew(&f, 0);
         f.now += 200 * MS;
         g_assert_cmpint(lapsed(&f), ==, 0);
     }
@@ -350,38 +350,38 @@
     teardown(&f);
 }
 
-/* Guards against an endpoint that alternates and is vouched for by the entry
+/* Guards against an endpoint that alternates and is renewed by the entry
  * that it left, and against a late announcement that undoes a newer one. */
 static void
 test_alternating(void)
 {
     struct fixture f;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     f.now += 500 * MS;
     g_assert_cmpint(forward(&f, 1, "a", "y", 0), ==, ANNOUNCE_OK);
-    vouch(&f, 1);
-    vouch(&f, 0);
+    renew(&f, 1);
+    renew(&f, 0);
     g_assert_false(holds(&f, 0, "a", "x"));
     g_assert_true(holds(&f, 1, "a", "y"));
     f.now += 500 * MS;
     g_assert_cmpint(forward(&f, 0, "a", "x", 700 * MS), ==, ANNOUNCE_LATE);
-    vouch(&f, 1);
+    renew(&f, 1);
     g_assert_true(holds(&f, 1, "a", "y"));
     g_assert_cmpint(forward(&f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
-    vouch(&f, 1);
+    renew(&f, 1);
     g_assert_false(holds(&f, 1, "a", "y"));
     teardown(&f);
 }
 
 /* Guards against a late announcement that replaces what another entry has
- * vouched for since. */
+ * renewed since. */
 static void
-test_late_after_vouches(void)
+test_late_after_renewals(void)
 {
     struct fixture f;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     run(&f, 1000 * MS, "a");
     g_assert_cmpint(forward(&f, 1, "a", "y", 600 * MS), ==, ANNOUNCE_LATE);
     g_assert_cmpint(forward(&f, 1, "a", "y", LEASE + MARGIN), ==,
@@ -397,13 +397,13 @@
     struct fixture f;
     struct announce_when when;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     f.now += 500 * MS;
     announce_cache_when(f.c[1], f.now + SKEW, &when);
     g_assert_cmpint(announce_table_delete(f.t, f.now, STR("a"), when), ==,
                     ANNOUNCE_OK);
     g_assert_cmpint(forward(&f, 0, "a", "x", 300 * MS), ==, ANNOUNCE_LATE);
-    vouch(&f, 0);
+    renew(&f, 0);
     g_assert_false(holds(&f, 0, "a", "x"));
     f.now += 100 * MS;
     g_assert_cmpint(forward(&f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
@@ -413,19 +413,19 @@
     teardown(&f);
 }
 
-/* Guards against endpoints of a withdrawn key that stay vouched for. */
+/* Guards against endpoints of a withdrawn key whose leases are renewed. */
 static void
 test_key_withdrawn(void)
 {
     struct fixture f;
     int64_t last;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     run(&f, 1000 * MS, "a");
     last = f.now - 200 * MS;
     announce_table_key_withdrawn(f.t, KEY);
     seen(&f, 0, "a");
-    vouch(&f, 0);
+    renew(&f, 0);
     g_assert_false(holds(&f, 0, "a", "x"));
     f.now = last + LEASE + MARGIN;
     g_assert_cmpint(lapsed(&f), ==, 1);
@@ -441,15 +441,15 @@
     struct announce_when when;
 
     setup(&f);
-    vouch(&f, 0);
+    renew(&f, 0);
     f.now += 3600 * NS_PER_S;
     g_assert_false(announce_cache_when(f.c[0], f.now + SKEW, &when));
-    vouch(&f, 0);
+    renew(&f, 0);
     g_assert_cmpint(forward(&f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
     teardown(&f);
 }
 
-/* Guards against an entry that forgets what it vouched for, as after another
+/* Guards against an entry that forgets what it renewed, as after another
  * leader, while the leader counts on it; and against a claim of the old
  * leader. */
 static void
@@ -459,15 +459,15 @@
     uint64_t group;
     int64_t last;
 
-    setup_vouched(&f);
+    setup_renewed(&f);
     last = f.now;
     group = announce_cache_group(f.c[0]);
     announce_cache_reset(f.c[0]);
-    vouch(&f, 0);
+    renew(&f, 0);
     announce_cache_granted(f.c[0], STR("a"), STR("x"), KEY, f.now, group, 99);
     g_assert_false(holds(&f, 0, "a", "x"));
     for (f.now = last; f.now < last + LEASE; f.now += 200 * MS) {
-        vouch(&f, 0);
+        renew(&f, 0);
         g_assert_cmpint(lapsed(&f), ==, 0);
     }
     f.now = last + LEASE + MARGIN;
@@ -479,7 +479,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/announce/vouched", test_vouched);
+    g_test_add_func("/announce/renewed", test_renewed);
     g_test_add_func("/announce/silent-endpoint", test_silent_endpoint);
     g_test_add_func("/announce/silent-entry", test_silent_entry);
     g_test_add_func("/announce/lease-start", test_lease_start);
@@ -489,7 +489,7 @@
     g_test_add_func("/announce/lost", test_lost);
     g_test_add_func("/announce/lost-reply", test_lost_reply);
     g_test_add_func("/announce/alternating", test_alternating);
-    g_test_add_func("/announce/late-after-vouches", test_late_after_vouches);
+    g_test_add_func("/announce/late-after-renewals", test_late_after_renewals);
     g_test_add_func("/announce/deleted", test_deleted);
     g_test_add_func("/announce/key-withdrawn", test_key_withdrawn);
     g_test_add_func("/announce/idle-entry", test_idle_entry);
--- a/tests/test_e2e_announce.c
+++ b/tests/test_e2e_announce.c
@@ -1,5 +1,5 @@
 /* End-to-end tests of endpoints that announce themselves to an entry, which
- * vouches for them to the leader. */
+ * renews their leases at the leader. */
 #include <stdio.h>
 #include <string.h>
 
@@ -78,15 +78,15 @@
     return same;
 }
 
-/* Endpoint "a" announces itself to the VM until that vouches for it. */
+/* Endpoint "a" announces itself to the VM until that renews its lease. */
 static struct announcement
-vouched(struct cluster *c, int vm)
+announced(struct cluster *c, int vm)
 {
     struct announcement a = {c->endpoint.key, "ready", "a", 4};
 
     AWAIT(put(c, vm, &a) == 200);
     AWAIT(put(c, vm, &a) == 200 &&
-          api_metric(c, vm, "guavarock_endpoints_vouched") == 1);
+          api_metric(c, vm, "guavarock_endpoints_renewed") == 1);
     g_assert_cmpint(e2e_status(c, "endpoints"), ==, 1);
     return a;
 }
@@ -128,12 +128,12 @@
 }
 
 /* Guards against endpoints that stay in use after the death of the entry that
- * vouched for them, and against a lease that its new process extends. */
+ * renewed their leases, and against a lease that its new process extends. */
 static void
 test_killed(void)
 {
     struct cluster *c = start(false);
-    struct announcement a = vouched(c, ENTRY);
+    struct announcement a = announced(c, ENTRY);
     int64_t last;
 
     announce(c, ENTRY, &a, 2 * CLUSTER_ENDPOINT_LEASE_MS);
@@ -142,7 +142,7 @@
     cluster_vm_start(c, ENTRY);
     g_assert_cmpint(e2e_status(c, "endpoints"), ==, 1);
     await_lapse(c, last);
-    vouched(c, ENTRY);
+    announced(c, ENTRY);
     finish(c);
 }
 
@@ -152,7 +152,7 @@
 test_cut_off(void)
 {
     struct cluster *c = start(true);
-    struct announcement a = vouched(c, ENTRY);
+    struct announcement a = announced(c, ENTRY);
     int64_t last;
 
     announce(c, ENTRY, &a, CLUSTER_ENDPOINT_LEASE_MS);
@@ -163,7 +163,7 @@
     }
     await_lapse(c, last);
     cluster_vm_heal(c, ENTRY);
-    vouched(c, ENTRY);
+    announced(c, ENTRY);
     finish(c);
 }
 
@@ -174,24 +174,24 @@
 test_alternating(void)
 {
     struct cluster *c = start(false);
-    struct announcement a = vouched(c, ENTRY);
+    struct announcement a = announced(c, ENTRY);
 
     for (int i = 0; i < 24; i++) {
         a.slots = 1 + i / 3 % 4;
         g_assert_cmpint(put(c, i % 4, &a), ==, 200);
         g_assert_true(listed(c, a.slots, "ready"));
     }
-    vouched(c, ENTRY);
+    announced(c, ENTRY);
     a.state = "leaving";
     g_assert_cmpint(put(c, 0, &a), ==, 200);
     g_assert_true(listed(c, a.slots, "leaving"));
-    vouched(c, ENTRY);
+    announced(c, ENTRY);
     g_assert_cmpint(remove_endpoint(c, 1, "a"), ==, 200);
     g_assert_cmpint(e2e_status(c, "endpoints"), ==, 0);
-    AWAIT(api_metric(c, ENTRY, "guavarock_endpoints_vouched") == 0);
+    AWAIT(api_metric(c, ENTRY, "guavarock_endpoints_renewed") == 0);
     g_assert_cmpint(remove_endpoint(c, ENTRY, "a"), ==, 404);
     g_assert_cmpint(e2e_status(c, "endpoints"), ==, 0);
-    vouched(c, ENTRY);
+    announced(c, ENTRY);
     finish(c);
 }
 
@@ -202,12 +202,12 @@
 {
     struct cluster *c = start(false);
     struct cluster_key key = api_key_create(c, "endpoint", NULL);
-    struct announcement a = vouched(c, ENTRY);
+    struct announcement a = announced(c, ENTRY);
     struct announcement b = {key.key, "ready", "b", 4};
     int64_t last;
 
     AWAIT(put(c, ENTRY, &b) == 200 && put(c, ENTRY, &a) == 200 &&
-          api_metric(c, ENTRY, "guavarock_endpoints_vouched") == 2);
+          api_metric(c, ENTRY, "guavarock_endpoints_renewed") == 2);
     api_key_withdraw(c, key.id, 0);
     last = clock_now();
     g_assert_cmpint(put(c, ENTRY, &b), ==, 401);
@@ -222,15 +222,15 @@
 }
 
 /* Guards against a new leader that does not learn of an endpoint because its
- * entry believes to vouch for it already. */
+ * entry renews a lease that only the old leader knew. */
 static void
 test_leader_change(void)
 {
     struct cluster *c = start(false);
-    struct announcement a = vouched(c, ENTRY);
+    struct announcement a = announced(c, ENTRY);
 
     cluster_vm_kill(c, cluster_leader(c, -1));
-    vouched(c, ENTRY);
+    announced(c, ENTRY);
     announce(c, ENTRY, &a, 2 * CLUSTER_ENDPOINT_LEASE_MS);
     await_lapse(c, clock_now());
     finish(c);
