--- a/tests/support/cluster_state.c
+++ b/tests/support/cluster_state.c
@@ -1,4 +1,5 @@
 /* What the VMs of a cluster report, and its fakes. */
+#include <glib.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -142,8 +143,6 @@
 cluster_vm_fault(struct cluster *c, int vm, const char *lines)
 {
     char path[CLUSTER_PATH_BYTES + 16];
-    char temporary[CLUSTER_PATH_BYTES + 32];
-    FILE *f;
 
     history_write(c->history,
                   "\"event\":\"fault\",\"kind\":\"%s\","
@@ -151,12 +150,9 @@
                   lines == NULL ? "disk-good" : "disk-faulty",
                   c->vms[vm].name);
     snprintf(path, sizeof(path), "%s.fault", c->vms[vm].data);
-    snprintf(temporary, sizeof(temporary), "%s.new", path);
     unlink(path);
     if (lines != NULL) {
-        REQUIRE((f = fopen(temporary, "we")) != NULL);
-        fputs(lines, f);
-        REQUIRE(fclose(f) == 0 && rename(temporary, path) == 0);
+        REQUIRE(g_file_set_contents(path, lines, -1, NULL));
     }
 }
 
--- a/tests/support/e2e_rig.c
+++ b/tests/support/e2e_rig.c
@@ -1,5 +1,6 @@
 #include "e2e_rig.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -84,12 +85,9 @@
 e2e_release(const struct cluster *c, const char *name)
 {
     char path[CLUSTER_PATH_BYTES + 32];
-    FILE *f;
 
     snprintf(path, sizeof(path), "%s.%s", c->history_path, name);
-    f = fopen(path, "we");
-    REQUIRE(f != NULL);
-    fclose(f);
+    REQUIRE(g_file_set_contents(path, "", 0, NULL));
 }
 
 void
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -163,3 +163,28 @@
     }
     return false;
 }
+
+void
+rig_open_one(struct rig *r)
+{
+    rig_open(r);
+    rig_team(r, 1, 1, NO_LIMITS);
+    rig_worker(r, 1, SIZE(10000, 10240, 0), "r1", "d1");
+}
+
+struct sched_job_event
+rig_batch(uint64_t job, uint32_t tasks, uint64_t cpu)
+{
+    return (struct sched_job_event){.job = job,
+                                    .team = 1,
+                                    .class = SCHED_CLASS_BATCH,
+                                    .tasks = tasks,
+                                    .size = SIZE(cpu, 64, 0),
+                                    .idempotent = true};
+}
+
+uint64_t
+rig_placed(const struct rig *r, size_t n)
+{
+    return rig_get(r, SCHED_ACTION_PLACE, n)->u.place.lease;
+}
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -61,4 +61,16 @@
     ((struct sched_limits){SCHED_UNLIMITED, SCHED_UNLIMITED, SCHED_UNLIMITED, \
                            SCHED_UNLIMITED})
 
+/* Opens with one worker of 10 cores and 10 GiB, and team 1 without limits. */
+void
+rig_open_one(struct rig *r);
+
+/* An idempotent batch job of team 1 whose tasks need 64 MiB each. */
+struct sched_job_event
+rig_batch(uint64_t job, uint32_t tasks, uint64_t cpu);
+
+/* The lease of the nth placement of the last step. */
+uint64_t
+rig_placed(const struct rig *r, size_t n);
+
 #endif
--- a/tests/test_announce.c
+++ b/tests/test_announce.c
@@ -96,6 +96,15 @@
     return result;
 }
 
+static void
+expect_forward(struct fixture *f, int entry, const char *id, const char *body,
+               int64_t age, enum announce_result want)
+{
+    enum announce_result result = forward(f, entry, id, body, age);
+
+    g_assert_cmpint(result, ==, want);
+}
+
 static bool
 holds(struct fixture *f, int entry, const char *id, const char *body)
 {
@@ -129,7 +138,7 @@
     setup(f);
     renew(f, 0);
     renew(f, 1);
-    g_assert_cmpint(forward(f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
+    expect_forward(f, 0, "a", "x", 0, ANNOUNCE_OK);
     renew(f, 0);
     g_assert_true(holds(f, 0, "a", "x"));
 }
@@ -359,16 +368,16 @@
 
     setup_renewed(&f);
     f.now += 500 * MS;
-    g_assert_cmpint(forward(&f, 1, "a", "y", 0), ==, ANNOUNCE_OK);
+    expect_forward(&f, 1, "a", "y", 0, ANNOUNCE_OK);
     renew(&f, 1);
     renew(&f, 0);
     g_assert_false(holds(&f, 0, "a", "x"));
     g_assert_true(holds(&f, 1, "a", "y"));
     f.now += 500 * MS;
-    g_assert_cmpint(forward(&f, 0, "a", "x", 700 * MS), ==, ANNOUNCE_LATE);
+    expect_forward(&f, 0, "a", "x", 700 * MS, ANNOUNCE_LATE);
     renew(&f, 1);
     g_assert_true(holds(&f, 1, "a", "y"));
-    g_assert_cmpint(forward(&f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
+    expect_forward(&f, 0, "a", "x", 0, ANNOUNCE_OK);
     renew(&f, 1);
     g_assert_false(holds(&f, 1, "a", "y"));
     teardown(&f);
@@ -383,9 +392,8 @@
 
     setup_renewed(&f);
     run(&f, 1000 * MS, "a");
-    g_assert_cmpint(forward(&f, 1, "a", "y", 600 * MS), ==, ANNOUNCE_LATE);
-    g_assert_cmpint(forward(&f, 1, "a", "y", LEASE + MARGIN), ==,
-                    ANNOUNCE_LATE);
+    expect_forward(&f, 1, "a", "y", 600 * MS, ANNOUNCE_LATE);
+    expect_forward(&f, 1, "a", "y", LEASE + MARGIN, ANNOUNCE_LATE);
     teardown(&f);
 }
 
@@ -402,11 +410,11 @@
     announce_cache_when(f.c[1], f.now + SKEW, &when);
     g_assert_cmpint(announce_table_delete(f.t, f.now, STR("a"), when), ==,
                     ANNOUNCE_OK);
-    g_assert_cmpint(forward(&f, 0, "a", "x", 300 * MS), ==, ANNOUNCE_LATE);
+    expect_forward(&f, 0, "a", "x", 300 * MS, ANNOUNCE_LATE);
     renew(&f, 0);
     g_assert_false(holds(&f, 0, "a", "x"));
     f.now += 100 * MS;
-    g_assert_cmpint(forward(&f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
+    expect_forward(&f, 0, "a", "x", 0, ANNOUNCE_OK);
     announce_cache_when(f.c[1], f.now + SKEW - 300 * MS, &when);
     g_assert_cmpint(announce_table_delete(f.t, f.now, STR("a"), when), ==,
                     ANNOUNCE_LATE);
@@ -445,7 +453,7 @@
     f.now += 3600 * NS_PER_S;
     g_assert_false(announce_cache_when(f.c[0], f.now + SKEW, &when));
     renew(&f, 0);
-    g_assert_cmpint(forward(&f, 0, "a", "x", 0), ==, ANNOUNCE_OK);
+    expect_forward(&f, 0, "a", "x", 0, ANNOUNCE_OK);
     teardown(&f);
 }
 
--- a/tests/test_route_bound.c
+++ b/tests/test_route_bound.c
@@ -218,9 +218,10 @@
     int64_t now;
 };
 
-/* Reports a promise; returns the most that the state may say, in seconds. */
-static int64_t
-promise(struct records *f, int64_t early_s, int64_t up_s)
+/* Reports a promise and expects this as the most that the state may say. */
+static void
+expect_promise(struct records *f, int64_t early_s, int64_t up_s,
+               int64_t most_s)
 {
     struct report report = {.term = 1,
                             .seq = ++f->seq,
@@ -231,7 +232,7 @@
     f->now += 2 * NS_PER_S;
     ledger_report(f->l, f->now, 1, STR("vm1"), STR("d0"), &report);
     ledger_plan(f->l, f->now, 1, &f->grants);
-    return f->grants.early_ns / NS_PER_S;
+    g_assert_cmpint(f->grants.early_ns / NS_PER_S, ==, most_s);
 }
 
 static struct ledger_record
@@ -258,21 +259,21 @@
     struct ledger_record none;
 
     ledger_leader_changed(f.l, T0 - 60 * NS_PER_S, 1, NULL, 0);
-    g_assert_cmpint(promise(&f, 4, 3), ==, 0);
+    expect_promise(&f, 4, 3, 0);
     g_assert_false(ledger_record_due(f.l, &none));
-    g_assert_cmpint(promise(&f, 4, 60), ==, 4);
+    expect_promise(&f, 4, 60, 4);
     struct ledger_record four = expect_record(&f, 4);
-    g_assert_cmpint(promise(&f, 1, 60), ==, 4);
+    expect_promise(&f, 1, 60, 4);
     struct ledger_record one = expect_record(&f, 1);
     ledger_recorded(f.l, &four);
-    g_assert_cmpint(promise(&f, 3, 60), ==, 4);
+    expect_promise(&f, 3, 60, 4);
     struct ledger_record three = expect_record(&f, 3);
     ledger_recorded(f.l, &one);
-    g_assert_cmpint(promise(&f, 0, 60), ==, 3);
+    expect_promise(&f, 0, 60, 3);
     ledger_recorded(f.l, &three);
     struct ledger_record zero = expect_record(&f, 0);
     ledger_recorded(f.l, &zero);
-    g_assert_cmpint(promise(&f, 0, 60), ==, 0);
+    expect_promise(&f, 0, 60, 0);
 
     struct ledger_vm vms[] = {{STR("vm1"), 1, 4 * NS_PER_S},
                               {STR("vm2"), 2, 3 * NS_PER_S}};
