route: the units of a large limit move in parts, not one by one

Its log says that a step of the control loop took 539 ms. A watchdog (trial) that interrupts long steps showed give_units in each of the stalls: the units of a team's limit are moved one at a time, and the cell's limit is 1,000,000 requests. Operators are told to write a limit that is meant to be none as a large number, so the leader could stand still for minutes. Ruled out: a stall of the machine, as the other VMs logged no pause; disks and locks, as the thread was running in each sample.

From 128 units on a part of 1/64 moves at once, in the giving as in the asking back; below nothing changes.

--- a/packages/daemon/pools.c
+++ b/packages/daemon/pools.c
@@ -12,6 +12,8 @@
 enum {
     /* From the deadline of a request until its attempt has certainly ended. */
     ATTEMPT_END_MS = 200,
+    /* More than the connections of all VMs. */
+    REQUESTS_MAX = 1 << 24,
 };
 
 struct ledger *
@@ -51,8 +53,8 @@
             continue;
         }
         ledger_pool_set(ledger, c->now, buf_str(&pool), STR(""), STR(""),
-                        requests > UINT32_MAX ? UINT32_MAX
-                                              : (uint32_t)requests);
+                        requests > REQUESTS_MAX ? REQUESTS_MAX
+                                                : (uint32_t)requests);
     }
     buf_free(&pool);
 }
--- a/packages/route/ledger_balance.c
+++ b/packages/route/ledger_balance.c
@@ -11,6 +11,10 @@
     /* Preference for a pool in the entry's failure domain, in units of
      * spread: a local pool is chosen until it holds so many more. */
     LOCAL_UNITS = 4,
+    /* Many units move in parts of this size, so that a limit of a million
+     * requests does not take a million steps; few move one by one, which
+     * spreads them evenly. */
+    STEP_PART = 64,
 };
 
 static uint32_t
@@ -19,6 +23,12 @@
     return a < b ? a : b;
 }
 
+static uint32_t
+step_of(uint32_t units)
+{
+    return units < 2 * STEP_PART ? 1 : units / STEP_PART;
+}
+
 /* A pool that most entries refuse has no usable units. */
 static bool
 pool_usable(const struct group *g, const struct pool *p)
@@ -192,10 +202,12 @@
     while (d->level < upto && (n = heap_min(&heap)) != NULL) {
         struct candidate *c = (struct candidate *)n;
         struct share *s = share_make(c->pool, d->entry);
+        uint32_t step =
+            min_u32(step_of(upto - d->level), pool_free_units(l, c->pool));
 
-        share_set_target(l, s, s->target + 1);
-        d->level++;
-        n->key++;
+        share_set_target(l, s, s->target + step);
+        d->level += step;
+        n->key += step;
         if (pool_free_units(l, c->pool) == 0) {
             heap_remove(&heap, n);
         }
@@ -237,12 +249,15 @@
 
     while (taken < count) {
         struct share *s = share_to_take(g, d->entry);
+        uint32_t step = step_of(count - taken);
+
         if (s == NULL) {
             break;
         }
-        share_set_target(l, s, s->target - 1);
-        d->level--;
-        taken++;
+        step = min_u32(step, s->target);
+        share_set_target(l, s, s->target - step);
+        d->level -= step;
+        taken += step;
     }
     return taken;
 }
@@ -270,7 +285,10 @@
         if (most == NULL) {
             return;
         }
-        share_set_target(l, most, most->target - 1);
+        share_set_target(
+            l, most,
+            most->target -
+                min_u32(step_of(p->targets - p->capacity), most->target));
     }
 }
 
@@ -309,18 +327,18 @@
 }
 
 static struct demand *
-largest_surplus(struct group *g, bool beyond_slack)
+largest_surplus(struct group *g, bool beyond_slack, uint32_t *most)
 {
     struct demand *best = NULL;
-    uint32_t most = 0;
 
+    *most = 0;
     for (struct demand *d = TAILQ_FIRST(&g->demands); d != NULL;
          d = TAILQ_NEXT(d, in_group)) {
         bool waits = d->wanted > d->level;
         uint32_t keep = d->goal + (beyond_slack || waits ? slack(d) : 0);
-        if (d->level > keep && d->level - keep > most) {
+        if (d->level > keep && d->level - keep > *most) {
             best = d;
-            most = d->level - keep;
+            *most = d->level - keep;
         }
     }
     return best;
@@ -336,11 +354,17 @@
     }
     coming = units_coming(l, g);
     while (coming < need) {
-        struct demand *d = largest_surplus(g, beyond_slack);
-        if (d == NULL || take_units(l, g, d, 1) == 0) {
+        uint32_t most;
+        struct demand *d = largest_surplus(g, beyond_slack, &most);
+        uint32_t taken =
+            d == NULL
+                ? 0
+                : take_units(l, g, d, min_u32(step_of(most), need - coming));
+
+        if (taken == 0) {
             return;
         }
-        coming++;
+        coming += taken;
     }
 }
 
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -1,5 +1,6 @@
 /* One test per rule of the leader's ledger. */
 #include <glib.h>
+#include <unistd.h>
 
 #include "clock.h"
 #include "ledger.h"
@@ -7,6 +8,10 @@
 #define T0 (100 * NS_PER_S)
 #define STEP (10 * NS_PER_MS)
 
+enum {
+    LARGE_LIMIT_S = 20,
+};
+
 struct fixture {
     struct ledger *l;
     int64_t now;
@@ -256,6 +261,31 @@
     teardown(&f);
 }
 
+/* Guards against a leader that moves the units of a large limit one by one and
+ * does nothing else meanwhile: the limit is raised and lowered 100 times. */
+static void
+test_large_limit(void)
+{
+    const uint32_t large = 1 << 24;
+    struct fixture f;
+
+    setup(&f);
+    alarm(LARGE_LIMIT_S);
+    for (int round = 0; round < 100; round++) {
+        ledger_pool_set(f.l, f.now, STR("t:1"), STR(""), STR(""), large);
+        for (uint64_t run = 1; run <= 4; run++) {
+            int32_t held = planned(&f, run, "t:1");
+
+            report(&f, run, "t:1", held < 0 ? 0 : (uint32_t)held, 0, 10);
+        }
+        ledger_tick(f.l, f.now);
+        ledger_pool_set(f.l, f.now, STR("t:1"), STR(""), STR(""), 8);
+        ledger_tick(f.l, f.now);
+    }
+    alarm(0);
+    teardown(&f);
+}
+
 /* Guards against new grants while a pool drains after a shrink. */
 static void
 test_shrink(void)
@@ -363,6 +393,7 @@
     g_test_add_func("/ledger/repeats-ask-back", test_repeats_ask_back);
     g_test_add_func("/ledger/reclaim", test_reclaim);
     g_test_add_func("/ledger/reclaim-drift", test_reclaim_drift);
+    g_test_add_func("/ledger/large-limit", test_large_limit);
     g_test_add_func("/ledger/shrink", test_shrink);
     g_test_add_func("/ledger/new-leader", test_new_leader);
     g_test_add_func("/ledger/unknown", test_unknown);
