sched, daemon: a loop condition and a check in their plain form

The formatter read 'i < most && *left > 0' as a template and wrote it as 'i<most && * left> 0'; with the terms in another order it does not. The check of a sync that the entry could not parse stands beside the parsing, instead of testing twice whether the sync is typed. No behaviour changes.

--- a/packages/daemon/worker_syncs.c
+++ b/packages/daemon/worker_syncs.c
@@ -313,10 +313,10 @@
 
     if (!call->typed) {
         call->doc = worker_sync_parse(call->body, &call->sync, &error);
-    }
-    if (!call->typed && call->doc == NULL) {
-        call_fail_api(call, &error);
-        return;
+        if (call->doc == NULL) {
+            call_fail_api(call, &error);
+            return;
+        }
     }
     worker = state_worker_by_name(leader_state(call->leader),
                                   str_of(call->match.param));
--- a/packages/sched/preempt.c
+++ b/packages/sched/preempt.c
@@ -183,7 +183,7 @@
     struct fit_node *n = fit_next(&a->victims, need, NULL);
     int most = reach == REACH_RECLAIM ? VICTIMS_TRIED_RECLAIM : VICTIMS_TRIED;
 
-    for (int i = 0; n != NULL && i<most && * left> 0; i++) {
+    for (int i = 0; n != NULL && *left > 0 && i < most; i++) {
         struct lease *l = n->owner;
         struct plan p;
         (*left)--;
