--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 tests: $(TESTS)
 benches: $(BENCHES)
 
+$(OUT)/packages/daemon/main.o: CPPFLAGS += -iquoteplatform
 $(OUT)/packages/%.o: packages/%.c
 	@mkdir -p $(@D)
 	@$(CC) $(CPPFLAGS) $(call inc_of,$(call pkg_of,$<)) $(CFLAGS) -MMD -MP \
@@ -95,13 +96,21 @@
 endef
 $(foreach p,$(BUILT),$(eval $(call PKG_RULE,$p)))
 
+# The adapter for the users' platform; it is no package, so that nothing else
+# can include its headers.
+PLATFORM_SRCS := $(wildcard platform/*.c)
+PLATFORM_OBJS := $(PLATFORM_SRCS:%.c=$(OUT)/%.o)
+$(OUT)/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) $(call inc_of,node) $(CFLAGS) -MMD -MP -c $< -o $@
+
 $(LIBGV): $(PKG_OBJS)
 	@rm -f $@
 	@# Finds names that two packages export, which an archive would hide.
 	@ld -r -o $@.check $(PKG_OBJS) && rm -f $@.check
 	@ar rcs $@ $(PKG_OBJS)
 
-$(OUT)/guavarockd: $(OUT)/packages/daemon/main.o $(LIBGV)
+$(OUT)/guavarockd: $(OUT)/packages/daemon/main.o $(PLATFORM_OBJS) $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
 
 $(OUT)/guavarock: $(OUT)/packages/cli/main.o $(LIBGV)
@@ -115,7 +124,7 @@
 FAULTY_WRAPS := -Wl,--wrap=clock_gettime,--wrap=open,--wrap=write,--wrap=fsync \
 	-Wl,--wrap=ledger_due
 $(OUT)/fakes/guavarockd_faulty: $(OUT)/tests/fakes/guavarockd_faulty.o \
-		$(OUT)/packages/daemon/main.o $(LIBGV)
+		$(OUT)/packages/daemon/main.o $(PLATFORM_OBJS) $(LIBGV)
 	@mkdir -p $(@D)
 	@$(CC) $(LDFLAGS) $(FAULTY_WRAPS) -o $@ $^ $(LIB_LIBS)
 
@@ -167,7 +176,7 @@
 
 ALL_C := $(wildcard packages/*/*.c packages/*/*.h packages/*/include/*.h \
 	tests/*.c tests/*/*.c tests/*/*.h bench/*.c bench/*.h bench/*/*.c \
-	bench/*/*.h)
+	bench/*/*.h platform/*.c platform/*.h)
 STYLED := $(filter-out %.pb-c.c %.pb-c.h,$(ALL_C))
 
 format:
@@ -200,6 +209,9 @@
 proto:
 	cd packages/raft && protoc-c --c_out=. raft.proto && mv raft.pb-c.h include/
 	cd packages/peer && protoc-c --c_out=. wire.proto && mv wire.pb-c.h include/
+	cd packages/flow && protoc-c --c_out=. flow.proto && mv flow.pb-c.h include/
+	cd packages/node && protoc-c -I. -I../flow --c_out=. node.proto && \
+		mv node.pb-c.h include/
 	cd packages/state && protoc-c --c_out=. state.proto && mv state.pb-c.h include/
 
 clean:
--- a/packages/daemon/entry_http.c
+++ b/packages/daemon/entry_http.c
@@ -10,12 +10,12 @@
 #include "entry_impl.h"
 #include "leader.h"
 #include "operator.h"
-#include "platform.h"
+#include "probe.h"
 #include "worker.h"
 
 static const struct api_table *const tables[] = {
     &caller_routes, &endpoint_routes, &worker_routes, &operator_routes,
-    &platform_routes};
+    &probe_routes};
 
 void
 front_refuse(struct front_call *call, int status, const char *code,
@@ -51,10 +51,10 @@
 respond_probe(struct front_call *call, bool ok, const char *reason)
 {
     struct front_response response = {.status = ok ? 200 : 503};
-    struct platform_probe probe = {ok, ok ? (struct str){NULL, 0}
+    struct probe_answer probe = {ok, ok ? (struct str){NULL, 0}
                                           : str_of(reason)};
 
-    platform_probe_render(&probe, &response.body);
+    probe_answer_render(&probe, &response.body);
     http_headers_add(&response.headers, STR("Content-Type"),
                      STR("application/json"));
     front_respond(call, &response);
@@ -126,7 +126,7 @@
     }
     counter_render(&response.body);
     http_headers_add(&response.headers, STR("Content-Type"),
-                     STR(PLATFORM_METRICS_TYPE));
+                     STR(PROBE_METRICS_TYPE));
     front_respond(call, &response);
 }
 
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -8,11 +8,13 @@
 
 #include "control.h"
 #include "log.h"
+#include "platform.h"
 #include "settings.h"
 
 enum {
     OPT_SINGLE = 1000,
     OPT_CHECK,
+    OPT_PLATFORM,
     EXIT_USAGE_ERROR = 2,
 };
 
@@ -22,6 +24,7 @@
     const char *listen;
     const char *data;
     bool single;
+    bool platform;
 };
 
 const char *argp_program_version = "guavarockd 0.1";
@@ -31,6 +34,8 @@
     {"check", OPT_CHECK, "FILE", 0, "Check a settings file and exit", 0},
     {"single", OPT_SINGLE, NULL, 0,
      "Run a cluster of one process, without settings", 0},
+    {"platform", OPT_PLATFORM, NULL, 0,
+     "Run workflows on the platform that names the settings file", 0},
     {"listen", 'l', "IP:PORT", 0, "With --single (127.0.0.1:7070)", 0},
     {"data", 'd', "DIR", 0, "With --single: data directory (./guavarock)", 0},
     {0},
@@ -51,6 +56,9 @@
     case OPT_SINGLE:
         o->single = true;
         break;
+    case OPT_PLATFORM:
+        o->platform = true;
+        break;
     case 'l':
         o->listen = arg;
         break;
@@ -61,8 +69,11 @@
         argp_error(state, "unexpected argument '%s'", arg);
         break;
     case ARGP_KEY_END:
-        if ((o->settings != NULL) + (o->check != NULL) + o->single != 1) {
-            argp_error(state, "give one of --settings, --check, --single");
+        if ((o->settings != NULL) + (o->check != NULL) + o->single +
+                o->platform !=
+            1) {
+            argp_error(state, "give one of --settings, --check, --single, "
+                              "--platform");
         }
         break;
     default:
@@ -116,6 +127,11 @@
     if (sodium_init() < 0) {
         return 1;
     }
+    if (o.platform) {
+        signal(SIGPIPE, SIG_IGN);
+        signal(SIGXFSZ, SIG_IGN);
+        return platform_run();
+    }
     if (o.single) {
         settings_single(&settings, o.listen, o.data);
     }
--- /dev/null
+++ b/packages/flow/approval.c
@@ -0,0 +1,85 @@
+/*
+ * What is known of the approval of a step's workers.
+ */
+#include <string.h>
+
+#include "mem.h"
+#include "plan.h"
+
+enum {
+    VERDICTS_MIN = 32,
+};
+
+static struct flow_approval *
+grow(struct flow_step *step)
+{
+    struct flow_approval *a = step->approval;
+    size_t cap = a == NULL ? VERDICTS_MIN : a->cap * 2;
+    struct flow_approval *out;
+
+    if (a != NULL && a->count < a->cap) {
+        return a;
+    }
+    out = mem_zalloc(1, sizeof(*out) + cap * sizeof(out->verdicts[0]));
+    if (a != NULL) {
+        memcpy(out, a, sizeof(*a) + a->count * sizeof(a->verdicts[0]));
+        mem_free(a);
+    }
+    out->cap = cap;
+    step->approval = out;
+    return out;
+}
+
+static struct flow_verdict *
+find(struct flow_step *step, uint32_t worker)
+{
+    struct flow_approval *a = step->approval;
+
+    for (size_t i = 0; a != NULL && i < a->count; i++) {
+        if (a->verdicts[i].worker == worker) {
+            return &a->verdicts[i];
+        }
+    }
+    return NULL;
+}
+
+void
+plan_verdict(struct flow_step *step, uint32_t worker, bool approved,
+             struct str ticket, int64_t valid_until)
+{
+    struct flow_verdict *v = find(step, worker);
+
+    if (v == NULL) {
+        struct flow_approval *a = grow(step);
+
+        v = &a->verdicts[a->count++];
+        memset(v, 0, sizeof(*v));
+        v->worker = worker;
+    }
+    v->approved = approved;
+    v->valid_until = 0;
+    if (ticket.len > 0 && ticket.len < PLAN_TICKET_BYTES) {
+        memcpy(v->ticket, ticket.ptr, ticket.len);
+        v->ticket[ticket.len] = '\0';
+        v->valid_until = valid_until;
+    }
+}
+
+void
+plan_asked(struct flow_step *step, int64_t until)
+{
+    struct flow_approval *a = grow(step);
+
+    a->asked_until = until;
+    a->calls += until != 0;
+}
+
+void
+plan_ticket_refused(struct flow_step *step, uint32_t worker)
+{
+    struct flow_verdict *v = find(step, worker);
+
+    if (v != NULL) {
+        v->valid_until = 0;
+    }
+}
--- /dev/null
+++ b/packages/flow/config.c
@@ -0,0 +1,152 @@
+/*
+ * The configuration in force: queues, services, teams and their keys.
+ */
+#include "internal.h"
+
+#include <string.h>
+
+#include "mem.h"
+
+struct flow_queue *
+config_queue(struct flow_state *s, struct str name)
+{
+    struct flow_queue *q = map_get(s->queues, name);
+
+    if (q == NULL) {
+        q = mem_zalloc(1, sizeof(*q));
+        q->name = str_dup(name);
+        q->max_attempts = 1;
+        q->stretch = 1;
+        map_put(s->queues, q->name, q);
+    }
+    return q;
+}
+
+struct flow_team *
+config_team(struct flow_state *s, struct str name)
+{
+    struct flow_team *t = map_get(s->teams, name);
+
+    if (t == NULL) {
+        t = mem_zalloc(1, sizeof(*t));
+        t->name = str_dup(name);
+        t->weight = 1;
+        map_put(s->teams, t->name, t);
+    }
+    return t;
+}
+
+static void
+install_queue(struct flow_state *s, const Flow__Queue *in)
+{
+    struct flow_queue *q = config_queue(s, str_of(in->name));
+
+    str_replace(&q->host, str_of(in->host));
+    str_replace(&q->prefix, str_of(in->prefix));
+    str_replace(&q->service, str_of(in->service));
+    q->timeout_ms = in->timeout_ms;
+    q->latency_target_ms = in->latency_target_ms;
+    q->priority = in->priority;
+    q->max_attempts = in->max_attempts < 1 ? 1 : in->max_attempts;
+    q->stretch = in->stretch;
+    q->needs_approval = in->needs_approval;
+    q->approval_ms = in->approval_ms;
+    q->approval_worker_us = in->approval_worker_us;
+    q->ticket_ms = in->ticket_ms;
+    q->open = in->open;
+    q->configured = true;
+    q->guarded = false;
+    for (size_t i = 0; i < s->config->n_services; i++) {
+        if (str_eq(str_of(s->config->services[i]->name), q->service)) {
+            q->guarded = s->config->services[i]->guards_capacity;
+        }
+    }
+}
+
+static void
+install_team(struct flow_state *s, const Flow__Team *in)
+{
+    struct flow_team *t = config_team(s, str_of(in->name));
+
+    t->weight = in->weight < 1 ? 1 : in->weight;
+    t->configured = true;
+    t->limit = (struct flow_size){0};
+    if (in->limit != NULL) {
+        t->limit.cpu_milli = in->limit->cpu_milli;
+        t->limit.memory_mib = in->limit->memory_mib;
+        t->limit.accelerators = in->limit->accelerators;
+    }
+    for (size_t i = 0; i < in->n_keys; i++) {
+        map_put(s->keys, str_of(in->keys[i]), t);
+    }
+}
+
+void
+config_install(struct flow_state *s, Flow__Config *config)
+{
+    void *cursor = NULL;
+    struct flow_queue *q;
+    struct flow_team *t;
+
+    if (s->config != NULL) {
+        flow__config__free_unpacked(s->config, NULL);
+    }
+    s->config = config;
+    while ((q = map_next(s->queues, &cursor)) != NULL) {
+        q->configured = false;
+    }
+    cursor = NULL;
+    while ((t = map_next(s->teams, &cursor)) != NULL) {
+        t->configured = false;
+    }
+    map_destroy(s->keys);
+    s->keys = map_create();
+    for (size_t i = 0; i < config->n_queues; i++) {
+        install_queue(s, config->queues[i]);
+    }
+    for (size_t i = 0; i < config->n_teams; i++) {
+        install_team(s, config->teams[i]);
+    }
+}
+
+const Flow__Config *
+flow_config(const struct flow_state *s)
+{
+    return s->config;
+}
+
+struct flow_queue *
+flow_queue_named(const struct flow_state *s, struct str name)
+{
+    return map_get(s->queues, name);
+}
+
+struct flow_queue *
+flow_route(const struct flow_state *s, struct str host, struct str path)
+{
+    void *cursor = NULL;
+    struct flow_queue *best = NULL;
+    struct flow_queue *q;
+
+    while ((q = map_next(s->queues, &cursor)) != NULL) {
+        if (q->configured && str_eq(q->host, host) &&
+            str_starts(path, q->prefix) &&
+            (best == NULL || q->prefix.len > best->prefix.len)) {
+            best = q;
+        }
+    }
+    return best;
+}
+
+struct flow_team *
+flow_team_of_key(const struct flow_state *s, struct str key)
+{
+    return map_get(s->keys, key);
+}
+
+bool
+flow_config_equal(const Flow__Config *a, const Flow__Config *b)
+{
+    return a->document.len == b->document.len &&
+           memcmp(a->document.data, b->document.data, a->document.len) == 0;
+}
--- /dev/null
+++ b/packages/flow/include/plan.h
@@ -0,0 +1,107 @@
+#ifndef GV_PLAN_H
+#define GV_PLAN_H
+
+#include "flow.h"
+
+/*
+ * Placement of workflow steps: decides from the replicated state and what the
+ * leader knows of the workers which tasks start where. Pure: the time is an
+ * argument, nothing is sent.
+ */
+
+enum {
+    PLAN_TICKET_BYTES = 64,
+    PLAN_ASK_MAX = 100, /* workers that one call for approval may name */
+};
+
+/* Whether a step may run on a worker, as the approval service answered. */
+struct flow_verdict {
+    uint32_t worker;
+    bool approved;
+    int64_t valid_until; /* the ticket is not accepted later */
+    char ticket[PLAN_TICKET_BYTES];
+};
+
+struct flow_approval {
+    int64_t asked_until; /* a call is under way until then; 0: none */
+    uint32_t calls;
+    size_t count;
+    size_t cap;
+    struct flow_verdict verdicts[];
+};
+
+/* What the leader knows of a worker beyond the replicated state. */
+struct plan_worker {
+    bool usable;              /* answers, under a lease, and is not draining */
+    int64_t avoid_until;      /* it failed lately */
+    double speed;             /* of its tasks, 1 is nominal */
+    struct flow_size planned; /* by decisions of this round */
+    int64_t avoided_service_until;
+};
+
+struct plan_start {
+    struct flow_job *job;
+    struct flow_occurrence *occurrence;
+    struct flow_step *step;
+    uint32_t index;
+    uint32_t run;
+    struct flow_worker *worker;
+    char ticket[PLAN_TICKET_BYTES]; /* empty: none is needed */
+};
+
+/* A call for approval to make. */
+struct plan_ask {
+    struct flow_job *job;
+    struct flow_occurrence *occurrence;
+    struct flow_step *step;
+    uint32_t workers[PLAN_ASK_MAX];
+    size_t count;
+};
+
+struct plan {
+    struct plan_start *starts;
+    size_t start_count;
+    size_t start_cap;
+    struct plan_ask *asks;
+    size_t ask_count;
+    size_t ask_cap;
+};
+
+struct plan_limits {
+    size_t starts; /* most decisions of one round */
+    size_t asks;   /* most calls for approval that may begin now */
+};
+
+/* The session of a worker as the planner sees it. */
+struct plan_worker *
+plan_worker(const struct flow_worker *w);
+
+/* Fills plan, which is cleared first. */
+void
+plan_make(struct flow_state *s, int64_t now, const struct plan_limits *limits,
+          struct plan *plan);
+void
+plan_free(struct plan *plan);
+
+/*
+ * Time by which a job should be complete for its callers, on the clock of
+ * flow_job.seen_at: its longest chain of estimated work times the queue's
+ * stretch, plus the queue's latency target.
+ */
+int64_t
+plan_objective(const struct flow_job *j);
+
+/* Records an answer for a step; a ticket longer than PLAN_TICKET_BYTES - 1
+ * counts as none. Workers that were named and are not approved are kept as
+ * refused. */
+void
+plan_verdict(struct flow_step *step, uint32_t worker, bool approved,
+             struct str ticket, int64_t valid_until);
+void
+plan_asked(struct flow_step *step, int64_t until);
+
+/* The worker refused the ticket of the step. */
+void
+plan_ticket_refused(struct flow_step *step, uint32_t worker);
+
+#endif
--- /dev/null
+++ b/packages/flow/job.c
@@ -0,0 +1,298 @@
+/*
+ * Jobs from acceptance to their end.
+ */
+#include "internal.h"
+
+#include <string.h>
+
+#include "mem.h"
+
+static void
+link_live(struct flow_state *s, struct flow_job *j)
+{
+    j->prev = s->last;
+    if (s->last == NULL) {
+        s->first = j;
+    }
+    else {
+        s->last->next = j;
+    }
+    s->last = j;
+    s->live++;
+    j->team->live_jobs++;
+}
+
+void
+job_unlink(struct flow_state *s, struct flow_job *j)
+{
+    *(j->prev == NULL ? &s->first : &j->prev->next) = j->next;
+    *(j->next == NULL ? &s->last : &j->next->prev) = j->prev;
+    j->prev = NULL;
+    j->next = NULL;
+    s->live--;
+    j->team->live_jobs--;
+}
+
+struct flow_occurrence *
+job_add_occurrence(struct flow_job *j, uint32_t number)
+{
+    struct flow_occurrence *o;
+
+    j->occurrences = mem_realloc(j->occurrences, j->occurrence_count + 1,
+                                 sizeof(*j->occurrences));
+    o = &j->occurrences[j->occurrence_count++];
+    memset(o, 0, sizeof(*o));
+    o->number = number;
+    o->steps = mem_zalloc(j->spec->n_steps, sizeof(*o->steps));
+    for (size_t i = 0; i < j->spec->n_steps; i++) {
+        o->steps[i].spec = j->spec->steps[i];
+        o->steps[i].count = j->spec->steps[i]->count;
+        o->steps[i].tasks =
+            mem_zalloc(o->steps[i].count, sizeof(struct flow_task));
+    }
+    return o;
+}
+
+struct flow_job *
+job_create(struct flow_state *s, uint64_t id, struct str queue,
+           struct str team, Flow__JobSpec *spec, int64_t wall_ms)
+{
+    struct flow_job *j = mem_zalloc(1, sizeof(*j));
+
+    j->id = id;
+    j->queue = config_queue(s, queue);
+    j->team = config_team(s, team);
+    j->spec = spec;
+    j->wall_ms = wall_ms;
+    map_put_u64(s->jobs, id, j);
+    link_live(s, j);
+    return j;
+}
+
+static void
+occurrence_clear(struct flow_job *j, struct flow_occurrence *o)
+{
+    for (size_t i = 0; i < j->spec->n_steps; i++) {
+        for (uint32_t k = 0; k < o->steps[i].count; k++) {
+            str_free(&o->steps[i].tasks[k].checkpoint);
+        }
+        mem_free(o->steps[i].tasks);
+        mem_free(o->steps[i].approval);
+    }
+    mem_free(o->steps);
+}
+
+static void
+drop_occurrences(struct flow_job *j)
+{
+    for (size_t i = 0; i < j->occurrence_count; i++) {
+        occurrence_clear(j, &j->occurrences[i]);
+    }
+    mem_free(j->occurrences);
+    j->occurrences = NULL;
+    j->occurrence_count = 0;
+}
+
+void
+job_free(struct flow_job *j)
+{
+    drop_occurrences(j);
+    flow__job_spec__free_unpacked(j->spec, NULL);
+    mem_free(j);
+}
+
+static bool
+failed_for_good(const struct flow_job *j, const struct flow_step *step)
+{
+    if (step->spec->endless) {
+        return false;
+    }
+    if (step->spec->gang) {
+        return step->gang_failures >= j->queue->max_attempts;
+    }
+    for (uint32_t i = 0; i < step->count; i++) {
+        if (!step->tasks[i].done &&
+            step->tasks[i].failures >= j->queue->max_attempts) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+any_failed(const struct flow_job *j)
+{
+    for (size_t i = 0; i < j->occurrence_count; i++) {
+        for (size_t k = 0; k < j->spec->n_steps; k++) {
+            if (failed_for_good(j, &j->occurrences[i].steps[k])) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/* An occurrence stays until none of its tasks occupies a worker. */
+static void
+complete_occurrences(struct flow_job *j)
+{
+    for (size_t i = 0; i < j->occurrence_count;) {
+        struct flow_occurrence *o = &j->occurrences[i];
+        bool complete = true;
+
+        for (size_t k = 0; k < j->spec->n_steps; k++) {
+            complete = complete && o->steps[k].done == o->steps[k].count &&
+                       o->steps[k].assigned == 0;
+        }
+        if (!complete) {
+            i++;
+            continue;
+        }
+        occurrence_clear(j, o);
+        j->done++;
+        j->occurrence_count--;
+        memmove(o, o + 1, (j->occurrence_count - i) * sizeof(*o));
+    }
+}
+
+/* The tasks are done although the last gang members may not have left. */
+static bool
+all_tasks_done(const struct flow_job *j)
+{
+    uint32_t done = j->done;
+
+    for (size_t i = 0; i < j->occurrence_count; i++) {
+        bool complete = true;
+
+        for (size_t k = 0; k < j->spec->n_steps; k++) {
+            const struct flow_step *step = &j->occurrences[i].steps[k];
+
+            complete = complete && step->done == step->count;
+        }
+        done += complete;
+    }
+    return done >= (j->spec->occurrences > 0 ? j->spec->occurrences : 1);
+}
+
+static void
+end_job(struct flow_state *s, struct flow_job *j, enum flow_job_state state)
+{
+    if (!j->started) {
+        j->started = true;
+        j->queue->pending--;
+    }
+    j->state = state;
+    j->ended_wall_ms = s->wall_ms;
+}
+
+void
+job_advance(struct flow_state *s, struct flow_job *j)
+{
+    bool live = j->state <= FLOW_JOB_RUNNING;
+
+    if (live && j->cancelled) {
+        end_job(s, j, FLOW_JOB_CANCELLED);
+    }
+    else if (live && all_tasks_done(j)) {
+        end_job(s, j, FLOW_JOB_COMPLETED);
+    }
+    else if (live && any_failed(j)) {
+        end_job(s, j, FLOW_JOB_FAILED);
+    }
+    if (j->state <= FLOW_JOB_RUNNING) {
+        complete_occurrences(j);
+    }
+    else if (j->assigned == 0) {
+        job_unlink(s, j);
+        drop_occurrences(j);
+        /* Only the state is asked for from now on. */
+        mem_free(j->spec->payload.data);
+        j->spec->payload = (ProtobufCBinaryData){0};
+    }
+}
+
+void
+job_cancel(struct flow_state *s, struct flow_job *j)
+{
+    if (j->state > FLOW_JOB_RUNNING) {
+        return;
+    }
+    j->cancelled = true;
+    job_advance(s, j);
+}
+
+void
+job_prune(struct flow_state *s, int64_t before_ms)
+{
+    void *cursor = NULL;
+    struct flow_job *j;
+
+    while ((j = map_next(s->jobs, &cursor)) != NULL) {
+        if (j->state > FLOW_JOB_RUNNING && j->assigned == 0 &&
+            j->ended_wall_ms < before_ms) {
+            map_del_u64(s->jobs, j->id);
+            job_free(j);
+        }
+    }
+}
+
+struct flow_job *
+flow_job(const struct flow_state *s, uint64_t id)
+{
+    return map_get_u64(s->jobs, id);
+}
+
+struct flow_job *
+flow_first_live(const struct flow_state *s)
+{
+    return s->first;
+}
+
+size_t
+flow_live_count(const struct flow_state *s)
+{
+    return s->live;
+}
+
+struct flow_occurrence *
+flow_occurrence(const struct flow_job *j, uint32_t number)
+{
+    for (size_t i = 0; i < j->occurrence_count; i++) {
+        if (j->occurrences[i].number == number) {
+            return &j->occurrences[i];
+        }
+    }
+    return NULL;
+}
+
+bool
+flow_step_ready(const struct flow_job *j, const struct flow_occurrence *o,
+                const struct flow_step *step)
+{
+    for (size_t i = 0; i < step->spec->n_after; i++) {
+        const struct flow_step *before = &o->steps[step->spec->after[i]];
+
+        if (before->done != before->count) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+flow_step_counts(const struct flow_step *step)
+{
+    return !step->spec->best_effort;
+}
+
+struct flow_size
+flow_step_size(const struct flow_step *step)
+{
+    const Flow__Size *size = step->spec->size;
+
+    if (size == NULL) {
+        return (struct flow_size){0};
+    }
+    return (struct flow_size){size->cpu_milli, size->memory_mib,
+                              size->accelerators};
+}
--- /dev/null
+++ b/packages/flow/package.mk
@@ -0,0 +1,2 @@
+flow_DEPS := base
+flow_EXPORTS := flow_* flow__* plan_*
--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -42,6 +42,7 @@
     mem_free(r->uri);
     str_free(&r->call.path);
     str_free(&r->call.query);
+    str_free(&r->call.host);
     str_free(&r->call.key);
     str_free(&r->call.idempotency_key);
     str_free(&r->call.if_match);
--- a/packages/front/include/front.h
+++ b/packages/front/include/front.h
@@ -54,6 +54,7 @@
     enum http_method method;
     struct str path;  /* raw, starts with '/', printable ASCII */
     struct str query; /* raw, without '?'; may be empty */
+    struct str host;  /* raw; ptr NULL when absent */
     struct str key;   /* bearer key; empty when absent or malformed */
     struct str idempotency_key; /* 1 to 128 bytes; ptr NULL when absent */
     struct str if_match;        /* raw; ptr NULL when absent */
--- a/packages/front/request.c
+++ b/packages/front/request.c
@@ -155,10 +155,8 @@
 read_header(struct request *r, struct str name, struct str value)
 {
     if (http_name_eq(name, "Host")) {
-        bool again = r->has_host;
-
         r->has_host = true;
-        return !again || bad_header(r, "Host", "occurs more than once");
+        return read_once(r, "Host", &r->call.host, value);
     }
     if (http_name_eq(name, "Authorization")) {
         return read_authorization(r, value);
--- /dev/null
+++ b/packages/node/asker.c
@@ -0,0 +1,99 @@
+/*
+ * Calls to the approval service. The service takes one call of a VM at a
+ * time, so the leader spreads them over all VMs.
+ */
+#include "clock.h"
+#include "event.h"
+#include "internal.h"
+#include "mem.h"
+
+struct asker {
+    struct node *node;
+};
+
+static struct event_kind event_approval = {.name = "approval",
+                                           .per_second = 20};
+
+struct asker *
+asker_create(struct node *n)
+{
+    struct asker *a = mem_zalloc(1, sizeof(*a));
+
+    a->node = n;
+    return a;
+}
+
+void
+asker_destroy(struct asker *a)
+{
+    mem_free(a);
+}
+
+static void
+deliver(struct node *n, uint64_t to, Node__Answer *answer)
+{
+    Node__Envelope envelope = NODE__ENVELOPE__INIT;
+    struct link *l;
+
+    if (to == 0) {
+        if (n->lead != NULL) {
+            lead_answer(n->lead, answer, 0);
+        }
+        return;
+    }
+    l = map_get_u64(n->links, to);
+    if (l != NULL) {
+        envelope.msg_case = NODE__ENVELOPE__MSG_ANSWER;
+        envelope.answer = answer;
+        link_send(l, &envelope);
+    }
+}
+
+static void
+answer_free(Node__Answer *answer)
+{
+    for (size_t i = 0; i < answer->n_approved; i++) {
+        mem_free(answer->approved[i]->worker);
+        mem_free(answer->approved[i]->ticket);
+        mem_free(answer->approved[i]);
+    }
+    mem_free(answer->approved);
+}
+
+static void
+asked(struct node *n, struct out_call *call,
+      const struct upstream_result *result)
+{
+    Node__Answer answer = NODE__ANSWER__INIT;
+
+    answer.id = call->ask;
+    answer.busy = result->status == 429 || result->status == 503;
+    answer.ok = result->failure == UPSTREAM_OK &&
+                n->adapter->decode_answer(result->status,
+                                          buf_str(&result->body), &answer);
+    if (!answer.ok) {
+        event_write(&event_approval, "outcome=failed status=%d failure=%s",
+                    result->status, upstream_failure_name(result->failure));
+    }
+    deliver(n, call->link, &answer);
+    answer_free(&answer);
+}
+
+void
+asker_ask(struct asker *a, struct link *from, const Node__Ask *ask)
+{
+    struct node *n = a->node;
+    struct out_call *call = mem_zalloc(1, sizeof(*call));
+    Node__Answer answer = NODE__ANSWER__INIT;
+    uint64_t link = from == NULL ? 0 : from->id;
+
+    n->adapter->encode_ask(ask, &call->http);
+    call->address = str_dup(n->settings.approval_address);
+    call->done = asked;
+    call->link = link;
+    call->ask = ask->id;
+    if (!out_send(n, call, n->now + ask->timeout_ms * NS_PER_MS)) {
+        answer.id = ask->id;
+        deliver(n, link, &answer);
+    }
+}
--- /dev/null
+++ b/packages/node/calls.c
@@ -0,0 +1,287 @@
+/*
+ * Calls of callers, operators and workers at this process: each becomes a
+ * request to the leader and is answered with its reply. Requests may be sent
+ * again, because each of them is idempotent; a change of the leader or a lost
+ * session repeats those that are open.
+ */
+#include "clock.h"
+#include "event.h"
+#include "internal.h"
+#include "mem.h"
+
+enum {
+    DEFAULT_TIMEOUT_MS = 3000, /* of callers that do not say */
+    /* Without a leader for so long, a call is refused at once: elections take
+     * less unless most control VMs are lost. */
+    LEADERLESS_MAX_MS = 1500,
+    /* For the answer's way back to the caller. */
+    ANSWER_MARGIN_MS = 60,
+    RESEND_MS = 1000,      /* a leader that does not answer may have failed */
+    RETRY_AFTER_MS = 1000, /* an election */
+};
+
+struct pending {
+    uint64_t id;
+    struct front_call *call;
+    Node__Request *request;
+    int64_t arrived;
+    int64_t deadline;
+    int64_t resend_at;
+    uint64_t link;  /* it was sent to; 0 this process or none */
+    bool waiting;   /* for a leader */
+    bool forwarded; /* a leader may have acted on it */
+};
+
+struct calls {
+    struct node *node;
+    struct map *pending; /* by id */
+    uint64_t last;
+    uint64_t sent_term; /* leader that open requests were sent to */
+    struct str sent_vm;
+};
+
+static struct event_kind event_call = {.name = "call", .per_second = 60};
+static struct event_kind event_refused = {.name = "call-refused",
+                                          .per_second = 60};
+
+struct calls *
+calls_create(struct node *n)
+{
+    struct calls *c = mem_zalloc(1, sizeof(*c));
+
+    c->node = n;
+    c->pending = map_create();
+    return c;
+}
+
+static void
+pending_free(struct calls *c, struct pending *p)
+{
+    map_del_u64(c->pending, p->id);
+    node__request__free_unpacked(p->request, NULL);
+    mem_free(p);
+}
+
+static void
+answer(struct calls *c, struct pending *p, const Node__Reply *reply)
+{
+    struct front_response response = {0};
+    struct event_kind *kind =
+        reply->outcome == NODE__OUTCOME__OK ? &event_call : &event_refused;
+
+    c->node->adapter->encode(p->request, reply, &response);
+    event_write(kind,
+                "method=%s path=%.*s outcome=%d status=%d waited_ms=%lld "
+                "leader=%.*s reason=\"%s\"",
+                http_method_name(p->call->method), STR_ARG(p->call->path),
+                (int)reply->outcome, response.status,
+                (long long)((c->node->now - p->arrived) / NS_PER_MS),
+                STR_ARG(c->node->leader_vm), reply->reason);
+    front_respond(p->call, &response);
+    pending_free(c, p);
+}
+
+static void
+refuse(struct calls *c, struct pending *p, Node__Outcome outcome,
+       const char *reason)
+{
+    Node__Reply reply = NODE__REPLY__INIT;
+
+    reply.outcome = outcome;
+    reply.reason = (char *)reason;
+    reply.retry_after_ms = RETRY_AFTER_MS;
+    answer(c, p, &reply);
+}
+
+void
+calls_destroy(struct calls *c)
+{
+    struct pending *p;
+    void *cursor = NULL;
+
+    if (c == NULL) {
+        return;
+    }
+    while ((p = map_next(c->pending, &cursor)) != NULL) {
+        front_abort(p->call);
+        pending_free(c, p);
+    }
+    map_destroy(c->pending);
+    str_free(&c->sent_vm);
+    mem_free(c);
+}
+
+/* Sends it to the leader if one is in reach. */
+static void
+forward(struct calls *c, struct pending *p)
+{
+    struct node *n = c->node;
+    Node__Envelope envelope = NODE__ENVELOPE__INIT;
+    struct link *l;
+
+    p->waiting = true;
+    p->resend_at = n->now + RESEND_MS * NS_PER_MS;
+    if (n->group != NULL && n->lead != NULL && group_leads(n->group)) {
+        p->waiting = false;
+        p->forwarded = true;
+        p->link = 0;
+        lead_request(n->lead, (struct requester){0, p->id}, p->request);
+        return;
+    }
+    l = links_leader(n);
+    if (l == NULL) {
+        return;
+    }
+    p->waiting = false;
+    p->forwarded = true;
+    p->link = l->id;
+    envelope.msg_case = NODE__ENVELOPE__MSG_REQUEST;
+    envelope.request = p->request;
+    link_send(l, &envelope);
+}
+
+static void
+accept_call(struct calls *c, struct front_call *call)
+{
+    struct node *n = c->node;
+    struct front_response response = {0};
+    struct pending *p;
+    int64_t timeout_ms = 0;
+    bool control = n->settings.control_listen.len > 0;
+    Node__Request *request =
+        n->adapter->decode(call, control, &response, &timeout_ms);
+
+    if (request == NULL) {
+        event_write(&event_refused,
+                    "method=%s path=%.*s outcome=malformed status=%d",
+                    http_method_name(call->method), STR_ARG(call->path),
+                    response.status);
+        front_respond(call, &response);
+        return;
+    }
+    p = mem_zalloc(1, sizeof(*p));
+    p->id = ++c->last;
+    p->call = call;
+    p->request = request;
+    p->request->id = p->id;
+    p->arrived = call->arrived;
+    timeout_ms = timeout_ms > 0 ? timeout_ms : DEFAULT_TIMEOUT_MS;
+    p->deadline = call->arrived + (timeout_ms - ANSWER_MARGIN_MS) * NS_PER_MS;
+    map_put_u64(c->pending, p->id, p);
+    forward(c, p);
+}
+
+void
+calls_take(struct calls *c, struct front_item *item)
+{
+    if (item->kind == FRONT_ITEM_CALL) {
+        accept_call(c, item->call);
+    }
+    front_item_release(item);
+}
+
+void
+calls_reply(struct calls *c, const Node__Reply *reply)
+{
+    struct pending *p = map_get_u64(c->pending, reply->id);
+
+    if (p == NULL) {
+        return;
+    }
+    if (reply->outcome == NODE__OUTCOME__NOT_LEADER) {
+        p->waiting = true;
+        p->resend_at = c->node->now + 50 * NS_PER_MS;
+        return;
+    }
+    answer(c, p, reply);
+}
+
+void
+calls_link_down(struct calls *c, uint64_t link)
+{
+    struct pending *p;
+    void *cursor = NULL;
+
+    while ((p = map_next(c->pending, &cursor)) != NULL) {
+        if (p->link == link) {
+            p->link = 0;
+            p->waiting = true;
+            p->resend_at = c->node->now;
+        }
+    }
+}
+
+static bool
+changes_something(const Node__Request *r)
+{
+    switch (r->kind_case) {
+    case NODE__REQUEST__KIND_JOB:
+        return r->job->verb == NODE__VERB__SUBMIT ||
+               r->job->verb == NODE__VERB__CANCEL;
+    case NODE__REQUEST__KIND_CONFIG:
+    case NODE__REQUEST__KIND_UPKEEP:
+        return true;
+    default:
+        return false;
+    }
+}
+
+static void
+expire(struct calls *c, struct pending *p)
+{
+    if (p->forwarded && changes_something(p->request)) {
+        refuse(c, p, NODE__OUTCOME__UNKNOWN, "no answer from the leader");
+        return;
+    }
+    refuse(c, p, NODE__OUTCOME__UNAVAILABLE, "no answer from the leader");
+}
+
+void
+calls_step(struct calls *c)
+{
+    struct node *n = c->node;
+    struct pending *p;
+    void *cursor = NULL;
+    bool changed =
+        c->sent_term != n->leader_term || !str_eq(c->sent_vm, n->leader_vm);
+
+    if (changed) {
+        c->sent_term = n->leader_term;
+        str_replace(&c->sent_vm, n->leader_vm);
+    }
+    while ((p = map_next(c->pending, &cursor)) != NULL) {
+        if (n->now >= p->deadline) {
+            expire(c, p);
+            continue;
+        }
+        if (p->waiting && !p->forwarded &&
+            n->now - p->arrived > LEADERLESS_MAX_MS * NS_PER_MS) {
+            refuse(c, p, NODE__OUTCOME__UNAVAILABLE, "no leader is known");
+            continue;
+        }
+        if (changed || n->now >= p->resend_at) {
+            forward(c, p);
+        }
+    }
+}
+
+int64_t
+calls_next_deadline(const struct calls *c)
+{
+    int64_t deadline = DEADLINE_NONE;
+    struct pending *p;
+    void *cursor = NULL;
+
+    while ((p = map_next(c->pending, &cursor)) != NULL) {
+        int64_t due = p->resend_at < p->deadline ? p->resend_at : p->deadline;
+
+        deadline = due < deadline ? due : deadline;
+    }
+    return deadline;
+}
+
+size_t
+calls_open(const struct calls *c)
+{
+    return map_count(c->pending);
+}
--- /dev/null
+++ b/packages/node/group_join.c
@@ -0,0 +1,227 @@
+/*
+ * How control VMs become members. At the first start the seeds form the
+ * group; every other VM, and one that comes back without its data, asks the
+ * leader to be added. Members that are gone for good are removed.
+ */
+#include <string.h>
+
+#include "clock.h"
+#include "event.h"
+#include "internal.h"
+
+enum {
+    JOIN_INTERVAL_MS = 300,
+    SEEDS_MAX = 8,
+    /* Voters beyond which a silent one is removed once others replaced it. */
+    VOTERS_WANTED = 5,
+    /* Silence after which a VM counts as gone for good rather than
+     * restarting, when its place is taken. */
+    GONE_AFTER_MS = 4000,
+};
+
+static struct event_kind event_group = {.name = "group"};
+
+/* The peer address of a seed: its host with the port of this deployment. */
+static void
+peer_address(const struct node *n, struct str api, struct buf *out)
+{
+    struct str rest = api;
+    struct str host = str_cut(&rest, ':');
+
+    buf_printf(out, "%.*s:%u", STR_ARG(host), n->settings.peer_port);
+}
+
+void
+links_seeds(struct node *n)
+{
+    for (size_t i = 0; i < n->settings.seed_count; i++) {
+        struct buf address = {0};
+
+        peer_address(n, n->settings.seeds[i].address, &address);
+        links_add_target(n, buf_str(&address));
+        buf_free(&address);
+    }
+}
+
+bool
+group_is_member(const struct group *g)
+{
+    size_t count;
+    const struct raft_member *members = raft_members(g->raft, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        if (members[i].id == g->member_id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The link to the process that listens at a peer address. */
+static struct link *
+link_at(const struct node *n, struct str address)
+{
+    struct link *l;
+    void *cursor = NULL;
+
+    while ((l = map_next(n->links, &cursor)) != NULL) {
+        if (str_eq(l->address, address)) {
+            return l;
+        }
+    }
+    return NULL;
+}
+
+/* All seeds start with the same list; the first of them by address creates
+ * the group, once the others are seen without data. */
+static bool
+is_founder(const struct group *g, struct str own)
+{
+    const struct node *n = g->node;
+    bool listed = false;
+    bool first = true;
+
+    for (size_t i = 0; i < n->settings.seed_count; i++) {
+        struct buf address = {0};
+
+        peer_address(n, n->settings.seeds[i].address, &address);
+        listed = listed || str_eq(buf_str(&address), own);
+        first = first && str_cmp(own, buf_str(&address)) <= 0;
+        buf_free(&address);
+    }
+    return listed && first;
+}
+
+static void
+found(struct group *g)
+{
+    struct node *n = g->node;
+    struct raft_member members[SEEDS_MAX] = {0};
+    struct buf addresses[SEEDS_MAX] = {0};
+    size_t count = n->settings.seed_count;
+    bool ready = count <= SEEDS_MAX;
+
+    for (size_t i = 0; ready && i < count; i++) {
+        struct link *l;
+
+        peer_address(n, n->settings.seeds[i].address, &addresses[i]);
+        members[i].voter = true;
+        members[i].address = buf_str(&addresses[i]);
+        if (str_eq(members[i].address, n->settings.peer_listen)) {
+            members[i].id = g->member_id;
+            members[i].vm = n->settings.vm;
+            continue;
+        }
+        l = link_at(n, members[i].address);
+        ready = l != NULL && l->member_id != 0 && l->cluster_id == 0;
+        if (ready) {
+            members[i].id = l->member_id;
+            members[i].vm = l->vm;
+        }
+    }
+    if (ready && raft_bootstrap(g->raft, n->now, members, count) == RAFT_OK) {
+        event_write(&event_group, "outcome=created members=%zu", count);
+    }
+    for (size_t i = 0; i < SEEDS_MAX; i++) {
+        buf_free(&addresses[i]);
+    }
+}
+
+/* Tells every control VM in reach; the leader among them answers by adding
+ * this one. Others learn the address, which the founder needs. */
+static void
+ask_to_join(struct group *g)
+{
+    struct node *n = g->node;
+    Node__Join join = NODE__JOIN__INIT;
+    Node__Envelope envelope = NODE__ENVELOPE__INIT;
+    struct link *l;
+    void *cursor = NULL;
+
+    join.vm = (char *)n->settings.vm.ptr;
+    join.address = (char *)n->settings.peer_listen.ptr;
+    join.member = g->member_id;
+    envelope.msg_case = NODE__ENVELOPE__MSG_JOIN;
+    envelope.join = &join;
+    while ((l = map_next(n->links, &cursor)) != NULL) {
+        if (l->member_id != 0) {
+            link_send(l, &envelope);
+        }
+    }
+}
+
+void
+group_joined(struct group *g, const struct link *from, const Node__Join *join)
+{
+    const struct raft_member member = {
+        .id = join->member, .vm = from->vm, .address = str_of(join->address)};
+    size_t count;
+    const struct raft_member *members = raft_members(g->raft, &count);
+
+    str_replace(&((struct link *)from)->address, str_of(join->address));
+    if (g->node->lead == NULL || from->member_id != join->member) {
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (members[i].id == join->member) {
+            return;
+        }
+    }
+    if (raft_propose_config(g->raft, g->node->now, RAFT_ADD_LEARNER, &member,
+                            NULL) == RAFT_OK) {
+        event_write(&event_group,
+                    "outcome=learner-added other=%.*s "
+                    "member=%016llx",
+                    STR_ARG(from->vm), (unsigned long long)join->member);
+    }
+}
+
+static void
+remove_gone(struct group *g)
+{
+    size_t count;
+    const struct raft_member *members = raft_members(g->raft, &count);
+    size_t voters = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        voters += members[i].voter;
+    }
+    for (size_t i = 0; i < count && voters > VOTERS_WANTED; i++) {
+        struct raft_progress progress;
+
+        if (members[i].voter && members[i].id != g->member_id &&
+            raft_progress(g->raft, g->node->now, members[i].id, &progress) &&
+            !progress.active &&
+            raft_propose_config(g->raft, g->node->now, RAFT_REMOVE,
+                                &members[i], NULL) == RAFT_OK) {
+            event_write(&event_group, "outcome=voter-removed reason=silent");
+            return;
+        }
+    }
+}
+
+void
+group_join_step(struct group *g)
+{
+    struct node *n = g->node;
+    size_t count;
+
+    if (n->now < g->join_due) {
+        return;
+    }
+    g->join_due = n->now + JOIN_INTERVAL_MS * NS_PER_MS;
+    if (n->lead != NULL) {
+        remove_gone(g);
+    }
+    if (group_is_member(g) || g->failed) {
+        return;
+    }
+    raft_members(g->raft, &count);
+    if (count == 0 && n->settings.first_start && group_cluster_id(g) == 0 &&
+        is_founder(g, n->settings.peer_listen)) {
+        found(g);
+    }
+    if (!group_is_member(g)) {
+        ask_to_join(g);
+    }
+}
--- /dev/null
+++ b/packages/node/internal.h
@@ -0,0 +1,281 @@
+#ifndef GV_NODE_INTERNAL_H
+#define GV_NODE_INTERNAL_H
+
+#include "flow.h"
+#include "map.h"
+#include "node.h"
+#include "peer.h"
+#include "plan.h"
+#include "raft.h"
+#include "ring.h"
+#include "store.h"
+#include "upstream.h"
+
+struct group;
+struct lead;
+struct node_store;
+
+/* A session with another process. */
+struct link {
+    uint64_t id; /* never reused in this process */
+    struct peer_session *session;
+    struct str vm;
+    struct str address; /* that it announced when it joined; may be empty */
+    uint64_t member_id; /* 0: an entry */
+    uint64_t cluster_id;
+    uint32_t asks;       /* calls for approval under way there */
+    int64_t ask_cost_ms; /* their expected time */
+};
+
+struct node {
+    const char *path; /* of the settings file */
+    struct node_settings settings;
+    const struct node_adapter *adapter;
+    int64_t now;  /* read once per wake-up */
+    uint64_t run; /* random number of this process */
+    int epoll;
+    struct ring *call_ring;  /* of callers and operators */
+    struct ring *probe_ring; /* of the load balancer */
+    struct ring *upstream_ring;
+    struct ring *storage_ring; /* NULL on entries */
+    struct front *caller_front;
+    struct front *control_front;
+    struct front *probe_front;
+    struct upstream *upstream;
+    struct peer_hub *hub;
+    struct map *links; /* by id */
+    uint64_t last_link;
+    struct map *targets; /* addresses that a session is kept to */
+    struct group *group; /* NULL on entries */
+    struct lead *lead;   /* NULL unless this process leads */
+    struct calls *calls;
+    struct asker *asker;
+    /* The newest leader this process has heard of. */
+    uint64_t leader_term;
+    struct str leader_vm;
+    int64_t leader_since;
+    int64_t drain_until; /* 0: not stopping */
+    bool stop;
+};
+
+/* ---- storage.c: a thread that writes the log and snapshots ---- */
+
+enum disk_kind {
+    DISK_WRITE,
+    DISK_INSTALL,
+    DISK_READ,
+    DISK_SNAPSHOT,
+};
+
+struct disk_job {
+    enum disk_kind kind;
+    enum store_error error;
+    struct disk_job *next;
+    struct store_batch *batch; /* WRITE */
+    uint64_t number;           /* WRITE: for raft_synced */
+    struct raft_snapshot meta; /* INSTALL, SNAPSHOT; members is a copy */
+    struct buf bytes;
+    uint64_t to; /* READ: member */
+    uint64_t index;
+    uint64_t offset;
+    uint64_t total;
+    size_t len;
+    bool last;
+    bool reset_log;
+};
+
+struct disk;
+
+/* Takes store over. Finished jobs arrive on done. */
+struct disk *
+disk_create(struct store *store, struct ring *done);
+void
+disk_destroy(struct disk *d);
+struct disk_job *
+disk_job_create(enum disk_kind kind);
+void
+disk_job_free(struct disk_job *job);
+
+/* Queues a job, which the disk owns until it is done. */
+void
+disk_submit(struct disk *d, struct disk_job *job);
+
+/* Queues what raft asks to write; merges with a write that waits. */
+void
+disk_write(struct disk *d, const struct raft_output *out);
+
+/* Call for each job popped from done. */
+void
+disk_done(struct disk *d);
+
+/* ---- group.c: this VM's member of the replicated state ---- */
+
+struct group {
+    struct node *node;
+    struct raft *raft;
+    struct flow_state *state;
+    struct disk *disk;
+    uint64_t member_id;
+    uint64_t snapshot_index;
+    uint64_t log_bytes; /* applied since the last snapshot */
+    struct buf install; /* snapshot that is being received */
+    int64_t join_due;
+    int64_t prune_due;
+    bool snapshot_busy;
+    bool has_data;
+    bool failed;
+    uint64_t hinted_term;
+    uint64_t hinted_leader;
+};
+
+struct group *
+group_create(struct node *n);
+void
+group_destroy(struct group *g);
+void
+group_receive(struct group *g, const struct link *from, struct str bytes);
+void
+group_disk_done(struct group *g, struct disk_job *job);
+void
+group_step(struct group *g);
+int64_t
+group_next_deadline(const struct group *g);
+
+/* Whether this member leads and its state is current at this moment. */
+bool
+group_leads(const struct group *g);
+
+/* Proposes a batch; 0 when it cannot be, otherwise its index. */
+uint64_t
+group_propose(struct group *g, struct str batch);
+uint64_t
+group_cluster_id(const struct group *g);
+void
+group_hint(struct group *g, struct link *to);
+
+/* group_join.c */
+void
+group_join_step(struct group *g);
+void
+group_joined(struct group *g, const struct link *from, const Node__Join *join);
+bool
+group_is_member(const struct group *g);
+
+/* ---- links.c ---- */
+
+bool
+links_open(struct node *n, char *error, size_t error_size);
+void
+links_close(struct node *n);
+void
+link_send(struct link *l, const Node__Envelope *envelope);
+struct link *
+link_to(const struct node *n, struct str vm);
+
+/* Keeps a session to the address of a control VM. */
+void
+links_add_target(struct node *n, struct str address);
+void
+links_seeds(struct node *n);
+
+/* The link to the leader; NULL when it is this process or is not known. */
+struct link *
+links_leader(const struct node *n);
+
+/* ---- calls.c: calls of callers and operators at this process ---- */
+
+struct calls *
+calls_create(struct node *n);
+void
+calls_destroy(struct calls *c);
+void
+calls_take(struct calls *c, struct front_item *item);
+void
+calls_reply(struct calls *c, const Node__Reply *reply);
+void
+calls_link_down(struct calls *c, uint64_t link);
+void
+calls_step(struct calls *c);
+int64_t
+calls_next_deadline(const struct calls *c);
+size_t
+calls_open(const struct calls *c);
+
+/* ---- asker.c: calls to the approval service from this process ---- */
+
+struct asker *
+asker_create(struct node *n);
+void
+asker_destroy(struct asker *a);
+
+/* from NULL: the leader in this process asks. */
+void
+asker_ask(struct asker *a, struct link *from, const Node__Ask *ask);
+
+/* ---- outgoing HTTP ---- */
+
+struct out_call;
+
+/* Called once with the result; the call is freed afterwards. */
+typedef void
+out_done(struct node *n, struct out_call *call,
+         const struct upstream_result *result);
+
+struct out_call {
+    struct node_http http;
+    struct str address;
+    out_done *done;
+    uint64_t id;
+    /* The caller's. */
+    struct node_call call;
+    struct node_task task;
+    uint32_t worker;
+    uint64_t term;
+    uint64_t link;
+    uint64_t ask;
+    int64_t sent;
+};
+
+/* Frees the call when it could not be sent, and returns false. */
+bool
+out_send(struct node *n, struct out_call *call, int64_t deadline);
+void
+out_take(struct node *n, struct upstream_result *result);
+
+/* ---- lead.c: what the leader does ---- */
+
+/* Where a reply goes: a link, or with link 0 this process. */
+struct requester {
+    uint64_t link;
+    uint64_t id;
+};
+
+struct lead *
+lead_create(struct node *n, uint64_t term);
+void
+lead_destroy(struct lead *l);
+uint64_t
+lead_term(const struct lead *l);
+void
+lead_request(struct lead *l, struct requester from, const Node__Request *req);
+
+/* An entry of the log was applied. */
+void
+lead_applied(struct lead *l, uint64_t index, uint64_t term);
+void
+lead_answer(struct lead *l, const Node__Answer *answer, uint64_t link);
+void
+lead_link_down(struct lead *l, uint64_t link);
+void
+lead_step(struct lead *l);
+int64_t
+lead_next_deadline(const struct lead *l);
+
+/* Refuses a request because this process does not lead. */
+void
+request_refuse(struct node *n, struct requester from, Node__Outcome outcome,
+               const char *reason, uint32_t retry_after_ms);
+void
+request_reply(struct node *n, struct requester from, Node__Reply *reply);
+
+#endif
--- /dev/null
+++ b/packages/node/lead.h
@@ -0,0 +1,113 @@
+#ifndef GV_NODE_LEAD_H
+#define GV_NODE_LEAD_H
+
+#include "internal.h"
+
+/* The leader's parts; its state is rebuilt by each new leader. */
+
+/* A request that is answered once its batch is committed. */
+struct waiter {
+    struct requester from;
+    int kind; /* Node__Request kind_case */
+    uint64_t job;
+    bool cancel;
+    uint64_t version;
+    struct str document;
+};
+
+/* Commands that are being committed. */
+struct lead_batch {
+    struct lead_batch *next;
+    uint64_t index;
+    struct waiter *waiters;
+    size_t waiter_count;
+    size_t waiter_cap;
+    bool plan;
+};
+
+struct packed {
+    uint8_t *data;
+    size_t len;
+};
+
+/* A committed start in the making. */
+struct planned_start {
+    struct node_task task;
+    uint32_t worker;
+    char ticket[PLAN_TICKET_BYTES];
+};
+
+struct lead {
+    struct node *node;
+    struct flow_state *state; /* the group's */
+    uint64_t term;
+    int64_t began;
+    struct packed *commands; /* to propose */
+    size_t command_count;
+    size_t command_cap;
+    struct lead_batch *filling; /* for these commands */
+    struct lead_batch *first;   /* being committed, in order */
+    struct lead_batch *last;
+    struct map *sessions; /* by worker number */
+    struct map *asks;     /* by id */
+    uint64_t last_ask;
+    bool plan_busy; /* starts are being committed */
+    bool dirty;     /* something changed that placement depends on */
+    int64_t plan_due;
+    struct plan plan;
+    struct planned_start *planned;
+    size_t planned_count;
+    int64_t scan_due;
+};
+
+/* Queues a command for the next batch. */
+void
+lead_command(struct lead *l, const Flow__Command *command);
+
+/* The batch that the queued commands will be part of. */
+struct lead_batch *
+lead_filling(struct lead *l);
+
+/* ---- lead_plan.c: placement ---- */
+
+void
+lead_plan_step(struct lead *l);
+
+/* The batch with the starts of the last plan was applied. */
+void
+lead_plan_applied(struct lead *l);
+void
+lead_asks_free(struct lead *l);
+
+/* ---- workers.c: the leader's sessions with workers ---- */
+
+struct session;
+
+void
+workers_step(struct lead *l);
+int64_t
+workers_next_deadline(const struct lead *l);
+void
+workers_destroy(struct lead *l);
+
+/* What a worker announced, on its own clock. */
+void
+workers_beat(struct lead *l, const struct flow_worker *w, int64_t clock_ms);
+
+/* The worker deregistered: it ends, and may have ended already. */
+void
+workers_left(struct lead *l, const struct flow_worker *w);
+
+/* Tells the worker to start a run that is committed. */
+void
+workers_start(struct lead *l, const struct planned_start *start);
+
+/* A batch could not be proposed: what it held is proposed again. */
+void
+workers_proposal_failed(struct lead *l);
+
+/* Number of the last announcement heard from the worker, to tell late ones. */
+uint64_t *
+workers_beat_sequence(struct lead *l, const struct flow_worker *w);
+
+#endif
--- /dev/null
+++ b/packages/node/lead_plan.c
@@ -0,0 +1,279 @@
+/*
+ * Carries out what the planner decides: commits starts, and spreads calls
+ * for approval over the VMs.
+ */
+#include "lead.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "clock.h"
+#include "event.h"
+#include "mem.h"
+
+enum {
+    /* Decisions of one batch: a few milliseconds of the leader's time. */
+    STARTS_MAX = 400,
+    ASKS_MAX = 64,
+    /* Between two rounds, so that one round weighs what came meanwhile. */
+    PLAN_INTERVAL_MS = 4,
+    /* An approval call may queue behind others of the same VM. */
+    ASK_TIMEOUT_EXTRA_MS = 2500,
+    /* Calls that one VM has under way: the service queues 32 of a machine. */
+    ASKS_PER_VM = 3,
+    /* A ticket's age when it reaches the leader is not known: it was issued
+     * before the answer travelled through another VM. */
+    TICKET_TRAVEL_MS = 40,
+};
+
+static struct event_kind event_start = {.name = "start", .per_second = 200};
+
+/* A call for approval that is under way at some VM. */
+struct ask {
+    uint64_t id;
+    uint64_t link; /* 0: this process */
+    Flow__Task task;
+    uint32_t workers[PLAN_ASK_MAX];
+    size_t count;
+    int64_t deadline;
+    int64_t cost_ms;
+    uint32_t ticket_ms;
+};
+
+void
+lead_asks_free(struct lead *l)
+{
+    struct ask *a;
+    void *cursor = NULL;
+
+    while ((a = map_next(l->asks, &cursor)) != NULL) {
+        struct link *link = map_get_u64(l->node->links, a->link);
+
+        if (link != NULL) {
+            link->asks = 0;
+            link->ask_cost_ms = 0;
+        }
+        mem_free(a);
+    }
+    map_destroy(l->asks);
+}
+
+/* The VM with the least approval work; the leader has enough to do. */
+static struct link *
+least_asked(const struct lead *l)
+{
+    struct link *best = NULL;
+    struct link *link;
+    void *cursor = NULL;
+
+    while ((link = map_next(l->node->links, &cursor)) != NULL) {
+        if (link->asks < ASKS_PER_VM &&
+            (best == NULL || link->ask_cost_ms < best->ask_cost_ms)) {
+            best = link;
+        }
+    }
+    return best;
+}
+
+static void
+ask_workers(struct lead *l, const struct plan_ask *in, struct link *link)
+{
+    const struct flow_queue *q = in->job->queue;
+    struct ask *a = mem_zalloc(1, sizeof(*a));
+    Node__Ask ask = NODE__ASK__INIT;
+    Node__Envelope envelope = NODE__ENVELOPE__INIT;
+    char *names[PLAN_ASK_MAX];
+
+    a->id = ++l->last_ask;
+    a->link = link->id;
+    flow__task__init(&a->task);
+    a->task.job = in->job->id;
+    a->task.occurrence = in->occurrence->number;
+    a->task.step = (uint32_t)(in->step - in->occurrence->steps);
+    a->ticket_ms = q->ticket_ms;
+    for (size_t i = 0; i < in->count; i++) {
+        struct flow_worker *w = flow_worker(l->state, in->workers[i]);
+
+        a->workers[a->count++] = in->workers[i];
+        names[ask.n_workers++] = (char *)w->id.ptr;
+    }
+    a->cost_ms =
+        q->approval_ms + (int64_t)in->count * q->approval_worker_us / 1000;
+    ask.id = a->id;
+    ask.job = a->task.job;
+    ask.occurrence = a->task.occurrence;
+    ask.step = a->task.step;
+    ask.workers = names;
+    ask.timeout_ms =
+        (uint32_t)(link->ask_cost_ms + a->cost_ms * 2) + ASK_TIMEOUT_EXTRA_MS;
+    a->deadline = l->node->now + (ask.timeout_ms + 200) * NS_PER_MS;
+    plan_asked(in->step, a->deadline);
+    map_put_u64(l->asks, a->id, a);
+    link->asks++;
+    link->ask_cost_ms += a->cost_ms;
+    envelope.msg_case = NODE__ENVELOPE__MSG_ASK;
+    envelope.ask = &ask;
+    link_send(link, &envelope);
+}
+
+static void
+ask_done(struct lead *l, struct ask *a)
+{
+    struct link *link = map_get_u64(l->node->links, a->link);
+
+    if (link != NULL && link->asks > 0) {
+        link->asks--;
+        link->ask_cost_ms -= a->cost_ms;
+    }
+    map_del_u64(l->asks, a->id);
+    mem_free(a);
+}
+
+static const Node__Ticket *
+ticket_of(const Node__Answer *answer, struct str worker)
+{
+    for (size_t i = 0; i < answer->n_approved; i++) {
+        if (str_eq(str_of(answer->approved[i]->worker), worker)) {
+            return answer->approved[i];
+        }
+    }
+    return NULL;
+}
+
+void
+lead_answer(struct lead *l, const Node__Answer *answer, uint64_t from)
+{
+    struct ask *a = map_get_u64(l->asks, answer->id);
+    struct flow_step *step = NULL;
+    int64_t valid_until;
+
+    if (a == NULL || a->link != from) {
+        return;
+    }
+    valid_until =
+        l->node->now + ((int64_t)a->ticket_ms - TICKET_TRAVEL_MS) * NS_PER_MS;
+    if (flow_task(l->state, &a->task, &step) != NULL) {
+        plan_asked(step, 0);
+        for (size_t i = 0; answer->ok && i < a->count; i++) {
+            struct flow_worker *w = flow_worker(l->state, a->workers[i]);
+            const Node__Ticket *t =
+                w == NULL ? NULL : ticket_of(answer, w->id);
+
+            if (w != NULL) {
+                plan_verdict(step, w->number, t != NULL,
+                             t == NULL ? str_from(NULL, 0) : str_of(t->ticket),
+                             valid_until);
+            }
+        }
+    }
+    l->dirty = true;
+    ask_done(l, a);
+}
+
+static void
+expire_asks(struct lead *l)
+{
+    struct ask *a;
+    void *cursor = NULL;
+
+    while ((a = map_next(l->asks, &cursor)) != NULL) {
+        if (l->node->now >= a->deadline) {
+            struct flow_step *step;
+
+            if (flow_task(l->state, &a->task, &step) != NULL) {
+                plan_asked(step, 0);
+            }
+            l->dirty = true;
+            ask_done(l, a);
+        }
+    }
+}
+
+static size_t
+asks_possible(const struct lead *l)
+{
+    struct link *link;
+    void *cursor = NULL;
+    size_t n = 0;
+
+    while ((link = map_next(l->node->links, &cursor)) != NULL) {
+        n += link->asks < ASKS_PER_VM ? ASKS_PER_VM - link->asks : 0;
+    }
+    return n < ASKS_MAX ? n : ASKS_MAX;
+}
+
+static void
+commit_start(struct lead *l, const struct plan_start *in)
+{
+    Flow__Command command = FLOW__COMMAND__INIT;
+    Flow__Task task = FLOW__TASK__INIT;
+    struct planned_start *out = &l->planned[l->planned_count++];
+
+    out->task.job = in->job->id;
+    out->task.occurrence = in->occurrence->number;
+    out->task.step = (uint32_t)(in->step - in->occurrence->steps);
+    out->task.index = in->index;
+    out->task.run = in->run;
+    out->worker = in->worker->number;
+    memcpy(out->ticket, in->ticket, sizeof(out->ticket));
+    task.job = out->task.job;
+    task.occurrence = out->task.occurrence;
+    task.step = out->task.step;
+    task.index = out->task.index;
+    task.run = out->task.run;
+    task.worker = out->worker;
+    command.kind_case = FLOW__COMMAND__KIND_START;
+    command.start = &task;
+    lead_command(l, &command);
+    event_write(&event_start,
+                "job=%016llx task=%u.%u.%u run=%u worker=%.*s "
+                "waited_ms=%lld used_cpu=%llu",
+                (unsigned long long)in->job->id, out->task.occurrence,
+                out->task.step, out->task.index, in->run,
+                STR_ARG(in->worker->id),
+                (long long)((l->node->now - in->job->seen_at) / NS_PER_MS),
+                (unsigned long long)in->worker->used.cpu_milli);
+}
+
+void
+lead_plan_step(struct lead *l)
+{
+    const struct plan_limits limits = {STARTS_MAX, asks_possible(l)};
+
+    expire_asks(l);
+    if (!l->dirty || l->plan_busy || l->node->now < l->plan_due) {
+        return;
+    }
+    l->dirty = false;
+    l->plan_due = l->node->now + PLAN_INTERVAL_MS * NS_PER_MS;
+    plan_make(l->state, l->node->now, &limits, &l->plan);
+    for (size_t i = 0; i < l->plan.ask_count; i++) {
+        struct link *link = least_asked(l);
+
+        if (link == NULL) {
+            break;
+        }
+        ask_workers(l, &l->plan.asks[i], link);
+    }
+    if (l->plan.start_count == 0) {
+        return;
+    }
+    l->planned =
+        mem_realloc(l->planned, l->plan.start_count, sizeof(*l->planned));
+    l->planned_count = 0;
+    for (size_t i = 0; i < l->plan.start_count; i++) {
+        commit_start(l, &l->plan.starts[i]);
+    }
+    l->plan_busy = true;
+    lead_filling(l)->plan = true;
+}
+
+void
+lead_plan_applied(struct lead *l)
+{
+    l->plan_busy = false;
+    for (size_t i = 0; i < l->planned_count; i++) {
+        workers_start(l, &l->planned[i]);
+    }
+    l->planned_count = 0;
+}
--- a/packages/platform/package.mk
+++ /dev/null
@@ -1,1 +0,0 @@
-platform_DEPS := base
--- /dev/null
+++ b/packages/probe/package.mk
@@ -0,0 +1,1 @@
+probe_DEPS := base
--- a/tests/support/bodies.c
+++ b/tests/support/bodies.c
@@ -35,7 +35,7 @@
 CODEC(operator_workers)
 CODEC(operator_endpoints)
 CODEC(operator_team_list)
-CODEC(platform_probe)
+CODEC(probe_answer)
 
 #define BODY(body, text)                                                      \
     {                                                                         \
@@ -119,7 +119,7 @@
          "\"used\":" RESOURCES
          ",\"share_ppm\":250000,\"entitlement_ppm\":500000,"
          "\"jobs_queued\":1,\"jobs_running\":2,\"queued_since_ms\":7}]}"),
-    BODY(platform_probe, "{\"ok\":false,\"reason\":\"draining\"}"),
+    BODY(probe_answer, "{\"ok\":false,\"reason\":\"draining\"}"),
 };
 
 const size_t body_count = sizeof(bodies) / sizeof(bodies[0]);
--- a/tests/support/bodies.h
+++ b/tests/support/bodies.h
@@ -4,7 +4,7 @@
 #include "caller.h"
 #include "endpoint.h"
 #include "operator.h"
-#include "platform.h"
+#include "probe.h"
 #include "worker.h"
 
 /* All JSON bodies of the API with an example of each. */
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -204,7 +204,7 @@
 
 static const struct api_table *const tables[] = {
     &caller_routes, &endpoint_routes, &worker_routes, &operator_routes,
-    &platform_routes};
+    &probe_routes};
 
 static int
 find(enum http_method method, const char *path, struct api_match *m)
