--- a/packages/node/calls.c
+++ b/packages/node/calls.c
@@ -8,16 +8,13 @@
 #include "event.h"
 #include "internal.h"
 #include "mem.h"
+#include "patience.h"
 
 enum {
     DEFAULT_TIMEOUT_MS = 3000, /* of callers that do not say */
-    /* Without a leader for so long, a call is refused at once: elections take
-     * less unless most control VMs are lost. */
-    LEADERLESS_MAX_MS = 1500,
     /* For the answer's way back to the caller. */
     ANSWER_MARGIN_MS = 60,
-    RESEND_MS = 1000,      /* a leader that does not answer may have failed */
-    RETRY_AFTER_MS = 1000, /* an election */
+    RESEND_MS = 600,      /* a leader that does not answer may have failed */
 };
 
 struct pending {
@@ -38,6 +35,8 @@
     uint64_t last;
     uint64_t sent_term; /* leader that open requests were sent to */
     struct str sent_vm;
+    bool leader_known;
+    int64_t lost_since; /* when there was a leader last */
 };
 
 static struct event_kind event_call = {.name = "call", .per_second = 60};
@@ -50,6 +49,7 @@
     struct calls *c = mem_zalloc(1, sizeof(*c));
 
     c->node = n;
+    c->lost_since = n->now;
     c->pending = map_create();
     return c;
 }
@@ -81,15 +81,27 @@
     pending_free(c, p);
 }
 
+static struct patience
+patience_of(const struct calls *c, const struct pending *p)
+{
+    return (struct patience){.arrived = p->arrived,
+                             .deadline = p->deadline,
+                             .forwarded = p->forwarded,
+                             .leader_known = c->leader_known,
+                             .lost_since = c->lost_since};
+}
+
 static void
 refuse(struct calls *c, struct pending *p, Node__Outcome outcome,
        const char *reason)
 {
     Node__Reply reply = NODE__REPLY__INIT;
 
+    struct patience patience = patience_of(c, p);
+
     reply.outcome = outcome;
     reply.reason = (char *)reason;
-    reply.retry_after_ms = RETRY_AFTER_MS;
+    reply.retry_after_ms = patience_retry_ms(&patience, c->node->now);
     answer(c, p, &reply);
 }
 
@@ -245,20 +257,21 @@
     bool changed =
         c->sent_term != n->leader_term || !str_eq(c->sent_vm, n->leader_vm);
 
+    c->leader_known = n->lead != NULL || links_leader(n) != NULL;
+    if (c->leader_known) {
+        c->lost_since = n->now;
+    }
     if (changed) {
         c->sent_term = n->leader_term;
         str_replace(&c->sent_vm, n->leader_vm);
     }
     while ((p = map_next(c->pending, &cursor)) != NULL) {
-        if (n->now >= p->deadline) {
+        struct patience patience = patience_of(c, p);
+
+        if (n->now >= patience_ends(&patience)) {
             expire(c, p);
             continue;
         }
-        if (p->waiting && !p->forwarded &&
-            n->now - p->arrived > LEADERLESS_MAX_MS * NS_PER_MS) {
-            refuse(c, p, NODE__OUTCOME__UNAVAILABLE, "no leader is known");
-            continue;
-        }
         if (changed || n->now >= p->resend_at) {
             forward(c, p);
         }
@@ -273,7 +286,9 @@
     void *cursor = NULL;
 
     while ((p = map_next(c->pending, &cursor)) != NULL) {
-        int64_t due = p->resend_at < p->deadline ? p->resend_at : p->deadline;
+        struct patience patience = patience_of(c, p);
+        int64_t ends = patience_ends(&patience);
+        int64_t due = p->resend_at < ends ? p->resend_at : ends;
 
         deadline = due < deadline ? due : deadline;
     }
--- /dev/null
+++ b/packages/node/patience.c
@@ -0,0 +1,47 @@
+#include "patience.h"
+
+#include "clock.h"
+
+enum {
+    /* An undisturbed election. */
+    ELECTION_MS = 700,
+    /* Without a leader for so long, the group is down rather than electing,
+     * and waiting does not help. */
+    DOWN_MS = 1500,
+    /* A call that no leader has seen may be told so; it waits for a part of
+     * an election. */
+    UNSENT_MS = 350,
+    /* One that a leader may have acted on has an unknown outcome; it waits
+     * for an election and the new leader's answer. */
+    SENT_MS = 1200,
+    /* Of the caller's time, so that it can try once more. */
+    SHARE_PERCENT = 40,
+    RETRY_MIN_MS = 1000,
+    RETRY_MAX_MS = 2000,
+};
+
+int64_t
+patience_ends(const struct patience *p)
+{
+    int64_t most = p->forwarded ? SENT_MS : UNSENT_MS;
+    int64_t share = (p->deadline - p->arrived) / 100 * SHARE_PERCENT;
+    int64_t ends = p->arrived + most * NS_PER_MS;
+
+    if (!p->leader_known && !p->forwarded &&
+        p->arrived > p->lost_since + DOWN_MS * NS_PER_MS) {
+        return p->arrived;
+    }
+    return ends < p->arrived + share ? ends : p->arrived + share;
+}
+
+/* What has lasted long lasts longer; callers give up after a few seconds. */
+uint32_t
+patience_retry_ms(const struct patience *p, int64_t now)
+{
+    int64_t down = p->leader_known ? 0 : (now - p->lost_since) / NS_PER_MS;
+
+    if (down < ELECTION_MS * 2) {
+        return RETRY_MIN_MS;
+    }
+    return down > RETRY_MAX_MS ? RETRY_MAX_MS : (uint32_t)down;
+}
