--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -90,6 +90,7 @@
     bool guarded; /* the service's workers refuse what does not fit */
     bool configured;
     uint32_t pending; /* jobs of which no task has started */
+    double bias_log;  /* of the leader: learned, see plan_observe */
 };
 
 struct flow_task {
@@ -100,6 +101,7 @@
     bool assigned; /* run may exist on worker */
     bool done;
     struct str checkpoint;
+    int64_t started_at; /* of the leader: its time of the start, or 0 */
 };
 
 struct flow_approval;
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -32,11 +32,13 @@
 
 /* What the leader knows of a worker beyond the replicated state. */
 struct plan_worker {
-    bool usable;              /* answers, under a lease, and is not draining */
-    int64_t avoid_until;      /* it failed lately */
-    double speed;             /* of its tasks, 1 is nominal */
-    struct flow_size planned; /* by decisions of this round */
-    int64_t avoided_service_until;
+    bool usable;         /* answers, under a lease, and is not draining */
+    int64_t avoid_until; /* it failed lately */
+    /* Logarithm of its run times over the expected ones, and when a run was
+     * last observed; see plan_observe. */
+    double slowness_log;
+    int64_t observed_at;
+    size_t slot; /* of the planner: its place in this round */
 };
 
 struct plan_start {
@@ -72,6 +74,24 @@
     size_t asks;   /* most calls for approval that may begin now */
 };
 
+/*
+ * Learns from a run, finished or projected from its progress, how fast the
+ * worker is and how far the queue's estimates are off. Both are kept as
+ * logarithms, because ratios scatter evenly around their mean there.
+ */
+void
+plan_observe(struct flow_worker *w, struct flow_queue *q, double run_ms,
+             double estimate_ms, int64_t now);
+
+/* Speed of the worker, 1 is nominal. What was learned fades. */
+double
+plan_speed(const struct plan_worker *p, int64_t now);
+
+/* Expected run time in ms of a task of the step on a worker of that speed. */
+double
+plan_run_ms(const struct flow_job *j, const struct flow_step *step,
+            double speed);
+
 /* The session of a worker as the planner sees it. */
 struct plan_worker *
 plan_worker(const struct flow_worker *w);
--- a/packages/node/calls.c
+++ b/packages/node/calls.c
@@ -14,7 +14,7 @@
     DEFAULT_TIMEOUT_MS = 3000, /* of callers that do not say */
     /* For the answer's way back to the caller. */
     ANSWER_MARGIN_MS = 60,
-    RESEND_MS = 600,      /* a leader that does not answer may have failed */
+    RESEND_MS = 600, /* a leader that does not answer may have failed */
 };
 
 struct pending {
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -15,6 +15,7 @@
 #include "clock.h"
 #include "event.h"
 #include "mem.h"
+#include "progress.h"
 
 enum {
     /* Between a worker's call for ends and its renewal: the lease must
@@ -51,8 +52,11 @@
 struct run {
     struct node_task task;
     enum run_phase phase;
-    int64_t since; /* in this phase */
-    bool ending;   /* its end is being committed */
+    int64_t since;      /* in this phase */
+    bool ending;        /* its end is being committed */
+    int64_t started;    /* 0 until the worker has confirmed it */
+    uint32_t percent;   /* of its work, as listed last */
+    int64_t progressed; /* when percent last changed */
     char ticket[PLAN_TICKET_BYTES];
 };
 
@@ -81,6 +85,7 @@
 static struct event_kind event_end = {.name = "end", .per_second = 200};
 static struct event_kind event_call = {.name = "worker-call",
                                        .per_second = 60};
+static struct event_kind event_slow = {.name = "run-slow", .per_second = 40};
 static struct event_kind event_lost = {.name = "worker-lost"};
 
 static uint64_t
@@ -157,7 +162,6 @@
 
     s->number = w->number;
     s->runs = map_create();
-    s->plan.speed = 1;
     s->retry_ms = RETRY_MIN_MS;
     s->expires = l->node->now +
                  longest_lease(l, (int64_t)l->node->settings.lease_max_ms);
@@ -446,6 +450,22 @@
     }
 }
 
+/* The planner expects the room back after the run's expected time. */
+static void
+note_started(struct lead *l, const struct session *s,
+             const struct node_task *task)
+{
+    struct flow_step *step;
+    Flow__Task ref;
+    struct flow_task *t;
+
+    fill_task(&ref, task, s->number);
+    t = flow_task(l->state, &ref, &step);
+    if (t != NULL && t->run == task->run) {
+        t->started_at = l->node->now;
+    }
+}
+
 static void
 start_done(struct node *n, struct out_call *call,
            const struct upstream_result *result)
@@ -475,6 +495,8 @@
     if (r != NULL && r->phase == RUN_SENT) {
         if (decoded.refusal == NODE_REFUSAL_NONE) {
             set_phase(n->lead, r, RUN_ACTIVE);
+            r->started = n->now;
+            note_started(n->lead, s, &r->task);
         }
         else {
             start_refused(n->lead, s, r, decoded.refusal);
@@ -573,6 +595,54 @@
     }
 }
 
+/*
+ * Follows a run's progress: learns how fast the worker is, and stops a run
+ * that stands still or is so slow that another worker does it sooner.
+ */
+static void
+see_progress(struct lead *l, struct session *s, struct run *r,
+             const struct node_running *in)
+{
+    struct flow_worker *w = flow_worker(l->state, s->number);
+    const struct flow_job *j = flow_job(l->state, r->task.job);
+    struct flow_step *step;
+    Flow__Task ref;
+    struct run_progress progress = {.now = l->node->now};
+
+    fill_task(&ref, &r->task, s->number);
+    if (r->started == 0 || in->percent != r->percent || r->progressed == 0) {
+        r->started = r->started == 0 ? l->node->now : r->started;
+        r->percent = in->percent;
+        r->progressed = l->node->now;
+    }
+    if (j == NULL || flow_task(l->state, &ref, &step) == NULL ||
+        step->spec->endless || r->phase != RUN_ACTIVE) {
+        return;
+    }
+    progress.started = r->started;
+    progress.progressed = r->progressed;
+    progress.percent = r->percent;
+    progress.run = r->task.run;
+    progress.expected_ms = plan_run_ms(j, step, 1);
+    progress.checkpoints = step->spec->checkpoints;
+    if (progress_projected_ms(&progress) > 0) {
+        plan_observe(w, j->queue, progress_projected_ms(&progress),
+                     step->spec->estimate_ms, l->node->now);
+    }
+    if (progress_restart(&progress)) {
+        event_write(&event_slow,
+                    "job=%016llx task=%u.%u.%u run=%u worker=%.*s percent=%u "
+                    "elapsed_ms=%lld expected_ms=%.0f outcome=stopped",
+                    (unsigned long long)r->task.job, r->task.occurrence,
+                    r->task.step, r->task.index, r->task.run, STR_ARG(w->id),
+                    r->percent,
+                    (long long)((l->node->now - r->started) / NS_PER_MS),
+                    progress.expected_ms);
+        avoid(l, s, AVOID_MS);
+        set_phase(l, r, RUN_STOP_QUEUED);
+    }
+}
+
 static void
 see_running(struct lead *l, struct session *s,
             const struct node_result *result, int64_t sent)
@@ -590,6 +660,7 @@
             set_phase(l, r, RUN_ACTIVE);
         }
         r->ending = false;
+        see_progress(l, s, r, &result->running[i]);
     }
     while ((r = map_next(s->runs, &cursor)) != NULL) {
         bool listed = false;
@@ -619,6 +690,15 @@
 static void
 note_outcome(struct lead *l, struct session *s, const struct node_ended *e)
 {
+    struct run *r = run_of(s, &e->task);
+    struct flow_job *j = flow_job(l->state, e->task.job);
+
+    if (e->how == FLOW_END_DONE && r != NULL && r->started != 0 && j != NULL &&
+        e->task.step < j->spec->n_steps) {
+        plan_observe(flow_worker(l->state, s->number), j->queue,
+                     (double)(l->node->now - r->started) / NS_PER_MS,
+                     j->spec->steps[e->task.step]->estimate_ms, l->node->now);
+    }
     if (e->how == FLOW_END_DONE) {
         s->failures = 0;
         return;
