--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -13,7 +13,7 @@
 
 enum {
     /* Reservations of one round: each binds several workers. */
-    RESERVATIONS_MAX = 6,
+    RESERVATIONS_MAX = 0,
 };
 
 /* From then on the worker has room for so many more tasks. */
--- a/packages/node/group.c
+++ b/packages/node/group.c
@@ -10,9 +10,9 @@
 #include "mem.h"
 
 enum {
-    ELECTION_TIMEOUT_MS = 450, /* several round trips between domains, and a
+    ELECTION_TIMEOUT_MS = 300, /* several round trips between domains, and a
                                   write to a slow disk */
-    RAFT_HEARTBEAT_MS = 90,    /* five within the election timeout */
+    RAFT_HEARTBEAT_MS = 60,    /* five within the election timeout */
     SNAPSHOT_READ_BYTES = 1 << 20,
     /* Applied log bytes after which a snapshot replaces the log: a few times
      * the state, so that the disk holds little and snapshots are rare. */
--- a/packages/node/progress.c
+++ b/packages/node/progress.c
@@ -6,12 +6,14 @@
     /* Progress is listed in whole percent, about once a second. */
     STALL_MIN_MS = 2500,
     STALL_PERCENT = 30, /* of the expected run time */
-    /* Too early to project. */
-    PROJECT_MIN_MS = 250,
-    PROJECT_MIN_PERCENT = 4,
+    /* Too early to project: what is listed lags, and a start takes time. */
+    PROJECT_MIN_MS = 1000,
+    PROJECT_MIN_PERCENT = 10,
     /* A restart pays when the rest takes this many times a whole run. */
     SLOW_FACTOR = 2,
     SLOW_MIN_MS = 2000,
+    /* Estimates are off by up to so much, which is no reason to restart. */
+    OVERDUE_FACTOR = 2,
     /* Starts after which slowness is taken for the task's own. */
     RESTARTS_MAX = 4,
 };
@@ -51,6 +53,9 @@
     if (p->run >= RESTARTS_MAX || p->percent >= 100) {
         return false;
     }
+    if (stalled(p)) {
+        return true;
+    }
     if (p->checkpoints) {
         again = again * (100 - p->percent) / 100;
     }
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -625,7 +625,8 @@
     progress.run = r->task.run;
     progress.expected_ms = plan_run_ms(j, step, 1);
     progress.checkpoints = step->spec->checkpoints;
-    if (progress_projected_ms(&progress) > 0) {
+    /* A run that is on time is counted when it ends. */
+    if (progress_projected_ms(&progress) > progress.expected_ms * 2) {
         plan_observe(w, j->queue, progress_projected_ms(&progress),
                      step->spec->estimate_ms, l->node->now);
     }
