--- a/Makefile
+++ b/Makefile
@@ -134,6 +134,11 @@
 $(OUT)/soak: $(OUT)/tests/soak.o $(TEST_SUPPORT_OBJS) $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
 
+# The planner's model is shared with its test.
+$(OUT)/bench/bench_flow: $(OUT)/bench/bench_flow.o \
+		$(OUT)/tests/support/flow_world.o $(LIBGV)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
+
 $(OUT)/bench/%: $(OUT)/bench/%.o $(BENCH_SUPPORT_OBJS) $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
 
--- a/packages/flow/ask.c
+++ b/packages/flow/ask.c
@@ -67,7 +67,7 @@
         out[n].worker = v->worker->number;
         out[n].known = known != NULL;
         out[n].room = empty ? size_count(v->worker->capacity, size)
-                      : view_unreserved(v, size, ends)
+                      : view_unreserved(v, size, c->priority, ends)
                           ? size_count(view_free(v), size)
                           : 0;
         n++;
@@ -132,7 +132,10 @@
     }
 }
 
-/* Tickets for the workers that are reserved, shortly before they are free. */
+/*
+ * Tickets shortly before a reservation begins, for all approved workers: room
+ * becomes free earlier on some and later on others than was expected.
+ */
 static void
 ask_reserved(struct round *r, const struct candidate *c, int64_t fits)
 {
@@ -149,7 +152,8 @@
         const struct flow_verdict *known =
             step_verdict(c->step, v->worker->number);
 
-        if (v->reserved_from == fits && known != NULL && known->approved) {
+        if (known != NULL && known->approved && view_suits(r, v, c) &&
+            known->valid_until < fits) {
             ask->workers[ask->count++] = v->worker->number;
         }
     }
@@ -173,7 +177,7 @@
         (a != NULL && a->asked_until > r->now)) {
         return;
     }
-    if (gang && !broad && fits > r->now && fits != INT64_MAX) {
+    if (gang && !broad && fits != INT64_MAX) {
         ask_reserved(r, c, fits);
         return;
     }
--- a/packages/flow/fit.c
+++ b/packages/flow/fit.c
@@ -105,10 +105,11 @@
 }
 
 bool
-view_unreserved(const struct view *v, struct flow_size size, int64_t ends)
+view_unreserved(const struct view *v, struct flow_size size, uint32_t priority,
+                int64_t ends)
 {
     return v->reserved_from == 0 || ends <= v->reserved_from ||
-           size_fits(size, v->spare);
+           priority < v->reserved_priority || size_fits(size, v->spare);
 }
 
 const struct flow_verdict *
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -122,7 +122,7 @@
 
     return view_suits(r, v, c) && size_fits(size, view_free(v)) &&
            (rack.len == 0 || str_eq(v->worker->rack, rack)) &&
-           view_unreserved(v, size, expected_end(r, c, v)) &&
+           view_unreserved(v, size, c->priority, expected_end(r, c, v)) &&
            spread_allows(r, c->step, v->worker) &&
            (!c->job->queue->needs_approval ||
             ticket_valid(step_verdict(c->step, v->worker->number), r->now));
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -28,8 +28,9 @@
     struct release *releases;
     size_t release_count;
     size_t release_cap;
-    int64_t reserved_from;  /* 0: nothing is reserved */
-    struct flow_size spare; /* beyond the reservation, from then on */
+    int64_t reserved_from;      /* 0: nothing is reserved */
+    uint32_t reserved_priority; /* of the gang that it is kept for */
+    struct flow_size spare;     /* beyond the reservation, from then on */
 };
 
 struct round {
@@ -76,9 +77,11 @@
 view_suits(const struct round *r, const struct view *v,
            const struct candidate *c);
 
-/* Whether a reservation leaves room for a task that runs until ends. */
+/* Whether a reservation leaves room for a task of that priority that runs
+ * until ends. More urgent work is not kept out. */
 bool
-view_unreserved(const struct view *v, struct flow_size size, int64_t ends);
+view_unreserved(const struct view *v, struct flow_size size, uint32_t priority,
+                int64_t ends);
 const struct flow_verdict *
 step_verdict(const struct flow_step *step, uint32_t worker);
 bool
--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -13,7 +13,7 @@
 
 enum {
     /* Reservations of one round: each binds several workers. */
-    RESERVATIONS_MAX = 0,
+    RESERVATIONS_MAX = 6,
 };
 
 /* From then on the worker has room for so many more tasks. */
@@ -155,6 +155,7 @@
         }
         need -= tasks;
         v->reserved_from = at;
+        v->reserved_priority = c->priority;
         for (uint64_t k = 0; k < tasks; k++) {
             room = size_less(room, size);
         }
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -23,8 +23,9 @@
     struct str address; /* that it announced when it joined; may be empty */
     uint64_t member_id; /* 0: an entry */
     uint64_t cluster_id;
-    uint32_t asks;       /* calls for approval under way there */
-    int64_t ask_cost_ms; /* their expected time */
+    uint32_t asks;           /* calls for approval under way there */
+    int64_t ask_cost_ms;     /* their expected time */
+    int64_t ask_avoid_until; /* a call failed there */
 };
 
 struct node {
--- a/packages/node/lead.c
+++ b/packages/node/lead.c
@@ -592,13 +592,6 @@
     batch_free(b);
 }
 
-void
-lead_link_down(struct lead *l, uint64_t link)
-{
-    (void)l;
-    (void)link;
-}
-
 static void
 fail_batch(struct lead *l, struct lead_batch *b)
 {
--- a/packages/node/lead_plan.c
+++ b/packages/node/lead_plan.c
@@ -18,9 +18,14 @@
     /* Between two rounds, so that one round weighs what came meanwhile. */
     PLAN_INTERVAL_MS = 4,
     /* An approval call may queue behind others of the same VM. */
-    ASK_TIMEOUT_EXTRA_MS = 2500,
+    ASK_TIMEOUT_EXTRA_MS = 1200,
     /* Calls that one VM has under way: the service queues 32 of a machine. */
     ASKS_PER_VM = 3,
+    /* A call that the service works on for longer is a long one. */
+    LONG_CALL_MS = 40,
+    LONG_CALL_VMS = 3,
+    /* A VM whose call failed may have lost its way to the service. */
+    AVOID_VM_MS = 3000,
     /* A ticket's age when it reaches the leader is not known: it was issued
      * before the answer travelled through another VM. */
     TICKET_TRAVEL_MS = 40,
@@ -58,16 +63,27 @@
     map_destroy(l->asks);
 }
 
+/* Every third VM is kept for calls that are answered at once, which would
+ * otherwise wait behind long ones. */
+static bool
+takes(const struct lead *l, const struct link *link, bool long_call,
+      size_t index)
+{
+    return link->asks < ASKS_PER_VM && l->node->now >= link->ask_avoid_until &&
+           !(long_call && index % LONG_CALL_VMS == 0);
+}
+
 /* The VM with the least approval work; the leader has enough to do. */
 static struct link *
-least_asked(const struct lead *l)
+least_asked(const struct lead *l, bool long_call)
 {
     struct link *best = NULL;
     struct link *link;
     void *cursor = NULL;
+    size_t index = 0;
 
     while ((link = map_next(l->node->links, &cursor)) != NULL) {
-        if (link->asks < ASKS_PER_VM &&
+        if (takes(l, link, long_call, index++) &&
             (best == NULL || link->ask_cost_ms < best->ask_cost_ms)) {
             best = link;
         }
@@ -129,6 +145,36 @@
     mem_free(a);
 }
 
+/* The step may be asked for again, at another VM. */
+static void
+ask_failed(struct lead *l, struct ask *a)
+{
+    struct link *link = map_get_u64(l->node->links, a->link);
+    struct flow_step *step;
+
+    if (link != NULL) {
+        link->ask_avoid_until = l->node->now + AVOID_VM_MS * NS_PER_MS;
+    }
+    if (flow_task(l->state, &a->task, &step) != NULL) {
+        plan_asked(step, 0);
+    }
+    l->dirty = true;
+    ask_done(l, a);
+}
+
+void
+lead_link_down(struct lead *l, uint64_t link)
+{
+    struct ask *a;
+    void *cursor = NULL;
+
+    while ((a = map_next(l->asks, &cursor)) != NULL) {
+        if (a->link == link) {
+            ask_failed(l, a);
+        }
+    }
+}
+
 static const Node__Ticket *
 ticket_of(const Node__Answer *answer, struct str worker)
 {
@@ -150,11 +196,15 @@
     if (a == NULL || a->link != from) {
         return;
     }
+    if (!answer->ok) {
+        ask_failed(l, a);
+        return;
+    }
     valid_until =
         l->node->now + ((int64_t)a->ticket_ms - TICKET_TRAVEL_MS) * NS_PER_MS;
     if (flow_task(l->state, &a->task, &step) != NULL) {
         plan_asked(step, 0);
-        for (size_t i = 0; answer->ok && i < a->count; i++) {
+        for (size_t i = 0; i < a->count; i++) {
             struct flow_worker *w = flow_worker(l->state, a->workers[i]);
             const Node__Ticket *t =
                 w == NULL ? NULL : ticket_of(answer, w->id);
@@ -178,13 +228,7 @@
 
     while ((a = map_next(l->asks, &cursor)) != NULL) {
         if (l->node->now >= a->deadline) {
-            struct flow_step *step;
-
-            if (flow_task(l->state, &a->task, &step) != NULL) {
-                plan_asked(step, 0);
-            }
-            l->dirty = true;
-            ask_done(l, a);
+            ask_failed(l, a);
         }
     }
 }
@@ -248,10 +292,12 @@
     l->plan_due = l->node->now + PLAN_INTERVAL_MS * NS_PER_MS;
     plan_make(l->state, l->node->now, &limits, &l->plan);
     for (size_t i = 0; i < l->plan.ask_count; i++) {
-        struct link *link = least_asked(l);
+        bool long_call =
+            l->plan.asks[i].job->queue->approval_ms > LONG_CALL_MS;
+        struct link *link = least_asked(l, long_call);
 
         if (link == NULL) {
-            break;
+            continue;
         }
         ask_workers(l, &l->plan.asks[i], link);
     }
