flow: the first approval call names eight times the room that a step needs

Cause: services approve a third of the workers; a gang that was told of too few asked again, at half a second a call. Workers with room now are named first.

--- a/packages/flow/ask.c
+++ b/packages/flow/ask.c
@@ -15,7 +15,7 @@
     ASK_MIN = 12,
     /* Room asked for over what the step needs: services approve between a
      * third and most of the workers. */
-    ASK_FACTOR = 4,
+    ASK_FACTOR = 8,
     /* Room on approved workers, empty, over what a gang needs. */
     GANG_ROOM_FACTOR = 2,
     /* The answer travels, and a call may queue behind another. */
@@ -24,8 +24,9 @@
 
 struct option {
     uint32_t worker;
-    uint64_t room;
-    bool known; /* approved before; its ticket has lapsed */
+    uint64_t room;  /* for tasks, now */
+    uint64_t empty; /* for tasks, when nothing else runs there */
+    bool known;     /* approved before; its ticket has lapsed */
 };
 
 static int
@@ -45,7 +46,7 @@
 
 /* Workers worth asking for, the most useful first. */
 static size_t
-options_of(const struct round *r, const struct candidate *c, bool empty,
+options_of(const struct round *r, const struct candidate *c,
            struct option *out)
 {
     struct flow_size size = step_takes(c->step);
@@ -66,8 +67,8 @@
                                   (double)NS_PER_MS);
         out[n].worker = v->worker->number;
         out[n].known = known != NULL;
-        out[n].room = empty ? size_count(v->worker->capacity, size)
-                      : view_unreserved(v, size, c->priority, ends)
+        out[n].empty = size_count(v->worker->capacity, size);
+        out[n].room = view_unreserved(v, size, c->priority, ends)
                           ? size_count(view_free(v), size)
                           : 0;
         n++;
@@ -113,22 +114,25 @@
     return ask;
 }
 
+/* Names workers until enough room is expected among those approved: with
+ * broad, room that will become free counts as well. */
 static void
 ask_options(struct round *r, const struct candidate *c,
             const struct option *options, size_t count, uint64_t missing,
-            size_t least)
+            bool broad)
 {
     struct plan_ask *ask = add_ask(r, c);
     uint64_t covered = 0;
 
     for (size_t i = 0; i < count && ask->count < PLAN_ASK_MAX; i++) {
-        if (ask->count >= least &&
-            (options[i].room == 0 || covered >= missing * ASK_FACTOR)) {
+        uint64_t room = broad ? options[i].empty : options[i].room;
+
+        if (ask->count >= ASK_MIN &&
+            (room == 0 || covered >= missing * ASK_FACTOR)) {
             break;
         }
         ask->workers[ask->count++] = options[i].worker;
-        covered +=
-            options[i].known ? options[i].room * ASK_FACTOR : options[i].room;
+        covered += options[i].known ? room * ASK_FACTOR : room;
     }
 }
 
@@ -182,9 +186,9 @@
         return;
     }
     options = mem_alloc((r->view_count + 1) * sizeof(*options));
-    count = options_of(r, c, broad, options);
-    if (count > 0 && options[0].room > 0) {
-        ask_options(r, c, options, count, missing, ASK_MIN);
+    count = options_of(r, c, options);
+    if (count > 0 && (broad || options[0].room > 0)) {
+        ask_options(r, c, options, count, missing, broad);
     }
     mem_free(options);
 }
--- a/packages/node/progress.c
+++ b/packages/node/progress.c
@@ -59,5 +59,6 @@
     if (p->checkpoints) {
         again = again * (100 - p->percent) / 100;
     }
-    return stalled(p) || (rest > again * SLOW_FACTOR && rest > SLOW_MIN_MS);
+    return elapsed_ms(p) > p->expected_ms * OVERDUE_FACTOR &&
+           rest > again * SLOW_FACTOR && rest > SLOW_MIN_MS;
 }
