--- a/Makefile
+++ b/Makefile
@@ -128,6 +128,11 @@
 	@mkdir -p $(@D)
 	@$(CC) $(LDFLAGS) $(FAULTY_WRAPS) -o $@ $^ $(LIB_LIBS)
 
+$(OUT)/tests/test_platform.o: CPPFLAGS += -iquoteplatform
+$(OUT)/tests/test_platform: $(OUT)/tests/test_platform.o $(PLATFORM_OBJS) \
+		$(TEST_SUPPORT_OBJS) $(LIBGV)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
+
 $(OUT)/tests/test_%: $(OUT)/tests/test_%.o $(TEST_SUPPORT_OBJS) $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
 
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -72,6 +72,7 @@
 struct plan_limits {
     size_t starts; /* most decisions of one round */
     size_t asks;   /* most calls for approval that may begin now */
+    size_t reservations; /* most gangs that room is kept for */
 };
 
 /*
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -43,7 +43,7 @@
     struct candidate *candidates;
     size_t candidate_count;
     size_t candidate_cap;
-    int reservations;
+    size_t reservations;
 };
 
 /* ---- candidates.c ---- */
--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -11,11 +11,6 @@
 #include "mem.h"
 #include "plan_impl.h"
 
-enum {
-    /* Reservations of one round: each binds several workers. */
-    RESERVATIONS_MAX = 6,
-};
-
 /* From then on the worker has room for so many more tasks. */
 struct gain {
     int64_t at;
@@ -169,7 +164,7 @@
     struct gains gains = {0};
     int64_t at;
 
-    if (r->reservations >= RESERVATIONS_MAX || c->rank > 1) {
+    if (r->reservations >= r->limits->reservations || c->rank > 1) {
         return INT64_MAX;
     }
     for (size_t i = 0; i < r->view_count; i++) {
--- a/packages/node/lead_plan.c
+++ b/packages/node/lead_plan.c
@@ -15,6 +15,8 @@
     /* Decisions of one batch: a few milliseconds of the leader's time. */
     STARTS_MAX = 400,
     ASKS_MAX = 64,
+    /* Gangs that room is kept for: each binds several workers. */
+    RESERVATIONS_MAX = 6,
     /* Between two rounds, so that one round weighs what came meanwhile. */
     PLAN_INTERVAL_MS = 4,
     /* An approval call may queue behind others of the same VM. */
@@ -282,7 +284,8 @@
 void
 lead_plan_step(struct lead *l)
 {
-    const struct plan_limits limits = {STARTS_MAX, asks_possible(l)};
+    const struct plan_limits limits = {STARTS_MAX, asks_possible(l),
+                                       RESERVATIONS_MAX};
 
     expire_asks(l);
     if (!l->dirty || l->plan_busy || l->node->now < l->plan_due) {
--- /dev/null
+++ b/tests/support/flow_fixture.c
@@ -0,0 +1,227 @@
+#include "flow_fixture.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "mem.h"
+
+void
+flow_fixture_apply(struct flow_fixture *f, Flow__Command *command)
+{
+    Flow__Batch batch = FLOW__BATCH__INIT;
+    Flow__Command *list[] = {command};
+    size_t len;
+    uint8_t *bytes;
+
+    batch.commands = list;
+    batch.n_commands = 1;
+    batch.wall_ms = ++f->wall_ms;
+    len = flow__batch__get_packed_size(&batch);
+    bytes = mem_alloc(len + 1);
+    flow__batch__pack(&batch, bytes);
+    flow_state_apply(f->state, str_from(bytes, len));
+    mem_free(bytes);
+}
+
+void
+flow_fixture_config(struct flow_fixture *f, uint64_t version,
+                    const char *document, bool approval, uint64_t team_cpu)
+{
+    Flow__Config config = FLOW__CONFIG__INIT;
+    Flow__Queue queue = FLOW__QUEUE__INIT;
+    Flow__Service service = FLOW__SERVICE__INIT;
+    Flow__Team team = FLOW__TEAM__INIT;
+    Flow__Size limit = FLOW__SIZE__INIT;
+    Flow__Queue *queues[] = {&queue};
+    Flow__Service *services[] = {&service};
+    Flow__Team *teams[] = {&team};
+    char *keys[] = {(char *)"key"};
+    Flow__Command command = FLOW__COMMAND__INIT;
+
+    queue.name = (char *)"q";
+    queue.host = (char *)"host";
+    queue.prefix = (char *)"/q/";
+    queue.service = (char *)"s";
+    queue.timeout_ms = 1000;
+    queue.latency_target_ms = 1000;
+    queue.max_attempts = 2;
+    queue.stretch = 2;
+    queue.needs_approval = approval;
+    queue.approval_ms = approval ? 10 : 0;
+    queue.ticket_ms = 2000;
+    service.name = (char *)"s";
+    team.name = (char *)"t";
+    team.weight = 1;
+    team.keys = keys;
+    team.n_keys = 1;
+    limit.cpu_milli = team_cpu;
+    team.limit = &limit;
+    config.version = version;
+    config.document.data = (uint8_t *)document;
+    config.document.len = strlen(document);
+    config.queues = queues;
+    config.n_queues = 1;
+    config.services = services;
+    config.n_services = 1;
+    config.teams = teams;
+    config.n_teams = 1;
+    command.kind_case = FLOW__COMMAND__KIND_CONFIG;
+    command.config = &config;
+    flow_fixture_apply(f, &command);
+}
+
+void
+flow_fixture_init(struct flow_fixture *f)
+{
+    memset(f, 0, sizeof(*f));
+    f->state = flow_state_create();
+    flow_fixture_config(f, 1, "one", false, 0);
+}
+
+void
+flow_fixture_free(struct flow_fixture *f)
+{
+    flow_state_destroy(f->state);
+}
+
+uint32_t
+flow_fixture_worker(struct flow_fixture *f, const char *id, int64_t born,
+                    uint64_t cpu)
+{
+    Flow__Worker worker = FLOW__WORKER__INIT;
+    Flow__Size size = FLOW__SIZE__INIT;
+    Flow__Command command = FLOW__COMMAND__INIT;
+    struct flow_worker *w;
+
+    worker.id = (char *)id;
+    worker.born_ms = born;
+    worker.address = (char *)"127.0.0.1:1";
+    worker.service = (char *)"s";
+    size.cpu_milli = cpu;
+    size.memory_mib = 65536;
+    worker.capacity = &size;
+    command.kind_case = FLOW__COMMAND__KIND_WORKER;
+    command.worker = &worker;
+    flow_fixture_apply(f, &command);
+    w = flow_worker_by_id(f->state, str_of(id));
+    if (w == NULL) {
+        return 0;
+    }
+    w->session = &f->sessions[w->number];
+    f->sessions[w->number].usable = true;
+    return w->number;
+}
+
+Flow__Step *
+flow_fixture_step(uint32_t count, uint64_t cpu, int after)
+{
+    Flow__Step *step = mem_alloc(sizeof(*step));
+
+    flow__step__init(step);
+    step->count = count;
+    step->size = mem_alloc(sizeof(*step->size));
+    flow__size__init(step->size);
+    step->size->cpu_milli = cpu;
+    step->estimate_ms = 1000;
+    if (after >= 0) {
+        step->after = mem_alloc(sizeof(*step->after));
+        step->after[0] = (uint32_t)after;
+        step->n_after = 1;
+    }
+    return step;
+}
+
+struct flow_job *
+flow_fixture_submit(struct flow_fixture *f, uint64_t id, Flow__Step **steps,
+                    size_t count)
+{
+    Flow__Submit submit = FLOW__SUBMIT__INIT;
+    Flow__JobSpec spec = FLOW__JOB_SPEC__INIT;
+    Flow__Command command = FLOW__COMMAND__INIT;
+
+    spec.steps = steps;
+    spec.n_steps = count;
+    submit.job = id;
+    submit.queue = (char *)"q";
+    submit.team = (char *)"t";
+    submit.spec = &spec;
+    command.kind_case = FLOW__COMMAND__KIND_SUBMIT;
+    command.submit = &submit;
+    flow_fixture_apply(f, &command);
+    for (size_t i = 0; i < count; i++) {
+        flow__step__free_unpacked(steps[i], NULL);
+    }
+    return flow_job(f->state, id);
+}
+
+static Flow__Task
+task_ref(uint64_t job, uint32_t step, uint32_t index, uint32_t run,
+         uint32_t worker)
+{
+    Flow__Task task = FLOW__TASK__INIT;
+
+    task.job = job;
+    task.step = step;
+    task.index = index;
+    task.run = run;
+    task.worker = worker;
+    return task;
+}
+
+void
+flow_fixture_start(struct flow_fixture *f, uint64_t job, uint32_t step,
+                   uint32_t index, uint32_t run, uint32_t worker)
+{
+    Flow__Task task = task_ref(job, step, index, run, worker);
+    Flow__Command command = FLOW__COMMAND__INIT;
+
+    command.kind_case = FLOW__COMMAND__KIND_START;
+    command.start = &task;
+    flow_fixture_apply(f, &command);
+}
+
+void
+flow_fixture_end(struct flow_fixture *f, uint64_t job, uint32_t step,
+                 uint32_t index, uint32_t run, uint32_t worker,
+                 enum flow_end how, const char *checkpoint)
+{
+    Flow__Task task = task_ref(job, step, index, run, worker);
+    Flow__End end = FLOW__END__INIT;
+    Flow__End *list[] = {&end};
+    Flow__Ends ends = FLOW__ENDS__INIT;
+    Flow__Command command = FLOW__COMMAND__INIT;
+
+    end.task = &task;
+    end.how = how;
+    end.checkpoint = (char *)checkpoint;
+    ends.worker = worker;
+    ends.ends = list;
+    ends.n_ends = 1;
+    command.kind_case = FLOW__COMMAND__KIND_ENDS;
+    command.ends = &ends;
+    flow_fixture_apply(f, &command);
+}
+
+void
+flow_fixture_lose(struct flow_fixture *f, uint32_t worker)
+{
+    Flow__WorkerLost lost = FLOW__WORKER_LOST__INIT;
+    Flow__Command command = FLOW__COMMAND__INIT;
+
+    lost.worker = worker;
+    command.kind_case = FLOW__COMMAND__KIND_LOST;
+    command.lost = &lost;
+    flow_fixture_apply(f, &command);
+}
+
+void
+flow_fixture_cancel(struct flow_fixture *f, uint64_t job)
+{
+    Flow__Cancel cancel = FLOW__CANCEL__INIT;
+    Flow__Command command = FLOW__COMMAND__INIT;
+
+    cancel.job = job;
+    command.kind_case = FLOW__COMMAND__KIND_CANCEL;
+    command.cancel = &cancel;
+    flow_fixture_apply(f, &command);
+}
--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -438,7 +438,8 @@
 plan(struct world *w)
 {
     size_t free = 0;
-    struct plan_limits limits = {.starts = 400};
+    struct plan_limits limits = {.starts = 400,
+                                 .reservations = w->config->reservations};
 
     for (size_t i = 0; i < w->config->callers; i++) {
         free +=
@@ -673,6 +674,7 @@
                                          .worker_cpu = 16000,
                                          .worker_memory = 32768,
                                          .callers = 13,
+                                         .reservations = 6,
                                          .length_ms = 34000,
                                          .kind_count = 3,
                                          .kinds = {{.name = "/statement/",
--- a/tests/support/flow_world.h
+++ b/tests/support/flow_world.h
@@ -52,7 +52,8 @@
     size_t kind_count;
     double slow_share; /* workers that are slow from 10 s to 18 s */
     double slow_factor;
-    double dead_share; /* workers lost for good at 10 s */
+    double dead_share;   /* workers lost for good at 10 s */
+    size_t reservations; /* as in struct plan_limits */
 };
 
 struct flow_kind_result {
--- /dev/null
+++ b/tests/test_flow.c
@@ -0,0 +1,315 @@
+#include <glib.h>
+#include <string.h>
+
+#include "flow_fixture.h"
+
+static struct flow_job *
+two_steps(struct flow_fixture *f, uint64_t id)
+{
+    Flow__Step *steps[] = {flow_fixture_step(2, 1000, -1),
+                           flow_fixture_step(1, 1000, 0)};
+
+    return flow_fixture_submit(f, id, steps, 2);
+}
+
+static struct flow_job *
+gang_of(struct flow_fixture *f, uint64_t id, uint32_t count)
+{
+    Flow__Step *steps[] = {flow_fixture_step(count, 1000, -1)};
+
+    steps[0]->gang = true;
+    return flow_fixture_submit(f, id, steps, 1);
+}
+
+/* Guards against a second job for an id that is sent again. */
+static void
+submit_twice(void)
+{
+    struct flow_fixture f;
+    struct flow_job *j;
+
+    flow_fixture_init(&f);
+    j = two_steps(&f, 7);
+    g_assert_cmpuint(j->queue->pending, ==, 1);
+    g_assert_true(two_steps(&f, 7) == j);
+    g_assert_cmpuint(j->queue->pending, ==, 1);
+    g_assert_cmpuint(flow_live_count(f.state), ==, 1);
+    flow_fixture_free(&f);
+}
+
+/* Guards against a step that starts before the one it depends on is done,
+ * and against a job that is complete early. */
+static void
+steps_in_order(void)
+{
+    struct flow_fixture f;
+    struct flow_job *j;
+    uint32_t w;
+
+    flow_fixture_init(&f);
+    w = flow_fixture_worker(&f, "w", 1, 8000);
+    j = two_steps(&f, 1);
+    flow_fixture_start(&f, 1, 0, 0, 1, w);
+    flow_fixture_start(&f, 1, 0, 1, 1, w);
+    g_assert_cmpint(j->state, ==, FLOW_JOB_RUNNING);
+    flow_fixture_end(&f, 1, 0, 0, 1, w, FLOW_END_DONE, "");
+    g_assert_false(
+        flow_step_ready(j, &j->occurrences[0], &j->occurrences[0].steps[1]));
+    flow_fixture_end(&f, 1, 0, 1, 1, w, FLOW_END_DONE, "");
+    g_assert_true(
+        flow_step_ready(j, &j->occurrences[0], &j->occurrences[0].steps[1]));
+    g_assert_cmpint(j->state, ==, FLOW_JOB_RUNNING);
+    flow_fixture_start(&f, 1, 1, 0, 1, w);
+    flow_fixture_end(&f, 1, 1, 0, 1, w, FLOW_END_DONE, "");
+    g_assert_cmpint(j->state, ==, FLOW_JOB_COMPLETED);
+    g_assert_cmpuint(flow_worker(f.state, w)->used.cpu_milli, ==, 0);
+    flow_fixture_free(&f);
+}
+
+/* Guards against an end of an earlier run that is taken for the present one,
+ * and against two runs of one task. */
+static void
+old_run_ignored(void)
+{
+    struct flow_fixture f;
+    struct flow_task *t;
+    uint32_t a;
+    uint32_t b;
+
+    flow_fixture_init(&f);
+    a = flow_fixture_worker(&f, "a", 1, 8000);
+    b = flow_fixture_worker(&f, "b", 1, 8000);
+    t = two_steps(&f, 1)->occurrences[0].steps[0].tasks;
+    flow_fixture_start(&f, 1, 0, 0, 1, a);
+    flow_fixture_start(&f, 1, 0, 0, 2, b);
+    g_assert_cmpuint(t->worker, ==, a);
+    flow_fixture_end(&f, 1, 0, 0, 1, a, FLOW_END_STOPPED, "point");
+    flow_fixture_start(&f, 1, 0, 0, 1, b);
+    g_assert_false(t->assigned);
+    flow_fixture_start(&f, 1, 0, 0, 2, b);
+    flow_fixture_end(&f, 1, 0, 0, 1, a, FLOW_END_DONE, "");
+    g_assert_true(t->assigned);
+    g_assert_false(t->done);
+    g_assert_cmpstr(t->checkpoint.ptr, ==, "point");
+    flow_fixture_free(&f);
+}
+
+/* Guards against more attempts than the queue allows, and against stops that
+ * count as attempts. */
+static void
+attempts(void)
+{
+    struct flow_fixture f;
+    struct flow_job *j;
+    uint32_t w;
+
+    flow_fixture_init(&f);
+    w = flow_fixture_worker(&f, "w", 1, 8000);
+    j = two_steps(&f, 1);
+    for (uint32_t run = 1; run <= 3; run++) {
+        flow_fixture_start(&f, 1, 0, 0, run, w);
+        flow_fixture_end(&f, 1, 0, 0, run, w, FLOW_END_LAPSED, "");
+    }
+    flow_fixture_start(&f, 1, 0, 0, 4, w);
+    flow_fixture_end(&f, 1, 0, 0, 4, w, FLOW_END_FAILED, "");
+    g_assert_cmpint(j->state, ==, FLOW_JOB_RUNNING);
+    flow_fixture_start(&f, 1, 0, 0, 5, w);
+    flow_fixture_end(&f, 1, 0, 0, 5, w, FLOW_END_FAILED, "");
+    g_assert_cmpint(j->state, ==, FLOW_JOB_FAILED);
+    flow_fixture_start(&f, 1, 0, 1, 1, w);
+    g_assert_cmpuint(j->assigned, ==, 0);
+    flow_fixture_free(&f);
+}
+
+/* Guards against room that is given away while a cancelled job's tasks still
+ * run. */
+static void
+cancel_keeps_room(void)
+{
+    struct flow_fixture f;
+    struct flow_job *j;
+    uint32_t w;
+
+    flow_fixture_init(&f);
+    w = flow_fixture_worker(&f, "w", 1, 8000);
+    j = two_steps(&f, 1);
+    flow_fixture_start(&f, 1, 0, 0, 1, w);
+    flow_fixture_cancel(&f, 1);
+    g_assert_cmpint(j->state, ==, FLOW_JOB_CANCELLED);
+    g_assert_cmpuint(flow_worker(f.state, w)->used.cpu_milli, ==, 1000);
+    g_assert_cmpuint(j->team->used.cpu_milli, ==, 1000);
+    flow_fixture_end(&f, 1, 0, 0, 1, w, FLOW_END_STOPPED, "");
+    g_assert_cmpuint(flow_worker(f.state, w)->used.cpu_milli, ==, 0);
+    g_assert_cmpuint(j->team->used.cpu_milli, ==, 0);
+    g_assert_cmpuint(flow_live_count(f.state), ==, 0);
+    flow_fixture_free(&f);
+}
+
+/* Guards against a gang of which only the member that ended counts as done,
+ * and against room that is free before the others have left. */
+static void
+gang_done(void)
+{
+    struct flow_fixture f;
+    struct flow_job *j;
+    uint32_t w;
+
+    flow_fixture_init(&f);
+    w = flow_fixture_worker(&f, "w", 1, 8000);
+    j = gang_of(&f, 1, 3);
+    for (uint32_t i = 0; i < 3; i++) {
+        flow_fixture_start(&f, 1, 0, i, 1, w);
+    }
+    flow_fixture_end(&f, 1, 0, 1, 1, w, FLOW_END_DONE, "");
+    g_assert_cmpint(j->state, ==, FLOW_JOB_COMPLETED);
+    g_assert_cmpuint(flow_worker(f.state, w)->used.cpu_milli, ==, 2000);
+    flow_fixture_end(&f, 1, 0, 0, 1, w, FLOW_END_DONE, "");
+    flow_fixture_lose(&f, w);
+    g_assert_cmpuint(j->assigned, ==, 0);
+    g_assert_cmpint(j->state, ==, FLOW_JOB_COMPLETED);
+    flow_fixture_free(&f);
+}
+
+/* Guards against a gang whose every member counts an attempt. */
+static void
+gang_attempts(void)
+{
+    struct flow_fixture f;
+    struct flow_job *j;
+    uint32_t w;
+
+    flow_fixture_init(&f);
+    w = flow_fixture_worker(&f, "w", 1, 8000);
+    j = gang_of(&f, 1, 2);
+    flow_fixture_start(&f, 1, 0, 0, 1, w);
+    flow_fixture_start(&f, 1, 0, 1, 1, w);
+    flow_fixture_end(&f, 1, 0, 0, 1, w, FLOW_END_FAILED, "");
+    flow_fixture_end(&f, 1, 0, 1, 1, w, FLOW_END_BROKEN, "");
+    g_assert_cmpint(j->state, ==, FLOW_JOB_RUNNING);
+    flow_fixture_start(&f, 1, 0, 0, 2, w);
+    flow_fixture_start(&f, 1, 0, 1, 2, w);
+    flow_fixture_end(&f, 1, 0, 1, 2, w, FLOW_END_FAILED, "");
+    g_assert_cmpint(j->state, ==, FLOW_JOB_FAILED);
+    flow_fixture_free(&f);
+}
+
+/* Guards against runs that are thought to go on in a worker that started
+ * again at its id, and against a late announcement of the earlier life. */
+static void
+worker_starts_again(void)
+{
+    struct flow_fixture f;
+    struct flow_task *t;
+    uint32_t first;
+    uint32_t second;
+
+    flow_fixture_init(&f);
+    first = flow_fixture_worker(&f, "w", 10, 8000);
+    t = two_steps(&f, 1)->occurrences[0].steps[0].tasks;
+    flow_fixture_start(&f, 1, 0, 0, 1, first);
+    second = flow_fixture_worker(&f, "w", 20, 8000);
+    g_assert_cmpuint(second, !=, first);
+    g_assert_false(t->assigned);
+    g_assert_null(flow_worker(f.state, first));
+    g_assert_cmpuint(flow_fixture_worker(&f, "w", 10, 8000), ==, second);
+    flow_fixture_free(&f);
+}
+
+/* Guards against a configuration that goes back, or that changes under its
+ * number. */
+static void
+config_order(void)
+{
+    struct flow_fixture f;
+    const Flow__Config *c;
+
+    flow_fixture_init(&f);
+    flow_fixture_config(&f, 5, "five", false, 0);
+    flow_fixture_config(&f, 4, "four", false, 0);
+    flow_fixture_config(&f, 5, "other", false, 0);
+    c = flow_config(f.state);
+    g_assert_cmpuint(c->version, ==, 5);
+    g_assert_cmpmem(c->document.data, c->document.len, "five", 4);
+    flow_fixture_free(&f);
+}
+
+/* Guards against a state that a restart or another member reads differently.
+ */
+static void
+snapshot(void)
+{
+    struct flow_fixture f;
+    struct buf first = {0};
+    struct buf second = {0};
+    struct flow_state *copy;
+    struct flow_job *j;
+    uint32_t w;
+
+    flow_fixture_init(&f);
+    w = flow_fixture_worker(&f, "w", 1, 8000);
+    two_steps(&f, 1);
+    gang_of(&f, 2, 2);
+    two_steps(&f, 3);
+    flow_fixture_start(&f, 1, 0, 0, 1, w);
+    flow_fixture_end(&f, 1, 0, 0, 1, w, FLOW_END_FAILED, "saved");
+    flow_fixture_start(&f, 1, 0, 0, 2, w);
+    flow_fixture_cancel(&f, 3);
+    flow_state_encode(f.state, &first);
+    copy = flow_state_decode(buf_str(&first));
+    g_assert_nonnull(copy);
+    flow_state_encode(copy, &second);
+    g_assert_cmpmem(first.ptr, first.len, second.ptr, second.len);
+    j = flow_job(copy, 1);
+    g_assert_true(j->occurrences[0].steps[0].tasks[0].assigned);
+    g_assert_cmpuint(j->occurrences[0].steps[0].tasks[0].failures, ==, 1);
+    g_assert_cmpuint(flow_worker(copy, w)->used.cpu_milli, ==, 1000);
+    g_assert_cmpint(flow_job(copy, 3)->state, ==, FLOW_JOB_CANCELLED);
+    g_assert_cmpuint(flow_live_count(copy), ==, 2);
+    g_assert_null(flow_state_decode(STR("\xff\xff\xff")));
+    flow_state_destroy(copy);
+    buf_free(&first);
+    buf_free(&second);
+    flow_fixture_free(&f);
+}
+
+/* Guards against specs that would loop, overflow or run nothing. */
+static void
+spec_checks(void)
+{
+    Flow__JobSpec spec = FLOW__JOB_SPEC__INIT;
+    Flow__Step *steps[] = {flow_fixture_step(1, 1, 0)};
+
+    g_assert_nonnull(flow_spec_problem(NULL));
+    g_assert_nonnull(flow_spec_problem(&spec));
+    spec.steps = steps;
+    spec.n_steps = 1;
+    g_assert_nonnull(flow_spec_problem(&spec));
+    steps[0]->n_after = 0;
+    g_assert_null(flow_spec_problem(&spec));
+    steps[0]->count = 0;
+    g_assert_nonnull(flow_spec_problem(&spec));
+    steps[0]->count = 1000000;
+    g_assert_nonnull(flow_spec_problem(&spec));
+    steps[0]->count = 1;
+    spec.occurrences = 2;
+    g_assert_nonnull(flow_spec_problem(&spec));
+    flow__step__free_unpacked(steps[0], NULL);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/flow/submit-twice", submit_twice);
+    g_test_add_func("/flow/steps-in-order", steps_in_order);
+    g_test_add_func("/flow/old-run-ignored", old_run_ignored);
+    g_test_add_func("/flow/attempts", attempts);
+    g_test_add_func("/flow/cancel-keeps-room", cancel_keeps_room);
+    g_test_add_func("/flow/gang-done", gang_done);
+    g_test_add_func("/flow/gang-attempts", gang_attempts);
+    g_test_add_func("/flow/worker-starts-again", worker_starts_again);
+    g_test_add_func("/flow/config-order", config_order);
+    g_test_add_func("/flow/snapshot", snapshot);
+    g_test_add_func("/flow/spec-checks", spec_checks);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_node.c
@@ -0,0 +1,141 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "clock.h"
+#include "node.h"
+#include "patience.h"
+#include "progress.h"
+
+static int64_t
+ms(int64_t n)
+{
+    return n * NS_PER_MS;
+}
+
+/* Guards against calls that wait to the caller's deadline while no leader
+ * answers, which leaves no time to try elsewhere. */
+static void
+patience_bounds(void)
+{
+    struct patience p = {.arrived = ms(1000),
+                         .deadline = ms(4000),
+                         .leader_known = true,
+                         .lost_since = ms(1000)};
+
+    g_assert_cmpint(patience_ends(&p), <=, ms(1000) + ms(3000) / 4);
+    p.forwarded = true;
+    g_assert_cmpint(patience_ends(&p), <=, ms(1000) + ms(3000) / 2);
+    g_assert_cmpint(patience_ends(&p), >, ms(1700));
+    p.deadline = ms(1200);
+    g_assert_cmpint(patience_ends(&p), <=, ms(1100));
+}
+
+/* Guards against waiting at all once the control group is down, and against
+ * callers that all return at once while it is. */
+static void
+patience_down(void)
+{
+    struct patience p = {.arrived = ms(9000),
+                         .deadline = ms(12000),
+                         .leader_known = false,
+                         .lost_since = ms(1000)};
+
+    g_assert_cmpint(patience_ends(&p), ==, ms(9000));
+    p.forwarded = true;
+    g_assert_cmpint(patience_ends(&p), >, ms(9000));
+    g_assert_cmpuint(patience_retry_ms(&p, ms(1100)), ==, 1000);
+    g_assert_cmpuint(patience_retry_ms(&p, ms(9000)), ==, 2000);
+}
+
+/* Guards against restarts of runs that are on time: what is listed early lags
+ * behind (a run at 4% after 450 of 5400 ms was stopped). */
+static void
+progress_on_time(void)
+{
+    struct run_progress p = {
+        .now = ms(448), .percent = 4, .run = 1, .expected_ms = 5402};
+
+    g_assert_false(progress_restart(&p));
+    g_assert_cmpfloat(progress_projected_ms(&p), ==, 0);
+    p.now = ms(1307);
+    p.progressed = ms(1300);
+    p.percent = 21;
+    p.expected_ms = 2704;
+    g_assert_false(progress_restart(&p));
+}
+
+/* Guards against runs that are left on workers that stand still or are many
+ * times slower, and against restarts without end. */
+static void
+progress_slow(void)
+{
+    struct run_progress p = {.now = ms(5000),
+                             .progressed = ms(1000),
+                             .percent = 30,
+                             .run = 1,
+                             .expected_ms = 3000};
+
+    g_assert_true(progress_restart(&p));
+    p.progressed = ms(5000);
+    g_assert_false(progress_restart(&p));
+    p.now = ms(9000);
+    p.progressed = ms(9000);
+    g_assert_true(progress_restart(&p));
+    p.run = 4;
+    g_assert_false(progress_restart(&p));
+}
+
+#define SETTINGS(MORE)                                                        \
+    "{\"vm\":\"a\",\"failure_domain\":\"d\",\"peer_listen\":"                 \
+    "\"127.0.0.1:1\",\"peer_port\":1,\"seeds\":[{\"address\":"                \
+    "\"127.0.0.1:2\"}],\"first_start\":true,\"cluster_secret\":"              \
+    "\"0123456789abcdef\",\"heartbeat_ms\":1500,\"lease_max_ms\":6000,"       \
+    "\"job_keep_s\":120,\"grace_s\":6" MORE "}"
+
+static bool
+load(const char *text)
+{
+    char *dir = g_dir_make_tmp("node-XXXXXX", NULL);
+    char *file = g_build_filename(dir, "settings.json", NULL);
+    struct node_settings s;
+    bool ok;
+
+    g_file_set_contents(file, text, -1, NULL);
+    ok = node_settings_load(&s, file);
+    if (ok) {
+        g_assert_cmpuint(s.seed_count, ==, 1);
+        node_settings_free(&s);
+    }
+    g_unlink(file);
+    g_rmdir(dir);
+    g_free(file);
+    g_free(dir);
+    return ok;
+}
+
+/* Guards against a process that starts with settings that cannot work. */
+static void
+settings(void)
+{
+    g_assert_true(load(SETTINGS(",\"caller_listen\":\"127.0.0.1:3\"")));
+    g_assert_true(
+        load(SETTINGS(",\"control_listen\":\"127.0.0.1:3\",\"data\":\"x\"")));
+    g_assert_false(load(SETTINGS("")));
+    g_assert_false(load(SETTINGS(",\"control_listen\":\"127.0.0.1:3\"")));
+    g_assert_false(
+        load(SETTINGS(",\"caller_listen\":\"127.0.0.1:3\",\"other\":1")));
+    g_assert_false(load("{"));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/node/patience/bounds", patience_bounds);
+    g_test_add_func("/node/patience/down", patience_down);
+    g_test_add_func("/node/progress/on-time", progress_on_time);
+    g_test_add_func("/node/progress/slow", progress_slow);
+    g_test_add_func("/node/settings", settings);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,279 @@
+#include <glib.h>
+#include <string.h>
+
+#include "flow.h"
+#include "internal.h"
+
+static Flow__Config *
+config(const char *text)
+{
+    Flow__Config *c = config_decode(str_of(text));
+    const char *problem = c == NULL ? "unreadable" : flow_config_problem(c);
+
+    if (problem != NULL && c != NULL) {
+        flow__config__free_unpacked(c, NULL);
+        c = NULL;
+    }
+    return c;
+}
+
+#define ROUTE(NAME, PREFIX, MORE)                                             \
+    "{\"name\":\"" NAME "\",\"host\":\"h\",\"pathPrefix\":\"" PREFIX          \
+    "\",\"service\":\"s\",\"timeoutMs\":3000,\"stretch\":1.5" MORE "}"
+#define CONFIG(ROUTES, TENANTS)                                               \
+    "{\"version\":7,\"routes\":[" ROUTES                                      \
+    "],\"services\":[{\"name\":\"s\",\"admissionCheck\":true}],"              \
+    "\"limits\":{},\"tenants\":[" TENANTS "]}"
+#define TENANT(NAME, KEY)                                                     \
+    "{\"name\":\"" NAME "\",\"apiKeys\":[\"" KEY "\"],\"weight\":4,"          \
+    "\"upperLimit\":{\"cpu\":5,\"memoryRequestMb\":6,\"gpu\":0}}"
+
+/* Guards against misreading the operator's document. */
+static void
+config_fields(void)
+{
+    Flow__Config *c =
+        config(CONFIG(ROUTE("r", "/p/",
+                            ",\"priority\":2,\"maxAttempts\":3,\"advice\":"
+                            "{\"decisionMs\":46.2,\"perWorkerMs\":0.66,"
+                            "\"validityMs\":1500}"),
+                      TENANT("t", "k")));
+
+    g_assert_nonnull(c);
+    g_assert_cmpuint(c->version, ==, 7);
+    g_assert_cmpuint(c->queues[0]->priority, ==, 2);
+    g_assert_true(c->queues[0]->needs_approval);
+    g_assert_cmpuint(c->queues[0]->approval_ms, ==, 47);
+    g_assert_cmpuint(c->queues[0]->approval_worker_us, ==, 660);
+    g_assert_cmpuint(c->queues[0]->ticket_ms, ==, 1500);
+    g_assert_true(c->services[0]->guards_capacity);
+    g_assert_cmpuint(c->teams[0]->limit->cpu_milli, ==, 5);
+    g_assert_cmpuint(c->teams[0]->limit->memory_mib, ==, 6);
+    flow__config__free_unpacked(c, NULL);
+}
+
+/* Guards against a configuration that is acknowledged though it cannot take
+ * effect. */
+static void
+config_refused(void)
+{
+    static const char *const bad[] = {
+        "",
+        "[]",
+        "{\"version\":1,\"routes\":[",
+        "{\"version\":1}",
+        "{\"version\":\"1\",\"routes\":[],\"services\":[]}",
+        CONFIG(ROUTE("a", "/p/", "") "," ROUTE("b", "/p/", ""),
+               TENANT("t", "k")),
+        CONFIG(ROUTE("a", "/p/", ",\"service\":\"other\""), TENANT("t", "k")),
+        "{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+        "\"pathPrefix\":\"/p/\",\"service\":\"other\",\"timeoutMs\":1}],"
+        "\"services\":[{\"name\":\"s\"}]}",
+        "{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+        "\"pathPrefix\":\"/p/\",\"service\":\"s\",\"timeoutMs\":0}],"
+        "\"services\":[{\"name\":\"s\"}]}",
+        CONFIG(ROUTE("a", "/p/", ""), TENANT("t", "k") "," TENANT("u", "k")),
+        CONFIG(ROUTE("a", "/p/", ""), "{\"name\":\"t\",\"apiKeys\":[]}"),
+    };
+
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        g_assert_null(config(bad[i]));
+    }
+}
+
+#define BEAT(MORE)                                                            \
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"capacity\":"            \
+    "{\"cpu\":16000,\"memoryRequestMb\":32768,\"gpu\":0},\"born\":12,"        \
+    "\"labels\":[\"a\",\"r1-3\"],\"clockMs\":99,\"sequence\":4" MORE "}"
+
+/* Guards against announcements of other writers, which name no worker. */
+static void
+beats(void)
+{
+    static const char *const bad[] = {
+        "",
+        "{",
+        "[1]",
+        BEAT(""),
+        BEAT(",\"state\":\"gone\""),
+        BEAT(",\"state\":3"),
+        "{\"state\":\"ready\",\"service\":1,\"address\":\"10.0.0.1:80\"}",
+        "{\"state\":\"ready\"}"};
+    Node__WorkerBeat *b =
+        beat_decode(STR("i-1"), STR(BEAT(",\"state\":\"draining\"")));
+
+    g_assert_nonnull(b);
+    g_assert_cmpstr(b->worker->id, ==, "i-1");
+    g_assert_true(b->worker->draining);
+    g_assert_cmpstr(b->worker->rack, ==, "r1-3");
+    g_assert_cmpint(b->worker->born_ms, ==, 12);
+    g_assert_cmpint(b->clock_ms, ==, 99);
+    node__worker_beat__free_unpacked(b, NULL);
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        g_assert_null(beat_decode(STR("i-1"), str_of(bad[i])));
+    }
+}
+
+/* Guards against calls that a worker reads differently. */
+static void
+orders(void)
+{
+    struct node_call call = {
+        .kind = NODE_CALL_START, .worker = STR("i-1"), .token = 9};
+    struct node_http http = {0};
+    json_t *root;
+
+    call.u.start.task = (struct node_task){0xab, 1, 2, 3, 4};
+    call.u.start.payload = STR("text");
+    call.u.start.lease_until_ms = 77;
+    call.u.start.ticket = STR("tk");
+    order_encode(&call, &http);
+    root = body_parse(buf_str(&http.body));
+    g_assert_cmpstr(json_string_value(json_object_get(root, "task")), ==,
+                    "00000000000000ab.1.2.3");
+    g_assert_cmpint(json_integer_value(json_object_get(root, "run")), ==, 4);
+    g_assert_cmpint(json_integer_value(json_object_get(root, "fencingToken")),
+                    ==, 9);
+    g_assert_cmpint(json_integer_value(json_object_get(root, "deadlineMs")),
+                    ==, 77);
+    g_assert_cmpstr(json_string_value(json_object_get(root, "ticket")), ==,
+                    "tk");
+    g_assert_null(json_object_get(root, "checkpoint"));
+    json_decref(root);
+    node_http_free(&http);
+}
+
+static enum node_refusal
+refusal(int status, const char *body)
+{
+    struct node_call call = {.kind = NODE_CALL_START};
+    struct node_result result = {0};
+    enum node_refusal refusal;
+
+    order_result(&call, status, str_of(body), &result);
+    refusal = result.refusal;
+    node_result_free(&result);
+    return refusal;
+}
+
+/* Guards against a refusal that is taken for another: only some of them say
+ * that the run does not exist. */
+static void
+results(void)
+{
+    struct node_call call = {.kind = NODE_CALL_POLL};
+    struct node_result r = {0};
+
+    g_assert_cmpint(refusal(200, "{\"clockMs\":1}"), ==, NODE_REFUSAL_NONE);
+    g_assert_cmpint(refusal(200, "<"), ==, NODE_REFUSAL_GARBLED);
+    g_assert_cmpint(refusal(409, "{\"reason\":\"fence\"}"), ==,
+                    NODE_REFUSAL_FENCED);
+    g_assert_cmpint(refusal(409, "{\"reason\":\"old\"}"), ==,
+                    NODE_REFUSAL_OLD_RUN);
+    g_assert_cmpint(refusal(409, "{\"reason\":\"new word\"}"), ==,
+                    NODE_REFUSAL_GARBLED);
+    g_assert_cmpint(refusal(421, ""), ==, NODE_REFUSAL_OTHER_LIFE);
+    g_assert_cmpint(refusal(503, ""), ==, NODE_REFUSAL_UNHEALTHY);
+    order_result(&call, 200,
+                 STR("{\"clockMs\":5,\"born\":6,\"running\":[["
+                     "\"00000000000000ab.0.1.2\",3,\"cp\",41]],"
+                     "\"finished\":[[58,\"00000000000000ab.0.0.9\",1,"
+                     "\"done\",\"\"]]}"),
+                 &r);
+    g_assert_cmpint(r.refusal, ==, NODE_REFUSAL_NONE);
+    g_assert_cmpint(r.born_ms, ==, 6);
+    g_assert_cmpuint(r.running_count, ==, 1);
+    g_assert_cmpuint(r.running[0].task.index, ==, 2);
+    g_assert_cmpuint(r.running[0].percent, ==, 41);
+    g_assert_cmpuint(r.ended[0].number, ==, 58);
+    g_assert_cmpuint(r.ended[0].how, ==, FLOW_END_DONE);
+    node_result_free(&r);
+    order_result(&call, 200, STR("{\"running\":[[]],\"finished\":[]}"), &r);
+    g_assert_cmpint(r.refusal, ==, NODE_REFUSAL_GARBLED);
+    node_result_free(&r);
+}
+
+static Node__Request *
+post(const char *body, int *status)
+{
+    struct front_call call = {.method = HTTP_POST,
+                              .path = STR("/p/0123456789abcdef"),
+                              .host = STR("h:80")};
+    struct front_response response = {0};
+    Node__Request *request;
+
+    buf_append_str(&call.body, str_of(body));
+    request = caller_decode(&call, &response);
+    *status = response.status;
+    buf_free(&call.body);
+    return request;
+}
+
+/* Guards against jobs that are read wrongly or half. */
+static void
+jobs(void)
+{
+    static const char *const bad[] = {
+        "",
+        "{}",
+        "{\"steps\":[1]}",
+        "{\"steps\":[{\"count\":\"2\"}]}",
+        "{\"steps\":[{\"count\":1,\"after\":[-1]}]}",
+        "{\"taskSpec\":4,\"steps\":[{\"count\":1}]}"};
+    int status = 0;
+    Node__Request *r =
+        post("{\"taskSpec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":500,"
+             "\"memoryRequestMb\":256,\"estimatedMs\":900,\"affinity\":"
+             "\"r1\",\"antiAffinity\":2,\"gang\":true},{\"count\":1,"
+             "\"after\":[0],\"checkpointing\":true,\"longRunning\":true,"
+             "\"newField\":{}}]}",
+             &status);
+
+    g_assert_nonnull(r);
+    g_assert_cmpstr(r->job->host, ==, "h");
+    g_assert_cmpuint(r->job->spec->n_steps, ==, 2);
+    g_assert_cmpuint(r->job->spec->steps[0]->per_worker_max, ==, 2);
+    g_assert_true(r->job->spec->steps[0]->gang);
+    g_assert_cmpstr(r->job->spec->steps[0]->data_rack, ==, "r1");
+    g_assert_true(r->job->spec->steps[1]->endless);
+    g_assert_true(r->job->spec->steps[1]->checkpoints);
+    node__request__free_unpacked(r, NULL);
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        g_assert_null(post(bad[i], &status));
+        g_assert_cmpint(status, ==, 400);
+    }
+}
+
+/* Guards against an answer of the approval service that is half read. */
+static void
+advice(void)
+{
+    Node__Answer a = NODE__ANSWER__INIT;
+
+    g_assert_true(advice_decode(
+        200, STR("{\"approved\":[[\"i-1\",\"t1\"],[\"i-2\",\"t2\"]]}"), &a));
+    g_assert_cmpuint(a.n_approved, ==, 2);
+    g_assert_cmpstr(a.approved[1]->ticket, ==, "t2");
+    for (size_t i = 0; i < a.n_approved; i++) {
+        node__ticket__free_unpacked(a.approved[i], NULL);
+    }
+    free(a.approved);
+    node__answer__init(&a);
+    g_assert_false(advice_decode(429, STR(""), &a));
+    g_assert_false(advice_decode(200, STR("{\"approved\":[[1]]}"), &a));
+    free(a.approved);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/platform/config-fields", config_fields);
+    g_test_add_func("/platform/config-refused", config_refused);
+    g_test_add_func("/platform/beats", beats);
+    g_test_add_func("/platform/orders", orders);
+    g_test_add_func("/platform/results", results);
+    g_test_add_func("/platform/jobs", jobs);
+    g_test_add_func("/platform/advice", advice);
+    return g_test_run();
+}
