node: sessions with workers are stepped when touched

Cause: each wake-up of the leader looked at all runs of all workers; at 350 workers that was the leader's whole processor share (0.366 of 0.4 of a core), calls timed out and gangs started in part. Ruled out: the planner, which had become seven times cheaper without effect. Conclusion: all sessions are looked at every 3 ms and 1 ms more for each 25.

--- a/packages/node/lead.h
+++ b/packages/node/lead.h
@@ -58,6 +58,7 @@
     struct planned_start *planned;
     size_t planned_count;
     int64_t scan_due;
+    int64_t workers_due; /* next look at all sessions */
 };
 
 /* Queues a command for the next batch. */
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -33,6 +33,9 @@
     EXPIRY_MARGIN_MS = 150,
     /* After a refusal for its health or room, others are tried for so long. */
     AVOID_MS = 1500,
+    /* Between two looks at all runs, for stops that others' ends cause. */
+    SCAN_MS = 3,
+    SCAN_SESSIONS_PER_MS = 25, /* more time where more is looked at */
     /* Failures in a row, of different jobs, that make a worker suspect. */
     FAILURES_SUSPECT = 3,
     SUSPECT_MS = 4000,
@@ -79,7 +82,8 @@
     bool polling;
     bool contacted;
     bool leaving;
-    bool losing; /* its loss is being committed */
+    bool losing;  /* its loss is being committed */
+    bool touched; /* a run or a call changed: step it at once */
 };
 
 static struct event_kind event_end = {.name = "end", .per_second = 200};
@@ -117,6 +121,7 @@
         map_put_u64(s->runs, key, r);
     }
     *r = (struct run){.task = *task, .phase = phase, .since = now};
+    s->touched = true;
     return r;
 }
 
@@ -370,10 +375,16 @@
 static struct session *
 call_session(struct node *n, const struct out_call *call)
 {
+    struct session *s;
+
     if (n->lead == NULL || lead_term(n->lead) != call->term) {
         return NULL;
     }
-    return session_by_number(n->lead, call->worker);
+    s = session_by_number(n->lead, call->worker);
+    if (s != NULL) {
+        s->touched = true;
+    }
+    return s;
 }
 
 static struct out_call *
@@ -996,30 +1007,39 @@
     }
 }
 
+static int64_t
+scan_ms(const struct lead *l)
+{
+    return SCAN_MS + (int64_t)map_count(l->sessions) / SCAN_SESSIONS_PER_MS;
+}
+
 void
 workers_step(struct lead *l)
 {
     struct session *s;
     void *cursor = NULL;
+    bool all = l->node->now >= l->workers_due;
 
-    follow_workers(l);
+    if (all) {
+        l->workers_due = l->node->now + scan_ms(l) * NS_PER_MS;
+        follow_workers(l);
+    }
     while ((s = map_next(l->sessions, &cursor)) != NULL) {
-        step_session(l, s, flow_worker(l->state, s->number));
+        struct flow_worker *w;
+
+        if (!all && !s->touched) {
+            continue;
+        }
+        s->touched = false;
+        w = flow_worker(l->state, s->number);
+        if (w != NULL) {
+            step_session(l, s, w);
+        }
     }
 }
 
 int64_t
 workers_next_deadline(const struct lead *l)
 {
-    int64_t deadline = l->node->now + 50 * NS_PER_MS;
-    struct session *s;
-    void *cursor = NULL;
-
-    while ((s = map_next(l->sessions, &cursor)) != NULL) {
-        if (!s->polling && s->poll_due > l->node->now &&
-            s->poll_due < deadline) {
-            deadline = s->poll_due;
-        }
-    }
-    return deadline;
+    return l->workers_due;
 }
