--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -80,6 +80,7 @@
     uint32_t failures;      /* in a row */
     uint64_t failed_job;
     bool polling;
+    bool failing; /* the last call for ends was not answered */
     bool contacted;
     bool leaving;
     bool losing;  /* its loss is being committed */
@@ -268,15 +269,18 @@
     }
 }
 
-/* The end of a lease granted now, on the worker's clock; 0 while its clock
- * is not known. Notes when that lease has surely ended. */
+/*
+ * The end of a lease granted now, on the worker's clock; 0 while its clock is
+ * not known. Notes when that lease has surely ended. A worker that does not
+ * answer is granted nothing, or its lease would never end.
+ */
 static int64_t
 grant_lease(struct lead *l, struct session *s)
 {
     int64_t until;
     int64_t ends;
 
-    if (!s->clock_known) {
+    if (!s->clock_known || s->failing) {
         return 0;
     }
     until = s->clock_ms + (l->node->now - s->clock_at) / NS_PER_MS +
@@ -407,6 +411,7 @@
 answered(struct lead *l, struct session *s, const struct node_result *result)
 {
     s->heard = l->node->now;
+    s->failing = false;
     s->retry_ms = RETRY_MIN_MS;
     note_clock(l, s, result->clock_ms);
 }
@@ -775,6 +780,7 @@
 poll_failed(struct lead *l, struct session *s,
             const struct upstream_result *result)
 {
+    s->failing = true;
     s->poll_due = l->node->now + s->retry_ms * NS_PER_MS;
     s->retry_ms =
         s->retry_ms * 2 > RETRY_MAX_MS ? RETRY_MAX_MS : s->retry_ms * 2;
@@ -948,7 +954,7 @@
     if (s->calls >= CALLS_MAX || r->ending) {
         return;
     }
-    if (r->phase == RUN_QUEUED) {
+    if (r->phase == RUN_QUEUED && !s->failing) {
         send_start(l, s, w, r);
     }
     else if (r->phase == RUN_STOP_QUEUED) {
--- a/tests/fakes/minions.c
+++ b/tests/fakes/minions.c
@@ -51,7 +51,7 @@
 };
 
 struct worker {
-    char id[16];
+    char id[32];
     char address[64];
     struct front *front;
     struct ring *ring;
@@ -421,7 +421,8 @@
     for (size_t i = 0; i < worker_count; i++) {
         struct worker *w = &workers[i];
 
-        snprintf(w->id, sizeof(w->id), "i-%zu", i + 1);
+        snprintf(w->id, sizeof(w->id), "i-%s-%d", strrchr(ip, '.') + 1,
+                 (int)i);
         snprintf(w->address, sizeof(w->address), "%s:%d", ip,
                  port + 1 + (int)i);
         w->front = serve(ip, port + 1 + (int)i, &w->ring);
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -29,6 +29,7 @@
     pid_t control[CONTROLS];
     pid_t entry;
     pid_t minions;
+    pid_t others; /* a second process of workers, or 0 */
     struct http_client *client;
 };
 
@@ -109,22 +110,23 @@
 }
 
 static pid_t
-spawn_minions(struct rig *r)
+spawn_minions(struct rig *r, const char *ip, const char *name)
 {
     char *bin = g_build_filename(g_getenv("GV_BIN"), "fakes", "minions", NULL);
-    char *address = g_strdup_printf("127.0.7.30:%d", r->port);
+    char *address = g_strdup_printf("%s:%d", ip, r->port);
+    char *log = g_strdup_printf("%s/%s.log", r->dir, name);
     char *count = g_strdup_printf("%d", WORKERS);
     char *argv[4 + CONTROLS] = {bin, address, count};
     pid_t pid;
 
     for (int i = 0; i < CONTROLS; i++) {
-        char *ip = control_ip(i);
+        char *control = control_ip(i);
 
-        argv[3 + i] = g_strdup_printf("%s:%d", ip, r->port);
-        g_free(ip);
+        argv[3 + i] = g_strdup_printf("%s:%d", control, r->port);
+        g_free(control);
     }
-    r->minions_log = g_strdup_printf("%s/minions.log", r->dir);
-    pid = proc_spawn(r->minions_log, argv);
+    pid = proc_spawn(log, argv);
+    g_free(log);
     for (int i = 0; i < CONTROLS; i++) {
         g_free(argv[3 + i]);
     }
@@ -197,7 +199,8 @@
         r->control[i] = spawn_control(r, i);
     }
     r->entry = spawn(r, "e0", "127.0.7.20", false);
-    r->minions = spawn_minions(r);
+    r->minions_log = g_strdup_printf("%s/minions.log", r->dir);
+    r->minions = spawn_minions(r, "127.0.7.30", "minions");
     url = g_strdup_printf("http://127.0.7.11:%d/config", r->port);
     await_status(r, "PUT", url, config, 200);
     g_free(url);
@@ -286,6 +289,26 @@
     tear_down(&r);
 }
 
+/* Guards against tasks that wait for ever on a worker that is gone: calls
+ * that it did not answer kept its lease alive. */
+static void
+worker_killed(void)
+{
+    struct rig r;
+
+    set_up(&r);
+    r.others = spawn_minions(&r, "127.0.7.31", "others");
+    g_usleep(1500000);
+    for (int job = 0; job < JOBS; job++) {
+        submit(&r, job);
+    }
+    proc_kill(r.others);
+    for (int job = 0; job < JOBS; job++) {
+        await_completed(&r, job);
+    }
+    tear_down(&r);
+}
+
 /* Guards against answers that do not fit the call. */
 static void
 refusals(void)
@@ -338,6 +361,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/e2e/platform/leader-killed", leader_killed);
+    g_test_add_func("/e2e/platform/worker-killed", worker_killed);
     g_test_add_func("/e2e/platform/refusals", refusals);
     g_test_add_func("/e2e/platform/entry-stops", entry_stops);
     return g_test_run();
