--- a/completion/guavarock.bash
+++ b/completion/guavarock.bash
@@ -101,7 +101,7 @@
     COMPREPLY=()
     case $cur in
     --*=*) compopt -o default 2>/dev/null ;;
-    -*) _guavarock_offer_options "--check= --data= --listen= --single
+    -*) _guavarock_offer_options "--check= --data= --listen= --platform --single
         --settings= --help --usage --version" ;;
     *) compopt -o default 2>/dev/null ;;
     esac
--- a/packages/daemon/entry_http.c
+++ b/packages/daemon/entry_http.c
@@ -51,8 +51,8 @@
 respond_probe(struct front_call *call, bool ok, const char *reason)
 {
     struct front_response response = {.status = ok ? 200 : 503};
-    struct probe_answer probe = {ok, ok ? (struct str){NULL, 0}
-                                          : str_of(reason)};
+    struct probe_answer probe = {ok,
+                                 ok ? (struct str){NULL, 0} : str_of(reason)};
 
     probe_answer_render(&probe, &response.body);
     http_headers_add(&response.headers, STR("Content-Type"),
