flow: best-effort and serving tasks do not share a worker

Cause: best-effort work beside a serving task raises its tail latency, and the planner did not look at it. Pacing is not built. Test: /plan/serving-apart. Also: UBSan found qsort with a null pointer for a worker without runs.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -154,6 +154,8 @@
         v->worker = w;
         v->speed = plan_speed(plan_worker(w), r->now);
         v->taken = w->used;
+        v->serving = w->serving;
+        v->best_effort = w->best_effort;
         plan_worker(w)->slot = r->view_count++;
     }
 }
--- a/packages/flow/fit.c
+++ b/packages/flow/fit.c
@@ -91,6 +91,17 @@
     return false;
 }
 
+/* Best-effort tasks raise the latency of serving ones beside them; until they
+ * are paced, the two do not share a worker. */
+static bool
+undisturbed(const struct view *v, const struct flow_step *step)
+{
+    if (step->spec->best_effort) {
+        return v->serving == 0;
+    }
+    return step->spec->tail_target_ms == 0 || v->best_effort == 0;
+}
+
 bool
 view_suits(const struct round *r, const struct view *v,
            const struct candidate *c)
@@ -98,7 +109,7 @@
     const struct plan_worker *p = plan_worker(v->worker);
 
     return p->usable && p->avoid_until <= r->now && !v->worker->draining &&
-           v->speed >= SPEED_MIN &&
+           v->speed >= SPEED_MIN && undisturbed(v, c->step) &&
            str_eq(v->worker->service, c->job->queue->service) &&
            has_label(v->worker, c->step->spec->label) &&
            size_fits(flow_step_size(c->step), v->worker->capacity);
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -58,6 +58,8 @@
     struct flow_size capacity;
     struct flow_size used; /* by assigned tasks that count against capacity */
     uint32_t tasks;        /* assigned */
+    uint32_t serving;      /* of these, with a bound on their tail latency */
+    uint32_t best_effort;  /* of these, taking what others leave */
     bool draining;
     uint64_t last_seen; /* number of the last end that is recorded */
     void *session;      /* of the leader; not replicated */
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -185,6 +185,8 @@
         memcpy(start->ticket, v->verdict->ticket, sizeof(start->ticket));
     }
     v->taken = size_add(v->taken, size);
+    v->best_effort += c->step->spec->best_effort;
+    v->serving += c->step->spec->tail_target_ms > 0;
     if (v->reserved_from != 0 && expected_end(r, c, v) > v->reserved_from) {
         v->spare = size_less(v->spare, size);
     }
@@ -198,6 +200,8 @@
         struct view *v = &r->views[plan_worker(start->worker)->slot];
 
         v->taken = size_less(v->taken, step_takes(start->step));
+        v->best_effort -= start->step->spec->best_effort;
+        v->serving -= start->step->spec->tail_target_ms > 0;
     }
 }
 
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -25,6 +25,8 @@
     struct flow_worker *worker;
     double speed;
     struct flow_size taken; /* in use or planned */
+    uint32_t serving;       /* tasks with a latency bound, in use or planned */
+    uint32_t best_effort;   /* tasks that take what others leave, likewise */
     struct release *releases;
     size_t release_count;
     size_t release_cap;
--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -83,6 +83,9 @@
     if (before > 0) {
         add_gain(out, r->now, before);
     }
+    if (v->release_count == 0) {
+        return;
+    }
     qsort(v->releases, v->release_count, sizeof(*v->releases),
           compare_releases);
     for (size_t i = 0; i < v->release_count; i++) {
--- a/packages/flow/tasks.c
+++ b/packages/flow/tasks.c
@@ -48,6 +48,18 @@
     return size;
 }
 
+/* Tasks that disturb each other are counted apart. */
+static void
+count_kind(struct flow_worker *w, const struct flow_step *step, int change)
+{
+    if (step->spec->best_effort) {
+        w->best_effort += (uint32_t)change;
+    }
+    else if (step->spec->tail_target_ms > 0) {
+        w->serving += (uint32_t)change;
+    }
+}
+
 void
 task_count(struct flow_state *s, struct flow_job *j, struct flow_step *step,
            struct flow_task *t)
@@ -60,6 +72,7 @@
     add(&j->team->used, flow_step_size(step));
     if (w != NULL) {
         w->tasks++;
+        count_kind(w, step, 1);
         add(&w->used, taken(step));
     }
 }
@@ -77,6 +90,7 @@
     subtract(&j->team->used, flow_step_size(step));
     if (w != NULL) {
         w->tasks--;
+        count_kind(w, step, -1);
         subtract(&w->used, taken(step));
     }
 }
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -168,6 +168,32 @@
     flow_fixture_free(&f);
 }
 
+/* Guards against best-effort work that slows serving tasks on its worker. */
+static void
+serving_apart(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_job *j;
+
+    flow_fixture_init(&f);
+    flow_fixture_worker(&f, "a", 1, 4000);
+    j = job_of(&f, 1, 1, 1000, false);
+    j->spec->steps[0]->tail_target_ms = 50;
+    j = job_of(&f, 2, 1, 1000, false);
+    j->seen_at = NOW + NS_PER_S;
+    j->spec->steps[0]->best_effort = true;
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(carry_out(&f, &plan), ==, 1);
+    g_assert_cmpuint(flow_worker(f.state, 1)->serving, ==, 1);
+    flow_fixture_worker(&f, "b", 1, 4000);
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 1);
+    g_assert_cmpuint(plan.starts[0].worker->number, ==, 2);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Guards against placing on workers that do not answer, are draining or have
  * become slow, and against a task that returns to where it failed. */
 static void
@@ -262,6 +288,7 @@
     g_test_add_func("/plan/gang-reserves", gang_reserves);
     g_test_add_func("/plan/approval", approval);
     g_test_add_func("/plan/unfit-workers", unfit_workers);
+    g_test_add_func("/plan/serving-apart", serving_apart);
     g_test_add_func("/plan/load/echeverria", echeverria);
     g_test_add_func("/plan/load/trentside", trentside);
     return g_test_run();
