--- a/packages/node/lead.h
+++ b/packages/node/lead.h
@@ -69,6 +69,12 @@
 struct lead_batch *
 lead_filling(struct lead *l);
 
+/* ---- lead_requests.c ---- */
+
+/* Answers a request whose batch was applied. */
+void
+request_committed(struct lead *l, const struct waiter *w);
+
 /* ---- lead_plan.c: placement ---- */
 
 void
--- /dev/null
+++ b/packages/node/lead_requests.c
@@ -0,0 +1,476 @@
+/*
+ * Requests to the leader: answered from the replicated state, or once what
+ * they change is committed.
+ */
+#include "lead.h"
+
+#include <string.h>
+
+#include "clock.h"
+#include "event.h"
+#include "mem.h"
+
+enum {
+    ID_DIGITS = 16,
+};
+
+static struct event_kind event_submit = {.name = "submit", .per_second = 120};
+static struct event_kind event_cancel = {.name = "cancel", .per_second = 60};
+static struct event_kind event_config = {.name = "config"};
+static struct event_kind event_worker = {.name = "worker", .per_second = 60};
+static struct event_kind event_upkeep = {.name = "upkeep"};
+
+static struct waiter *
+wait_for_commit(struct lead *l, struct requester from,
+                const Node__Request *req)
+{
+    struct lead_batch *b = lead_filling(l);
+    struct waiter *w;
+
+    if (b->waiter_count == b->waiter_cap) {
+        b->waiter_cap = b->waiter_cap * 2 + 8;
+        b->waiters =
+            mem_realloc(b->waiters, b->waiter_cap, sizeof(*b->waiters));
+    }
+    w = &b->waiters[b->waiter_count++];
+    *w = (struct waiter){.from = from, .kind = (int)req->kind_case};
+    return w;
+}
+
+static void
+reply_ok(struct lead *l, struct requester from)
+{
+    Node__Reply reply = NODE__REPLY__INIT;
+
+    request_reply(l->node, from, &reply);
+}
+
+static void
+refuse(struct lead *l, struct requester from, Node__Outcome outcome,
+       const char *reason)
+{
+    request_refuse(l->node, from, outcome, reason, 0);
+}
+
+static bool
+parse_id(struct str text, uint64_t *out)
+{
+    uint64_t id = 0;
+
+    if (text.len != ID_DIGITS) {
+        return false;
+    }
+    for (size_t i = 0; i < text.len; i++) {
+        char c = text.ptr[i];
+        int digit = c >= '0' && c <= '9'   ? c - '0'
+                    : c >= 'a' && c <= 'f' ? c - 'a' + 10
+                    : c >= 'A' && c <= 'F' ? c - 'A' + 10
+                                           : -1;
+
+        if (digit < 0) {
+            return false;
+        }
+        id = id << 4 | (unsigned)digit;
+    }
+    *out = id;
+    return true;
+}
+
+static void
+submit(struct lead *l, struct requester from, const Node__Request *req,
+       uint64_t id, const struct flow_queue *q, const struct flow_team *team)
+{
+    const Node__JobCall *call = req->job;
+    const char *problem = flow_spec_problem(call->spec);
+    Flow__Command command = FLOW__COMMAND__INIT;
+    Flow__Submit add = FLOW__SUBMIT__INIT;
+
+    if (flow_job(l->state, id) != NULL) {
+        reply_ok(l, from);
+        return;
+    }
+    if (problem != NULL) {
+        refuse(l, from, NODE__OUTCOME__INVALID, problem);
+        return;
+    }
+    add.job = id;
+    add.queue = (char *)q->name.ptr;
+    add.team = team == NULL ? add.team : (char *)team->name.ptr;
+    add.spec = call->spec;
+    add.wall_ms = clock_wall_ms();
+    command.kind_case = FLOW__COMMAND__KIND_SUBMIT;
+    command.submit = &add;
+    lead_command(l, &command);
+    wait_for_commit(l, from, req)->job = id;
+    event_write(&event_submit,
+                "job=%016llx queue=%.*s team=%s steps=%zu live=%zu "
+                "config=%llu outcome=proposed",
+                (unsigned long long)id, STR_ARG(q->name), add.team,
+                call->spec->n_steps, flow_live_count(l->state),
+                (unsigned long long)flow_config(l->state)->version);
+}
+
+static void
+cancel(struct lead *l, struct requester from, const Node__Request *req,
+       const struct flow_job *j)
+{
+    Flow__Command command = FLOW__COMMAND__INIT;
+    Flow__Cancel drop = FLOW__CANCEL__INIT;
+    struct waiter *w;
+
+    if (j->state > FLOW_JOB_RUNNING) {
+        reply_ok(l, from);
+        return;
+    }
+    drop.job = j->id;
+    command.kind_case = FLOW__COMMAND__KIND_CANCEL;
+    command.cancel = &drop;
+    lead_command(l, &command);
+    w = wait_for_commit(l, from, req);
+    w->job = j->id;
+    w->cancel = true;
+    event_write(&event_cancel, "job=%016llx assigned=%u outcome=proposed",
+                (unsigned long long)j->id, j->assigned);
+}
+
+static void
+state_reply(struct lead *l, struct requester from, const struct flow_job *j)
+{
+    Node__Reply reply = NODE__REPLY__INIT;
+
+    reply.job_state = (uint32_t)j->state;
+    request_reply(l->node, from, &reply);
+}
+
+static void
+job_call(struct lead *l, struct requester from, const Node__Request *req)
+{
+    const Node__JobCall *call = req->job;
+    struct flow_queue *q;
+    struct flow_team *team;
+    struct flow_job *j;
+    struct str rest;
+    uint64_t id = 0;
+
+    if (flow_config(l->state) == NULL) {
+        request_refuse(l->node, from, NODE__OUTCOME__UNAVAILABLE,
+                       "no configuration yet", 1000);
+        return;
+    }
+    q = flow_route(l->state, str_of(call->host), str_of(call->path));
+    if (q == NULL) {
+        refuse(l, from, NODE__OUTCOME__NO_QUEUE, "no such queue");
+        return;
+    }
+    team = flow_team_of_key(l->state, str_of(call->key));
+    if (team == NULL && !q->open) {
+        refuse(l, from, NODE__OUTCOME__NO_KEY, "unknown key");
+        return;
+    }
+    rest = str_from(call->path + q->prefix.len,
+                    strlen(call->path) - q->prefix.len);
+    if (call->verb == NODE__VERB__STATE && rest.len == 0) {
+        Node__Reply reply = NODE__REPLY__INIT;
+
+        reply.counts = true;
+        reply.pending = q->pending;
+        request_reply(l->node, from, &reply);
+        return;
+    }
+    if (!parse_id(rest, &id)) {
+        refuse(l, from,
+               call->verb == NODE__VERB__SUBMIT ? NODE__OUTCOME__INVALID
+                                                : NODE__OUTCOME__NO_JOB,
+               "the id is not 16 hexadecimal digits");
+        return;
+    }
+    if (call->verb == NODE__VERB__SUBMIT) {
+        submit(l, from, req, id, q, team);
+        return;
+    }
+    j = flow_job(l->state, id);
+    if (j == NULL || j->queue != q) {
+        refuse(l, from, NODE__OUTCOME__NO_JOB, "no such job");
+        return;
+    }
+    if (call->verb == NODE__VERB__CANCEL) {
+        cancel(l, from, req, j);
+        return;
+    }
+    state_reply(l, from, j);
+}
+
+static void
+put_config(struct lead *l, struct requester from, const Node__Request *req)
+{
+    const Flow__Config *held = flow_config(l->state);
+    const char *problem = flow_config_problem(req->config);
+    Flow__Command command = FLOW__COMMAND__INIT;
+    struct waiter *w;
+
+    if (problem != NULL) {
+        event_write(&event_config,
+                    "version=%llu outcome=invalid reason=\"%s\"",
+                    (unsigned long long)req->config->version, problem);
+        refuse(l, from, NODE__OUTCOME__INVALID, problem);
+        return;
+    }
+    if (held != NULL && req->config->version < held->version) {
+        event_write(&event_config, "version=%llu outcome=older held=%llu",
+                    (unsigned long long)req->config->version,
+                    (unsigned long long)held->version);
+        reply_ok(l, from);
+        return;
+    }
+    if (held != NULL && req->config->version == held->version) {
+        if (flow_config_equal(held, req->config)) {
+            reply_ok(l, from);
+            return;
+        }
+        event_write(&event_config, "version=%llu outcome=conflict",
+                    (unsigned long long)req->config->version);
+        refuse(l, from, NODE__OUTCOME__CONFLICT,
+               "the version is held with other content");
+        return;
+    }
+    command.kind_case = FLOW__COMMAND__KIND_CONFIG;
+    command.config = req->config;
+    lead_command(l, &command);
+    w = wait_for_commit(l, from, req);
+    w->version = req->config->version;
+    w->document = str_dup(
+        str_from(req->config->document.data, req->config->document.len));
+}
+
+static void
+read_config(struct lead *l, struct requester from)
+{
+    const Flow__Config *held = flow_config(l->state);
+    Node__Reply reply = NODE__REPLY__INIT;
+
+    if (held == NULL) {
+        request_refuse(l->node, from, NODE__OUTCOME__UNAVAILABLE,
+                       "no configuration yet", 1000);
+        return;
+    }
+    reply.document = held->document;
+    request_reply(l->node, from, &reply);
+}
+
+static void
+lose_worker(struct lead *l, const struct flow_worker *w, const char *reason)
+{
+    Flow__Command command = FLOW__COMMAND__INIT;
+    Flow__WorkerLost lost = FLOW__WORKER_LOST__INIT;
+
+    lost.worker = w->number;
+    command.kind_case = FLOW__COMMAND__KIND_LOST;
+    command.lost = &lost;
+    lead_command(l, &command);
+    event_write(&event_worker,
+                "worker=%.*s number=%u tasks=%u outcome=lost "
+                "reason=\"%s\"",
+                STR_ARG(w->id), w->number, w->tasks, reason);
+}
+
+/*
+ * Another worker at the same address: the one that started later lives.
+ * Returns false when the announcement is of one that has ended.
+ */
+static bool
+address_is_its_own(struct lead *l, const Flow__Worker *in)
+{
+    struct flow_worker *w;
+    void *cursor = NULL;
+
+    while ((w = flow_worker_next(l->state, &cursor)) != NULL) {
+        if (!str_eq(w->address, str_of(in->address)) ||
+            str_eq(w->id, str_of(in->id))) {
+            continue;
+        }
+        if (w->born_ms > in->born_ms) {
+            return false;
+        }
+        lose_worker(l, w, "another worker started at its address");
+    }
+    return true;
+}
+
+static bool
+unchanged(const struct flow_worker *w, const Flow__Worker *in)
+{
+    return w->born_ms == in->born_ms && w->draining == in->draining &&
+           str_eq(w->address, str_of(in->address)) &&
+           str_eq(w->service, str_of(in->service)) && in->capacity != NULL &&
+           w->capacity.cpu_milli == in->capacity->cpu_milli &&
+           w->capacity.memory_mib == in->capacity->memory_mib &&
+           w->capacity.accelerators == in->capacity->accelerators;
+}
+
+static void
+beat(struct lead *l, struct requester from, const Node__Request *req)
+{
+    const Flow__Worker *in = req->beat->worker;
+    struct flow_worker *w = flow_worker_by_id(l->state, str_of(in->id));
+    Flow__Command command = FLOW__COMMAND__INIT;
+
+    if (w != NULL && w->born_ms > in->born_ms) {
+        reply_ok(l, from);
+        return;
+    }
+    if (w != NULL && w->born_ms == in->born_ms) {
+        uint64_t *sequence = workers_beat_sequence(l, w);
+
+        if (sequence != NULL && in->sequence < *sequence) {
+            reply_ok(l, from);
+            return;
+        }
+        if (sequence != NULL) {
+            *sequence = in->sequence;
+        }
+        workers_beat(l, w, req->beat->clock_ms);
+        if (unchanged(w, in)) {
+            reply_ok(l, from);
+            return;
+        }
+    }
+    if (!address_is_its_own(l, in)) {
+        reply_ok(l, from);
+        return;
+    }
+    command.kind_case = FLOW__COMMAND__KIND_WORKER;
+    command.worker = (Flow__Worker *)in;
+    lead_command(l, &command);
+    wait_for_commit(l, from, req);
+    event_write(&event_worker,
+                "worker=%s address=%s born=%lld draining=%d sequence=%llu "
+                "outcome=%s",
+                in->id, in->address, (long long)in->born_ms, in->draining,
+                (unsigned long long)in->sequence,
+                w == NULL ? "registered" : "changed");
+}
+
+static void
+worker_left(struct lead *l, struct requester from, const char *id)
+{
+    struct flow_worker *w = flow_worker_by_id(l->state, str_of(id));
+
+    if (w != NULL) {
+        workers_left(l, w);
+    }
+    reply_ok(l, from);
+}
+
+static void
+upkeep(struct lead *l, struct requester from, const Node__Request *req)
+{
+    Flow__Command command = FLOW__COMMAND__INIT;
+
+    if (flow_upkeep(l->state, req->upkeep->wave) != NULL) {
+        reply_ok(l, from);
+        return;
+    }
+    command.kind_case = FLOW__COMMAND__KIND_UPKEEP;
+    command.upkeep = req->upkeep;
+    lead_command(l, &command);
+    wait_for_commit(l, from, req);
+    event_write(&event_upkeep,
+                "wave=%llu machines=%zu concurrent=%u "
+                "outcome=proposed",
+                (unsigned long long)req->upkeep->wave, req->upkeep->n_machines,
+                req->upkeep->concurrent_max);
+}
+
+static void
+upkeep_state(struct lead *l, struct requester from, uint64_t wave)
+{
+    const struct flow_upkeep *u = flow_upkeep(l->state, wave);
+    Node__Reply reply = NODE__REPLY__INIT;
+
+    if (u == NULL) {
+        refuse(l, from, NODE__OUTCOME__NO_JOB, "no such wave");
+        return;
+    }
+    reply.upkeep_done = u->done_count == u->count;
+    request_reply(l->node, from, &reply);
+}
+
+void
+lead_request(struct lead *l, struct requester from, const Node__Request *req)
+{
+    switch (req->kind_case) {
+    case NODE__REQUEST__KIND_JOB:
+        job_call(l, from, req);
+        break;
+    case NODE__REQUEST__KIND_CONFIG:
+        put_config(l, from, req);
+        break;
+    case NODE__REQUEST__KIND_READ_CONFIG:
+        read_config(l, from);
+        break;
+    case NODE__REQUEST__KIND_BEAT:
+        if (req->beat->worker != NULL) {
+            beat(l, from, req);
+        }
+        break;
+    case NODE__REQUEST__KIND_WORKER_LEFT:
+        worker_left(l, from, req->worker_left);
+        break;
+    case NODE__REQUEST__KIND_UPKEEP:
+        upkeep(l, from, req);
+        break;
+    case NODE__REQUEST__KIND_UPKEEP_STATE:
+        upkeep_state(l, from, req->upkeep_state);
+        break;
+    case NODE__REQUEST__KIND__NOT_SET:
+    default:
+        refuse(l, from, NODE__OUTCOME__INVALID, "unknown request");
+        break;
+    }
+}
+
+static void
+config_committed(struct lead *l, const struct waiter *w)
+{
+    const Flow__Config *held = flow_config(l->state);
+    bool same =
+        held->version == w->version &&
+        str_eq(w->document, str_from(held->document.data, held->document.len));
+
+    if (held->version == w->version && !same) {
+        refuse(l, w->from, NODE__OUTCOME__CONFLICT,
+               "the version is held with other content");
+        return;
+    }
+    event_write(&event_config, "version=%llu outcome=%s held=%llu",
+                (unsigned long long)w->version,
+                same ? "in-force" : "overtaken",
+                (unsigned long long)held->version);
+    reply_ok(l, w->from);
+}
+
+void
+request_committed(struct lead *l, const struct waiter *w)
+{
+    struct flow_job *j;
+
+    switch (w->kind) {
+    case NODE__REQUEST__KIND_JOB:
+        j = flow_job(l->state, w->job);
+        if (j == NULL) {
+            refuse(l, w->from, NODE__OUTCOME__INVALID, "not accepted");
+            return;
+        }
+        if (j->seen_at == 0) {
+            j->seen_at = l->node->now;
+        }
+        reply_ok(l, w->from);
+        break;
+    case NODE__REQUEST__KIND_CONFIG:
+        config_committed(l, w);
+        break;
+    default:
+        reply_ok(l, w->from);
+        break;
+    }
+}
--- /dev/null
+++ b/packages/node/session.h
@@ -0,0 +1,141 @@
+#ifndef GV_NODE_SESSION_H
+#define GV_NODE_SESSION_H
+
+#include "lead.h"
+
+/*
+ * The leader's sessions with workers. A worker is told to start runs that
+ * are committed; one call at a time waits for ends and renews its lease.
+ * Ends are committed before the worker may forget them.
+ *
+ * A run whose start was not answered, or that a predecessor started, is
+ * looked for in the worker's list. If it is not there it is stopped, after
+ * which the worker never starts it; a list that is asked for after that
+ * decides.
+ */
+
+enum {
+    CALL_TIMEOUT_MS = 900, /* for a worker's answer beyond its wait */
+    /* Between calls to a worker that does not answer, doubled each time. */
+    RETRY_MIN_MS = 100,
+    RETRY_MAX_MS = 800,
+    /* After a refusal for its health or room, others are tried for so long. */
+    AVOID_MS = 1500,
+};
+
+enum run_phase {
+    RUN_UNKNOWN, /* a predecessor may have started it */
+    RUN_QUEUED,  /* its start waits to be sent */
+    RUN_SENT,
+    RUN_UNCERTAIN, /* no clear answer to its start */
+    RUN_ACTIVE,
+    RUN_STOP_QUEUED,
+    RUN_STOP_SENT,
+    RUN_STOPPED, /* the worker has acknowledged the stop */
+};
+
+struct run {
+    struct node_task task;
+    enum run_phase phase;
+    int64_t since;      /* in this phase */
+    bool ending;        /* its end is being committed */
+    int64_t started;    /* 0 until the worker has confirmed it */
+    uint32_t percent;   /* of its work, as listed last */
+    int64_t progressed; /* when percent last changed */
+    char ticket[PLAN_TICKET_BYTES];
+};
+
+struct session {
+    struct plan_worker plan; /* first: flow_worker.session points here */
+    uint32_t number;
+    struct map *runs;
+    bool clock_known;
+    int64_t clock_at; /* our time when the worker's clock showed clock_ms */
+    int64_t clock_ms;
+    int64_t expires; /* our time when its lease has surely ended */
+    int64_t heard;   /* last answer of its own */
+    int64_t poll_due;
+    int64_t retry_ms;
+    uint32_t calls;
+    uint64_t beat_sequence;
+    uint64_t proposed_seen; /* ends up to this are being committed */
+    uint32_t failures;      /* in a row */
+    uint64_t failed_job;
+    bool polling;
+    bool failing; /* the last call for ends was not answered */
+    bool contacted;
+    bool leaving;
+    bool losing;  /* its loss is being committed */
+    bool touched; /* a run or a call changed: step it at once */
+};
+
+/* Names a task in a session's runs. */
+uint64_t
+run_key(const struct node_task *t);
+
+/* Adds a run, or replaces the task's earlier one. */
+struct run *
+run_add(struct session *s, const struct node_task *task, enum run_phase phase,
+        int64_t now);
+
+/*
+ * The end of a lease granted now, on the worker's clock; 0 while its clock is
+ * not known. Notes when that lease has surely ended. A worker that does not
+ * answer is granted nothing, or its lease would never end.
+ */
+int64_t
+session_grant(struct lead *l, struct session *s);
+
+void
+run_set_phase(struct lead *l, struct run *r, enum run_phase phase);
+
+/* Commits that the worker is gone, with all that it ran. */
+void
+session_propose_lost(struct lead *l, struct session *s, const char *reason);
+
+/* The replicated state's name of the run on that worker. */
+void
+run_task(Flow__Task *out, const struct node_task *in, uint32_t worker);
+
+/* Commits that the worker never ran it and never will. */
+void
+run_propose_never(struct lead *l, struct session *s, struct run *r);
+
+struct session *
+session_find(struct lead *l, uint32_t number);
+
+/* NULL when that run is not expected on the worker. */
+struct run *
+run_find(struct session *s, const struct node_task *task);
+
+/* The session that a call belongs to, unless the leader has changed. */
+struct session *
+call_session(struct node *n, const struct out_call *call);
+
+struct out_call *
+worker_call_create(struct lead *l, struct session *s,
+                   const struct flow_worker *w, enum node_call_kind kind,
+                   out_done *done);
+
+/* The worker has answered: its clock and its silence begin anew. */
+void
+session_answered(struct lead *l, struct session *s,
+                 const struct node_result *result);
+
+/* Places nothing there for that time. */
+void
+session_avoid(struct lead *l, struct session *s, int64_t ms);
+
+void
+run_send_start(struct lead *l, struct session *s, const struct flow_worker *w,
+               struct run *r);
+
+void
+run_send_stop(struct lead *l, struct session *s, const struct flow_worker *w,
+              struct run *r);
+
+/* Asks for ends and renews the lease. */
+void
+session_poll(struct lead *l, struct session *s, const struct flow_worker *w);
+
+#endif
--- /dev/null
+++ b/packages/node/worker_calls.c
@@ -0,0 +1,219 @@
+/*
+ * Starts and stops of runs.
+ */
+#include "session.h"
+
+#include <string.h>
+
+#include "clock.h"
+#include "event.h"
+#include "mem.h"
+
+static struct event_kind event_call = {.name = "worker-call",
+                                       .per_second = 60};
+
+struct session *
+call_session(struct node *n, const struct out_call *call)
+{
+    struct session *s;
+
+    if (n->lead == NULL || lead_term(n->lead) != call->term) {
+        return NULL;
+    }
+    s = session_find(n->lead, call->worker);
+    if (s != NULL) {
+        s->touched = true;
+    }
+    return s;
+}
+
+struct out_call *
+worker_call_create(struct lead *l, struct session *s,
+                   const struct flow_worker *w, enum node_call_kind kind,
+                   out_done *done)
+{
+    struct out_call *call = mem_zalloc(1, sizeof(*call));
+
+    call->call.kind = kind;
+    call->call.worker = w->id;
+    call->call.token = l->term;
+    call->address = str_dup(w->address);
+    call->done = done;
+    call->worker = s->number;
+    call->term = l->term;
+    return call;
+}
+
+static void
+start_refused(struct lead *l, struct session *s, struct run *r,
+              enum node_refusal refusal)
+{
+    struct flow_step *step;
+    Flow__Task task;
+
+    event_write(&event_call,
+                "call=start job=%016llx task=%u.%u.%u run=%u worker=%u "
+                "refusal=%d",
+                (unsigned long long)r->task.job, r->task.occurrence,
+                r->task.step, r->task.index, r->task.run, s->number,
+                (int)refusal);
+    run_task(&task, &r->task, s->number);
+    switch (refusal) {
+    case NODE_REFUSAL_TICKET:
+        if (flow_task(l->state, &task, &step) != NULL) {
+            plan_ticket_refused(step, s->number);
+        }
+        run_propose_never(l, s, r);
+        break;
+    case NODE_REFUSAL_ROOM:
+    case NODE_REFUSAL_UNHEALTHY:
+        session_avoid(l, s, AVOID_MS);
+        run_propose_never(l, s, r);
+        break;
+    case NODE_REFUSAL_LATE:
+    case NODE_REFUSAL_INVALID:
+        run_propose_never(l, s, r);
+        break;
+    case NODE_REFUSAL_FENCED:
+    case NODE_REFUSAL_OLD_RUN:
+    case NODE_REFUSAL_OTHER_LIFE:
+    case NODE_REFUSAL_GARBLED:
+    case NODE_REFUSAL_NONE:
+        run_set_phase(l, r, RUN_UNCERTAIN);
+        break;
+    }
+}
+
+/* The planner expects the room back after the run's expected time. */
+static void
+note_started(struct lead *l, const struct session *s,
+             const struct node_task *task)
+{
+    struct flow_step *step;
+    Flow__Task ref;
+    struct flow_task *t;
+
+    run_task(&ref, task, s->number);
+    t = flow_task(l->state, &ref, &step);
+    if (t != NULL && t->run == task->run) {
+        t->started_at = l->node->now;
+    }
+}
+
+static void
+start_done(struct node *n, struct out_call *call,
+           const struct upstream_result *result)
+{
+    struct session *s = call_session(n, call);
+    struct node_result decoded = {0};
+    struct run *r;
+
+    if (s == NULL) {
+        return;
+    }
+    s->calls--;
+    r = run_find(s, &call->task);
+    if (result->failure != UPSTREAM_OK) {
+        event_write(&event_call,
+                    "call=start job=%016llx run=%u worker=%u failure=%s",
+                    (unsigned long long)call->task.job, call->task.run,
+                    s->number, upstream_failure_name(result->failure));
+        if (r != NULL && r->phase == RUN_SENT) {
+            run_set_phase(n->lead, r, RUN_UNCERTAIN);
+        }
+        return;
+    }
+    n->adapter->decode_result(&call->call, result->status,
+                              buf_str(&result->body), &decoded);
+    session_answered(n->lead, s, &decoded);
+    if (r != NULL && r->phase == RUN_SENT) {
+        if (decoded.refusal == NODE_REFUSAL_NONE) {
+            run_set_phase(n->lead, r, RUN_ACTIVE);
+            r->started = n->now;
+            note_started(n->lead, s, &r->task);
+        }
+        else {
+            start_refused(n->lead, s, r, decoded.refusal);
+        }
+    }
+    node_result_free(&decoded);
+}
+
+void
+run_send_start(struct lead *l, struct session *s, const struct flow_worker *w,
+               struct run *r)
+{
+    struct flow_step *step;
+    Flow__Task ref;
+    const struct flow_task *t;
+    const struct flow_job *j = flow_job(l->state, r->task.job);
+    struct out_call *call;
+
+    run_task(&ref, &r->task, s->number);
+    t = flow_task(l->state, &ref, &step);
+    if (t == NULL || !t->assigned || t->run != r->task.run ||
+        j->state > FLOW_JOB_RUNNING) {
+        run_propose_never(l, s, r);
+        return;
+    }
+    call = worker_call_create(l, s, w, NODE_CALL_START, start_done);
+    call->task = r->task;
+    call->call.u.start.task = r->task;
+    call->call.u.start.payload =
+        str_from(j->spec->payload.data, j->spec->payload.len);
+    call->call.u.start.lease_until_ms = session_grant(l, s);
+    call->call.u.start.checkpoint = t->checkpoint;
+    call->call.u.start.ticket = str_of(r->ticket);
+    l->node->adapter->encode_call(&call->call, &call->http);
+    run_set_phase(l, r, RUN_SENT);
+    s->calls++;
+    if (!out_send(l->node, call, l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
+        s->calls--;
+        run_set_phase(l, r, RUN_QUEUED);
+    }
+}
+
+static void
+stop_done(struct node *n, struct out_call *call,
+          const struct upstream_result *result)
+{
+    struct session *s = call_session(n, call);
+    struct node_result decoded = {0};
+    struct run *r;
+
+    if (s == NULL) {
+        return;
+    }
+    s->calls--;
+    r = run_find(s, &call->task);
+    if (result->failure == UPSTREAM_OK) {
+        n->adapter->decode_result(&call->call, result->status,
+                                  buf_str(&result->body), &decoded);
+        session_answered(n->lead, s, &decoded);
+    }
+    if (r != NULL && r->phase == RUN_STOP_SENT) {
+        bool stopped = result->failure == UPSTREAM_OK &&
+                       decoded.refusal == NODE_REFUSAL_NONE;
+
+        run_set_phase(n->lead, r, stopped ? RUN_STOPPED : RUN_STOP_QUEUED);
+    }
+    node_result_free(&decoded);
+}
+
+void
+run_send_stop(struct lead *l, struct session *s, const struct flow_worker *w,
+              struct run *r)
+{
+    struct out_call *call =
+        worker_call_create(l, s, w, NODE_CALL_STOP, stop_done);
+
+    call->task = r->task;
+    call->call.u.stop.task = r->task;
+    l->node->adapter->encode_call(&call->call, &call->http);
+    run_set_phase(l, r, RUN_STOP_SENT);
+    s->calls++;
+    if (!out_send(l->node, call, l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
+        s->calls--;
+        run_set_phase(l, r, RUN_STOP_QUEUED);
+    }
+}
--- /dev/null
+++ b/packages/node/worker_polls.c
@@ -0,0 +1,296 @@
+/*
+ * Calls that wait for ends, list what runs and renew the lease.
+ */
+#include "session.h"
+
+#include <string.h>
+
+#include "clock.h"
+#include "event.h"
+#include "mem.h"
+#include "progress.h"
+
+enum {
+    /* Between a worker's call for ends and its renewal: the lease must
+     * outlast a change of the leader. */
+    POLL_WAIT_MS = 900,
+    POLL_SHORT_MS = 20, /* while a run's fate is open */
+    /* Failures in a row, of different jobs, that make a worker suspect. */
+    FAILURES_SUSPECT = 3,
+    SUSPECT_MS = 4000,
+};
+
+static struct event_kind event_end = {.name = "end", .per_second = 200};
+static struct event_kind event_call = {.name = "worker-call",
+                                       .per_second = 60};
+static struct event_kind event_slow = {.name = "run-slow", .per_second = 40};
+
+/* Stops a run that the worker lists and that is not expected there. */
+static void
+stop_unexpected(struct lead *l, struct session *s,
+                const struct node_task *task)
+{
+    struct run *r = map_get_u64(s->runs, run_key(task));
+
+    if (r == NULL) {
+        run_add(s, task, RUN_STOP_QUEUED, l->node->now);
+    }
+}
+
+/*
+ * Follows a run's progress: learns how fast the worker is, and stops a run
+ * that stands still or is so slow that another worker does it sooner.
+ */
+static void
+see_progress(struct lead *l, struct session *s, struct run *r,
+             const struct node_running *in)
+{
+    struct flow_worker *w = flow_worker(l->state, s->number);
+    const struct flow_job *j = flow_job(l->state, r->task.job);
+    struct flow_step *step;
+    Flow__Task ref;
+    struct run_progress progress = {.now = l->node->now};
+
+    run_task(&ref, &r->task, s->number);
+    if (r->started == 0 || in->percent != r->percent || r->progressed == 0) {
+        r->started = r->started == 0 ? l->node->now : r->started;
+        r->percent = in->percent;
+        r->progressed = l->node->now;
+    }
+    if (j == NULL || flow_task(l->state, &ref, &step) == NULL ||
+        step->spec->endless || r->phase != RUN_ACTIVE) {
+        return;
+    }
+    progress.started = r->started;
+    progress.progressed = r->progressed;
+    progress.percent = r->percent;
+    progress.run = r->task.run;
+    progress.expected_ms = plan_run_ms(j, step, 1);
+    progress.checkpoints = step->spec->checkpoints;
+    /* A run that is on time is counted when it ends. */
+    if (progress_projected_ms(&progress) > progress.expected_ms * 2) {
+        plan_observe(w, j->queue, progress_projected_ms(&progress),
+                     step->spec->estimate_ms, l->node->now);
+    }
+    if (progress_restart(&progress)) {
+        event_write(&event_slow,
+                    "job=%016llx task=%u.%u.%u run=%u worker=%.*s percent=%u "
+                    "elapsed_ms=%lld expected_ms=%.0f outcome=stopped",
+                    (unsigned long long)r->task.job, r->task.occurrence,
+                    r->task.step, r->task.index, r->task.run, STR_ARG(w->id),
+                    r->percent,
+                    (long long)((l->node->now - r->started) / NS_PER_MS),
+                    progress.expected_ms);
+        session_avoid(l, s, AVOID_MS);
+        run_set_phase(l, r, RUN_STOP_QUEUED);
+    }
+}
+
+static void
+see_running(struct lead *l, struct session *s,
+            const struct node_result *result, int64_t sent)
+{
+    struct run *r;
+    void *cursor = NULL;
+
+    for (size_t i = 0; i < result->running_count; i++) {
+        r = run_find(s, &result->running[i].task);
+        if (r == NULL) {
+            stop_unexpected(l, s, &result->running[i].task);
+            continue;
+        }
+        if (r->phase == RUN_UNKNOWN || r->phase == RUN_UNCERTAIN) {
+            run_set_phase(l, r, RUN_ACTIVE);
+        }
+        r->ending = false;
+        see_progress(l, s, r, &result->running[i]);
+    }
+    while ((r = map_next(s->runs, &cursor)) != NULL) {
+        bool listed = false;
+
+        for (size_t i = 0; !listed && i < result->running_count; i++) {
+            listed = run_key(&result->running[i].task) == run_key(&r->task) &&
+                     result->running[i].task.run == r->task.run;
+        }
+        for (size_t i = 0; !listed && i < result->ended_count; i++) {
+            listed = run_key(&result->ended[i].task) == run_key(&r->task) &&
+                     result->ended[i].task.run == r->task.run;
+        }
+        if (listed || sent < r->since) {
+            continue;
+        }
+        if (r->phase == RUN_STOPPED) {
+            run_propose_never(l, s, r);
+        }
+        else if (r->phase == RUN_UNKNOWN || r->phase == RUN_UNCERTAIN ||
+                 r->phase == RUN_ACTIVE) {
+            run_set_phase(l, r, RUN_STOP_QUEUED);
+        }
+    }
+}
+
+/* A worker on which tasks of several jobs fail in a row is suspect. */
+static void
+note_outcome(struct lead *l, struct session *s, const struct node_ended *e)
+{
+    struct run *r = run_find(s, &e->task);
+    struct flow_job *j = flow_job(l->state, e->task.job);
+
+    if (e->how == FLOW_END_DONE && r != NULL && r->started != 0 && j != NULL &&
+        e->task.step < j->spec->n_steps) {
+        plan_observe(flow_worker(l->state, s->number), j->queue,
+                     (double)(l->node->now - r->started) / NS_PER_MS,
+                     j->spec->steps[e->task.step]->estimate_ms, l->node->now);
+    }
+    if (e->how == FLOW_END_DONE) {
+        s->failures = 0;
+        return;
+    }
+    if (e->how != FLOW_END_FAILED || e->task.job == s->failed_job) {
+        return;
+    }
+    s->failed_job = e->task.job;
+    if (++s->failures >= FAILURES_SUSPECT) {
+        session_avoid(l, s, SUSPECT_MS);
+    }
+}
+
+static void
+commit_ends(struct lead *l, struct session *s,
+            const struct node_result *result, uint64_t last_seen)
+{
+    Flow__Command command = FLOW__COMMAND__INIT;
+    Flow__Ends ends = FLOW__ENDS__INIT;
+    Flow__End *items = mem_alloc((result->ended_count + 1) * sizeof(*items));
+    Flow__Task *tasks = mem_alloc((result->ended_count + 1) * sizeof(*tasks));
+    Flow__End **list = mem_alloc((result->ended_count + 1) * sizeof(*list));
+    uint64_t highest = last_seen;
+
+    for (size_t i = 0; i < result->ended_count; i++) {
+        const struct node_ended *e = &result->ended[i];
+
+        if (e->number <= last_seen) {
+            continue;
+        }
+        highest = e->number > highest ? e->number : highest;
+        run_task(&tasks[ends.n_ends], &e->task, s->number);
+        flow__end__init(&items[ends.n_ends]);
+        items[ends.n_ends].task = &tasks[ends.n_ends];
+        items[ends.n_ends].how = e->how;
+        items[ends.n_ends].checkpoint = (char *)e->checkpoint.ptr;
+        list[ends.n_ends] = &items[ends.n_ends];
+        ends.n_ends++;
+        note_outcome(l, s, e);
+        event_write(&event_end,
+                    "job=%016llx task=%u.%u.%u run=%u how=%u worker=%u "
+                    "number=%llu",
+                    (unsigned long long)e->task.job, e->task.occurrence,
+                    e->task.step, e->task.index, e->task.run, e->how,
+                    s->number, (unsigned long long)e->number);
+    }
+    if (ends.n_ends > 0) {
+        ends.worker = s->number;
+        ends.last_seen = highest;
+        ends.ends = list;
+        command.kind_case = FLOW__COMMAND__KIND_ENDS;
+        command.ends = &ends;
+        lead_command(l, &command);
+        s->proposed_seen = highest;
+    }
+    mem_free(list);
+    mem_free(tasks);
+    mem_free(items);
+}
+
+static void
+poll_failed(struct lead *l, struct session *s,
+            const struct upstream_result *result)
+{
+    s->failing = true;
+    s->poll_due = l->node->now + s->retry_ms * NS_PER_MS;
+    s->retry_ms =
+        s->retry_ms * 2 > RETRY_MAX_MS ? RETRY_MAX_MS : s->retry_ms * 2;
+    if (s->leaving && (result->failure == UPSTREAM_REFUSED ||
+                       result->failure == UPSTREAM_RESET)) {
+        session_propose_lost(l, s, "it left");
+    }
+}
+
+static void
+polled(struct lead *l, struct session *s, struct flow_worker *w,
+       const struct node_result *result, int64_t sent)
+{
+    if (result->refusal == NODE_REFUSAL_OTHER_LIFE ||
+        (result->born_ms >= 0 && result->born_ms != w->born_ms)) {
+        session_propose_lost(l, s, "another worker answers at its address");
+        return;
+    }
+    if (result->refusal != NODE_REFUSAL_NONE) {
+        s->poll_due = l->node->now + RETRY_MAX_MS * NS_PER_MS;
+        return;
+    }
+    session_answered(l, s, result);
+    s->contacted = true;
+    see_running(l, s, result, sent);
+    commit_ends(l, s, result, w->last_seen);
+    s->poll_due = l->node->now;
+}
+
+static void
+poll_done(struct node *n, struct out_call *call,
+          const struct upstream_result *result)
+{
+    struct session *s = call_session(n, call);
+    struct flow_worker *w;
+    struct node_result decoded = {0};
+
+    if (s == NULL) {
+        return;
+    }
+    s->polling = false;
+    w = flow_worker(n->lead->state, s->number);
+    if (w == NULL) {
+        return;
+    }
+    if (result->failure != UPSTREAM_OK) {
+        event_write(&event_call, "call=poll worker=%.*s failure=%s",
+                    STR_ARG(w->id), upstream_failure_name(result->failure));
+        poll_failed(n->lead, s, result);
+        return;
+    }
+    n->adapter->decode_result(&call->call, result->status,
+                              buf_str(&result->body), &decoded);
+    polled(n->lead, s, w, &decoded, call->sent);
+    node_result_free(&decoded);
+}
+
+static bool
+fate_open(const struct session *s)
+{
+    struct run *r;
+    void *cursor = NULL;
+
+    while ((r = map_next(s->runs, &cursor)) != NULL) {
+        if (r->phase == RUN_UNKNOWN || r->phase == RUN_UNCERTAIN ||
+            r->phase == RUN_STOPPED) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+session_poll(struct lead *l, struct session *s, const struct flow_worker *w)
+{
+    struct out_call *call =
+        worker_call_create(l, s, w, NODE_CALL_POLL, poll_done);
+    uint32_t wait =
+        !s->contacted || fate_open(s) ? POLL_SHORT_MS : POLL_WAIT_MS;
+
+    call->call.u.poll.last_seen = w->last_seen;
+    call->call.u.poll.lease_until_ms = session_grant(l, s);
+    call->call.u.poll.wait_ms = wait;
+    l->node->adapter->encode_call(&call->call, &call->http);
+    s->polling = out_send(l->node, call,
+                          l->node->now + (wait + CALL_TIMEOUT_MS) * NS_PER_MS);
+}
