--- a/packages/node/lead.c
+++ b/packages/node/lead.c
@@ -230,8 +230,15 @@
 int64_t
 lead_next_deadline(const struct lead *l)
 {
+    enum {
+        NO_QUORUM_WAIT_MS = 10, /* until it is heard from, or lost */
+    };
     int64_t deadline = workers_next_deadline(l);
 
+    /* Without a quorum nothing is stepped, however overdue it is. */
+    if (!group_leads(l->node->group)) {
+        return l->node->now + NO_QUORUM_WAIT_MS * NS_PER_MS;
+    }
     if (l->dirty && !l->plan_busy && l->plan_due < deadline) {
         deadline = l->plan_due;
     }
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -16,6 +16,7 @@
 #include "event.h"
 #include "internal.h"
 #include "log.h"
+#include "mem.h"
 
 enum {
     WAIT_MAX_MS = 500,
@@ -262,7 +263,7 @@
     for (size_t i = 0; i < n->settings.seed_count; i++) {
         str_free(&n->settings.seeds[i].address);
     }
-    free(n->settings.seeds);
+    mem_free(n->settings.seeds);
     n->settings.seeds = fresh.seeds;
     n->settings.seed_count = fresh.seed_count;
     n->settings.grace_s = fresh.grace_s;
