--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -51,16 +51,6 @@
            j->queue->latency_target_ms;
 }
 
-int64_t
-plan_objective(const struct flow_job *j)
-{
-    int64_t *memo = mem_zalloc(j->spec->n_steps, sizeof(*memo));
-    int64_t chain = chains(j, memo);
-
-    mem_free(memo);
-    return j->seen_at + objective_ms(j, chain) * NS_PER_MS;
-}
-
 static uint32_t
 waiting_tasks(const struct flow_step *step)
 {
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -105,14 +105,6 @@
 void
 plan_free(struct plan *plan);
 
-/*
- * Time by which a job should be complete for its callers, on the clock of
- * flow_job.seen_at: its longest chain of estimated work times the queue's
- * stretch, plus the queue's latency target.
- */
-int64_t
-plan_objective(const struct flow_job *j);
-
 /* Records an answer for a step; a ticket longer than PLAN_TICKET_BYTES - 1
  * counts as none. Workers that were named and are not approved are kept as
  * refused. */
