node: steps that wait for more than a second log why

The planner now says whether a step waits for its team's limit, for tickets or for room, and the leader logs each change with its inputs.

--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -116,6 +116,7 @@
     uint32_t assigned;
     uint32_t gang_failures;
     struct flow_approval *approval; /* of the leader; not replicated */
+    uint8_t wait_reason;            /* likewise: enum plan_wait */
 };
 
 struct flow_occurrence {
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -61,6 +61,22 @@
     size_t count;
 };
 
+/* Why tasks of a step that could start were not placed. */
+enum plan_wait {
+    PLAN_WAIT_NONE,
+    PLAN_WAIT_TEAM_LIMIT,
+    PLAN_WAIT_APPROVAL, /* no ticket for a worker with room */
+    PLAN_WAIT_ROOM,
+};
+
+/* A step whose reason to wait has changed. */
+struct plan_waiting {
+    struct flow_job *job;
+    struct flow_occurrence *occurrence;
+    struct flow_step *step;
+    enum plan_wait reason;
+};
+
 struct plan {
     struct plan_start *starts;
     size_t start_count;
@@ -68,6 +84,9 @@
     struct plan_ask *asks;
     size_t ask_count;
     size_t ask_cap;
+    struct plan_waiting *waiting;
+    size_t waiting_count;
+    size_t waiting_cap;
 };
 
 struct plan_limits {
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -297,6 +297,50 @@
     return missing;
 }
 
+/* Whether a worker without a valid ticket has room for a task now. */
+static bool
+room_unapproved(const struct round *r, const struct candidate *c)
+{
+    struct flow_size size = step_takes(c->step);
+
+    for (size_t i = 0; i < r->view_count; i++) {
+        const struct view *v = &r->views[i];
+
+        if ((v->verdict == NULL || v->verdict->approved) &&
+            !ticket_valid(v->verdict, r->now) && view_suits(r, v, c) &&
+            size_fits(size, view_free(v))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+note_waiting(struct round *r, const struct candidate *c, bool limited,
+             uint32_t missing)
+{
+    struct plan *plan = r->plan;
+    enum plan_wait reason = limited        ? PLAN_WAIT_TEAM_LIMIT
+                            : missing == 0 ? PLAN_WAIT_NONE
+                                           : PLAN_WAIT_ROOM;
+
+    if (reason == PLAN_WAIT_ROOM && c->job->queue->needs_approval &&
+        room_unapproved(r, c)) {
+        reason = PLAN_WAIT_APPROVAL;
+    }
+    if (reason == c->step->wait_reason) {
+        return;
+    }
+    c->step->wait_reason = (uint8_t)reason;
+    if (plan->waiting_count == plan->waiting_cap) {
+        plan->waiting_cap = plan->waiting_cap * 2 + 32;
+        plan->waiting = mem_realloc(plan->waiting, plan->waiting_cap,
+                                    sizeof(*plan->waiting));
+    }
+    plan->waiting[plan->waiting_count++] = (struct plan_waiting){
+        c->job, &c->job->occurrences[c->occurrence], c->step, reason};
+}
+
 static void
 place(struct round *r, const struct candidate *c)
 {
@@ -317,6 +361,7 @@
     if (missing > 0 && !limited && c->job->queue->needs_approval) {
         ask_approval(r, c, missing, fits);
     }
+    note_waiting(r, c, limited, missing);
     bind_verdicts(r, c, false);
 }
 
@@ -338,6 +383,7 @@
 
     plan->start_count = 0;
     plan->ask_count = 0;
+    plan->waiting_count = 0;
     round_collect(&r);
     for (size_t i = 0;
          i < r.candidate_count && plan->start_count < limits->starts; i++) {
@@ -351,5 +397,6 @@
 {
     mem_free(plan->starts);
     mem_free(plan->asks);
+    mem_free(plan->waiting);
     *plan = (struct plan){0};
 }
--- a/packages/node/lead_plan.c
+++ b/packages/node/lead_plan.c
@@ -31,12 +31,16 @@
     LONG_CALL_VMS = 3,
     /* A VM whose call failed may have lost its way to the service. */
     AVOID_VM_MS = 3000,
+    /* Shorter waits are a matter of course and are not logged. */
+    WAIT_LOGGED_MS = 1000,
     /* A ticket's age when it reaches the leader is not known: it was issued
      * before the answer travelled through another VM. */
     TICKET_TRAVEL_MS = 40,
 };
 
 static struct event_kind event_start = {.name = "start", .per_second = 200};
+static struct event_kind event_waiting = {.name = "waiting",
+                                          .per_second = 40};
 
 /* A call for approval that is under way at some VM. */
 struct ask {
@@ -293,6 +297,48 @@
     return ended + (pause > least ? pause : least);
 }
 
+static const char *
+wait_name(enum plan_wait reason)
+{
+    switch (reason) {
+    case PLAN_WAIT_NONE:
+        return "none";
+    case PLAN_WAIT_TEAM_LIMIT:
+        return "team-limit";
+    case PLAN_WAIT_APPROVAL:
+        return "approval";
+    case PLAN_WAIT_ROOM:
+        return "room";
+    }
+    return "none";
+}
+
+static void
+log_waiting(const struct lead *l, const struct plan_waiting *in)
+{
+    const struct flow_job *j = in->job;
+    int64_t waited_ms = (l->node->now - j->seen_at) / NS_PER_MS;
+    struct flow_size size = flow_step_size(in->step);
+
+    if (waited_ms < WAIT_LOGGED_MS) {
+        return;
+    }
+    event_write(&event_waiting,
+                "job=%016llx step=%u.%zu reason=%s waited_ms=%lld tasks=%u "
+                "cpu=%llu gang=%d team=%.*s team_cpu=%llu team_cpu_limit=%llu "
+                "team_memory=%llu team_memory_limit=%llu",
+                (unsigned long long)j->id, in->occurrence->number,
+                (size_t)(in->step - in->occurrence->steps),
+                wait_name(in->reason), (long long)waited_ms,
+                in->step->count - in->step->done - in->step->assigned,
+                (unsigned long long)size.cpu_milli, in->step->spec->gang,
+                STR_ARG(j->team->name),
+                (unsigned long long)j->team->used.cpu_milli,
+                (unsigned long long)j->team->limit.cpu_milli,
+                (unsigned long long)j->team->used.memory_mib,
+                (unsigned long long)j->team->limit.memory_mib);
+}
+
 void
 lead_plan_step(struct lead *l)
 {
@@ -306,6 +352,9 @@
     l->dirty = false;
     plan_make(l->state, l->node->now, &limits, &l->plan);
     l->plan_due = next_round(l->node->now, clock_now());
+    for (size_t i = 0; i < l->plan.waiting_count; i++) {
+        log_waiting(l, &l->plan.waiting[i]);
+    }
     for (size_t i = 0; i < l->plan.ask_count; i++) {
         bool long_call =
             l->plan.asks[i].job->queue->approval_ms > LONG_CALL_MS;
