--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -181,6 +181,15 @@
     v->releases[v->release_count++] = (struct release){at, step_takes(step)};
 }
 
+void
+round_releases(struct round *r)
+{
+    if (!r->releases_known) {
+        r->releases_known = true;
+        flow_visit_assigned(r->state, 0, collect_release, r);
+    }
+}
+
 void
 round_collect(struct round *r)
 {
@@ -194,6 +203,5 @@
     if (r->candidate_count == 0) {
         return;
     }
-    flow_visit_assigned(r->state, 0, collect_release, r);
     qsort(r->candidates, r->candidate_count, sizeof(*r->candidates), compare);
 }
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -93,6 +93,7 @@
     bool configured;
     uint32_t pending; /* jobs of which no task has started */
     double bias_log;  /* of the leader: learned, see plan_observe */
+    double bias;      /* exp(bias_log), once something was learned */
 };
 
 struct flow_task {
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -69,7 +69,7 @@
     PLAN_WAIT_ROOM,
 };
 
-/* A step whose reason to wait has changed. */
+/* A step of a job that is not new, whose reason to wait has changed. */
 struct plan_waiting {
     struct flow_job *job;
     struct flow_occurrence *occurrence;
--- a/packages/flow/learn.c
+++ b/packages/flow/learn.c
@@ -38,7 +38,9 @@
 plan_run_ms(const struct flow_job *j, const struct flow_step *step,
             double speed)
 {
-    double ms = step->spec->estimate_ms * exp(j->queue->bias_log) / speed;
+    const struct flow_queue *q = j->queue;
+    double bias = q->bias_log == 0 ? 1 : q->bias;
+    double ms = step->spec->estimate_ms * bias / speed;
 
     return ms < RUN_MIN_MS ? RUN_MIN_MS : ms;
 }
@@ -61,4 +63,5 @@
         slowness + WORKER_SHARE * (ratio - q->bias_log - slowness);
     p->observed_at = now;
     q->bias_log += QUEUE_SHARE * (ratio - slowness - q->bias_log);
+    q->bias = exp(q->bias_log);
 }
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -13,6 +13,11 @@
 static const double COST_FAR = 2.0;    /* the data is on another rack */
 static const double COST_FAILED = 4.0; /* the task has failed there */
 
+enum {
+    /* Shorter waits are a matter of course and have no reason. */
+    WAIT_NOTED_MS = 1000,
+};
+
 struct plan_worker *
 plan_worker(const struct flow_worker *w)
 {
@@ -324,6 +329,9 @@
                             : missing == 0 ? PLAN_WAIT_NONE
                                            : PLAN_WAIT_ROOM;
 
+    if (r->now - c->job->seen_at < WAIT_NOTED_MS * NS_PER_MS) {
+        return;
+    }
     if (reason == PLAN_WAIT_ROOM && c->job->queue->needs_approval &&
         room_unapproved(r, c)) {
         reason = PLAN_WAIT_APPROVAL;
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -48,6 +48,7 @@
     size_t candidate_count;
     size_t candidate_cap;
     size_t reservations;
+    bool releases_known;
 };
 
 /* ---- candidates.c ---- */
@@ -55,6 +56,10 @@
 void
 round_collect(struct round *r);
 
+/* Fills the expected releases of all views, which only reservations need. */
+void
+round_releases(struct round *r);
+
 /* ---- fit.c: what fits where ---- */
 
 bool
--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -170,6 +170,7 @@
     if (r->reservations >= r->limits->reservations || c->rank > 1) {
         return INT64_MAX;
     }
+    round_releases(r);
     for (size_t i = 0; i < r->view_count; i++) {
         if (eligible(r, &r->views[i], c)) {
             collect_gains(r, &r->views[i], c, &gains);
--- a/packages/node/include/node.pb-c.h
+++ b/packages/node/include/node.pb-c.h
@@ -26,6 +26,13 @@
 typedef struct Node__Ask Node__Ask;
 typedef struct Node__Ticket Node__Ticket;
 typedef struct Node__Answer Node__Answer;
+typedef struct Node__About Node__About;
+typedef struct Node__WorkerCall Node__WorkerCall;
+typedef struct Node__WorkerCalls Node__WorkerCalls;
+typedef struct Node__Running Node__Running;
+typedef struct Node__Ended Node__Ended;
+typedef struct Node__WorkerAnswer Node__WorkerAnswer;
+typedef struct Node__WorkerAnswers Node__WorkerAnswers;
 typedef struct Node__Envelope Node__Envelope;
 
 
@@ -221,6 +228,116 @@
     , 0, 0, 0,NULL, 0 }
 
 
+/*
+ * Where a process is and whether it may be asked to call workers.
+ */
+struct  Node__About
+{
+  ProtobufCMessage base;
+  char *failure_domain;
+  protobuf_c_boolean relays;
+};
+#define NODE__ABOUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__about__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * A call to a worker that another VM makes for the leader; the fields are
+ * those of struct node_call.
+ */
+struct  Node__WorkerCall
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t kind;
+  char *address;
+  char *worker;
+  uint64_t token;
+  uint32_t timeout_ms;
+  Flow__Task *task;
+  ProtobufCBinaryData payload;
+  int64_t lease_until_ms;
+  char *checkpoint;
+  char *ticket;
+  uint64_t last_seen;
+  uint32_t wait_ms;
+};
+#define NODE__WORKER_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__worker_call__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Node__WorkerCalls
+{
+  ProtobufCMessage base;
+  size_t n_calls;
+  Node__WorkerCall **calls;
+};
+#define NODE__WORKER_CALLS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__worker_calls__descriptor) \
+    , 0,NULL }
+
+
+struct  Node__Running
+{
+  ProtobufCMessage base;
+  Flow__Task *task;
+  uint32_t percent;
+  int64_t load;
+  char *checkpoint;
+};
+#define NODE__RUNNING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__running__descriptor) \
+    , NULL, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Node__Ended
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  Flow__Task *task;
+  uint32_t how;
+  char *checkpoint;
+};
+#define NODE__ENDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__ended__descriptor) \
+    , 0, NULL, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The fields are those of struct node_result; failure is an enum
+ * upstream_failure.
+ */
+struct  Node__WorkerAnswer
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t failure;
+  uint32_t refusal;
+  int64_t clock_ms;
+  int64_t born_ms;
+  size_t n_running;
+  Node__Running **running;
+  size_t n_ended;
+  Node__Ended **ended;
+};
+#define NODE__WORKER_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__worker_answer__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Node__WorkerAnswers
+{
+  ProtobufCMessage base;
+  size_t n_answers;
+  Node__WorkerAnswer **answers;
+};
+#define NODE__WORKER_ANSWERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__worker_answers__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   NODE__ENVELOPE__MSG__NOT_SET = 0,
   NODE__ENVELOPE__MSG_RAFT = 1,
@@ -229,7 +346,10 @@
   NODE__ENVELOPE__MSG_REQUEST = 4,
   NODE__ENVELOPE__MSG_REPLY = 5,
   NODE__ENVELOPE__MSG_ASK = 6,
-  NODE__ENVELOPE__MSG_ANSWER = 7
+  NODE__ENVELOPE__MSG_ANSWER = 7,
+  NODE__ENVELOPE__MSG_ABOUT = 8,
+  NODE__ENVELOPE__MSG_WORKER_CALLS = 9,
+  NODE__ENVELOPE__MSG_WORKER_ANSWERS = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(NODE__ENVELOPE__MSG__CASE)
 } Node__Envelope__MsgCase;
 
@@ -245,6 +365,15 @@
     Node__Reply *reply;
     Node__Ask *ask;
     Node__Answer *answer;
+    Node__About *about;
+    /*
+     * a WorkerCalls
+     */
+    ProtobufCBinaryData worker_calls;
+    /*
+     * a WorkerAnswers
+     */
+    ProtobufCBinaryData worker_answers;
   };
 };
 #define NODE__ENVELOPE__INIT \
@@ -442,6 +571,139 @@
 void   node__answer__free_unpacked
                      (Node__Answer *message,
                       ProtobufCAllocator *allocator);
+/* Node__About methods */
+void   node__about__init
+                     (Node__About         *message);
+size_t node__about__get_packed_size
+                     (const Node__About   *message);
+size_t node__about__pack
+                     (const Node__About   *message,
+                      uint8_t             *out);
+size_t node__about__pack_to_buffer
+                     (const Node__About   *message,
+                      ProtobufCBuffer     *buffer);
+Node__About *
+       node__about__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__about__free_unpacked
+                     (Node__About *message,
+                      ProtobufCAllocator *allocator);
+/* Node__WorkerCall methods */
+void   node__worker_call__init
+                     (Node__WorkerCall         *message);
+size_t node__worker_call__get_packed_size
+                     (const Node__WorkerCall   *message);
+size_t node__worker_call__pack
+                     (const Node__WorkerCall   *message,
+                      uint8_t             *out);
+size_t node__worker_call__pack_to_buffer
+                     (const Node__WorkerCall   *message,
+                      ProtobufCBuffer     *buffer);
+Node__WorkerCall *
+       node__worker_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__worker_call__free_unpacked
+                     (Node__WorkerCall *message,
+                      ProtobufCAllocator *allocator);
+/* Node__WorkerCalls methods */
+void   node__worker_calls__init
+                     (Node__WorkerCalls         *message);
+size_t node__worker_calls__get_packed_size
+                     (const Node__WorkerCalls   *message);
+size_t node__worker_calls__pack
+                     (const Node__WorkerCalls   *message,
+                      uint8_t             *out);
+size_t node__worker_calls__pack_to_buffer
+                     (const Node__WorkerCalls   *message,
+                      ProtobufCBuffer     *buffer);
+Node__WorkerCalls *
+       node__worker_calls__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__worker_calls__free_unpacked
+                     (Node__WorkerCalls *message,
+                      ProtobufCAllocator *allocator);
+/* Node__Running methods */
+void   node__running__init
+                     (Node__Running         *message);
+size_t node__running__get_packed_size
+                     (const Node__Running   *message);
+size_t node__running__pack
+                     (const Node__Running   *message,
+                      uint8_t             *out);
+size_t node__running__pack_to_buffer
+                     (const Node__Running   *message,
+                      ProtobufCBuffer     *buffer);
+Node__Running *
+       node__running__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__running__free_unpacked
+                     (Node__Running *message,
+                      ProtobufCAllocator *allocator);
+/* Node__Ended methods */
+void   node__ended__init
+                     (Node__Ended         *message);
+size_t node__ended__get_packed_size
+                     (const Node__Ended   *message);
+size_t node__ended__pack
+                     (const Node__Ended   *message,
+                      uint8_t             *out);
+size_t node__ended__pack_to_buffer
+                     (const Node__Ended   *message,
+                      ProtobufCBuffer     *buffer);
+Node__Ended *
+       node__ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__ended__free_unpacked
+                     (Node__Ended *message,
+                      ProtobufCAllocator *allocator);
+/* Node__WorkerAnswer methods */
+void   node__worker_answer__init
+                     (Node__WorkerAnswer         *message);
+size_t node__worker_answer__get_packed_size
+                     (const Node__WorkerAnswer   *message);
+size_t node__worker_answer__pack
+                     (const Node__WorkerAnswer   *message,
+                      uint8_t             *out);
+size_t node__worker_answer__pack_to_buffer
+                     (const Node__WorkerAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Node__WorkerAnswer *
+       node__worker_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__worker_answer__free_unpacked
+                     (Node__WorkerAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Node__WorkerAnswers methods */
+void   node__worker_answers__init
+                     (Node__WorkerAnswers         *message);
+size_t node__worker_answers__get_packed_size
+                     (const Node__WorkerAnswers   *message);
+size_t node__worker_answers__pack
+                     (const Node__WorkerAnswers   *message,
+                      uint8_t             *out);
+size_t node__worker_answers__pack_to_buffer
+                     (const Node__WorkerAnswers   *message,
+                      ProtobufCBuffer     *buffer);
+Node__WorkerAnswers *
+       node__worker_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__worker_answers__free_unpacked
+                     (Node__WorkerAnswers *message,
+                      ProtobufCAllocator *allocator);
 /* Node__Envelope methods */
 void   node__envelope__init
                      (Node__Envelope         *message);
@@ -493,6 +755,27 @@
 typedef void (*Node__Answer_Closure)
                  (const Node__Answer *message,
                   void *closure_data);
+typedef void (*Node__About_Closure)
+                 (const Node__About *message,
+                  void *closure_data);
+typedef void (*Node__WorkerCall_Closure)
+                 (const Node__WorkerCall *message,
+                  void *closure_data);
+typedef void (*Node__WorkerCalls_Closure)
+                 (const Node__WorkerCalls *message,
+                  void *closure_data);
+typedef void (*Node__Running_Closure)
+                 (const Node__Running *message,
+                  void *closure_data);
+typedef void (*Node__Ended_Closure)
+                 (const Node__Ended *message,
+                  void *closure_data);
+typedef void (*Node__WorkerAnswer_Closure)
+                 (const Node__WorkerAnswer *message,
+                  void *closure_data);
+typedef void (*Node__WorkerAnswers_Closure)
+                 (const Node__WorkerAnswers *message,
+                  void *closure_data);
 typedef void (*Node__Envelope_Closure)
                  (const Node__Envelope *message,
                   void *closure_data);
@@ -514,6 +797,13 @@
 extern const ProtobufCMessageDescriptor node__ask__descriptor;
 extern const ProtobufCMessageDescriptor node__ticket__descriptor;
 extern const ProtobufCMessageDescriptor node__answer__descriptor;
+extern const ProtobufCMessageDescriptor node__about__descriptor;
+extern const ProtobufCMessageDescriptor node__worker_call__descriptor;
+extern const ProtobufCMessageDescriptor node__worker_calls__descriptor;
+extern const ProtobufCMessageDescriptor node__running__descriptor;
+extern const ProtobufCMessageDescriptor node__ended__descriptor;
+extern const ProtobufCMessageDescriptor node__worker_answer__descriptor;
+extern const ProtobufCMessageDescriptor node__worker_answers__descriptor;
 extern const ProtobufCMessageDescriptor node__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -23,9 +23,14 @@
     struct str address; /* that it announced when it joined; may be empty */
     uint64_t member_id; /* 0: an entry */
     uint64_t cluster_id;
-    uint32_t asks;           /* calls for approval under way there */
-    int64_t ask_cost_ms;     /* their expected time */
-    int64_t ask_avoid_until; /* a call failed there */
+    struct str failure_domain; /* empty: not said yet */
+    bool relays;               /* calls workers for the leader */
+    int64_t relay_avoid_until; /* a call through it was not answered */
+    struct buf worker_calls;   /* to send: Node__WorkerCalls */
+    struct buf worker_answers; /* to send: Node__WorkerAnswers */
+    uint32_t asks;             /* calls for approval under way there */
+    int64_t ask_cost_ms;       /* their expected time */
+    int64_t ask_avoid_until;   /* a call failed there */
 };
 
 struct node {
@@ -51,6 +56,9 @@
     struct lead *lead;   /* NULL unless this process leads */
     struct calls *calls;
     struct asker *asker;
+    struct relay *relay;
+    struct map *out_hosts; /* addresses that were called, see out.c */
+    int64_t out_sweep_due;
     /* The newest leader this process has heard of. */
     uint64_t leader_term;
     struct str leader_vm;
@@ -168,6 +176,10 @@
 links_open(struct node *n, char *error, size_t error_size);
 void
 links_close(struct node *n);
+
+/* Tells all processes whether this one calls workers for them. */
+void
+links_tell(struct node *n);
 void
 link_send(struct link *l, const Node__Envelope *envelope);
 struct link *
@@ -222,13 +234,22 @@
 out_done(struct node *n, struct out_call *call,
          const struct upstream_result *result);
 
+/* Called once for a call to a worker; result is empty unless failure is
+ * UPSTREAM_OK. */
+typedef void
+worker_answered(struct node *n, struct out_call *call,
+                enum upstream_failure failure,
+                const struct node_result *result);
+
 struct out_call {
     struct node_http http;
     struct str address;
     out_done *done;
     uint64_t id;
+    int64_t deadline;
     /* The caller's. */
     struct node_call call;
+    worker_answered *answered;
     struct node_task task;
     uint32_t worker;
     uint64_t term;
@@ -242,6 +263,53 @@
 out_send(struct node *n, struct out_call *call, int64_t deadline);
 void
 out_take(struct node *n, struct upstream_result *result);
+void
+out_call_free(struct out_call *call);
+
+/* Calls a worker from this process; call->answered gets the result. Frees the
+ * call when it could not be sent, and returns false. */
+bool
+out_worker_call(struct node *n, struct out_call *call, int64_t deadline);
+
+/* Closes connections to addresses that are no longer called. */
+void
+out_step(struct node *n);
+void
+out_close(struct node *n);
+
+/* ---- relay.c: calls to workers through other VMs ---- */
+
+struct relay *
+relay_create(void);
+void
+relay_destroy(struct relay *r);
+
+/* The VM that should call the worker, after so many calls in a row that were
+ * not answered; NULL: this process. */
+struct link *
+relay_choose(const struct node *n, const struct flow_worker *w,
+             uint32_t failures);
+
+/* Takes the call over; call->answered gets the result. */
+void
+relay_send(struct node *n, struct out_call *call, struct link *via,
+           int64_t deadline);
+
+/* Leaves the VM out for a while; link 0 is this process. */
+void
+relay_avoid(struct node *n, uint64_t link);
+void
+relay_calls(struct node *n, struct link *from, struct str bytes);
+void
+relay_answers(struct node *n, struct link *from, struct str bytes);
+void
+relay_link_down(struct node *n, uint64_t link);
+
+/* Sends what was queued and gives up calls that were not answered. */
+void
+relay_step(struct node *n);
+int64_t
+relay_next_deadline(const struct node *n);
 
 /* ---- lead.c: what the leader does ---- */
 
--- a/packages/node/lead.h
+++ b/packages/node/lead.h
@@ -37,6 +37,8 @@
     char ticket[PLAN_TICKET_BYTES];
 };
 
+struct session;
+
 struct lead {
     struct node *node;
     struct flow_state *state; /* the group's */
@@ -58,7 +60,8 @@
     struct planned_start *planned;
     size_t planned_count;
     int64_t scan_due;
-    int64_t workers_due; /* next look at all sessions */
+    int64_t workers_due;     /* next look at all sessions */
+    struct session *touched; /* sessions to step before that */
 };
 
 /* Queues a command for the next batch. */
@@ -88,8 +91,6 @@
 
 /* ---- workers.c: the leader's sessions with workers ---- */
 
-struct session;
-
 void
 workers_step(struct lead *l);
 int64_t
--- a/packages/node/lead_plan.c
+++ b/packages/node/lead_plan.c
@@ -31,16 +31,13 @@
     LONG_CALL_VMS = 3,
     /* A VM whose call failed may have lost its way to the service. */
     AVOID_VM_MS = 3000,
-    /* Shorter waits are a matter of course and are not logged. */
-    WAIT_LOGGED_MS = 1000,
     /* A ticket's age when it reaches the leader is not known: it was issued
      * before the answer travelled through another VM. */
     TICKET_TRAVEL_MS = 40,
 };
 
 static struct event_kind event_start = {.name = "start", .per_second = 200};
-static struct event_kind event_waiting = {.name = "waiting",
-                                          .per_second = 40};
+static struct event_kind event_waiting = {.name = "waiting", .per_second = 40};
 
 /* A call for approval that is under way at some VM. */
 struct ask {
@@ -320,9 +317,6 @@
     int64_t waited_ms = (l->node->now - j->seen_at) / NS_PER_MS;
     struct flow_size size = flow_step_size(in->step);
 
-    if (waited_ms < WAIT_LOGGED_MS) {
-        return;
-    }
     event_write(&event_waiting,
                 "job=%016llx step=%u.%zu reason=%s waited_ms=%lld tasks=%u "
                 "cpu=%llu gang=%d team=%.*s team_cpu=%llu team_cpu_limit=%llu "
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -63,6 +63,48 @@
     peer_add_target(n->hub, &target, n->now);
 }
 
+static void
+tell(const struct node *n, struct link *l)
+{
+    Node__Envelope envelope = NODE__ENVELOPE__INIT;
+    Node__About about = NODE__ABOUT__INIT;
+
+    about.failure_domain = (char *)n->settings.failure_domain.ptr;
+    about.relays = n->drain_until == 0;
+    envelope.msg_case = NODE__ENVELOPE__MSG_ABOUT;
+    envelope.about = &about;
+    link_send(l, &envelope);
+}
+
+void
+links_tell(struct node *n)
+{
+    struct link *l;
+    void *cursor = NULL;
+
+    while ((l = map_next(n->links, &cursor)) != NULL) {
+        tell(n, l);
+    }
+}
+
+static void
+take_about(struct link *from, const Node__About *about)
+{
+    str_replace(&from->failure_domain, str_of(about->failure_domain));
+    from->relays = about->relays;
+}
+
+static void
+link_free(struct link *l)
+{
+    str_free(&l->vm);
+    str_free(&l->address);
+    str_free(&l->failure_domain);
+    buf_free(&l->worker_calls);
+    buf_free(&l->worker_answers);
+    mem_free(l);
+}
+
 static void
 session_up(void *arg, struct peer_session *session,
            const struct peer_identity *identity)
@@ -78,6 +120,7 @@
     map_put_u64(n->links, l->id, l);
     peer_session_set_data(session, l);
     event_write(&event_session, "state=up other=%.*s", STR_ARG(l->vm));
+    tell(n, l);
     if (n->group != NULL) {
         group_hint(n->group, l);
     }
@@ -97,9 +140,8 @@
     if (n->lead != NULL) {
         lead_link_down(n->lead, l->id);
     }
-    str_free(&l->vm);
-    str_free(&l->address);
-    mem_free(l);
+    relay_link_down(n, l->id);
+    link_free(l);
 }
 
 static void
@@ -169,6 +211,18 @@
             lead_answer(n->lead, env->answer, from->id);
         }
         break;
+    case NODE__ENVELOPE__MSG_ABOUT:
+        take_about(from, env->about);
+        break;
+    case NODE__ENVELOPE__MSG_WORKER_CALLS:
+        relay_calls(n, from,
+                    str_from(env->worker_calls.data, env->worker_calls.len));
+        break;
+    case NODE__ENVELOPE__MSG_WORKER_ANSWERS:
+        relay_answers(
+            n, from,
+            str_from(env->worker_answers.data, env->worker_answers.len));
+        break;
     case NODE__ENVELOPE__MSG__NOT_SET:
     default:
         break;
@@ -232,9 +286,7 @@
         peer_destroy(n->hub);
     }
     while ((l = map_next(n->links, &cursor)) != NULL) {
-        str_free(&l->vm);
-        str_free(&l->address);
-        mem_free(l);
+        link_free(l);
     }
     map_destroy(n->links);
     map_destroy(n->targets);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -122,6 +122,8 @@
     }
     n->calls = calls_create(n);
     n->asker = asker_create(n);
+    n->relay = relay_create();
+    n->out_hosts = map_create();
     if (!links_open(n, error, sizeof(error))) {
         log_write(LOG_LEVEL_CRIT, "peer: %s", error);
         return false;
@@ -210,6 +212,7 @@
     event_write(&event_process, "state=stopping grace_ms=%lld open_calls=%u",
                 (long long)grace, active_calls(n));
     n->drain_until = n->now + (grace < 0 ? 0 : grace) * NS_PER_MS;
+    links_tell(n);
     if (n->caller_front != NULL) {
         front_drain(n->caller_front);
     }
@@ -322,6 +325,8 @@
         lead_step(n->lead);
     }
     calls_step(n->calls);
+    relay_step(n);
+    out_step(n);
     /* What was proposed goes to the storage and to the other members. */
     if (n->group != NULL) {
         group_step(n->group);
@@ -335,7 +340,7 @@
 {
     int64_t deadline = calls_next_deadline(n->calls);
     int64_t others[] = {
-        peer_next_deadline(n->hub),
+        peer_next_deadline(n->hub), relay_next_deadline(n),
         n->group == NULL ? DEADLINE_NONE : group_next_deadline(n->group),
         n->lead == NULL ? DEADLINE_NONE : lead_next_deadline(n->lead),
         n->drain_until == 0 ? DEADLINE_NONE : n->now + 20 * NS_PER_MS};
@@ -402,6 +407,8 @@
     group_destroy(n->group);
     links_close(n);
     asker_destroy(n->asker);
+    relay_destroy(n->relay);
+    out_close(n);
     drop_rings(n);
     ring_destroy(n->call_ring);
     ring_destroy(n->probe_ring);
--- a/packages/node/node.pb-c.c
+++ b/packages/node/node.pb-c.c
@@ -457,6 +457,321 @@
   assert(message->base.descriptor == &node__answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   node__about__init
+                     (Node__About         *message)
+{
+  static const Node__About init_value = NODE__ABOUT__INIT;
+  *message = init_value;
+}
+size_t node__about__get_packed_size
+                     (const Node__About *message)
+{
+  assert(message->base.descriptor == &node__about__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__about__pack
+                     (const Node__About *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__about__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__about__pack_to_buffer
+                     (const Node__About *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__about__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__About *
+       node__about__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__About *)
+     protobuf_c_message_unpack (&node__about__descriptor,
+                                allocator, len, data);
+}
+void   node__about__free_unpacked
+                     (Node__About *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__about__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   node__worker_call__init
+                     (Node__WorkerCall         *message)
+{
+  static const Node__WorkerCall init_value = NODE__WORKER_CALL__INIT;
+  *message = init_value;
+}
+size_t node__worker_call__get_packed_size
+                     (const Node__WorkerCall *message)
+{
+  assert(message->base.descriptor == &node__worker_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__worker_call__pack
+                     (const Node__WorkerCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__worker_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__worker_call__pack_to_buffer
+                     (const Node__WorkerCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__worker_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__WorkerCall *
+       node__worker_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__WorkerCall *)
+     protobuf_c_message_unpack (&node__worker_call__descriptor,
+                                allocator, len, data);
+}
+void   node__worker_call__free_unpacked
+                     (Node__WorkerCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__worker_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   node__worker_calls__init
+                     (Node__WorkerCalls         *message)
+{
+  static const Node__WorkerCalls init_value = NODE__WORKER_CALLS__INIT;
+  *message = init_value;
+}
+size_t node__worker_calls__get_packed_size
+                     (const Node__WorkerCalls *message)
+{
+  assert(message->base.descriptor == &node__worker_calls__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__worker_calls__pack
+                     (const Node__WorkerCalls *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__worker_calls__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__worker_calls__pack_to_buffer
+                     (const Node__WorkerCalls *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__worker_calls__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__WorkerCalls *
+       node__worker_calls__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__WorkerCalls *)
+     protobuf_c_message_unpack (&node__worker_calls__descriptor,
+                                allocator, len, data);
+}
+void   node__worker_calls__free_unpacked
+                     (Node__WorkerCalls *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__worker_calls__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   node__running__init
+                     (Node__Running         *message)
+{
+  static const Node__Running init_value = NODE__RUNNING__INIT;
+  *message = init_value;
+}
+size_t node__running__get_packed_size
+                     (const Node__Running *message)
+{
+  assert(message->base.descriptor == &node__running__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__running__pack
+                     (const Node__Running *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__running__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__running__pack_to_buffer
+                     (const Node__Running *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__running__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__Running *
+       node__running__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__Running *)
+     protobuf_c_message_unpack (&node__running__descriptor,
+                                allocator, len, data);
+}
+void   node__running__free_unpacked
+                     (Node__Running *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__running__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   node__ended__init
+                     (Node__Ended         *message)
+{
+  static const Node__Ended init_value = NODE__ENDED__INIT;
+  *message = init_value;
+}
+size_t node__ended__get_packed_size
+                     (const Node__Ended *message)
+{
+  assert(message->base.descriptor == &node__ended__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__ended__pack
+                     (const Node__Ended *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__ended__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__ended__pack_to_buffer
+                     (const Node__Ended *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__ended__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__Ended *
+       node__ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__Ended *)
+     protobuf_c_message_unpack (&node__ended__descriptor,
+                                allocator, len, data);
+}
+void   node__ended__free_unpacked
+                     (Node__Ended *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__ended__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   node__worker_answer__init
+                     (Node__WorkerAnswer         *message)
+{
+  static const Node__WorkerAnswer init_value = NODE__WORKER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t node__worker_answer__get_packed_size
+                     (const Node__WorkerAnswer *message)
+{
+  assert(message->base.descriptor == &node__worker_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__worker_answer__pack
+                     (const Node__WorkerAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__worker_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__worker_answer__pack_to_buffer
+                     (const Node__WorkerAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__worker_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__WorkerAnswer *
+       node__worker_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__WorkerAnswer *)
+     protobuf_c_message_unpack (&node__worker_answer__descriptor,
+                                allocator, len, data);
+}
+void   node__worker_answer__free_unpacked
+                     (Node__WorkerAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__worker_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   node__worker_answers__init
+                     (Node__WorkerAnswers         *message)
+{
+  static const Node__WorkerAnswers init_value = NODE__WORKER_ANSWERS__INIT;
+  *message = init_value;
+}
+size_t node__worker_answers__get_packed_size
+                     (const Node__WorkerAnswers *message)
+{
+  assert(message->base.descriptor == &node__worker_answers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__worker_answers__pack
+                     (const Node__WorkerAnswers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__worker_answers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__worker_answers__pack_to_buffer
+                     (const Node__WorkerAnswers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__worker_answers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__WorkerAnswers *
+       node__worker_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__WorkerAnswers *)
+     protobuf_c_message_unpack (&node__worker_answers__descriptor,
+                                allocator, len, data);
+}
+void   node__worker_answers__free_unpacked
+                     (Node__WorkerAnswers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__worker_answers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   node__envelope__init
                      (Node__Envelope         *message)
 {
@@ -1324,72 +1639,663 @@
   (ProtobufCMessageInit) node__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__envelope__field_descriptors[7] =
+static const ProtobufCFieldDescriptor node__about__field_descriptors[2] =
 {
   {
-    "raft",
+    "failure_domain",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Node__Envelope, msg_case),
-    offsetof(Node__Envelope, raft),
-    &node__raft__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__About, failure_domain),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "join",
+    "relays",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Node__Envelope, msg_case),
-    offsetof(Node__Envelope, join),
-    &node__join__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Node__About, relays),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned node__about__field_indices_by_name[] = {
+  0,   /* field[0] = failure_domain */
+  1,   /* field[1] = relays */
+};
+static const ProtobufCIntRange node__about__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor node__about__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.About",
+  "About",
+  "Node__About",
+  "node",
+  sizeof(Node__About),
+  2,
+  node__about__field_descriptors,
+  node__about__field_indices_by_name,
+  1,  node__about__number_ranges,
+  (ProtobufCMessageInit) node__about__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor node__worker_call__field_descriptors[13] =
+{
   {
-    "hint",
-    3,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Node__Envelope, msg_case),
-    offsetof(Node__Envelope, hint),
-    &node__hint__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, id),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request",
-    4,
+    "kind",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Node__Envelope, msg_case),
-    offsetof(Node__Envelope, request),
-    &node__request__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, kind),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reply",
-    5,
+    "address",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Node__Envelope, msg_case),
-    offsetof(Node__Envelope, reply),
-    &node__reply__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, address),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ask",
-    6,
-    PROTOBUF_C_LABEL_NONE,
+    "worker",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, task),
+    &flow__task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_until_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, lease_until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_seen",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, last_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__worker_call__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  9,   /* field[9] = checkpoint */
+  0,   /* field[0] = id */
+  1,   /* field[1] = kind */
+  11,   /* field[11] = last_seen */
+  8,   /* field[8] = lease_until_ms */
+  7,   /* field[7] = payload */
+  6,   /* field[6] = task */
+  10,   /* field[10] = ticket */
+  5,   /* field[5] = timeout_ms */
+  4,   /* field[4] = token */
+  12,   /* field[12] = wait_ms */
+  3,   /* field[3] = worker */
+};
+static const ProtobufCIntRange node__worker_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor node__worker_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.WorkerCall",
+  "WorkerCall",
+  "Node__WorkerCall",
+  "node",
+  sizeof(Node__WorkerCall),
+  13,
+  node__worker_call__field_descriptors,
+  node__worker_call__field_indices_by_name,
+  1,  node__worker_call__number_ranges,
+  (ProtobufCMessageInit) node__worker_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor node__worker_calls__field_descriptors[1] =
+{
+  {
+    "calls",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__WorkerCalls, n_calls),
+    offsetof(Node__WorkerCalls, calls),
+    &node__worker_call__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__worker_calls__field_indices_by_name[] = {
+  0,   /* field[0] = calls */
+};
+static const ProtobufCIntRange node__worker_calls__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor node__worker_calls__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.WorkerCalls",
+  "WorkerCalls",
+  "Node__WorkerCalls",
+  "node",
+  sizeof(Node__WorkerCalls),
+  1,
+  node__worker_calls__field_descriptors,
+  node__worker_calls__field_indices_by_name,
+  1,  node__worker_calls__number_ranges,
+  (ProtobufCMessageInit) node__worker_calls__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor node__running__field_descriptors[4] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Node__Running, task),
+    &flow__task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__Running, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__Running, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__Running, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__running__field_indices_by_name[] = {
+  3,   /* field[3] = checkpoint */
+  2,   /* field[2] = load */
+  1,   /* field[1] = percent */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange node__running__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor node__running__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.Running",
+  "Running",
+  "Node__Running",
+  "node",
+  sizeof(Node__Running),
+  4,
+  node__running__field_descriptors,
+  node__running__field_indices_by_name,
+  1,  node__running__number_ranges,
+  (ProtobufCMessageInit) node__running__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor node__ended__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__Ended, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Node__Ended, task),
+    &flow__task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "how",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__Ended, how),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__Ended, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__ended__field_indices_by_name[] = {
+  3,   /* field[3] = checkpoint */
+  2,   /* field[2] = how */
+  0,   /* field[0] = number */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange node__ended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor node__ended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.Ended",
+  "Ended",
+  "Node__Ended",
+  "node",
+  sizeof(Node__Ended),
+  4,
+  node__ended__field_descriptors,
+  node__ended__field_indices_by_name,
+  1,  node__ended__number_ranges,
+  (ProtobufCMessageInit) node__ended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor node__worker_answer__field_descriptors[7] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerAnswer, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerAnswer, failure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusal",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerAnswer, refusal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerAnswer, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerAnswer, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__WorkerAnswer, n_running),
+    offsetof(Node__WorkerAnswer, running),
+    &node__running__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__WorkerAnswer, n_ended),
+    offsetof(Node__WorkerAnswer, ended),
+    &node__ended__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__worker_answer__field_indices_by_name[] = {
+  4,   /* field[4] = born_ms */
+  3,   /* field[3] = clock_ms */
+  6,   /* field[6] = ended */
+  1,   /* field[1] = failure */
+  0,   /* field[0] = id */
+  2,   /* field[2] = refusal */
+  5,   /* field[5] = running */
+};
+static const ProtobufCIntRange node__worker_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor node__worker_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.WorkerAnswer",
+  "WorkerAnswer",
+  "Node__WorkerAnswer",
+  "node",
+  sizeof(Node__WorkerAnswer),
+  7,
+  node__worker_answer__field_descriptors,
+  node__worker_answer__field_indices_by_name,
+  1,  node__worker_answer__number_ranges,
+  (ProtobufCMessageInit) node__worker_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor node__worker_answers__field_descriptors[1] =
+{
+  {
+    "answers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__WorkerAnswers, n_answers),
+    offsetof(Node__WorkerAnswers, answers),
+    &node__worker_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__worker_answers__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+};
+static const ProtobufCIntRange node__worker_answers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor node__worker_answers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.WorkerAnswers",
+  "WorkerAnswers",
+  "Node__WorkerAnswers",
+  "node",
+  sizeof(Node__WorkerAnswers),
+  1,
+  node__worker_answers__field_descriptors,
+  node__worker_answers__field_indices_by_name,
+  1,  node__worker_answers__number_ranges,
+  (ProtobufCMessageInit) node__worker_answers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor node__envelope__field_descriptors[10] =
+{
+  {
+    "raft",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Envelope, msg_case),
+    offsetof(Node__Envelope, raft),
+    &node__raft__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "join",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Envelope, msg_case),
+    offsetof(Node__Envelope, join),
+    &node__join__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Envelope, msg_case),
+    offsetof(Node__Envelope, hint),
+    &node__hint__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Envelope, msg_case),
+    offsetof(Node__Envelope, request),
+    &node__request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Envelope, msg_case),
+    offsetof(Node__Envelope, reply),
+    &node__reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    6,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Node__Envelope, msg_case),
     offsetof(Node__Envelope, ask),
@@ -1410,8 +2316,45 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "about",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Envelope, msg_case),
+    offsetof(Node__Envelope, about),
+    &node__about__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_calls",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Node__Envelope, msg_case),
+    offsetof(Node__Envelope, worker_calls),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_answers",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Node__Envelope, msg_case),
+    offsetof(Node__Envelope, worker_answers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__envelope__field_indices_by_name[] = {
+  7,   /* field[7] = about */
   6,   /* field[6] = answer */
   5,   /* field[5] = ask */
   2,   /* field[2] = hint */
@@ -1419,11 +2362,13 @@
   0,   /* field[0] = raft */
   4,   /* field[4] = reply */
   3,   /* field[3] = request */
+  9,   /* field[9] = worker_answers */
+  8,   /* field[8] = worker_calls */
 };
 static const ProtobufCIntRange node__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor node__envelope__descriptor =
 {
@@ -1433,7 +2378,7 @@
   "Node__Envelope",
   "node",
   sizeof(Node__Envelope),
-  7,
+  10,
   node__envelope__field_descriptors,
   node__envelope__field_indices_by_name,
   1,  node__envelope__number_ranges,
--- a/packages/node/out.c
+++ b/packages/node/out.c
@@ -10,6 +10,15 @@
     /* Connections to one address: one waits for ends, the others carry
      * starts and stops. */
     CONNECTIONS_MAX = 4,
+    /* A worker is called every second; one that is not has ended. */
+    UNUSED_MS = 30000,
+    SWEEP_MS = 5000,
+};
+
+/* An address that is called. */
+struct out_host {
+    struct str address;
+    int64_t used;
 };
 
 void
@@ -34,14 +43,69 @@
     *result = (struct node_result){0};
 }
 
-static void
-call_free(struct out_call *call)
+void
+out_call_free(struct out_call *call)
 {
     node_http_free(&call->http);
     str_free(&call->address);
     mem_free(call);
 }
 
+static void
+use_host(struct node *n, struct str address)
+{
+    struct out_host *h = map_get(n->out_hosts, address);
+
+    if (h == NULL) {
+        h = mem_zalloc(1, sizeof(*h));
+        h->address = str_dup(address);
+        map_put(n->out_hosts, h->address, h);
+        upstream_set_slots(n->upstream, address, CONNECTIONS_MAX);
+    }
+    h->used = n->now;
+}
+
+static void
+forget_host(struct node *n, struct out_host *h)
+{
+    map_del(n->out_hosts, h->address);
+    str_free(&h->address);
+    mem_free(h);
+}
+
+void
+out_close(struct node *n)
+{
+    struct out_host *h;
+    void *cursor = NULL;
+
+    if (n->out_hosts == NULL) {
+        return;
+    }
+    while ((h = map_next(n->out_hosts, &cursor)) != NULL) {
+        forget_host(n, h);
+    }
+    map_destroy(n->out_hosts);
+}
+
+void
+out_step(struct node *n)
+{
+    struct out_host *h;
+    void *cursor = NULL;
+
+    if (n->now < n->out_sweep_due) {
+        return;
+    }
+    n->out_sweep_due = n->now + SWEEP_MS * NS_PER_MS;
+    while ((h = map_next(n->out_hosts, &cursor)) != NULL) {
+        if (n->now - h->used > UNUSED_MS * NS_PER_MS &&
+            upstream_set_slots(n->upstream, h->address, 0)) {
+            forget_host(n, h);
+        }
+    }
+}
+
 bool
 out_send(struct node *n, struct out_call *call, int64_t deadline)
 {
@@ -57,9 +121,9 @@
                                  .idempotent = true};
 
     call->sent = n->now;
-    upstream_set_slots(n->upstream, call->address, CONNECTIONS_MAX);
+    use_host(n, call->address);
     if (!upstream_send(n->upstream, &send)) {
-        call_free(call);
+        out_call_free(call);
         return false;
     }
     return true;
@@ -72,5 +136,27 @@
 
     call->done(n, call, result);
     upstream_result_free(result);
-    call_free(call);
+    out_call_free(call);
+}
+
+static void
+worker_done(struct node *n, struct out_call *call,
+            const struct upstream_result *result)
+{
+    struct node_result decoded = {.clock_ms = -1, .born_ms = -1};
+
+    if (result->failure == UPSTREAM_OK) {
+        n->adapter->decode_result(&call->call, result->status,
+                                  buf_str(&result->body), &decoded);
+    }
+    call->answered(n, call, result->failure, &decoded);
+    node_result_free(&decoded);
+}
+
+bool
+out_worker_call(struct node *n, struct out_call *call, int64_t deadline)
+{
+    n->adapter->encode_call(&call->call, &call->http);
+    call->done = worker_done;
+    return out_send(n, call, deadline);
 }
--- /dev/null
+++ b/packages/node/relay.c
@@ -0,0 +1,491 @@
+/*
+ * Calls to workers that another VM makes for the leader. The leader decides
+ * and commits; the HTTP exchange costs ten times as much as the message that
+ * asks for it. The relay keeps connections to its workers, which outlive a
+ * change of the leader, and knows nothing of what it carries.
+ */
+#include <string.h>
+
+#include "clock.h"
+#include "event.h"
+#include "internal.h"
+#include "mem.h"
+
+enum {
+    /* For the ways to the relay and back, beyond the call's own deadline. */
+    WAY_MS = 250,
+    /* Between two looks at calls whose relay does not answer. */
+    EXPIRY_SCAN_MS = 100,
+    /* After an unanswered call, so that a relay that is cut off from its
+     * workers, or frozen, is not asked again at once. */
+    AVOID_MS = 3000,
+};
+
+struct relay {
+    struct map *calls; /* of the leader in this process, by id */
+    uint64_t last;
+    int64_t scan_due;
+};
+
+static struct event_kind event_relay = {.name = "relay", .per_second = 20};
+
+struct relay *
+relay_create(void)
+{
+    struct relay *r = mem_zalloc(1, sizeof(*r));
+
+    r->calls = map_create();
+    return r;
+}
+
+void
+relay_destroy(struct relay *r)
+{
+    struct out_call *call;
+    void *cursor = NULL;
+
+    if (r == NULL) {
+        return;
+    }
+    while ((call = map_next(r->calls, &cursor)) != NULL) {
+        out_call_free(call);
+    }
+    map_destroy(r->calls);
+    mem_free(r);
+}
+
+/* ---- at the leader ---- */
+
+static void
+task_pack(Flow__Task *out, const struct node_task *in)
+{
+    flow__task__init(out);
+    out->job = in->job;
+    out->occurrence = in->occurrence;
+    out->step = in->step;
+    out->index = in->index;
+    out->run = in->run;
+}
+
+static void
+task_unpack(struct node_task *out, const Flow__Task *in)
+{
+    if (in == NULL) {
+        *out = (struct node_task){0};
+        return;
+    }
+    *out = (struct node_task){.job = in->job,
+                              .occurrence = in->occurrence,
+                              .step = in->step,
+                              .index = in->index,
+                              .run = in->run};
+}
+
+static char *
+text_of(struct str s)
+{
+    return s.ptr == NULL ? (char *)"" : (char *)s.ptr;
+}
+
+static void
+call_pack(Node__WorkerCall *out, Flow__Task *task, const struct out_call *in)
+{
+    const struct node_call *call = &in->call;
+
+    node__worker_call__init(out);
+    out->kind = (uint32_t)call->kind;
+    out->address = text_of(in->address);
+    out->worker = text_of(call->worker);
+    out->token = call->token;
+    switch (call->kind) {
+    case NODE_CALL_START:
+        task_pack(task, &call->u.start.task);
+        out->task = task;
+        out->payload.data = (uint8_t *)call->u.start.payload.ptr;
+        out->payload.len = call->u.start.payload.len;
+        out->lease_until_ms = call->u.start.lease_until_ms;
+        out->checkpoint = text_of(call->u.start.checkpoint);
+        out->ticket = text_of(call->u.start.ticket);
+        break;
+    case NODE_CALL_STOP:
+        task_pack(task, &call->u.stop.task);
+        out->task = task;
+        break;
+    case NODE_CALL_POLL:
+        out->last_seen = call->u.poll.last_seen;
+        out->lease_until_ms = call->u.poll.lease_until_ms;
+        out->wait_ms = call->u.poll.wait_ms;
+        break;
+    }
+}
+
+void
+relay_send(struct node *n, struct out_call *call, struct link *via,
+           int64_t deadline)
+{
+    struct relay *r = n->relay;
+    Node__WorkerCalls list = NODE__WORKER_CALLS__INIT;
+    Node__WorkerCall item;
+    Node__WorkerCall *items[] = {&item};
+    Flow__Task task;
+    size_t len;
+
+    call_pack(&item, &task, call);
+    call->id = ++r->last;
+    call->link = via->id;
+    call->sent = n->now;
+    call->deadline = deadline + WAY_MS * NS_PER_MS;
+    item.id = call->id;
+    item.timeout_ms = (uint32_t)((deadline - n->now) / NS_PER_MS);
+    list.calls = items;
+    list.n_calls = 1;
+    len = node__worker_calls__get_packed_size(&list);
+    node__worker_calls__pack(&list,
+                             (uint8_t *)buf_reserve(&via->worker_calls, len));
+    via->worker_calls.len += len;
+    map_put_u64(r->calls, call->id, call);
+}
+
+static void
+finish(struct node *n, struct out_call *call, enum upstream_failure failure,
+       const struct node_result *result)
+{
+    map_del_u64(n->relay->calls, call->id);
+    call->answered(n, call, failure, result);
+    out_call_free(call);
+}
+
+static struct str
+copy_checkpoint(const char *text)
+{
+    return str_dup(str_of(text));
+}
+
+static void
+answer_unpack(struct node_result *out, const Node__WorkerAnswer *in)
+{
+    out->refusal = (enum node_refusal)in->refusal;
+    out->clock_ms = in->clock_ms;
+    out->born_ms = in->born_ms;
+    out->running = mem_zalloc(in->n_running + 1, sizeof(*out->running));
+    out->ended = mem_zalloc(in->n_ended + 1, sizeof(*out->ended));
+    for (size_t i = 0; i < in->n_running; i++) {
+        struct node_running *to = &out->running[out->running_count++];
+
+        task_unpack(&to->task, in->running[i]->task);
+        to->percent = in->running[i]->percent;
+        to->load = in->running[i]->load;
+        to->checkpoint = copy_checkpoint(in->running[i]->checkpoint);
+    }
+    for (size_t i = 0; i < in->n_ended; i++) {
+        struct node_ended *to = &out->ended[out->ended_count++];
+
+        to->number = in->ended[i]->number;
+        task_unpack(&to->task, in->ended[i]->task);
+        to->how = in->ended[i]->how;
+        to->checkpoint = copy_checkpoint(in->ended[i]->checkpoint);
+    }
+}
+
+void
+relay_answers(struct node *n, struct link *from, struct str bytes)
+{
+    Node__WorkerAnswers *list = node__worker_answers__unpack(
+        NULL, bytes.len, (const uint8_t *)bytes.ptr);
+
+    if (list == NULL) {
+        event_write(&event_relay, "other=%.*s outcome=malformed-answers",
+                    STR_ARG(from->vm));
+        return;
+    }
+    for (size_t i = 0; i < list->n_answers; i++) {
+        const Node__WorkerAnswer *in = list->answers[i];
+        struct out_call *call = map_get_u64(n->relay->calls, in->id);
+        struct node_result result = {0};
+
+        if (call == NULL || call->link != from->id) {
+            continue;
+        }
+        answer_unpack(&result, in);
+        finish(n, call, (enum upstream_failure)in->failure, &result);
+        node_result_free(&result);
+    }
+    node__worker_answers__free_unpacked(list, NULL);
+}
+
+/* The outcome of a call is not known: it may still be carried out. */
+static void
+give_up(struct node *n, struct out_call *call)
+{
+    const struct node_result nothing = {.clock_ms = -1, .born_ms = -1};
+
+    finish(n, call, UPSTREAM_TIMED_OUT, &nothing);
+}
+
+void
+relay_link_down(struct node *n, uint64_t link)
+{
+    struct out_call *call;
+    void *cursor = NULL;
+
+    while ((call = map_next(n->relay->calls, &cursor)) != NULL) {
+        if (call->link == link) {
+            give_up(n, call);
+        }
+    }
+}
+
+void
+relay_avoid(struct node *n, uint64_t link)
+{
+    struct link *l = link == 0 ? NULL : map_get_u64(n->links, link);
+
+    if (l != NULL) {
+        l->relay_avoid_until = n->now + AVOID_MS * NS_PER_MS;
+    }
+}
+
+void
+relay_step(struct node *n)
+{
+    struct relay *r = n->relay;
+    struct out_call *call;
+    struct link *l;
+    void *cursor = NULL;
+
+    if (map_count(r->calls) > 0 && n->now >= r->scan_due) {
+        r->scan_due = n->now + EXPIRY_SCAN_MS * NS_PER_MS;
+        while ((call = map_next(r->calls, &cursor)) != NULL) {
+            if (n->now >= call->deadline) {
+                event_write(&event_relay,
+                            "call=%d worker=%u outcome=no-answer link=%llu",
+                            (int)call->call.kind, call->worker,
+                            (unsigned long long)call->link);
+                relay_avoid(n, call->link);
+                give_up(n, call);
+            }
+        }
+    }
+    cursor = NULL;
+    while ((l = map_next(n->links, &cursor)) != NULL) {
+        Node__Envelope envelope = NODE__ENVELOPE__INIT;
+
+        if (l->worker_calls.len > 0) {
+            envelope.msg_case = NODE__ENVELOPE__MSG_WORKER_CALLS;
+            envelope.worker_calls.data = (uint8_t *)l->worker_calls.ptr;
+            envelope.worker_calls.len = l->worker_calls.len;
+            link_send(l, &envelope);
+            l->worker_calls.len = 0;
+        }
+        if (l->worker_answers.len > 0) {
+            envelope.msg_case = NODE__ENVELOPE__MSG_WORKER_ANSWERS;
+            envelope.worker_answers.data = (uint8_t *)l->worker_answers.ptr;
+            envelope.worker_answers.len = l->worker_answers.len;
+            link_send(l, &envelope);
+            l->worker_answers.len = 0;
+        }
+    }
+}
+
+int64_t
+relay_next_deadline(const struct node *n)
+{
+    return map_count(n->relay->calls) == 0 ? DEADLINE_NONE
+                                           : n->relay->scan_due;
+}
+
+/*
+ * Prefers VMs in the worker's failure domain, and control VMs to entries,
+ * which are smaller; the choice is the same as long as the VMs are. After
+ * failures any VM may be the one that still reaches the worker.
+ */
+static uint64_t
+rank(const struct link *l, const struct flow_worker *w, uint32_t failures)
+{
+    uint64_t near = str_eq(l->failure_domain, w->domain) ? 1 : 0;
+    uint64_t control = l->member_id != 0 ? 1 : 0;
+    uint64_t mix = (w->number + ((uint64_t)failures << 32)) *
+                   UINT64_C(0x9e3779b97f4a7c15);
+    uint64_t spread =
+        (str_hash(l->vm) ^ mix) * UINT64_C(0xc2b2ae3d27d4eb4f) >> 2;
+
+    return failures > 0 ? spread : near << 63 | control << 62 | spread;
+}
+
+struct link *
+relay_choose(const struct node *n, const struct flow_worker *w,
+             uint32_t failures)
+{
+    struct link *best = NULL;
+    struct link *l;
+    void *cursor = NULL;
+
+    /* Every second retry is the leader's own. */
+    if (failures % 2 == 1) {
+        return NULL;
+    }
+    while ((l = map_next(n->links, &cursor)) != NULL) {
+        if (!l->relays || n->now < l->relay_avoid_until) {
+            continue;
+        }
+        if (best == NULL || rank(l, w, failures) > rank(best, w, failures)) {
+            best = l;
+        }
+    }
+    return best;
+}
+
+/* ---- at the relay ---- */
+
+static struct node_call
+call_unpack(const Node__WorkerCall *in)
+{
+    struct node_call out = {.kind = (enum node_call_kind)in->kind,
+                            .worker = str_of(in->worker),
+                            .token = in->token};
+
+    switch (out.kind) {
+    case NODE_CALL_START:
+        task_unpack(&out.u.start.task, in->task);
+        out.u.start.payload = str_from(in->payload.data, in->payload.len);
+        out.u.start.lease_until_ms = in->lease_until_ms;
+        out.u.start.checkpoint = str_of(in->checkpoint);
+        out.u.start.ticket = str_of(in->ticket);
+        break;
+    case NODE_CALL_STOP:
+        task_unpack(&out.u.stop.task, in->task);
+        break;
+    case NODE_CALL_POLL:
+        out.u.poll.last_seen = in->last_seen;
+        out.u.poll.lease_until_ms = in->lease_until_ms;
+        out.u.poll.wait_ms = in->wait_ms;
+        break;
+    }
+    return out;
+}
+
+static void
+append_answer(struct link *l, Node__WorkerAnswer *answer)
+{
+    Node__WorkerAnswers list = NODE__WORKER_ANSWERS__INIT;
+    Node__WorkerAnswer *items[] = {answer};
+    size_t len;
+
+    list.answers = items;
+    list.n_answers = 1;
+    len = node__worker_answers__get_packed_size(&list);
+    node__worker_answers__pack(
+        &list, (uint8_t *)buf_reserve(&l->worker_answers, len));
+    l->worker_answers.len += len;
+}
+
+struct packed_result {
+    Node__Running *running;
+    Node__Running **running_list;
+    Node__Ended *ended;
+    Node__Ended **ended_list;
+    Flow__Task *tasks;
+};
+
+static void
+result_pack(struct packed_result *p, Node__WorkerAnswer *out,
+            const struct node_result *in)
+{
+    size_t tasks = 0;
+
+    p->running = mem_alloc((in->running_count + 1) * sizeof(*p->running));
+    p->running_list =
+        mem_alloc((in->running_count + 1) * sizeof(*p->running_list));
+    p->ended = mem_alloc((in->ended_count + 1) * sizeof(*p->ended));
+    p->ended_list = mem_alloc((in->ended_count + 1) * sizeof(*p->ended_list));
+    p->tasks = mem_alloc((in->running_count + in->ended_count + 1) *
+                         sizeof(*p->tasks));
+    for (size_t i = 0; i < in->running_count; i++) {
+        node__running__init(&p->running[i]);
+        task_pack(&p->tasks[tasks], &in->running[i].task);
+        p->running[i].task = &p->tasks[tasks++];
+        p->running[i].percent = in->running[i].percent;
+        p->running[i].load = in->running[i].load;
+        p->running[i].checkpoint = text_of(in->running[i].checkpoint);
+        p->running_list[i] = &p->running[i];
+    }
+    for (size_t i = 0; i < in->ended_count; i++) {
+        node__ended__init(&p->ended[i]);
+        p->ended[i].number = in->ended[i].number;
+        task_pack(&p->tasks[tasks], &in->ended[i].task);
+        p->ended[i].task = &p->tasks[tasks++];
+        p->ended[i].how = in->ended[i].how;
+        p->ended[i].checkpoint = text_of(in->ended[i].checkpoint);
+        p->ended_list[i] = &p->ended[i];
+    }
+    out->refusal = (uint32_t)in->refusal;
+    out->clock_ms = in->clock_ms;
+    out->born_ms = in->born_ms;
+    out->running = p->running_list;
+    out->n_running = in->running_count;
+    out->ended = p->ended_list;
+    out->n_ended = in->ended_count;
+}
+
+static void
+packed_result_free(struct packed_result *p)
+{
+    mem_free(p->running);
+    mem_free(p->running_list);
+    mem_free(p->ended);
+    mem_free(p->ended_list);
+    mem_free(p->tasks);
+}
+
+static void
+send_answer(struct node *n, uint64_t link, uint64_t id,
+            enum upstream_failure failure, const struct node_result *result)
+{
+    struct link *l = map_get_u64(n->links, link);
+    Node__WorkerAnswer answer = NODE__WORKER_ANSWER__INIT;
+    struct packed_result packed;
+
+    if (l == NULL) {
+        return;
+    }
+    answer.id = id;
+    answer.failure = (uint32_t)failure;
+    result_pack(&packed, &answer, result);
+    append_answer(l, &answer);
+    packed_result_free(&packed);
+}
+
+static void
+carried_out(struct node *n, struct out_call *call,
+            enum upstream_failure failure, const struct node_result *result)
+{
+    send_answer(n, call->link, call->ask, failure, result);
+}
+
+void
+relay_calls(struct node *n, struct link *from, struct str bytes)
+{
+    Node__WorkerCalls *list = node__worker_calls__unpack(
+        NULL, bytes.len, (const uint8_t *)bytes.ptr);
+
+    if (list == NULL) {
+        event_write(&event_relay, "other=%.*s outcome=malformed-calls",
+                    STR_ARG(from->vm));
+        return;
+    }
+    for (size_t i = 0; i < list->n_calls; i++) {
+        const Node__WorkerCall *in = list->calls[i];
+        struct out_call *call = mem_zalloc(1, sizeof(*call));
+        const struct node_result nothing = {.clock_ms = -1, .born_ms = -1};
+
+        call->call = call_unpack(in);
+        call->address = str_dup(str_of(in->address));
+        call->answered = carried_out;
+        call->link = from->id;
+        call->ask = in->id;
+        if (!out_worker_call(n, call, n->now + in->timeout_ms * NS_PER_MS)) {
+            send_answer(n, from->id, in->id, UPSTREAM_NO_SLOT, &nothing);
+        }
+    }
+    node__worker_calls__free_unpacked(list, NULL);
+}
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -65,10 +65,18 @@
     bool failing; /* the last call for ends was not answered */
     bool contacted;
     bool leaving;
-    bool losing;  /* its loss is being committed */
-    bool touched; /* a run or a call changed: step it at once */
+    bool losing;         /* its loss is being committed */
+    bool touched;        /* a run or a call changed: step it at once */
+    uint32_t unanswered; /* calls for ends, see relay_choose */
+    int64_t failed_at;
+    struct lead *lead;
+    struct session *next_touched;
 };
 
+/* Steps the session at the next wake-up. */
+void
+session_touch(struct session *s);
+
 /* Names a task in a session's runs. */
 uint64_t
 run_key(const struct node_task *t);
@@ -115,7 +123,14 @@
 struct out_call *
 worker_call_create(struct lead *l, struct session *s,
                    const struct flow_worker *w, enum node_call_kind kind,
-                   out_done *done);
+                   worker_answered *answered);
+
+/* Sends it through another VM if one can be asked. Frees the call when it
+ * could not be sent, and returns false. */
+bool
+worker_call_send(struct lead *l, const struct session *s,
+                 const struct flow_worker *w, struct out_call *call,
+                 int64_t deadline);
 
 /* The worker has answered: its clock and its silence begin anew. */
 void
--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -22,7 +22,7 @@
     }
     s = session_find(n->lead, call->worker);
     if (s != NULL) {
-        s->touched = true;
+        session_touch(s);
     }
     return s;
 }
@@ -30,7 +30,7 @@
 struct out_call *
 worker_call_create(struct lead *l, struct session *s,
                    const struct flow_worker *w, enum node_call_kind kind,
-                   out_done *done)
+                   worker_answered *answered)
 {
     struct out_call *call = mem_zalloc(1, sizeof(*call));
 
@@ -38,12 +38,26 @@
     call->call.worker = w->id;
     call->call.token = l->term;
     call->address = str_dup(w->address);
-    call->done = done;
+    call->answered = answered;
     call->worker = s->number;
     call->term = l->term;
     return call;
 }
 
+bool
+worker_call_send(struct lead *l, const struct session *s,
+                 const struct flow_worker *w, struct out_call *call,
+                 int64_t deadline)
+{
+    struct link *via = relay_choose(l->node, w, s->unanswered);
+
+    if (via == NULL) {
+        return out_worker_call(l->node, call, deadline);
+    }
+    relay_send(l->node, call, via, deadline);
+    return true;
+}
+
 static void
 start_refused(struct lead *l, struct session *s, struct run *r,
               enum node_refusal refusal)
@@ -102,10 +116,9 @@
 
 static void
 start_done(struct node *n, struct out_call *call,
-           const struct upstream_result *result)
+           enum upstream_failure failure, const struct node_result *result)
 {
     struct session *s = call_session(n, call);
-    struct node_result decoded = {0};
     struct run *r;
 
     if (s == NULL) {
@@ -113,30 +126,27 @@
     }
     s->calls--;
     r = run_find(s, &call->task);
-    if (result->failure != UPSTREAM_OK) {
+    if (failure != UPSTREAM_OK) {
         event_write(&event_call,
                     "call=start job=%016llx run=%u worker=%u failure=%s",
                     (unsigned long long)call->task.job, call->task.run,
-                    s->number, upstream_failure_name(result->failure));
+                    s->number, upstream_failure_name(failure));
         if (r != NULL && r->phase == RUN_SENT) {
             run_set_phase(n->lead, r, RUN_UNCERTAIN);
         }
         return;
     }
-    n->adapter->decode_result(&call->call, result->status,
-                              buf_str(&result->body), &decoded);
-    session_answered(n->lead, s, &decoded);
+    session_answered(n->lead, s, result);
     if (r != NULL && r->phase == RUN_SENT) {
-        if (decoded.refusal == NODE_REFUSAL_NONE) {
+        if (result->refusal == NODE_REFUSAL_NONE) {
             run_set_phase(n->lead, r, RUN_ACTIVE);
             r->started = n->now;
             note_started(n->lead, s, &r->task);
         }
         else {
-            start_refused(n->lead, s, r, decoded.refusal);
+            start_refused(n->lead, s, r, result->refusal);
         }
     }
-    node_result_free(&decoded);
 }
 
 void
@@ -164,21 +174,20 @@
     call->call.u.start.lease_until_ms = session_grant(l, s);
     call->call.u.start.checkpoint = t->checkpoint;
     call->call.u.start.ticket = str_of(r->ticket);
-    l->node->adapter->encode_call(&call->call, &call->http);
     run_set_phase(l, r, RUN_SENT);
     s->calls++;
-    if (!out_send(l->node, call, l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
+    if (!worker_call_send(l, s, w, call,
+                          l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
         s->calls--;
         run_set_phase(l, r, RUN_QUEUED);
     }
 }
 
 static void
-stop_done(struct node *n, struct out_call *call,
-          const struct upstream_result *result)
+stop_done(struct node *n, struct out_call *call, enum upstream_failure failure,
+          const struct node_result *result)
 {
     struct session *s = call_session(n, call);
-    struct node_result decoded = {0};
     struct run *r;
 
     if (s == NULL) {
@@ -186,18 +195,15 @@
     }
     s->calls--;
     r = run_find(s, &call->task);
-    if (result->failure == UPSTREAM_OK) {
-        n->adapter->decode_result(&call->call, result->status,
-                                  buf_str(&result->body), &decoded);
-        session_answered(n->lead, s, &decoded);
+    if (failure == UPSTREAM_OK) {
+        session_answered(n->lead, s, result);
     }
     if (r != NULL && r->phase == RUN_STOP_SENT) {
-        bool stopped = result->failure == UPSTREAM_OK &&
-                       decoded.refusal == NODE_REFUSAL_NONE;
+        bool stopped =
+            failure == UPSTREAM_OK && result->refusal == NODE_REFUSAL_NONE;
 
         run_set_phase(n->lead, r, stopped ? RUN_STOPPED : RUN_STOP_QUEUED);
     }
-    node_result_free(&decoded);
 }
 
 void
@@ -209,10 +215,10 @@
 
     call->task = r->task;
     call->call.u.stop.task = r->task;
-    l->node->adapter->encode_call(&call->call, &call->http);
     run_set_phase(l, r, RUN_STOP_SENT);
     s->calls++;
-    if (!out_send(l->node, call, l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
+    if (!worker_call_send(l, s, w, call,
+                          l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
         s->calls--;
         run_set_phase(l, r, RUN_STOP_QUEUED);
     }
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -18,6 +18,8 @@
     /* Failures in a row, of different jobs, that make a worker suspect. */
     FAILURES_SUSPECT = 3,
     SUSPECT_MS = 4000,
+    /* A path that was found after failures is kept for so long. */
+    PATH_KEPT_MS = 5000,
 };
 
 static struct event_kind event_end = {.name = "end", .per_second = 200};
@@ -203,15 +205,20 @@
 }
 
 static void
-poll_failed(struct lead *l, struct session *s,
-            const struct upstream_result *result)
+poll_failed(struct lead *l, struct session *s, const struct out_call *call,
+            enum upstream_failure failure)
 {
+    if (failure == UPSTREAM_NO_SLOT) {
+        relay_avoid(l->node, call->link);
+    }
+    s->unanswered++;
     s->failing = true;
+    s->failed_at = l->node->now;
     s->poll_due = l->node->now + s->retry_ms * NS_PER_MS;
     s->retry_ms =
         s->retry_ms * 2 > RETRY_MAX_MS ? RETRY_MAX_MS : s->retry_ms * 2;
-    if (s->leaving && (result->failure == UPSTREAM_REFUSED ||
-                       result->failure == UPSTREAM_RESET)) {
+    /* A broken connection does not show that the worker has ended. */
+    if (s->leaving && failure == UPSTREAM_REFUSED) {
         session_propose_lost(l, s, "it left");
     }
 }
@@ -231,18 +238,21 @@
     }
     session_answered(l, s, result);
     s->contacted = true;
+    if (s->unanswered > 0 &&
+        l->node->now - s->failed_at > PATH_KEPT_MS * NS_PER_MS) {
+        s->unanswered = 0;
+    }
     see_running(l, s, result, sent);
     commit_ends(l, s, result, w->last_seen);
     s->poll_due = l->node->now;
 }
 
 static void
-poll_done(struct node *n, struct out_call *call,
-          const struct upstream_result *result)
+poll_done(struct node *n, struct out_call *call, enum upstream_failure failure,
+          const struct node_result *result)
 {
     struct session *s = call_session(n, call);
     struct flow_worker *w;
-    struct node_result decoded = {0};
 
     if (s == NULL) {
         return;
@@ -252,16 +262,13 @@
     if (w == NULL) {
         return;
     }
-    if (result->failure != UPSTREAM_OK) {
+    if (failure != UPSTREAM_OK) {
         event_write(&event_call, "call=poll worker=%.*s failure=%s",
-                    STR_ARG(w->id), upstream_failure_name(result->failure));
-        poll_failed(n->lead, s, result);
+                    STR_ARG(w->id), upstream_failure_name(failure));
+        poll_failed(n->lead, s, call, failure);
         return;
     }
-    n->adapter->decode_result(&call->call, result->status,
-                              buf_str(&result->body), &decoded);
-    polled(n->lead, s, w, &decoded, call->sent);
-    node_result_free(&decoded);
+    polled(n->lead, s, w, result, call->sent);
 }
 
 static bool
@@ -290,7 +297,6 @@
     call->call.u.poll.last_seen = w->last_seen;
     call->call.u.poll.lease_until_ms = session_grant(l, s);
     call->call.u.poll.wait_ms = wait;
-    l->node->adapter->encode_call(&call->call, &call->http);
-    s->polling = out_send(l->node, call,
-                          l->node->now + (wait + CALL_TIMEOUT_MS) * NS_PER_MS);
+    s->polling = worker_call_send(
+        l, s, w, call, l->node->now + (wait + CALL_TIMEOUT_MS) * NS_PER_MS);
 }
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -20,7 +20,7 @@
     EXPIRY_MARGIN_MS = 150,
     /* Between two looks at all runs, for stops that others' ends cause. */
     SCAN_MS = 3,
-    SCAN_SESSIONS_PER_MS = 25, /* more time where more is looked at */
+    SCAN_SESSIONS_PER_MS = 10, /* more time where more is looked at */
 };
 
 static struct event_kind event_end = {.name = "end", .per_second = 200};
@@ -37,6 +37,16 @@
     return key == 0 ? 1 : key;
 }
 
+void
+session_touch(struct session *s)
+{
+    if (!s->touched) {
+        s->touched = true;
+        s->next_touched = s->lead->touched;
+        s->lead->touched = s;
+    }
+}
+
 static struct session *
 session_of(const struct flow_worker *w)
 {
@@ -55,7 +65,7 @@
         map_put_u64(s->runs, key, r);
     }
     *r = (struct run){.task = *task, .phase = phase, .since = now};
-    s->touched = true;
+    session_touch(s);
     return r;
 }
 
@@ -100,6 +110,7 @@
     struct session *s = mem_zalloc(1, sizeof(*s));
     struct adopt adopt = {l, s};
 
+    s->lead = l;
     s->number = w->number;
     s->runs = map_create();
     s->retry_ms = RETRY_MIN_MS;
@@ -118,6 +129,14 @@
 {
     struct run *r;
     void *cursor = NULL;
+    struct session **at = &l->touched;
+
+    while (s->touched && *at != NULL && *at != s) {
+        at = &(*at)->next_touched;
+    }
+    if (s->touched && *at == s) {
+        *at = s->next_touched;
+    }
 
     map_del_u64(l->sessions, s->number);
     while ((r = map_next(s->runs, &cursor)) != NULL) {
@@ -474,29 +493,43 @@
     return SCAN_MS + (int64_t)map_count(l->sessions) / SCAN_SESSIONS_PER_MS;
 }
 
+static void
+step_one(struct lead *l, struct session *s)
+{
+    struct flow_worker *w = flow_worker(l->state, s->number);
+
+    if (w != NULL) {
+        step_session(l, s, w);
+    }
+}
+
+/* Steps what is touched meanwhile as well. */
+static void
+step_touched(struct lead *l)
+{
+    while (l->touched != NULL) {
+        struct session *s = l->touched;
+
+        l->touched = s->next_touched;
+        s->touched = false;
+        step_one(l, s);
+    }
+}
+
 void
 workers_step(struct lead *l)
 {
     struct session *s;
     void *cursor = NULL;
-    bool all = l->node->now >= l->workers_due;
 
-    if (all) {
+    if (l->node->now >= l->workers_due) {
         l->workers_due = l->node->now + scan_ms(l) * NS_PER_MS;
         follow_workers(l);
-    }
-    while ((s = map_next(l->sessions, &cursor)) != NULL) {
-        struct flow_worker *w;
-
-        if (!all && !s->touched) {
-            continue;
-        }
-        s->touched = false;
-        w = flow_worker(l->state, s->number);
-        if (w != NULL) {
-            step_session(l, s, w);
+        while ((s = map_next(l->sessions, &cursor)) != NULL) {
+            step_one(l, s);
         }
     }
+    step_touched(l);
 }
 
 int64_t
