flow: gangs get their tickets together, know more workers, and keep room below team limits

A ticket lasts 2 s; a gang asked for the tasks that it lacked, one call after the other, and its first tickets lapsed before the last was there. It knew approved workers for twice its tasks, of which a busy fleet leaves too little room. At a team's limit, smaller work of the team took each piece that became free. Change: calls of one gang go to several VMs at the same time; a gang that has room on approved workers asks for all tickets that would lapse before the answer; it asks until it knows workers for four times its tasks; what a limited gang needs is kept from later work of its team; reservations grow with the fleet. The leader logs each approval call.

--- a/packages/flow/approval.c
+++ b/packages/flow/approval.c
@@ -70,8 +70,18 @@
 {
     struct flow_approval *a = grow(step);
 
-    a->asked_until = until;
-    a->calls += until != 0;
+    a->asked_until = until > a->asked_until ? until : a->asked_until;
+    a->open_calls++;
+}
+
+void
+plan_answered(struct flow_step *step)
+{
+    struct flow_approval *a = step->approval;
+
+    if (a != NULL && a->open_calls > 0 && --a->open_calls == 0) {
+        a->asked_until = 0;
+    }
 }
 
 void
--- a/packages/flow/ask.c
+++ b/packages/flow/ask.c
@@ -17,9 +17,16 @@
      * third and most of the workers. */
     ASK_FACTOR = 8,
     /* Room on approved workers, empty, over what a gang needs. */
-    GANG_ROOM_FACTOR = 2,
+    GANG_ROOM_FACTOR = 4,
     /* The answer travels, and a call may queue behind another. */
     ASK_AHEAD_MS = 150,
+    /* A wide gang needs tickets of more workers than one call names, or names
+     * in time: tickets of calls that follow each other lapse before the last
+     * is there, so the calls of one step are made at the same time. */
+    GANG_CALL_WORKERS = 50,
+    /* Room with tickets over what the gang needs: others take some of it
+     * before the tickets are there. */
+    TICKETS_PERCENT = 150,
 };
 
 struct option {
@@ -112,6 +119,20 @@
     return ask;
 }
 
+/* The call to name a further worker in; NULL when there are enough. */
+static struct plan_ask *
+next_ask(struct round *r, const struct candidate *c, struct plan_ask *ask,
+         size_t most)
+{
+    if (ask->count < most) {
+        return ask;
+    }
+    if (!c->step->spec->gang || r->plan->ask_count >= r->limits->asks) {
+        return NULL;
+    }
+    return add_ask(r, c);
+}
+
 /* Names workers until enough room is expected among those approved: with
  * broad, room that will become free counts as well. */
 static void
@@ -119,12 +140,17 @@
             const struct option *options, size_t count, uint64_t missing,
             bool broad)
 {
+    size_t most = c->step->spec->gang ? GANG_CALL_WORKERS : PLAN_ASK_MAX;
     struct plan_ask *ask = add_ask(r, c);
     uint64_t covered = 0;
 
-    for (size_t i = 0; i < count && ask->count < PLAN_ASK_MAX; i++) {
+    for (size_t i = 0; i < count; i++) {
         uint64_t room = broad ? options[i].empty : options[i].room;
 
+        ask = next_ask(r, c, ask, most);
+        if (ask == NULL) {
+            break;
+        }
         if (ask->count >= ASK_MIN &&
             (room == 0 || covered >= missing * ASK_FACTOR)) {
             break;
@@ -134,35 +160,111 @@
     }
 }
 
+/* Whether a gang can start there when it has tickets for all its tasks. */
+static bool
+approved_for(const struct round *r, const struct candidate *c,
+             const struct view *v)
+{
+    return v->verdict != NULL && v->verdict->approved && view_suits(r, v, c);
+}
+
+/* Tasks of the candidate that have room there now. */
+static uint64_t
+room_now(const struct round *r, const struct candidate *c,
+         const struct view *v)
+{
+    struct flow_size size = step_takes(c->step);
+    int64_t ends = r->now + (int64_t)(plan_run_ms(c->job, c->step, v->speed) *
+                                      (double)NS_PER_MS);
+    uint32_t most = c->step->spec->per_worker_max;
+    uint64_t room;
+
+    if (!view_unreserved(v, size, c->priority, ends)) {
+        return 0;
+    }
+    room = size_count(view_free(v), size);
+    return most != 0 && room > most ? most : room;
+}
+
+static uint64_t
+approved_room_now(const struct round *r, const struct candidate *c)
+{
+    uint64_t room = 0;
+
+    for (size_t i = 0; i < r->view_count; i++) {
+        if (approved_for(r, c, &r->views[i])) {
+            room += room_now(r, c, &r->views[i]);
+        }
+    }
+    return room;
+}
+
 /*
- * Tickets shortly before a reservation begins, for all approved workers: room
- * becomes free earlier on some and later on others than was expected.
+ * Tickets for a gang, for enough of its approved workers at the same time:
+ * tickets that are still valid are asked for again if they would lapse before
+ * the answer, because a gang starts only with all of them. Without room, all
+ * approved workers count: room becomes free earlier on some and later on
+ * others than was expected.
  */
 static void
-ask_reserved(struct round *r, const struct candidate *c, int64_t fits)
+ask_together(struct round *r, const struct candidate *c, bool with_room,
+             int64_t until)
 {
-    const struct flow_queue *q = c->job->queue;
-    int64_t ahead = (q->approval_ms + ASK_AHEAD_MS) * NS_PER_MS;
-    struct plan_ask *ask;
+    uint64_t need = (uint64_t)c->step->count * TICKETS_PERCENT / 100 + 1;
+    uint64_t covered = 0;
+    struct plan_ask *ask = add_ask(r, c);
 
-    if (fits - r->now > ahead) {
-        return;
-    }
-    ask = add_ask(r, c);
-    for (size_t i = 0; i < r->view_count && ask->count < PLAN_ASK_MAX; i++) {
+    for (size_t i = 0; i < r->view_count && ask != NULL; i++) {
         const struct view *v = &r->views[i];
-        const struct flow_verdict *known = v->verdict;
+        uint64_t room;
 
-        if (known != NULL && known->approved && view_suits(r, v, c) &&
-            known->valid_until < fits) {
+        if (!approved_for(r, c, v)) {
+            continue;
+        }
+        room = with_room ? room_now(r, c, v) : 1;
+        if (room == 0) {
+            continue;
+        }
+        if (v->verdict->valid_until < until) {
+            ask = next_ask(r, c, ask, GANG_CALL_WORKERS);
+            if (ask == NULL) {
+                break;
+            }
             ask->workers[ask->count++] = v->worker->number;
         }
+        covered += room;
+        if (with_room && covered >= need) {
+            break;
+        }
     }
-    if (ask->count == 0) {
+    if (ask != NULL && ask->count == 0) {
         r->plan->ask_count--;
     }
 }
 
+/* A gang whose approved workers would hold it if they were empty. */
+static bool
+ask_gang(struct round *r, const struct candidate *c, int64_t fits)
+{
+    const struct flow_queue *q = c->job->queue;
+    int64_t call = (q->approval_ms + ASK_AHEAD_MS) * NS_PER_MS;
+
+    if (approved_room_now(r, c) >= c->step->count) {
+        int64_t workers = (int64_t)GANG_CALL_WORKERS * q->approval_worker_us *
+                          (NS_PER_MS / 1000);
+
+        ask_together(r, c, true, r->now + call + workers);
+        return true;
+    }
+    if (fits == INT64_MAX) {
+        return false;
+    }
+    if (fits - r->now <= call) {
+        ask_together(r, c, false, fits);
+    }
+    return true;
+}
+
 void
 ask_approval(struct round *r, const struct candidate *c, uint32_t missing,
              int64_t fits)
@@ -178,8 +280,7 @@
         (a != NULL && a->asked_until > r->now)) {
         return;
     }
-    if (gang && !broad && fits != INT64_MAX) {
-        ask_reserved(r, c, fits);
+    if (gang && !broad && ask_gang(r, c, fits)) {
         return;
     }
     options = mem_alloc((r->view_count + 1) * sizeof(*options));
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -24,8 +24,8 @@
 };
 
 struct flow_approval {
-    int64_t asked_until; /* a call is under way until then; 0: none */
-    uint32_t calls;
+    int64_t asked_until; /* calls are under way until then; 0: none */
+    uint32_t open_calls;
     size_t count;
     size_t cap;
     struct flow_verdict verdicts[];
@@ -69,12 +69,17 @@
     PLAN_WAIT_ROOM,
 };
 
-/* A step of a job that is not new, whose reason to wait has changed. */
+/* A step of a job that is not new: written when its reason to wait changes,
+ * and every few seconds. */
 struct plan_waiting {
     struct flow_job *job;
     struct flow_occurrence *occurrence;
     struct flow_step *step;
     enum plan_wait reason;
+    uint32_t missing;  /* tasks */
+    int64_t fits;      /* a gang's reservation; INT64_MAX: none */
+    uint32_t approved; /* workers that are known to be */
+    int lateness;      /* 0 in time, 1 late, 2 too late */
 };
 
 struct plan {
@@ -130,9 +135,15 @@
 void
 plan_verdict(struct flow_step *step, uint32_t worker, bool approved,
              struct str ticket, int64_t valid_until);
+
+/* A call for approval is under way until then, at the latest. */
 void
 plan_asked(struct flow_step *step, int64_t until);
 
+/* A call was answered or has failed. */
+void
+plan_answered(struct flow_step *step);
+
 /* The worker refused the ticket of the step. */
 void
 plan_ticket_refused(struct flow_step *step, uint32_t worker);
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -16,6 +16,7 @@
 enum {
     /* Shorter waits are a matter of course and have no reason. */
     WAIT_NOTED_MS = 1000,
+    WAIT_REPEATED_MS = 2000,
 };
 
 struct plan_worker *
@@ -53,12 +54,16 @@
            below(l->accelerators, sum.accelerators);
 }
 
-/* What this round has given to the team so far. */
+/* What this round has given to the team or keeps for its gangs so far. */
 static struct flow_size
-team_planned(const struct plan *plan, const struct flow_team *team)
+team_planned(const struct round *r, const struct flow_team *team)
 {
+    const struct plan *plan = r->plan;
     struct flow_size sum = {0};
 
+    if (team->held_at == r->now) {
+        sum = team->held;
+    }
     for (size_t i = 0; i < plan->start_count; i++) {
         if (plan->starts[i].job->team == team) {
             sum = size_add(sum, flow_step_size(plan->starts[i].step));
@@ -216,7 +221,7 @@
 place_on(struct round *r, const struct candidate *c, uint32_t run,
          struct str rack, bool *limited, struct slot *slots, size_t count)
 {
-    struct flow_size planned = team_planned(r->plan, c->job->team);
+    struct flow_size planned = team_planned(r, c->job->team);
     struct flow_size size = flow_step_size(c->step);
     uint32_t missing = 0;
 
@@ -302,6 +307,32 @@
     return missing;
 }
 
+/*
+ * A gang that its team's limit keeps out would wait for as long as smaller
+ * work of the team takes each piece that becomes free below the limit. What
+ * the gang needs is kept from candidates that come after it.
+ */
+static void
+hold_team(struct round *r, const struct candidate *c)
+{
+    struct flow_team *team = c->job->team;
+    struct flow_size size = flow_step_size(c->step);
+    struct flow_size whole = {size.cpu_milli * c->step->count,
+                              size.memory_mib * c->step->count,
+                              size.accelerators * c->step->count};
+
+    if (!below(team->limit.cpu_milli, whole.cpu_milli) ||
+        !below(team->limit.memory_mib, whole.memory_mib) ||
+        !below(team->limit.accelerators, whole.accelerators)) {
+        return;
+    }
+    if (team->held_at != r->now) {
+        team->held = (struct flow_size){0};
+        team->held_at = r->now;
+    }
+    team->held = size_add(team->held, whole);
+}
+
 /* Whether a worker without a valid ticket has room for a task now. */
 static bool
 room_unapproved(const struct round *r, const struct candidate *c)
@@ -322,8 +353,10 @@
 
 static void
 note_waiting(struct round *r, const struct candidate *c, bool limited,
-             uint32_t missing)
+             uint32_t missing, int64_t fits)
 {
+    const struct flow_approval *a = c->step->approval;
+    struct plan_waiting *out;
     struct plan *plan = r->plan;
     enum plan_wait reason = limited        ? PLAN_WAIT_TEAM_LIMIT
                             : missing == 0 ? PLAN_WAIT_NONE
@@ -336,17 +369,30 @@
         room_unapproved(r, c)) {
         reason = PLAN_WAIT_APPROVAL;
     }
-    if (reason == c->step->wait_reason) {
+    if (reason == c->step->wait_reason &&
+        (reason == PLAN_WAIT_NONE ||
+         r->now - c->step->wait_noted_at < WAIT_REPEATED_MS * NS_PER_MS)) {
         return;
     }
     c->step->wait_reason = (uint8_t)reason;
+    c->step->wait_noted_at = r->now;
     if (plan->waiting_count == plan->waiting_cap) {
         plan->waiting_cap = plan->waiting_cap * 2 + 32;
         plan->waiting = mem_realloc(plan->waiting, plan->waiting_cap,
                                     sizeof(*plan->waiting));
     }
-    plan->waiting[plan->waiting_count++] = (struct plan_waiting){
-        c->job, &c->job->occurrences[c->occurrence], c->step, reason};
+    out = &plan->waiting[plan->waiting_count++];
+    *out = (struct plan_waiting){.job = c->job,
+                                 .occurrence =
+                                     &c->job->occurrences[c->occurrence],
+                                 .step = c->step,
+                                 .reason = reason,
+                                 .missing = missing,
+                                 .fits = fits,
+                                 .lateness = c->rank};
+    for (size_t i = 0; a != NULL && i < a->count; i++) {
+        out->approved += a->verdicts[i].approved;
+    }
 }
 
 static void
@@ -365,11 +411,14 @@
         if (missing > 0 && !limited) {
             fits = reserve_gang(r, c);
         }
+        if (limited && c->rank == 0) {
+            hold_team(r, c);
+        }
     }
     if (missing > 0 && !limited && c->job->queue->needs_approval) {
         ask_approval(r, c, missing, fits);
     }
-    note_waiting(r, c, limited, missing);
+    note_waiting(r, c, limited, missing, fits);
     bind_verdicts(r, c, false);
 }
 
--- a/packages/node/lead_plan.c
+++ b/packages/node/lead_plan.c
@@ -15,8 +15,10 @@
     /* Decisions of one batch: a few milliseconds of the leader's time. */
     STARTS_MAX = 400,
     ASKS_MAX = 64,
-    /* Gangs that room is kept for: each binds several workers. */
-    RESERVATIONS_MAX = 6,
+    /* Gangs that room is kept for: each binds several workers, so that a
+     * larger fleet has room for more. */
+    RESERVATIONS_MIN = 6,
+    WORKERS_PER_RESERVATION = 20,
     /* Between two rounds, so that one round weighs what came meanwhile. */
     PLAN_INTERVAL_MS = 4,
     /* A round is followed by a pause of so many times its own time, so that
@@ -37,6 +39,8 @@
 };
 
 static struct event_kind event_start = {.name = "start", .per_second = 200};
+static struct event_kind event_approval = {.name = "approval-asked",
+                                           .per_second = 60};
 static struct event_kind event_waiting = {.name = "waiting", .per_second = 40};
 
 /* A call for approval that is under way at some VM. */
@@ -46,6 +50,7 @@
     Flow__Task task;
     uint32_t workers[PLAN_ASK_MAX];
     size_t count;
+    int64_t sent;
     int64_t deadline;
     int64_t cost_ms;
     uint32_t ticket_ms;
@@ -107,6 +112,7 @@
     char *names[PLAN_ASK_MAX];
 
     a->id = ++l->last_ask;
+    a->sent = l->node->now;
     a->link = link->id;
     flow__task__init(&a->task);
     a->task.job = in->job->id;
@@ -138,6 +144,19 @@
     link_send(link, &envelope);
 }
 
+static void
+log_asked(const struct lead *l, const struct ask *a, size_t approved,
+          const char *outcome)
+{
+    event_write(&event_approval,
+                "job=%016llx step=%u.%u workers=%zu approved=%zu took_ms=%lld "
+                "cost_ms=%lld link=%llu outcome=%s",
+                (unsigned long long)a->task.job, a->task.occurrence,
+                a->task.step, a->count, approved,
+                (long long)((l->node->now - a->sent) / NS_PER_MS),
+                (long long)a->cost_ms, (unsigned long long)a->link, outcome);
+}
+
 static void
 ask_done(struct lead *l, struct ask *a)
 {
@@ -158,11 +177,12 @@
     struct link *link = map_get_u64(l->node->links, a->link);
     struct flow_step *step;
 
+    log_asked(l, a, 0, "failed");
     if (link != NULL) {
         link->ask_avoid_until = l->node->now + AVOID_VM_MS * NS_PER_MS;
     }
     if (flow_task(l->state, &a->task, &step) != NULL) {
-        plan_asked(step, 0);
+        plan_answered(step);
     }
     l->dirty = true;
     ask_done(l, a);
@@ -206,10 +226,11 @@
         ask_failed(l, a);
         return;
     }
+    log_asked(l, a, answer->n_approved, "answered");
     valid_until =
         l->node->now + ((int64_t)a->ticket_ms - TICKET_TRAVEL_MS) * NS_PER_MS;
     if (flow_task(l->state, &a->task, &step) != NULL) {
-        plan_asked(step, 0);
+        plan_answered(step);
         for (size_t i = 0; i < a->count; i++) {
             struct flow_worker *w = flow_worker(l->state, a->workers[i]);
             const Node__Ticket *t =
@@ -318,15 +339,18 @@
     struct flow_size size = flow_step_size(in->step);
 
     event_write(&event_waiting,
-                "job=%016llx step=%u.%zu reason=%s waited_ms=%lld tasks=%u "
+                "job=%016llx step=%u.%zu reason=%s waited_ms=%lld late=%d "
+                "fits_in_ms=%lld approved=%u tasks=%u "
                 "cpu=%llu gang=%d team=%.*s team_cpu=%llu team_cpu_limit=%llu "
                 "team_memory=%llu team_memory_limit=%llu",
                 (unsigned long long)j->id, in->occurrence->number,
                 (size_t)(in->step - in->occurrence->steps),
-                wait_name(in->reason), (long long)waited_ms,
-                in->step->count - in->step->done - in->step->assigned,
-                (unsigned long long)size.cpu_milli, in->step->spec->gang,
-                STR_ARG(j->team->name),
+                wait_name(in->reason), (long long)waited_ms, in->lateness,
+                in->fits == INT64_MAX
+                    ? -1LL
+                    : (long long)((in->fits - l->node->now) / NS_PER_MS),
+                in->approved, in->missing, (unsigned long long)size.cpu_milli,
+                in->step->spec->gang, STR_ARG(j->team->name),
                 (unsigned long long)j->team->used.cpu_milli,
                 (unsigned long long)j->team->limit.cpu_milli,
                 (unsigned long long)j->team->used.memory_mib,
@@ -336,8 +360,9 @@
 void
 lead_plan_step(struct lead *l)
 {
-    const struct plan_limits limits = {STARTS_MAX, asks_possible(l),
-                                       RESERVATIONS_MAX};
+    const struct plan_limits limits = {
+        STARTS_MAX, asks_possible(l),
+        RESERVATIONS_MIN + map_count(l->sessions) / WORKERS_PER_RESERVATION};
 
     expire_asks(l);
     if (!l->dirty || l->plan_busy || l->node->now < l->plan_due) {
--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -302,7 +302,7 @@
     if (flow_task(w->state, &a->task, &step) == NULL) {
         return;
     }
-    plan_asked(step, 0);
+    plan_answered(step);
     for (size_t i = 0; i < a->count; i++) {
         bool ok = approves(w, a, a->workers[i]);
 
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -151,7 +151,7 @@
     plan_asked(step, NOW + NS_PER_S);
     plan_make(f.state, NOW, &limits, &plan);
     g_assert_cmpuint(plan.ask_count, ==, 0);
-    plan_asked(step, 0);
+    plan_answered(step);
     plan_verdict(step, a, false, STR(""), 0);
     plan_verdict(step, b, true, STR("ticket"), NOW + NS_PER_S);
     plan_make(f.state, NOW, &limits, &plan);
