flow: members of a gang that fail in one run count as one attempt

Cause: found by reading: a queue with 2 attempts declares a gang failed after its first run when two members fail in it, as they do on workers that fail all that they start. The job could still be done. /flow/gang-members-fail fails before. The team's hold is kept in the round, not by its time.

--- a/packages/flow/flow.pb-c.c
+++ b/packages/flow/flow.pb-c.c
@@ -3030,7 +3030,7 @@
   (ProtobufCMessageInit) flow__task_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor flow__step_state__field_descriptors[1] =
+static const ProtobufCFieldDescriptor flow__step_state__field_descriptors[3] =
 {
   {
     "tasks",
@@ -3044,14 +3044,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gang_failures",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Flow__StepState, gang_failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gang_failed_run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Flow__StepState, gang_failed_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned flow__step_state__field_indices_by_name[] = {
+  2,   /* field[2] = gang_failed_run */
+  1,   /* field[1] = gang_failures */
   0,   /* field[0] = tasks */
 };
 static const ProtobufCIntRange flow__step_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor flow__step_state__descriptor =
 {
@@ -3061,7 +3087,7 @@
   "Flow__StepState",
   "flow",
   sizeof(Flow__StepState),
-  1,
+  3,
   flow__step_state__field_descriptors,
   flow__step_state__field_indices_by_name,
   1,  flow__step_state__number_ranges,
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -72,10 +72,6 @@
     struct flow_size used;  /* by all assigned tasks */
     uint32_t live_jobs;
     bool configured;
-    /* Of the planner: what is kept below the limit for gangs, in the round
-     * of that time. */
-    struct flow_size held;
-    int64_t held_at;
 };
 
 struct flow_queue {
@@ -119,7 +115,8 @@
     uint32_t count;
     uint32_t done;
     uint32_t assigned;
-    uint32_t gang_failures;
+    uint32_t gang_failures;         /* runs of a gang that have failed */
+    uint32_t gang_failed_run;       /* the newest of these */
     struct flow_approval *approval; /* of the leader; not replicated */
     uint8_t wait_reason;            /* likewise: enum plan_wait */
     int64_t wait_noted_at;          /* likewise */
--- a/packages/flow/include/flow.pb-c.h
+++ b/packages/flow/include/flow.pb-c.h
@@ -375,10 +375,12 @@
   ProtobufCMessage base;
   size_t n_tasks;
   Flow__TaskState **tasks;
+  uint32_t gang_failures;
+  uint32_t gang_failed_run;
 };
 #define FLOW__STEP_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&flow__step_state__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0, 0 }
 
 
 struct  Flow__OccurrenceState
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -61,8 +61,10 @@
     const struct plan *plan = r->plan;
     struct flow_size sum = {0};
 
-    if (team->held_at == r->now) {
-        sum = team->held;
+    for (size_t i = 0; i < r->hold_count; i++) {
+        if (r->holds[i].team == team) {
+            sum = size_add(sum, r->holds[i].size);
+        }
     }
     for (size_t i = 0; i < plan->start_count; i++) {
         if (plan->starts[i].job->team == team) {
@@ -315,7 +317,7 @@
 static void
 hold_team(struct round *r, const struct candidate *c)
 {
-    struct flow_team *team = c->job->team;
+    const struct flow_team *team = c->job->team;
     struct flow_size size = flow_step_size(c->step);
     struct flow_size whole = {size.cpu_milli * c->step->count,
                               size.memory_mib * c->step->count,
@@ -326,11 +328,11 @@
         !below(team->limit.accelerators, whole.accelerators)) {
         return;
     }
-    if (team->held_at != r->now) {
-        team->held = (struct flow_size){0};
-        team->held_at = r->now;
+    if (r->hold_count == r->hold_cap) {
+        r->hold_cap = r->hold_cap * 2 + 8;
+        r->holds = mem_realloc(r->holds, r->hold_cap, sizeof(*r->holds));
     }
-    team->held = size_add(team->held, whole);
+    r->holds[r->hold_count++] = (struct team_hold){team, whole};
 }
 
 /* Whether a worker without a valid ticket has room for a task now. */
@@ -430,6 +432,7 @@
     }
     mem_free(r->views);
     mem_free(r->candidates);
+    mem_free(r->holds);
 }
 
 void
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -37,6 +37,12 @@
     const struct flow_verdict *verdict;
 };
 
+/* What is kept below a team's limit for its gangs. */
+struct team_hold {
+    const struct flow_team *team;
+    struct flow_size size;
+};
+
 struct round {
     struct flow_state *state;
     struct plan *plan;
@@ -49,6 +55,9 @@
     size_t candidate_cap;
     size_t reservations;
     bool releases_known;
+    struct team_hold *holds;
+    size_t hold_count;
+    size_t hold_cap;
 };
 
 /* ---- candidates.c ---- */
--- a/packages/flow/snapshot.c
+++ b/packages/flow/snapshot.c
@@ -17,6 +17,8 @@
     Flow__StepState *out = mem_alloc(sizeof(*out));
 
     flow__step_state__init(out);
+    out->gang_failures = step->gang_failures;
+    out->gang_failed_run = step->gang_failed_run;
     out->tasks = mem_alloc((step->count + 1) * sizeof(*out->tasks));
     for (uint32_t i = 0; i < step->count; i++) {
         const struct flow_task *t = &step->tasks[i];
@@ -237,7 +239,6 @@
     if (in->checkpoint[0] != '\0') {
         t->checkpoint = str_dup(str_of(in->checkpoint));
     }
-    step->gang_failures += step->spec->gang ? in->failures : 0;
     if (in->assigned) {
         task_count(s, j, step, t);
     }
@@ -253,6 +254,8 @@
         return false;
     }
     for (size_t i = 0; i < in->n_steps; i++) {
+        o->steps[i].gang_failures = in->steps[i]->gang_failures;
+        o->steps[i].gang_failed_run = in->steps[i]->gang_failed_run;
         for (size_t k = 0; k < in->steps[i]->n_tasks; k++) {
             if (in->steps[i]->tasks[k]->index >= o->steps[i].count) {
                 return false;
--- a/packages/flow/tasks.c
+++ b/packages/flow/tasks.c
@@ -146,6 +146,7 @@
     }
 }
 
+/* Several members of a gang may fail in one run, which counts once. */
 static void
 count_failure(struct flow_step *step, struct flow_task *t)
 {
@@ -153,7 +154,10 @@
     if (t->failures < UINT16_MAX) {
         t->failures++;
     }
-    step->gang_failures += step->spec->gang;
+    if (step->spec->gang && t->run > step->gang_failed_run) {
+        step->gang_failed_run = t->run;
+        step->gang_failures++;
+    }
 }
 
 void
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -170,6 +170,39 @@
     flow_fixture_free(&f);
 }
 
+/* Guards against a gang that fails for good because two members failed in
+ * its first run, also when a snapshot lies between the two. */
+static void
+gang_members_fail(void)
+{
+    struct flow_fixture f;
+    struct buf bytes = {0};
+    struct flow_job *j;
+    uint32_t a;
+
+    flow_fixture_init(&f);
+    a = flow_fixture_worker(&f, "a", 1, 8000);
+    gang_of(&f, 1, 2);
+    for (uint32_t i = 0; i < 2; i++) {
+        flow_fixture_start(&f, 1, 0, i, 1, a);
+    }
+    flow_fixture_end(&f, 1, 0, 0, 1, a, FLOW_END_FAILED, "");
+    flow_state_encode(f.state, &bytes);
+    flow_state_destroy(f.state);
+    f.state = flow_state_decode(buf_str(&bytes));
+    flow_fixture_end(&f, 1, 0, 1, 1, a, FLOW_END_FAILED, "");
+    j = flow_job(f.state, 1);
+    g_assert_cmpint(j->state, ==, FLOW_JOB_RUNNING);
+    for (uint32_t i = 0; i < 2; i++) {
+        flow_fixture_start(&f, 1, 0, i, 2, a);
+    }
+    flow_fixture_end(&f, 1, 0, 0, 2, a, FLOW_END_FAILED, "");
+    flow_fixture_end(&f, 1, 0, 1, 2, a, FLOW_END_BROKEN, "");
+    g_assert_cmpint(j->state, ==, FLOW_JOB_FAILED);
+    buf_free(&bytes);
+    flow_fixture_free(&f);
+}
+
 /* Guards against a gang whose every member counts an attempt. */
 static void
 gang_attempts(void)
@@ -307,6 +340,7 @@
     g_test_add_func("/flow/cancel-keeps-room", cancel_keeps_room);
     g_test_add_func("/flow/gang-done", gang_done);
     g_test_add_func("/flow/gang-attempts", gang_attempts);
+    g_test_add_func("/flow/gang-members-fail", gang_members_fail);
     g_test_add_func("/flow/worker-starts-again", worker_starts_again);
     g_test_add_func("/flow/config-order", config_order);
     g_test_add_func("/flow/snapshot", snapshot);
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -168,6 +168,131 @@
     flow_fixture_free(&f);
 }
 
+/* Guards against tickets of a gang that lapse one after the other: those that
+ * would not last until the answer are asked for with the others. */
+static void
+gang_tickets(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_step *step;
+    uint32_t workers[3];
+
+    flow_fixture_init(&f);
+    flow_fixture_config(&f, 2, "two", true, 0);
+    for (size_t i = 0; i < 3; i++) {
+        char id[] = {(char)('a' + i), '\0'};
+
+        workers[i] = flow_fixture_worker(&f, id, 1, 4000);
+    }
+    step = job_of(&f, 1, 3, 3000, true)->occurrences[0].steps;
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.asks[0].count, ==, 3);
+    plan_asked(step, NOW + NS_PER_S);
+    for (size_t i = 0; i < 3; i++) {
+        plan_verdict(step, workers[i], true, STR("t"),
+                     i == 0 ? NOW : NOW + 100 * NS_PER_MS);
+    }
+    plan_answered(step);
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 0);
+    g_assert_cmpuint(plan.ask_count, ==, 1);
+    g_assert_cmpuint(plan.asks[0].count, ==, 3);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
+/* Guards against a wide gang's calls that follow each other: more workers
+ * than one call names are asked for in calls at the same time, and the step
+ * is not asked for again before all are answered. */
+static void
+gang_calls(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_step *step;
+
+    flow_fixture_init(&f);
+    flow_fixture_config(&f, 2, "two", true, 0);
+    for (int i = 0; i < 63; i++) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "w%d", i);
+        flow_fixture_worker(&f, id, 1, 4000);
+    }
+    step = job_of(&f, 1, 40, 3000, true)->occurrences[0].steps;
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.ask_count, ==, 2);
+    plan_asked(step, NOW + NS_PER_S);
+    plan_asked(step, NOW + NS_PER_S);
+    plan_answered(step);
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.ask_count, ==, 0);
+    plan_answered(step);
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.ask_count, ==, 2);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
+/* Guards against a gang that its team's limit keeps out for as long as smaller
+ * jobs of the team take what becomes free. */
+static void
+gang_team_limit(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_job *late;
+
+    flow_fixture_init(&f);
+    flow_fixture_config(&f, 2, "two", false, 3000);
+    flow_fixture_worker(&f, "a", 1, 64000);
+    job_of(&f, 1, 1, 1000, false);
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(carry_out(&f, &plan), ==, 1);
+    job_of(&f, 2, 3, 1000, true);
+    late = job_of(&f, 3, 1, 1000, false);
+    late->seen_at = NOW + NS_PER_S;
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 0);
+    flow_fixture_end(&f, 1, 0, 0, 1, 1, FLOW_END_DONE, "");
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 3);
+    g_assert_cmpuint(plan.starts[0].job->id, ==, 2);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
+/* Guards against a wait without a reason in the log. */
+static void
+wait_reasons(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_job *j;
+
+    flow_fixture_init(&f);
+    flow_fixture_config(&f, 2, "two", false, 3000);
+    flow_fixture_worker(&f, "a", 1, 1500);
+    j = job_of(&f, 1, 4, 1000, false);
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.waiting_count, ==, 0);
+    g_assert_cmpuint(carry_out(&f, &plan), ==, 1);
+    plan_make(f.state, NOW + 2 * NS_PER_S, &limits, &plan);
+    g_assert_cmpuint(plan.waiting_count, ==, 1);
+    g_assert_cmpint(plan.waiting[0].reason, ==, PLAN_WAIT_ROOM);
+    g_assert_cmpuint(plan.waiting[0].missing, ==, 3);
+    plan_make(f.state, NOW + 2 * NS_PER_S + 1, &limits, &plan);
+    g_assert_cmpuint(plan.waiting_count, ==, 0);
+    flow_fixture_worker(&f, "b", 1, 4000);
+    plan_make(f.state, NOW + 2 * NS_PER_S + 2, &limits, &plan);
+    g_assert_cmpuint(carry_out(&f, &plan), ==, 2);
+    g_assert_cmpint(plan.waiting[0].reason, ==, PLAN_WAIT_TEAM_LIMIT);
+    g_assert_true(plan.waiting[0].job == j);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Guards against best-effort work that slows serving tasks on its worker. */
 static void
 serving_apart(void)
@@ -287,6 +412,10 @@
     g_test_add_func("/plan/gang-whole", gang_whole);
     g_test_add_func("/plan/gang-reserves", gang_reserves);
     g_test_add_func("/plan/approval", approval);
+    g_test_add_func("/plan/gang-tickets", gang_tickets);
+    g_test_add_func("/plan/gang-calls", gang_calls);
+    g_test_add_func("/plan/gang-team-limit", gang_team_limit);
+    g_test_add_func("/plan/wait-reasons", wait_reasons);
     g_test_add_func("/plan/unfit-workers", unfit_workers);
     g_test_add_func("/plan/serving-apart", serving_apart);
     g_test_add_func("/plan/load/echeverria", echeverria);
