--- a/packages/node/include/node.h
+++ b/packages/node/include/node.h
@@ -27,6 +27,7 @@
     struct str caller_listen;  /* empty: takes no calls of callers */
     struct str ready_listen;   /* empty: answers no probes */
     struct str control_listen; /* empty: no control VM */
+    struct str metrics_listen; /* empty: serves no metrics */
     struct str peer_listen;
     uint32_t peer_port;
     struct str data; /* directory; empty on entries */
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -42,11 +42,14 @@
     int epoll;
     struct ring *call_ring;  /* of callers and operators */
     struct ring *probe_ring; /* of the load balancer */
+    struct ring *metrics_ring;
     struct ring *upstream_ring;
     struct ring *storage_ring; /* NULL on entries */
     struct front *caller_front;
     struct front *control_front;
     struct front *probe_front;
+    struct front *metrics_front;
+    struct metrics *metrics;
     struct upstream *upstream;
     struct peer_hub *hub;
     struct map *links; /* by id */
@@ -214,6 +217,32 @@
 size_t
 calls_open(const struct calls *c);
 
+/* ---- metrics.c: times in ns ---- */
+
+struct metrics *
+metrics_create(void);
+void
+metrics_destroy(struct metrics *m);
+void
+metrics_call(struct metrics *m, Node__Outcome outcome, int64_t took_ns);
+void
+metrics_worker_call(struct metrics *m, enum node_call_kind kind,
+                    enum upstream_failure failure);
+
+/* first: the job had no run before. */
+void
+metrics_start(struct metrics *m, bool first, int64_t waited_ns);
+void
+metrics_end(struct metrics *m, uint32_t how);
+void
+metrics_commit(struct metrics *m, int64_t took_ns);
+void
+metrics_approval(struct metrics *m, int64_t took_ns);
+
+/* Answers a scrape with the values of this moment. */
+void
+metrics_respond(const struct node *n, struct front_call *call);
+
 /* ---- asker.c: calls to the approval service from this process ---- */
 
 struct asker *
--- a/packages/node/lead.c
+++ b/packages/node/lead.c
@@ -112,6 +112,7 @@
     if (b == NULL || b->index != index || term != l->term) {
         return;
     }
+    metrics_commit(l->node->metrics, l->node->now - b->proposed);
     l->first = b->next;
     if (l->first == NULL) {
         l->last = NULL;
@@ -167,6 +168,7 @@
     len = flow__packed_batch__get_packed_size(&batch);
     bytes = mem_alloc(len + 1);
     flow__packed_batch__pack(&batch, bytes);
+    b->proposed = l->node->now;
     b->index = group_propose(l->node->group, str_from(bytes, len));
     mem_free(bytes);
     mem_free(items);
--- a/packages/node/lead.h
+++ b/packages/node/lead.h
@@ -19,6 +19,7 @@
 struct lead_batch {
     struct lead_batch *next;
     uint64_t index;
+    int64_t proposed;
     struct waiter *waiters;
     size_t waiter_count;
     size_t waiter_cap;
@@ -98,6 +99,10 @@
 void
 workers_destroy(struct lead *l);
 
+/* Workers that tasks are placed on. */
+size_t
+workers_usable(const struct lead *l);
+
 /* What a worker announced, on its own clock. */
 void
 workers_beat(struct lead *l, const struct flow_worker *w, int64_t clock_ms);
--- a/packages/node/lead_plan.c
+++ b/packages/node/lead_plan.c
@@ -227,6 +227,7 @@
         return;
     }
     log_asked(l, a, answer->n_approved, "answered");
+    metrics_approval(l->node->metrics, l->node->now - a->sent);
     valid_until =
         l->node->now + ((int64_t)a->ticket_ms - TICKET_TRAVEL_MS) * NS_PER_MS;
     if (flow_task(l->state, &a->task, &step) != NULL) {
@@ -296,6 +297,8 @@
     command.kind_case = FLOW__COMMAND__KIND_START;
     command.start = &task;
     lead_command(l, &command);
+    metrics_start(l->node->metrics, !in->job->started,
+                  l->node->now - in->job->seen_at);
     event_write(&event_start,
                 "job=%016llx task=%u.%u.%u run=%u worker=%.*s "
                 "waited_ms=%lld used_cpu=%llu",
--- /dev/null
+++ b/packages/node/metrics.c
@@ -0,0 +1,201 @@
+/*
+ * Metrics of a process that runs workflows, in the Prometheus text format.
+ * Labels are outcomes and kinds of calls, so that the number of series does
+ * not depend on the load.
+ */
+#include <stdio.h>
+
+#include "counter.h"
+#include "histogram.h"
+#include "lead.h"
+#include "mem.h"
+
+enum {
+    OUTCOMES = NODE__OUTCOME__NOT_LEADER + 1,
+    CALL_KINDS = NODE_CALL_POLL + 1,
+    ENDS = FLOW_END_NEVER + 1,
+};
+
+struct metrics {
+    struct counter *calls[OUTCOMES];
+    struct counter *worker_calls[CALL_KINDS][UPSTREAM_FAILURE_COUNT];
+    struct counter *ends[ENDS];
+    struct counter *starts;
+    struct histogram *call_ms;
+    struct histogram *first_start_ms;
+    struct histogram *commit_ms;
+    struct histogram *approval_ms;
+};
+
+static const char *const outcome_names[OUTCOMES] = {
+    "ok",       "invalid", "no-key",      "no-queue", "no-job",
+    "conflict", "busy",    "unavailable", "unknown",  "not-leader"};
+static const char *const call_names[CALL_KINDS] = {"start", "stop", "poll"};
+static const char *const end_names[ENDS] = {
+    "",       "done",   "failed",     "stopped",
+    "lapsed", "broken", "incomplete", "never"};
+
+static struct counter *
+labelled(const char *format, const char *a, const char *b, const char *help)
+{
+    struct buf name = {0};
+    struct counter *c;
+
+    if (b == NULL) {
+        buf_printf(&name, "%s{%s\"}", format, a);
+    }
+    else {
+        buf_printf(&name, "%s{kind=\"%s\",result=\"%s\"}", format, a, b);
+    }
+    c = counter_get_copy(COUNTER_SUM, buf_str(&name), help);
+    buf_free(&name);
+    return c;
+}
+
+static struct counter *
+by_label(const char *name, const char *label, const char *value,
+         const char *help)
+{
+    char pair[64];
+
+    snprintf(pair, sizeof(pair), "%s=\"%s", label, value);
+    return labelled(name, pair, NULL, help);
+}
+
+struct metrics *
+metrics_create(void)
+{
+    struct metrics *m = mem_zalloc(1, sizeof(*m));
+
+    for (size_t i = 0; i < OUTCOMES; i++) {
+        m->calls[i] = by_label("guavarock_calls_total", "outcome",
+                               outcome_names[i],
+                               "Calls of callers, workers and operators.");
+    }
+    for (size_t i = 0; i < CALL_KINDS; i++) {
+        for (int k = 0; k < UPSTREAM_FAILURE_COUNT; k++) {
+            m->worker_calls[i][k] =
+                labelled("guavarock_worker_calls_total", call_names[i],
+                         upstream_failure_name((enum upstream_failure)k),
+                         "Answers to the leader's calls to workers.");
+        }
+    }
+    for (size_t i = 1; i < ENDS; i++) {
+        m->ends[i] = by_label("guavarock_run_ends_total", "how", end_names[i],
+                              "Ends of runs that the leader recorded.");
+    }
+    m->starts = counter_get(COUNTER_SUM, "guavarock_run_starts_total",
+                            "Runs that the leader decided to start.");
+    m->call_ms = histogram_create("guavarock_call_ms",
+                                  "From a call's arrival to its answer.");
+    m->first_start_ms =
+        histogram_create("guavarock_first_start_ms",
+                         "From a job's acceptance to its first start.");
+    m->commit_ms = histogram_create("guavarock_commit_ms",
+                                    "From a proposal to its application.");
+    m->approval_ms = histogram_create("guavarock_approval_ms",
+                                      "Calls to the approval service.");
+    return m;
+}
+
+void
+metrics_destroy(struct metrics *m)
+{
+    mem_free(m);
+}
+
+void
+metrics_call(struct metrics *m, Node__Outcome outcome, int64_t took_ns)
+{
+    if ((int)outcome >= 0 && (int)outcome < OUTCOMES) {
+        counter_add(m->calls[outcome], 1);
+    }
+    histogram_observe(m->call_ms, took_ns);
+}
+
+void
+metrics_worker_call(struct metrics *m, enum node_call_kind kind,
+                    enum upstream_failure failure)
+{
+    counter_add(m->worker_calls[kind][failure], 1);
+}
+
+void
+metrics_start(struct metrics *m, bool first, int64_t waited_ns)
+{
+    counter_add(m->starts, 1);
+    if (first) {
+        histogram_observe(m->first_start_ms, waited_ns);
+    }
+}
+
+void
+metrics_end(struct metrics *m, uint32_t how)
+{
+    if (how > 0 && how < ENDS) {
+        counter_add(m->ends[how], 1);
+    }
+}
+
+void
+metrics_commit(struct metrics *m, int64_t took_ns)
+{
+    histogram_observe(m->commit_ms, took_ns);
+}
+
+void
+metrics_approval(struct metrics *m, int64_t took_ns)
+{
+    histogram_observe(m->approval_ms, took_ns);
+}
+
+static void
+gauge(const char *name, const char *help, uint64_t value)
+{
+    counter_set(counter_get(COUNTER_GAUGE, name, help), value);
+}
+
+static void
+refresh_group(const struct node *n)
+{
+    const Flow__Config *config = flow_config(n->group->state);
+    size_t members = 0;
+
+    raft_members(n->group->raft, &members);
+    gauge("guavarock_group_members", "Members of the control group.", members);
+    gauge("guavarock_config_version", "Version of the configuration held.",
+          config == NULL ? 0 : config->version);
+    gauge("guavarock_live_jobs", "Jobs that have not ended.",
+          flow_live_count(n->group->state));
+    gauge("guavarock_workers", "Workers that are not known to have ended.",
+          flow_worker_count(n->group->state));
+}
+
+static void
+refresh(const struct node *n)
+{
+    gauge("guavarock_leading", "1 while this process leads.", n->lead != NULL);
+    gauge("guavarock_leader_term", "Term of the newest leader known.",
+          n->leader_term);
+    gauge("guavarock_sessions", "Sessions with other processes.",
+          map_count(n->links));
+    gauge("guavarock_open_calls", "Calls that are not answered yet.",
+          calls_open(n->calls));
+    if (n->group != NULL) {
+        refresh_group(n);
+    }
+    gauge("guavarock_workers_usable", "Workers that the leader places on.",
+          n->lead == NULL ? 0 : workers_usable(n->lead));
+}
+
+void
+metrics_respond(const struct node *n, struct front_call *call)
+{
+    struct front_response response = {.status = 200};
+
+    refresh(n);
+    counter_render(&response.body);
+    http_headers_add(&response.headers, STR("Content-Type"),
+                     STR("text/plain; version=0.0.4"));
+    front_respond(call, &response);
+}
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -23,6 +23,7 @@
     EVENTS_MAX = 16,
     CALL_RING = 4096,
     STORAGE_RING = 64,
+    METRICS_RING = 64,
     /* Kept from the grace time for the exit itself. */
     EXIT_MARGIN_MS = 700,
     /* A stopping process takes calls for so long: the load balancer notices
@@ -92,12 +93,14 @@
 
     n->call_ring = ring_create(CALL_RING);
     n->probe_ring = ring_create(CALL_RING);
+    n->metrics_ring = ring_create(METRICS_RING);
     n->upstream_ring = ring_create(CALL_RING);
     upstream_config_default(&config);
     config.threads = 1;
     n->upstream = upstream_create(&config, n->upstream_ring);
     return n->upstream != NULL && watch(n, ring_fd(n->call_ring)) &&
            watch(n, ring_fd(n->probe_ring)) &&
+           watch(n, ring_fd(n->metrics_ring)) &&
            watch(n, ring_fd(n->upstream_ring));
 }
 
@@ -120,6 +123,7 @@
             return false;
         }
     }
+    n->metrics = metrics_create();
     n->calls = calls_create(n);
     n->asker = asker_create(n);
     n->relay = relay_create();
@@ -134,7 +138,10 @@
                      &n->caller_front) &&
            listen_on(n->settings.control_listen, n->call_ring,
                      &n->control_front) &&
-           listen_on(n->settings.ready_listen, n->probe_ring, &n->probe_front);
+           listen_on(n->settings.ready_listen, n->probe_ring,
+                     &n->probe_front) &&
+           listen_on(n->settings.metrics_listen, n->metrics_ring,
+                     &n->metrics_front);
 }
 
 static void
@@ -155,6 +162,20 @@
     }
 }
 
+static void
+take_scrapes(struct node *n)
+{
+    struct front_item *item;
+
+    ring_clear(n->metrics_ring);
+    while ((item = ring_pop(n->metrics_ring)) != NULL) {
+        if (item->kind == FRONT_ITEM_CALL) {
+            metrics_respond(n, item->call);
+        }
+        front_item_release(item);
+    }
+}
+
 static void
 take_calls(struct node *n)
 {
@@ -318,6 +339,7 @@
     take_upstream(n);
     take_calls(n);
     take_probes(n);
+    take_scrapes(n);
     if (n->group != NULL) {
         group_step(n->group);
     }
@@ -401,6 +423,7 @@
     front_destroy(n->caller_front);
     front_destroy(n->control_front);
     front_destroy(n->probe_front);
+    front_destroy(n->metrics_front);
     if (n->upstream != NULL) {
         upstream_destroy(n->upstream);
     }
@@ -412,6 +435,8 @@
     drop_rings(n);
     ring_destroy(n->call_ring);
     ring_destroy(n->probe_ring);
+    ring_destroy(n->metrics_ring);
+    metrics_destroy(n->metrics);
     ring_destroy(n->upstream_ring);
     ring_destroy(n->storage_ring);
     close(n->epoll);
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -116,9 +116,11 @@
 struct run *
 run_find(struct session *s, const struct node_task *task);
 
-/* The session that a call belongs to, unless the leader has changed. */
+/* The session that an answered call belongs to, unless the leader has
+ * changed. */
 struct session *
-call_session(struct node *n, const struct out_call *call);
+call_session(struct node *n, const struct out_call *call,
+             enum upstream_failure failure);
 
 struct out_call *
 worker_call_create(struct lead *l, struct session *s,
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -25,6 +25,7 @@
     JSON_STRING_FIELD(node_settings, caller_listen, JSON_OPTIONAL, 0, 128),
     JSON_STRING_FIELD(node_settings, ready_listen, JSON_OPTIONAL, 0, 128),
     JSON_STRING_FIELD(node_settings, control_listen, JSON_OPTIONAL, 0, 128),
+    JSON_STRING_FIELD(node_settings, metrics_listen, JSON_OPTIONAL, 0, 128),
     JSON_STRING_FIELD(node_settings, peer_listen, 0, 1, 128),
     JSON_U32_FIELD(node_settings, peer_port, 0, 1, 65535),
     JSON_STRING_FIELD(node_settings, data, JSON_OPTIONAL, 0, TEXT_MAX),
@@ -64,6 +65,7 @@
     struct str *texts[] = {
         &s->vm,           &s->failure_domain, &s->caller_listen,
         &s->ready_listen, &s->control_listen, &s->peer_listen,
+        &s->metrics_listen,
         &s->data,         &s->cluster_secret, &s->approval_address};
     struct node_seed *seeds = mem_zalloc(s->seed_count + 1, sizeof(*seeds));
 
@@ -84,6 +86,7 @@
     str_free(&s->caller_listen);
     str_free(&s->ready_listen);
     str_free(&s->control_listen);
+    str_free(&s->metrics_listen);
     str_free(&s->peer_listen);
     str_free(&s->data);
     str_free(&s->cluster_secret);
--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -13,10 +13,12 @@
                                        .per_second = 60};
 
 struct session *
-call_session(struct node *n, const struct out_call *call)
+call_session(struct node *n, const struct out_call *call,
+             enum upstream_failure failure)
 {
     struct session *s;
 
+    metrics_worker_call(n->metrics, call->call.kind, failure);
     if (n->lead == NULL || lead_term(n->lead) != call->term) {
         return NULL;
     }
@@ -118,7 +120,7 @@
 start_done(struct node *n, struct out_call *call,
            enum upstream_failure failure, const struct node_result *result)
 {
-    struct session *s = call_session(n, call);
+    struct session *s = call_session(n, call, failure);
     struct run *r;
 
     if (s == NULL) {
@@ -187,7 +189,7 @@
 stop_done(struct node *n, struct out_call *call, enum upstream_failure failure,
           const struct node_result *result)
 {
-    struct session *s = call_session(n, call);
+    struct session *s = call_session(n, call, failure);
     struct run *r;
 
     if (s == NULL) {
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -183,6 +183,7 @@
         list[ends.n_ends] = &items[ends.n_ends];
         ends.n_ends++;
         note_outcome(l, s, e);
+        metrics_end(l->node->metrics, e->how);
         event_write(&event_end,
                     "job=%016llx task=%u.%u.%u run=%u how=%u worker=%u "
                     "number=%llu",
@@ -251,7 +252,7 @@
 poll_done(struct node *n, struct out_call *call, enum upstream_failure failure,
           const struct node_result *result)
 {
-    struct session *s = call_session(n, call);
+    struct session *s = call_session(n, call, failure);
     struct flow_worker *w;
 
     if (s == NULL) {
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -163,6 +163,19 @@
     map_destroy(l->sessions);
 }
 
+size_t
+workers_usable(const struct lead *l)
+{
+    struct session *s;
+    void *cursor = NULL;
+    size_t n = 0;
+
+    while ((s = map_next(l->sessions, &cursor)) != NULL) {
+        n += s->plan.usable && s->plan.avoid_until <= l->node->now;
+    }
+    return n;
+}
+
 static void
 note_clock(struct lead *l, struct session *s, int64_t clock_ms)
 {
@@ -294,6 +307,7 @@
         return;
     }
     r->ending = true;
+    metrics_end(l->node->metrics, FLOW_END_NEVER);
     run_task(&task, &r->task, s->number);
     end.task = &task;
     end.how = FLOW_END_NEVER;
