--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -10,8 +10,10 @@
 enum {
     /* A job this many times later than its objective is of no use. */
     LATE_FACTOR = 3,
-    /* A task past its expected end is expected to end in so long. */
+    /* A task past its expected end is expected to take a share of its run
+     * time more, and at least so long. */
     OVERDUE_MS = 200,
+    OVERDUE_PERCENT = 30,
 };
 
 /* Longest chain of estimated work from the step on, in ms. */
@@ -158,6 +160,7 @@
     const struct flow_task *t = &step->tasks[index];
     struct flow_worker *w = flow_worker(r->state, t->worker);
     struct view *v;
+    int64_t run;
     int64_t at;
 
     (void)o;
@@ -170,8 +173,11 @@
         v->releases =
             mem_realloc(v->releases, v->release_cap, sizeof(*v->releases));
     }
-    at = (t->started_at != 0 ? t->started_at : r->now) +
-         (int64_t)(plan_run_ms(j, step, v->speed) * (double)NS_PER_MS);
+    run = (int64_t)(plan_run_ms(j, step, v->speed) * (double)NS_PER_MS);
+    at = (t->started_at != 0 ? t->started_at : r->now) + run;
+    if (at < r->now) {
+        at = r->now + run * OVERDUE_PERCENT / 100;
+    }
     if (at < r->now + OVERDUE_MS * NS_PER_MS) {
         at = r->now + OVERDUE_MS * NS_PER_MS;
     }
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -12,6 +12,7 @@
 static const double COST_EMPTY = 0.5;
 static const double COST_FAR = 2.0;    /* the data is on another rack */
 static const double COST_FAILED = 4.0; /* the task has failed there */
+static const double COST_RESERVED = 1.0; /* room is kept there for a gang */
 
 enum {
     /* Shorter waits are a matter of course and have no reason. */
@@ -124,6 +125,9 @@
             !str_eq(v->worker->rack, str_of(step->spec->data_rack))) {
             slots[n].cost += COST_FAR;
         }
+        if (v->reserved_from != 0 && slots[n].ends > v->reserved_from) {
+            slots[n].cost += COST_RESERVED;
+        }
         n++;
     }
     return n;
