--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -20,6 +20,8 @@
     WORKERS = 4,
     JOBS = 24,
     WAIT_MS = 30000,
+    METRICS_PORT = 3, /* after the rig's first */
+    PAUSE_MS = 2500,  /* longer than a session's idle timeout */
 };
 
 struct rig {
@@ -62,8 +64,9 @@
         text,
         "],\"first_start\":true,\"cluster_secret\":\"secret-of-the-test\","
         "\"approval_address\":\"127.0.7.30:%d\",\"heartbeat_ms\":300,"
-        "\"lease_max_ms\":4000,\"job_keep_s\":60,\"grace_s\":6,",
-        r->port);
+        "\"lease_max_ms\":4000,\"job_keep_s\":60,\"grace_s\":6,"
+        "\"metrics_listen\":\"%s:%d\",",
+        r->port, ip, r->port + METRICS_PORT);
     if (control) {
         g_string_append_printf(
             text, "\"control_listen\":\"%s:%d\",\"data\":\"%s/%s\"}", ip,
@@ -356,12 +359,88 @@
     tear_down(&r);
 }
 
+/* A metric of a control VM, 0 if it is not there. */
+static long
+metric(struct rig *r, int vm, const char *name)
+{
+    char *ip = control_ip(vm);
+    char *url =
+        g_strdup_printf("http://%s:%d/metrics", ip, r->port + METRICS_PORT);
+    char *text = g_malloc(65536);
+    char *line = g_strdup_printf("\n%s ", name);
+    const char *at;
+    long value = 0;
+
+    g_assert_cmpint(call(r, "GET", url, "", text, 65536), ==, 200);
+    at = strstr(text, line);
+    if (at != NULL) {
+        value = strtol(at + strlen(line), NULL, 10);
+    }
+    g_free(line);
+    g_free(text);
+    g_free(url);
+    g_free(ip);
+    return value;
+}
+
+/* Guards against a leader that calls all workers itself: VMs in the workers'
+ * failure domain do it, or any that can be reached. */
+static void
+relayed(void)
+{
+    struct rig r;
+    long starts = 0;
+    long own = 0;
+
+    set_up(&r);
+    for (int job = 0; job < JOBS; job++) {
+        submit(&r, job);
+    }
+    for (int job = 0; job < JOBS; job++) {
+        await_completed(&r, job);
+    }
+    for (int i = 0; i < CONTROLS; i++) {
+        if (metric(&r, i, "guavarock_leading") == 1) {
+            starts = metric(&r, i,
+                            "guavarock_worker_calls_total{kind=\"start\","
+                            "result=\"ok\"}");
+            own = metric(&r, i,
+                         "guavarock_upstream_attempts_total{result=\"ok\"}");
+        }
+    }
+    g_assert_cmpint(starts, >=, JOBS * 4);
+    g_assert_cmpint(own, <, starts / 4);
+    tear_down(&r);
+}
+
+/* Guards against work that is lost, run twice or stands still when the VMs
+ * that call the workers stop answering for a while, one after the other. */
+static void
+relays_paused(void)
+{
+    struct rig r;
+
+    set_up(&r);
+    for (int i = 0; i < CONTROLS; i++) {
+        submit(&r, 2 * i);
+        proc_signal(r.control[i], SIGSTOP);
+        submit(&r, 2 * i + 1);
+        g_usleep(PAUSE_MS * 1000);
+        proc_signal(r.control[i], SIGCONT);
+        await_completed(&r, 2 * i);
+        await_completed(&r, 2 * i + 1);
+    }
+    tear_down(&r);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/e2e/platform/leader-killed", leader_killed);
     g_test_add_func("/e2e/platform/worker-killed", worker_killed);
+    g_test_add_func("/e2e/platform/relayed", relayed);
+    g_test_add_func("/e2e/platform/relays-paused", relays_paused);
     g_test_add_func("/e2e/platform/refusals", refusals);
     g_test_add_func("/e2e/platform/entry-stops", entry_stops);
     return g_test_run();
