flow: late urgent jobs come before less urgent ones in time

A check takes 2 cores for less than a second; what it delays has seconds of slack. Change: among jobs that are still of use, late ones of a queue come behind the next queue's jobs in time and before those of the one after it. /plan/late-order fails before.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -112,17 +112,27 @@
     mem_free(chain);
 }
 
+/*
+ * A late job is worth a part of what it was: it comes after the jobs of its
+ * queue that can be in time, but before less urgent queues' late jobs. What is
+ * of no use any more comes last.
+ */
+static uint32_t
+urgency(const struct candidate *c)
+{
+    return c->rank > 1 ? UINT32_MAX : c->priority * 2 + (uint32_t)c->rank * 3;
+}
+
 static int
 compare(const void *a, const void *b)
 {
     const struct candidate *x = a;
     const struct candidate *y = b;
+    uint32_t left = urgency(x);
+    uint32_t right = urgency(y);
 
-    if (x->rank != y->rank) {
-        return x->rank < y->rank ? -1 : 1;
-    }
-    if (x->priority != y->priority) {
-        return x->priority < y->priority ? -1 : 1;
+    if (left != right) {
+        return left < right ? -1 : 1;
     }
     if (x->latest_start != y->latest_start) {
         return x->latest_start < y->latest_start ? -1 : 1;
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -263,6 +263,48 @@
     flow_fixture_free(&f);
 }
 
+/* Guards against late urgent checks that every less urgent job in time
+ * overtakes until they are of no use, and against late wide work before it. */
+static void
+late_order(void)
+{
+    enum {
+        JOBS = 4,
+    };
+    static const uint32_t priorities[JOBS] = {2, 1, 0, 0};
+    static const uint64_t expected[JOBS] = {4, 3, 1, 2};
+    struct flow_queue queues[JOBS];
+    struct flow_queue *given;
+    struct flow_job *jobs[JOBS];
+    struct flow_fixture f;
+    struct plan plan = {0};
+
+    flow_fixture_init(&f);
+    flow_fixture_worker(&f, "a", 1, 4000);
+    for (uint64_t i = 0; i < JOBS; i++) {
+        jobs[i] = job_of(&f, i + 1, 1, 1000, false);
+        given = jobs[i]->queue;
+        queues[i] = *given;
+        queues[i].priority = priorities[i];
+        queues[i].stretch = 2;
+        jobs[i]->queue = &queues[i];
+    }
+    /* The second and third are late, but not three times. */
+    jobs[1]->seen_at = NOW - 3 * NS_PER_S;
+    jobs[2]->seen_at = NOW - 3 * NS_PER_S;
+    for (size_t i = 0; i < JOBS; i++) {
+        jobs[i]->spec->steps[0]->estimate_ms = 1000;
+    }
+    plan_make(f.state, NOW, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, JOBS);
+    for (size_t i = 0; i < JOBS; i++) {
+        g_assert_cmpuint(plan.starts[i].job->id, ==, expected[i]);
+        jobs[i]->queue = given;
+    }
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Guards against a wait without a reason in the log. */
 static void
 wait_reasons(void)
@@ -415,6 +457,7 @@
     g_test_add_func("/plan/gang-tickets", gang_tickets);
     g_test_add_func("/plan/gang-calls", gang_calls);
     g_test_add_func("/plan/gang-team-limit", gang_team_limit);
+    g_test_add_func("/plan/late-order", late_order);
     g_test_add_func("/plan/wait-reasons", wait_reasons);
     g_test_add_func("/plan/unfit-workers", unfit_workers);
     g_test_add_func("/plan/serving-apart", serving_apart);
