flow: a job is pending until a worker confirms one of its runs

Seven workers had crashed silently 3 s before; starts that are committed for a worker that never answers made their jobs count as started until its lease had ended.

--- a/packages/base/histogram.c
+++ b/packages/base/histogram.c
@@ -8,8 +8,8 @@
 
 /* Around what callers wait for: a commit takes milliseconds, a deadline is a
  * few seconds away. */
-static const int64_t bounds_ms[] = {1,    2,    5,    10,   20,    50,   100,
-                                    200,  500,  1000, 2000, 5000, 10000, 30000};
+static const int64_t bounds_ms[] = {1,   2,   5,    10,   20,   50,    100,
+                                    200, 500, 1000, 2000, 5000, 10000, 30000};
 
 enum {
     BOUNDS = sizeof(bounds_ms) / sizeof(bounds_ms[0]),
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -146,6 +146,7 @@
     struct flow_job *prev; /* live jobs, in the order of acceptance */
     struct flow_job *next;
     int64_t seen_at; /* of the leader: when it first saw the job */
+    bool begun;      /* likewise: a worker has confirmed one of its runs */
 };
 
 struct flow_upkeep {
@@ -212,6 +213,11 @@
 struct flow_upkeep *
 flow_upkeep_next(const struct flow_state *s, void **cursor);
 
+/* Jobs of the queue that have not begun as far as the leader knows: those
+ * whose only starts went to workers that have not answered are counted. */
+uint32_t
+flow_pending(const struct flow_state *s, const struct flow_queue *q);
+
 /* The occurrence with that number, or NULL when it is not under way. */
 struct flow_occurrence *
 flow_occurrence(const struct flow_job *j, uint32_t number);
--- a/packages/flow/job.c
+++ b/packages/flow/job.c
@@ -254,6 +254,43 @@
     return s->live;
 }
 
+/* Whether the records alone show that a worker had a run of the job. */
+static bool
+has_ends(const struct flow_job *j)
+{
+    if (j->done > 0) {
+        return true;
+    }
+    for (size_t i = 0; i < j->occurrence_count; i++) {
+        for (size_t k = 0; k < j->spec->n_steps; k++) {
+            const struct flow_step *step = &j->occurrences[i].steps[k];
+
+            if (step->done > 0 || step->gang_failures > 0) {
+                return true;
+            }
+            for (uint32_t n = 0; n < step->count; n++) {
+                if (step->tasks[n].failures > 0 ||
+                    step->tasks[n].checkpoint.len > 0) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+uint32_t
+flow_pending(const struct flow_state *s, const struct flow_queue *q)
+{
+    uint32_t pending = q->pending;
+
+    for (const struct flow_job *j = s->first; j != NULL; j = j->next) {
+        pending += j->queue == q && j->state == FLOW_JOB_RUNNING &&
+                   !j->begun && !has_ends(j);
+    }
+    return pending;
+}
+
 struct flow_occurrence *
 flow_occurrence(const struct flow_job *j, uint32_t number)
 {
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -10,8 +10,8 @@
  * emptier one breaks up room that a larger task could use. */
 static const double COST_SLOW = 1.0;
 static const double COST_EMPTY = 0.5;
-static const double COST_FAR = 2.0;    /* the data is on another rack */
-static const double COST_FAILED = 4.0; /* the task has failed there */
+static const double COST_FAR = 2.0;      /* the data is on another rack */
+static const double COST_FAILED = 4.0;   /* the task has failed there */
 static const double COST_RESERVED = 1.0; /* room is kept there for a gang */
 
 enum {
--- a/packages/node/calls.c
+++ b/packages/node/calls.c
@@ -77,8 +77,7 @@
                 (int)reply->outcome, response.status,
                 (long long)((c->node->now - p->arrived) / NS_PER_MS),
                 STR_ARG(c->node->leader_vm), reply->reason);
-    metrics_call(c->node->metrics, reply->outcome,
-                 c->node->now - p->arrived);
+    metrics_call(c->node->metrics, reply->outcome, c->node->now - p->arrived);
     front_respond(p->call, &response);
     pending_free(c, p);
 }
--- a/packages/node/lead_requests.c
+++ b/packages/node/lead_requests.c
@@ -173,7 +173,7 @@
         Node__Reply reply = NODE__REPLY__INIT;
 
         reply.counts = true;
-        reply.pending = q->pending;
+        reply.pending = flow_pending(l->state, q);
         request_reply(l->node, from, &reply);
         return;
     }
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -31,9 +31,9 @@
     "ok",       "invalid", "no-key",      "no-queue", "no-job",
     "conflict", "busy",    "unavailable", "unknown",  "not-leader"};
 static const char *const call_names[CALL_KINDS] = {"start", "stop", "poll"};
-static const char *const end_names[ENDS] = {
-    "",       "done",   "failed",     "stopped",
-    "lapsed", "broken", "incomplete", "never"};
+static const char *const end_names[ENDS] = {"",           "done",   "failed",
+                                            "stopped",    "lapsed", "broken",
+                                            "incomplete", "never"};
 
 static struct counter *
 labelled(const char *format, const char *a, const char *b, const char *help)
@@ -68,9 +68,9 @@
     struct metrics *m = mem_zalloc(1, sizeof(*m));
 
     for (size_t i = 0; i < OUTCOMES; i++) {
-        m->calls[i] = by_label("guavarock_calls_total", "outcome",
-                               outcome_names[i],
-                               "Calls of callers, workers and operators.");
+        m->calls[i] =
+            by_label("guavarock_calls_total", "outcome", outcome_names[i],
+                     "Calls of callers, workers and operators.");
     }
     for (size_t i = 0; i < CALL_KINDS; i++) {
         for (int k = 0; k < UPSTREAM_FAILURE_COUNT; k++) {
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -62,11 +62,16 @@
 static void
 keep(struct node_settings *s)
 {
-    struct str *texts[] = {
-        &s->vm,           &s->failure_domain, &s->caller_listen,
-        &s->ready_listen, &s->control_listen, &s->peer_listen,
-        &s->metrics_listen,
-        &s->data,         &s->cluster_secret, &s->approval_address};
+    struct str *texts[] = {&s->vm,
+                           &s->failure_domain,
+                           &s->caller_listen,
+                           &s->ready_listen,
+                           &s->control_listen,
+                           &s->peer_listen,
+                           &s->metrics_listen,
+                           &s->data,
+                           &s->cluster_secret,
+                           &s->approval_address};
     struct node_seed *seeds = mem_zalloc(s->seed_count + 1, sizeof(*seeds));
 
     for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -113,6 +113,7 @@
     t = flow_task(l->state, &ref, &step);
     if (t != NULL && t->run == task->run) {
         t->started_at = l->node->now;
+        flow_job(l->state, task->job)->begun = true;
     }
 }
 
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -48,12 +48,15 @@
              const struct node_running *in)
 {
     struct flow_worker *w = flow_worker(l->state, s->number);
-    const struct flow_job *j = flow_job(l->state, r->task.job);
+    struct flow_job *j = flow_job(l->state, r->task.job);
     struct flow_step *step;
     Flow__Task ref;
     struct run_progress progress = {.now = l->node->now};
 
     run_task(&ref, &r->task, s->number);
+    if (j != NULL) {
+        j->begun = true;
+    }
     if (r->started == 0 || in->percent != r->percent || r->progressed == 0) {
         r->started = r->started == 0 ? l->node->now : r->started;
         r->percent = in->percent;
@@ -138,6 +141,9 @@
     struct run *r = run_find(s, &e->task);
     struct flow_job *j = flow_job(l->state, e->task.job);
 
+    if (j != NULL) {
+        j->begun = true;
+    }
     if (e->how == FLOW_END_DONE && r != NULL && r->started != 0 && j != NULL &&
         e->task.step < j->spec->n_steps) {
         plan_observe(flow_worker(l->state, s->number), j->queue,
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -170,6 +170,33 @@
     flow_fixture_free(&f);
 }
 
+/* Guards against a count of waiting jobs that leaves out those whose starts
+ * went to a worker that never answered. */
+static void
+pending_until_begun(void)
+{
+    struct flow_fixture f;
+    struct flow_queue *q;
+    uint32_t a;
+
+    flow_fixture_init(&f);
+    a = flow_fixture_worker(&f, "a", 1, 8000);
+    q = gang_of(&f, 1, 2)->queue;
+    gang_of(&f, 2, 2);
+    g_assert_cmpuint(flow_pending(f.state, q), ==, 2);
+    for (uint32_t i = 0; i < 2; i++) {
+        flow_fixture_start(&f, 1, 0, i, 1, a);
+    }
+    g_assert_cmpuint(flow_pending(f.state, q), ==, 2);
+    flow_job(f.state, 1)->begun = true;
+    g_assert_cmpuint(flow_pending(f.state, q), ==, 1);
+    /* Another leader knows it by the ends that are recorded. */
+    flow_job(f.state, 1)->begun = false;
+    flow_fixture_end(&f, 1, 0, 0, 1, a, FLOW_END_FAILED, "");
+    g_assert_cmpuint(flow_pending(f.state, q), ==, 1);
+    flow_fixture_free(&f);
+}
+
 /* Guards against a gang that fails for good because two members failed in
  * its first run, also when a snapshot lies between the two. */
 static void
@@ -341,6 +368,7 @@
     g_test_add_func("/flow/gang-done", gang_done);
     g_test_add_func("/flow/gang-attempts", gang_attempts);
     g_test_add_func("/flow/gang-members-fail", gang_members_fail);
+    g_test_add_func("/flow/pending-until-begun", pending_until_begun);
     g_test_add_func("/flow/worker-starts-again", worker_starts_again);
     g_test_add_func("/flow/config-order", config_order);
     g_test_add_func("/flow/snapshot", snapshot);
