tests: a seeded soak of the platform's processes; the rig is shared

Pauses, kills, stops and restarts control VMs and entries in overlapping series while jobs and configurations are sent, and checks what callers, workers and operators see.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 	$(if $(wildcard packages/cli/main.c),$(OUT)/guavarock)
 
 .PHONY: all tests benches fakes check check-asan check-tsan format \
-	format-check fuzz fuzzers lint demo deps clean e2e soak proto
+	format-check fuzz fuzzers lint demo deps clean e2e soak soak-platform proto
 .SECONDARY:
 
 all: $(BINS)
@@ -136,6 +136,10 @@
 $(OUT)/tests/test_%: $(OUT)/tests/test_%.o $(TEST_SUPPORT_OBJS) $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
 
+$(OUT)/soak_platform: $(OUT)/tests/soak_platform.o $(TEST_SUPPORT_OBJS) \
+		$(LIBGV)
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
+
 $(OUT)/soak: $(OUT)/tests/soak.o $(TEST_SUPPORT_OBJS) $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS) $(GLIB_LIBS)
 
@@ -160,6 +164,9 @@
 soak: all fakes $(OUT)/soak
 	@GV_BIN=$(OUT) $(OUT)/soak $(SECONDS) $(SEED)
 
+soak-platform: all fakes $(OUT)/soak_platform
+	@GV_BIN=$(OUT) $(OUT)/soak_platform $(SECONDS) $(SEED)
+
 # GLib's own allocator is not instrumented.
 check-tsan:
 	G_SLICE=always-malloc $(MAKE) PROFILE=tsan check TESTS_MATCH='$(TSAN_TESTS)'
--- /dev/null
+++ b/tests/support/platform_rig.c
@@ -0,0 +1,281 @@
+#include "platform_rig.h"
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "http_client.h"
+#include "proc.h"
+
+const char platform_job[] =
+    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,"
+    "\"memoryRequestMb\":64,\"estimatedMs\":300,\"gang\":true},"
+    "{\"count\":2,\"cpu\":500,\"memoryRequestMb\":64,"
+    "\"estimatedMs\":300,\"after\":[0]}]}";
+
+static char *
+control_ip(int i)
+{
+    return g_strdup_printf("127.0.7.%d", 11 + i);
+}
+
+static char *
+write_settings(const struct platform_rig *r, const char *vm, const char *ip,
+               bool control)
+{
+    char *file = g_strdup_printf("%s/%s.json", r->dir, vm);
+    GString *text = g_string_new("{");
+
+    g_string_append_printf(
+        text,
+        "\"vm\":\"%s\",\"failure_domain\":\"d\",\"peer_listen\":\"%s:%d\","
+        "\"peer_port\":%d,\"seeds\":[",
+        vm, ip, r->port + 1, r->port + 1);
+    for (int i = 0; i < PLATFORM_SEEDS; i++) {
+        char *seed = control_ip(i);
+
+        g_string_append_printf(text, "%s{\"address\":\"%s:%d\"}",
+                               i == 0 ? "" : ",", seed, r->port);
+        g_free(seed);
+    }
+    g_string_append_printf(
+        text,
+        "],\"first_start\":true,\"cluster_secret\":\"secret-of-the-test\","
+        "\"approval_address\":\"127.0.7.30:%d\",\"heartbeat_ms\":300,"
+        "\"lease_max_ms\":4000,\"job_keep_s\":300,\"grace_s\":6,"
+        "\"metrics_listen\":\"%s:%d\",",
+        r->port, ip, r->port + PLATFORM_METRICS_PORT);
+    if (control) {
+        g_string_append_printf(
+            text, "\"control_listen\":\"%s:%d\",\"data\":\"%s/%s\"}", ip,
+            r->port, r->dir, vm);
+    }
+    else {
+        g_string_append_printf(text,
+                               "\"caller_listen\":\"%s:%d\","
+                               "\"ready_listen\":\"%s:%d\"}",
+                               ip, r->port, ip, r->port + 2);
+    }
+    g_file_set_contents(file, text->str, -1, NULL);
+    g_string_free(text, TRUE);
+    return file;
+}
+
+static pid_t
+spawn(const struct platform_rig *r, const char *vm, const char *ip,
+      bool control)
+{
+    char *file = write_settings(r, vm, ip, control);
+    char *log = g_strdup_printf("%s/%s.log", r->dir, vm);
+    char *bin = g_build_filename(g_getenv("GV_BIN"), "guavarockd", NULL);
+    char *argv[] = {bin, (char *)"--platform", NULL};
+    pid_t pid;
+
+    g_setenv("GUAVAROCK_SETTINGS", file, TRUE);
+    pid = proc_spawn(log, argv);
+    g_free(bin);
+    g_free(log);
+    g_free(file);
+    return pid;
+}
+
+void
+platform_start_control(struct platform_rig *r, int i)
+{
+    char *ip = control_ip(i);
+    char *vm = g_strdup_printf("c%d", i);
+
+    r->control[i] = spawn(r, vm, ip, true);
+    g_free(vm);
+    g_free(ip);
+}
+
+void
+platform_start_entry(struct platform_rig *r, int i)
+{
+    char *ip = g_strdup_printf("127.0.7.%d", 20 + i);
+    char *vm = g_strdup_printf("e%d", i);
+
+    r->entry[i] = spawn(r, vm, ip, false);
+    g_free(vm);
+    g_free(ip);
+}
+
+void
+platform_start_workers(struct platform_rig *r, int i)
+{
+    char *bin = g_build_filename(g_getenv("GV_BIN"), "fakes", "minions", NULL);
+    char *address = g_strdup_printf("127.0.7.%d:%d", 30 + i, r->port);
+    char *log = g_strdup_printf("%s/workers%d.log", r->dir, i);
+    char *count = g_strdup_printf("%d", PLATFORM_WORKERS);
+    char *argv[4 + PLATFORM_CONTROLS_MAX] = {bin, address, count};
+
+    for (int k = 0; k < r->controls; k++) {
+        char *ip = control_ip(k);
+
+        argv[3 + k] = g_strdup_printf("%s:%d", ip, r->port);
+        g_free(ip);
+    }
+    r->workers[i] = proc_spawn(log, argv);
+    for (int k = 0; k < r->controls; k++) {
+        g_free(argv[3 + k]);
+    }
+    g_free(count);
+    g_free(log);
+    g_free(address);
+    g_free(bin);
+}
+
+long
+platform_call(struct platform_rig *r, const char *method, const char *url,
+              const char *body, char *out, size_t out_size)
+{
+    const char *const headers[] = {"X-Key: key", "Host: shop.example", NULL};
+    struct http_call c = {.method = method,
+                          .url = url,
+                          .headers = headers,
+                          .body = str_of(body),
+                          .timeout_ms = 3500};
+    struct http_answer answer = {0};
+    long status;
+
+    http_client_call(r->client, &c, &answer);
+    status = answer.complete ? answer.status : 0;
+    if (out != NULL) {
+        g_strlcpy(out, answer.body.ptr == NULL ? "" : answer.body.ptr,
+                  out_size);
+    }
+    http_answer_free(&answer);
+    return status;
+}
+
+void
+platform_await_status(struct platform_rig *r, const char *method,
+                      const char *url, const char *body, long status)
+{
+    int64_t until = clock_now() + PLATFORM_WAIT_MS * NS_PER_MS;
+    long got = 0;
+
+    while (clock_now() < until) {
+        got = platform_call(r, method, url, body, NULL, 0);
+        if (got == status) {
+            return;
+        }
+        g_usleep(100000);
+    }
+    g_assert_cmpint(got, ==, status);
+}
+
+char *
+platform_config(int version)
+{
+    return g_strdup_printf(
+        "{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":"
+        "\"shop.example\",\"pathPrefix\":\"/orders/\",\"kind\":"
+        "\"non_idempotent\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,"
+        "\"priority\":0,\"service\":\"svc\",\"maxAttempts\":3,\"stretch\":3,"
+        "\"advice\":{\"decisionMs\":1,\"perWorkerMs\":0.1,\"validityMs\":2000}"
+        "}],"
+        "\"services\":[{\"name\":\"svc\"}],\"limits\":{},\"tenants\":[{"
+        "\"name\":\"t\",\"apiKeys\":[\"key\"],\"weight\":1,"
+        "\"upperLimit\":{\"cpu\":0}}]}",
+        version);
+}
+
+char *
+platform_control_url(const struct platform_rig *r, int i, int port,
+                     const char *path)
+{
+    char *ip = control_ip(i);
+    char *url = g_strdup_printf("http://%s:%d%s", ip, r->port + port, path);
+
+    g_free(ip);
+    return url;
+}
+
+char *
+platform_job_url(const struct platform_rig *r, int entry, int job)
+{
+    return g_strdup_printf("http://127.0.7.%d:%d/orders/%016x", 20 + entry,
+                           r->port, job + 1);
+}
+
+void
+platform_open(struct platform_rig *r, int controls, int entries, int groups)
+{
+    char *config = platform_config(1);
+    char *url;
+
+    memset(r, 0, sizeof(*r));
+    r->dir = g_dir_make_tmp("platform-XXXXXX", NULL);
+    r->port = 20000 + (int)(getpid() % 4000) * 10;
+    r->client = http_client_create();
+    r->controls = controls;
+    r->entries = entries;
+    r->groups = groups;
+    for (int i = 0; i < controls; i++) {
+        platform_start_control(r, i);
+    }
+    for (int i = 0; i < entries; i++) {
+        platform_start_entry(r, i);
+    }
+    for (int i = 0; i < groups; i++) {
+        platform_start_workers(r, i);
+    }
+    url = platform_control_url(r, 0, 0, "/config");
+    platform_await_status(r, "PUT", url, config, 200);
+    g_free(url);
+    g_free(config);
+    for (int i = 0; i < entries; i++) {
+        url = g_strdup_printf("http://127.0.7.%d:%d/", 20 + i, r->port + 2);
+        platform_await_status(r, "GET", url, "", 200);
+        g_free(url);
+    }
+}
+
+void
+platform_close(struct platform_rig *r)
+{
+    for (int i = 0; i < PLATFORM_GROUPS_MAX; i++) {
+        char *log = g_strdup_printf("%s/workers%d.log", r->dir, i);
+        char *text = NULL;
+
+        if (g_file_get_contents(log, &text, NULL, NULL)) {
+            g_assert_null(strstr(text, "TWICE"));
+        }
+        g_free(text);
+        g_free(log);
+    }
+    proc_reset();
+    http_client_destroy(r->client);
+    g_free(r->dir);
+}
+
+void
+platform_submit(struct platform_rig *r, int job)
+{
+    char *url = platform_job_url(r, 0, job);
+
+    platform_await_status(r, "POST", url, platform_job, 200);
+    g_free(url);
+}
+
+void
+platform_await_completed(struct platform_rig *r, int job)
+{
+    int64_t until = clock_now() + PLATFORM_WAIT_MS * NS_PER_MS;
+    char *url = platform_job_url(r, 0, job);
+    char body[128] = "";
+
+    while (clock_now() < until && strstr(body, "completed") == NULL) {
+        long status = platform_call(r, "GET", url, "", body, sizeof(body));
+
+        /* An accepted job is never unknown. */
+        g_assert_cmpint(status, !=, 410);
+        g_usleep(50000);
+    }
+    g_assert_nonnull(strstr(body, "completed"));
+    g_free(url);
+}
