--- a/packages/base/histogram.c
+++ b/packages/base/histogram.c
@@ -63,6 +63,12 @@
     return h;
 }
 
+void
+histogram_destroy(struct histogram *h)
+{
+    mem_free(h);
+}
+
 void
 histogram_observe(struct histogram *h, int64_t ns)
 {
--- a/packages/base/include/histogram.h
+++ b/packages/base/include/histogram.h
@@ -10,9 +10,11 @@
 struct histogram;
 
 /* name follows Prometheus' rules, without labels; name and help must outlive
- * the process. Not freed: it lives as long as the process. */
+ * the process. What was counted stays among the metrics after destroy. */
 struct histogram *
 histogram_create(const char *name, const char *help);
+void
+histogram_destroy(struct histogram *h);
 
 /* Counts one duration in nanoseconds; negative ones count as 0. */
 void
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -101,6 +101,13 @@
 void
 metrics_destroy(struct metrics *m)
 {
+    if (m == NULL) {
+        return;
+    }
+    histogram_destroy(m->call_ms);
+    histogram_destroy(m->first_start_ms);
+    histogram_destroy(m->commit_ms);
+    histogram_destroy(m->approval_ms);
     mem_free(m);
 }
 
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -1,8 +1,8 @@
 /*
  * Calls to workers that another VM makes for the leader. The leader decides
- * and commits; the HTTP exchange costs ten times as much as the message that
- * asks for it. The relay keeps connections to its workers, which outlive a
- * change of the leader, and knows nothing of what it carries.
+ * and commits; most of its processor time would go into the HTTP exchanges.
+ * The relay keeps connections to its workers, which outlive a change of the
+ * leader, and has no other state.
  */
 #include <string.h>
 
