flow: one expected end, one room of a step, one test of approval

ask.c computed the end of a task that starts now in two more places and the tasks that fit under the limit a worker in one, beside plan.c and reserve.c; approved_room repeated approved_for.

--- a/packages/flow/ask.c
+++ b/packages/flow/ask.c
@@ -62,27 +62,33 @@
     for (size_t i = 0; i < r->view_count; i++) {
         const struct view *v = &r->views[i];
         const struct flow_verdict *known = v->verdict;
-        int64_t ends;
 
         if (!view_suits(r, v, c) ||
             (known != NULL &&
              (!known->approved || ticket_valid(known, r->now)))) {
             continue;
         }
-        ends = r->now + (int64_t)(plan_run_ms(c->job, c->step, v->speed) *
-                                  (double)NS_PER_MS);
         out[n].worker = v->worker->number;
         out[n].known = known != NULL;
         out[n].empty = size_count(v->worker->capacity, size);
-        out[n].room = view_unreserved(v, size, c->priority, ends)
-                          ? size_count(view_free(v), size)
-                          : 0;
+        out[n].room =
+            view_unreserved(v, size, c->priority, expected_end(r, c, v))
+                ? size_count(view_free(v), size)
+                : 0;
         n++;
     }
     qsort(out, n, sizeof(*out), compare_options);
     return n;
 }
 
+/* Whether the step may run there, once it has a ticket. */
+static bool
+approved_for(const struct round *r, const struct candidate *c,
+             const struct view *v)
+{
+    return v->verdict != NULL && v->verdict->approved && view_suits(r, v, c);
+}
+
 /* Tasks that the approved workers could hold if they were empty. */
 static uint64_t
 approved_room(const struct round *r, const struct candidate *c)
@@ -91,9 +97,7 @@
     uint64_t room = 0;
 
     for (size_t i = 0; i < r->view_count; i++) {
-        const struct flow_verdict *v = r->views[i].verdict;
-
-        if (v != NULL && v->approved && view_suits(r, &r->views[i], c)) {
+        if (approved_for(r, c, &r->views[i])) {
             room += size_count(r->views[i].worker->capacity, size);
         }
     }
@@ -160,30 +164,17 @@
     }
 }
 
-/* Whether a gang can start there when it has tickets for all its tasks. */
-static bool
-approved_for(const struct round *r, const struct candidate *c,
-             const struct view *v)
-{
-    return v->verdict != NULL && v->verdict->approved && view_suits(r, v, c);
-}
-
 /* Tasks of the candidate that have room there now. */
 static uint64_t
 room_now(const struct round *r, const struct candidate *c,
          const struct view *v)
 {
     struct flow_size size = step_takes(c->step);
-    int64_t ends = r->now + (int64_t)(plan_run_ms(c->job, c->step, v->speed) *
-                                      (double)NS_PER_MS);
-    uint32_t most = c->step->spec->per_worker_max;
-    uint64_t room;
 
-    if (!view_unreserved(v, size, c->priority, ends)) {
+    if (!view_unreserved(v, size, c->priority, expected_end(r, c, v))) {
         return 0;
     }
-    room = size_count(view_free(v), size);
-    return most != 0 && room > most ? most : room;
+    return room_for(c, view_free(v));
 }
 
 static uint64_t
@@ -214,7 +205,7 @@
     uint64_t covered = 0;
     struct plan_ask *ask = add_ask(r, c);
 
-    for (size_t i = 0; i < r->view_count && ask != NULL; i++) {
+    for (size_t i = 0; i < r->view_count; i++) {
         const struct view *v = &r->views[i];
         uint64_t room;
 
--- a/packages/flow/fit.c
+++ b/packages/flow/fit.c
@@ -77,6 +77,23 @@
     return size_less(v->worker->capacity, v->taken);
 }
 
+uint64_t
+room_for(const struct candidate *c, struct flow_size room)
+{
+    uint64_t tasks = size_count(room, step_takes(c->step));
+    uint32_t most = c->step->spec->per_worker_max;
+
+    return most != 0 && tasks > most ? most : tasks;
+}
+
+int64_t
+expected_end(const struct round *r, const struct candidate *c,
+             const struct view *v)
+{
+    return r->now + (int64_t)(plan_run_ms(c->job, c->step, v->speed) *
+                              (double)NS_PER_MS);
+}
+
 static bool
 has_label(const struct flow_worker *w, const char *label)
 {
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -75,14 +75,6 @@
     return sum;
 }
 
-static int64_t
-expected_end(const struct round *r, const struct candidate *c,
-             const struct view *v)
-{
-    return r->now + (int64_t)(plan_run_ms(c->job, c->step, v->speed) *
-                              (double)NS_PER_MS);
-}
-
 /* A worker that could take tasks of the candidate when it was looked at. */
 struct slot {
     struct view *view;
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -90,6 +90,16 @@
 struct flow_size
 view_free(const struct view *v);
 
+/* How many tasks of the candidate's step have room; tasks of a step may be
+ * limited for each worker. */
+uint64_t
+room_for(const struct candidate *c, struct flow_size room);
+
+/* When a task of the candidate that starts now is expected to end there. */
+int64_t
+expected_end(const struct round *r, const struct candidate *c,
+             const struct view *v);
+
 /* Whether the worker could ever run a task of the step. */
 bool
 view_suits(const struct round *r, const struct view *v,
--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -64,21 +64,12 @@
     return (x->at > y->at) - (x->at < y->at);
 }
 
-static uint64_t
-spread(const struct candidate *c, uint64_t tasks)
-{
-    uint32_t most = c->step->spec->per_worker_max;
-
-    return most != 0 && tasks > most ? most : tasks;
-}
-
 static void
 collect_gains(const struct round *r, struct view *v, const struct candidate *c,
               struct gains *out)
 {
-    struct flow_size size = step_takes(c->step);
     struct flow_size room = view_free(v);
-    uint64_t before = spread(c, size_count(room, size));
+    uint64_t before = room_for(c, room);
 
     if (before > 0) {
         add_gain(out, r->now, before);
@@ -92,7 +83,7 @@
         uint64_t tasks;
 
         room = size_add(room, v->releases[i].size);
-        tasks = spread(c, size_count(room, size));
+        tasks = room_for(c, room);
         if (tasks > before) {
             add_gain(out, v->releases[i].at, tasks - before);
             before = tasks;
@@ -146,7 +137,7 @@
             continue;
         }
         room = free_at(v, at);
-        tasks = spread(c, size_count(room, size));
+        tasks = room_for(c, room);
         tasks = tasks < need ? tasks : need;
         if (tasks == 0) {
             continue;
