node: metrics build their series in one way

by_label called labelled with a half-closed label and NULL for the second; histogram.c had two builders of names. The text of /metrics is the same (/e2e/platform/relayed reads it). The soak's counter of completed jobs was called lost.

--- a/packages/base/histogram.c
+++ b/packages/base/histogram.c
@@ -1,6 +1,7 @@
 #include "histogram.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 
 #include "clock.h"
 #include "counter.h"
@@ -33,31 +34,19 @@
     return c;
 }
 
-static struct counter *
-bucket(const char *name, size_t i, const char *help)
-{
-    struct buf text = {0};
-    struct counter *c;
-
-    if (i < BOUNDS) {
-        buf_printf(&text, "%s_bucket{le=\"%" PRId64 "\"}", name, bounds_ms[i]);
-    }
-    else {
-        buf_printf(&text, "%s_bucket{le=\"+Inf\"}", name);
-    }
-    c = counter_get_copy(COUNTER_SUM, buf_str(&text), help);
-    buf_free(&text);
-    return c;
-}
-
 struct histogram *
 histogram_create(const char *name, const char *help)
 {
     struct histogram *h = mem_zalloc(1, sizeof(*h));
 
-    for (size_t i = 0; i <= BOUNDS; i++) {
-        h->buckets[i] = bucket(name, i, help);
+    for (size_t i = 0; i < BOUNDS; i++) {
+        char bound[32];
+
+        snprintf(bound, sizeof(bound), "_bucket{le=\"%" PRId64 "\"}",
+                 bounds_ms[i]);
+        h->buckets[i] = part(name, bound, help);
     }
+    h->buckets[BOUNDS] = part(name, "_bucket{le=\"+Inf\"}", help);
     h->sum = part(name, "_sum", help);
     h->count = part(name, "_count", help);
     return h;
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -3,6 +3,7 @@
  * Labels are outcomes and kinds of calls, so that the number of series does
  * not depend on the load.
  */
+#include <stdarg.h>
 #include <stdio.h>
 
 #include "counter.h"
@@ -35,54 +36,47 @@
                                             "stopped",    "lapsed", "broken",
                                             "incomplete", "never"};
 
+/* labels: as between the braces. */
 static struct counter *
-labelled(const char *format, const char *a, const char *b, const char *help)
+series(const char *name, const char *help, const char *labels, ...)
 {
-    struct buf name = {0};
+    struct buf text = {0};
     struct counter *c;
-
-    if (b == NULL) {
-        buf_printf(&name, "%s{%s\"}", format, a);
-    }
-    else {
-        buf_printf(&name, "%s{kind=\"%s\",result=\"%s\"}", format, a, b);
-    }
-    c = counter_get_copy(COUNTER_SUM, buf_str(&name), help);
-    buf_free(&name);
+    char pairs[96];
+    va_list args;
+
+    va_start(args, labels);
+    vsnprintf(pairs, sizeof(pairs), labels, args);
+    va_end(args);
+    buf_printf(&text, "%s{%s}", name, pairs);
+    c = counter_get_copy(COUNTER_SUM, buf_str(&text), help);
+    buf_free(&text);
     return c;
 }
 
-static struct counter *
-by_label(const char *name, const char *label, const char *value,
-         const char *help)
-{
-    char pair[64];
-
-    snprintf(pair, sizeof(pair), "%s=\"%s", label, value);
-    return labelled(name, pair, NULL, help);
-}
-
 struct metrics *
 metrics_create(void)
 {
     struct metrics *m = mem_zalloc(1, sizeof(*m));
 
     for (size_t i = 0; i < OUTCOMES; i++) {
-        m->calls[i] =
-            by_label("guavarock_calls_total", "outcome", outcome_names[i],
-                     "Calls of callers, workers and operators.");
+        m->calls[i] = series("guavarock_calls_total",
+                             "Calls of callers, workers and operators.",
+                             "outcome=\"%s\"", outcome_names[i]);
     }
     for (size_t i = 0; i < CALL_KINDS; i++) {
         for (int k = 0; k < UPSTREAM_FAILURE_COUNT; k++) {
             m->worker_calls[i][k] =
-                labelled("guavarock_worker_calls_total", call_names[i],
-                         upstream_failure_name((enum upstream_failure)k),
-                         "Answers to the leader's calls to workers.");
+                series("guavarock_worker_calls_total",
+                       "Answers to the leader's calls to workers.",
+                       "kind=\"%s\",result=\"%s\"", call_names[i],
+                       upstream_failure_name((enum upstream_failure)k));
         }
     }
     for (size_t i = 1; i < ENDS; i++) {
-        m->ends[i] = by_label("guavarock_run_ends_total", "how", end_names[i],
-                              "Ends of runs that the leader recorded.");
+        m->ends[i] = series("guavarock_run_ends_total",
+                            "Ends of runs that the leader recorded.",
+                            "how=\"%s\"", end_names[i]);
     }
     m->starts = counter_get(COUNTER_SUM, "guavarock_run_starts_total",
                             "Runs that the leader decided to start.");
--- a/tests/soak_platform.c
+++ b/tests/soak_platform.c
@@ -277,7 +277,7 @@
 static void
 settle(struct soak *s)
 {
-    int lost = 0;
+    int completed = 0;
 
     for (size_t i = 0; i < G_N_ELEMENTS(s->faults); i++) {
         if (s->faults[i].active) {
@@ -287,10 +287,10 @@
     for (int job = 0; job < s->jobs; job++) {
         if (s->accepted[job]) {
             platform_await_completed(&s->rig, job);
-            lost++;
+            completed++;
         }
     }
-    printf("%d accepted jobs completed\n", lost);
+    printf("%d accepted jobs completed\n", completed);
 }
 
 int
