node: a run's record is looked up once; one way to send, name and lose

step_run looked each run up twice at every look at all runs, and the same test of its record stood in four places: run_assigned. Starts and stops share send_for_run, relay.c uses run_task instead of a copy, and both places that commit the loss of a worker share workers_propose_lost. relay_choose hashes a VM's name once a session and ranks each VM once, not twice, for each call. Parameters that nothing used are gone. Behaviour and log lines are unchanged.

--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -20,6 +20,7 @@
     uint64_t id; /* never reused in this process */
     struct peer_session *session;
     struct str vm;
+    uint64_t vm_hash;
     struct str address; /* that it announced when it joined; may be empty */
     uint64_t member_id; /* 0: an entry */
     uint64_t cluster_id;
@@ -306,6 +307,10 @@
 void
 out_close(struct node *n);
 
+/* The replicated state's name of the run on that worker, 0 for none. */
+void
+run_task(Flow__Task *out, const struct node_task *in, uint32_t worker);
+
 /* ---- relay.c: calls to workers through other VMs ---- */
 
 struct relay *
--- a/packages/node/lead.h
+++ b/packages/node/lead.h
@@ -109,7 +109,11 @@
 
 /* The worker deregistered: it ends, and may have ended already. */
 void
-workers_left(struct lead *l, const struct flow_worker *w);
+workers_left(const struct flow_worker *w);
+
+/* Commits that the worker is gone, with all that it ran. */
+void
+workers_propose_lost(struct lead *l, uint32_t worker);
 
 /* Tells the worker to start a run that is committed. */
 void
@@ -121,6 +125,6 @@
 
 /* Number of the last announcement heard from the worker, to tell late ones. */
 uint64_t *
-workers_beat_sequence(struct lead *l, const struct flow_worker *w);
+workers_beat_sequence(const struct flow_worker *w);
 
 #endif
--- a/packages/node/lead_requests.c
+++ b/packages/node/lead_requests.c
@@ -260,13 +260,7 @@
 static void
 lose_worker(struct lead *l, const struct flow_worker *w, const char *reason)
 {
-    Flow__Command command = FLOW__COMMAND__INIT;
-    Flow__WorkerLost lost = FLOW__WORKER_LOST__INIT;
-
-    lost.worker = w->number;
-    command.kind_case = FLOW__COMMAND__KIND_LOST;
-    command.lost = &lost;
-    lead_command(l, &command);
+    workers_propose_lost(l, w->number);
     event_write(&event_worker,
                 "worker=%.*s number=%u tasks=%u outcome=lost "
                 "reason=\"%s\"",
@@ -319,7 +313,7 @@
         return;
     }
     if (w != NULL && w->born_ms == in->born_ms) {
-        uint64_t *sequence = workers_beat_sequence(l, w);
+        uint64_t *sequence = workers_beat_sequence(w);
 
         if (sequence != NULL && in->sequence < *sequence) {
             reply_ok(l, from);
@@ -356,7 +350,7 @@
     struct flow_worker *w = flow_worker_by_id(l->state, str_of(id));
 
     if (w != NULL) {
-        workers_left(l, w);
+        workers_left(w);
     }
     reply_ok(l, from);
 }
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -115,6 +115,7 @@
     l->id = ++n->last_link;
     l->session = session;
     l->vm = str_dup(identity->vm);
+    l->vm_hash = str_hash(l->vm);
     l->member_id = identity->member_id;
     l->cluster_id = identity->cluster_id;
     map_put_u64(n->links, l->id, l);
--- a/packages/node/out.c
+++ b/packages/node/out.c
@@ -43,6 +43,18 @@
     *result = (struct node_result){0};
 }
 
+void
+run_task(Flow__Task *out, const struct node_task *in, uint32_t worker)
+{
+    flow__task__init(out);
+    out->job = in->job;
+    out->occurrence = in->occurrence;
+    out->step = in->step;
+    out->index = in->index;
+    out->run = in->run;
+    out->worker = worker;
+}
+
 void
 out_call_free(struct out_call *call)
 {
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -56,17 +56,6 @@
 
 /* ---- at the leader ---- */
 
-static void
-task_pack(Flow__Task *out, const struct node_task *in)
-{
-    flow__task__init(out);
-    out->job = in->job;
-    out->occurrence = in->occurrence;
-    out->step = in->step;
-    out->index = in->index;
-    out->run = in->run;
-}
-
 static void
 task_unpack(struct node_task *out, const Flow__Task *in)
 {
@@ -99,7 +88,7 @@
     out->token = call->token;
     switch (call->kind) {
     case NODE_CALL_START:
-        task_pack(task, &call->u.start.task);
+        run_task(task, &call->u.start.task, 0);
         out->task = task;
         out->payload.data = (uint8_t *)call->u.start.payload.ptr;
         out->payload.len = call->u.start.payload.len;
@@ -108,7 +97,7 @@
         out->ticket = text_of(call->u.start.ticket);
         break;
     case NODE_CALL_STOP:
-        task_pack(task, &call->u.stop.task);
+        run_task(task, &call->u.stop.task, 0);
         out->task = task;
         break;
     case NODE_CALL_POLL:
@@ -155,12 +144,6 @@
     out_call_free(call);
 }
 
-static struct str
-copy_checkpoint(const char *text)
-{
-    return str_dup(str_of(text));
-}
-
 static void
 answer_unpack(struct node_result *out, const Node__WorkerAnswer *in)
 {
@@ -175,7 +158,7 @@
         task_unpack(&to->task, in->running[i]->task);
         to->percent = in->running[i]->percent;
         to->load = in->running[i]->load;
-        to->checkpoint = copy_checkpoint(in->running[i]->checkpoint);
+        to->checkpoint = str_dup(str_of(in->running[i]->checkpoint));
     }
     for (size_t i = 0; i < in->n_ended; i++) {
         struct node_ended *to = &out->ended[out->ended_count++];
@@ -183,7 +166,7 @@
         to->number = in->ended[i]->number;
         task_unpack(&to->task, in->ended[i]->task);
         to->how = in->ended[i]->how;
-        to->checkpoint = copy_checkpoint(in->ended[i]->checkpoint);
+        to->checkpoint = str_dup(str_of(in->ended[i]->checkpoint));
     }
 }
 
@@ -306,8 +289,7 @@
     uint64_t control = l->member_id != 0 ? 1 : 0;
     uint64_t mix = (w->number + ((uint64_t)failures << 32)) *
                    UINT64_C(0x9e3779b97f4a7c15);
-    uint64_t spread =
-        (str_hash(l->vm) ^ mix) * UINT64_C(0xc2b2ae3d27d4eb4f) >> 2;
+    uint64_t spread = (l->vm_hash ^ mix) * UINT64_C(0xc2b2ae3d27d4eb4f) >> 2;
 
     return failures > 0 ? spread : near << 63 | control << 62 | spread;
 }
@@ -318,6 +300,7 @@
 {
     struct link *best = NULL;
     struct link *l;
+    uint64_t best_rank = 0;
     void *cursor = NULL;
 
     /* Every second retry is the leader's own. */
@@ -325,11 +308,15 @@
         return NULL;
     }
     while ((l = map_next(n->links, &cursor)) != NULL) {
+        uint64_t this_rank;
+
         if (!l->relays || n->now < l->relay_avoid_until) {
             continue;
         }
-        if (best == NULL || rank(l, w, failures) > rank(best, w, failures)) {
+        this_rank = rank(l, w, failures);
+        if (best == NULL || this_rank > best_rank) {
             best = l;
+            best_rank = this_rank;
         }
     }
     return best;
@@ -402,7 +389,7 @@
                          sizeof(*p->tasks));
     for (size_t i = 0; i < in->running_count; i++) {
         node__running__init(&p->running[i]);
-        task_pack(&p->tasks[tasks], &in->running[i].task);
+        run_task(&p->tasks[tasks], &in->running[i].task, 0);
         p->running[i].task = &p->tasks[tasks++];
         p->running[i].percent = in->running[i].percent;
         p->running[i].load = in->running[i].load;
@@ -412,7 +399,7 @@
     for (size_t i = 0; i < in->ended_count; i++) {
         node__ended__init(&p->ended[i]);
         p->ended[i].number = in->ended[i].number;
-        task_pack(&p->tasks[tasks], &in->ended[i].task);
+        run_task(&p->tasks[tasks], &in->ended[i].task, 0);
         p->ended[i].task = &p->tasks[tasks++];
         p->ended[i].how = in->ended[i].how;
         p->ended[i].checkpoint = text_of(in->ended[i].checkpoint);
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -97,13 +97,16 @@
 void
 run_set_phase(struct lead *l, struct run *r, enum run_phase phase);
 
-/* Commits that the worker is gone, with all that it ran. */
+/* Commits once that the session's worker is gone; nothing is placed on it any
+ * more. */
 void
 session_propose_lost(struct lead *l, struct session *s, const char *reason);
 
-/* The replicated state's name of the run on that worker. */
-void
-run_task(Flow__Task *out, const struct node_task *in, uint32_t worker);
+/* The task, while that run of it is recorded as assigned to the worker; NULL
+ * otherwise. Sets *step with it. */
+struct flow_task *
+run_assigned(const struct lead *l, uint32_t worker,
+             const struct node_task *task, struct flow_step **step);
 
 /* Commits that the worker never ran it and never will. */
 void
--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -152,38 +152,45 @@
     }
 }
 
+/* Sends a call that moves the run on; a call that cannot be sent leaves it to
+ * be sent again. */
+static void
+send_for_run(struct lead *l, struct session *s, const struct flow_worker *w,
+             struct run *r, struct out_call *call, enum run_phase sent)
+{
+    enum run_phase queued = r->phase;
+
+    call->task = r->task;
+    run_set_phase(l, r, sent);
+    s->calls++;
+    if (!worker_call_send(l, s, w, call,
+                          l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
+        s->calls--;
+        run_set_phase(l, r, queued);
+    }
+}
+
 void
 run_send_start(struct lead *l, struct session *s, const struct flow_worker *w,
                struct run *r)
 {
     struct flow_step *step;
-    Flow__Task ref;
-    const struct flow_task *t;
+    const struct flow_task *t = run_assigned(l, s->number, &r->task, &step);
     const struct flow_job *j = flow_job(l->state, r->task.job);
     struct out_call *call;
 
-    run_task(&ref, &r->task, s->number);
-    t = flow_task(l->state, &ref, &step);
-    if (t == NULL || !t->assigned || t->run != r->task.run ||
-        j->state > FLOW_JOB_RUNNING) {
+    if (t == NULL || j->state > FLOW_JOB_RUNNING) {
         run_propose_never(l, s, r);
         return;
     }
     call = worker_call_create(l, s, w, NODE_CALL_START, start_done);
-    call->task = r->task;
     call->call.u.start.task = r->task;
     call->call.u.start.payload =
         str_from(j->spec->payload.data, j->spec->payload.len);
     call->call.u.start.lease_until_ms = session_grant(l, s);
     call->call.u.start.checkpoint = t->checkpoint;
     call->call.u.start.ticket = str_of(r->ticket);
-    run_set_phase(l, r, RUN_SENT);
-    s->calls++;
-    if (!worker_call_send(l, s, w, call,
-                          l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
-        s->calls--;
-        run_set_phase(l, r, RUN_QUEUED);
-    }
+    send_for_run(l, s, w, r, call, RUN_SENT);
 }
 
 static void
@@ -216,13 +223,6 @@
     struct out_call *call =
         worker_call_create(l, s, w, NODE_CALL_STOP, stop_done);
 
-    call->task = r->task;
     call->call.u.stop.task = r->task;
-    run_set_phase(l, r, RUN_STOP_SENT);
-    s->calls++;
-    if (!worker_call_send(l, s, w, call,
-                          l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
-        s->calls--;
-        run_set_phase(l, r, RUN_STOP_QUEUED);
-    }
+    send_for_run(l, s, w, r, call, RUN_STOP_SENT);
 }
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -97,9 +97,8 @@
 }
 
 static int64_t
-longest_lease(const struct lead *l, int64_t ms)
+longest_lease(int64_t ms)
 {
-    (void)l;
     return (ms * (100 + CLOCK_SLOW_PERCENT) / 100 + EXPIRY_MARGIN_MS) *
            NS_PER_MS;
 }
@@ -114,8 +113,8 @@
     s->number = w->number;
     s->runs = map_create();
     s->retry_ms = RETRY_MIN_MS;
-    s->expires = l->node->now +
-                 longest_lease(l, (int64_t)l->node->settings.lease_max_ms);
+    s->expires =
+        l->node->now + longest_lease((int64_t)l->node->settings.lease_max_ms);
     w->session = s;
     map_put_u64(l->sessions, s->number, s);
     if (w->tasks > 0) {
@@ -197,11 +196,10 @@
 }
 
 uint64_t *
-workers_beat_sequence(struct lead *l, const struct flow_worker *w)
+workers_beat_sequence(const struct flow_worker *w)
 {
     struct session *s = session_of(w);
 
-    (void)l;
     return s == NULL ? NULL : &s->beat_sequence;
 }
 
@@ -224,11 +222,10 @@
 }
 
 void
-workers_left(struct lead *l, const struct flow_worker *w)
+workers_left(const struct flow_worker *w)
 {
     struct session *s = session_of(w);
 
-    (void)l;
     if (s != NULL) {
         s->leaving = true;
         s->plan.usable = false;
@@ -246,7 +243,7 @@
     }
     until = s->clock_ms + (l->node->now - s->clock_at) / NS_PER_MS +
             (int64_t)l->node->settings.lease_max_ms;
-    ends = s->clock_at + longest_lease(l, until - s->clock_ms);
+    ends = s->clock_at + longest_lease(until - s->clock_ms);
     if (ends > s->expires) {
         s->expires = ends;
     }
@@ -261,10 +258,20 @@
 }
 
 void
-session_propose_lost(struct lead *l, struct session *s, const char *reason)
+workers_propose_lost(struct lead *l, uint32_t worker)
 {
     Flow__Command command = FLOW__COMMAND__INIT;
     Flow__WorkerLost lost = FLOW__WORKER_LOST__INIT;
+
+    lost.worker = worker;
+    command.kind_case = FLOW__COMMAND__KIND_LOST;
+    command.lost = &lost;
+    lead_command(l, &command);
+}
+
+void
+session_propose_lost(struct lead *l, struct session *s, const char *reason)
+{
     const struct flow_worker *w = flow_worker(l->state, s->number);
 
     if (s->losing || w == NULL) {
@@ -272,28 +279,13 @@
     }
     s->losing = true;
     s->plan.usable = false;
-    lost.worker = s->number;
-    command.kind_case = FLOW__COMMAND__KIND_LOST;
-    command.lost = &lost;
-    lead_command(l, &command);
+    workers_propose_lost(l, s->number);
     event_write(&event_lost,
                 "worker=%.*s number=%u tasks=%u reason=\"%s\" silent_ms=%lld",
                 STR_ARG(w->id), s->number, w->tasks, reason,
                 (long long)((l->node->now - s->heard) / NS_PER_MS));
 }
 
-void
-run_task(Flow__Task *out, const struct node_task *in, uint32_t worker)
-{
-    flow__task__init(out);
-    out->job = in->job;
-    out->occurrence = in->occurrence;
-    out->step = in->step;
-    out->index = in->index;
-    out->run = in->run;
-    out->worker = worker;
-}
-
 void
 run_propose_never(struct lead *l, struct session *s, struct run *r)
 {
@@ -356,38 +348,41 @@
     }
 }
 
+struct flow_task *
+run_assigned(const struct lead *l, uint32_t worker,
+             const struct node_task *task, struct flow_step **step)
+{
+    Flow__Task ref;
+    struct flow_task *t;
+
+    run_task(&ref, task, worker);
+    t = flow_task(l->state, &ref, step);
+    return t != NULL && t->assigned && t->run == task->run &&
+                   t->worker == worker
+               ? t
+               : NULL;
+}
+
 void
 workers_start(struct lead *l, const struct planned_start *start)
 {
     struct session *s = session_find(l, start->worker);
     struct flow_step *step;
-    Flow__Task ref;
-    const struct flow_task *t;
     struct run *r;
 
-    run_task(&ref, &start->task, start->worker);
-    t = flow_task(l->state, &ref, &step);
-    if (s == NULL || t == NULL || !t->assigned || t->run != start->task.run ||
-        t->worker != start->worker) {
+    if (s == NULL ||
+        run_assigned(l, start->worker, &start->task, &step) == NULL) {
         return;
     }
     r = run_add(s, &start->task, RUN_QUEUED, l->node->now);
     memcpy(r->ticket, start->ticket, sizeof(r->ticket));
 }
 
-/* Whether a run should be on the worker at all. */
+/* Whether a run that is assigned should be on its worker at all. */
 static bool
-wanted(const struct lead *l, const struct session *s, const struct run *r)
+wanted(const struct lead *l, const struct run *r, const struct flow_step *step)
 {
-    const struct flow_job *j = flow_job(l->state, r->task.job);
-    struct flow_step *step;
-    Flow__Task ref;
-    const struct flow_task *t;
-
-    run_task(&ref, &r->task, s->number);
-    t = flow_task(l->state, &ref, &step);
-    if (t == NULL || !t->assigned || t->run != r->task.run ||
-        t->worker != s->number || j->state > FLOW_JOB_RUNNING) {
+    if (flow_job(l->state, r->task.job)->state > FLOW_JOB_RUNNING) {
         return false;
     }
     /* A gang whose run has lost a member is started again as a whole. */
@@ -395,20 +390,6 @@
            step->assigned == step->count;
 }
 
-static bool
-recorded_ended(const struct lead *l, const struct session *s,
-               const struct run *r)
-{
-    struct flow_step *step;
-    Flow__Task ref;
-    const struct flow_task *t;
-
-    run_task(&ref, &r->task, s->number);
-    t = flow_task(l->state, &ref, &step);
-    return t == NULL || !t->assigned || t->run != r->task.run ||
-           t->worker != s->number;
-}
-
 static bool
 may_stop(const struct run *r)
 {
@@ -421,8 +402,9 @@
          struct run *r)
 {
     bool stray = r->phase >= RUN_STOP_QUEUED;
+    struct flow_step *step;
 
-    if (recorded_ended(l, s, r)) {
+    if (run_assigned(l, s->number, &r->task, &step) == NULL) {
         /* Strays stay until the worker has acknowledged their stop. */
         if (!stray || r->phase == RUN_STOPPED || r->ending) {
             map_del_u64(s->runs, run_key(&r->task));
@@ -430,7 +412,7 @@
             return;
         }
     }
-    else if (!wanted(l, s, r)) {
+    else if (!wanted(l, r, step)) {
         if (r->phase == RUN_QUEUED) {
             run_propose_never(l, s, r);
             return;
