--- a/Makefile
+++ b/Makefile
@@ -145,7 +145,8 @@
 
 # The planner's model is shared with its test.
 $(OUT)/bench/bench_flow: $(OUT)/bench/bench_flow.o \
-		$(OUT)/tests/support/flow_world.o $(LIBGV)
+		$(OUT)/tests/support/flow_world.o \
+		$(OUT)/tests/support/flow_fixture.o $(LIBGV)
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
 
 $(OUT)/bench/%: $(OUT)/bench/%.o $(BENCH_SUPPORT_OBJS) $(LIBGV)
--- a/tests/support/flow_fixture.c
+++ b/tests/support/flow_fixture.c
@@ -6,7 +6,7 @@
 #include "mem.h"
 
 void
-flow_fixture_apply(struct flow_fixture *f, Flow__Command *command)
+flow_apply(struct flow_state *s, Flow__Command *command, int64_t wall_ms)
 {
     Flow__Batch batch = FLOW__BATCH__INIT;
     Flow__Command *list[] = {command};
@@ -15,14 +15,20 @@
 
     batch.commands = list;
     batch.n_commands = 1;
-    batch.wall_ms = ++f->wall_ms;
+    batch.wall_ms = wall_ms;
     len = flow__batch__get_packed_size(&batch);
     bytes = mem_alloc(len + 1);
     flow__batch__pack(&batch, bytes);
-    flow_state_apply(f->state, str_from(bytes, len));
+    flow_state_apply(s, str_from(bytes, len));
     mem_free(bytes);
 }
 
+void
+flow_fixture_apply(struct flow_fixture *f, Flow__Command *command)
+{
+    flow_apply(f->state, command, ++f->wall_ms);
+}
+
 void
 flow_fixture_config(struct flow_fixture *f, uint64_t version,
                     const char *document, bool approval, uint64_t team_cpu)
--- a/tests/support/flow_fixture.h
+++ b/tests/support/flow_fixture.h
@@ -12,6 +12,10 @@
     int64_t wall_ms;
 };
 
+/* Applies a batch of one command. */
+void
+flow_apply(struct flow_state *s, Flow__Command *command, int64_t wall_ms);
+
 /* One queue "q" of service "s" with 2 attempts, one team "t". */
 void
 flow_fixture_init(struct flow_fixture *f);
--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "flow_fixture.h"
 #include "mem.h"
 #include "plan.h"
 #include "rng.h"
@@ -84,19 +85,7 @@
 static void
 apply(struct world *w, Flow__Command *command)
 {
-    Flow__Batch batch = FLOW__BATCH__INIT;
-    Flow__Command *list[] = {command};
-    size_t len;
-    uint8_t *bytes;
-
-    batch.commands = list;
-    batch.n_commands = 1;
-    batch.wall_ms = w->now_ms;
-    len = flow__batch__get_packed_size(&batch);
-    bytes = mem_alloc(len + 1);
-    flow__batch__pack(&batch, bytes);
-    flow_state_apply(w->state, str_from(bytes, len));
-    mem_free(bytes);
+    flow_apply(w->state, command, w->now_ms);
 }
 
 static void
