node: checkpoints of running tasks are not carried to the leader

Nothing read them: a task goes on from the checkpoint of its run's end. Each call for ends copied one for every running task, twice with a relay.

--- a/packages/node/include/node.h
+++ b/packages/node/include/node.h
@@ -107,7 +107,6 @@
 
 struct node_running {
     struct node_task task;
-    struct str checkpoint;
     uint32_t percent; /* of its work */
     int64_t load;     /* best-effort: milli cores; serving: tail in ms */
 };
--- a/packages/node/include/node.pb-c.h
+++ b/packages/node/include/node.pb-c.h
@@ -285,11 +285,10 @@
   Flow__Task *task;
   uint32_t percent;
   int64_t load;
-  char *checkpoint;
 };
 #define NODE__RUNNING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__running__descriptor) \
-    , NULL, 0, 0, (char *)protobuf_c_empty_string }
+    , NULL, 0, 0 }
 
 
 struct  Node__Ended
--- a/packages/node/node.pb-c.c
+++ b/packages/node/node.pb-c.c
@@ -1922,7 +1922,7 @@
   (ProtobufCMessageInit) node__worker_calls__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__running__field_descriptors[4] =
+static const ProtobufCFieldDescriptor node__running__field_descriptors[3] =
 {
   {
     "task",
@@ -1960,21 +1960,8 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "checkpoint",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Node__Running, checkpoint),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned node__running__field_indices_by_name[] = {
-  3,   /* field[3] = checkpoint */
   2,   /* field[2] = load */
   1,   /* field[1] = percent */
   0,   /* field[0] = task */
@@ -1982,7 +1969,7 @@
 static const ProtobufCIntRange node__running__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor node__running__descriptor =
 {
@@ -1992,7 +1979,7 @@
   "Node__Running",
   "node",
   sizeof(Node__Running),
-  4,
+  3,
   node__running__field_descriptors,
   node__running__field_indices_by_name,
   1,  node__running__number_ranges,
--- a/packages/node/out.c
+++ b/packages/node/out.c
@@ -32,9 +32,6 @@
 void
 node_result_free(struct node_result *result)
 {
-    for (size_t i = 0; i < result->running_count; i++) {
-        str_free(&result->running[i].checkpoint);
-    }
     for (size_t i = 0; i < result->ended_count; i++) {
         str_free(&result->ended[i].checkpoint);
     }
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -158,7 +158,6 @@
         task_unpack(&to->task, in->running[i]->task);
         to->percent = in->running[i]->percent;
         to->load = in->running[i]->load;
-        to->checkpoint = str_dup(str_of(in->running[i]->checkpoint));
     }
     for (size_t i = 0; i < in->n_ended; i++) {
         struct node_ended *to = &out->ended[out->ended_count++];
@@ -393,7 +392,6 @@
         p->running[i].task = &p->tasks[tasks++];
         p->running[i].percent = in->running[i].percent;
         p->running[i].load = in->running[i].load;
-        p->running[i].checkpoint = text_of(in->running[i].checkpoint);
         p->running_list[i] = &p->running[i];
     }
     for (size_t i = 0; i < in->ended_count; i++) {
