node: log runs that a worker has but is not assigned, and restarts under an id

Callers saw a task run twice and a worker hold more than its capacity.

event=run-stray names the listed run, the worker's time of start and the task's newest run; event=worker says restarted; event=worker-lost has unconfirmed and lease_left_ms; guavarock_stray_runs_total counts. No change of behaviour. test_node, test_platform, test_flow and test_e2e_platform pass.

--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -245,6 +245,10 @@
  * job was accepted. */
 void
 metrics_start(struct metrics *m, bool first, int64_t waited_ns);
+
+/* Counts a run that a worker listed although it is not assigned to it. */
+void
+metrics_stray(struct metrics *m);
 void
 metrics_end(struct metrics *m, uint32_t run_end);
 void
--- a/packages/node/leader_requests.c
+++ b/packages/node/leader_requests.c
@@ -351,7 +351,9 @@
                 announced->id, announced->address,
                 (long long)announced->born_ms, announced->draining,
                 (unsigned long long)announced->sequence,
-                w == NULL ? "registered" : "changed");
+                w == NULL                          ? "registered"
+                : w->born_ms == announced->born_ms ? "changed"
+                                                   : "restarted");
 }
 
 static void
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -22,6 +22,7 @@
     struct counter *worker_calls[CALL_KIND_COUNT][UPSTREAM_FAILURE_COUNT];
     struct counter *ends[RUN_END_COUNT];
     struct counter *starts;
+    struct counter *strays;
     struct histogram *call_ms;
     struct histogram *first_start_ms;
     struct histogram *commit_ms;
@@ -81,6 +82,8 @@
     }
     m->starts = counter_get(COUNTER_SUM, "guavarock_run_starts_total",
                             "Runs that the leader decided to start.");
+    m->strays = counter_get(COUNTER_SUM, "guavarock_stray_runs_total",
+                            "Runs on workers that they are not assigned to.");
     m->call_ms = histogram_create("guavarock_call_ms",
                                   "From a call's arrival to its answer.");
     m->first_start_ms =
@@ -131,6 +134,12 @@
     }
 }
 
+void
+metrics_stray(struct metrics *m)
+{
+    counter_add(m->strays, 1);
+}
+
 void
 metrics_end(struct metrics *m, uint32_t run_end)
 {
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -31,6 +31,30 @@
 static struct event_kind event_call = {.name = "worker-call",
                                        .per_second = 60};
 static struct event_kind event_slow = {.name = "run-slow", .per_second = 40};
+static struct event_kind event_stray = {.name = "run-stray", .per_second = 40};
+
+/* Logs a run that is listed by a worker it is not assigned to, with the run
+ * that the replicated state has of the task. */
+static void
+log_stray(const struct leader *l, const struct session *s,
+          const struct node_task *task)
+{
+    const struct flow_worker *w = flow_worker(l->state, s->number);
+    struct flow_step *step;
+    Flow__Task ref;
+    const struct flow_task *t;
+
+    run_to_flow_task(&ref, task, s->number);
+    t = flow_task(l->state, &ref, &step);
+    event_write(&event_stray,
+                "job=%016llx task=%u.%u.%u run=%u worker=%.*s number=%u "
+                "born=%lld known_run=%u assigned_to=%u done=%d",
+                (unsigned long long)task->job, task->occurrence, task->step,
+                task->index, task->run, STR_ARG(w->id), s->number,
+                (long long)w->born_ms, t == NULL ? 0 : t->run,
+                t == NULL || !t->assigned ? 0 : t->worker,
+                t != NULL && t->done);
+}
 
 /* Queues a stop for a run that is listed but not expected on the worker. */
 static void
@@ -40,6 +64,8 @@
     struct run *r = map_get_u64(s->runs, run_key(task));
 
     if (r == NULL) {
+        log_stray(l, s, task);
+        metrics_stray(l->node->metrics);
         run_add(s, task, RUN_STOP_QUEUED, l->node->now);
     }
 }
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -276,6 +276,22 @@
     leader_queue_command(l, &command);
 }
 
+/* Returns how many runs the worker may have or may get later without having
+ * confirmed them. */
+static size_t
+count_unconfirmed_runs(const struct session *s)
+{
+    struct run *r;
+    void *cursor = NULL;
+    size_t n = 0;
+
+    while ((r = map_next(s->runs, &cursor)) != NULL) {
+        n += r->phase == RUN_UNKNOWN || r->phase == RUN_SENT ||
+             r->phase == RUN_UNCERTAIN;
+    }
+    return n;
+}
+
 void
 session_propose_lost(struct leader *l, struct session *s, const char *reason)
 {
@@ -288,9 +304,12 @@
     s->plan.usable = false;
     workers_propose_lost(l, s->number);
     event_write(&event_lost,
-                "worker=%.*s number=%u tasks=%u reason=\"%s\" silent_ms=%lld",
-                STR_ARG(w->id), s->number, w->tasks, reason,
-                (long long)((l->node->now - s->answered_at) / NS_PER_MS));
+                "worker=%.*s number=%u tasks=%u unconfirmed=%zu reason=\"%s\" "
+                "silent_ms=%lld lease_left_ms=%lld",
+                STR_ARG(w->id), s->number, w->tasks, count_unconfirmed_runs(s),
+                reason,
+                (long long)((l->node->now - s->answered_at) / NS_PER_MS),
+                (long long)((s->lease_expires_at - l->node->now) / NS_PER_MS));
 }
 
 void
