node: send each call to a worker once

Calls to workers were sent as idempotent on kept connections, so libcurl sent a start, stop or poll again when the connection broke without an answer. Two things follow. A refusal of the second copy (503, no ticket) counted as proof that the run never starts, though the first copy may be carried out later. And a worker that restarts breaks its connections: the copies of an open poll and of starts reached the new process, so the leader did not notice the restart until the poll ended, up to 0.9 s later, and went on sending starts.

Calls to workers now have send_once: the connection is kept, but a call whose connection breaks has failed. A failed start counts as uncertain and is settled by a stop and the worker's list; a failed poll holds back further starts.

/upstream/no_copy_after_break fails before: 'assertion failed (stub_requests(fixture.stub) == 2): (3 == 2)'. test_upstream passes after.

--- a/packages/endpoint/attempt.c
+++ b/packages/endpoint/attempt.c
@@ -53,7 +53,7 @@
         a->failure = UPSTREAM_CANCELLED;
         return CURL_PREREQFUNC_ABORT;
     }
-    if (a->request_started && !a->call.idempotent) {
+    if (a->request_started && (!a->call.idempotent || a->call.send_once)) {
         a->failure = UPSTREAM_RESET;
         return CURL_PREREQFUNC_ABORT;
     }
@@ -208,7 +208,8 @@
     curl_easy_setopt(a->easy, CURLOPT_MAXAGE_CONN,
                      (long)(config->idle_timeout_ns / NS_PER_S));
     /* libcurl repeats a request when a reused connection turns out to be
-     * closed, but not on a new connection. */
+     * closed, but not on a new connection. before_request() aborts the
+     * repetition of attempts that are to be sent once. */
     curl_easy_setopt(a->easy, CURLOPT_FRESH_CONNECT,
                      a->call.idempotent ? 0L : 1L);
     curl_easy_setopt(a->easy, CURLOPT_FORBID_REUSE,
--- a/packages/endpoint/include/upstream.h
+++ b/packages/endpoint/include/upstream.h
@@ -15,8 +15,9 @@
  * connections never exceed the slots that were set for it.
  *
  * An idempotent attempt may reuse an open connection, and libcurl may send it
- * again when that connection turns out to be closed. Any other attempt opens
- * its own connection, carries Connection: close and is sent at most once.
+ * again when that connection turns out to be closed, unless send_once is set.
+ * Any other attempt opens its own connection, carries Connection: close and is
+ * sent at most once.
  */
 struct upstream;
 
@@ -53,6 +54,9 @@
     void *user; /* copied to the result */
     enum http_method method;
     bool idempotent; /* false: a new connection, never sent twice */
+    /* An idempotent attempt is not sent twice either: it fails when its
+     * connection breaks. */
+    bool send_once;
 };
 
 enum upstream_failure {
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -293,6 +293,7 @@
     struct node_http_request http;
     struct str address;
     out_response_fn *on_response;
+    bool send_once;   /* as in struct upstream_call */
     uint64_t id;      /* of a relayed call */
     int64_t deadline; /* of a relayed call */
     /* Set by the creator of the call, as far as it needs them. */
--- a/packages/node/out_calls.c
+++ b/packages/node/out_calls.c
@@ -128,7 +128,8 @@
                                  .deadline = deadline,
                                  .user = call,
                                  .method = call->http.method,
-                                 .idempotent = true};
+                                 .idempotent = true,
+                                 .send_once = call->send_once};
 
     call->sent = n->now;
     mark_host_used(n, call->address);
@@ -168,5 +169,9 @@
 {
     n->adapter->encode_call(&call->call, &call->http);
     call->on_response = handle_worker_result;
+    /* A refusal of a second copy would say nothing about the first, and a
+     * worker that restarted would answer a call meant for the process before
+     * it. */
+    call->send_once = true;
     return out_send(n, call, deadline);
 }
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -456,6 +456,23 @@
     stop_fixture(&fixture);
 }
 
+/* Guards against a second copy of a call whose kept connection broke. */
+static void
+test_no_copy_after_break(void)
+{
+    struct fixture fixture = start_fixture(2);
+    struct upstream_call ok = make_call(&fixture, HTTP_GET, "/ok");
+    struct upstream_call post = make_call(&fixture, HTTP_POST, "/before");
+
+    expect_outcome(&fixture, &ok, UPSTREAM_OK, TRUE);
+    wait_open(&fixture, 1);
+    post.idempotent = TRUE;
+    post.send_once = TRUE;
+    expect_outcome(&fixture, &post, UPSTREAM_RESET, TRUE);
+    g_assert_cmpint(stub_requests(fixture.stub), ==, 2);
+    stop_fixture(&fixture);
+}
+
 static void
 test_slots(void)
 {
@@ -618,6 +635,7 @@
     g_test_add_func("/upstream/connect_timeout", test_connect_timeout);
     g_test_add_func("/upstream/deadline_and_cancel", test_deadline_and_cancel);
     g_test_add_func("/upstream/sent_once", test_sent_once);
+    g_test_add_func("/upstream/no_copy_after_break", test_no_copy_after_break);
     g_test_add_func("/upstream/slots", test_slots);
     g_test_add_func("/upstream/time_wait", test_time_wait);
     g_test_add_func("/upstream/slots_random", test_slots_random);
