tests: faults of the platform's workers; a worker over its capacity fails a test

The model of a worker moves to tests/support/fake_worker. Its clock starts near 0 in each life, only hold answers and announcements carry "born", a stop takes time, tickets are checked, and starts beyond the capacity print LIMIT. Faults are set at run time: starts without an answer that arrive later, a restart under the same id, a refused copy of a start.

--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -5,13 +5,29 @@
  *
  *     platform_workers APPROVAL_IP:PORT WORKERS CONTROL_IP:PORT...
  *
- * Worker N (from 1) listens on the approval port + N. Each task runs for
- * RUN_MS. The start of a task that is running or has ended "done" on any
- * worker of the process prints a line with "TWICE" to standard output, on
- * which the tests fail.
+ * Worker N (from 0) listens on the approval port + 1 + N. What a worker does,
+ * and the lines that it prints when it is called wrongly, are in
+ * support/fake_worker.h.
+ *
+ * A test switches faults on by POSTs to the approval port. Each has a JSON
+ * body; members may be absent.
+ *
+ *     /fault/lose-starts {"count":N,"percent":P,"worker":W,"late_ms":D,
+ *                         "hold":B,"refuse_copy":B}
+ *         The next N starts (-1: all from now on) of worker W (-1, the
+ *         default: of any) get no answer and are carried out D ms later. Each
+ * start is chosen with a chance of P % (100). The connection is closed at
+ * once, with "hold" after HOLD_MS. With "refuse_copy" the next copy of such a
+ * start is refused with 503. Starts lost before stay lost. /fault/restart
+ * {"worker":W,"kind":K,"run_lost":B} Worker W (0) starts again under its id,
+ * of kind K ("a"). With "run_lost", lost starts then arrive at once, before
+ * other calls. /fault/stops {"ms":N} Stops take N ms from now on.
+ *
+ * GET /fault/counts returns "lost" (starts that got no answer), "lost_worker"
+ * (which worker the last of them was for), "late_accepted" and "late_refused"
+ * (outcomes of those carried out since) and "stopping" (runs being stopped).
  */
 #include <arpa/inet.h>
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,57 +36,58 @@
 #include <jansson.h>
 
 #include "clock.h"
+#include "fake_worker.h"
 #include "front.h"
 #include "http_client.h"
-#include "map.h"
-#include "mem.h"
 
 enum {
-    RUN_MS = 300,
     HEARTBEAT_MS = 300, /* of each worker */
-    LEASE_MAX_MS = 4000,
+    HOLD_MS = 3000,     /* of a connection without an answer */
     WORKERS_MAX = 16,
-    RUNS_MAX = 4096,
-    CONTROLS_MAX = 5,
-};
-
-enum run_state {
-    RUN_ACTIVE,
-    RUN_DONE,
-    RUN_STOPPED,
-    RUN_LEASE_EXPIRED,
-};
-
-static const char *const run_end_names[] = {"", "done", "stopped", "lapsed"};
-
-struct run {
-    char task[80];
-    json_int_t run;
-    enum run_state state;
-    int64_t ends_ms; /* when it will be done, on the worker's clock */
-    uint64_t number; /* sequence number of its end; 0: none to report */
+    LOST_MAX = 256, /* at the same time */
 };
 
 struct worker {
-    char id[32];
+    struct fake_worker *model;
     char address[64];
-    struct front *front;
+    char kind[8];
     struct ring *ring;
-    struct run runs[RUNS_MAX];
-    size_t run_count;
-    uint64_t last_end;       /* number of the last end */
-    uint64_t last_seen;      /* number of the last end the leader has seen */
-    json_int_t token;        /* highest fencing token of a call */
-    int64_t lease_end_ms;    /* on the worker's clock */
     struct front_call *poll; /* the open long poll, or NULL */
     int64_t poll_until_ms;
-    uint64_t sequence; /* of the last announcement */
+    uint64_t sequence; /* of the last announcement in this life */
+    int64_t announce_due_ms;
+};
+
+/* A start that got no answer. It is kept for HOLD_MS, or until it has been
+ * carried out if that is later. */
+struct lost_start {
+    struct worker *worker; /* NULL: the entry is free */
+    char *expected;        /* X-Expected-Instance */
+    json_t *body;
+    int64_t arrives_ms; /* when it is carried out; 0: it was */
+    int64_t kept_until_ms;
+    struct front_call *held; /* or NULL */
+    bool refuse_copy;
+};
+
+/* The starts that will be lost, see the usage. */
+struct start_fault {
+    int count;
+    int percent;
+    int worker;
+    int64_t late_ms;
+    bool hold;
+    bool refuse_copy;
 };
 
 static struct worker workers[WORKERS_MAX];
 static size_t worker_count;
-static struct map *done_tasks; /* tasks that have ended "done" */
-static int64_t started_wall_ms;
+static struct start_fault start_fault;
+static struct lost_start lost[LOST_MAX];
+static int lost_count;     /* since the process started */
+static int last_lost = -1; /* the worker of the last of them */
+static int late_accepted;
+static int late_refused;
 
 static int64_t
 now_ms(void)
@@ -78,6 +95,7 @@
     return clock_now() / NS_PER_MS;
 }
 
+/* Takes ownership of the body. */
 static void
 send_response(struct front_call *call, int status, json_t *body)
 {
@@ -90,243 +108,291 @@
     front_respond(call, &response);
 }
 
-static json_t *
-encode_runs(struct worker *w)
-{
-    json_t *running = json_array();
-    json_t *finished = json_array();
-
-    for (size_t i = 0; i < w->run_count; i++) {
-        struct run *r = &w->runs[i];
-
-        if (r->state == RUN_ACTIVE) {
-            json_array_append_new(
-                running, json_pack("[s,I,s,i,i]", r->task, r->run, "", 50, 0));
-        }
-        else if (r->number > w->last_seen) {
-            json_array_append_new(
-                finished,
-                json_pack("[I,s,I,s,s]", (json_int_t)r->number, r->task,
-                          r->run, run_end_names[r->state], ""));
-        }
-    }
-    return json_pack("{s:I,s:I,s:o,s:o}", "clockMs", (json_int_t)now_ms(),
-                     "born", (json_int_t)started_wall_ms, "running", running,
-                     "finished", finished);
-}
-
-static bool
-has_unreported_ends(const struct worker *w)
-{
-    return w->last_end > w->last_seen;
-}
-
 static void
-end_run(struct worker *w, struct run *r, enum run_state state)
+send_reply(struct front_call *call, struct fake_reply reply)
 {
-    r->state = state;
-    r->number = ++w->last_end;
-    if (state == RUN_DONE) {
-        map_put(done_tasks, str_of(r->task), w);
-    }
+    send_response(call, reply.status, reply.body);
 }
 
 static void
-update_runs(struct worker *w)
+answer_poll(struct worker *w)
 {
-    int64_t now = now_ms();
-
-    for (size_t i = 0; i < w->run_count; i++) {
-        struct run *r = &w->runs[i];
-
-        if (r->state != RUN_ACTIVE) {
-            continue;
-        }
-        if (now >= r->ends_ms) {
-            end_run(w, r, RUN_DONE);
-        }
-        else if (now >= w->lease_end_ms) {
-            end_run(w, r, RUN_LEASE_EXPIRED);
-        }
-    }
-    if (w->poll != NULL &&
-        (has_unreported_ends(w) || now >= w->poll_until_ms)) {
-        send_response(w->poll, 200, encode_runs(w));
+    if (w->poll != NULL) {
+        send_reply(w->poll, fake_worker_lists(w->model));
         w->poll = NULL;
     }
 }
 
-static struct run *
-find_run(struct worker *w, const char *task)
+/* Returns NULL if all entries are in use. */
+static struct lost_start *
+find_free_entry(void)
 {
-    for (size_t i = w->run_count; i-- > 0;) {
-        if (strcmp(w->runs[i].task, task) == 0) {
-            return &w->runs[i];
+    for (size_t i = 0; i < LOST_MAX; i++) {
+        if (lost[i].worker == NULL) {
+            return &lost[i];
         }
     }
     return NULL;
 }
 
-static void
-extend_lease(struct worker *w, const json_t *body)
+/* Loses the start if the fault is on. Returns false if it isn't. */
+static bool
+lose_start(struct worker *w, struct front_call *call, const char *expected,
+           json_t *body)
 {
-    json_int_t lease_until_ms =
-        json_integer_value(json_object_get(body, "deadlineMs"));
+    struct start_fault *f = &start_fault;
+    struct lost_start *l = find_free_entry();
 
-    if (lease_until_ms > now_ms() + LEASE_MAX_MS) {
-        lease_until_ms = now_ms() + LEASE_MAX_MS;
+    if (f->count == 0 || l == NULL ||
+        (f->worker >= 0 && w != &workers[f->worker]) ||
+        rand() % 100 >= f->percent) {
+        return false;
     }
-    if (lease_until_ms > w->lease_end_ms) {
-        w->lease_end_ms = lease_until_ms;
+    if (f->count > 0) {
+        f->count--;
     }
+    *l = (struct lost_start){.worker = w,
+                             .expected = strdup(expected),
+                             .body = json_incref(body),
+                             .arrives_ms = now_ms() + f->late_ms,
+                             .kept_until_ms = now_ms() + HOLD_MS,
+                             .refuse_copy = f->refuse_copy};
+    lost_count++;
+    last_lost = (int)(w - workers);
+    if (f->hold) {
+        l->held = call;
+    }
+    else {
+        front_abort(call);
+    }
+    return true;
 }
 
-static void
-refuse(struct front_call *call, const char *reason)
+/* Returns whether the call copies a lost start and is to be refused. */
+static bool
+is_refused_copy(const struct worker *w, const json_t *body)
 {
-    send_response(call, 409,
-                  json_pack("{s:I,s:s}", "clockMs", (json_int_t)now_ms(),
-                            "reason", reason));
+    for (size_t i = 0; i < LOST_MAX; i++) {
+        struct lost_start *l = &lost[i];
+
+        if (l->worker == w && l->refuse_copy &&
+            json_equal(json_object_get(l->body, "task"),
+                       json_object_get(body, "task")) &&
+            json_equal(json_object_get(l->body, "run"),
+                       json_object_get(body, "run"))) {
+            l->refuse_copy = false;
+            return true;
+        }
+    }
+    return false;
 }
 
 static void
-report_duplicate_run(const char *task)
+carry_out(struct lost_start *l)
 {
-    bool running = false;
+    struct fake_reply reply =
+        fake_worker_start(l->worker->model, l->expected, l->body);
 
-    for (size_t i = 0; i < worker_count; i++) {
-        struct run *r = find_run(&workers[i], task);
+    l->arrives_ms = 0;
+    late_accepted += reply.status == 200;
+    late_refused += reply.status != 200;
+    json_decref(reply.body);
+}
 
-        running = running || (r != NULL && r->state == RUN_ACTIVE);
-    }
-    if (running || map_get(done_tasks, str_of(task)) != NULL) {
-        printf("TWICE %s\n", task);
-        fflush(stdout);
+static void
+free_entry(struct lost_start *l)
+{
+    if (l->held != NULL) {
+        front_abort(l->held);
     }
+    free(l->expected);
+    json_decref(l->body);
+    *l = (struct lost_start){0};
 }
 
 static void
-handle_start(struct worker *w, struct front_call *call, const json_t *body)
+step_lost_starts(void)
 {
-    const char *task = json_string_value(json_object_get(body, "task"));
-    json_int_t run = json_integer_value(json_object_get(body, "run"));
-    struct run *r = find_run(w, task);
+    for (size_t i = 0; i < LOST_MAX; i++) {
+        struct lost_start *l = &lost[i];
 
-    if (json_integer_value(json_object_get(body, "deadlineMs")) <= now_ms()) {
-        refuse(call, "late");
-        return;
-    }
-    if (r != NULL && run <= r->run) {
-        if (r->state == RUN_ACTIVE && run == r->run) {
-            send_response(call, 200,
-                          json_pack("{s:I}", "clockMs", (json_int_t)now_ms()));
-            return;
+        if (l->worker == NULL) {
+            continue;
+        }
+        if (l->arrives_ms != 0 && now_ms() >= l->arrives_ms) {
+            carry_out(l);
+        }
+        if (l->held != NULL && now_ms() >= l->kept_until_ms) {
+            front_abort(l->held);
+            l->held = NULL;
+        }
+        if (l->arrives_ms == 0 && now_ms() >= l->kept_until_ms) {
+            free_entry(l);
         }
-        refuse(call, "old");
-        return;
-    }
-    if (json_object_get(body, "ticket") == NULL) {
-        refuse(call, "ticket");
-        return;
-    }
-    report_duplicate_run(task);
-    extend_lease(w, body);
-    if (w->run_count < RUNS_MAX) {
-        r = &w->runs[w->run_count++];
-        snprintf(r->task, sizeof(r->task), "%s", task);
-        r->run = run;
-        r->state = RUN_ACTIVE;
-        r->ends_ms = now_ms() + RUN_MS;
     }
-    send_response(call, 200,
-                  json_pack("{s:I}", "clockMs", (json_int_t)now_ms()));
 }
 
 static void
-handle_stop(struct worker *w, struct front_call *call, const json_t *body)
+handle_start(struct worker *w, struct front_call *call, const char *expected,
+             json_t *body)
 {
-    const char *task = json_string_value(json_object_get(body, "task"));
-    struct run *r = find_run(w, task);
-
-    if (r != NULL && r->state == RUN_ACTIVE) {
-        end_run(w, r, RUN_STOPPED);
+    if (is_refused_copy(w, body)) {
+        send_reply(call, fake_worker_reply(w->model, 503));
     }
-    else if (r == NULL && w->run_count < RUNS_MAX) {
-        r = &w->runs[w->run_count++];
-        snprintf(r->task, sizeof(r->task), "%s", task);
-        r->run = json_integer_value(json_object_get(body, "run"));
-        r->state = RUN_STOPPED;
+    else if (!lose_start(w, call, expected, body)) {
+        send_reply(call, fake_worker_start(w->model, expected, body));
     }
-    send_response(call, 200,
-                  json_pack("{s:I}", "clockMs", (json_int_t)now_ms()));
 }
 
 static void
-handle_poll(struct worker *w, struct front_call *call, const json_t *body)
+handle_poll(struct worker *w, struct front_call *call, const char *expected,
+            const json_t *body)
 {
-    json_int_t seen = json_integer_value(json_object_get(body, "lastSeen"));
+    struct fake_reply reply = fake_worker_hold(w->model, expected, body);
 
-    extend_lease(w, body);
-    if ((uint64_t)seen > w->last_seen) {
-        w->last_seen = (uint64_t)seen;
-    }
-    if (w->poll != NULL) {
-        send_response(w->poll, 200, encode_runs(w));
+    if (reply.body != NULL) {
+        send_reply(call, reply);
+        return;
     }
+    answer_poll(w);
     w->poll = call;
     w->poll_until_ms =
         now_ms() + json_integer_value(json_object_get(body, "waitMs"));
 }
 
+static json_t *
+parse_body(const struct front_call *call)
+{
+    return json_loadb(call->body.ptr == NULL ? "" : call->body.ptr,
+                      call->body.len, 0, NULL);
+}
+
 static void
 handle_worker_call(struct worker *w, struct front_call *call)
 {
-    json_t *body = json_loadb(call->body.ptr == NULL ? "" : call->body.ptr,
-                              call->body.len, 0, NULL);
-    json_int_t token =
-        json_integer_value(json_object_get(body, "fencingToken"));
+    json_t *body = parse_body(call);
+    struct str header =
+        http_headers_get(&call->headers, "X-Expected-Instance");
+    char expected[64];
 
+    snprintf(expected, sizeof(expected), "%.*s", STR_ARG(header));
     if (body == NULL) {
-        send_response(call, 400, json_object());
-        return;
+        send_reply(call, fake_worker_reply(w->model, 400));
+    }
+    else if (str_eq(call->path, STR("/run-start"))) {
+        handle_start(w, call, expected, body);
     }
-    if (token < w->token) {
-        refuse(call, "fence");
+    else if (str_eq(call->path, STR("/run-stop"))) {
+        send_reply(call, fake_worker_stop(w->model, expected, body));
     }
     else {
-        w->token = token;
-        if (str_eq(call->path, STR("/run-start"))) {
-            handle_start(w, call, body);
-        }
-        else if (str_eq(call->path, STR("/run-stop"))) {
-            handle_stop(w, call, body);
-        }
-        else {
-            handle_poll(w, call, body);
-        }
+        handle_poll(w, call, expected, body);
     }
     json_decref(body);
 }
 
 /* Approves every second worker of the call, starting with the first. */
-static void
-handle_approval_call(struct front_call *call)
+static json_t *
+approve(const json_t *body)
 {
-    json_t *body = json_loadb(call->body.ptr == NULL ? "" : call->body.ptr,
-                              call->body.len, 0, NULL);
+    const char *step = json_string_value(json_object_get(body, "step"));
     json_t *rows = json_array();
     const json_t *id;
     size_t i;
 
     json_array_foreach(json_object_get(body, "workers"), i, id)
     {
-        if (i % 2 == 0) {
+        char ticket[64];
+
+        if (i % 2 == 0 && step != NULL) {
+            fake_worker_ticket(json_string_value(id), step, ticket,
+                               sizeof(ticket));
             json_array_append_new(
-                rows, json_pack("[s,s]", json_string_value(id), "ticket"));
+                rows, json_pack("[s,s]", json_string_value(id), ticket));
         }
     }
+    return json_pack("{s:o}", "approved", rows);
+}
+
+static int
+get_int(const json_t *body, const char *name, int if_absent)
+{
+    const json_t *value = json_object_get(body, name);
+
+    return json_is_integer(value) ? (int)json_integer_value(value) : if_absent;
+}
+
+static void
+set_start_fault(const json_t *body)
+{
+    start_fault = (struct start_fault){
+        .count = get_int(body, "count", 0),
+        .percent = get_int(body, "percent", 100),
+        .worker = get_int(body, "worker", -1),
+        .late_ms = get_int(body, "late_ms", 0),
+        .hold = json_is_true(json_object_get(body, "hold")),
+        .refuse_copy = json_is_true(json_object_get(body, "refuse_copy"))};
+}
+
+static void
+restart_worker(const json_t *body)
+{
+    struct worker *w = &workers[get_int(body, "worker", 0)];
+    const char *kind = json_string_value(json_object_get(body, "kind"));
+
+    if (w->poll != NULL) {
+        front_abort(w->poll);
+        w->poll = NULL;
+    }
+    fake_worker_restart(w->model);
+    snprintf(w->kind, sizeof(w->kind), "%s", kind == NULL ? "a" : kind);
+    w->sequence = 0;
+    w->announce_due_ms = 0;
+    if (json_is_true(json_object_get(body, "run_lost"))) {
+        for (size_t i = 0; i < LOST_MAX; i++) {
+            if (lost[i].worker == w && lost[i].arrives_ms != 0) {
+                carry_out(&lost[i]);
+            }
+        }
+    }
+}
+
+static json_t *
+count_faults(void)
+{
+    return json_pack("{s:i,s:i,s:i,s:i,s:i}", "lost", lost_count,
+                     "lost_worker", last_lost, "late_accepted", late_accepted,
+                     "late_refused", late_refused, "stopping",
+                     (int)fake_worker_stopping());
+}
+
+/* Handles a call of the approval service or a fault. */
+static void
+handle_service_call(struct front_call *call)
+{
+    json_t *body = parse_body(call);
+    json_t *answer;
+
+    if (str_eq(call->path, STR("/fault/lose-starts"))) {
+        set_start_fault(body);
+        answer = json_object();
+    }
+    else if (str_eq(call->path, STR("/fault/restart"))) {
+        restart_worker(body);
+        answer = json_object();
+    }
+    else if (str_eq(call->path, STR("/fault/stops"))) {
+        fake_worker_set_stop_ms(get_int(body, "ms", 0));
+        answer = json_object();
+    }
+    else if (str_eq(call->path, STR("/fault/counts"))) {
+        answer = count_faults();
+    }
+    else {
+        answer = approve(body);
+    }
     json_decref(body);
-    send_response(call, 200, json_pack("{s:o}", "approved", rows));
+    send_response(call, 200, answer);
 }
 
 static struct front *
@@ -345,22 +411,33 @@
     return front_create(&config, *ring);
 }
 
+/* Returns a heartbeat's body. Free with free(). */
+static char *
+encode_heartbeat(struct worker *w)
+{
+    json_t *announcement = json_pack(
+        "{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
+        "service", "svc", "address", w->address, "zone", "z", "version", "v1",
+        "slots", 8, "state", "ready", "capacity", "cpu", FAKE_WORKER_CPU,
+        "memoryRequestMb", FAKE_WORKER_MEMORY_MB, "gpu", 0, "labels", w->kind,
+        "r1", "clockMs", (json_int_t)fake_worker_clock(w->model), "born",
+        (json_int_t)fake_worker_born(w->model), "sequence",
+        (json_int_t)++w->sequence);
+    char *text = json_dumps(announcement, JSON_COMPACT);
+
+    json_decref(announcement);
+    return text;
+}
+
+/* Sends a heartbeat to the first control VM that accepts it. */
 static void
 send_heartbeat(struct worker *w, struct http_client *client, char **control,
                int count)
 {
     static int first_control;
     char url[128];
-    char *body;
-    json_t *announcement = json_pack(
-        "{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
-        "service", "svc", "address", w->address, "zone", "z", "version", "v1",
-        "slots", 8, "state", "ready", "capacity", "cpu", 4000,
-        "memoryRequestMb", 8192, "gpu", 0, "labels", "a", "r1", "clockMs",
-        (json_int_t)now_ms(), "born", (json_int_t)started_wall_ms, "sequence",
-        (json_int_t)++w->sequence);
+    char *body = encode_heartbeat(w);
 
-    body = json_dumps(announcement, JSON_COMPACT);
     for (int i = 0; i < count; i++) {
         struct http_call call = {.method = "PUT",
                                  .url = url,
@@ -370,7 +447,8 @@
         bool ok;
 
         snprintf(url, sizeof(url), "http://%s/instances/%s",
-                 control[(first_control + i) % count], w->id);
+                 control[(first_control + i) % count],
+                 fake_worker_id(w->model));
         http_client_call(client, &call, &answer);
         ok = answer.complete && answer.status == 200;
         http_answer_free(&answer);
@@ -380,7 +458,6 @@
         first_control++;
     }
     free(body);
-    json_decref(announcement);
 }
 
 static void
@@ -395,62 +472,78 @@
                 handle_worker_call(w, item->call);
             }
             else {
-                handle_approval_call(item->call);
+                handle_service_call(item->call);
             }
         }
         else if (w != NULL && w->poll == item->call) {
-            send_response(w->poll, 200, encode_runs(w));
-            w->poll = NULL;
+            answer_poll(w);
         }
         front_item_release(item);
     }
 }
 
+static void
+step_worker(struct worker *w)
+{
+    handle_ring(w->ring, w);
+    fake_worker_step(w->model);
+    if (w->poll != NULL &&
+        (fake_worker_has_ends(w->model) || now_ms() >= w->poll_until_ms)) {
+        answer_poll(w);
+    }
+}
+
+/* Returns whether the worker listens. */
+static bool
+start_worker(size_t index, const char *ip, int approval_port)
+{
+    struct worker *w = &workers[index];
+    int port = approval_port + 1 + (int)index;
+    char id[32];
+
+    snprintf(id, sizeof(id), "i-%s-%d", strrchr(ip, '.') + 1, (int)index);
+    snprintf(w->address, sizeof(w->address), "%s:%d", ip, port);
+    snprintf(w->kind, sizeof(w->kind), "a");
+    w->model = fake_worker_create(id);
+    w->announce_due_ms =
+        now_ms() + HEARTBEAT_MS * (int64_t)index / (int64_t)worker_count;
+    return listen_on(ip, port, &w->ring) != NULL;
+}
+
 int
 main(int argc, char **argv)
 {
     struct http_client *client = http_client_create();
-    struct ring *approvals;
+    struct ring *service_calls;
     char ip[32];
     int port;
-    int64_t heartbeat_due = 0;
 
     if (argc < 4 || sscanf(argv[1], "%31[^:]:%d", ip, &port) != 2) {
         fprintf(stderr, "usage: platform_workers IP:PORT N ADDR...\n");
         return 2;
     }
-    done_tasks = map_create();
-    started_wall_ms = clock_wall_ms();
     worker_count = (size_t)atoi(argv[2]);
     if (worker_count > WORKERS_MAX ||
-        listen_on(ip, port, &approvals) == NULL) {
+        listen_on(ip, port, &service_calls) == NULL) {
         return 1;
     }
     for (size_t i = 0; i < worker_count; i++) {
-        struct worker *w = &workers[i];
-
-        snprintf(w->id, sizeof(w->id), "i-%s-%d", strrchr(ip, '.') + 1,
-                 (int)i);
-        snprintf(w->address, sizeof(w->address), "%s:%d", ip,
-                 port + 1 + (int)i);
-        w->front = listen_on(ip, port + 1 + (int)i, &w->ring);
-        if (w->front == NULL) {
+        if (!start_worker(i, ip, port)) {
             return 1;
         }
     }
     for (;;) {
         usleep(5000);
-        handle_ring(approvals, NULL);
+        handle_ring(service_calls, NULL);
+        step_lost_starts();
         for (size_t i = 0; i < worker_count; i++) {
-            handle_ring(workers[i].ring, &workers[i]);
-            update_runs(&workers[i]);
-        }
-        if (now_ms() >= heartbeat_due) {
-            static size_t next;
+            struct worker *w = &workers[i];
 
-            heartbeat_due = now_ms() + HEARTBEAT_MS / (int64_t)worker_count;
-            send_heartbeat(&workers[next++ % worker_count], client, argv + 3,
-                           argc - 3);
+            step_worker(w);
+            if (now_ms() >= w->announce_due_ms) {
+                w->announce_due_ms = now_ms() + HEARTBEAT_MS;
+                send_heartbeat(w, client, argv + 3, argc - 3);
+            }
         }
     }
 }
--- a/tests/support/platform_rig.c
+++ b/tests/support/platform_rig.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -186,7 +187,10 @@
         "\"non_idempotent\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,"
         "\"priority\":0,\"service\":\"svc\",\"maxAttempts\":3,\"stretch\":3,"
         "\"advice\":{\"decisionMs\":1,\"perWorkerMs\":0.1,\"validityMs\":2000}"
-        "}],"
+        "},{\"name\":\"q\",\"host\":\"shop.example\",\"pathPrefix\":"
+        "\"/plain/\",\"kind\":\"non_idempotent\",\"timeoutMs\":3000,"
+        "\"targetLatencyMs\":1000,\"priority\":0,\"service\":\"svc\","
+        "\"maxAttempts\":3,\"stretch\":3}],"
         "\"services\":[{\"name\":\"svc\"}],\"limits\":{},\"tenants\":[{"
         "\"name\":\"t\",\"apiKeys\":[\"key\"],\"weight\":1,"
         "\"upperLimit\":{\"cpu\":0}}]}",
@@ -208,8 +212,8 @@
 char *
 platform_job_url(const struct platform_rig *r, int entry, int job)
 {
-    return g_strdup_printf("http://127.0.7.%d:%d/orders/%016x", 20 + entry,
-                           r->port, job + 1);
+    return g_strdup_printf("http://127.0.7.%d:%d%s%016x", 20 + entry, r->port,
+                           r->queue, job + 1);
 }
 
 void
@@ -223,6 +227,7 @@
     r->dir = g_dir_make_tmp("platform-XXXXXX", NULL);
     r->port = 20000 + (int)(getpid() % 4000) * 10;
     r->client = http_client_create();
+    r->queue = "/orders/";
     r->controls = controls;
     r->entries = entries;
     r->worker_processes = worker_processes;
@@ -247,15 +252,36 @@
     }
 }
 
+/* Prints the lines in which workers say that they were called wrongly, and
+ * returns their number. */
+static int
+print_caller_faults(const char *log)
+{
+    char **lines = g_strsplit(log, "\n", -1);
+    int count = 0;
+
+    for (char **line = lines; *line != NULL; line++) {
+        if (g_str_has_prefix(*line, "TWICE") ||
+            g_str_has_prefix(*line, "LIMIT")) {
+            g_test_message("%s", *line);
+            count++;
+        }
+    }
+    g_strfreev(lines);
+    return count;
+}
+
 void
 platform_close(struct platform_rig *r)
 {
+    int faults = 0;
+
     for (int i = 0; i < PLATFORM_WORKER_PROCESSES_MAX; i++) {
         char *log = g_strdup_printf("%s/workers%d.log", r->dir, i);
         char *text = NULL;
 
         if (g_file_get_contents(log, &text, NULL, NULL)) {
-            g_assert_null(strstr(text, "TWICE"));
+            faults += print_caller_faults(text);
         }
         g_free(text);
         g_free(log);
@@ -263,14 +289,21 @@
     proc_reset();
     http_client_destroy(r->client);
     g_free(r->dir);
+    g_assert_cmpint(faults, ==, 0);
 }
 
 void
 platform_submit(struct platform_rig *r, int job)
+{
+    platform_submit_body(r, job, platform_job);
+}
+
+void
+platform_submit_body(struct platform_rig *r, int job, const char *body)
 {
     char *url = platform_job_url(r, 0, job);
 
-    platform_await_status(r, "POST", url, platform_job, 200);
+    platform_await_status(r, "POST", url, body, 200);
     g_free(url);
 }
 
@@ -291,3 +324,53 @@
     g_assert_nonnull(strstr(body, "completed"));
     g_free(url);
 }
+
+static char *
+fault_url(const struct platform_rig *r, const char *name)
+{
+    return g_strdup_printf("http://127.0.7.30:%d/fault/%s", r->port, name);
+}
+
+void
+platform_fault(struct platform_rig *r, const char *name, const char *body)
+{
+    char *url = fault_url(r, name);
+
+    g_assert_cmpint(platform_call(r, "POST", url, body, NULL, 0), ==, 200);
+    g_free(url);
+}
+
+int
+platform_fault_count(struct platform_rig *r, const char *name)
+{
+    char *url = fault_url(r, "counts");
+    char *member = g_strdup_printf("\"%s\":", name);
+    char text[512];
+    const char *at;
+    int value;
+
+    g_assert_cmpint(platform_call(r, "GET", url, "", text, sizeof(text)), ==,
+                    200);
+    at = strstr(text, member);
+    g_assert_nonnull(at);
+    value = (int)strtol(at + strlen(member), NULL, 10);
+    g_free(member);
+    g_free(url);
+    return value;
+}
+
+void
+platform_await_fault_count(struct platform_rig *r, const char *name, int count)
+{
+    int64_t give_up_at = clock_now() + PLATFORM_WAIT_MS * NS_PER_MS;
+    int last_count = 0;
+
+    while (clock_now() < give_up_at) {
+        last_count = platform_fault_count(r, name);
+        if (last_count >= count) {
+            return;
+        }
+        g_usleep(10000);
+    }
+    g_assert_cmpint(last_count, >=, count);
+}
--- a/tests/support/platform_rig.h
+++ b/tests/support/platform_rig.h
@@ -27,6 +27,9 @@
 struct platform_rig {
     char *dir; /* holds settings, logs and data of all processes */
     int port;  /* the first of the ports that the test uses */
+    /* Path of the queue that jobs are submitted to: "/orders/", or "/plain/",
+     * whose tasks need no approval. */
+    const char *queue;
     int controls;
     int entries;
     int worker_processes;
@@ -42,8 +45,8 @@
 platform_open(struct platform_rig *r, int controls, int entries,
               int worker_processes);
 
-/* Terminates all processes. Fails if a worker process reported a second run of
- * a task. */
+/* Terminates all processes. Prints what worker processes 0 to 2 reported, and
+ * fails if that is a second run of a task or a worker over its capacity. */
 void
 platform_close(struct platform_rig *r);
 
@@ -82,13 +85,27 @@
 /* The request body of a job with two steps, the first of which is a gang. */
 extern const char platform_job[];
 
-/* Submits a job at entry node 0, repeatedly until it is accepted. */
+/* Each submits a job at entry node 0, repeatedly until it is accepted. */
 void
 platform_submit(struct platform_rig *r, int job);
+void
+platform_submit_body(struct platform_rig *r, int job, const char *body);
 
 /* Waits until the job is completed; fails after PLATFORM_WAIT_MS, or if the
  * job is unknown. */
 void
 platform_await_completed(struct platform_rig *r, int job);
 
+/* Sets a fault of worker process 0, whose source describes names, bodies and
+ * counts. */
+void
+platform_fault(struct platform_rig *r, const char *name, const char *body);
+int
+platform_fault_count(struct platform_rig *r, const char *name);
+
+/* Waits until the count is at least that; fails after PLATFORM_WAIT_MS. */
+void
+platform_await_fault_count(struct platform_rig *r, const char *name,
+                           int count);
+
 #endif
