--- /dev/null
+++ b/tests/test_e2e_worker_life.c
@@ -0,0 +1,195 @@
+#include <glib.h>
+
+#include "platform_rig.h"
+
+/*
+ * End-to-end tests of starts that workers carry out later than the leader
+ * expects. A run that the leader doesn't expect is a stray run.
+ */
+
+enum {
+    CONTROLS = 3,
+    TASK_CPU = 4000, /* the capacity of a worker */
+    RUN_MS = 4000,
+    /* Longer than it takes to place a task that a restarted worker lost. */
+    LATE_MS = 1500,
+    STOP_MS = 2500,
+    /* Job numbers. */
+    LATE_JOB = 0,
+    OTHER_JOB = 1,
+    FIRST_JOB = 2,
+};
+
+/* Submits a job whose tasks each take a whole worker of the kind. */
+static void
+submit_tasks(struct platform_rig *r, int job, int count, const char *kind,
+             int run_ms)
+{
+    char *body = g_strdup_printf(
+        "{\"taskSpec\":\"run_ms=%d cpu=%d ticket=0\",\"steps\":[{\"count\":%d,"
+        "\"cpu\":%d,\"memoryRequestMb\":64,\"estimatedMs\":%d,"
+        "\"requirements\":\"%s\"}]}",
+        run_ms, TASK_CPU, count, TASK_CPU, run_ms, kind);
+
+    platform_submit_body(r, job, body);
+    g_free(body);
+}
+
+static void
+submit(struct platform_rig *r, int job, const char *kind, int run_ms)
+{
+    submit_tasks(r, job, 1, kind, run_ms);
+}
+
+/* Opens the rig and completes a job, after which a connection for starts is
+ * kept open to each worker. */
+static void
+open_rig(struct platform_rig *r)
+{
+    platform_open(r, CONTROLS, 1, 1);
+    r->queue = "/plain/";
+    submit_tasks(r, FIRST_JOB, PLATFORM_WORKERS_PER_PROCESS, "a", 800);
+    platform_await_completed(r, FIRST_JOB);
+}
+
+/* Submits LATE_JOB, whose first start gets no answer. Returns the worker. */
+static int
+lose_start(struct platform_rig *r, const char *fault)
+{
+    platform_fault(r, "lose-starts", fault);
+    submit(r, LATE_JOB, "a", RUN_MS);
+    platform_await_fault_count(r, "lost", 1);
+    return platform_fault_count(r, "lost_worker");
+}
+
+/* Restarts the worker as one of kind "b", which can't run LATE_JOB again. */
+static void
+restart_worker(struct platform_rig *r, int worker, const char *run_lost)
+{
+    char *body = g_strdup_printf(
+        "{\"worker\":%d,\"kind\":\"b\",\"run_lost\":%s}", worker, run_lost);
+
+    platform_fault(r, "restart", body);
+    g_free(body);
+}
+
+static void
+await_late_start(struct platform_rig *r)
+{
+    int64_t give_up_at = g_get_monotonic_time() + PLATFORM_WAIT_MS * 1000;
+
+    while (platform_fault_count(r, "late_accepted") +
+                   platform_fault_count(r, "late_refused") ==
+               0 &&
+           g_get_monotonic_time() < give_up_at) {
+        g_usleep(10000);
+    }
+}
+
+/* Guards against a task that runs twice, and a worker over its capacity, when
+ * a start arrives in the next life of its worker. */
+static void
+late_start_after_restart(const char *fault)
+{
+    struct platform_rig r;
+
+    open_rig(&r);
+    restart_worker(&r, lose_start(&r, fault), "false");
+    submit(&r, OTHER_JOB, "b", RUN_MS);
+    await_late_start(&r);
+    platform_await_completed(&r, LATE_JOB);
+    platform_await_completed(&r, OTHER_JOB);
+    platform_close(&r);
+}
+
+static void
+late_start_after_restart_closed(void)
+{
+    char *fault = g_strdup_printf("{\"count\":1,\"late_ms\":%d}", LATE_MS);
+
+    late_start_after_restart(fault);
+    g_free(fault);
+}
+
+static void
+late_start_after_restart_held(void)
+{
+    char *fault =
+        g_strdup_printf("{\"count\":1,\"late_ms\":%d,\"hold\":true}", LATE_MS);
+
+    late_start_after_restart(fault);
+    g_free(fault);
+}
+
+/* Guards against a task that runs twice because its start arrived in the next
+ * life of its worker before the leader knew of that life. */
+static void
+start_before_restart_known(void)
+{
+    struct platform_rig r;
+
+    open_rig(&r);
+    restart_worker(&r, lose_start(&r, "{\"count\":1,\"late_ms\":20000}"),
+                   "true");
+    platform_await_completed(&r, LATE_JOB);
+    platform_close(&r);
+}
+
+/* Guards against a start that is taken not to be carried out because a copy of
+ * it, sent by libcurl on a new connection, was refused. */
+static void
+refused_resend(void)
+{
+    struct platform_rig r;
+    char *fault = g_strdup_printf(
+        "{\"count\":1,\"late_ms\":%d,\"refuse_copy\":true}", LATE_MS);
+
+    open_rig(&r);
+    lose_start(&r, fault);
+    await_late_start(&r);
+    platform_await_completed(&r, LATE_JOB);
+    platform_close(&r);
+    g_free(fault);
+}
+
+/* Guards against tasks for a worker whose capacity a stray run takes until its
+ * stop has ended. */
+static void
+stray_run_counts(void)
+{
+    struct platform_rig r;
+    char *stops = g_strdup_printf("{\"ms\":%d}", STOP_MS);
+    char *url;
+    int worker;
+
+    open_rig(&r);
+    platform_fault(&r, "stops", stops);
+    worker = lose_start(&r, "{\"count\":1,\"late_ms\":20000}");
+    url = platform_job_url(&r, 0, LATE_JOB);
+    platform_await_status(&r, "DELETE", url, "", 200);
+    restart_worker(&r, worker, "true");
+    platform_await_fault_count(&r, "stopping", 1);
+    submit(&r, OTHER_JOB, "b", 300);
+    platform_await_completed(&r, OTHER_JOB);
+    platform_close(&r);
+    g_free(url);
+    g_free(stops);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    /* One failed case does not end the program, as several are known red. */
+    g_test_set_nonfatal_assertions();
+    g_test_add_func("/e2e/platform/late-start-after-worker-restart",
+                    late_start_after_restart_closed);
+    g_test_add_func("/e2e/platform/late-start-after-worker-restart-held",
+                    late_start_after_restart_held);
+    g_test_add_func("/e2e/platform/late-start-before-restart-is-known",
+                    start_before_restart_known);
+    g_test_add_func("/e2e/platform/refused-resend-of-taken-start",
+                    refused_resend);
+    g_test_add_func("/e2e/platform/stray-run-counts", stray_run_counts);
+    return g_test_run();
+}
