node: a stray run uses its worker's capacity until it has ended

Callers saw a worker that holds more than its capacity (LIMIT). A run that a worker lists without being assigned to it was stopped, but its capacity counted as free from the start: the replicated state has only assigned runs. The entry was also dropped when the stop was acknowledged, though a stop takes its time, and a later start of the same task on that worker replaced it, after which the older run was never stopped.

A session now keeps runs by task and run number. A stray run stays until a poll that was sent after its stop does not list it, or its end is listed; until then the worker gets no tasks and queued starts wait.

--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -52,7 +52,8 @@
 struct session {
     struct plan_worker plan; /* first: flow_worker.session points here */
     uint32_t number;
-    struct map *runs;
+    struct map *runs;    /* by task and run number */
+    uint32_t stray_runs; /* not assigned here but not known to have ended */
     bool clock_known;
     int64_t clock_read_at;    /* local time at which clock_ms was read */
     int64_t clock_ms;         /* the worker's clock at clock_read_at */
@@ -83,11 +84,11 @@
 void
 session_queue_step(struct session *s);
 
-/* Returns the key of a task in session.runs. */
+/* Returns the key of a run in session.runs. */
 uint64_t
 run_key(const struct node_task *t);
 
-/* Adds a run, or replaces the task's earlier one. */
+/* Adds a run, or resets the phase of a known one. */
 struct run *
 run_add(struct session *s, const struct node_task *task, enum run_phase phase,
         int64_t now);
@@ -101,6 +102,9 @@
 int64_t
 session_extend_lease(struct leader *l, struct session *s);
 
+void
+run_remove(struct session *s, struct run *r);
+
 void
 run_set_phase(struct leader *l, struct run *r, enum run_phase phase);
 
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -61,13 +61,9 @@
 stop_unexpected(struct leader *l, struct session *s,
                 const struct node_task *task)
 {
-    struct run *r = map_get_u64(s->runs, run_key(task));
-
-    if (r == NULL) {
-        log_stray(l, s, task);
-        metrics_stray(l->node->metrics);
-        run_add(s, task, RUN_STOP_QUEUED, l->node->now);
-    }
+    log_stray(l, s, task);
+    metrics_stray(l->node->metrics);
+    run_add(s, task, RUN_STOP_QUEUED, l->node->now);
 }
 
 /*
@@ -124,6 +120,35 @@
     }
 }
 
+/* Decides on a run that was missing from a list requested after it entered its
+ * phase. */
+static void
+handle_unlisted_run(struct leader *l, struct session *s, struct run *r)
+{
+    struct flow_step *step;
+
+    switch (r->phase) {
+    case RUN_STOPPED:
+        if (run_find_assigned_task(l, s->number, &r->task, &step) == NULL) {
+            run_remove(s, r);
+        }
+        else {
+            run_propose_not_started(l, s, r);
+        }
+        break;
+    case RUN_UNKNOWN:
+    case RUN_UNCERTAIN:
+    case RUN_ACTIVE:
+        run_set_phase(l, r, RUN_STOP_QUEUED);
+        break;
+    case RUN_QUEUED:
+    case RUN_SENT:
+    case RUN_STOP_QUEUED:
+    case RUN_STOP_SENT:
+        break;
+    }
+}
+
 /* Compares the session's runs with those that the worker listed in the answer
  * to a poll sent at sent_at. */
 static void
@@ -156,15 +181,8 @@
             listed = run_key(&result->ended[i].task) == run_key(&r->task) &&
                      result->ended[i].task.run == r->task.run;
         }
-        if (listed || sent_at < r->phase_since) {
-            continue;
-        }
-        if (r->phase == RUN_STOPPED) {
-            run_propose_not_started(l, s, r);
-        }
-        else if (r->phase == RUN_UNKNOWN || r->phase == RUN_UNCERTAIN ||
-                 r->phase == RUN_ACTIVE) {
-            run_set_phase(l, r, RUN_STOP_QUEUED);
+        if (!listed && sent_at >= r->phase_since) {
+            handle_unlisted_run(l, s, r);
         }
     }
 }
@@ -178,6 +196,9 @@
     struct run *r = run_find(s, &e->task);
     struct flow_job *j = flow_job(l->state, e->task.job);
 
+    if (r != NULL) {
+        r->end_proposed = true;
+    }
     if (j != NULL) {
         j->run_confirmed = true;
     }
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -37,6 +37,7 @@
     key ^= ((uint64_t)t->occurrence + 1) * UINT64_C(0x9e3779b97f4a7c15);
     key ^= ((uint64_t)t->step + 1) * UINT64_C(0xc2b2ae3d27d4eb4f);
     key ^= ((uint64_t)t->index + 1) * UINT64_C(0x165667b19e3779f9);
+    key ^= ((uint64_t)t->run + 1) * UINT64_C(0xd6e8feb86659fd93);
     return key == 0 ? 1 : key;
 }
 
@@ -340,6 +341,13 @@
                 r->task.step, r->task.index, r->task.run);
 }
 
+void
+run_remove(struct session *s, struct run *r)
+{
+    map_del_u64(s->runs, run_key(&r->task));
+    mem_free(r);
+}
+
 struct session *
 session_find(struct leader *l, uint32_t number)
 {
@@ -417,6 +425,17 @@
            step->assigned == step->count;
 }
 
+/* Returns whether the session has the run though it is not assigned to the
+ * worker, as long as the worker may still execute it. */
+static bool
+is_stray(const struct leader *l, const struct session *s, const struct run *r)
+{
+    struct flow_step *step;
+
+    return r->phase >= RUN_STOP_QUEUED && !r->end_proposed &&
+           run_find_assigned_task(l, s->number, &r->task, &step) == NULL;
+}
+
 static bool
 can_stop(const struct run *r)
 {
@@ -432,11 +451,10 @@
     struct flow_step *step;
 
     if (run_find_assigned_task(l, s->number, &r->task, &step) == NULL) {
-        /* A run that is being stopped is kept until the worker acknowledges
-         * the stop. */
-        if (!stopping || r->phase == RUN_STOPPED || r->end_proposed) {
-            map_del_u64(s->runs, run_key(&r->task));
-            mem_free(r);
+        /* A stray run uses the worker's capacity until a poll after its stop
+         * does not list it. */
+        if (!stopping || r->end_proposed) {
+            run_remove(s, r);
             return;
         }
     }
@@ -452,7 +470,7 @@
     if (s->open_calls >= OPEN_CALLS_MAX || r->end_proposed) {
         return;
     }
-    if (r->phase == RUN_QUEUED && !s->poll_failing) {
+    if (r->phase == RUN_QUEUED && !s->poll_failing && s->stray_runs == 0) {
         run_send_start(l, s, w, r);
     }
     else if (r->phase == RUN_STOP_QUEUED) {
@@ -473,6 +491,11 @@
         session_propose_lost(l, s, "its lease has expired");
         return;
     }
+    s->stray_runs = 0;
+    while ((r = map_next(s->runs, &cursor)) != NULL) {
+        s->stray_runs += is_stray(l, s, r);
+    }
+    cursor = NULL;
     while ((r = map_next(s->runs, &cursor)) != NULL) {
         step_run(l, s, w, r);
     }
@@ -482,7 +505,7 @@
         w->last_seen >= s->proposed_end_number) {
         session_poll(l, s, w);
     }
-    if (!s->poll_answered || s->deregistered) {
+    if (!s->poll_answered || s->deregistered || s->stray_runs > 0) {
         s->plan.usable = false;
         return;
     }
