node: an announcement does not remove the worker at its address

Callers would see a task run twice, and a worker hold more than its capacity. The leader removed a worker, and released its runs, as soon as another worker was announced at its address with a later time of start. An announcement proves nothing about the process at that address: it may be late, its time of start may come from a clock that jumped, or it may be from another writer.

Such an announcement, and one of a later process of a known worker, now only makes the leader poll the known worker at once with a new token. An answer by another worker (421) removes it, an answer with another time of start settles its runs, any other answer changes nothing. The announced worker is registered as before and gets tasks only after it has answered itself.

--- a/packages/node/leader.h
+++ b/packages/node/leader.h
@@ -111,11 +111,17 @@
 workers_record_announcement(struct leader *l, const struct flow_worker *w,
                             int64_t clock_ms);
 
-/* Registers a later process of the worker once it is known which runs of the
- * earlier process it has. */
+/* Polls the worker at once, because another process may have its address. The
+ * answer decides whether it is lost. */
 void
-workers_restarted(struct leader *l, const struct flow_worker *w,
-                  const Flow__Worker *announced);
+workers_verify(struct leader *l, const struct flow_worker *w);
+
+/* Keeps the announcement of a later process of the worker and polls it. The
+ * process is registered when it has answered and the runs of the earlier one
+ * are settled. */
+void
+workers_restart_announced(struct leader *l, const struct flow_worker *w,
+                          const Flow__Worker *announced);
 
 /* Stops placing tasks on a worker that has deregistered. Its process may have
  * exited. */
--- a/packages/node/leader_requests.c
+++ b/packages/node/leader_requests.c
@@ -261,24 +261,13 @@
     request_reply(l->node, from, &reply);
 }
 
-static void
-propose_worker_lost(struct leader *l, const struct flow_worker *w,
-                    const char *reason)
-{
-    workers_propose_lost(l, w->number);
-    event_write(&event_worker,
-                "worker=%.*s number=%u tasks=%u outcome=lost "
-                "reason=\"%s\"",
-                STR_ARG(w->id), w->number, w->tasks, reason);
-}
-
 /*
- * Proposes the removal of older workers at the address of an announced worker:
- * only the one that started last can be alive. Returns false if the announced
- * worker is itself older than another.
+ * Verifies older workers at the address of an announced worker: probably only
+ * the one that started last is alive. Returns false if the announced worker is
+ * itself older than another.
  */
 static bool
-supersede_address_holders(struct leader *l, const Flow__Worker *announced)
+verify_address_holders(struct leader *l, const Flow__Worker *announced)
 {
     struct flow_worker *w;
     void *cursor = NULL;
@@ -291,7 +280,7 @@
         if (w->born_ms > announced->born_ms) {
             return false;
         }
-        propose_worker_lost(l, w, "another worker started at its address");
+        workers_verify(l, w);
     }
     return true;
 }
@@ -337,12 +326,12 @@
             return;
         }
     }
-    if (!supersede_address_holders(l, announced)) {
+    if (!verify_address_holders(l, announced)) {
         reply_ok(l, from);
         return;
     }
     if (w != NULL && w->born_ms < announced->born_ms) {
-        workers_restarted(l, w, announced);
+        workers_restart_announced(l, w, announced);
         reply_ok(l, from);
         return;
     }
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -65,8 +65,10 @@
     int64_t born_ms;  /* start of the process, later than the registered one
                        * while restarted is set */
     bool restarted;   /* runs of the registered process are being settled */
-    struct buf announced; /* Flow__Worker of the new process, if received */
-    uint32_t stray_runs;  /* not assigned here but not known to have ended */
+    struct buf announced; /* Flow__Worker of a later process, or empty */
+    int64_t announced_born_ms;
+    uint64_t announced_sequence;
+    uint32_t stray_runs; /* not assigned here but not known to have ended */
     bool clock_known;
     int64_t clock_read_at;    /* local time at which clock_ms was read */
     int64_t clock_ms;         /* the worker's clock at clock_read_at */
@@ -121,6 +123,11 @@
 void
 run_set_phase(struct leader *l, struct run *r, enum run_phase phase);
 
+/* Polls the worker at once, with a new token, unless its answer to such a poll
+ * is awaited. No calls but this one are open after it. */
+void
+session_verify(struct leader *l, struct session *s);
+
 /* Prepares the session to settle the runs of the registered process with the
  * worker's process that started at born_ms. */
 void
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -235,13 +235,46 @@
     return n;
 }
 
-/* Sets the phase from which the run is looked up in the new process. A start
- * that was not sent is not sent any more. */
+/* Closes the calls that are open from the leader's point of view: their
+ * results will be ignored. */
 static void
-reset_run(struct leader *l, struct run *r)
+abandon_calls(struct leader *l, struct session *s)
 {
-    if (r->phase != RUN_QUEUED) {
-        run_set_phase(l, r, RUN_UNKNOWN);
+    struct run *r;
+    void *cursor = NULL;
+
+    session_renew_token(l, s);
+    s->polling = false;
+    s->poll_due = l->node->now;
+    s->poll_answered = false;
+    s->open_calls = 0;
+    s->plan.usable = false;
+    while ((r = map_next(s->runs, &cursor)) != NULL) {
+        if (r->phase == RUN_SENT) {
+            run_set_phase(l, r, RUN_UNCERTAIN);
+        }
+        else if (r->phase == RUN_STOP_SENT) {
+            run_set_phase(l, r, RUN_STOP_QUEUED);
+        }
+    }
+    session_queue_step(s);
+}
+
+void
+session_verify(struct leader *l, struct session *s)
+{
+    if (s->poll_answered || s->poll_failing) {
+        abandon_calls(l, s);
+    }
+}
+
+void
+workers_verify(struct leader *l, const struct flow_worker *w)
+{
+    struct session *s = worker_session(w);
+
+    if (s != NULL) {
+        session_verify(l, s);
     }
 }
 
@@ -262,46 +295,41 @@
                 (long long)born_ms, (long long)s->born_ms);
     s->restarted = true;
     s->born_ms = born_ms;
-    session_renew_token(l, s);
-    s->plan.usable = false;
-    s->polling = false;
+    s->deregistered = false;
     s->poll_failing = false;
-    s->poll_answered = false;
-    s->poll_due = l->node->now;
-    s->open_calls = 0;
     s->clock_known = false;
-    s->announcement_sequence = 0;
+    abandon_calls(l, s);
     /* A call from before may have given the new process a whole lease. */
     if (s->lease_expires_at < lease_end) {
         s->lease_expires_at = lease_end;
     }
-    buf_clear(&s->announced);
     while ((r = map_next(s->runs, &cursor)) != NULL) {
-        reset_run(l, r);
+        if (r->phase != RUN_QUEUED) {
+            run_set_phase(l, r, RUN_UNKNOWN);
+        }
     }
-    session_queue_step(s);
 }
 
 void
-workers_restarted(struct leader *l, const struct flow_worker *w,
-                  const Flow__Worker *announced)
+workers_restart_announced(struct leader *l, const struct flow_worker *w,
+                          const Flow__Worker *announced)
 {
     struct session *s = worker_session(w);
     size_t len = flow__worker__get_packed_size(announced);
 
-    if (s == NULL || announced->born_ms < s->born_ms) {
+    if (s == NULL || announced->born_ms < s->announced_born_ms ||
+        (announced->born_ms == s->announced_born_ms &&
+         announced->sequence < s->announced_sequence)) {
         return;
     }
-    if (announced->born_ms > s->born_ms) {
-        session_restart(l, s, announced->born_ms);
-    }
-    if (announced->sequence < s->announcement_sequence) {
-        return;
-    }
-    s->announcement_sequence = announced->sequence;
+    s->announced_born_ms = announced->born_ms;
+    s->announced_sequence = announced->sequence;
     buf_clear(&s->announced);
     flow__worker__pack(announced, (uint8_t *)buf_reserve(&s->announced, len));
     s->announced.len = len;
+    if (s->born_ms != announced->born_ms) {
+        session_verify(l, s);
+    }
 }
 
 bool
@@ -590,7 +618,7 @@
     Flow__Command command = FLOW__COMMAND__INIT;
 
     command.worker =
-        s->announced.len == 0
+        s->announced_born_ms != s->born_ms
             ? NULL
             : flow__worker__unpack(NULL, s->announced.len,
                                    (const uint8_t *)s->announced.ptr);
--- a/tests/test_e2e_worker_life.c
+++ b/tests/test_e2e_worker_life.c
@@ -176,6 +176,57 @@
     g_free(stops);
 }
 
+/* Announces a worker of the given id at the address of worker 0 of the rig,
+ * which started an hour later than that worker. */
+static void
+announce_at_worker_0(struct platform_rig *r, const char *id)
+{
+    char *path = g_strdup_printf("/instances/%s", id);
+    char *url = platform_control_url(r, 0, 0, path);
+    char *body = g_strdup_printf(
+        "{\"service\":\"svc\",\"address\":\"127.0.7.30:%d\",\"zone\":\"z\","
+        "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"capacity\":{"
+        "\"cpu\":4000,\"memoryRequestMb\":8192,\"gpu\":0},\"labels\":[\"a\","
+        "\"r1\"],\"clockMs\":1,\"born\":%" G_GINT64_FORMAT ",\"sequence\":1}",
+        r->port + 1, g_get_real_time() / 1000 + 3600000);
+
+    platform_await_status(r, "PUT", url, body, 200);
+    g_free(body);
+    g_free(url);
+    g_free(path);
+}
+
+/* Guards against runs that are released because a worker that is not there
+ * was announced, under the id or at the address of one that is. */
+static void
+false_announcement(const char *id)
+{
+    struct platform_rig r;
+
+    open_rig(&r);
+    restart_worker(&r, 0, "false");
+    submit(&r, LATE_JOB, "b", RUN_MS);
+    g_usleep(RUN_MS * 1000 / 4);
+    /* Has room for the task. */
+    restart_worker(&r, 1, "false");
+    g_usleep(RUN_MS * 1000 / 4);
+    announce_at_worker_0(&r, id);
+    platform_await_completed(&r, LATE_JOB);
+    platform_close(&r);
+}
+
+static void
+false_announcement_of_address(void)
+{
+    false_announcement("i-other");
+}
+
+static void
+false_announcement_of_id(void)
+{
+    false_announcement("i-30-0");
+}
+
 int
 main(int argc, char **argv)
 {
@@ -191,5 +242,9 @@
     g_test_add_func("/e2e/platform/refused-resend-of-taken-start",
                     refused_resend);
     g_test_add_func("/e2e/platform/stray-run-counts", stray_run_counts);
+    g_test_add_func("/e2e/platform/false-announcement-of-address",
+                    false_announcement_of_address);
+    g_test_add_func("/e2e/platform/false-announcement-of-id",
+                    false_announcement_of_id);
     return g_test_run();
 }
