node: a late deregistration does not end the use of a later process

Callers' jobs that need a certain worker would wait for ever (LOST), and capacity would be missing. A deregistration names only the worker's id. Received after the worker had restarted under its id, it marked the new process, which got no more tasks, as its announcements did not change; a refused connection would even have removed it with its runs.

A worker that answers a poll sent a second after its deregistration has not exited, so that the deregistration was of an earlier process, and is forgotten.

--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -85,6 +85,8 @@
     bool poll_failing;             /* set by a failed poll until an answer */
     bool poll_answered;            /* at least one poll was answered */
     bool deregistered;
+    /* When a process that has deregistered has exited. */
+    int64_t exit_due_at;
     bool loss_proposed; /* its removal is being committed */
     bool step_queued;   /* is in the leader's step_queue */
     /* Failed polls, reset by an answer RELAY_KEPT_MS after the last failure.
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -334,6 +334,10 @@
     }
     session_record_answer(l, s, result);
     s->poll_answered = true;
+    if (s->deregistered && sent_at >= s->exit_due_at) {
+        /* The deregistration was of an earlier process of the worker. */
+        s->deregistered = false;
+    }
     if (s->polls_unanswered > 0 &&
         l->node->now - s->poll_failed_at > RELAY_KEPT_MS * NS_PER_MS) {
         s->polls_unanswered = 0;
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -24,6 +24,8 @@
      * sessions. */
     SCAN_MIN_MS = 3,
     SCAN_SESSIONS_PER_MS = 10,
+    /* A worker exits within this time after it has deregistered. */
+    EXIT_MAX_MS = 1000,
     /* Low bits of a fencing token, which number the tokens of a term. The term
      * in the bits above them makes each leader's tokens higher than those of
      * earlier leaders. */
@@ -371,6 +373,7 @@
 
     if (s != NULL) {
         s->deregistered = true;
+        s->exit_due_at = s->leader->node->now + EXIT_MAX_MS * NS_PER_MS;
         s->plan.usable = false;
     }
 }
--- a/tests/test_e2e_worker_life.c
+++ b/tests/test_e2e_worker_life.c
@@ -227,6 +227,26 @@
     false_announcement("i-30-0");
 }
 
+/* Guards against a worker that is never used again after the deregistration of
+ * its earlier process arrived late. */
+static void
+late_deregistration(void)
+{
+    struct platform_rig r;
+    char *url;
+
+    open_rig(&r);
+    restart_worker(&r, 0, "false");
+    submit(&r, OTHER_JOB, "b", 300);
+    platform_await_completed(&r, OTHER_JOB);
+    url = platform_control_url(&r, 0, 0, "/instances/i-30-0");
+    platform_await_status(&r, "DELETE", url, "", 200);
+    submit(&r, LATE_JOB, "b", 300);
+    platform_await_completed(&r, LATE_JOB);
+    platform_close(&r);
+    g_free(url);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -246,5 +266,6 @@
                     false_announcement_of_address);
     g_test_add_func("/e2e/platform/false-announcement-of-id",
                     false_announcement_of_id);
+    g_test_add_func("/e2e/platform/late-deregistration", late_deregistration);
     return g_test_run();
 }
