soak: workers restart under their ids and carry out some starts late

It now also restarts a worker every 1.2 s on average, loses 3% of the starts, which are carried out 1.5 s later, and fails when a worker exceeds its capacity.

--- a/tests/soak_platform.c
+++ b/tests/soak_platform.c
@@ -1,10 +1,12 @@
 /*
  * Injects random faults into a cluster behind the platform adapter under load:
  * pauses, kills, stops and restarts processes, several at a time and in
- * series, while jobs and configurations are sent. Checks as a client that an
+ * series, while jobs and configurations are sent. Workers restart under their
+ * ids, and carry out some starts late. Checks as a client that an
  * accepted job is never unknown and completes, that a configuration is never
  * refused or read back in an older version than acknowledged, and that reads
- * of jobs are answered in time. Checks at the workers that no task runs twice.
+ * of jobs are answered in time. Checks at the workers that no task runs twice
+ * and none exceeds its capacity.
  *
  *     soak_platform SECONDS SEED
  *
@@ -39,6 +41,7 @@
      * a margin. */
     ANSWER_MAX_MS = 3300,
     STOP_MAX_MS = 8000, /* the grace period of 6 s and the time to exit */
+    WORKER_RESTART_INTERVAL_MS = 1200, /* on average, of any worker */
 };
 
 enum action {
@@ -64,7 +67,8 @@
     struct rng rng;
     struct fault faults[FAULTS_ACTIVE_MAX + CONTROLS];
     int64_t next_fault; /* earliest time of the next fault */
-    int jobs;           /* ids used so far */
+    int64_t next_worker_restart;
+    int jobs; /* ids used so far */
     bool accepted[JOBS_MAX];
     int version;       /* of the newest configuration sent */
     int acked_version; /* the highest that was acknowledged */
@@ -196,6 +200,25 @@
     }
 }
 
+static void
+restart_workers(struct soak *s)
+{
+    char *body;
+    int worker = random_below(s, PLATFORM_WORKERS_PER_PROCESS);
+
+    if (clock_now() < s->next_worker_restart) {
+        return;
+    }
+    s->next_worker_restart =
+        clock_now() +
+        random_below(s, 2 * WORKER_RESTART_INTERVAL_MS) * NS_PER_MS;
+    body = g_strdup_printf("{\"worker\":%d,\"kind\":\"a\"}", worker);
+    platform_fault(&s->rig, "restart", body);
+    printf("restart worker %d\n", worker);
+    s->fault_count++;
+    g_free(body);
+}
+
 static void
 submit_job(struct soak *s)
 {
@@ -319,8 +342,11 @@
     s->acked_version = 1;
     platform_open(&s->rig, CONTROLS, ENTRIES, WORKER_PROCESSES);
     ends = clock_now() + seconds * NS_PER_S;
+    platform_fault(&s->rig, "lose-starts",
+                   "{\"count\":-1,\"percent\":3,\"late_ms\":1500}");
     while (clock_now() < ends) {
         update_faults(s);
+        restart_workers(s);
         switch (random_below(s, 8)) {
         case 0:
             put_config(s);
