tests: a bounds check without a bound fails

The run had counted 12,241 at 5,000 live jobs, so the stated growth of at most 1.5 allowed 18,361.

Cause: bounds.sh never had the function scaled, and check() compared with the empty bound by [ -gt ], which fails with an error message and so took the branch that passes. A cost that is no number passed in the same way. The growth of a pair was thus not checked since.

--- a/tests/bounds.sh
+++ b/tests/bounds.sh
@@ -17,12 +17,17 @@
     awk '/^(summary|totals):/ { print $2; exit }' "$work/out-$name"
 }
 
-# check NAME COST BOUND. A missing or zero cost fails, so that a function that
-# was renamed or a run that failed does not pass.
+is_positive() { [[ $1 =~ ^[1-9][0-9]*$ ]]; }
+
+# check NAME COST BOUND. A cost or bound that is no positive whole number
+# fails, so that a run that failed does not pass.
 check() {
-    if [ "${2:-0}" -le 0 ]; then
+    if ! is_positive "$2"; then
         echo "FAILED: $1: nothing measured"
         failed=$((failed + 1))
+    elif ! is_positive "$3"; then
+        echo "FAILED: $1: $2 instructions, no bound"
+        failed=$((failed + 1))
     elif [ "$2" -gt "$3" ]; then
         echo "FAILED: $1: $2 instructions, bound $3"
         failed=$((failed + 1))
@@ -35,3 +40,8 @@
 grown() {
     awk -v c="$1" -v s="$2" -v l="$3" 'BEGIN { print int(c * log(l) / log(s)) }'
 }
+
+# scaled COST FACTOR: COST times FACTOR, rounded down.
+scaled() {
+    awk -v c="$1" -v f="$2" 'BEGIN { print int(c * f) }'
+}
