tests: load keeps the key that it started with

Cause, a fault of the test: the load's threads read c->team, and a request pointed into it while it was sent. check_failed sets c->team to a key that it has withdrawn and back while the load runs. A request recorded with the one key was sent with the other.

Evidence: the history that the failed run left. The checker reports one violation: "a withdrawn key was accepted: k5, request t8009-796 ran". k5 was reported as withdrawn at 597,047 ms. The request is recorded as sent with k5 at 597,053.06 ms, its answer (200) with k2, the key that stays valid; the request before, t8009-795, is recorded with k5 and k2 as well and was refused with 401. 12 other requests sent with k5 after the withdrawal were all refused with 401. The VMs did nothing wrong.

The load now copies the key when it starts. Its requests with the withdrawn key were accidental, but they also went to the other VMs, so check_failed now sends ten to each VM instead of ten to the one with the failed disk.

--- a/tests/support/load.c
+++ b/tests/support/load.c
@@ -128,6 +128,7 @@
 
 struct load {
     const struct cluster *cluster;
+    struct cluster_key key;
     struct load_options options;
     struct sender senders[THREADS_MAX];
     int stop;
@@ -144,8 +145,8 @@
     const struct load_request r = {
         .url = l->options.url == NULL ? url : l->options.url,
         .tag = tag,
-        .key_id = c->team.id,
-        .key = c->team.key,
+        .key_id = l->key.id,
+        .key = l->key.key,
         .must = l->options.must,
         .idempotent = rng_below(&s->rng, 2) == 0,
         .delay_ms = l->options.delay_ms};
@@ -181,6 +182,7 @@
 
     REQUIRE(options->threads <= THREADS_MAX);
     l->cluster = c;
+    l->key = c->team;
     l->options = *options;
     for (int i = 0; i < options->threads; i++) {
         struct sender *s = &l->senders[i];
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -41,6 +41,7 @@
 
 struct load;
 
+/* Sends with the key that team lamps has now. */
 struct load *
 load_start(const struct cluster *c, const struct load_options *options);
 
--- a/tests/test_e2e_disk.c
+++ b/tests/test_e2e_disk.c
@@ -40,8 +40,8 @@
     return version;
 }
 
-/* The member whose disk is full runs on, does not lead and, as an entry, obeys
- * the configuration that the others have accepted. */
+/* The member whose disk is full runs on, does not lead and, as every entry,
+ * obeys the configuration that the others have accepted. */
 static void
 check_failed(struct cluster *c, int vm, int other)
 {
@@ -54,8 +54,8 @@
     load_await(c, vm);
     api_key_withdraw(c, key.id, other);
     c->team = key;
-    for (int i = 0; i < 10; i++) {
-        g_assert_cmpint(load_once(c, vm, outcome), !=, 200);
+    for (int i = 0; i < 10 * c->count; i++) {
+        g_assert_cmpint(load_once(c, i % c->count, outcome), !=, 200);
     }
     c->team = team;
 }
