node: date a worker's clock when its answer is handled

A worker's clock reading was dated with the time at which the event loop's iteration began. A VM that is suspended within an iteration, or starved of CPU time, handles answers that arrived later, so that the leader's reckoning of the worker's lease could end before the lease: by the time for which the VM stood still, of which 1% of the lease and 150 ms are covered.

The reading is now dated when it is handled, which is later than the worker read its clock in any case.

--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -205,7 +205,9 @@
 {
     if (clock_ms >= 0) {
         s->clock_known = true;
-        s->clock_read_at = l->node->now;
+        /* node.now may be from before the worker read its clock, by seconds if
+         * this VM was suspended since, and leases would seem to end early. */
+        s->clock_read_at = clock_now();
         s->clock_ms = clock_ms;
     }
 }
