--- /dev/null
+++ b/tests/support/odd_entries.c
@@ -0,0 +1,103 @@
+#include "odd_entries.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define VALUE(NAME, MEMBER, TEXT)                                             \
+    {                                                                         \
+        .name = (NAME), .member = (MEMBER), .before = (TEXT)                  \
+    }
+#define MISSING(MEMBER)                                                       \
+    {                                                                         \
+        .name = "missing-" MEMBER, .member = (MEMBER)                         \
+    }
+#define REPEATED(NAME, MEMBER, BEFORE, TEXT, COUNT, AFTER)                    \
+    {                                                                         \
+        (NAME), (MEMBER), (BEFORE), (TEXT), (COUNT), (AFTER)                  \
+    }
+#define SIZE(CPU, MEMORY, GPU)                                                \
+    "{\"cpu\":" CPU ",\"memoryRequestMb\":" MEMORY ",\"gpu\":" GPU "}"
+
+const struct odd_entry odd_entries[] = {
+    VALUE("port-0", "address", "\"10.0.0.1:0\""),
+    VALUE("port-65536", "address", "\"10.0.0.1:65536\""),
+    VALUE("port-99999", "address", "\"10.0.0.1:99999\""),
+    VALUE("port-beyond-64-bits", "address",
+          "\"10.0.0.1:18446744073709551696\""),
+    VALUE("port-negative", "address", "\"10.0.0.1:-1\""),
+    VALUE("port-letters", "address", "\"10.0.0.1:8080x\""),
+    VALUE("port-empty", "address", "\"10.0.0.1:\""),
+    VALUE("no-port", "address", "\"10.0.0.1\""),
+    VALUE("host-name", "address", "\"worker-1:8080\""),
+    VALUE("host-empty", "address", "\":8080\""),
+    VALUE("host-path", "address", "\"10.0.0.1/x:8080\""),
+    VALUE("host-user", "address", "\"a@10.0.0.1:8080\""),
+    VALUE("ipv6-unbracketed", "address", "\"fe80::1:8080\""),
+    VALUE("ipv6-open", "address", "\"[::1:8080\""),
+    VALUE("address-empty", "address", "\"\""),
+    VALUE("address-line-feed", "address", "\"10.0.0.1:80\\n\""),
+    VALUE("address-nul", "address", "\"10.0.0.1:80\\u0000\""),
+    VALUE("address-type", "address", "8080"),
+    REPEATED("address-long", "address", "\"", "1", 100000, ":80\""),
+    MISSING("address"),
+};
+
+const size_t odd_entry_count = G_N_ELEMENTS(odd_entries);
+
+static void
+append_member(GString *text, const char *name, const char *value)
+{
+    g_string_append_printf(text, "%s\"%s\":%s", text->len > 1 ? "," : "", name,
+                           value);
+}
+
+static char *
+odd_value(const struct odd_entry *entry)
+{
+    GString *text = g_string_new(entry->before);
+
+    for (size_t i = 0; i < entry->count; i++) {
+        g_string_append(text, entry->repeated);
+    }
+    g_string_append(text, entry->after == NULL ? "" : entry->after);
+    return g_string_free(text, FALSE);
+}
+
+char *
+odd_entry_body(const struct odd_entry *entry, const char *address,
+               int64_t born_ms)
+{
+    char *quoted = g_strdup_printf("\"%s\"", address);
+    char *born = g_strdup_printf("%lld", (long long)born_ms);
+    const char *const members[][2] = {
+        {"service", "\"svc\""},
+        {"address", quoted},
+        {"zone", "\"z\""},
+        {"version", "\"v1\""},
+        {"slots", "8"},
+        {"state", "\"ready\""},
+        {"coldRemainingMs", "0"},
+        {"capacity", SIZE("4000", "8192", "0")},
+        {"labels", "[\"a\",\"r1\"]"},
+        {"clockMs", "482113"},
+        {"born", born},
+        {"sequence", "4"},
+    };
+    GString *text = g_string_new("{");
+
+    for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+        if (entry == NULL || strcmp(members[i][0], entry->member) != 0) {
+            append_member(text, members[i][0], members[i][1]);
+        }
+    }
+    if (entry != NULL && entry->before != NULL) {
+        char *value = odd_value(entry);
+
+        append_member(text, entry->member, value);
+        g_free(value);
+    }
+    g_string_append_c(text, '}');
+    g_free(born);
+    g_free(quoted);
+    return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/tests/support/odd_entries.h
@@ -0,0 +1,32 @@
+#ifndef GV_TEST_ODD_ENTRIES_H
+#define GV_TEST_ODD_ENTRIES_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * Announcements of workers that another writer could send and that describe no
+ * usable worker. Each differs in one member from an announcement that does.
+ */
+
+struct odd_entry {
+    const char *name;
+    const char *member;
+    /* The JSON text of the member: before, count times repeated, after. A NULL
+     * before leaves the member out. */
+    const char *before;
+    const char *repeated;
+    size_t count;
+    const char *after;
+};
+
+extern const struct odd_entry odd_entries[];
+extern const size_t odd_entry_count;
+
+/* Returns the body of an announcement of the address and the start time, with
+ * the odd member; entry NULL: of a usable worker. Free with g_free(). */
+char *
+odd_entry_body(const struct odd_entry *entry, const char *address,
+               int64_t born_ms);
+
+#endif
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "clock.h"
+#include "odd_entries.h"
 #include "platform_rig.h"
 #include "proc.h"
 
@@ -185,6 +187,108 @@
     platform_close(&r);
 }
 
+/* Sends an announcement to control VM i and returns the status. */
+static long
+put_entry(struct platform_rig *r, int i, const char *id, const char *body)
+{
+    char *path = g_strdup_printf("/instances/%s", id);
+    char *url = platform_control_url(r, i, 0, path);
+    long status = platform_call(r, "PUT", url, body, NULL, 0);
+
+    g_free(url);
+    g_free(path);
+    return status;
+}
+
+/* Returns the log of control VM i. Free with g_free(). */
+static char *
+read_log(const struct platform_rig *r, int i)
+{
+    char *path = g_strdup_printf("%s/c%d.log", r->dir, i);
+    char *log = NULL;
+
+    g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+    g_free(path);
+    return log;
+}
+
+/* Counts the lines of the control VMs' logs that hold the text. */
+static int
+count_log_lines(const struct platform_rig *r, const char *text)
+{
+    int n = 0;
+
+    for (int i = 0; i < CONTROLS; i++) {
+        char *log = read_log(r, i);
+
+        for (const char *at = log; (at = strstr(at, text)) != NULL; at++) {
+            n++;
+        }
+        g_free(log);
+    }
+    return n;
+}
+
+static void
+assert_all_run(const struct platform_rig *r)
+{
+    for (int i = 0; i < CONTROLS; i++) {
+        g_assert_cmpint(proc_wait(r->control[i], 0), ==, PROC_RUNNING);
+    }
+    g_assert_cmpint(proc_wait(r->entry[0], 0), ==, PROC_RUNNING);
+}
+
+static void
+run_jobs(struct platform_rig *r, int first, int count)
+{
+    for (int job = first; job < first + count; job++) {
+        platform_submit(r, job);
+    }
+    for (int job = first; job < first + count; job++) {
+        platform_await_completed(r, job);
+    }
+}
+
+/* Guards against processes that end, or workers that are displaced or no
+ * longer used, because of an entry that another writer left. */
+static void
+odd_entries_refused(void)
+{
+    struct platform_rig r;
+    char *address;
+    int accepted = 0;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    run_jobs(&r, 0, 4);
+    address = g_strdup_printf("127.0.7.30:%d", r.port + 1);
+    for (size_t i = 0; i < odd_entry_count; i++) {
+        char *body = odd_entry_body(&odd_entries[i], address, clock_wall_ms());
+        long known = put_entry(&r, (int)i % CONTROLS, "i-30-0", body);
+        long unknown = put_entry(&r, (int)i % CONTROLS, "odd", body);
+
+        if (known / 100 != 4 || unknown / 100 != 4) {
+            g_printerr("%s: %ld for a known worker, %ld for a new one\n",
+                       odd_entries[i].name, known, unknown);
+            accepted++;
+        }
+        g_free(body);
+    }
+    assert_all_run(&r);
+    run_jobs(&r, 4, 8);
+    g_assert_cmpint(accepted, ==, 0);
+    g_assert_cmpint(count_log_lines(&r, "worker=odd"), ==, 0);
+    g_assert_cmpint(count_log_lines(&r, "outcome=lost"), ==, 0);
+    g_assert_cmpint(count_log_lines(&r, "worker-lost"), ==, 0);
+    for (int i = 0; i < CONTROLS; i++) {
+        proc_kill(r.control[i]);
+        platform_start_control(&r, i);
+        run_jobs(&r, 12 + 2 * i, 2);
+    }
+    assert_all_run(&r);
+    g_free(address);
+    platform_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -195,5 +299,6 @@
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
     g_test_add_func("/e2e/platform/refusals", error_statuses);
     g_test_add_func("/e2e/platform/entry-stops", entry_stops);
+    g_test_add_func("/e2e/platform/odd-entries", odd_entries_refused);
     return g_test_run();
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -3,6 +3,7 @@
 
 #include "flow.h"
 #include "internal.h"
+#include "odd_entries.h"
 
 static Flow__Config *
 decode_valid_config(const char *text)
@@ -81,8 +82,10 @@
     }
 }
 
+#define NOW_MS INT64_C(1700000000000)
 #define HEARTBEAT(MORE)                                                       \
-    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"capacity\":"            \
+    "{\"service\":\"s\",\"zone\":\"z\",\"address\":\"10.0.0.1:80\","          \
+    "\"capacity\":"                                                           \
     "{\"cpu\":16000,\"memoryRequestMb\":32768,\"gpu\":0},\"born\":12,"        \
     "\"labels\":[\"a\",\"r1-3\"],\"clockMs\":99,\"sequence\":4" MORE "}"
 
@@ -115,6 +118,26 @@
     }
 }
 
+/* Guards against an entry of another writer that is taken for a worker. */
+static void
+test_odd_entries(void)
+{
+    size_t accepted = 0;
+
+    for (size_t i = 0; i < odd_entry_count; i++) {
+        char *body = odd_entry_body(&odd_entries[i], "10.0.0.1:80", NOW_MS);
+        Node__WorkerBeat *b = decode_heartbeat(STR("i-1"), str_of(body));
+
+        if (b != NULL) {
+            g_printerr("accepted: %s\n", odd_entries[i].name);
+            node__worker_beat__free_unpacked(b, NULL);
+            accepted++;
+        }
+        g_free(body);
+    }
+    g_assert_cmpuint(accepted, ==, 0);
+}
+
 /* Guards against a start call whose encoding does not follow the worker
  * protocol. */
 static void
@@ -277,6 +300,7 @@
     g_test_add_func("/platform/config-fields", test_config_fields);
     g_test_add_func("/platform/config-refused", test_config_refused);
     g_test_add_func("/platform/beats", test_heartbeats);
+    g_test_add_func("/platform/odd-entries", test_odd_entries);
     g_test_add_func("/platform/orders", test_worker_calls);
     g_test_add_func("/platform/results", test_worker_results);
     g_test_add_func("/platform/jobs", test_jobs);
