--- a/tests/support/odd_entries.c
+++ b/tests/support/odd_entries.c
@@ -19,6 +19,9 @@
     "{\"cpu\":" CPU ",\"memoryRequestMb\":" MEMORY ",\"gpu\":" GPU "}"
 
 const struct odd_entry odd_entries[] = {
+    VALUE("slots-beyond-range", "slots", "1e300"),
+    VALUE("slots-negative", "slots", "-1"),
+    VALUE("slots-type", "slots", "\"8\""),
     VALUE("port-0", "address", "\"10.0.0.1:0\""),
     VALUE("port-65536", "address", "\"10.0.0.1:65536\""),
     VALUE("port-99999", "address", "\"10.0.0.1:99999\""),
@@ -40,6 +43,17 @@
     VALUE("address-type", "address", "8080"),
     REPEATED("address-long", "address", "\"", "1", 100000, ":80\""),
     MISSING("address"),
+    VALUE("capacity-real", "capacity", SIZE("1e300", "8192", "0")),
+    VALUE("capacity-real-2^64", "capacity",
+          SIZE("18446744073709551616.0", "8192", "0")),
+    VALUE("sequence-2^63", "sequence", "9223372036854775807"),
+    VALUE("sequence-real", "sequence", "1e300"),
+    VALUE("sequence-negative", "sequence", "-4"),
+    VALUE("sequence-type", "sequence", "[]"),
+    VALUE("clock-2^63", "clockMs", "9223372036854775807"),
+    VALUE("clock-real", "clockMs", "1e300"),
+    VALUE("clock-type", "clockMs", "\"1\""),
+    VALUE("remaining-real", "remainingMs", "1e300"),
 };
 
 const size_t odd_entry_count = G_N_ELEMENTS(odd_entries);
