platform: refuse an announcement without a believable start time

Callers saw: an entry with the id or the address of a live worker and born of 2^63 - 1, 1e300 or in microseconds replaced that worker. By the code, the worker's own announcements are then answered 200 and ignored as older until the lease of the entry has ended; a repeated entry keeps it out. An entry without born, with 0 or with a fraction was registered too.

Cause: born decides which of two lives is later, and any number up to INT64_MAX was taken; a missing one counted as 0.

Evidence, before: test_odd_entries printed "accepted: born-2^63", "accepted: missing-born" and 4 more; the end-to-end test the same as 200.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -104,7 +104,7 @@
         "{\"state\":\"ready\",\"service\":1,\"address\":\"10.0.0.1:80\"}",
         "{\"state\":\"ready\"}"};
     Node__WorkerBeat *b = decode_heartbeat(
-        STR("i-1"), STR(HEARTBEAT(",\"state\":\"draining\"")));
+        STR("i-1"), STR(HEARTBEAT(",\"state\":\"draining\"")), NOW_MS);
 
     g_assert_nonnull(b);
     g_assert_cmpstr(b->worker->id, ==, "i-1");
@@ -114,7 +114,7 @@
     g_assert_cmpint(b->clock_ms, ==, 99);
     node__worker_beat__free_unpacked(b, NULL);
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
-        g_assert_null(decode_heartbeat(STR("i-1"), str_of(bad[i])));
+        g_assert_null(decode_heartbeat(STR("i-1"), str_of(bad[i]), NOW_MS));
     }
 }
 
@@ -126,7 +126,8 @@
 
     for (size_t i = 0; i < odd_entry_count; i++) {
         char *body = odd_entry_body(&odd_entries[i], "10.0.0.1:80", NOW_MS);
-        Node__WorkerBeat *b = decode_heartbeat(STR("i-1"), str_of(body));
+        Node__WorkerBeat *b =
+            decode_heartbeat(STR("i-1"), str_of(body), NOW_MS);
 
         if (b != NULL) {
             g_printerr("accepted: %s\n", odd_entries[i].name);
