--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -118,6 +118,25 @@
     }
 }
 
+/* Guards against an id that a path or a header gives another spelling. */
+static void
+test_odd_ids(void)
+{
+    char *body = odd_entry_body(NULL, "[fe80::1]:65535", NOW_MS);
+    char *long_id = g_strnfill(257, 'i');
+    const char *const bad[] = {"", "a/b", "a%2fb", "a?b", "a b", long_id};
+    Node__WorkerBeat *b =
+        decode_heartbeat(str_from(long_id, 256), str_of(body), NOW_MS);
+
+    g_assert_nonnull(b);
+    node__worker_beat__free_unpacked(b, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_null(decode_heartbeat(str_of(bad[i]), str_of(body), NOW_MS));
+    }
+    g_free(long_id);
+    g_free(body);
+}
+
 /* Guards against an entry of another writer that is taken for a worker. */
 static void
 test_odd_entries(void)
@@ -302,6 +321,7 @@
     g_test_add_func("/platform/config-refused", test_config_refused);
     g_test_add_func("/platform/beats", test_heartbeats);
     g_test_add_func("/platform/odd-entries", test_odd_entries);
+    g_test_add_func("/platform/odd-ids", test_odd_ids);
     g_test_add_func("/platform/orders", test_worker_calls);
     g_test_add_func("/platform/results", test_worker_results);
     g_test_add_func("/platform/jobs", test_jobs);
