node: refuse a worker of a service that is not configured

Callers saw: an announcement of a service that the configuration doesn't name was answered 200 and committed. With the address of a live worker it displaced that worker; by the code, with its id and start time it changes its service, so that it gets no more tasks.

Cause: the leader never compared the service with the configuration.

Evidence, before: test_e2e_platform.c:332, unknown_service_refused: "assertion failed (put_entry(&r, 0, "odd", body) == 400): (200 == 400)".

The leader refuses it before it compares lives and addresses. Before the first configuration any service is taken, and a worker that is registered keeps its service, so that it can drain after the service was removed. After: 400 in the three cases, no worker lost or changed, jobs complete.

--- a/packages/node/leader_requests.c
+++ b/packages/node/leader_requests.c
@@ -309,6 +309,28 @@
            w->capacity.accelerators == announced->capacity->accelerators;
 }
 
+/* Any service may be part of the first configuration. */
+static bool
+is_service_known(const struct leader *l, const char *name)
+{
+    const Flow__Config *config = flow_current_config(l->state);
+
+    for (size_t i = 0; config != NULL && i < config->n_services; i++) {
+        if (str_eq(str_of(config->services[i]->name), str_of(name))) {
+            return true;
+        }
+    }
+    return config == NULL;
+}
+
+/* A worker outlives the removal of its service from the configuration. */
+static bool
+keeps_service(const struct flow_worker *w, const Flow__Worker *announced)
+{
+    return w != NULL && w->born_ms == announced->born_ms &&
+           str_eq(w->service, str_of(announced->service));
+}
+
 static void
 handle_announcement(struct leader *l, struct requester from,
                     const Node__Request *req)
@@ -321,6 +343,11 @@
         reply_ok(l, from);
         return;
     }
+    if (!is_service_known(l, announced->service) &&
+        !keeps_service(w, announced)) {
+        refuse(l, from, NODE__OUTCOME__INVALID, "unknown service");
+        return;
+    }
     if (w != NULL && w->born_ms == announced->born_ms) {
         uint64_t *sequence = workers_announcement_sequence(w);
 
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -289,6 +289,56 @@
     platform_close(&r);
 }
 
+/* Returns the start time with which the worker registered. */
+static int64_t
+read_born(const struct platform_rig *r, const char *id)
+{
+    char *key = g_strdup_printf("event=worker worker=%s ", id);
+    int64_t born_ms = 0;
+
+    for (int i = 0; i < CONTROLS && born_ms == 0; i++) {
+        char *log = read_log(r, i);
+        const char *line = strstr(log, key);
+
+        if (line != NULL) {
+            born_ms = g_ascii_strtoll(strstr(line, "born=") + strlen("born="),
+                                      NULL, 10);
+        }
+        g_free(log);
+    }
+    g_free(key);
+    g_assert_cmpint(born_ms, !=, 0);
+    return born_ms;
+}
+
+/* Guards against a live worker that is displaced, or gets no more tasks,
+ * because an entry names a service that is not configured. */
+static void
+unknown_service_refused(void)
+{
+    static const struct odd_entry entry = {
+        .name = "unknown-service", .member = "service", .before = "\"other\""};
+    struct platform_rig r;
+    char *address;
+    char *body;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    run_jobs(&r, 0, 2);
+    address = g_strdup_printf("127.0.7.30:%d", r.port + 1);
+    body = odd_entry_body(&entry, address, clock_wall_ms());
+    g_assert_cmpint(put_entry(&r, 0, "odd", body), ==, 400);
+    g_assert_cmpint(put_entry(&r, 1, "i-30-0", body), ==, 400);
+    g_free(body);
+    body = odd_entry_body(&entry, address, read_born(&r, "i-30-0"));
+    g_assert_cmpint(put_entry(&r, 2, "i-30-0", body), ==, 400);
+    g_free(body);
+    run_jobs(&r, 2, 4);
+    g_assert_cmpint(count_log_lines(&r, "outcome=lost"), ==, 0);
+    g_assert_cmpint(count_log_lines(&r, "outcome=changed"), ==, 0);
+    g_free(address);
+    platform_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -300,5 +350,6 @@
     g_test_add_func("/e2e/platform/refusals", error_statuses);
     g_test_add_func("/e2e/platform/entry-stops", entry_stops);
     g_test_add_func("/e2e/platform/odd-entries", odd_entries_refused);
+    g_test_add_func("/e2e/platform/unknown-service", unknown_service_refused);
     return g_test_run();
 }
