--- a/tests/support/odd_entries.c
+++ b/tests/support/odd_entries.c
@@ -130,3 +130,92 @@
     g_free(quoted);
     return g_string_free(text, FALSE);
 }
+
+#define TASK "\"00000000000000ab.0.1.2\""
+#define RUNNING(NAME, ROW)                                                    \
+    {                                                                         \
+        .name = (NAME), .running = "[" ROW "]"                                \
+    }
+#define ENDED(NAME, ROW)                                                      \
+    {                                                                         \
+        .name = (NAME), .ended = "[" ROW "]"                                  \
+    }
+#define TEN(TEXT) TEXT TEXT TEXT TEXT TEXT TEXT TEXT TEXT TEXT TEXT
+#define RUN(NUMBER) "[" TASK "," NUMBER ",\"\",1,0]"
+#define END(NUMBER) "[" NUMBER "," TASK ",1,\"done\",\"\"]"
+#define NAMED(TEXT) "[\"" TEXT "\",1,\"\",1,0]"
+
+const struct odd_answer odd_answers[] = {
+    RUNNING("run-0", RUN("0")),
+    RUNNING("run-negative", RUN("-1")),
+    RUNNING("run-2^32+1", RUN("4294967297")),
+    RUNNING("task-index-2^32+2", NAMED("00000000000000ab.0.1.4294967298")),
+    RUNNING("task-index-negative", NAMED("00000000000000ab.0.1.-2")),
+    RUNNING("task-rest", NAMED("00000000000000ab.0.1.2x")),
+    RUNNING("task-more-parts", NAMED("00000000000000ab.0.1.2.3")),
+    RUNNING("task-short-id", NAMED("ab.0.1.2")),
+    RUNNING("task-prefixed-id", NAMED("0x000000000000ab.0.1.2")),
+    RUNNING("task-negative-id", NAMED("-0000000000000ab.0.1.2")),
+    RUNNING("task-space", NAMED(" 0000000000000ab.0.1.2")),
+    ENDED("end-negative", END("-1")),
+    ENDED("end-2^32", END("4294967296")),
+    ENDED("end-2^63", END("9223372036854775807")),
+    ENDED("end-run-2^32+1", "[1," TASK ",4294967297,\"done\",\"\"]"),
+    ENDED("end-checkpoint-long",
+          "[1," TASK ",1,\"done\",\"" TEN(TEN(TEN("0123456789"))) "\"]"),
+};
+
+const size_t odd_answer_count = G_N_ELEMENTS(odd_answers);
+
+static void
+append_running(GString *text, size_t count)
+{
+    g_string_append(text, "[");
+    for (size_t i = 0; i < count; i++) {
+        g_string_append_printf(text, "%s[\"%016zx.0.0.0\",1,\"\",1,0]",
+                               i > 0 ? "," : "", i + 0x1000000);
+    }
+    g_string_append(text, "]");
+}
+
+static void
+append_ended(GString *text, size_t count)
+{
+    g_string_append(text, "[");
+    for (size_t i = 0; i < count; i++) {
+        g_string_append_printf(text,
+                               "%s[%zu,\"%016zx.0.0.0\",1,\"done\",\"\"]",
+                               i > 0 ? "," : "", i + 1, i + 0x1000000);
+    }
+    g_string_append(text, "]");
+}
+
+char *
+odd_answer_body(const struct odd_answer *answer, int64_t born_ms)
+{
+    GString *text = g_string_new("{\"clockMs\":");
+
+    g_string_append(text, answer->clock == NULL ? "1000" : answer->clock);
+    g_string_append(text, ",\"born\":");
+    if (answer->born == NULL) {
+        g_string_append_printf(text, "%lld", (long long)born_ms);
+    }
+    else {
+        g_string_append(text, answer->born);
+    }
+    g_string_append(text, ",\"running\":");
+    if (answer->running == NULL) {
+        append_running(text, answer->running_count);
+    }
+    else {
+        g_string_append(text, answer->running);
+    }
+    g_string_append(text, ",\"finished\":");
+    if (answer->ended == NULL) {
+        append_ended(text, answer->ended_count);
+    }
+    else {
+        g_string_append(text, answer->ended);
+    }
+    return g_string_free(g_string_append_c(text, '}'), FALSE);
+}
--- a/tests/support/odd_entries.h
+++ b/tests/support/odd_entries.h
@@ -29,4 +29,22 @@
 odd_entry_body(const struct odd_entry *entry, const char *address,
                int64_t born_ms);
 
+/* Responses of a worker to a poll that cannot be used. */
+struct odd_answer {
+    const char *name;
+    const char *clock; /* JSON text; NULL: usable */
+    const char *born;
+    const char *running; /* the lists, as JSON text; NULL: generated */
+    const char *ended;
+    size_t running_count; /* entries to generate, each of a run of its own */
+    size_t ended_count;
+};
+
+extern const struct odd_answer odd_answers[];
+extern const size_t odd_answer_count;
+
+/* Free the result with g_free(). */
+char *
+odd_answer_body(const struct odd_answer *answer, int64_t born_ms);
+
 #endif
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -240,6 +240,34 @@
     node_worker_result_free(&r);
 }
 
+/* Guards against a response that is taken for that of another run or end, or
+ * that is too long to be compared in time. */
+static void
+test_odd_answers(void)
+{
+    struct node_worker_call call = {.kind = NODE_CALL_POLL};
+    size_t accepted = 0;
+
+    for (size_t i = 0; i < odd_answer_count; i++) {
+        char *body = odd_answer_body(&odd_answers[i], 6);
+        struct node_worker_result r = {0};
+
+        decode_worker_result(&call, 200, str_of(body), &r);
+        if (r.refusal != NODE_REFUSAL_MALFORMED) {
+            g_printerr(
+                "accepted: %s, clock=%lld born=%lld run=%u number=%llu\n",
+                odd_answers[i].name, (long long)r.clock_ms,
+                (long long)r.born_ms,
+                r.running_count > 0 ? r.running[0].task.run : 0,
+                r.ended_count > 0 ? (unsigned long long)r.ended[0].number : 0);
+            accepted++;
+        }
+        node_worker_result_free(&r);
+        g_free(body);
+    }
+    g_assert_cmpuint(accepted, ==, 0);
+}
+
 static Node__Request *
 decode_post(const char *body, int *status)
 {
@@ -324,6 +352,7 @@
     g_test_add_func("/platform/odd-ids", test_odd_ids);
     g_test_add_func("/platform/orders", test_worker_calls);
     g_test_add_func("/platform/results", test_worker_results);
+    g_test_add_func("/platform/odd-answers", test_odd_answers);
     g_test_add_func("/platform/jobs", test_jobs);
     g_test_add_func("/platform/advice", test_approval_response);
     return g_test_run();
