--- a/tests/support/odd_entries.c
+++ b/tests/support/odd_entries.c
@@ -146,6 +146,13 @@
 #define NAMED(TEXT) "[\"" TEXT "\",1,\"\",1,0]"
 
 const struct odd_answer odd_answers[] = {
+    {.name = "clock-2^63", .clock = "9223372036854775807"},
+    {.name = "clock-real", .clock = "1e300"},
+    {.name = "clock-negative", .clock = "-1"},
+    {.name = "clock-type", .clock = "\"1\""},
+    {.name = "born-real", .born = "1e300"},
+    {.name = "born-negative", .born = "-1"},
+    {.name = "born-type", .born = "\"now\""},
     RUNNING("run-0", RUN("0")),
     RUNNING("run-negative", RUN("-1")),
     RUNNING("run-2^32+1", RUN("4294967297")),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -268,6 +268,33 @@
     g_assert_cmpuint(accepted, ==, 0);
 }
 
+/* Guards against an estimate out of range that becomes another value. */
+static void
+test_odd_figures(void)
+{
+    struct node_worker_call call = {.kind = NODE_CALL_POLL};
+    struct node_worker_result r = {0};
+
+    decode_worker_result(
+        &call, 200,
+        STR("{\"running\":["
+            "[\"00000000000000ab.0.1.2\",1,\"\",1e300,1e300],"
+            "[\"00000000000000ab.0.1.3\",1,\"\",-1e300,-1e300],"
+            "[\"00000000000000ab.0.1.4\",1,\"\",\"x\",\"x\"],"
+            "[\"00000000000000ab.0.1.5\",1,\"\",4294967297,0.7]],"
+            "\"finished\":[]}"),
+        &r);
+    g_assert_cmpint(r.refusal, ==, NODE_REFUSAL_NONE);
+    g_assert_cmpuint(r.running_count, ==, 4);
+    g_assert_cmpuint(r.running[0].percent, ==, 100);
+    g_assert_cmpint(r.running[0].load, ==, UINT32_MAX);
+    g_assert_cmpuint(r.running[1].percent, ==, 0);
+    g_assert_cmpint(r.running[1].load, ==, 0);
+    g_assert_cmpuint(r.running[2].percent, ==, 0);
+    g_assert_cmpuint(r.running[3].percent, ==, 100);
+    node_worker_result_free(&r);
+}
+
 static Node__Request *
 decode_post(const char *body, int *status)
 {
@@ -353,6 +380,7 @@
     g_test_add_func("/platform/orders", test_worker_calls);
     g_test_add_func("/platform/results", test_worker_results);
     g_test_add_func("/platform/odd-answers", test_odd_answers);
+    g_test_add_func("/platform/odd-figures", test_odd_figures);
     g_test_add_func("/platform/jobs", test_jobs);
     g_test_add_func("/platform/advice", test_approval_response);
     return g_test_run();
