--- a/tests/support/odd_entries.c
+++ b/tests/support/odd_entries.c
@@ -170,6 +170,8 @@
     ENDED("end-run-2^32+1", "[1," TASK ",4294967297,\"done\",\"\"]"),
     ENDED("end-checkpoint-long",
           "[1," TASK ",1,\"done\",\"" TEN(TEN(TEN("0123456789"))) "\"]"),
+    {.name = "ended-many", .ended_count = 50000},
+    {.name = "running-many", .running_count = 100000},
 };
 
 const size_t odd_answer_count = G_N_ELEMENTS(odd_answers);
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -7,12 +7,14 @@
 #include "odd_entries.h"
 #include "platform_rig.h"
 #include "proc.h"
+#include "server.h"
 
 /* End-to-end tests of the platform adapter with real processes on loopback. */
 
 enum {
     CONTROLS = 3,
     JOBS = 24,
+    ODD_ANSWERS_MS = 500,
     PAUSE_MS = 2500, /* longer than the idle timeout of a peer session */
 };
 
@@ -339,6 +341,69 @@
     platform_close(&r);
 }
 
+/* Answers the calls to an odd worker for a while, polls with body. */
+static void
+answer_polls(struct server *server, const char *body)
+{
+    int64_t until = clock_now() + ODD_ANSWERS_MS * NS_PER_MS;
+    int polls = 0;
+
+    while (clock_now() < until) {
+        struct front_item *item = server_next_item(server, 20);
+
+        if (item == NULL) {
+            continue;
+        }
+        if (item->kind == FRONT_ITEM_CALL) {
+            bool poll = str_eq(item->call->path, STR("/hold"));
+
+            g_assert_false(str_eq(item->call->path, STR("/run-start")));
+            server_respond(item->call, 200, poll ? body : "{}");
+            polls += poll;
+        }
+        front_item_release(item);
+    }
+    g_assert_cmpint(polls, >, 0);
+}
+
+/* Guards against a leader that ends or stands still, or a worker that is used,
+ * because of what a worker answers. */
+static void
+odd_answers_ignored(void)
+{
+    struct front_config config = server_config();
+    struct platform_rig r;
+    struct server server = server_start(&config, 64);
+    char *address = g_strdup_printf("127.0.0.1:%u", server.port);
+    char *url;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    run_jobs(&r, 0, 2);
+    url = platform_job_url(&r, 0, 0);
+    for (size_t i = 0; i < odd_answer_count; i++) {
+        int64_t born_ms = clock_wall_ms();
+        char *entry = odd_entry_body(NULL, address, born_ms);
+        char *body = odd_answer_body(&odd_answers[i], born_ms);
+
+        g_assert_cmpint(put_entry(&r, 0, "odd", entry), ==, 200);
+        g_test_message("%s", odd_answers[i].name);
+        answer_polls(&server, body);
+        g_assert_cmpint(platform_call(&r, "GET", url, "", NULL, 0), ==, 200);
+        platform_submit(&r, 2 + (int)i);
+        g_free(body);
+        g_free(entry);
+    }
+    for (size_t i = 0; i < odd_answer_count; i++) {
+        platform_await_completed(&r, 2 + (int)i);
+    }
+    assert_all_run(&r);
+    g_free(url);
+    g_free(address);
+    platform_close(&r);
+    server_wait_closed(&server, true);
+    server_stop(&server);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -351,5 +416,6 @@
     g_test_add_func("/e2e/platform/entry-stops", entry_stops);
     g_test_add_func("/e2e/platform/odd-entries", odd_entries_refused);
     g_test_add_func("/e2e/platform/unknown-service", unknown_service_refused);
+    g_test_add_func("/e2e/platform/odd-answers", odd_answers_ignored);
     return g_test_run();
 }
