--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -75,6 +75,15 @@
         "\"services\":[{\"name\":\"s\"}]}",
         CONFIG(ROUTE("a", "/p/", ""), TENANT("t", "k") "," TENANT("u", "k")),
         CONFIG(ROUTE("a", "/p/", ""), "{\"name\":\"t\",\"apiKeys\":[]}"),
+        CONFIG(ROUTE("a", "/p/", ",\"advice\":{\"decisionMs\":1e300}"),
+               TENANT("t", "k")),
+        CONFIG(ROUTE("a", "/p/", ",\"advice\":{\"perWorkerMs\":1e300}"),
+               TENANT("t", "k")),
+        CONFIG(ROUTE("a", "/p/", ",\"advice\":{\"decisionMs\":-1}"),
+               TENANT("t", "k")),
+        CONFIG(ROUTE("a", "/p/", ",\"priority\":1e300"), TENANT("t", "k")),
+        CONFIG(ROUTE("a", "/p/", ""), "{\"name\":\"t\",\"weight\":1e300}"),
+        CONFIG(ROUTE("a", "/p/", ""), "{\"name\":\"t\",\"weight\":-1}"),
     };
 
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
@@ -321,6 +330,11 @@
         "{\"steps\":[1]}",
         "{\"steps\":[{\"count\":\"2\"}]}",
         "{\"steps\":[{\"count\":1,\"after\":[-1]}]}",
+        "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[4294967296]}]}",
+        "{\"steps\":[{\"count\":1e300}]}",
+        "{\"steps\":[{\"count\":1,\"cpu\":9223372036854775807}]}",
+        "{\"steps\":[{\"count\":1,\"cpu\":-0.5}]}",
+        "{\"steps\":[{\"count\":1}],\"firstRunMs\":1e300}",
         "{\"taskSpec\":4,\"steps\":[{\"count\":1}]}"};
     int status = 0;
     Node__Request *r = decode_post(
