flow: the due time of a distant occurrence doesn't overflow

Callers saw: nothing yet. A job with an intervalMs near 2^63 would have its second occurrence due at once, and would end each leader in turn in a build with UBSan, also after a restart, because the job is replicated.

Cause: firstRunMs + K x intervalMs in 64 bits, both from the caller.

Evidence, before: test_flow.c, due_saturates, with the expression as it was: "(flow_due_wall_ms(&spec, 1) == INT64_MAX): (- ==)".

The sum is limited to INT64_MAX, a time that does not come. Refusing such a job in flow_validate_spec() was rejected: it is also applied to the log, where an accepted job must not vanish.

--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -238,6 +238,11 @@
 struct flow_job *
 flow_job(const struct flow_state *s, uint64_t id);
 
+/* Returns the wall time at which an occurrence is due, INT64_MAX if that is
+ * later than can be represented. */
+int64_t
+flow_due_wall_ms(const Flow__JobSpec *spec, uint32_t occurrence);
+
 /*
  * Returns the first live job, or NULL; the others follow by flow_job.next. A
  * job is live until it has ended and none of its tasks is assigned.
--- a/packages/flow/job.c
+++ b/packages/flow/job.c
@@ -243,6 +243,18 @@
     return map_get_u64(s->jobs, id);
 }
 
+int64_t
+flow_due_wall_ms(const Flow__JobSpec *spec, uint32_t occurrence)
+{
+    int64_t due;
+
+    if (__builtin_mul_overflow(spec->interval_ms, (int64_t)occurrence, &due) ||
+        __builtin_add_overflow(due, spec->first_due_ms, &due)) {
+        return INT64_MAX;
+    }
+    return due;
+}
+
 struct flow_job *
 flow_first_live(const struct flow_state *s)
 {
--- a/packages/node/leader.c
+++ b/packages/node/leader.c
@@ -198,8 +198,7 @@
         Flow__Due due = FLOW__DUE__INIT;
 
         if (j->state > FLOW_JOB_RUNNING || j->due >= j->spec->occurrences ||
-            wall < j->spec->first_due_ms +
-                       (int64_t)j->due * j->spec->interval_ms) {
+            wall < flow_due_wall_ms(j->spec, j->due)) {
             continue;
         }
         due.job = j->id;
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -357,6 +357,23 @@
     flow__step__free_unpacked(steps[0], NULL);
 }
 
+/* Guards against an occurrence of a distant schedule that is due at once. */
+static void
+due_saturates(void)
+{
+    Flow__JobSpec spec = FLOW__JOB_SPEC__INIT;
+
+    spec.first_due_ms = 1000;
+    spec.interval_ms = 10;
+    g_assert_cmpint(flow_due_wall_ms(&spec, 3), ==, 1030);
+    spec.interval_ms = INT64_MAX;
+    g_assert_cmpint(flow_due_wall_ms(&spec, 0), ==, 1000);
+    g_assert_cmpint(flow_due_wall_ms(&spec, 1), ==, INT64_MAX);
+    g_assert_cmpint(flow_due_wall_ms(&spec, 2), ==, INT64_MAX);
+    spec.first_due_ms = INT64_MAX;
+    g_assert_cmpint(flow_due_wall_ms(&spec, 0), ==, INT64_MAX);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -374,5 +391,6 @@
     g_test_add_func("/flow/config-order", config_order);
     g_test_add_func("/flow/snapshot", snapshot);
     g_test_add_func("/flow/spec-checks", spec_checks);
+    g_test_add_func("/flow/due-saturates", due_saturates);
     return g_test_run();
 }
