flow: limit the size of a task, so that sums cannot overflow

Callers saw: nothing; the adapter limits sizes to 32 bits. The planner adds sizes of all tasks and counted up to 2^64 tasks for a large worker.

Cause: flow trusted its caller.

Evidence, before: test_flow.c:361, spec_checks: "'flow_validate_spec(&spec)' should not be NULL" for a cpu of 2^63 - 1.

flow_validate_spec() has the limit of the adapter, so that no job that was accepted is affected, and size_count_fitting() never exceeds UINT32_MAX.

--- a/packages/flow/fit.c
+++ b/packages/flow/fit.c
@@ -62,7 +62,7 @@
 {
     uint64_t n = UINT32_MAX;
 
-    if (size.cpu_milli > 0) {
+    if (size.cpu_milli > 0 && available.cpu_milli / size.cpu_milli < n) {
         n = available.cpu_milli / size.cpu_milli;
     }
     if (size.memory_mib > 0 && available.memory_mib / size.memory_mib < n) {
--- a/packages/flow/validate.c
+++ b/packages/flow/validate.c
@@ -13,6 +13,9 @@
     PAYLOAD_MAX_BYTES = 16 * 1024,
 };
 
+/* Keeps the sums over all tasks of all jobs below 2^64. */
+#define TASK_SIZE_MAX UINT32_MAX
+
 static bool
 has_service(const Flow__Config *c, const char *name)
 {
@@ -93,6 +96,14 @@
     return find_key_problem(c);
 }
 
+static bool
+is_size_valid(const Flow__Size *size)
+{
+    return size == NULL || (size->cpu_milli <= TASK_SIZE_MAX &&
+                            size->memory_mib <= TASK_SIZE_MAX &&
+                            size->accelerators <= TASK_SIZE_MAX);
+}
+
 const char *
 flow_validate_spec(const Flow__JobSpec *spec)
 {
@@ -114,6 +125,9 @@
         if (spec->steps[i]->count == 0) {
             return "a step has no tasks";
         }
+        if (!is_size_valid(spec->steps[i]->size)) {
+            return "a task needs more than 4294967295 of a resource";
+        }
         for (size_t k = 0; k < spec->steps[i]->n_after; k++) {
             if (spec->steps[i]->after[k] >= i) {
                 return "a step depends on itself or on a later step";
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -354,6 +354,11 @@
     steps[0]->count = 1;
     spec.occurrences = 2;
     g_assert_nonnull(flow_validate_spec(&spec));
+    spec.occurrences = 0;
+    steps[0]->size->cpu_milli = UINT32_MAX;
+    g_assert_null(flow_validate_spec(&spec));
+    steps[0]->size->cpu_milli = UINT64_MAX / 2;
+    g_assert_nonnull(flow_validate_spec(&spec));
     flow__step__free_unpacked(steps[0], NULL);
 }
 
