--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -267,7 +267,7 @@
 void
 session_verify(struct leader *l, struct session *s)
 {
-    if (s->poll_answered || s->poll_failing) {
+    if (!s->polling || s->poll_answered || s->poll_failing) {
         abandon_calls(l, s);
     }
 }
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -3,14 +3,18 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "clock.h"
+#include "odd_entries.h"
 #include "platform_rig.h"
 #include "proc.h"
+#include "server.h"
 
 /* End-to-end tests of the platform adapter with real processes on loopback. */
 
 enum {
     CONTROLS = 3,
     JOBS = 24,
+    ODD_ANSWERS_MS = 500,
     PAUSE_MS = 2500, /* longer than the idle timeout of a peer session */
 };
 
@@ -185,6 +189,221 @@
     platform_close(&r);
 }
 
+/* Sends an announcement to control VM i and returns the status. */
+static long
+put_entry(struct platform_rig *r, int i, const char *id, const char *body)
+{
+    char *path = g_strdup_printf("/instances/%s", id);
+    char *url = platform_control_url(r, i, 0, path);
+    long status = platform_call(r, "PUT", url, body, NULL, 0);
+
+    g_free(url);
+    g_free(path);
+    return status;
+}
+
+/* Returns the log of control VM i. Free with g_free(). */
+static char *
+read_log(const struct platform_rig *r, int i)
+{
+    char *path = g_strdup_printf("%s/c%d.log", r->dir, i);
+    char *log = NULL;
+
+    g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+    g_free(path);
+    return log;
+}
+
+/* Counts the lines of the control VMs' logs that hold the text. */
+static int
+count_log_lines(const struct platform_rig *r, const char *text)
+{
+    int n = 0;
+
+    for (int i = 0; i < CONTROLS; i++) {
+        char *log = read_log(r, i);
+
+        for (const char *at = log; (at = strstr(at, text)) != NULL; at++) {
+            n++;
+        }
+        g_free(log);
+    }
+    return n;
+}
+
+static void
+assert_all_run(const struct platform_rig *r)
+{
+    for (int i = 0; i < CONTROLS; i++) {
+        g_assert_cmpint(proc_wait(r->control[i], 0), ==, PROC_RUNNING);
+    }
+    g_assert_cmpint(proc_wait(r->entry[0], 0), ==, PROC_RUNNING);
+}
+
+static void
+run_jobs(struct platform_rig *r, int first, int count)
+{
+    for (int job = first; job < first + count; job++) {
+        platform_submit(r, job);
+    }
+    for (int job = first; job < first + count; job++) {
+        platform_await_completed(r, job);
+    }
+}
+
+/* Guards against processes that end, or workers that are displaced or no
+ * longer used, because of an entry that another writer left. */
+static void
+odd_entries_refused(void)
+{
+    struct platform_rig r;
+    char *address;
+    int accepted = 0;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    run_jobs(&r, 0, 4);
+    address = g_strdup_printf("127.0.7.30:%d", r.port + 1);
+    for (size_t i = 0; i < odd_entry_count; i++) {
+        char *body = odd_entry_body(&odd_entries[i], address, clock_wall_ms());
+        long known = put_entry(&r, (int)i % CONTROLS, "i-30-0", body);
+        long unknown = put_entry(&r, (int)i % CONTROLS, "odd", body);
+
+        if (known / 100 != 4 || unknown / 100 != 4) {
+            g_printerr("%s: %ld for a known worker, %ld for a new one\n",
+                       odd_entries[i].name, known, unknown);
+            accepted++;
+        }
+        g_free(body);
+    }
+    assert_all_run(&r);
+    run_jobs(&r, 4, 8);
+    g_assert_cmpint(accepted, ==, 0);
+    g_assert_cmpint(count_log_lines(&r, "worker=odd"), ==, 0);
+    g_assert_cmpint(count_log_lines(&r, "outcome=lost"), ==, 0);
+    g_assert_cmpint(count_log_lines(&r, "worker-lost"), ==, 0);
+    for (int i = 0; i < CONTROLS; i++) {
+        proc_kill(r.control[i]);
+        platform_start_control(&r, i);
+        run_jobs(&r, 12 + 2 * i, 2);
+    }
+    assert_all_run(&r);
+    g_free(address);
+    platform_close(&r);
+}
+
+/* Returns the start time with which the worker registered. */
+static int64_t
+read_born(const struct platform_rig *r, const char *id)
+{
+    char *key = g_strdup_printf("event=worker worker=%s ", id);
+    int64_t born_ms = 0;
+
+    for (int i = 0; i < CONTROLS && born_ms == 0; i++) {
+        char *log = read_log(r, i);
+        const char *line = strstr(log, key);
+
+        if (line != NULL) {
+            born_ms = g_ascii_strtoll(strstr(line, "born=") + strlen("born="),
+                                      NULL, 10);
+        }
+        g_free(log);
+    }
+    g_free(key);
+    g_assert_cmpint(born_ms, !=, 0);
+    return born_ms;
+}
+
+/* Guards against a live worker that is displaced, or gets no more tasks,
+ * because an entry names a service that is not configured. */
+static void
+unknown_service_refused(void)
+{
+    static const struct odd_entry entry = {
+        .name = "unknown-service", .member = "service", .before = "\"other\""};
+    struct platform_rig r;
+    char *address;
+    char *body;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    run_jobs(&r, 0, 2);
+    address = g_strdup_printf("127.0.7.30:%d", r.port + 1);
+    body = odd_entry_body(&entry, address, clock_wall_ms());
+    g_assert_cmpint(put_entry(&r, 0, "odd", body), ==, 400);
+    g_assert_cmpint(put_entry(&r, 1, "i-30-0", body), ==, 400);
+    g_free(body);
+    body = odd_entry_body(&entry, address, read_born(&r, "i-30-0"));
+    g_assert_cmpint(put_entry(&r, 2, "i-30-0", body), ==, 400);
+    g_free(body);
+    run_jobs(&r, 2, 4);
+    g_assert_cmpint(count_log_lines(&r, "outcome=lost"), ==, 0);
+    g_assert_cmpint(count_log_lines(&r, "outcome=changed"), ==, 0);
+    g_free(address);
+    platform_close(&r);
+}
+
+/* Answers the calls to an odd worker for a while, polls with body. */
+static void
+answer_polls(struct server *server, const char *body)
+{
+    int64_t until = clock_now() + ODD_ANSWERS_MS * NS_PER_MS;
+    int polls = 0;
+
+    while (clock_now() < until) {
+        struct front_item *item = server_next_item(server, 20);
+
+        if (item == NULL) {
+            continue;
+        }
+        if (item->kind == FRONT_ITEM_CALL) {
+            bool poll = str_eq(item->call->path, STR("/hold"));
+
+            g_assert_false(str_eq(item->call->path, STR("/run-start")));
+            server_respond(item->call, 200, poll ? body : "{}");
+            polls += poll;
+        }
+        front_item_release(item);
+    }
+    g_assert_cmpint(polls, >, 0);
+}
+
+/* Guards against a leader that ends or stands still, or a worker that is used,
+ * because of what a worker answers. */
+static void
+odd_answers_ignored(void)
+{
+    struct front_config config = server_config();
+    struct platform_rig r;
+    struct server server = server_start(&config, 64);
+    char *address = g_strdup_printf("127.0.0.1:%u", server.port);
+    char *url;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    run_jobs(&r, 0, 2);
+    url = platform_job_url(&r, 0, 0);
+    for (size_t i = 0; i < odd_answer_count; i++) {
+        int64_t born_ms = clock_wall_ms();
+        char *entry = odd_entry_body(NULL, address, born_ms);
+        char *body = odd_answer_body(&odd_answers[i], born_ms);
+
+        g_assert_cmpint(put_entry(&r, 0, "odd", entry), ==, 200);
+        g_test_message("%s", odd_answers[i].name);
+        answer_polls(&server, body);
+        g_assert_cmpint(platform_call(&r, "GET", url, "", NULL, 0), ==, 200);
+        platform_submit(&r, 2 + (int)i);
+        g_free(body);
+        g_free(entry);
+    }
+    for (size_t i = 0; i < odd_answer_count; i++) {
+        platform_await_completed(&r, 2 + (int)i);
+    }
+    assert_all_run(&r);
+    g_free(url);
+    g_free(address);
+    platform_close(&r);
+    server_wait_closed(&server, true);
+    server_stop(&server);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -195,5 +414,8 @@
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
     g_test_add_func("/e2e/platform/refusals", error_statuses);
     g_test_add_func("/e2e/platform/entry-stops", entry_stops);
+    g_test_add_func("/e2e/platform/odd-entries", odd_entries_refused);
+    g_test_add_func("/e2e/platform/unknown-service", unknown_service_refused);
+    g_test_add_func("/e2e/platform/odd-answers", odd_answers_ignored);
     return g_test_run();
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -3,6 +3,7 @@
 
 #include "flow.h"
 #include "internal.h"
+#include "odd_entries.h"
 
 static Flow__Config *
 decode_valid_config(const char *text)
@@ -74,6 +75,15 @@
         "\"services\":[{\"name\":\"s\"}]}",
         CONFIG(ROUTE("a", "/p/", ""), TENANT("t", "k") "," TENANT("u", "k")),
         CONFIG(ROUTE("a", "/p/", ""), "{\"name\":\"t\",\"apiKeys\":[]}"),
+        CONFIG(ROUTE("a", "/p/", ",\"advice\":{\"decisionMs\":1e300}"),
+               TENANT("t", "k")),
+        CONFIG(ROUTE("a", "/p/", ",\"advice\":{\"perWorkerMs\":1e300}"),
+               TENANT("t", "k")),
+        CONFIG(ROUTE("a", "/p/", ",\"advice\":{\"decisionMs\":-1}"),
+               TENANT("t", "k")),
+        CONFIG(ROUTE("a", "/p/", ",\"priority\":1e300"), TENANT("t", "k")),
+        CONFIG(ROUTE("a", "/p/", ""), "{\"name\":\"t\",\"weight\":1e300}"),
+        CONFIG(ROUTE("a", "/p/", ""), "{\"name\":\"t\",\"weight\":-1}"),
     };
 
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
@@ -81,8 +91,10 @@
     }
 }
 
+#define NOW_MS INT64_C(1700000000000)
 #define HEARTBEAT(MORE)                                                       \
-    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"capacity\":"            \
+    "{\"service\":\"s\",\"zone\":\"z\",\"address\":\"10.0.0.1:80\","          \
+    "\"capacity\":"                                                           \
     "{\"cpu\":16000,\"memoryRequestMb\":32768,\"gpu\":0},\"born\":12,"        \
     "\"labels\":[\"a\",\"r1-3\"],\"clockMs\":99,\"sequence\":4" MORE "}"
 
@@ -101,7 +113,7 @@
         "{\"state\":\"ready\",\"service\":1,\"address\":\"10.0.0.1:80\"}",
         "{\"state\":\"ready\"}"};
     Node__WorkerBeat *b = decode_heartbeat(
-        STR("i-1"), STR(HEARTBEAT(",\"state\":\"draining\"")));
+        STR("i-1"), STR(HEARTBEAT(",\"state\":\"draining\"")), NOW_MS);
 
     g_assert_nonnull(b);
     g_assert_cmpstr(b->worker->id, ==, "i-1");
@@ -111,8 +123,48 @@
     g_assert_cmpint(b->clock_ms, ==, 99);
     node__worker_beat__free_unpacked(b, NULL);
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
-        g_assert_null(decode_heartbeat(STR("i-1"), str_of(bad[i])));
+        g_assert_null(decode_heartbeat(STR("i-1"), str_of(bad[i]), NOW_MS));
+    }
+}
+
+/* Guards against an id that a path or a header gives another spelling. */
+static void
+test_odd_ids(void)
+{
+    char *body = odd_entry_body(NULL, "[fe80::1]:65535", NOW_MS);
+    char *long_id = g_strnfill(257, 'i');
+    const char *const bad[] = {"", "a/b", "a%2fb", "a?b", "a b", long_id};
+    Node__WorkerBeat *b =
+        decode_heartbeat(str_from(long_id, 256), str_of(body), NOW_MS);
+
+    g_assert_nonnull(b);
+    node__worker_beat__free_unpacked(b, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_null(decode_heartbeat(str_of(bad[i]), str_of(body), NOW_MS));
+    }
+    g_free(long_id);
+    g_free(body);
+}
+
+/* Guards against an entry of another writer that is taken for a worker. */
+static void
+test_odd_entries(void)
+{
+    size_t accepted = 0;
+
+    for (size_t i = 0; i < odd_entry_count; i++) {
+        char *body = odd_entry_body(&odd_entries[i], "10.0.0.1:80", NOW_MS);
+        Node__WorkerBeat *b =
+            decode_heartbeat(STR("i-1"), str_of(body), NOW_MS);
+
+        if (b != NULL) {
+            g_printerr("accepted: %s\n", odd_entries[i].name);
+            node__worker_beat__free_unpacked(b, NULL);
+            accepted++;
+        }
+        g_free(body);
     }
+    g_assert_cmpuint(accepted, ==, 0);
 }
 
 /* Guards against a start call whose encoding does not follow the worker
@@ -197,6 +249,61 @@
     node_worker_result_free(&r);
 }
 
+/* Guards against a response that is taken for that of another run or end, or
+ * that is too long to be compared in time. */
+static void
+test_odd_answers(void)
+{
+    struct node_worker_call call = {.kind = NODE_CALL_POLL};
+    size_t accepted = 0;
+
+    for (size_t i = 0; i < odd_answer_count; i++) {
+        char *body = odd_answer_body(&odd_answers[i], 6);
+        struct node_worker_result r = {0};
+
+        decode_worker_result(&call, 200, str_of(body), &r);
+        if (r.refusal != NODE_REFUSAL_MALFORMED) {
+            g_printerr(
+                "accepted: %s, clock=%lld born=%lld run=%u number=%llu\n",
+                odd_answers[i].name, (long long)r.clock_ms,
+                (long long)r.born_ms,
+                r.running_count > 0 ? r.running[0].task.run : 0,
+                r.ended_count > 0 ? (unsigned long long)r.ended[0].number : 0);
+            accepted++;
+        }
+        node_worker_result_free(&r);
+        g_free(body);
+    }
+    g_assert_cmpuint(accepted, ==, 0);
+}
+
+/* Guards against an estimate out of range that becomes another value. */
+static void
+test_odd_figures(void)
+{
+    struct node_worker_call call = {.kind = NODE_CALL_POLL};
+    struct node_worker_result r = {0};
+
+    decode_worker_result(
+        &call, 200,
+        STR("{\"running\":["
+            "[\"00000000000000ab.0.1.2\",1,\"\",1e300,1e300],"
+            "[\"00000000000000ab.0.1.3\",1,\"\",-1e300,-1e300],"
+            "[\"00000000000000ab.0.1.4\",1,\"\",\"x\",\"x\"],"
+            "[\"00000000000000ab.0.1.5\",1,\"\",4294967297,0.7]],"
+            "\"finished\":[]}"),
+        &r);
+    g_assert_cmpint(r.refusal, ==, NODE_REFUSAL_NONE);
+    g_assert_cmpuint(r.running_count, ==, 4);
+    g_assert_cmpuint(r.running[0].percent, ==, 100);
+    g_assert_cmpint(r.running[0].load, ==, UINT32_MAX);
+    g_assert_cmpuint(r.running[1].percent, ==, 0);
+    g_assert_cmpint(r.running[1].load, ==, 0);
+    g_assert_cmpuint(r.running[2].percent, ==, 0);
+    g_assert_cmpuint(r.running[3].percent, ==, 100);
+    node_worker_result_free(&r);
+}
+
 static Node__Request *
 decode_post(const char *body, int *status)
 {
@@ -223,6 +330,11 @@
         "{\"steps\":[1]}",
         "{\"steps\":[{\"count\":\"2\"}]}",
         "{\"steps\":[{\"count\":1,\"after\":[-1]}]}",
+        "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[4294967296]}]}",
+        "{\"steps\":[{\"count\":1e300}]}",
+        "{\"steps\":[{\"count\":1,\"cpu\":9223372036854775807}]}",
+        "{\"steps\":[{\"count\":1,\"cpu\":-0.5}]}",
+        "{\"steps\":[{\"count\":1}],\"firstRunMs\":1e300}",
         "{\"taskSpec\":4,\"steps\":[{\"count\":1}]}"};
     int status = 0;
     Node__Request *r = decode_post(
@@ -277,8 +389,12 @@
     g_test_add_func("/platform/config-fields", test_config_fields);
     g_test_add_func("/platform/config-refused", test_config_refused);
     g_test_add_func("/platform/beats", test_heartbeats);
+    g_test_add_func("/platform/odd-entries", test_odd_entries);
+    g_test_add_func("/platform/odd-ids", test_odd_ids);
     g_test_add_func("/platform/orders", test_worker_calls);
     g_test_add_func("/platform/results", test_worker_results);
+    g_test_add_func("/platform/odd-answers", test_odd_answers);
+    g_test_add_func("/platform/odd-figures", test_odd_figures);
     g_test_add_func("/platform/jobs", test_jobs);
     g_test_add_func("/platform/advice", test_approval_response);
     return g_test_run();
