--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -59,6 +59,27 @@
     flow_fixture_free(&f);
 }
 
+/* Guards against sums of sizes that overflow and so let too much start. */
+static void
+largest_sizes(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", false, UINT32_MAX);
+    flow_fixture_add_worker(&f, "a", 1, UINT32_MAX);
+    flow_fixture_add_worker(&f, "b", 1, UINT64_MAX);
+    submit_job(&f, 1, 10000, UINT32_MAX, false);
+    submit_job(&f, 2, 2, UINT32_MAX, true);
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(commit_starts(&f, &plan), ==, 1);
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 0);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Jobs of a team that are placed in one round must not exceed its limit. */
 static void
 team_limit(void)
@@ -468,6 +489,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/plan/capacity", capacity);
+    g_test_add_func("/plan/largest-sizes", largest_sizes);
     g_test_add_func("/plan/team-limit", team_limit);
     g_test_add_func("/plan/gang-whole", gang_whole);
     g_test_add_func("/plan/gang-reserves", gang_reserves);
