--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -146,6 +146,20 @@
     g_free(body);
 }
 
+/* Guards against a worker that is refused for a time that nobody reads. */
+static void
+test_cold_time(void)
+{
+    static const struct odd_entry entry = {
+        .name = "cold", .member = "coldRemainingMs", .before = "-0.5"};
+    char *body = odd_entry_body(&entry, "10.0.0.1:80", NOW_MS);
+    Node__WorkerBeat *b = decode_heartbeat(STR("i-1"), str_of(body), NOW_MS);
+
+    g_assert_nonnull(b);
+    node__worker_beat__free_unpacked(b, NULL);
+    g_free(body);
+}
+
 /* Guards against an entry of another writer that is taken for a worker. */
 static void
 test_odd_entries(void)
@@ -390,6 +404,7 @@
     g_test_add_func("/platform/config-refused", test_config_refused);
     g_test_add_func("/platform/beats", test_heartbeats);
     g_test_add_func("/platform/odd-entries", test_odd_entries);
+    g_test_add_func("/platform/cold-time", test_cold_time);
     g_test_add_func("/platform/odd-ids", test_odd_ids);
     g_test_add_func("/platform/orders", test_worker_calls);
     g_test_add_func("/platform/results", test_worker_results);
