node: a restart releases a task only when no earlier run of it is left

Callers would see a task run twice: after a restart under its id, a worker lists run 1 of a task, whose start came late, while run 2 was assigned to it. Run 1 is a stray run and is stopped, which takes its time; run 2 isn't listed and was reported as not started at once, so that run 3 started elsewhere beside run 1.

While a restarted worker's runs are settled, runs are reported as not started only in a list without stray runs.

The stand-in can drop polls and counts starts; its usage comment is set out again.

Open: a stray run of a task that waits, on a worker that has none of its runs, still runs beside a new one until its stop has ended.

--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -64,6 +64,7 @@
     log_stray(l, s, task);
     metrics_stray(l->node->metrics);
     run_add(s, task, RUN_STOP_QUEUED, l->node->now);
+    s->stray_runs++;
 }
 
 /*
@@ -138,7 +139,10 @@
         break;
     case RUN_UNKNOWN:
         if (s->restarted) {
-            run_propose_not_started(l, s, r);
+            /* A stray run may be an earlier one of the same task. */
+            if (s->stray_runs == 0) {
+                run_propose_not_started(l, s, r);
+            }
             break;
         }
         run_set_phase(l, r, RUN_STOP_QUEUED);
--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -14,18 +14,30 @@
  *
  *     /fault/lose-starts {"count":N,"percent":P,"worker":W,"late_ms":D,
  *                         "hold":B,"refuse_copy":B}
- *         The next N starts (-1: all from now on) of worker W (-1, the
- *         default: of any) get no answer and are carried out D ms later. Each
- * start is chosen with a chance of P % (100). The connection is closed at
- * once, with "hold" after HOLD_MS. With "refuse_copy" the next copy of such a
- * start is refused with 503. Starts lost before stay lost. /fault/restart
- * {"worker":W,"kind":K,"run_lost":B} Worker W (0) starts again under its id,
- * of kind K ("a"). With "run_lost", lost starts then arrive at once, before
- * other calls. /fault/stops {"ms":N} Stops take N ms from now on.
  *
- * GET /fault/counts returns "lost" (starts that got no answer), "lost_worker"
- * (which worker the last of them was for), "late_accepted" and "late_refused"
- * (outcomes of those carried out since) and "stopping" (runs being stopped).
+ * The next N starts (-1: all from now on) of worker W (-1, the default: of
+ * any) get no answer and are carried out D ms later. Each start is chosen with
+ * a chance of P % (100). The connection is closed at once, with "hold" after
+ * HOLD_MS. With "refuse_copy" the next copy of such a start is refused with
+ * 503. Starts that were lost before stay lost.
+ *
+ *     /fault/restart {"worker":W,"kind":K,"run_lost":B}
+ *
+ * Worker W (0) starts again under its id, of kind K ("a"). With "run_lost",
+ * lost starts then arrive at once, before other calls.
+ *
+ *     /fault/drop-polls {"worker":W,"ms":N}
+ *
+ * Polls of worker W (0) get no answer for N ms.
+ *
+ *     /fault/stops {"ms":N}
+ *
+ * Stops take N ms from now on.
+ *
+ * GET /fault/counts returns "starts" (calls), "lost" (starts that got no
+ * answer), "lost_worker" (which worker the last of them was for),
+ * "late_accepted" and "late_refused" (outcomes of those carried out since) and
+ * "stopping" (runs being stopped).
  */
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -56,6 +68,7 @@
     int64_t poll_until_ms;
     uint64_t sequence; /* of the last announcement in this life */
     int64_t announce_due_ms;
+    int64_t polls_until_ms; /* polls get no answer until then */
 };
 
 /* A start that got no answer. It is kept for HOLD_MS, or until it has been
@@ -84,6 +97,7 @@
 static size_t worker_count;
 static struct start_fault start_fault;
 static struct lost_start lost[LOST_MAX];
+static int start_count;    /* calls since the process started */
 static int lost_count;     /* since the process started */
 static int last_lost = -1; /* the worker of the last of them */
 static int late_accepted;
@@ -236,6 +250,7 @@
 handle_start(struct worker *w, struct front_call *call, const char *expected,
              json_t *body)
 {
+    start_count++;
     if (is_refused_copy(w, body)) {
         send_reply(call, fake_worker_reply(w->model, 503));
     }
@@ -285,6 +300,9 @@
     else if (str_eq(call->path, STR("/run-stop"))) {
         send_reply(call, fake_worker_stop(w->model, expected, body));
     }
+    else if (now_ms() < w->polls_until_ms) {
+        front_abort(call);
+    }
     else {
         handle_poll(w, call, expected, body);
     }
@@ -357,13 +375,25 @@
     }
 }
 
+static void
+drop_polls(const json_t *body)
+{
+    struct worker *w = &workers[get_int(body, "worker", 0)];
+
+    w->polls_until_ms = now_ms() + get_int(body, "ms", 0);
+    if (w->poll != NULL) {
+        front_abort(w->poll);
+        w->poll = NULL;
+    }
+}
+
 static json_t *
 count_faults(void)
 {
-    return json_pack("{s:i,s:i,s:i,s:i,s:i}", "lost", lost_count,
-                     "lost_worker", last_lost, "late_accepted", late_accepted,
-                     "late_refused", late_refused, "stopping",
-                     (int)fake_worker_stopping());
+    return json_pack("{s:i,s:i,s:i,s:i,s:i,s:i}", "starts", start_count,
+                     "lost", lost_count, "lost_worker", last_lost,
+                     "late_accepted", late_accepted, "late_refused",
+                     late_refused, "stopping", (int)fake_worker_stopping());
 }
 
 /* Handles a call of the approval service or a fault. */
@@ -381,6 +411,10 @@
         restart_worker(body);
         answer = json_object();
     }
+    else if (str_eq(call->path, STR("/fault/drop-polls"))) {
+        drop_polls(body);
+        answer = json_object();
+    }
     else if (str_eq(call->path, STR("/fault/stops"))) {
         fake_worker_set_stop_ms(get_int(body, "ms", 0));
         answer = json_object();
--- a/tests/test_e2e_worker_life.c
+++ b/tests/test_e2e_worker_life.c
@@ -176,6 +176,50 @@
     g_free(stops);
 }
 
+/* Guards against a restarted worker that is lost, while it still stops a run,
+ * because it answered late. */
+static void
+slow_stop_after_restart(void)
+{
+    struct platform_rig r;
+    char *stops = g_strdup_printf("{\"ms\":%d}", STOP_MS);
+    char *polls;
+    int worker;
+
+    open_rig(&r);
+    platform_fault(&r, "stops", stops);
+    worker = lose_start(&r, "{\"count\":1,\"late_ms\":2500}");
+    polls = g_strdup_printf("{\"worker\":%d,\"ms\":3000}", worker);
+    platform_fault(&r, "drop-polls", polls);
+    restart_worker(&r, worker, "false");
+    platform_await_completed(&r, LATE_JOB);
+    platform_close(&r);
+    g_free(polls);
+    g_free(stops);
+}
+
+/* Guards against a task that is released by a restart while an earlier run of
+ * it, which came late, is still being stopped. */
+static void
+release_beside_stray(void)
+{
+    struct platform_rig r;
+    char *stops = g_strdup_printf("{\"ms\":%d}", STOP_MS);
+    int worker;
+    int starts;
+
+    open_rig(&r);
+    platform_fault(&r, "stops", stops);
+    starts = platform_fault_count(&r, "starts");
+    worker = lose_start(&r, "{\"count\":1,\"late_ms\":20000}");
+    /* Run 2 starts on the same worker, the only one left of its kind. */
+    platform_await_fault_count(&r, "starts", starts + 2);
+    restart_worker(&r, worker, "true");
+    platform_await_completed(&r, LATE_JOB);
+    platform_close(&r);
+    g_free(stops);
+}
+
 /* Announces a worker of the given id at the address of worker 0 of the rig,
  * which started an hour later than that worker. */
 static void
@@ -267,5 +311,9 @@
     g_test_add_func("/e2e/platform/false-announcement-of-id",
                     false_announcement_of_id);
     g_test_add_func("/e2e/platform/late-deregistration", late_deregistration);
+    g_test_add_func("/e2e/platform/slow-stop-after-restart",
+                    slow_stop_after_restart);
+    g_test_add_func("/e2e/platform/release-beside-stray",
+                    release_beside_stray);
     return g_test_run();
 }
