node: a refused start whose end is not committed is looked up again

Callers' jobs could wait for ever (LOST): a start that a worker refused was reported as not started and its run stayed in the phase 'sent'. If that batch could not be proposed (a transfer of leadership that fails, a full queue of a slow disk), the report was forgotten, and nothing looked at a run that is 'sent' again: the task stayed assigned until its worker or the leader went.

The run is now uncertain, so that the next list of the worker settles it.

--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -74,6 +74,8 @@
                 r->task.step, r->task.index, r->task.run, s->number,
                 (int)refusal);
     run_to_flow_task(&task, &r->task, s->number);
+    /* The run is looked up again if its end cannot be committed. */
+    run_set_phase(l, r, RUN_UNCERTAIN);
     switch (refusal) {
     case NODE_REFUSAL_BAD_TICKET:
         if (flow_task(l->state, &task, &step) != NULL) {
@@ -95,7 +97,6 @@
     case NODE_REFUSAL_WRONG_WORKER:
     case NODE_REFUSAL_MALFORMED:
     case NODE_REFUSAL_NONE:
-        run_set_phase(l, r, RUN_UNCERTAIN);
         break;
     }
 }
