node: only an answered poll shows which process of a worker answers

After a failed poll, the next one acknowledges no ends, as another process of the worker may answer it. The answer to a start or a stop cleared that state, though it does not say which process gave it, so that a poll could make a restarted worker forget ends by the numbers of its earlier process; tasks that had ended there would run again (TWICE).

The state is now cleared by an answered poll alone.

--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -337,6 +337,9 @@
         return;
     }
     session_record_answer(l, s, result);
+    /* Only an answer to a poll tells which process of the worker gave it. */
+    s->poll_failing = false;
+    s->retry_ms = RETRY_MIN_MS;
     s->poll_answered = true;
     if (s->deregistered && sent_at >= s->exit_due_at) {
         /* The deregistration was of an earlier process of the worker. */
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -491,8 +491,6 @@
                       const struct node_worker_result *result)
 {
     s->answered_at = l->node->now;
-    s->poll_failing = false;
-    s->retry_ms = RETRY_MIN_MS;
     record_clock(l, s, result->clock_ms);
 }
 
