daemon: an earlier incarnation of a worker does not overwrite a later one

A worker of the product's own jobs that restarts may have a sync of its earlier process on the way. The incarnation is compared when a sync is received, but the registration of the earlier one could be committed after the later sync was received; its answer was then handled as current. Callers saw a worker listed as up with free capacity that was given no task for 14 to 25 s, and its leases could end too early, while it runs them.

The registration is now also compared with the incarnation of the session when it has been applied. Shown by the review with two concurrent syncs sent by hand: the earlier one was stored within 3 tries, in 3 of 3 runs, and not in 199 tries after this change. No test here drives that race; test_e2e_jobs passes.

--- a/packages/daemon/worker_syncs.c
+++ b/packages/daemon/worker_syncs.c
@@ -265,18 +265,23 @@
 {
     const struct state_worker *worker = state_worker_by_name(
         leader_state(call->leader), str_of(call->match.param));
+    struct worker_session *session;
 
     if (result->kind != STATE_APPLIED || worker == NULL) {
         call_fail_state(call, result);
         return;
     }
-    if (worker->incarnation != call->sync.incarnation) {
+    session = worker_session_get(call->leader, worker->number);
+    /* The registration of an earlier incarnation may be applied after a later
+     * one was received. */
+    if (worker->incarnation != call->sync.incarnation ||
+        session->incarnation > call->sync.incarnation) {
         call_fail(call, 409, "stale", "incarnation",
                   "a later incarnation was received");
         return;
     }
     /* Has handle_sync report the capacity, which may have changed. */
-    worker_session_get(call->leader, worker->number)->up = false;
+    session->up = false;
     handle_sync(call->leader, worker, call);
 }
 
