platform: take an announcement without a time of start

The protocol's example has no born, and a deployment without it would have lost all its workers; those of the kit have it.

--- a/packages/flow/worker.c
+++ b/packages/flow/worker.c
@@ -57,7 +57,8 @@
  * Adds a worker, or updates it if its process is known. A registration has no
  * number and gets the next one; a worker from a snapshot keeps its number. A
  * later process start of the same id replaces the worker and unassigns its
- * tasks, which cannot run any more; an earlier one is out of date and ignored.
+ * tasks; the leader registers one when none is left to run. An earlier one is
+ * out of date and ignored.
  */
 void
 worker_register(struct flow_state *s, const Flow__Worker *in)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -122,6 +122,14 @@
     g_assert_cmpint(b->worker->born_ms, ==, 12);
     g_assert_cmpint(b->clock_ms, ==, 99);
     node__worker_beat__free_unpacked(b, NULL);
+    b = decode_heartbeat(
+        STR("i-1"),
+        STR("{\"service\":\"s\",\"zone\":\"z\",\"address\":\"10.0.0.1:80\","
+            "\"capacity\":{\"cpu\":1},\"state\":\"ready\"}"),
+        NOW_MS);
+    g_assert_nonnull(b);
+    g_assert_cmpint(b->worker->born_ms, ==, 0);
+    node__worker_beat__free_unpacked(b, NULL);
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
         g_assert_null(decode_heartbeat(STR("i-1"), str_of(bad[i]), NOW_MS));
     }
