--- a/packages/node/leader.h
+++ b/packages/node/leader.h
@@ -108,8 +108,7 @@
 /* Records the worker's clock from an announcement if the session does not know
  * it yet; -1: not given. */
 void
-workers_record_announcement(struct leader *l, const struct flow_worker *w,
-                            int64_t clock_ms);
+workers_record_announcement(const struct flow_worker *w, int64_t clock_ms);
 
 /* Polls the worker at once, because another process may have its address. The
  * answer decides whether it is lost. */
--- a/packages/node/leader_requests.c
+++ b/packages/node/leader_requests.c
@@ -347,7 +347,7 @@
         if (sequence != NULL) {
             *sequence = announced->sequence;
         }
-        workers_record_announcement(l, w, req->beat->clock_ms);
+        workers_record_announcement(w, req->beat->clock_ms);
         if (is_unchanged(w, announced)) {
             reply_ok(l, from);
             return;
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -201,7 +201,7 @@
 }
 
 static void
-record_clock(struct leader *l, struct session *s, int64_t clock_ms)
+record_clock(struct session *s, int64_t clock_ms)
 {
     if (clock_ms >= 0) {
         s->clock_known = true;
@@ -213,13 +213,12 @@
 }
 
 void
-workers_record_announcement(struct leader *l, const struct flow_worker *w,
-                            int64_t clock_ms)
+workers_record_announcement(const struct flow_worker *w, int64_t clock_ms)
 {
     struct session *s = worker_session(w);
 
     if (s != NULL && !s->clock_known && !s->restarted) {
-        record_clock(l, s, clock_ms);
+        record_clock(s, clock_ms);
     }
 }
 
@@ -491,7 +490,7 @@
                       const struct node_worker_result *result)
 {
     s->answered_at = l->node->now;
-    record_clock(l, s, result->clock_ms);
+    record_clock(s, result->clock_ms);
 }
 
 void
