node: names of the session's fields say what they hold

settling was restarted, removal_proposed was loss_proposed, which is also set when the next process of a worker is registered. session_verify() is private.

--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -62,9 +62,10 @@
     uint32_t number;
     struct map *runs; /* by task and run number */
     uint64_t token;   /* fencing token of calls to the worker's process */
-    int64_t born_ms;  /* start of the process, later than the registered one
-                       * while restarted is set */
-    bool restarted;   /* runs of the registered process are being settled */
+    int64_t born_ms;  /* start of the process that is called */
+    /* A later process than the registered one answers. The runs of the
+     * registered one are being settled with it. */
+    bool settling;
     struct buf announced; /* Flow__Worker of a later process, or empty */
     int64_t announced_born_ms;
     uint64_t announced_sequence;
@@ -88,8 +89,10 @@
     bool deregistered;
     /* When a process that has deregistered has exited. */
     int64_t exit_due_at;
-    bool loss_proposed; /* its removal is being committed */
-    bool step_queued;   /* is in the leader's step_queue */
+    /* Its removal, or the registration of its next process, is being
+     * committed. */
+    bool removal_proposed;
+    bool step_queued; /* is in the leader's step_queue */
     /* Failed polls, reset by an answer RELAY_KEPT_MS after the last failure.
      * Selects the path, see relay_choose(). */
     uint32_t polls_unanswered;
@@ -126,11 +129,6 @@
 void
 run_set_phase(struct leader *l, struct run *r, enum run_phase phase);
 
-/* Polls the worker at once, with a new token, unless its answer to such a poll
- * is awaited. No calls but this one are open after it. */
-void
-session_verify(struct leader *l, struct session *s);
-
 /* Prepares the session to settle the runs of the registered process with the
  * worker's process that started at born_ms. */
 void
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -138,7 +138,7 @@
         }
         break;
     case RUN_UNKNOWN:
-        if (s->restarted) {
+        if (s->settling) {
             /* A stray run may be an earlier one of the same task. */
             if (s->stray_runs == 0) {
                 run_propose_not_started(l, s, r);
@@ -239,7 +239,7 @@
 should_record_end(struct session *s, const struct node_ended_run *e)
 {
     struct run *r = run_find(s, &e->task);
-    bool record = !s->restarted || (r != NULL && !r->end_proposed);
+    bool record = !s->settling || (r != NULL && !r->end_proposed);
 
     if (r != NULL) {
         r->end_proposed = true;
@@ -285,12 +285,12 @@
     }
     if (ends.n_ends > 0) {
         ends.worker = s->number;
-        ends.last_seen = s->restarted ? 0 : highest;
+        ends.last_seen = s->settling ? 0 : highest;
         ends.ends = list;
         command.kind_case = FLOW__COMMAND__KIND_ENDS;
         command.ends = &ends;
         leader_queue_command(l, &command);
-        if (!s->restarted) {
+        if (!s->settling) {
             s->proposed_end_number = highest;
         }
     }
@@ -350,11 +350,11 @@
         s->polls_unanswered = 0;
     }
     reconcile_runs(l, s, result, sent_at);
-    queue_ends(l, s, result, s->restarted ? 0 : w->last_seen);
+    queue_ends(l, s, result, s->settling ? 0 : w->last_seen);
     /* The ends on a restarted worker are not acknowledged, so that a poll does
      * not wait. */
     s->poll_due =
-        l->node->now + (s->restarted ? POLL_SHORT_WAIT_MS * NS_PER_MS : 0);
+        l->node->now + (s->settling ? POLL_SHORT_WAIT_MS * NS_PER_MS : 0);
 }
 
 static void
@@ -402,16 +402,15 @@
 {
     struct out_call *call =
         worker_call_create(l, s, w, NODE_CALL_POLL, handle_poll_result);
-    uint32_t wait_ms =
-        !s->poll_answered || s->restarted || has_uncertain_run(s)
-            ? POLL_SHORT_WAIT_MS
-            : POLL_WAIT_MS;
+    uint32_t wait_ms = !s->poll_answered || s->settling || has_uncertain_run(s)
+                           ? POLL_SHORT_WAIT_MS
+                           : POLL_WAIT_MS;
 
     /* After a failed poll, another process of the worker may answer, which
      * must not forget ends by the numbers of the earlier one. */
     call->call.u.poll.last_seen =
-        s->poll_answered && !s->poll_failing && !s->restarted ? w->last_seen
-                                                              : 0;
+        s->poll_answered && !s->poll_failing && !s->settling ? w->last_seen
+                                                             : 0;
     call->call.u.poll.lease_until_ms = session_extend_lease(l, s);
     call->call.u.poll.wait_ms = wait_ms;
     s->polling = worker_call_send(
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -217,7 +217,7 @@
 {
     struct session *s = worker_session(w);
 
-    if (s != NULL && !s->clock_known && !s->restarted) {
+    if (s != NULL && !s->clock_known && !s->settling) {
         record_clock(s, clock_ms);
     }
 }
@@ -263,7 +263,9 @@
     session_queue_step(s);
 }
 
-void
+/* Polls the worker at once, with a new token, unless its answer to such a poll
+ * is awaited. */
+static void
 session_verify(struct leader *l, struct session *s)
 {
     if (!s->polling || s->poll_answered || s->poll_failing) {
@@ -296,7 +298,7 @@
                 "earlier_born=%lld",
                 STR_ARG(w->id), s->number, w->tasks, count_unconfirmed_runs(s),
                 (long long)born_ms, (long long)s->born_ms);
-    s->restarted = true;
+    s->settling = true;
     s->born_ms = born_ms;
     s->deregistered = false;
     s->poll_failing = false;
@@ -360,7 +362,7 @@
         void *run_cursor = NULL;
 
         s->proposed_end_number = 0;
-        s->loss_proposed = false;
+        s->removal_proposed = false;
         while ((r = map_next(s->runs, &run_cursor)) != NULL) {
             r->end_proposed = false;
         }
@@ -385,7 +387,7 @@
     int64_t until;
     int64_t expires_at;
 
-    if (!s->clock_known || s->poll_failing || s->restarted) {
+    if (!s->clock_known || s->poll_failing || s->settling) {
         return 0;
     }
     until = s->clock_ms + (l->node->now - s->clock_read_at) / NS_PER_MS +
@@ -421,10 +423,10 @@
 {
     const struct flow_worker *w = flow_worker(l->state, s->number);
 
-    if (s->loss_proposed || w == NULL) {
+    if (s->removal_proposed || w == NULL) {
         return;
     }
-    s->loss_proposed = true;
+    s->removal_proposed = true;
     s->plan.usable = false;
     workers_propose_lost(l, s->number);
     event_write(&event_lost,
@@ -553,7 +555,10 @@
 {
     struct flow_step *step;
 
-    return r->phase >= RUN_STOP_QUEUED && !r->end_proposed &&
+    bool stopping = r->phase == RUN_STOP_QUEUED || r->phase == RUN_STOP_SENT ||
+                    r->phase == RUN_STOPPED;
+
+    return stopping && !r->end_proposed &&
            run_find_assigned_task(l, s->number, &r->task, &step) == NULL;
 }
 
@@ -579,12 +584,12 @@
             return;
         }
     }
-    else if (s->restarted && r->phase == RUN_QUEUED) {
+    else if (s->settling && r->phase == RUN_QUEUED) {
         run_propose_not_started(l, s, r);
         return;
     }
     else if (!should_run(l, r, step) ||
-             (s->restarted && r->phase == RUN_ACTIVE)) {
+             (s->settling && r->phase == RUN_ACTIVE)) {
         if (r->phase == RUN_QUEUED) {
             run_propose_not_started(l, s, r);
             return;
@@ -632,7 +637,7 @@
     command.kind_case = FLOW__COMMAND__KIND_WORKER;
     leader_queue_command(l, &command);
     flow__worker__free_unpacked(command.worker, NULL);
-    s->loss_proposed = true;
+    s->removal_proposed = true;
 }
 
 static void
@@ -641,7 +646,7 @@
     struct run *r;
     void *cursor = NULL;
 
-    if (s->loss_proposed) {
+    if (s->removal_proposed) {
         return;
     }
     if (l->node->now >= s->lease_expires_at) {
@@ -656,7 +661,7 @@
     while ((r = map_next(s->runs, &cursor)) != NULL) {
         step_run(l, s, w, r);
     }
-    if (s->restarted && is_settled(l, s)) {
+    if (s->settling && is_settled(l, s)) {
         register_new_process(l, s);
         return;
     }
@@ -666,7 +671,7 @@
         w->last_seen >= s->proposed_end_number) {
         session_poll(l, s, w);
     }
-    if (!s->poll_answered || s->deregistered || s->restarted ||
+    if (!s->poll_answered || s->deregistered || s->settling ||
         s->stray_runs > 0) {
         s->plan.usable = false;
         return;
