--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -85,7 +85,7 @@
     uint64_t failed_job;           /* job of the last of them */
     bool polling;                  /* a poll is open */
     bool poll_failing;             /* set by a failed poll until an answer */
-    bool poll_answered;            /* at least one poll was answered */
+    bool poll_answered;            /* a poll with the token was answered */
     bool deregistered;
     /* When a process that has deregistered has exited. */
     int64_t exit_due_at;
