node: poll a worker soon after a refusal if a later process is announced

An announcement of a later process polls at once unless an answer is awaited. A refused or malformed answer that came just then put the next poll off by 800 ms, as for a worker that is not expected to change. It is now 100 ms while a later process is announced.

/e2e/platform/odd-answers under AddressSanitizer: 1 of 1 failed before, 2 of 2 pass after.

--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -333,7 +333,11 @@
         return;
     }
     if (result->refusal != NODE_REFUSAL_NONE) {
-        s->poll_due = l->node->now + RETRY_MAX_MS * NS_PER_MS;
+        /* A later process that is announced may answer otherwise. */
+        s->poll_due =
+            l->node->now +
+            (s->announced_born_ms > s->born_ms ? RETRY_MIN_MS : RETRY_MAX_MS) *
+                NS_PER_MS;
         return;
     }
     session_record_answer(l, s, result);
