node: a control VM that was removed while it could not hear returns

Cause: with one voter more than the target, the leader removed the first voter that had not answered within an election timeout. That could be one that was cut off for a moment while another was being replaced. The removed VM kept its old configuration, took itself for a voter and never asked to join, so that the group stayed one voter short; the loss of two disks, which five voters bear, then ended it. A new leader took every voter for silent until it first answered.

Change: a control VM that hears from no leader asks to join, whatever its own log says; the leader adds it as a learner if it is no member. Log lines name the removed VM and each change of the numbers; metrics count voters, silent members and control VMs outside.

--- a/packages/node/group.c
+++ b/packages/node/group.c
@@ -509,6 +509,7 @@
     }
     update_role(g);
     announce_leader_change(g);
+    group_log_members(g);
     take_snapshot(g);
     peer_set_identity(n->hub, g->member_id, group_cluster_id(g));
 }
--- a/packages/node/group_join.c
+++ b/packages/node/group_join.c
@@ -1,7 +1,8 @@
 /*
- * Membership of the Raft group. At the first start the seeds form the group.
- * Every other control VM, and one that restarts without its data, asks the
- * leader to be added. The leader removes surplus voters that do not respond.
+ * How a control VM becomes a member of the Raft group. At the first start the
+ * seeds form the group. Every other control VM, and one that restarts without
+ * its data, asks the leader to be added. So does a member that hears from no
+ * leader: it may have been removed while it was cut off or paused.
  */
 #include <string.h>
 
@@ -12,12 +13,6 @@
 enum {
     JOIN_INTERVAL_MS = 300,
     SEEDS_MAX = 8,
-    /* An unresponsive voter is removed only while there are more voters than
-     * this. */
-    VOTERS_TARGET = 5,
-    /* Unused. A voter counts as unresponsive if it has not replied within the
-     * election timeout, see struct raft_progress. */
-    GONE_AFTER_MS = 4000,
 };
 
 static struct event_kind event_group = {.name = "group"};
@@ -181,28 +176,15 @@
     }
 }
 
-static void
-remove_unresponsive_voter(struct group *g)
+/* Returns whether this VM is a member as far as it knows. Only a member that
+ * hears from a leader can be sure. */
+static bool
+is_member_of_working_group(const struct group *g)
 {
-    size_t count;
-    const struct raft_member *members = raft_members(g->raft, &count);
-    size_t voters = 0;
-
-    for (size_t i = 0; i < count; i++) {
-        voters += members[i].voter;
-    }
-    for (size_t i = 0; i < count && voters > VOTERS_TARGET; i++) {
-        struct raft_progress progress;
+    struct raft_status status;
 
-        if (members[i].voter && members[i].id != g->member_id &&
-            raft_progress(g->raft, g->node->now, members[i].id, &progress) &&
-            !progress.active &&
-            raft_propose_config(g->raft, g->node->now, RAFT_REMOVE,
-                                &members[i], NULL) == RAFT_OK) {
-            event_write(&event_group, "outcome=voter-removed reason=silent");
-            return;
-        }
-    }
+    raft_status(g->raft, &status);
+    return group_is_member(g) && status.leader != 0;
 }
 
 void
@@ -216,9 +198,9 @@
     }
     g->join_due = n->now + JOIN_INTERVAL_MS * NS_PER_MS;
     if (n->leader != NULL) {
-        remove_unresponsive_voter(g);
+        group_remove_silent_member(g);
     }
-    if (group_is_member(g) || g->failed) {
+    if (is_member_of_working_group(g) || g->failed) {
         return;
     }
     raft_members(g->raft, &count);
@@ -226,7 +208,7 @@
         is_first_seed(g, n->settings.peer_listen)) {
         bootstrap_group(g);
     }
-    if (!group_is_member(g)) {
+    if (!is_member_of_working_group(g)) {
         send_join_requests(g);
     }
 }
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -143,6 +143,16 @@
     bool failed;   /* the storage failed */
     uint64_t announced_term;
     uint64_t announced_leader;
+    size_t logged_voters;
+    size_t logged_learners;
+};
+
+/* Members and control VMs as this one sees them. */
+struct group_counts {
+    size_t voters;
+    size_t learners;
+    size_t silent;  /* members that do not reply; 0 unless this one leads */
+    size_t outside; /* control VMs, also this one, that are no members */
 };
 
 struct group *
@@ -181,6 +191,18 @@
 bool
 group_is_member(const struct group *g);
 
+/* group_members.c */
+
+/* Removes a member that has been silent too long, see membership.h. */
+void
+group_remove_silent_member(struct group *g);
+void
+group_count_members(const struct group *g, struct group_counts *out);
+
+/* Logs a change of the numbers of members. */
+void
+group_log_members(struct group *g);
+
 /* links.c */
 
 bool
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -170,11 +170,18 @@
 refresh_group_gauges(const struct node *n)
 {
     const Flow__Config *config = flow_current_config(n->group->state);
-    size_t members = 0;
+    struct group_counts counts;
 
-    raft_members(n->group->raft, &members);
+    group_count_members(n->group, &counts);
     set_gauge("guavarock_group_members", "Members of the control group.",
-              members);
+              counts.voters + counts.learners);
+    set_gauge("guavarock_group_voters", "Voters of the control group.",
+              counts.voters);
+    set_gauge("guavarock_group_silent",
+              "Members that do not reply to the leader; 0 on followers.",
+              counts.silent);
+    set_gauge("guavarock_group_outside",
+              "Running control VMs that are no members.", counts.outside);
     set_gauge("guavarock_config_version", "Version of the configuration held.",
               config == NULL ? 0 : config->version);
     set_gauge("guavarock_live_jobs", "Jobs that have not ended.",
--- a/packages/raft/include/raft.h
+++ b/packages/raft/include/raft.h
@@ -377,6 +377,9 @@
     uint64_t next;         /* index of the next entry to send */
     size_t inflight_bytes; /* sent but not acknowledged */
     bool active;           /* replied within the election timeout */
+    /* Send time of the newest message that it answered, or the time of the
+     * election if that is later. */
+    int64_t silent_since;
 };
 
 /* Returns false if this node does not lead or id is no member. */
--- a/packages/raft/status.c
+++ b/packages/raft/status.c
@@ -48,6 +48,9 @@
         .match = p->match,
         .next = p->next,
         .active = peer_is_active(r, p, now),
+        .silent_since = p->answered_sent_ns > r->elected_at
+                            ? p->answered_sent_ns
+                            : r->elected_at,
     };
     if (p->state == PEER_REPLICATE) {
         out->inflight_bytes =
