node: a control VM whose disk was full works again once there is space

Cause: after a failed write the member neither voted nor acknowledged until its process was restarted by hand. Three full disks of five, at any times, ended the group for good.

Change: a failed storage is closed and opened again every 500 ms, with the state read from the disk; what was not acknowledged may be gone. The leader stepped aside at once before and does so still. guavarock_storage_failed says so on the metrics address, event=storage outcome=failed and reopened in the log. guavarockd_faulty matches its directory by whole path components: it also failed writes to the log beside it.

--- a/packages/node/group.c
+++ b/packages/node/group.c
@@ -20,6 +20,8 @@
      * rare. */
     SNAPSHOT_LOG_BYTES = 12 << 20,
     PRUNE_INTERVAL_MS = 5000,
+    /* Interval of attempts to open a failed storage again. */
+    REOPEN_INTERVAL_MS = 500,
     /* Cluster id announced by a member that has log entries; 0 without. */
     CLUSTER_ID_HAS_DATA = 2,
 };
@@ -164,6 +166,28 @@
     mem_free(g);
 }
 
+struct group *
+group_reopen(struct group *g)
+{
+    struct node *n = g->node;
+    struct group *fresh;
+
+    if (n->now < g->reopen_due || n->leader != NULL ||
+        (g->storage != NULL && !storage_is_idle(g->storage))) {
+        return g;
+    }
+    g->reopen_due = n->now + REOPEN_INTERVAL_MS * NS_PER_MS;
+    storage_destroy(g->storage);
+    g->storage = NULL;
+    fresh = group_create(n);
+    if (fresh == NULL) {
+        return g;
+    }
+    event_write(&event_storage, "outcome=reopened");
+    group_destroy(g);
+    return fresh;
+}
+
 bool
 group_is_leader(const struct group *g)
 {
@@ -207,6 +231,7 @@
         event_write(&event_storage, "outcome=failed reason=\"%s\"",
                     store_error_text(error));
         g->failed = true;
+        g->reopen_due = g->node->now + REOPEN_INTERVAL_MS * NS_PER_MS;
         raft_storage_failed(g->raft, g->node->now);
     }
 }
@@ -364,7 +389,7 @@
 {
     struct storage_job *job;
 
-    if (g->log_bytes < SNAPSHOT_LOG_BYTES || g->snapshot_busy ||
+    if (g->failed || g->log_bytes < SNAPSHOT_LOG_BYTES || g->snapshot_busy ||
         g->install.len > 0 || raft_is_sending_snapshot(g->raft)) {
         return;
     }
@@ -504,7 +529,7 @@
     }
     group_join_step(g);
     propose_prune(g);
-    while (raft_ready(g->raft, n->now, &out)) {
+    while (!g->failed && raft_ready(g->raft, n->now, &out)) {
         process_output(g, &out);
     }
     update_role(g);
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -107,6 +107,11 @@
 storage_create(struct store *store, struct ring *done);
 void
 storage_destroy(struct storage *s);
+
+/* After a failure: drops the queued jobs and returns whether the one that was
+ * started has ended, so that the storage can be destroyed. */
+bool
+storage_is_idle(struct storage *s);
 struct storage_job *
 storage_job_create(enum storage_job_kind kind);
 void
@@ -139,8 +144,9 @@
     int64_t join_due;
     int64_t prune_due;
     bool snapshot_busy;
-    bool has_data; /* unused */
-    bool failed;   /* the storage failed */
+    bool has_data;      /* unused */
+    bool failed;        /* the storage failed */
+    int64_t reopen_due; /* next attempt to open a failed storage again */
     uint64_t announced_term;
     uint64_t announced_leader;
     size_t logged_voters;
@@ -159,6 +165,13 @@
 group_create(struct node *n);
 void
 group_destroy(struct group *g);
+/*
+ * Opens a failed storage again, for example once a full disk has space. What
+ * was not acknowledged may be gone; everything else is read from the disk.
+ * Returns the new group in place of g, or g if it is too early or fails.
+ */
+struct group *
+group_reopen(struct group *g);
 void
 group_receive(struct group *g, const struct link *from, struct str bytes);
 void
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -192,6 +192,9 @@
               counts.silent);
     set_gauge("guavarock_group_outside",
               "Running control VMs that are no members.", counts.outside);
+    set_gauge("guavarock_storage_failed",
+              "1 while the data directory cannot be written.",
+              n->group->failed);
     set_gauge("guavarock_config_version", "Version of the configuration held.",
               config == NULL ? 0 : config->version);
     set_gauge("guavarock_live_jobs", "Jobs that have not ended.",
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -362,6 +362,9 @@
     if (n->group != NULL) {
         group_step(n->group);
     }
+    if (n->group != NULL && n->group->failed) {
+        n->group = group_reopen(n->group);
+    }
     drain_step(n);
     event_flush();
 }
--- a/packages/node/storage.c
+++ b/packages/node/storage.c
@@ -163,6 +163,19 @@
     mem_free(s);
 }
 
+bool
+storage_is_idle(struct storage *s)
+{
+    struct storage_job *next;
+
+    for (; s->queue_head != NULL; s->queue_head = next) {
+        next = s->queue_head->next;
+        storage_job_free(s->queue_head);
+    }
+    s->queue_tail = NULL;
+    return !s->in_flight;
+}
+
 static void
 start_next(struct storage *s)
 {
--- a/tests/fakes/guavarockd_faulty.c
+++ b/tests/fakes/guavarockd_faulty.c
@@ -55,8 +55,10 @@
 is_below_dir(const char *path)
 {
     const char *dir = getenv("GV_FAULT_DIR");
+    size_t len = dir == NULL ? 0 : strlen(dir);
 
-    return dir != NULL && strncmp(path, dir, strlen(dir)) == 0;
+    return len > 0 && strncmp(path, dir, len) == 0 &&
+           (path[len] == '/' || path[len] == '\0');
 }
 
 static bool
--- a/tests/support/platform_rig.c
+++ b/tests/support/platform_rig.c
@@ -78,12 +78,21 @@
 {
     char *settings_path = write_settings(r, vm, ip, control);
     char *log_path = g_strdup_printf("%s/%s.log", r->dir, vm);
-    char *bin = g_build_filename(g_getenv("GV_BIN"), "guavarockd", NULL);
+    bool faulty = control && r->faulty_disks;
+    char *bin = g_build_filename(
+        g_getenv("GV_BIN"), faulty ? "fakes/guavarockd_faulty" : "guavarockd",
+        NULL);
+    char *data = g_strdup_printf("%s/%s", r->dir, vm);
     char *argv[] = {bin, (char *)"--platform", NULL};
     pid_t pid;
 
+    if (faulty) {
+        g_setenv("GV_FAULT_DIR", data, TRUE);
+    }
+
     g_setenv("GUAVAROCK_SETTINGS", settings_path, TRUE);
     pid = proc_spawn(log_path, argv);
+    g_free(data);
     g_free(bin);
     g_free(log_path);
     g_free(settings_path);
@@ -216,14 +225,15 @@
                            r->queue, job + 1);
 }
 
-void
-platform_open(struct platform_rig *r, int controls, int entries,
-              int worker_processes)
+static void
+open_rig(struct platform_rig *r, int controls, int entries,
+         int worker_processes, bool faulty_disks)
 {
     char *config = platform_config(1);
     char *url;
 
     memset(r, 0, sizeof(*r));
+    r->faulty_disks = faulty_disks;
     r->dir = g_dir_make_tmp("platform-XXXXXX", NULL);
     r->port = 20000 + (int)(getpid() % 4000) * 10;
     r->client = http_client_create();
@@ -252,6 +262,20 @@
     }
 }
 
+void
+platform_open(struct platform_rig *r, int controls, int entries,
+              int worker_processes)
+{
+    open_rig(r, controls, entries, worker_processes, false);
+}
+
+void
+platform_open_faulty(struct platform_rig *r, int controls, int entries,
+                     int worker_processes)
+{
+    open_rig(r, controls, entries, worker_processes, true);
+}
+
 /* Prints the lines in which workers say that they were called wrongly, and
  * returns their number. */
 static int
--- a/tests/support/platform_rig.h
+++ b/tests/support/platform_rig.h
@@ -1,6 +1,7 @@
 #ifndef GV_TEST_PLATFORM_RIG_H
 #define GV_TEST_PLATFORM_RIG_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <sys/types.h>
 
@@ -33,6 +34,9 @@
     int controls;
     int entries;
     int worker_processes;
+    /* Control VMs run as guavarockd_faulty: operations in the data directory
+     * c<i> fail as the file c<i>.fault beside it says. */
+    bool faulty_disks;
     pid_t control[PLATFORM_CONTROLS_MAX];
     pid_t entry[PLATFORM_ENTRIES_MAX];
     pid_t workers[PLATFORM_WORKER_PROCESSES_MAX];
@@ -45,6 +49,11 @@
 platform_open(struct platform_rig *r, int controls, int entries,
               int worker_processes);
 
+/* The same with faulty_disks. */
+void
+platform_open_faulty(struct platform_rig *r, int controls, int entries,
+                     int worker_processes);
+
 /* Terminates all processes. Prints what worker processes 0 to 2 reported, and
  * fails if that is a second run of a task or a worker over its capacity. */
 void
--- a/tests/test_e2e_group.c
+++ b/tests/test_e2e_group.c
@@ -218,11 +218,97 @@
     platform_close(&r);
 }
 
+static void
+set_disk_full(struct platform_rig *r, int vm, bool full)
+{
+    char *file = g_strdup_printf("%s/c%d.fault", r->dir, vm);
+
+    if (full) {
+        g_file_set_contents(file, "write 28 0 0\nopen 28 0 0\n", -1, NULL);
+    }
+    else {
+        g_unlink(file);
+    }
+    g_free(file);
+}
+
+static bool
+log_contains(struct platform_rig *r, int vm, const char *text)
+{
+    char *file = g_strdup_printf("%s/c%d.log", r->dir, vm);
+    char *log = NULL;
+    bool found = g_file_get_contents(file, &log, NULL, NULL) &&
+                 strstr(log, text) != NULL;
+
+    g_free(log);
+    g_free(file);
+    return found;
+}
+
+/* Returns the status of one attempt to put a configuration on a control VM. */
+static long
+try_config(struct platform_rig *r, int vm, int version)
+{
+    char *config = platform_config(version);
+    char *url = platform_control_url(r, vm, 0, "/config");
+    long status = platform_call(r, "PUT", url, config, NULL, 0);
+
+    g_free(url);
+    g_free(config);
+    return status;
+}
+
+/*
+ * Guards against control VMs that stay out of the group for good after their
+ * disk was full: first the leader's, then all of them. Nothing is acknowledged
+ * that is not stored, and nobody restarts a process.
+ */
+static void
+disks_full(void)
+{
+    enum {
+        SEEDS = 3,
+        REFUSED_VERSION = CONFIG_VERSION + 1,
+    };
+    bool running[CONTROLS + 1] = {true, true, true};
+    struct platform_rig r;
+    char *config = platform_config(REFUSED_VERSION);
+    char *url;
+    int leader;
+
+    platform_open_faulty(&r, SEEDS, 1, 1);
+    leader = find_leader(&r, running);
+    set_disk_full(&r, leader, true);
+    put_config(&r, (leader + 1) % SEEDS);
+    g_assert_true(reads_config(&r, (leader + 2) % SEEDS));
+
+    for (int i = 0; i < SEEDS; i++) {
+        set_disk_full(&r, i, true);
+    }
+    for (int i = 0; i < SEEDS; i++) {
+        g_assert_cmpint(try_config(&r, i, REFUSED_VERSION), !=, 200);
+    }
+    for (int i = 0; i < SEEDS; i++) {
+        set_disk_full(&r, i, false);
+    }
+    url = platform_control_url(&r, leader, 0, "/config");
+    platform_await_status(&r, "PUT", url, config, 200);
+    for (int i = 0; i < SEEDS; i++) {
+        await_metric(&r, i, "guavarock_storage_failed", 0);
+        g_assert_true(log_contains(&r, i, "event=storage outcome=failed"));
+        g_assert_true(log_contains(&r, i, "event=storage outcome=reopened"));
+    }
+    g_free(url);
+    g_free(config);
+    platform_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/e2e/group/paused-while-replaced", paused_while_replaced);
     g_test_add_func("/e2e/group/removed-returns", removed_returns);
+    g_test_add_func("/e2e/group/disks-full", disks_full);
     return g_test_run();
 }
