tests: teams with limits in the load model of the planner

Cause: the model had one team without a limit, so that it did not show what binds on the large site: gangs of teams that are near their limit.

Change: 60 teams, the first tenth five times as large, each limited to 1.9 times what its jobs use on average.

--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -19,6 +19,9 @@
     COMMIT_MS = 15,
     DRAIN_MS = 60000, /* simulated time after the last arrival */
     TICKET_MS = 2000, /* validity of a ticket */
+    TEAMS_MAX = 100,
+    TEAM_NAME_BYTES = 32,
+    LARGE_TEAM_SHARE = 5,
     VM_CALLS_MAX = 3, /* open approval requests of one VM */
     /* Approval requests that take longer do not use all VMs. */
     LONG_CALL_MS = 40,
@@ -102,6 +105,60 @@
     flow_apply_command(sim->state, command, sim->now_ms);
 }
 
+/* Returns how many jobs the team submits, relative to a small one. */
+static double
+team_share(const struct simulation *sim, size_t team)
+{
+    return team < sim->config->teams / 10 ? LARGE_TEAM_SHARE : 1;
+}
+
+static double
+total_team_shares(const struct simulation *sim)
+{
+    double sum = 0;
+
+    for (size_t i = 0; i < sim->config->teams; i++) {
+        sum += team_share(sim, i);
+    }
+    return sum;
+}
+
+/* Returns the team's limit on processors, 0 for none. */
+static uint64_t
+team_cpu_limit(const struct simulation *sim, size_t team)
+{
+    double used_milli = 0;
+
+    if (sim->config->teams == 0) {
+        return 0;
+    }
+    for (size_t i = 0; i < sim->config->kind_count; i++) {
+        const struct flow_job_kind *k = &sim->config->kinds[i];
+
+        used_milli += k->jobs_per_second * k->steps_per_job *
+                      k->tasks_per_step * k->cpu_milli * k->task_ms / 1000;
+    }
+    return (uint64_t)(used_milli * sim->config->team_limit_factor *
+                      team_share(sim, team) / total_team_shares(sim));
+}
+
+static size_t
+draw_team(struct simulation *sim)
+{
+    double at;
+    size_t team = 0;
+
+    if (sim->config->teams == 0) {
+        return 0;
+    }
+    at = rng_unit(&sim->rng) * total_team_shares(sim);
+    while (team + 1 < sim->config->teams && at >= team_share(sim, team)) {
+        at -= team_share(sim, team);
+        team++;
+    }
+    return team;
+}
+
 static void
 apply_config(struct simulation *sim)
 {
@@ -111,12 +168,24 @@
     Flow__Queue *list[FLOW_KINDS_MAX];
     Flow__Service service = FLOW__SERVICE__INIT;
     Flow__Service *services[] = {&service};
-    Flow__Team team = FLOW__TEAM__INIT;
-    Flow__Team *teams[] = {&team};
+    Flow__Team teams[TEAMS_MAX];
+    Flow__Team *team_list[TEAMS_MAX];
+    Flow__Size limits[TEAMS_MAX];
+    char names[TEAMS_MAX][TEAM_NAME_BYTES];
 
     service.name = (char *)"svc";
-    team.name = (char *)"team";
-    team.weight = 1;
+    do {
+        size_t i = config.n_teams++;
+
+        flow__team__init(&teams[i]);
+        flow__size__init(&limits[i]);
+        snprintf(names[i], sizeof(names[i]), "team%zu", i);
+        limits[i].cpu_milli = team_cpu_limit(sim, i);
+        teams[i].name = names[i];
+        teams[i].weight = 1;
+        teams[i].limit = &limits[i];
+        team_list[i] = &teams[i];
+    } while (config.n_teams < sim->config->teams);
     for (size_t i = 0; i < sim->config->kind_count; i++) {
         const struct flow_job_kind *k = &sim->config->kinds[i];
 
@@ -141,8 +210,7 @@
     config.n_queues = sim->config->kind_count;
     config.services = services;
     config.n_services = 1;
-    config.teams = teams;
-    config.n_teams = 1;
+    config.teams = team_list;
     command.kind_case = FLOW__COMMAND__KIND_CONFIG;
     command.config = &config;
     apply_command(sim, &command);
@@ -226,6 +294,17 @@
     return step;
 }
 
+/* A gang that exceeds the limit of its team could never start. */
+static void
+cap_to_limit(Flow__Step *step, uint64_t limit)
+{
+    uint64_t fitting = limit / (step->size->cpu_milli + 1);
+
+    if (limit != 0 && step->gang && step->count > fitting) {
+        step->count = fitting > 0 ? (uint32_t)fitting : 1;
+    }
+}
+
 static void
 submit_job(struct simulation *sim, size_t kind)
 {
@@ -234,6 +313,8 @@
     Flow__JobSpec *spec = mem_alloc(sizeof(*spec));
     Flow__Command command = FLOW__COMMAND__INIT;
     struct job_model *m;
+    char team_name[TEAM_NAME_BYTES];
+    size_t team = draw_team(sim);
     size_t steps = 1;
     double base_ms =
         draw_lognormal(&sim->rng, k->task_ms, 0.5, k->task_ms_max);
@@ -249,11 +330,13 @@
     spec->steps = mem_alloc(steps * sizeof(*spec->steps));
     for (size_t i = 0; i < steps; i++) {
         spec->steps[spec->n_steps++] = draw_step(sim, k, i, m, base_ms);
+        cap_to_limit(spec->steps[i], team_cpu_limit(sim, team));
     }
     m->objective_ms = m->objective_ms * k->stretch + k->target_ms;
     submit.job = m->id;
     submit.queue = (char *)k->name;
-    submit.team = (char *)"team";
+    snprintf(team_name, sizeof(team_name), "team%zu", team);
+    submit.team = team_name;
     submit.spec = spec;
     submit.wall_ms = sim->now_ms;
     command.kind_case = FLOW__COMMAND__KIND_SUBMIT;
@@ -860,6 +943,8 @@
     config->approval_vms = 151;
     config->reservations = 61;
     config->planner_share = 0.6;
+    config->teams = 60;
+    config->team_limit_factor = 1.9;
     config->kinds[0].jobs_per_second = 8.31;
     config->kinds[0].tasks_per_step = 40;
     config->kinds[0].tasks_per_step_max = 240;
--- a/tests/support/flow_world.h
+++ b/tests/support/flow_world.h
@@ -56,6 +56,12 @@
     double slow_factor; /* on the run times of slow workers */
     double lost_share;  /* of the workers, lost for good at 10 s */
     size_t reservations; /* as in struct plan_limits */
+    /* Teams that submit the jobs; the first tenth of them five times as many
+     * as the others. 0: one team without a limit. */
+    size_t teams;
+    /* Limit of a team's processors, relative to what its jobs use on
+     * average. */
+    double team_limit_factor;
     /* Share of a processor that the planner has. Its rounds then take their
      * measured processor time, divided by the share, and are followed by a
      * pause, as on the leader. 0: rounds take no time. */
