--- a/tests/test_entry_readiness.c
+++ b/tests/test_entry_readiness.c
@@ -5,6 +5,24 @@
 /* NOLINTNEXTLINE(bugprone-suspicious-include) */
 #include "../packages/daemon/entry_readiness.c"
 
+static void
+expect_ready(struct entry_readiness *r, int64_t now, uint32_t slots_held,
+             uint32_t endpoints, bool expected)
+{
+    bool ready = readiness_check(r, now, slots_held, endpoints);
+
+    g_assert_cmpint(ready, ==, expected);
+}
+
+static void
+expect_report(struct entry_readiness *r, const struct readiness_grant *g,
+              bool expected)
+{
+    bool report = readiness_handle_grant(r, g);
+
+    g_assert_cmpint(report, ==, expected);
+}
+
 /* Guards against requests that wait at a restarted entry because the load
  * balancer sends them before the entry holds slots. */
 static void
@@ -16,17 +34,17 @@
                                 .endpoints_complete = true,
                                 .deadline = 1000};
 
-    g_assert_false(readiness_check(&r, 1, 0, 0));
-    g_assert_true(readiness_handle_grant(&r, &g));
-    g_assert_false(readiness_check(&r, 2, 0, 4));
+    expect_ready(&r, 1, 0, 0, false);
+    expect_report(&r, &g, true);
+    expect_ready(&r, 2, 0, 4, false);
     g.report_seq = 2;
-    g_assert_false(readiness_handle_grant(&r, &g));
-    g_assert_false(readiness_check(&r, 3, 8, 4));
+    expect_report(&r, &g, false);
+    expect_ready(&r, 3, 8, 4, false);
     g.report_seq = 3;
     readiness_handle_grant(&r, &g);
-    g_assert_false(readiness_check(&r, 4, 0, 4));
-    g_assert_true(readiness_check(&r, 5, 8, 4));
-    g_assert_true(readiness_check(&r, 6, 0, 0));
+    expect_ready(&r, 4, 0, 4, false);
+    expect_ready(&r, 5, 8, 4, true);
+    expect_ready(&r, 6, 0, 0, true);
 }
 
 static void
@@ -41,7 +59,7 @@
     readiness_handle_grant(&r, &g);
     g.report_seq = 2;
     readiness_handle_grant(&r, &g);
-    g_assert_true(readiness_check(&r, 1, 0, 0));
+    expect_ready(&r, 1, 0, 0, true);
 }
 
 /* Guards against an entry that gets ready because the time of an earlier
@@ -57,15 +75,15 @@
 
     readiness_handle_grant(&r, &g);
     readiness_leader_changed(&r);
-    g_assert_false(readiness_check(&r, 1000, 0, 0));
+    expect_ready(&r, 1000, 0, 0, false);
     g.report_seq = 2;
     g.endpoints_complete = false;
     g.deadline = 3000;
-    g_assert_false(readiness_handle_grant(&r, &g));
-    g_assert_false(readiness_check(&r, 2999, 8, 4));
-    g_assert_true(readiness_check(&r, 3000, 0, 4));
+    expect_report(&r, &g, false);
+    expect_ready(&r, 2999, 8, 4, false);
+    expect_ready(&r, 3000, 0, 4, true);
     readiness_leader_changed(&r);
-    g_assert_true(readiness_check(&r, 3001, 0, 4));
+    expect_ready(&r, 3001, 0, 4, true);
 }
 
 int
