flow: a gang whose workers are busy for long asks for more of them

Cause: once a gang had four times the slots that it needs on approved workers, counted as if these were empty, it asked for no others, however long they were busy, as long as a reservation on them existed. On the large site gangs waited 10 s and more with 50 to 70 approved of 1,100 workers, while others had free slots.

Change: if the reservation begins later than an answer on more workers could arrive, the gang asks for those that have free slots now.

Result: /plan/gang-asks-for-more fails before (no request) and passes.

--- a/packages/flow/approval_request.c
+++ b/packages/flow/approval_request.c
@@ -296,22 +296,22 @@
 }
 
 /* Requests tickets for a gang with enough approved workers. Returns false if
- * it neither fits now nor has a reservation, so that more workers may help. */
+ * it neither fits now nor has a reservation that begins before more workers
+ * could be approved, so that more workers may help. */
 static bool
 request_for_gang(struct plan_round *r, const struct candidate *c,
-                 int64_t fit_ns)
+                 uint64_t slots_now, int64_t fit_ns)
 {
     const struct flow_queue *q = c->job->queue;
     int64_t call_ns = (q->approval_ms + REQUEST_LEAD_MS) * NS_PER_MS;
+    int64_t workers_ns = (int64_t)GANG_REQUEST_WORKERS_MAX *
+                         q->approval_worker_us * (NS_PER_MS / 1000);
 
-    if (approved_slots_now(r, c) >= c->step->count) {
-        int64_t workers_ns = (int64_t)GANG_REQUEST_WORKERS_MAX *
-                             q->approval_worker_us * (NS_PER_MS / 1000);
-
+    if (slots_now >= c->step->count) {
         request_gang_tickets(r, c, true, r->now_ns + call_ns + workers_ns);
         return true;
     }
-    if (fit_ns == INT64_MAX) {
+    if (fit_ns - r->now_ns > call_ns + workers_ns) {
         return false;
     }
     if (fit_ns - r->now_ns <= call_ns) {
@@ -336,6 +336,7 @@
     bool gang = c->step->spec->gang;
     bool need_more_workers;
     struct choices choices = {0};
+    uint64_t slots_now = 0;
 
     if (r->view_count == 0 || !request_is_possible(r, c)) {
         return;
@@ -343,8 +344,12 @@
     need_more_workers =
         gang && approved_slots_if_empty(r, c) <
                     (uint64_t)c->step->count * GANG_SLOT_FACTOR;
-    if (gang && !need_more_workers && request_for_gang(r, c, fit_ns)) {
-        return;
+    if (gang && !need_more_workers) {
+        slots_now = approved_slots_now(r, c);
+        if (request_for_gang(r, c, slots_now, fit_ns)) {
+            return;
+        }
+        missing = c->step->count - (uint32_t)slots_now;
     }
     if (!need_more_workers && !size_fits(c->demand, r->free_max)) {
         return;
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -569,6 +569,47 @@
     flow_fixture_free(&f);
 }
 
+/* Guards against a gang that waits for the workers that it was first approved
+ * on, which are busy for long, while others are free. */
+static void
+gang_asks_for_more_workers(void)
+{
+    enum {
+        WORKERS = 8,
+        BUSY = WORKERS / 2,
+    };
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_job *gang;
+
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", true, 0);
+    for (uint32_t i = 0; i < WORKERS; i++) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "w%u", i);
+        flow_fixture_add_worker(&f, id, 1, 4000);
+    }
+    submit_job(&f, 1, BUSY, 4000, false);
+    for (uint32_t i = 0; i < BUSY; i++) {
+        flow_fixture_start_run(&f, 1, 0, i, 1, i + 1);
+        flow_job(f.state, 1)->occurrences[0].steps[0].tasks[i].run_started_ns =
+            NOW_NS;
+    }
+    gang = submit_job(&f, 2, 2, 1000, true);
+    for (uint32_t i = 0; i < BUSY; i++) {
+        plan_record_verdict(&gang->occurrences[0].steps[0], i + 1, true,
+                            str_from(NULL, 0), 0);
+    }
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(plan.approval_request_count, ==, 1);
+    for (uint32_t i = BUSY; i < WORKERS; i++) {
+        g_assert_true(request_names(&plan.approval_requests[0], i + 1));
+    }
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Guards against bounded rounds that serve callers worse: 1,100 workers
  * and 1.6 times the usual load. The short urgent jobs come first. */
 static void
@@ -610,6 +651,7 @@
     g_test_add_func("/plan/load/trentside", trentside);
     g_test_add_func("/plan/bounded-round-resumes", bounded_round_resumes);
     g_test_add_func("/plan/requests-spread", requests_spread_over_workers);
+    g_test_add_func("/plan/gang-asks-for-more", gang_asks_for_more_workers);
     g_test_add_func("/plan/overloaded-large-fleet", overloaded_large_fleet);
     return g_test_run();
 }
