node: a worker that lists ever new runs does not fill the leader's memory

Cause: each listed run that is not assigned to its worker was kept until its end was known. A worker that names new ones in each answer and refuses to stop them made the leader's list, and its calls, grow without a bound.

Change: at most 1,000 such runs of a worker are stopped at a time. The others are stopped when they are listed again; the worker gets no tasks meanwhile, as before.

--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -25,6 +25,9 @@
     /* An answer that comes this long after the last failed poll resets the
      * path to the preferred relay. Until then the path that works is kept. */
     RELAY_KEPT_MS = 5000,
+    /* Unexpected runs of a worker that are stopped at a time. A worker that
+     * lists ever new ones would otherwise fill the leader's memory. */
+    STRAY_RUNS_MAX = 1000,
 };
 
 static struct event_kind event_end = {.name = "end", .per_second = 200};
@@ -56,11 +59,16 @@
                 t != NULL && t->done);
 }
 
-/* Queues a stop for a run that is listed but not expected on the worker. */
+/* Queues a stop for a run that is listed but not expected on the worker. One
+ * beyond STRAY_RUNS_MAX is stopped when it is listed again after others have
+ * ended; the worker gets no tasks meanwhile. */
 static void
 stop_unexpected(struct leader *l, struct session *s,
                 const struct node_task *task)
 {
+    if (s->stray_runs >= STRAY_RUNS_MAX) {
+        return;
+    }
     log_stray(l, s, task);
     metrics_stray(l->node->metrics);
     run_add(s, task, RUN_STOP_QUEUED, l->node->now);
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -412,6 +412,81 @@
     server_stop(&server);
 }
 
+/* Appends count runs of jobs that nobody submitted, from number first on. */
+static char *
+new_runs_body(int64_t born_ms, unsigned first, unsigned count)
+{
+    GString *text = g_string_new(NULL);
+
+    g_string_append_printf(text,
+                           "{\"clockMs\":1000,\"born\":%lld,"
+                           "\"finished\":[],\"running\":[",
+                           (long long)born_ms);
+    for (unsigned i = 0; i < count; i++) {
+        g_string_append_printf(text, "%s[\"%016x.0.0.0\",1,\"\",0,0]",
+                               i == 0 ? "" : ",", first + i);
+    }
+    g_string_append(text, "]}");
+    return g_string_free(text, FALSE);
+}
+
+/* Guards against a leader whose memory grows with a worker that lists ever new
+ * runs and refuses to stop them. */
+static void
+ever_new_runs_bounded(void)
+{
+    enum {
+        RUNS_PER_POLL = 400,
+        POLLS = 6,
+        STRAY_RUNS_BOUND = 1000,
+    };
+    struct front_config config = server_config();
+    struct platform_rig r;
+    struct server server = server_start(&config, 64);
+    char *address = g_strdup_printf("127.0.0.1:%u", server.port);
+    int64_t born_ms = clock_wall_ms();
+    char *entry = odd_entry_body(NULL, address, born_ms);
+    int64_t give_up_at = clock_now() + PLATFORM_WAIT_MS * NS_PER_MS;
+    unsigned polls = 0;
+    long strays = 0;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    run_jobs(&r, 0, 2);
+    g_assert_cmpint(put_entry(&r, 0, "odd", entry), ==, 200);
+    while (polls < POLLS && clock_now() < give_up_at) {
+        struct front_item *item = server_next_item(&server, 20);
+
+        if (item == NULL) {
+            continue;
+        }
+        if (item->kind == FRONT_ITEM_CALL &&
+            str_eq(item->call->path, STR("/hold"))) {
+            char *body = new_runs_body(born_ms, 1 + polls * RUNS_PER_POLL,
+                                       RUNS_PER_POLL);
+
+            server_respond(item->call, 200, body);
+            g_free(body);
+            polls++;
+        }
+        else if (item->kind == FRONT_ITEM_CALL) {
+            server_respond(item->call, 503, "{}");
+        }
+        front_item_release(item);
+    }
+    g_assert_cmpuint(polls, ==, POLLS);
+    for (int i = 0; i < CONTROLS; i++) {
+        strays += read_metric(&r, i, "guavarock_stray_runs_total");
+    }
+    g_assert_cmpint(strays, >=, RUNS_PER_POLL);
+    g_assert_cmpint(strays, <=, STRAY_RUNS_BOUND);
+    run_jobs(&r, 2, 4);
+    g_free(entry);
+    g_free(address);
+    platform_close(&r);
+    server_wait_closed(&server, true);
+    server_stop(&server);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -425,5 +500,6 @@
     g_test_add_func("/e2e/platform/odd-entries", odd_entries_refused);
     g_test_add_func("/e2e/platform/unknown-service", unknown_service_refused);
     g_test_add_func("/e2e/platform/odd-answers", odd_answers_ignored);
+    g_test_add_func("/e2e/platform/ever-new-runs", ever_new_runs_bounded);
     return g_test_run();
 }
