node: a new leader looks up all runs of its workers in one pass

Change: the sessions are created first; one pass over the assigned tasks then adds each to its worker's session.

--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -69,6 +69,7 @@
     struct buf announced; /* Flow__Worker of a later process, or empty */
     int64_t announced_born_ms;
     uint64_t announced_sequence;
+    bool adopting; /* runs assigned under a previous leader are to be added */
     uint32_t stray_runs; /* not assigned here but not known to have ended */
     bool clock_known;
     int64_t clock_read_at;    /* local time at which clock_ms was read */
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -91,20 +91,20 @@
                               .run = step->tasks[index].run};
 }
 
-struct adopt_context {
-    struct leader *leader;
-    struct session *session;
-};
-
-/* Adds a run that was assigned to the worker under a previous leader. */
+/* Adds a run that was assigned under a previous leader to the session of its
+ * worker if that has just been created. */
 static void
 adopt_run(void *arg, struct flow_job *j, struct flow_occurrence *o,
           struct flow_step *step, uint32_t index)
 {
-    struct adopt_context *a = arg;
+    struct leader *l = arg;
     struct node_task task = make_task(j, o, step, index);
+    struct flow_worker *w = flow_worker(l->state, step->tasks[index].worker);
+    struct session *s = w == NULL ? NULL : worker_session(w);
 
-    run_add(a->session, &task, RUN_UNKNOWN, a->leader->node->now);
+    if (s != NULL && s->adopting) {
+        run_add(s, &task, RUN_UNKNOWN, l->node->now);
+    }
 }
 
 /* Returns the longest time on the leader's clock that a lease of ms on a
@@ -128,7 +128,6 @@
 session_create(struct leader *l, struct flow_worker *w)
 {
     struct session *s = mem_zalloc(1, sizeof(*s));
-    struct adopt_context adopt_context = {l, s};
 
     s->leader = l;
     s->number = w->number;
@@ -141,9 +140,7 @@
         lease_upper_bound_ns((int64_t)l->node->settings.lease_max_ms);
     w->session = s;
     map_put_u64(l->sessions, s->number, s);
-    if (w->tasks > 0) {
-        flow_visit_assigned(l->state, w->number, adopt_run, &adopt_context);
-    }
+    s->adopting = w->tasks > 0;
     return s;
 }
 
@@ -690,14 +687,20 @@
     struct flow_worker *w;
     struct session *s;
     void *cursor = NULL;
+    bool adopting = false;
 
     while ((w = flow_worker_next(l->state, &cursor)) != NULL) {
         if (w->session == NULL) {
-            session_create(l, w);
+            adopting = session_create(l, w)->adopting || adopting;
         }
     }
+    /* One pass for all new sessions: a new leader has one for each worker. */
+    if (adopting) {
+        flow_visit_assigned(l->state, 0, adopt_run, l);
+    }
     cursor = NULL;
     while ((s = map_next(l->sessions, &cursor)) != NULL) {
+        s->adopting = false;
         if (flow_worker(l->state, s->number) == NULL) {
             session_free(l, s);
         }
