--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -188,6 +188,19 @@
 int64_t
 reserve_gang(struct plan_round *r, const struct candidate *c);
 
+/* Defined in plan_wait.c. */
+
+/* Reports whether a step that waits for capacity or approval is to be
+ * reported. */
+bool
+is_wait_report_due(const struct plan_round *r, const struct candidate *c);
+
+/* Adds a report on the step to the plan if its reason to wait is new or was
+ * reported some time ago. */
+void
+report_waiting(struct plan_round *r, const struct candidate *c,
+               bool team_limited, uint32_t missing, int64_t fit_ns);
+
 /* Defined in approval_request.c. */
 
 /* Reports whether the step may request approval now: the round may make more
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -69,7 +69,6 @@
     struct buf announced; /* Flow__Worker of a later process, or empty */
     int64_t announced_born_ms;
     uint64_t announced_sequence;
-    bool adopting; /* runs assigned under a previous leader are to be added */
     uint32_t stray_runs; /* not assigned here but not known to have ended */
     bool clock_known;
     int64_t clock_read_at;    /* local time at which clock_ms was read */
@@ -84,9 +83,10 @@
     uint64_t proposed_end_number;  /* of the last end proposed */
     uint32_t consecutive_failures; /* of runs of different jobs */
     uint64_t failed_job;           /* job of the last of them */
-    bool polling;                  /* a poll is open */
-    bool poll_failing;             /* set by a failed poll until an answer */
-    bool poll_answered;            /* a poll with the token was answered */
+    bool adopting;      /* runs of a previous leader are to be added */
+    bool polling;       /* a poll is open */
+    bool poll_failing;  /* set by a failed poll until an answer */
+    bool poll_answered; /* a poll with the token was answered */
     bool deregistered;
     /* When a process that has deregistered has exited. */
     int64_t exit_due_at;
--- a/tests/support/platform_rig.c
+++ b/tests/support/platform_rig.c
@@ -218,6 +218,29 @@
     return url;
 }
 
+long
+platform_metric(struct platform_rig *r, int i, const char *name)
+{
+    enum {
+        METRICS_BYTES = 65536,
+    };
+    char *url =
+        platform_control_url(r, i, PLATFORM_METRICS_PORT_OFFSET, "/metrics");
+    char *text = g_malloc0(METRICS_BYTES);
+    char *line = g_strdup_printf("\n%s ", name);
+    const char *at;
+    long value = -1;
+
+    if (platform_call(r, "GET", url, "", text, METRICS_BYTES) == 200) {
+        at = strstr(text, line);
+        value = at == NULL ? 0 : strtol(at + strlen(line), NULL, 10);
+    }
+    g_free(line);
+    g_free(text);
+    g_free(url);
+    return value;
+}
+
 char *
 platform_job_url(const struct platform_rig *r, int entry, int job)
 {
--- a/tests/support/platform_rig.h
+++ b/tests/support/platform_rig.h
@@ -86,6 +86,11 @@
 platform_call(struct platform_rig *r, const char *method, const char *url,
               const char *body, char *out, size_t out_size);
 
+/* Returns the value of a metric of control VM i, 0 if it is absent, -1 if the
+ * VM does not answer. */
+long
+platform_metric(struct platform_rig *r, int i, const char *name);
+
 /* Repeats a call until it has the status; fails after PLATFORM_WAIT_MS. */
 void
 platform_await_status(struct platform_rig *r, const char *method,
--- a/tests/test_e2e_group.c
+++ b/tests/test_e2e_group.c
@@ -22,36 +22,15 @@
     READ_WAIT_MS = 15000,
 };
 
-static long
-read_metric(struct platform_rig *r, int vm, const char *name)
-{
-    char *url =
-        platform_control_url(r, vm, PLATFORM_METRICS_PORT_OFFSET, "/metrics");
-    char *text = g_malloc0(65536);
-    char *line = g_strdup_printf("\n%s ", name);
-    const char *at;
-    long value = -1;
-
-    platform_call(r, "GET", url, "", text, 65536);
-    at = strstr(text, line);
-    if (at != NULL) {
-        value = strtol(at + strlen(line), NULL, 10);
-    }
-    g_free(line);
-    g_free(text);
-    g_free(url);
-    return value;
-}
-
 static void
 await_metric(struct platform_rig *r, int vm, const char *name, long value)
 {
     int64_t give_up_at = clock_now() + PLATFORM_WAIT_MS * NS_PER_MS;
 
-    while (read_metric(r, vm, name) != value && clock_now() < give_up_at) {
+    while (platform_metric(r, vm, name) != value && clock_now() < give_up_at) {
         g_usleep(100000);
     }
-    g_assert_cmpint(read_metric(r, vm, name), ==, value);
+    g_assert_cmpint(platform_metric(r, vm, name), ==, value);
 }
 
 /* Returns whether the metric of a control VM has the value within
@@ -63,7 +42,7 @@
 
     while (clock_now() < give_up_at) {
         for (int i = 0; i <= JOINING; i++) {
-            if (read_metric(r, i, name) == value) {
+            if (platform_metric(r, i, name) == value) {
                 return true;
             }
         }
@@ -80,7 +59,8 @@
 
     while (clock_now() < give_up_at) {
         for (int i = 0; i <= JOINING; i++) {
-            if (running[i] && read_metric(r, i, "guavarock_leading") == 1) {
+            if (running[i] &&
+                platform_metric(r, i, "guavarock_leading") == 1) {
                 return i;
             }
         }
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -117,28 +117,6 @@
     platform_close(&r);
 }
 
-/* Returns the value of a metric of a control VM, 0 if it is absent. */
-static long
-read_metric(struct platform_rig *r, int vm, const char *name)
-{
-    char *url =
-        platform_control_url(r, vm, PLATFORM_METRICS_PORT_OFFSET, "/metrics");
-    char *text = g_malloc(65536);
-    char *line = g_strdup_printf("\n%s ", name);
-    const char *at;
-    long value = 0;
-
-    g_assert_cmpint(platform_call(r, "GET", url, "", text, 65536), ==, 200);
-    at = strstr(text, line);
-    if (at != NULL) {
-        value = strtol(at + strlen(line), NULL, 10);
-    }
-    g_free(line);
-    g_free(text);
-    g_free(url);
-    return value;
-}
-
 /* Guards against a leader that calls all workers itself instead of through
  * relays, which are other VMs. */
 static void
@@ -156,11 +134,15 @@
         platform_await_completed(&r, job);
     }
     for (int i = 0; i < CONTROLS; i++) {
-        if (read_metric(&r, i, "guavarock_leading") == 1) {
-            starts = read_metric(&r, i,
-                                 "guavarock_worker_calls_total{kind=\"start\","
-                                 "result=\"ok\"}");
-            direct_calls = read_metric(
+        long leading = platform_metric(&r, i, "guavarock_leading");
+
+        g_assert_cmpint(leading, >=, 0);
+        if (leading == 1) {
+            starts =
+                platform_metric(&r, i,
+                                "guavarock_worker_calls_total{kind=\"start\","
+                                "result=\"ok\"}");
+            direct_calls = platform_metric(
                 &r, i, "guavarock_upstream_attempts_total{result=\"ok\"}");
         }
     }
@@ -475,7 +457,10 @@
     }
     g_assert_cmpuint(polls, ==, POLLS);
     for (int i = 0; i < CONTROLS; i++) {
-        strays += read_metric(&r, i, "guavarock_stray_runs_total");
+        long count = platform_metric(&r, i, "guavarock_stray_runs_total");
+
+        g_assert_cmpint(count, >=, 0);
+        strays += count;
     }
     g_assert_cmpint(strays, >=, RUNS_PER_POLL);
     g_assert_cmpint(strays, <=, STRAY_RUNS_BOUND);
