--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -16,8 +16,8 @@
      * as one batch, which must cost the leader only a few ms. */
     STARTS_PER_ROUND_MAX = 400,
     REQUESTS_PER_ROUND_MAX = 64,
-    /* Worker views that a round looks at before it stops to try steps. A round
-     * then takes about 2 ms at 1,100 workers, whatever the backlog. */
+    /* Worker views that a round looks at before it stops to try steps. Bounds
+     * the time of a round, whatever the backlog. */
     VISITS_PER_ROUND_MAX = 30000,
     /* Number of gangs that workers are reserved for. It grows with the fleet,
      * as each gang reserves several workers. */
