--- a/packages/node/group_members.c
+++ b/packages/node/group_members.c
@@ -83,18 +83,21 @@
 void
 group_log_members(struct group *g)
 {
-    struct group_counts counts;
+    size_t count;
+    const struct raft_member *members = raft_members(g->raft, &count);
+    size_t voters = 0;
 
-    group_count_members(g, &counts);
-    if (counts.voters == g->logged_voters &&
-        counts.learners == g->logged_learners) {
+    for (size_t i = 0; i < count; i++) {
+        voters += members[i].voter;
+    }
+    if (voters == g->logged_voters && count == g->logged_members) {
         return;
     }
     event_write(&event_group,
                 "outcome=members-changed voters=%zu learners=%zu "
                 "voters_before=%zu learners_before=%zu",
-                counts.voters, counts.learners, g->logged_voters,
-                g->logged_learners);
-    g->logged_voters = counts.voters;
-    g->logged_learners = counts.learners;
+                voters, count - voters, g->logged_voters,
+                g->logged_members - g->logged_voters);
+    g->logged_voters = voters;
+    g->logged_members = count;
 }
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -150,7 +150,7 @@
     uint64_t announced_term;
     uint64_t announced_leader;
     size_t logged_voters;
-    size_t logged_learners;
+    size_t logged_members;
 };
 
 /* Members and control VMs as this one sees them. */
