node: long approval requests wait at the leader, not behind each other at a VM

Cause: up to three requests of 0.4 to 0.7 s each queued at a VM, of which the service takes one at a time. Answers came 1.1 to 1.7 s after requests that cost 0.4 to 0.6 s; by then the first tickets of the same gang had expired, and all were requested again.

Change: a VM gets a long request only if its open ones are expected to take at most 200 ms. The choice is a type of its own (approval_vm.c).

--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "approval_vm.h"
 #include "clock.h"
 #include "event.h"
 #include "mem.h"
@@ -35,12 +36,6 @@
     /* Added to a request's timeout at the VM, for its answer to reach the
      * leader. */
     ANSWER_TIMEOUT_MS = 200,
-    /* Open requests per VM. The service queues at most 32 per machine. */
-    REQUESTS_PER_VM = 3,
-    /* Requests of queues with a longer service time count as long. */
-    LONG_REQUEST_MS = 40,
-    /* One VM in this many takes no long requests. */
-    SHORT_REQUEST_VM_STRIDE = 3,
     /* How long a VM gets no requests after one failed: it may be unable to
      * reach the service. */
     AVOID_VM_MS = 3000,
@@ -85,15 +80,18 @@
     map_destroy(l->approvals);
 }
 
-/* Some VMs are reserved for short requests, which would otherwise wait behind
- * long ones. */
 static bool
 can_send_to_vm(const struct leader *l, const struct link *link,
                bool long_request, size_t index)
 {
-    return link->open_approvals < REQUESTS_PER_VM &&
-           l->node->now >= link->approval_avoid_until &&
-           !(long_request && index % SHORT_REQUEST_VM_STRIDE == 0);
+    const struct approval_vm vm = {
+        .index = index,
+        .open_requests = link->open_approvals,
+        .expected_ms = link->approvals_expected_ms,
+        .avoid_until_ns = link->approval_avoid_until,
+    };
+
+    return approval_vm_can_take(&vm, long_request, l->node->now);
 }
 
 /* Returns the VM with the lowest expected time for its open requests, or NULL
@@ -290,9 +288,7 @@
     size_t n = 0;
 
     while ((link = map_next(l->node->links, &cursor)) != NULL) {
-        n += link->open_approvals < REQUESTS_PER_VM
-                 ? REQUESTS_PER_VM - link->open_approvals
-                 : 0;
+        n += approval_vm_free_requests(link->open_approvals);
     }
     return n < REQUESTS_PER_ROUND_MAX ? n : REQUESTS_PER_ROUND_MAX;
 }
@@ -410,9 +406,8 @@
         log_waiting(l, &l->plan.waiting[i]);
     }
     for (size_t i = 0; i < l->plan.approval_request_count; i++) {
-        bool long_request =
-            l->plan.approval_requests[i].job->queue->approval_ms >
-            LONG_REQUEST_MS;
+        bool long_request = approval_vm_is_long(
+            l->plan.approval_requests[i].job->queue->approval_ms);
         struct link *link = find_least_loaded_vm(l, long_request);
 
         if (link == NULL) {
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -2,6 +2,7 @@
 #include <glib/gstdio.h>
 #include <string.h>
 
+#include "approval_vm.h"
 #include "clock.h"
 #include "leader_wait.h"
 #include "node.h"
@@ -132,6 +133,81 @@
     g_assert_false(load_settings("{"));
 }
 
+/*
+ * Plays gangs that request tickets from more VMs than are free, and returns
+ * how many get all theirs while the first is still valid. Guards against long
+ * requests that queue at a VM until the tickets of the same gang expire.
+ */
+static void
+gangs_get_their_tickets(void)
+{
+    enum {
+        VMS = 12,
+        LONG_MS = 640,
+        REQUESTS_PER_GANG = 3,
+        GANGS = 20,
+        TICKET_MS = 1500,
+        STEP_MS = 10,
+    };
+    struct approval_vm vms[VMS] = {0};
+    int64_t busy_until_ms[VMS] = {0};
+    int64_t now_ms = 0;
+    int64_t oldest_ms = 0;
+    int in_time = 0;
+
+    for (int request = 0; request < GANGS * REQUESTS_PER_GANG;) {
+        for (size_t i = 0; i < VMS && request < GANGS * REQUESTS_PER_GANG;
+             i++) {
+            struct approval_vm *vm = &vms[i];
+            int64_t begin_ms =
+                busy_until_ms[i] > now_ms ? busy_until_ms[i] : now_ms;
+
+            vm->index = i;
+            vm->expected_ms = begin_ms - now_ms;
+            vm->open_requests =
+                (uint32_t)((vm->expected_ms + LONG_MS - 1) / LONG_MS);
+            if (!approval_vm_can_take(vm, true, ms_to_ns(now_ms))) {
+                continue;
+            }
+            busy_until_ms[i] = begin_ms + LONG_MS;
+            if (request % REQUESTS_PER_GANG == 0) {
+                oldest_ms = busy_until_ms[i];
+            }
+            if (request % REQUESTS_PER_GANG == REQUESTS_PER_GANG - 1) {
+                in_time += busy_until_ms[i] - oldest_ms < TICKET_MS &&
+                           oldest_ms - now_ms <= LONG_MS + TICKET_MS / 2;
+            }
+            request++;
+        }
+        now_ms += STEP_MS;
+    }
+    g_assert_cmpint(in_time, ==, GANGS);
+}
+
+/* Guards against short requests that wait because long ones occupy all VMs. */
+static void
+short_requests_keep_vms(void)
+{
+    struct approval_vm vm = {.index = 0};
+
+    g_assert_true(approval_vm_is_long(400));
+    g_assert_false(approval_vm_is_long(14));
+    g_assert_false(approval_vm_can_take(&vm, true, 0));
+    g_assert_true(approval_vm_can_take(&vm, false, 0));
+    vm.index = 1;
+    vm.open_requests = 1;
+    vm.expected_ms = 600;
+    g_assert_false(approval_vm_can_take(&vm, true, 0));
+    g_assert_true(approval_vm_can_take(&vm, false, 0));
+    vm.open_requests = 3;
+    g_assert_false(approval_vm_can_take(&vm, false, 0));
+    vm.open_requests = 0;
+    vm.expected_ms = 0;
+    vm.avoid_until_ns = 10;
+    g_assert_false(approval_vm_can_take(&vm, false, 9));
+    g_assert_true(approval_vm_can_take(&vm, true, 10));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -141,5 +217,7 @@
     g_test_add_func("/node/progress/on-time", progress_on_time);
     g_test_add_func("/node/progress/slow", progress_slow);
     g_test_add_func("/node/settings", settings_validation);
+    g_test_add_func("/node/approval-vm/gangs", gangs_get_their_tickets);
+    g_test_add_func("/node/approval-vm/short", short_requests_keep_vms);
     return g_test_run();
 }
