--- a/review/tools/rig.c
+++ b/review/tools/rig.c
@@ -427,7 +427,7 @@
         snprintf(line, sizeof(line), "X-Key: %s", key);
         headers = curl_slist_append(headers, line);
     }
-    snprintf(line, sizeof(line), "X-Deadline-Ms: %d", timeout_ms);
+    snprintf(line, sizeof(line), "X-Deadline-Ms: %d", CALL_TIMEOUT_MS);
     headers = curl_slist_append(headers, line);
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
