--- a/review/4/case.c
+++ b/review/4/case.c
@@ -1,7 +1,7 @@
 /*
- * A configuration replaces a route: it removes one and adds another at the same
- * host and prefix, for the same service. Is a job that was accepted before still
- * known at its address, and can it be cancelled?
+ * A configuration replaces a route: it removes one and adds another at the
+ * same host and prefix, for the same service. Is a job that was accepted
+ * before still known at its address, and can it be cancelled?
  */
 #include <stdio.h>
 #include <stdlib.h>
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -13,8 +13,8 @@
 
 enum {
     CLIENTS = 120,
-    SPACING_MS = 8,  /* between two clients */
-    LEAVE_MS = 250,  /* before an answer, if there is no leader */
+    SPACING_MS = 8, /* between two clients */
+    LEAVE_MS = 250, /* before an answer, if there is no leader */
     DEADLINE_MS = 3000,
     RUN_MS = 16000,
     CANCEL_MS = 3000,
@@ -150,8 +150,7 @@
         if (c->cancel_status != 200 && c->cancel_status != 410) {
             continue;
         }
-        snprintf(task, sizeof(task), "%016llx",
-                 (unsigned long long)job_id(c));
+        snprintf(task, sizeof(task), "%016llx", (unsigned long long)job_id(c));
         rig_record("client %d: POST %s -> %d, DELETE -> %d at %.3f, runs now: "
                    "%d",
                    c->number, task, c->submit_status, c->cancel_status,
--- a/review/tools/rig.c
+++ b/review/tools/rig.c
@@ -152,8 +152,8 @@
     bool ok;
 
     inet_pton(AF_INET, ip, &address.sin_addr);
-    ok = fd >= 0 &&
-         bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+    ok =
+        fd >= 0 && bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
     close(fd);
     return ok;
 }
@@ -197,8 +197,8 @@
     signal(SIGINT, on_signal);
     signal(SIGPIPE, SIG_IGN);
     for (int i = 0; i < 50; i++) {
-        snprintf(r->net, sizeof(r->net), "127.%u.%u",
-                 20 + (seed >> 8) % 200, 1 + (seed >> 20) % 250);
+        snprintf(r->net, sizeof(r->net), "127.%u.%u", 20 + (seed >> 8) % 200,
+                 1 + (seed >> 20) % 250);
         r->port = PORT_MIN + (int)(seed % PORT_RANGE);
         if (are_ports_free(r)) {
             rig_record("trouble=%d", r->trouble);
@@ -239,8 +239,7 @@
     if (f == NULL) {
         return;
     }
-    fprintf(f,
-            "{\"vm\":\"%s\",\"failure_domain\":\"z\",\"caller_listen\":\"",
+    fprintf(f, "{\"vm\":\"%s\",\"failure_domain\":\"z\",\"caller_listen\":\"",
             vm);
     if (!control) {
         fprintf(f, "%s:%d", ip, r->port);
@@ -270,8 +269,8 @@
             "\"cluster_secret\":\"guavarock-platform-cell\","
             "\"approval_address\":\"%s.%d:%d\",\"heartbeat_ms\":1500,"
             "\"lease_max_ms\":%d,\"job_keep_s\":120,\"grace_s\":6}",
-            r->started_once ? "false" : "true", r->net, WORKERS_HOST,
-            r->port, r->lease_max_ms);
+            r->started_once ? "false" : "true", r->net, WORKERS_HOST, r->port,
+            r->lease_max_ms);
     fclose(f);
 }
 
@@ -281,8 +280,8 @@
     char ip[64];
     char settings[320];
     char log[320];
-    char *argv[] = {(char *)"target/release/guavarockd",
-                    (char *)"--platform", NULL};
+    char *argv[] = {(char *)"target/release/guavarockd", (char *)"--platform",
+                    NULL};
 
     snprintf(ip, sizeof(ip), "%s.%d", r->net, host);
     snprintf(settings, sizeof(settings), "%s/%s.json", r->dir, vm);
@@ -319,7 +318,7 @@
     char lines[320];
     char log[320];
     char controls[RIG_CONTROLS_MAX][64];
-    char *argv[16];
+    char *argv[8 + RIG_CONTROLS_MAX];
     int n = 0;
 
     snprintf(ip, sizeof(ip), "%s.%d", r->net, WORKERS_HOST);
@@ -361,11 +360,25 @@
     rig_sleep(3500);
 }
 
+void
+rig_kill_control(struct rig *r, int i, bool wipe)
+{
+    char dir[320];
+
+    kill_pid(&r->control_pids[i]);
+    if (wipe) {
+        snprintf(dir, sizeof(dir), "%s/core-%d", r->dir, i + 1);
+        remove_folder(dir);
+    }
+}
+
 void
 rig_signal_controls(struct rig *r, int sig)
 {
-    for (int i = 0; i < r->controls; i++) {
-        kill(r->control_pids[i], sig);
+    for (int i = 0; i < RIG_CONTROLS_MAX; i++) {
+        if (r->control_pids[i] > 0) {
+            kill(r->control_pids[i], sig);
+        }
     }
 }
 
@@ -443,9 +456,8 @@
     if (curl_easy_perform(easy) == CURLE_OK) {
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
         answer.status = (int)status;
-        answer.body = text.ptr == NULL
-                          ? NULL
-                          : json_loadb(text.ptr, text.len, 0, NULL);
+        answer.body =
+            text.ptr == NULL ? NULL : json_loadb(text.ptr, text.len, 0, NULL);
     }
     curl_slist_free_all(headers);
     free(text.ptr);
@@ -471,8 +483,8 @@
 rig_control_url(const struct rig *r, int i, const char *path, char *out,
                 size_t size)
 {
-    snprintf(out, size, "http://%s.%d:%d%s", r->net, CONTROL_HOST + i,
-             r->port, path);
+    snprintf(out, size, "http://%s.%d:%d%s", r->net, CONTROL_HOST + i, r->port,
+             path);
 }
 
 int
--- a/review/tools/rig.h
+++ b/review/tools/rig.h
@@ -13,15 +13,15 @@
  * stand-in workers. Each VM has an address of its own in 127/8 and all use the
  * same ports. All processes are killed by their ids when the program exits.
  *
- * The exit status of a case: 0 the rule held, 1 it was broken, 2 the case could
- * not run.
+ * The exit status of a case: 0 the rule held, 1 it was broken, 2 the case
+ * could not run.
  */
 
 enum {
     RIG_HELD = 0,
     RIG_BROKEN = 1,
     RIG_CANNOT_RUN = 2,
-    RIG_CONTROLS_MAX = 5,
+    RIG_CONTROLS_MAX = 8,
     RIG_ENTRIES_MAX = 4,
 };
 
@@ -32,9 +32,9 @@
     int controls;
     int entries;
     int worker_count;
-    int lease_max_ms;   /* maxHoldMs */
-    bool trouble;       /* TROUBLE is not 0 */
-    bool started_once;  /* the processes have run before */
+    int lease_max_ms;  /* maxHoldMs */
+    bool trouble;      /* TROUBLE is not 0 */
+    bool started_once; /* the processes have run before */
     pid_t control_pids[RIG_CONTROLS_MAX];
     pid_t entry_pids[RIG_ENTRIES_MAX];
     pid_t workers_pid;
@@ -57,6 +57,9 @@
 rig_start_control(struct rig *r, int i);
 void
 rig_start_entry(struct rig *r, int i);
+/* Kills a control VM and removes its disk, if wipe is set. */
+void
+rig_kill_control(struct rig *r, int i, bool wipe);
 void
 rig_signal_controls(struct rig *r, int sig);
 
--- a/review/tools/workers.c
+++ b/review/tools/workers.c
@@ -5,8 +5,8 @@
  *     workers IP PORT COUNT LEASE_MAX_MS RECORD CONTROL_IP:PORT...
  *
  * PORT serves the approval service, which approves every worker, and the
- * faults. Worker N (from 0) listens on PORT + 10 + N and announces itself every
- * HEARTBEAT_MS.
+ * faults. Worker N (from 0) listens on PORT + 10 + N and announces itself
+ * every HEARTBEAT_MS.
  *
  * What a task does is given by words of its spec: "run_ms=N" (200) and
  * "fail_runs=N" (0): runs 1 to N end failed.
@@ -270,10 +270,9 @@
          n++) {
         for (const struct run *r = w->runs; r != NULL; r = r->next) {
             if (r->end == n) {
-                json_array_append_new(finished,
-                                      json_pack("[I,s,I,s,s]", (json_int_t)n,
-                                                r->task, r->number, r->how,
-                                                ""));
+                json_array_append_new(
+                    finished, json_pack("[I,s,I,s,s]", (json_int_t)n, r->task,
+                                        r->number, r->how, ""));
             }
         }
     }
@@ -541,8 +540,8 @@
     snprintf(w->address, sizeof(w->address), "%s:%d", ip, port);
     w->born_ms = clock_wall_ms();
     w->clock_base = now_ms();
-    w->announce_due_ms = now_ms() + HEARTBEAT_MS * (int64_t)index /
-                                        (int64_t)worker_count;
+    w->announce_due_ms =
+        now_ms() + HEARTBEAT_MS * (int64_t)index / (int64_t)worker_count;
     return listen_on(ip, port, &w->ring) != NULL;
 }
 
@@ -565,8 +564,7 @@
         return 1;
     }
     for (size_t i = 0; i < worker_count; i++) {
-        if (!start_worker(i, argv[1],
-                          atoi(argv[2]) + PORT_OFFSET + (int)i)) {
+        if (!start_worker(i, argv[1], atoi(argv[2]) + PORT_OFFSET + (int)i)) {
             return 1;
         }
     }
