--- a/review/tools/rig.c
+++ b/review/tools/rig.c
@@ -293,7 +293,7 @@
 void
 rig_start_control(struct rig *r, int i)
 {
-    char vm[16];
+    char vm[24];
 
     snprintf(vm, sizeof(vm), "core-%d", i + 1);
     r->control_pids[i] = start_vm(r, vm, CONTROL_HOST + i, true);
@@ -302,7 +302,7 @@
 void
 rig_start_entry(struct rig *r, int i)
 {
-    char vm[16];
+    char vm[24];
 
     snprintf(vm, sizeof(vm), "entry-%d", i + 1);
     r->entry_pids[i] = start_vm(r, vm, ENTRY_HOST + i, false);
@@ -628,6 +628,30 @@
     return n;
 }
 
+int
+rig_overlaps(const struct rig *r, const char *task)
+{
+    FILE *f = open_worker_lines(r);
+    char line[512];
+    int running = 0;
+    int overlaps = 0;
+
+    while (f != NULL && fgets(line, sizeof(line), f) != NULL) {
+        if (strstr(line, task) == NULL) {
+            continue;
+        }
+        if (strstr(line, " START ") != NULL) {
+            overlaps += running > 0;
+            running++;
+        }
+        running -= strstr(line, " END ") != NULL;
+    }
+    if (f != NULL) {
+        fclose(f);
+    }
+    return overlaps;
+}
+
 void
 rig_copy_worker_lines(const struct rig *r, const char *text, int max)
 {
--- a/review/tools/rig.h
+++ b/review/tools/rig.h
@@ -132,6 +132,10 @@
 rig_count_worker_lines(const struct rig *r, const char *a, const char *b,
                        const char *c);
 
+/* Returns how often a run of the task has started while another went on. */
+int
+rig_overlaps(const struct rig *r, const char *task);
+
 /* Appends the lines of the workers' record that contain the text to the
  * record, at most max of them. */
 void
--- a/review/tools/workers.c
+++ b/review/tools/workers.c
@@ -16,6 +16,11 @@
  *
  * POST /fault/hang {"worker":N,"ms":N}: the worker stalls its calls, without
  * carrying them out, for that time; its heartbeats go on.
+ * POST /fault/late {"count":N,"ms":N}: the next starts get no answer and are
+ * carried out that much later, if their worker is up then. Each is recorded as
+ * LATE, with worker, task and run.
+ * POST /fault/restart {"worker":N,"ms":N}: the worker crashes and starts again
+ * under its id after that time; it knows nothing of before.
  * POST /fault/drain {"worker":N}: it announces that it is draining; it goes on
  * serving. The acknowledgement is recorded as DRAINING.
  */
@@ -36,6 +41,7 @@
     WORKERS_MAX = 64,
     RUNS_MAX = 200000,
     HELD_MAX = 64,
+    LATE_MAX = 64,
     PORT_OFFSET = 10,
     HEARTBEAT_MS = 1500,
     STOP_MS = 50,
@@ -62,6 +68,14 @@
     struct run *next;
 };
 
+/* A start that got no answer. */
+struct late_start {
+    struct worker *worker; /* NULL: the entry is free */
+    json_t *body;
+    struct front_call *call;
+    int64_t carried_out_ms;
+};
+
 struct worker {
     char id[64];
     char address[64];
@@ -82,12 +96,16 @@
     int64_t hang_until_ms;
     struct front_call *hung[HELD_MAX];
     size_t hung_count;
+    int64_t down_until_ms; /* 0: it is up */
 };
 
 static struct worker workers[WORKERS_MAX];
 static size_t worker_count;
 static int64_t lease_max_ms;
 static FILE *record;
+static struct late_start late_starts[LATE_MAX];
+static int late_count; /* starts that will be late */
+static int64_t late_ms;
 
 static int64_t
 now_ms(void)
@@ -184,31 +202,22 @@
     }
 }
 
-static void
-start_run(struct worker *w, struct front_call *call, const json_t *body)
+/* Returns the reason of the refusal, or NULL if the run is there. */
+static const char *
+carry_out_start(struct worker *w, const json_t *body)
 {
     const char *task = json_string_value(json_object_get(body, "task"));
     const char *spec = json_string_value(json_object_get(body, "taskSpec"));
     json_int_t number = json_integer_value(json_object_get(body, "run"));
     int64_t now = worker_clock(w);
-    struct run *r = task == NULL ? NULL : find_latest(w, task);
+    struct run *r = find_latest(w, task);
 
-    if (task == NULL) {
-        respond(call, 400, clock_body(w));
-        return;
-    }
     if (json_integer_value(json_object_get(body, "deadlineMs")) <= now) {
-        refuse(w, call, "late");
-        return;
+        return "late";
     }
     extend_lease(w, body);
     if (r != NULL && number <= r->number) {
-        if (number == r->number && r->state == RUN_ACTIVE) {
-            respond(call, 200, clock_body(w));
-            return;
-        }
-        refuse(w, call, "old");
-        return;
+        return number == r->number && r->state == RUN_ACTIVE ? NULL : "old";
     }
     r = add_run(w, task, number);
     r->started_ms = now;
@@ -217,6 +226,47 @@
     fprintf(record, "%lld START %s %s %d\n", (long long)now_ms(), w->id, task,
             (int)number);
     fflush(record);
+    return NULL;
+}
+
+/* Keeps the call without an answer if it is to be late. */
+static bool
+keep_late_start(struct worker *w, struct front_call *call, json_t *body)
+{
+    for (size_t i = 0; late_count > 0 && i < LATE_MAX; i++) {
+        struct late_start *l = &late_starts[i];
+
+        if (l->worker == NULL) {
+            *l = (struct late_start){w, json_incref(body), call,
+                                     now_ms() + late_ms};
+            late_count--;
+            fprintf(record, "%lld LATE %s %s %d\n", (long long)now_ms(), w->id,
+                    json_string_value(json_object_get(body, "task")),
+                    (int)json_integer_value(json_object_get(body, "run")));
+            fflush(record);
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+start_run(struct worker *w, struct front_call *call, json_t *body)
+{
+    const char *refusal;
+
+    if (json_string_value(json_object_get(body, "task")) == NULL) {
+        respond(call, 400, clock_body(w));
+        return;
+    }
+    if (keep_late_start(w, call, body)) {
+        return;
+    }
+    refusal = carry_out_start(w, body);
+    if (refusal != NULL) {
+        refuse(w, call, refusal);
+        return;
+    }
     respond(call, 200, clock_body(w));
 }
 
@@ -333,6 +383,10 @@
 {
     json_t *body;
 
+    if (w->down_until_ms != 0) {
+        front_abort(call);
+        return;
+    }
     if (now_ms() < w->hang_until_ms && w->hung_count < HELD_MAX) {
         w->hung[w->hung_count++] = call;
         return;
@@ -381,6 +435,74 @@
     return &workers[(size_t)n < worker_count ? n : 0];
 }
 
+static void
+restart(struct worker *w, int64_t down_ms)
+{
+    for (struct run *r = w->runs; r != NULL; r = r->next) {
+        if (r->state != RUN_ENDED) {
+            end_run(w, r, "crashed");
+        }
+    }
+    fprintf(record, "%lld CRASH %s\n", (long long)now_ms(), w->id);
+    fflush(record);
+    if (w->poll != NULL) {
+        front_abort(w->poll);
+        w->poll = NULL;
+    }
+    w->down_until_ms = now_ms() + down_ms;
+}
+
+/* Begins the next life of a worker that was down long enough. */
+static void
+step_restart(struct worker *w)
+{
+    if (w->down_until_ms == 0 || now_ms() < w->down_until_ms) {
+        return;
+    }
+    w->down_until_ms = 0;
+    w->runs = NULL;
+    w->token = 0;
+    w->lease_end_ms = 0;
+    w->last_end = 0;
+    w->last_seen = 0;
+    w->sequence = 0;
+    w->born_ms = clock_wall_ms();
+    w->clock_base = now_ms();
+    w->announce_due_ms = now_ms() + HEARTBEAT_MS;
+    fprintf(record, "%lld BORN %s\n", (long long)now_ms(), w->id);
+    fflush(record);
+}
+
+static void
+step_late_starts(void)
+{
+    for (size_t i = 0; i < LATE_MAX; i++) {
+        struct late_start *l = &late_starts[i];
+        struct worker *w = l->worker;
+        json_int_t token;
+
+        if (w == NULL || now_ms() < l->carried_out_ms) {
+            continue;
+        }
+        token = json_integer_value(json_object_get(l->body, "fencingToken"));
+        if (w->down_until_ms == 0 && token >= w->token) {
+            const char *refusal = carry_out_start(w, l->body);
+
+            w->token = token;
+            fprintf(record, "%lld CARRIED-OUT %s %s\n", (long long)now_ms(),
+                    w->id, refusal == NULL ? "started" : refusal);
+        }
+        else {
+            fprintf(record, "%lld CARRIED-OUT %s %s\n", (long long)now_ms(),
+                    w->id, w->down_until_ms != 0 ? "down" : "fence");
+        }
+        fflush(record);
+        front_abort(l->call);
+        json_decref(l->body);
+        l->worker = NULL;
+    }
+}
+
 static void
 handle_service_call(struct front_call *call)
 {
@@ -392,6 +514,16 @@
             now_ms() + json_integer_value(json_object_get(body, "ms"));
         answer = json_object();
     }
+    else if (str_eq(call->path, STR("/fault/late"))) {
+        late_count = (int)json_integer_value(json_object_get(body, "count"));
+        late_ms = json_integer_value(json_object_get(body, "ms"));
+        answer = json_object();
+    }
+    else if (str_eq(call->path, STR("/fault/restart"))) {
+        restart(worker_of(body),
+                json_integer_value(json_object_get(body, "ms")));
+        answer = json_object();
+    }
     else if (str_eq(call->path, STR("/fault/drain"))) {
         worker_of(body)->draining = true;
         worker_of(body)->announce_due_ms = 0;
@@ -501,6 +633,7 @@
 step_worker(struct worker *w)
 {
     handle_ring(w->ring, w);
+    step_restart(w);
     step_runs(w);
     if (w->hung_count > 0 && now_ms() >= w->hang_until_ms) {
         /* They were not carried out; their connections break. */
@@ -571,11 +704,12 @@
     for (;;) {
         usleep(STEP_US);
         handle_ring(service_calls, NULL);
+        step_late_starts();
         for (size_t i = 0; i < worker_count; i++) {
             struct worker *w = &workers[i];
 
             step_worker(w);
-            if (now_ms() >= w->announce_due_ms) {
+            if (w->down_until_ms == 0 && now_ms() >= w->announce_due_ms) {
                 w->announce_due_ms = now_ms() + HEARTBEAT_MS;
                 announce(w, i, client, argv + 6, argc - 6);
             }
