--- a/review/tools/rig.c
+++ b/review/tools/rig.c
@@ -232,7 +232,7 @@
 /* Writes the settings as the deploy file's template gives them. */
 static void
 write_settings(const struct rig *r, const char *vm, const char *ip,
-               bool control, const char *path)
+               bool control, int disk, const char *path)
 {
     FILE *f = fopen(path, "w");
 
@@ -257,7 +257,7 @@
             "\"metrics_listen\":\"%s:%d\",\"data\":\"",
             ip, r->port + 1, r->port + 1, ip, r->port + 3);
     if (control) {
-        fprintf(f, "%s/%s", r->dir, vm);
+        fprintf(f, "%s/%s-disk%d", r->dir, vm, disk);
     }
     fprintf(f, "\",\"seeds\":[");
     for (int i = 0; i < 3 && i < r->controls; i++) {
@@ -286,7 +286,8 @@
     snprintf(ip, sizeof(ip), "%s.%d", r->net, host);
     snprintf(settings, sizeof(settings), "%s/%s.json", r->dir, vm);
     snprintf(log, sizeof(log), "%s/%s.log", r->dir, vm);
-    write_settings(r, vm, ip, control, settings);
+    write_settings(r, vm, ip, control,
+                   control ? r->disks[host - CONTROL_HOST] : 0, settings);
     return spawn(log, settings, argv);
 }
 
@@ -363,13 +364,8 @@
 void
 rig_kill_control(struct rig *r, int i, bool wipe)
 {
-    char dir[320];
-
     kill_pid(&r->control_pids[i]);
-    if (wipe) {
-        snprintf(dir, sizeof(dir), "%s/core-%d", r->dir, i + 1);
-        remove_folder(dir);
-    }
+    r->disks[i] += wipe;
 }
 
 void
--- a/review/tools/rig.h
+++ b/review/tools/rig.h
@@ -38,6 +38,7 @@
     pid_t control_pids[RIG_CONTROLS_MAX];
     pid_t entry_pids[RIG_ENTRIES_MAX];
     pid_t workers_pid;
+    int disks[RIG_CONTROLS_MAX]; /* empty data folders given so far */
 };
 
 struct rig_answer {
@@ -57,7 +58,7 @@
 rig_start_control(struct rig *r, int i);
 void
 rig_start_entry(struct rig *r, int i);
-/* Kills a control VM and removes its disk, if wipe is set. */
+/* Kills a control VM. With wipe, it is started with an empty data folder. */
 void
 rig_kill_control(struct rig *r, int i, bool wipe);
 void
