--- a/review/tools/rig.c
+++ b/review/tools/rig.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -215,7 +216,11 @@
     pid_t pid = fork();
 
     if (pid == 0) {
-        FILE *out = freopen(log, "a", stdout);
+        FILE *out;
+
+        /* Ends with the driver, also if that is killed. */
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        out = freopen(log, "a", stdout);
 
         if (out == NULL || freopen(log, "a", stderr) == NULL) {
             _exit(127);
