node: remove a silent voter that keeps a learner from being promoted

Cause: a promotion to six voters needs four others that answer, and there were three. Silent voters were removed only beyond five. Each step waited for the other, so the successors stayed learners. A group of three, as at the first start, has the same fault with one voter gone.

Change: the leader also removes the voter that has been silent longest if a learner has caught up and only silent voters keep it from being promoted. The removal must still leave a majority that answers.

Before: /membership/silent-voter-blocks-learner, /group/silent-voters-are-replaced and /e2e/group/two-replaced-at-once fail.

--- a/packages/node/group_members.c
+++ b/packages/node/group_members.c
@@ -28,6 +28,7 @@
             .self = members[i].id == g->member_id,
             .active = progress.active,
             .silent_since = progress.silent_since,
+            .promotion_blocked = progress.promotion_blocked,
         };
     }
     at = membership_pick_removal(peers, count, now);
--- a/packages/node/include/membership.h
+++ b/packages/node/include/membership.h
@@ -24,11 +24,15 @@
     /* Send time of the newest message that it answered, or the time of the
      * election if that is later: a new leader has heard from nobody yet. */
     int64_t silent_since;
+    /* A learner that has caught up, but cannot be promoted while so many
+     * voters are silent. */
+    bool promotion_blocked;
 };
 
 /* Returns the index of the member to remove now, or count if there is none: a
- * voter beyond MEMBERSHIP_VOTERS or a learner that has been silent for some
- * time. Of several such voters it is the one that has been silent longest. */
+ * learner that has been silent for some time, or such a voter if there are
+ * more than MEMBERSHIP_VOTERS or if it keeps a learner from being promoted. Of
+ * several it is the one that has been silent longest. */
 size_t
 membership_pick_removal(const struct membership_peer *members, size_t count,
                         int64_t now);
--- a/packages/raft/config_change.c
+++ b/packages/raft/config_change.c
@@ -215,6 +215,16 @@
     return NULL;
 }
 
+bool
+is_promotion_blocked(const struct raft *r, uint64_t id, int64_t now)
+{
+    const struct configuration *c = config_history_newest(&r->configs);
+    const struct raft_member *m = configuration_find(c, id);
+
+    return m != NULL && !m->voter && find_replaced_voter(c, m) == NULL &&
+           is_caught_up(r, id, now) && !is_promotion_safe(r, id, now);
+}
+
 void
 config_change_tick(struct raft *r, int64_t now)
 {
--- a/packages/raft/include/raft.h
+++ b/packages/raft/include/raft.h
@@ -380,6 +380,9 @@
     /* Send time of the newest message that it answered, or the time of the
      * election if that is later. */
     int64_t silent_since;
+    /* A learner that has caught up, but the larger group would depend on
+     * voters that do not answer. Removing one of them lets it be promoted. */
+    bool promotion_blocked;
 };
 
 /* Returns false if this node does not lead or id is no member. */
--- a/packages/raft/internal.h
+++ b/packages/raft/internal.h
@@ -284,6 +284,10 @@
 void
 config_change_tick(struct raft *r, int64_t now);
 
+/* Whether only the silence of voters keeps a learner from being promoted. */
+bool
+is_promotion_blocked(const struct raft *r, uint64_t id, int64_t now);
+
 /* leadership_transfer.c */
 
 /*
--- a/packages/raft/status.c
+++ b/packages/raft/status.c
@@ -51,6 +51,7 @@
         .silent_since = p->answered_sent_ns > r->elected_at
                             ? p->answered_sent_ns
                             : r->elected_at,
+        .promotion_blocked = is_promotion_blocked(r, id, now),
     };
     if (p->state == PEER_REPLICATE) {
         out->inflight_bytes =
--- a/tests/test_e2e_group.c
+++ b/tests/test_e2e_group.c
@@ -15,6 +15,7 @@
 enum {
     CONTROLS = 5,
     JOINING = CONTROLS, /* started later, in place of another */
+    JOINING_SECOND,
     CONFIG_VERSION = 2,
     /* Bound on the time from the end of a pause until the group has its
      * voters again. */
@@ -58,7 +59,7 @@
     int64_t give_up_at = clock_now() + PLATFORM_WAIT_MS * NS_PER_MS;
 
     while (clock_now() < give_up_at) {
-        for (int i = 0; i <= JOINING; i++) {
+        for (int i = 0; i < PLATFORM_CONTROLS_MAX; i++) {
             if (running[i] &&
                 platform_metric(r, i, "guavarock_leading") == 1) {
                 return i;
@@ -130,7 +131,7 @@
 static void
 paused_while_replaced(void)
 {
-    bool running[CONTROLS + 1] = {true, true, true, true, true, true};
+    bool running[PLATFORM_CONTROLS_MAX] = {true, true, true, true, true, true};
     struct platform_rig r;
     int leader;
     int paused;
@@ -180,7 +181,7 @@
 static void
 removed_returns(void)
 {
-    bool running[CONTROLS + 1] = {true, true, true, true, true, true};
+    bool running[PLATFORM_CONTROLS_MAX] = {true, true, true, true, true, true};
     struct platform_rig r;
     int leader;
     int paused;
@@ -198,6 +199,48 @@
     platform_close(&r);
 }
 
+/*
+ * Guards against successors that are never promoted: two voters of five are
+ * gone for good before the first successor has caught up, so that a sixth
+ * voter would need more answers than there are. The loss of two more disks
+ * then ends the group.
+ */
+static void
+two_replaced_at_once(void)
+{
+    bool running[PLATFORM_CONTROLS_MAX] = {true,  true, true, false,
+                                           false, true, true};
+    struct platform_rig r;
+    int leader;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    g_usleep(2000000);
+    proc_signal(r.control[3], SIGKILL);
+    proc_signal(r.control[4], SIGKILL);
+    g_usleep(1000000);
+    platform_start_control(&r, JOINING);
+    platform_start_control(&r, JOINING_SECOND);
+    g_usleep(RETURN_MS * 1000);
+    put_config(&r, 0);
+    leader = find_leader(&r, running);
+    await_metric(&r, leader, "guavarock_group_voters", CONTROLS);
+    await_metric(&r, leader, "guavarock_group_silent", 0);
+
+    for (int i = 0; i < 2; i++) {
+        kill_and_wipe(&r, i);
+        running[i] = false;
+    }
+    for (int i = 0; i < 2; i++) {
+        platform_start_control(&r, i);
+        running[i] = true;
+    }
+    g_assert_true(reads_config(&r, JOINING));
+    leader = find_leader(&r, running);
+    await_metric(&r, leader, "guavarock_group_voters", CONTROLS);
+    await_metric(&r, leader, "guavarock_group_outside", 0);
+    platform_close(&r);
+}
+
 static void
 set_disk_full(struct platform_rig *r, int vm, bool full)
 {
@@ -250,7 +293,7 @@
         SEEDS = 3,
         REFUSED_VERSION = CONFIG_VERSION + 1,
     };
-    bool running[CONTROLS + 1] = {true, true, true};
+    bool running[PLATFORM_CONTROLS_MAX] = {true, true, true};
     struct platform_rig r;
     char *config = platform_config(REFUSED_VERSION);
     char *url;
@@ -289,6 +332,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/e2e/group/paused-while-replaced", paused_while_replaced);
     g_test_add_func("/e2e/group/removed-returns", removed_returns);
+    g_test_add_func("/e2e/group/two-replaced-at-once", two_replaced_at_once);
     g_test_add_func("/e2e/group/disks-full", disks_full);
     return g_test_run();
 }
--- a/tests/test_group_random.c
+++ b/tests/test_group_random.c
@@ -64,7 +64,7 @@
         raft_progress(r, net_clock(n, leader), m[i].id, &progress);
         peers[i] = (struct membership_peer){
             m[i].voter, m[i].id == n->nodes[leader].id, progress.active,
-            progress.silent_since};
+            progress.silent_since, progress.promotion_blocked};
     }
     at = membership_pick_removal(peers, count, net_clock(n, leader));
     if (at < count) {
@@ -247,10 +247,68 @@
     }
 }
 
+/* Whether the leader has the node as a voter, and how many voters. */
+static bool
+votes(struct net *n, int vm, size_t voters)
+{
+    int leader = net_wait_leader(n, 1);
+    size_t count;
+    const struct raft_member *m;
+    bool found = false;
+
+    if (leader < 0) {
+        return false;
+    }
+    m = raft_members(n->nodes[leader].raft, &count);
+    for (size_t i = 0; i < count; i++) {
+        found = found || (m[i].voter && m[i].id == n->nodes[vm].id);
+        voters -= m[i].voter;
+    }
+    return found && voters == 0;
+}
+
+/* Guards against a successor that stays a learner since two voters of five, or
+ * one of three, were gone before it caught up. */
+static void
+silent_voters_are_replaced(void)
+{
+    enum {
+        SUCCESSOR = NET_VMS - 1,
+        SILENT_MS = 1500,
+    };
+
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        int size = seed % 2 == 0 ? MEMBERSHIP_VOTERS : 3;
+        struct net *n = net_create(seed, size, NET_BUG_NONE);
+        bool replaced = false;
+
+        for (int vm = size; vm < NET_VMS; vm++) {
+            n->nodes[vm].paused_until_ns = INT64_MAX;
+        }
+        g_assert_cmpint(net_wait_leader(n, 2000 * NET_MS), >=, 0);
+        for (int vm = size / 2 + 1; vm < size; vm++) {
+            n->nodes[vm].paused_until_ns = INT64_MAX;
+        }
+        for (int ms = 0; ms < SILENT_MS; ms++) {
+            step(n, ms);
+        }
+        n->nodes[SUCCESSOR].paused_until_ns = 0;
+        for (int ms = 0; ms < RETURN_MS && !replaced; ms++) {
+            step(n, ms);
+            replaced = votes(n, SUCCESSOR, (size_t)size);
+        }
+        g_assert_cmpstr(n->violation, ==, "");
+        g_assert_true(replaced);
+        net_destroy(n);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/group/schedules", schedules);
+    g_test_add_func("/group/silent-voters-are-replaced",
+                    silent_voters_are_replaced);
     return g_test_run();
 }
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -37,6 +37,24 @@
                      MEMBERSHIP_VOTERS);
 }
 
+/* Guards against a group that waits for voters that are gone for good, while
+ * their successors wait for them, see /e2e/group/two-replaced-at-once. */
+static void
+silent_voter_blocks_learner(void)
+{
+    struct membership_peer m[SIX];
+
+    for (size_t i = 0; i < SIX; i++) {
+        m[i] = voter(i < 3, 8000 - 1000 * (int64_t)i);
+    }
+    m[5] = voter(true, 8000);
+    m[5].voter = false;
+    g_assert_cmpuint(pick(m, SIX, 10000), ==, SIX);
+    m[5].promotion_blocked = true;
+    g_assert_cmpuint(pick(m, SIX, 10000), ==, 4);
+    g_assert_cmpuint(pick(m, SIX, 4500), ==, SIX);
+}
+
 /* Guards against a voter that is removed because it was cut off for a moment,
  * while another has been gone for long. */
 static void
@@ -97,6 +115,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/membership/never-below-target", never_below_target);
+    g_test_add_func("/membership/silent-voter-blocks-learner",
+                    silent_voter_blocks_learner);
     g_test_add_func("/membership/longest-silent-first", longest_silent_first);
     g_test_add_func("/membership/new-leader-waits", new_leader_waits);
     g_test_add_func("/membership/leader-keeps-itself", leader_keeps_itself);
