flow: a job is found at the address it was submitted under

Cause: the leader compared the queue that the path selects now with the queue of the job, and queues are identified by the name of the route, which is in no call of a client.

GET, DELETE and the count of pending jobs use flow_job_is_at().

--- a/packages/flow/flow.pb-c.c
+++ b/packages/flow/flow.pb-c.c
@@ -1912,7 +1912,7 @@
   (ProtobufCMessageInit) flow__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor flow__submit__field_descriptors[5] =
+static const ProtobufCFieldDescriptor flow__submit__field_descriptors[6] =
 {
   {
     "job",
@@ -1974,8 +1974,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Flow__Submit, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned flow__submit__field_indices_by_name[] = {
+  5,   /* field[5] = address */
   0,   /* field[0] = job */
   1,   /* field[1] = queue */
   3,   /* field[3] = spec */
@@ -1985,7 +1998,7 @@
 static const ProtobufCIntRange flow__submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor flow__submit__descriptor =
 {
@@ -1995,7 +2008,7 @@
   "Flow__Submit",
   "flow",
   sizeof(Flow__Submit),
-  5,
+  6,
   flow__submit__field_descriptors,
   flow__submit__field_indices_by_name,
   1,  flow__submit__number_ranges,
@@ -3145,7 +3158,7 @@
   (ProtobufCMessageInit) flow__occurrence_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor flow__job_state__field_descriptors[11] =
+static const ProtobufCFieldDescriptor flow__job_state__field_descriptors[12] =
 {
   {
     "job",
@@ -3279,8 +3292,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Flow__JobState, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned flow__job_state__field_indices_by_name[] = {
+  11,   /* field[11] = address */
   7,   /* field[7] = cancelled */
   5,   /* field[5] = ended_wall_ms */
   0,   /* field[0] = job */
@@ -3296,7 +3322,7 @@
 static const ProtobufCIntRange flow__job_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor flow__job_state__descriptor =
 {
@@ -3306,7 +3332,7 @@
   "Flow__JobState",
   "flow",
   sizeof(Flow__JobState),
-  11,
+  12,
   flow__job_state__field_descriptors,
   flow__job_state__field_indices_by_name,
   1,  flow__job_state__number_ranges,
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -156,6 +156,7 @@
     uint64_t id;
     struct flow_queue *queue;
     struct flow_team *team;
+    struct str address; /* host and path prefix that it was submitted under */
     Flow__JobSpec *spec;
     enum flow_job_state state;
     bool cancelled;
@@ -238,6 +239,14 @@
 struct flow_job *
 flow_job(const struct flow_state *s, uint64_t id);
 
+/*
+ * Reports whether calls to the queue's host and prefix concern the job: it is
+ * in that queue, or was submitted under that host and prefix to a queue that a
+ * later configuration replaced.
+ */
+bool
+flow_job_is_at(const struct flow_job *j, const struct flow_queue *q);
+
 /* Returns the wall time at which an occurrence is due, INT64_MAX if that is
  * later than can be represented. */
 int64_t
@@ -282,9 +291,9 @@
 flow_upkeep_next(const struct flow_state *s, void **cursor);
 
 /*
- * Returns the number of the queue's jobs that no worker is known to have
- * begun. It includes running jobs whose tasks were assigned only to workers
- * that have not answered yet.
+ * Returns the number of the jobs at the queue, see flow_job_is_at(), that no
+ * worker is known to have begun. It includes running jobs whose tasks were
+ * assigned only to workers that have not answered yet.
  */
 uint32_t
 flow_count_pending_jobs(const struct flow_state *s,
--- a/packages/flow/include/flow.pb-c.h
+++ b/packages/flow/include/flow.pb-c.h
@@ -173,10 +173,11 @@
   char *team;
   Flow__JobSpec *spec;
   int64_t wall_ms;
+  char *address;
 };
 #define FLOW__SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&flow__submit__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Flow__Cancel
@@ -410,10 +411,11 @@
   uint32_t occurrences_due;
   size_t n_occurrences;
   Flow__OccurrenceState **occurrences;
+  char *address;
 };
 #define FLOW__JOB_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&flow__job_state__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Flow__Snapshot
--- a/packages/flow/internal.h
+++ b/packages/flow/internal.h
@@ -33,10 +33,12 @@
 
 /* Defined in job.c. */
 
-/* Adds a live, queued job, without occurrences. Takes ownership of spec. */
+/* Adds a live, queued job, without occurrences. Takes ownership of spec. An
+ * empty address stands for the queue's host and prefix. */
 struct flow_job *
 job_create(struct flow_state *s, uint64_t id, struct str queue,
-           struct str team, Flow__JobSpec *spec, int64_t wall_ms);
+           struct str team, struct str address, Flow__JobSpec *spec,
+           int64_t wall_ms);
 
 /* Adds an occurrence with its tasks, none of which has started. The pointer is
  * valid until the next occurrence is added or removed. */
--- a/packages/flow/job.c
+++ b/packages/flow/job.c
@@ -53,15 +53,30 @@
     return o;
 }
 
+static struct str
+queue_address(const struct flow_queue *q)
+{
+    struct buf text = {0};
+    struct str out;
+
+    buf_append_str(&text, q->host);
+    buf_append_str(&text, q->prefix);
+    out = str_dup(buf_str(&text));
+    buf_free(&text);
+    return out;
+}
+
 struct flow_job *
 job_create(struct flow_state *s, uint64_t id, struct str queue,
-           struct str team, Flow__JobSpec *spec, int64_t wall_ms)
+           struct str team, struct str address, Flow__JobSpec *spec,
+           int64_t wall_ms)
 {
     struct flow_job *j = mem_zalloc(1, sizeof(*j));
 
     j->id = id;
     j->queue = config_ensure_queue(s, queue);
     j->team = config_ensure_team(s, team);
+    j->address = address.len > 0 ? str_dup(address) : queue_address(j->queue);
     j->spec = spec;
     j->wall_ms = wall_ms;
     map_put_u64(s->jobs, id, j);
@@ -97,6 +112,7 @@
 job_free(struct flow_job *j)
 {
     free_occurrences(j);
+    str_free(&j->address);
     flow__job_spec__free_unpacked(j->spec, NULL);
     mem_free(j);
 }
@@ -261,6 +277,16 @@
     return s->first_live;
 }
 
+bool
+flow_job_is_at(const struct flow_job *j, const struct flow_queue *q)
+{
+    return j->queue == q ||
+           (j->address.len == q->host.len + q->prefix.len &&
+            str_starts(j->address, q->host) &&
+            str_eq(str_from(j->address.ptr + q->host.len, q->prefix.len),
+                   q->prefix));
+}
+
 size_t
 flow_live_count(const struct flow_state *s)
 {
@@ -299,8 +325,12 @@
     uint32_t pending = q->pending;
 
     for (const struct flow_job *j = s->first_live; j != NULL; j = j->next) {
-        pending += j->queue == q && j->state == FLOW_JOB_RUNNING &&
-                   !j->run_confirmed && !has_run_evidence(j);
+        if (!flow_job_is_at(j, q)) {
+            continue;
+        }
+        pending += j->queue != q && !j->started;
+        pending += j->state == FLOW_JOB_RUNNING && !j->run_confirmed &&
+                   !has_run_evidence(j);
     }
     return pending;
 }
--- a/packages/flow/snapshot.c
+++ b/packages/flow/snapshot.c
@@ -90,6 +90,7 @@
     out->job = j->id;
     out->queue = (char *)j->queue->name.ptr;
     out->team = (char *)j->team->name.ptr;
+    out->address = (char *)j->address.ptr;
     out->spec = j->spec;
     out->wall_ms = j->wall_ms;
     out->ended_wall_ms = j->ended_wall_ms;
@@ -277,8 +278,8 @@
     if (in->spec == NULL || flow_job(s, in->job) != NULL) {
         return false;
     }
-    j = job_create(s, in->job, str_of(in->queue), str_of(in->team), in->spec,
-                   in->wall_ms);
+    j = job_create(s, in->job, str_of(in->queue), str_of(in->team),
+                   str_of(in->address), in->spec, in->wall_ms);
     in->spec = NULL;
     j->state = (enum flow_job_state)in->state;
     j->started = j->state != FLOW_JOB_QUEUED;
--- a/packages/flow/state.c
+++ b/packages/flow/state.c
@@ -104,8 +104,8 @@
     if (flow_validate_spec(in->spec) != NULL || flow_job(s, in->job) != NULL) {
         return;
     }
-    j = job_create(s, in->job, str_of(in->queue), str_of(in->team), in->spec,
-                   in->wall_ms);
+    j = job_create(s, in->job, str_of(in->queue), str_of(in->team),
+                   str_of(in->address), in->spec, in->wall_ms);
     in->spec = NULL;
     j->queue->pending++;
     if (j->spec->occurrences == 0) {
--- a/packages/node/leader_requests.c
+++ b/packages/node/leader_requests.c
@@ -86,6 +86,7 @@
     const char *problem = flow_validate_spec(call->spec);
     Flow__Command command = FLOW__COMMAND__INIT;
     Flow__Submit submit = FLOW__SUBMIT__INIT;
+    struct buf address = {0};
 
     if (flow_job(l->state, id) != NULL) {
         reply_ok(l, from);
@@ -100,9 +101,12 @@
     submit.team = team == NULL ? submit.team : (char *)team->name.ptr;
     submit.spec = call->spec;
     submit.wall_ms = clock_wall_ms();
+    buf_printf(&address, "%.*s%.*s", STR_ARG(q->host), STR_ARG(q->prefix));
+    submit.address = address.ptr;
     command.kind_case = FLOW__COMMAND__KIND_SUBMIT;
     command.submit = &submit;
     leader_queue_command(l, &command);
+    buf_free(&address);
     add_pending_request(l, from, req)->job = id;
     event_write(&event_submit,
                 "job=%016llx queue=%.*s team=%s steps=%zu live=%zu "
@@ -193,7 +197,7 @@
         return;
     }
     j = flow_job(l->state, id);
-    if (j == NULL || j->queue != q) {
+    if (j == NULL || !flow_job_is_at(j, q)) {
         refuse(l, from, NODE__OUTCOME__NO_JOB, "no such job");
         return;
     }
--- a/tests/support/flow_fixture.c
+++ b/tests/support/flow_fixture.c
@@ -46,9 +46,9 @@
     char *keys[] = {(char *)"key"};
     Flow__Command command = FLOW__COMMAND__INIT;
 
-    queue.name = (char *)"q";
+    queue.name = (char *)f->queue;
     queue.host = (char *)"host";
-    queue.prefix = (char *)"/q/";
+    queue.prefix = (char *)f->prefix;
     queue.service = (char *)"s";
     queue.timeout_ms = 1000;
     queue.latency_target_ms = 1000;
@@ -83,6 +83,8 @@
 {
     memset(f, 0, sizeof(*f));
     f->state = flow_state_create();
+    f->queue = "q";
+    f->prefix = "/q/";
     flow_fixture_set_config(f, 1, "one", false, 0);
 }
 
--- a/tests/support/flow_fixture.h
+++ b/tests/support/flow_fixture.h
@@ -11,6 +11,8 @@
 
 struct flow_fixture {
     struct flow_state *state;
+    const char *queue; /* name and path prefix of the one in the next config */
+    const char *prefix;
     struct plan_worker sessions[64]; /* by worker number */
     int64_t wall_ms;                 /* of the last command */
 };
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -100,6 +100,54 @@
     platform_close(&r);
 }
 
+/* Returns the configuration with another name for each route. */
+static char *
+config_with_new_names(int version)
+{
+    char *config = platform_config(version);
+    char **parts = g_strsplit(config, "\"routes\":[{\"name\":\"r\"", 2);
+    char *renamed = g_strjoinv("\"routes\":[{\"name\":\"s\"", parts);
+
+    g_assert_cmpuint(g_strv_length(parts), ==, 2);
+    g_strfreev(parts);
+    g_free(config);
+    return renamed;
+}
+
+/* Guards against accepted jobs that are unknown at their address, and cannot
+ * be cancelled, once a route of another name has replaced theirs. */
+static void
+route_replaced(void)
+{
+    enum {
+        BODY_BYTES = 4096,
+    };
+    static const char long_job[] =
+        "{\"taskSpec\":\"run_ms=60000\",\"steps\":[{\"count\":1,"
+        "\"cpu\":500,\"memoryRequestMb\":64,\"estimatedMs\":60000}]}";
+    struct platform_rig r;
+    char *config = config_with_new_names(2);
+    char *body = g_malloc0(BODY_BYTES);
+    char *url;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    platform_submit_body(&r, 1, long_job);
+    url = platform_control_url(&r, 0, 0, "/config");
+    g_assert_cmpint(platform_call(&r, "PUT", url, config, NULL, 0), ==, 200);
+    g_free(url);
+    url = platform_job_url(&r, 0, 1);
+    g_assert_cmpint(platform_call(&r, "GET", url, "", body, BODY_BYTES), ==,
+                    200);
+    g_assert_cmpint(platform_call(&r, "DELETE", url, "", NULL, 0), ==, 200);
+    g_assert_cmpint(platform_call(&r, "GET", url, "", body, BODY_BYTES), ==,
+                    200);
+    g_assert_nonnull(strstr(body, "cancelled"));
+    g_free(url);
+    g_free(body);
+    g_free(config);
+    platform_close(&r);
+}
+
 /* Guards against an entry node that drops calls in progress on SIGTERM. */
 static void
 entry_stops(void)
@@ -482,6 +530,7 @@
     g_test_add_func("/e2e/platform/relayed", calls_relayed);
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
     g_test_add_func("/e2e/platform/refusals", error_statuses);
+    g_test_add_func("/e2e/platform/route-replaced", route_replaced);
     g_test_add_func("/e2e/platform/entry-stops", entry_stops);
     g_test_add_func("/e2e/platform/odd-entries", odd_entries_refused);
     g_test_add_func("/e2e/platform/unknown-service", unknown_service_refused);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -197,6 +197,53 @@
     flow_fixture_free(&f);
 }
 
+static bool
+is_at(const struct flow_state *s, uint64_t job, const char *path)
+{
+    return flow_job_is_at(flow_job(s, job),
+                          flow_match_queue(s, STR("host"), str_of(path)));
+}
+
+/* Guards against accepted jobs that are unknown at their address, and missing
+ * in its count, once a queue of another name has their host and prefix. */
+static void
+replaced_queue(void)
+{
+    struct flow_fixture f;
+    struct flow_state *copy;
+    struct buf bytes = {0};
+
+    flow_fixture_init(&f);
+    submit_gang_job(&f, 1, 2);
+    f.queue = "replacement";
+    flow_fixture_set_config(&f, 2, "two", false, 0);
+    g_assert_true(is_at(f.state, 1, "/q/"));
+    g_assert_cmpuint(
+        flow_count_pending_jobs(
+            f.state, flow_match_queue(f.state, STR("host"), STR("/q/"))),
+        ==, 1);
+
+    flow_state_encode(f.state, &bytes);
+    copy = flow_state_decode(buf_str(&bytes));
+    g_assert_nonnull(copy);
+    g_assert_true(is_at(copy, 1, "/q/"));
+    flow_state_destroy(copy);
+    buf_free(&bytes);
+
+    /* The queue itself may come back under another prefix. */
+    f.queue = "q";
+    f.prefix = "/moved/";
+    flow_fixture_set_config(&f, 3, "three", false, 0);
+    submit_gang_job(&f, 2, 2);
+    g_assert_true(is_at(f.state, 1, "/moved/"));
+    f.queue = "replacement";
+    f.prefix = "/q/";
+    flow_fixture_set_config(&f, 4, "four", false, 0);
+    g_assert_true(is_at(f.state, 1, "/q/"));
+    g_assert_false(is_at(f.state, 2, "/q/"));
+    flow_fixture_free(&f);
+}
+
 /* Two failed tasks of a gang in the same run must count as one failure, also
  * when the state is restored from a snapshot between the two. */
 static void
@@ -392,6 +439,7 @@
     g_test_add_func("/flow/gang-attempts", gang_attempts);
     g_test_add_func("/flow/gang-members-fail", gang_members_fail);
     g_test_add_func("/flow/pending-until-begun", pending_until_begun);
+    g_test_add_func("/flow/replaced-queue", replaced_queue);
     g_test_add_func("/flow/worker-starts-again", worker_starts_again);
     g_test_add_func("/flow/config-order", config_order);
     g_test_add_func("/flow/snapshot", snapshot);
