flow: a cancellation also holds for a job that is submitted later

Cause: the two calls reach the leader in either order, and an entry holds the first for seconds while there is no leader. The leader answered a cancellation of an unknown job at once and kept nothing. It did so too while the submission was in the log and not yet applied.

A job submitted later under the same address and id is created as cancelled and never planned.

--- a/packages/flow/flow.pb-c.c
+++ b/packages/flow/flow.pb-c.c
@@ -1042,6 +1042,51 @@
   assert(message->base.descriptor == &flow__job_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   flow__cancellation__init
+                     (Flow__Cancellation         *message)
+{
+  static const Flow__Cancellation init_value = FLOW__CANCELLATION__INIT;
+  *message = init_value;
+}
+size_t flow__cancellation__get_packed_size
+                     (const Flow__Cancellation *message)
+{
+  assert(message->base.descriptor == &flow__cancellation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t flow__cancellation__pack
+                     (const Flow__Cancellation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &flow__cancellation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t flow__cancellation__pack_to_buffer
+                     (const Flow__Cancellation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &flow__cancellation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Flow__Cancellation *
+       flow__cancellation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Flow__Cancellation *)
+     protobuf_c_message_unpack (&flow__cancellation__descriptor,
+                                allocator, len, data);
+}
+void   flow__cancellation__free_unpacked
+                     (Flow__Cancellation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &flow__cancellation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   flow__snapshot__init
                      (Flow__Snapshot         *message)
 {
@@ -2015,7 +2060,7 @@
   (ProtobufCMessageInit) flow__submit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor flow__cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor flow__cancel__field_descriptors[2] =
 {
   {
     "job",
@@ -2029,14 +2074,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Flow__Cancel, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned flow__cancel__field_indices_by_name[] = {
+  1,   /* field[1] = address */
   0,   /* field[0] = job */
 };
 static const ProtobufCIntRange flow__cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor flow__cancel__descriptor =
 {
@@ -2046,7 +2104,7 @@
   "Flow__Cancel",
   "flow",
   sizeof(Flow__Cancel),
-  1,
+  2,
   flow__cancel__field_descriptors,
   flow__cancel__field_indices_by_name,
   1,  flow__cancel__number_ranges,
@@ -3339,7 +3397,71 @@
   (ProtobufCMessageInit) flow__job_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor flow__snapshot__field_descriptors[6] =
+static const ProtobufCFieldDescriptor flow__cancellation__field_descriptors[3] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Flow__Cancellation, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Flow__Cancellation, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Flow__Cancellation, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned flow__cancellation__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = job */
+  2,   /* field[2] = wall_ms */
+};
+static const ProtobufCIntRange flow__cancellation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor flow__cancellation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "flow.Cancellation",
+  "Cancellation",
+  "Flow__Cancellation",
+  "flow",
+  sizeof(Flow__Cancellation),
+  3,
+  flow__cancellation__field_descriptors,
+  flow__cancellation__field_indices_by_name,
+  1,  flow__cancellation__number_ranges,
+  (ProtobufCMessageInit) flow__cancellation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__snapshot__field_descriptors[7] =
 {
   {
     "config",
@@ -3413,8 +3535,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancellations",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Flow__Snapshot, n_cancellations),
+    offsetof(Flow__Snapshot, cancellations),
+    &flow__cancellation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned flow__snapshot__field_indices_by_name[] = {
+  6,   /* field[6] = cancellations */
   0,   /* field[0] = config */
   2,   /* field[2] = jobs */
   4,   /* field[4] = last_worker */
@@ -3425,7 +3560,7 @@
 static const ProtobufCIntRange flow__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor flow__snapshot__descriptor =
 {
@@ -3435,7 +3570,7 @@
   "Flow__Snapshot",
   "flow",
   sizeof(Flow__Snapshot),
-  6,
+  7,
   flow__snapshot__field_descriptors,
   flow__snapshot__field_indices_by_name,
   1,  flow__snapshot__number_ranges,
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -239,6 +239,10 @@
 struct flow_job *
 flow_job(const struct flow_state *s, uint64_t id);
 
+/* Returns the number of recorded cancellations of jobs that were not known. */
+size_t
+flow_cancellation_count(const struct flow_state *s);
+
 /*
  * Reports whether calls to the queue's host and prefix concern the job: it is
  * in that queue, or was submitted under that host and prefix to a queue that a
--- a/packages/flow/include/flow.pb-c.h
+++ b/packages/flow/include/flow.pb-c.h
@@ -38,6 +38,7 @@
 typedef struct Flow__StepState Flow__StepState;
 typedef struct Flow__OccurrenceState Flow__OccurrenceState;
 typedef struct Flow__JobState Flow__JobState;
+typedef struct Flow__Cancellation Flow__Cancellation;
 typedef struct Flow__Snapshot Flow__Snapshot;
 
 
@@ -184,10 +185,11 @@
 {
   ProtobufCMessage base;
   uint64_t job;
+  char *address;
 };
 #define FLOW__CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&flow__cancel__descriptor) \
-    , 0 }
+    , 0, (char *)protobuf_c_empty_string }
 
 
 struct  Flow__Due
@@ -418,6 +420,18 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
+struct  Flow__Cancellation
+{
+  ProtobufCMessage base;
+  uint64_t job;
+  char *address;
+  int64_t wall_ms;
+};
+#define FLOW__CANCELLATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&flow__cancellation__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Flow__Snapshot
 {
   ProtobufCMessage base;
@@ -430,10 +444,12 @@
   Flow__Upkeep **upkeeps;
   uint32_t last_worker;
   int64_t wall_ms;
+  size_t n_cancellations;
+  Flow__Cancellation **cancellations;
 };
 #define FLOW__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&flow__snapshot__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 /* Flow__Size methods */
@@ -873,6 +889,25 @@
 void   flow__job_state__free_unpacked
                      (Flow__JobState *message,
                       ProtobufCAllocator *allocator);
+/* Flow__Cancellation methods */
+void   flow__cancellation__init
+                     (Flow__Cancellation         *message);
+size_t flow__cancellation__get_packed_size
+                     (const Flow__Cancellation   *message);
+size_t flow__cancellation__pack
+                     (const Flow__Cancellation   *message,
+                      uint8_t             *out);
+size_t flow__cancellation__pack_to_buffer
+                     (const Flow__Cancellation   *message,
+                      ProtobufCBuffer     *buffer);
+Flow__Cancellation *
+       flow__cancellation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   flow__cancellation__free_unpacked
+                     (Flow__Cancellation *message,
+                      ProtobufCAllocator *allocator);
 /* Flow__Snapshot methods */
 void   flow__snapshot__init
                      (Flow__Snapshot         *message);
@@ -963,6 +998,9 @@
 typedef void (*Flow__JobState_Closure)
                  (const Flow__JobState *message,
                   void *closure_data);
+typedef void (*Flow__Cancellation_Closure)
+                 (const Flow__Cancellation *message,
+                  void *closure_data);
 typedef void (*Flow__Snapshot_Closure)
                  (const Flow__Snapshot *message,
                   void *closure_data);
@@ -995,6 +1033,7 @@
 extern const ProtobufCMessageDescriptor flow__step_state__descriptor;
 extern const ProtobufCMessageDescriptor flow__occurrence_state__descriptor;
 extern const ProtobufCMessageDescriptor flow__job_state__descriptor;
+extern const ProtobufCMessageDescriptor flow__cancellation__descriptor;
 extern const ProtobufCMessageDescriptor flow__snapshot__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/flow/internal.h
+++ b/packages/flow/internal.h
@@ -12,6 +12,7 @@
     struct map *workers;       /* number to struct flow_worker */
     struct map *workers_by_id; /* id to struct flow_worker */
     struct map *upkeeps;       /* wave to struct flow_upkeep */
+    struct map *cancellations; /* address and id to struct flow_cancellation */
     struct flow_job *first_live; /* live jobs, in order of acceptance */
     struct flow_job *last_live;
     size_t live_count;
@@ -66,6 +67,31 @@
 void
 job_prune(struct flow_state *s, int64_t before_ms);
 
+/* Defined in cancellation.c. */
+
+/* Records that a job was cancelled that is not known. */
+void
+cancellation_add(struct flow_state *s, uint64_t job, struct str address,
+                 int64_t wall_ms);
+
+/* Reports whether a job submitted under address has been cancelled before. */
+bool
+cancellation_exists(const struct flow_state *s, uint64_t job,
+                    struct str address);
+
+/* Removes those from before the wall time before_ms. */
+void
+cancellations_prune(struct flow_state *s, int64_t before_ms);
+
+/* Frees all of them and their map. */
+void
+cancellations_free(struct flow_state *s);
+
+/* Adds them to a snapshot, which borrows their strings. The caller frees the
+ * messages and the array. */
+void
+cancellations_encode(const struct flow_state *s, Flow__Snapshot *out);
+
 /* Defined in tasks.c. */
 
 /* Assigns the task to its worker; ignores a reference that is out of date. */
--- a/packages/flow/snapshot.c
+++ b/packages/flow/snapshot.c
@@ -193,9 +193,13 @@
     for (size_t i = 0; i < snap->n_upkeeps; i++) {
         free_upkeep(snap->upkeeps[i]);
     }
+    for (size_t i = 0; i < snap->n_cancellations; i++) {
+        mem_free(snap->cancellations[i]);
+    }
     mem_free(snap->jobs);
     mem_free(snap->workers);
     mem_free(snap->upkeeps);
+    mem_free(snap->cancellations);
 }
 
 void
@@ -222,6 +226,7 @@
     while ((u = map_next(s->upkeeps, &cursor)) != NULL) {
         snap.upkeeps[snap.n_upkeeps++] = encode_upkeep(u);
     }
+    cancellations_encode(s, &snap);
     len = flow__snapshot__get_packed_size(&snap);
     flow__snapshot__pack(&snap, (uint8_t *)buf_reserve(out, len));
     out->len += len;
@@ -319,6 +324,11 @@
     for (size_t i = 0; i < snap->n_upkeeps; i++) {
         upkeep_apply(s, snap->upkeeps[i]);
     }
+    for (size_t i = 0; i < snap->n_cancellations; i++) {
+        const Flow__Cancellation *c = snap->cancellations[i];
+
+        cancellation_add(s, c->job, str_of(c->address), c->wall_ms);
+    }
     return ok;
 }
 
--- a/packages/flow/state.c
+++ b/packages/flow/state.c
@@ -17,6 +17,7 @@
     s->workers = map_create();
     s->workers_by_id = map_create();
     s->upkeeps = map_create();
+    s->cancellations = map_create();
     return s;
 }
 
@@ -77,6 +78,7 @@
     map_destroy(s->workers);
     map_destroy(s->workers_by_id);
     map_destroy(s->upkeeps);
+    cancellations_free(s);
     if (s->config != NULL) {
         flow__config__free_unpacked(s->config, NULL);
     }
@@ -112,6 +114,26 @@
         job_add_occurrence(j, 0);
         j->due = 1;
     }
+    if (cancellation_exists(s, j->id, j->address)) {
+        job_cancel(s, j);
+    }
+}
+
+static void
+apply_cancel(struct flow_state *s, const Flow__Cancel *in)
+{
+    struct flow_job *j = flow_job(s, in->job);
+    struct str address = str_of(in->address);
+
+    if (j == NULL) {
+        if (address.len > 0) {
+            cancellation_add(s, in->job, address, s->wall_ms);
+        }
+        return;
+    }
+    if (address.len == 0 || str_eq(address, j->address)) {
+        job_cancel(s, j);
+    }
 }
 
 static void
@@ -143,8 +165,6 @@
 static void
 apply_command(struct flow_state *s, Flow__Command *c)
 {
-    struct flow_job *j;
-
     switch (c->kind_case) {
     case FLOW__COMMAND__KIND_CONFIG:
         apply_config(s, c);
@@ -153,10 +173,7 @@
         apply_submit(s, c->submit);
         break;
     case FLOW__COMMAND__KIND_CANCEL:
-        j = flow_job(s, c->cancel->job);
-        if (j != NULL) {
-            job_cancel(s, j);
-        }
+        apply_cancel(s, c->cancel);
         break;
     case FLOW__COMMAND__KIND_DUE:
         apply_due(s, c->due);
@@ -178,6 +195,7 @@
         break;
     case FLOW__COMMAND__KIND_PRUNE_BEFORE_MS:
         job_prune(s, c->prune_before_ms);
+        cancellations_prune(s, c->prune_before_ms);
         break;
     case FLOW__COMMAND__KIND__NOT_SET:
     default:
--- a/packages/node/leader_requests.c
+++ b/packages/node/leader_requests.c
@@ -13,6 +13,9 @@
 enum {
     ID_DIGITS = 16, /* hexadecimal digits of a job id */
     NO_CONFIG_RETRY_MS = 1000,
+    /* Recorded cancellations of unknown jobs, of some 100 bytes each. */
+    CANCELLATIONS_MAX = 65536,
+    CANCELLATIONS_RETRY_MS = 5000,
 };
 
 static struct event_kind event_submit = {.name = "submit", .per_second = 120};
@@ -77,6 +80,13 @@
     return true;
 }
 
+/* Appends the address that jobs of the queue have, NUL-terminated. */
+static void
+append_address(const struct flow_queue *q, struct buf *out)
+{
+    buf_printf(out, "%.*s%.*s", STR_ARG(q->host), STR_ARG(q->prefix));
+}
+
 static void
 submit_job(struct leader *l, struct requester from, const Node__Request *req,
            uint64_t id, const struct flow_queue *q,
@@ -101,7 +111,7 @@
     submit.team = team == NULL ? submit.team : (char *)team->name.ptr;
     submit.spec = call->spec;
     submit.wall_ms = clock_wall_ms();
-    buf_printf(&address, "%.*s%.*s", STR_ARG(q->host), STR_ARG(q->prefix));
+    append_address(q, &address);
     submit.address = address.ptr;
     command.kind_case = FLOW__COMMAND__KIND_SUBMIT;
     command.submit = &submit;
@@ -139,6 +149,41 @@
                 (unsigned long long)j->id, j->assigned);
 }
 
+/*
+ * Records the cancellation of a job that is not known, because its submission
+ * may still be under way from another VM, or be in the log but not committed.
+ * The answer says whether there was such a job.
+ */
+static void
+cancel_unknown_job(struct leader *l, struct requester from,
+                   const Node__Request *req, uint64_t id,
+                   const struct flow_queue *q)
+{
+    Flow__Command command = FLOW__COMMAND__INIT;
+    Flow__Cancel cancel = FLOW__CANCEL__INIT;
+    struct pending_request *p;
+    struct buf address = {0};
+
+    if (flow_cancellation_count(l->state) >= CANCELLATIONS_MAX) {
+        request_refuse(l->node, from, NODE__OUTCOME__UNAVAILABLE,
+                       "too many unknown jobs were cancelled",
+                       CANCELLATIONS_RETRY_MS);
+        return;
+    }
+    append_address(q, &address);
+    cancel.job = id;
+    cancel.address = address.ptr;
+    command.kind_case = FLOW__COMMAND__KIND_CANCEL;
+    command.cancel = &cancel;
+    leader_queue_command(l, &command);
+    buf_free(&address);
+    p = add_pending_request(l, from, req);
+    p->job = id;
+    p->cancel = true;
+    event_write(&event_cancel, "job=%016llx outcome=unknown-recorded",
+                (unsigned long long)id);
+}
+
 static void
 reply_job_state(struct leader *l, struct requester from,
                 const struct flow_job *j)
@@ -197,6 +242,10 @@
         return;
     }
     j = flow_job(l->state, id);
+    if (j == NULL && call->verb == NODE__VERB__CANCEL) {
+        cancel_unknown_job(l, from, req, id, q);
+        return;
+    }
     if (j == NULL || !flow_job_is_at(j, q)) {
         refuse(l, from, NODE__OUTCOME__NO_JOB, "no such job");
         return;
@@ -487,6 +536,10 @@
     switch (p->kind) {
     case NODE__REQUEST__KIND_JOB:
         j = flow_job(l->state, p->job);
+        if (p->cancel && (j == NULL || j->state <= FLOW_JOB_RUNNING)) {
+            refuse(l, p->from, NODE__OUTCOME__NO_JOB, "no such job");
+            return;
+        }
         if (j == NULL) {
             refuse(l, p->from, NODE__OUTCOME__INVALID, "not accepted");
             return;
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -100,6 +100,34 @@
     platform_close(&r);
 }
 
+/* Guards against a job that runs although its cancelling was acknowledged,
+ * because the submission arrived after it. */
+static void
+cancelled_before_submitted(void)
+{
+    enum {
+        JOB = 1,
+        BODY_BYTES = 4096,
+    };
+    struct platform_rig r;
+    char *body = g_malloc0(BODY_BYTES);
+    char *url;
+
+    platform_open(&r, CONTROLS, 2, 1);
+    url = platform_job_url(&r, 1, JOB);
+    g_assert_cmpint(platform_call(&r, "DELETE", url, "", NULL, 0), ==, 410);
+    g_assert_cmpint(platform_call(&r, "GET", url, "", NULL, 0), ==, 410);
+    platform_submit(&r, JOB);
+    g_usleep(1500000);
+    g_assert_cmpint(platform_call(&r, "GET", url, "", body, BODY_BYTES), ==,
+                    200);
+    g_assert_nonnull(strstr(body, "cancelled"));
+    g_assert_cmpint(platform_fault_count(&r, "starts"), ==, 0);
+    g_free(url);
+    g_free(body);
+    platform_close(&r);
+}
+
 /* Returns the configuration with another name for each route. */
 static char *
 config_with_new_names(int version)
@@ -531,6 +559,8 @@
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
     g_test_add_func("/e2e/platform/refusals", error_statuses);
     g_test_add_func("/e2e/platform/route-replaced", route_replaced);
+    g_test_add_func("/e2e/platform/cancelled-before-submitted",
+                    cancelled_before_submitted);
     g_test_add_func("/e2e/platform/entry-stops", entry_stops);
     g_test_add_func("/e2e/platform/odd-entries", odd_entries_refused);
     g_test_add_func("/e2e/platform/unknown-service", unknown_service_refused);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -244,6 +244,64 @@
     flow_fixture_free(&f);
 }
 
+static void
+cancel_at(struct flow_fixture *f, uint64_t job, const char *address)
+{
+    Flow__Command command = FLOW__COMMAND__INIT;
+    Flow__Cancel cancel = FLOW__CANCEL__INIT;
+
+    cancel.job = job;
+    cancel.address = (char *)address;
+    command.kind_case = FLOW__COMMAND__KIND_CANCEL;
+    command.cancel = &cancel;
+    flow_fixture_apply(f, &command);
+}
+
+static void
+prune(struct flow_fixture *f, int64_t before_ms)
+{
+    Flow__Command command = FLOW__COMMAND__INIT;
+
+    command.kind_case = FLOW__COMMAND__KIND_PRUNE_BEFORE_MS;
+    command.prune_before_ms = before_ms;
+    flow_fixture_apply(f, &command);
+}
+
+/* Guards against a job that runs although it was cancelled, because the
+ * cancelling call overtook the submission, also over a restart. */
+static void
+cancelled_before_submitted(void)
+{
+    struct flow_fixture f;
+    struct buf bytes = {0};
+    struct flow_job *j;
+
+    flow_fixture_init(&f);
+    cancel_at(&f, 1, "host/q/");
+    cancel_at(&f, 2, "host/other/");
+    cancel_at(&f, 3, "host/q/");
+    g_assert_null(flow_job(f.state, 1));
+    g_assert_cmpuint(flow_cancellation_count(f.state), ==, 3);
+    flow_state_encode(f.state, &bytes);
+    flow_state_destroy(f.state);
+    f.state = flow_state_decode(buf_str(&bytes));
+    g_assert_nonnull(f.state);
+    buf_free(&bytes);
+
+    j = submit_two_step_job(&f, 1);
+    g_assert_cmpint(j->state, ==, FLOW_JOB_CANCELLED);
+    g_assert_cmpuint(flow_live_count(f.state), ==, 0);
+    g_assert_cmpuint(flow_count_pending_jobs(f.state, j->queue), ==, 0);
+    g_assert_cmpint(submit_two_step_job(&f, 2)->state, ==, FLOW_JOB_QUEUED);
+    cancel_at(&f, 2, "host/q/");
+    g_assert_cmpint(flow_job(f.state, 2)->state, ==, FLOW_JOB_CANCELLED);
+
+    prune(&f, f.wall_ms + 1);
+    g_assert_cmpuint(flow_cancellation_count(f.state), ==, 0);
+    g_assert_cmpint(submit_two_step_job(&f, 3)->state, ==, FLOW_JOB_QUEUED);
+    flow_fixture_free(&f);
+}
+
 /* Two failed tasks of a gang in the same run must count as one failure, also
  * when the state is restored from a snapshot between the two. */
 static void
@@ -440,6 +498,8 @@
     g_test_add_func("/flow/gang-members-fail", gang_members_fail);
     g_test_add_func("/flow/pending-until-begun", pending_until_begun);
     g_test_add_func("/flow/replaced-queue", replaced_queue);
+    g_test_add_func("/flow/cancelled-before-submitted",
+                    cancelled_before_submitted);
     g_test_add_func("/flow/worker-starts-again", worker_starts_again);
     g_test_add_func("/flow/config-order", config_order);
     g_test_add_func("/flow/snapshot", snapshot);
