node: a refusal of a second copy does not refuse the call

Cause: an entry sends unanswered calls again after a change of leader. The first copy was accepted and its answer lost; the second was checked against the new configuration, and its refusal was passed on.

Change: entries count the copies. After more than one, a refusal of a change that depends on the configuration is reported as an unknown outcome.

--- a/packages/node/calls.c
+++ b/packages/node/calls.c
@@ -3,6 +3,7 @@
  * as a request and answered with the leader's reply. Requests are idempotent,
  * so pending ones are sent again after a leader change or a lost session.
  */
+#include "call_outcome.h"
 #include "clock.h"
 #include "event.h"
 #include "internal.h"
@@ -30,7 +31,7 @@
     int64_t resend_at;
     uint64_t link; /* that the request was sent on; 0: this process or none */
     bool must_resend; /* to be sent, or sent again; never read */
-    bool forwarded;   /* a leader may have processed the request */
+    uint32_t copies;  /* sent; a leader may have processed any of them */
 };
 
 struct calls {
@@ -93,7 +94,7 @@
 {
     return (struct leader_wait){.arrived = p->arrived,
                                 .deadline = p->deadline,
-                                .forwarded = p->forwarded,
+                                .forwarded = p->copies > 0,
                                 .leader_known = c->leader_known,
                                 .leader_last_known = c->leader_last_known};
 }
@@ -141,7 +142,7 @@
     p->resend_at = n->now + RESEND_MS * NS_PER_MS;
     if (n->group != NULL && n->leader != NULL && group_is_leader(n->group)) {
         p->must_resend = false;
-        p->forwarded = true;
+        p->copies++;
         p->link = 0;
         leader_handle_request(n->leader, (struct requester){0, p->id},
                               p->request);
@@ -152,7 +153,7 @@
         return;
     }
     p->must_resend = false;
-    p->forwarded = true;
+    p->copies++;
     p->link = l->id;
     envelope.msg_case = NODE__ENVELOPE__MSG_REQUEST;
     envelope.request = p->request;
@@ -204,6 +205,7 @@
 calls_handle_reply(struct calls *c, const Node__Reply *reply)
 {
     struct pending_call *p = map_get_u64(c->pending, reply->id);
+    Node__Outcome outcome;
 
     if (p == NULL) {
         return;
@@ -213,6 +215,17 @@
         p->resend_at = c->node->now + NOT_LEADER_RESEND_MS * NS_PER_MS;
         return;
     }
+    outcome = call_outcome_replied(p->request, p->copies, reply->outcome);
+    if (outcome != reply->outcome) {
+        event_write(&event_refused,
+                    "method=%s path=%.*s copies=%u outcome=%d "
+                    "reason=\"%s\" detail=\"an earlier copy may have been "
+                    "accepted\"",
+                    http_method_name(p->call->method), STR_ARG(p->call->path),
+                    p->copies, (int)reply->outcome, reply->reason);
+        refuse_call(c, p, outcome, reply->reason);
+        return;
+    }
     send_response(c, p, reply);
 }
 
@@ -231,31 +244,6 @@
     }
 }
 
-static bool
-is_mutation(const Node__Request *r)
-{
-    switch (r->kind_case) {
-    case NODE__REQUEST__KIND_JOB:
-        return r->job->verb == NODE__VERB__SUBMIT ||
-               r->job->verb == NODE__VERB__CANCEL;
-    case NODE__REQUEST__KIND_CONFIG:
-    case NODE__REQUEST__KIND_UPKEEP:
-        return true;
-    default:
-        return false;
-    }
-}
-
-static void
-refuse_expired_call(struct calls *c, struct pending_call *p)
-{
-    if (p->forwarded && is_mutation(p->request)) {
-        refuse_call(c, p, NODE__OUTCOME__UNKNOWN, "no answer from the leader");
-        return;
-    }
-    refuse_call(c, p, NODE__OUTCOME__UNAVAILABLE, "no answer from the leader");
-}
-
 void
 calls_step(struct calls *c)
 {
@@ -277,7 +265,8 @@
         struct leader_wait wait = get_leader_wait(c, p);
 
         if (n->now >= leader_wait_give_up_at(&wait)) {
-            refuse_expired_call(c, p);
+            refuse_call(c, p, call_outcome_expired(p->request, p->copies),
+                        "no answer from the leader");
             continue;
         }
         if (leader_changed || n->now >= p->resend_at) {
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "approval_vm.h"
+#include "call_outcome.h"
 #include "clock.h"
 #include "leader_wait.h"
 #include "node.h"
@@ -51,6 +52,40 @@
     g_assert_cmpuint(leader_wait_retry_after_ms(&p, ms_to_ns(9000)), ==, 2000);
 }
 
+/* Guards against a refusal of a job that runs: the first copy of the call was
+ * accepted, and the answer to it lost, before the key or queue was removed. */
+static void
+refusal_of_second_copy(void)
+{
+    static const Node__Outcome refusals[] = {
+        NODE__OUTCOME__NO_KEY, NODE__OUTCOME__NO_QUEUE, NODE__OUTCOME__INVALID,
+        NODE__OUTCOME__BUSY, NODE__OUTCOME__UNAVAILABLE};
+    Node__Request request = NODE__REQUEST__INIT;
+    Node__JobCall call = NODE__JOB_CALL__INIT;
+
+    request.kind_case = NODE__REQUEST__KIND_JOB;
+    request.job = &call;
+    for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+        call.verb = NODE__VERB__SUBMIT;
+        g_assert_cmpint(call_outcome_replied(&request, 1, refusals[i]), ==,
+                        refusals[i]);
+        g_assert_cmpint(call_outcome_replied(&request, 2, refusals[i]), ==,
+                        NODE__OUTCOME__UNKNOWN);
+        call.verb = NODE__VERB__STATE;
+        g_assert_cmpint(call_outcome_replied(&request, 2, refusals[i]), ==,
+                        refusals[i]);
+    }
+    call.verb = NODE__VERB__CANCEL;
+    g_assert_cmpint(call_outcome_replied(&request, 2, NODE__OUTCOME__OK), ==,
+                    NODE__OUTCOME__OK);
+    g_assert_cmpint(call_outcome_replied(&request, 2, NODE__OUTCOME__NO_JOB),
+                    ==, NODE__OUTCOME__NO_JOB);
+    g_assert_cmpint(call_outcome_expired(&request, 0), ==,
+                    NODE__OUTCOME__UNAVAILABLE);
+    g_assert_cmpint(call_outcome_expired(&request, 1), ==,
+                    NODE__OUTCOME__UNKNOWN);
+}
+
 /* Guards against restarts of runs that are on time. Early progress reports lag
  * behind: a run at 4% after 450 of 5400 ms was stopped. */
 static void
@@ -214,6 +249,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/node/patience/bounds", leader_wait_bounds);
     g_test_add_func("/node/patience/down", leader_wait_group_down);
+    g_test_add_func("/node/refusal-of-second-copy", refusal_of_second_copy);
     g_test_add_func("/node/progress/on-time", progress_on_time);
     g_test_add_func("/node/progress/slow", progress_slow);
     g_test_add_func("/node/settings", settings_validation);
