--- a/packages/flow/flow.pb-c.c
+++ b/packages/flow/flow.pb-c.c
@@ -1087,6 +1087,51 @@
   assert(message->base.descriptor == &flow__cancellation__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   flow__removed_queue__init
+                     (Flow__RemovedQueue         *message)
+{
+  static const Flow__RemovedQueue init_value = FLOW__REMOVED_QUEUE__INIT;
+  *message = init_value;
+}
+size_t flow__removed_queue__get_packed_size
+                     (const Flow__RemovedQueue *message)
+{
+  assert(message->base.descriptor == &flow__removed_queue__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t flow__removed_queue__pack
+                     (const Flow__RemovedQueue *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &flow__removed_queue__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t flow__removed_queue__pack_to_buffer
+                     (const Flow__RemovedQueue *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &flow__removed_queue__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Flow__RemovedQueue *
+       flow__removed_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Flow__RemovedQueue *)
+     protobuf_c_message_unpack (&flow__removed_queue__descriptor,
+                                allocator, len, data);
+}
+void   flow__removed_queue__free_unpacked
+                     (Flow__RemovedQueue *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &flow__removed_queue__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   flow__snapshot__init
                      (Flow__Snapshot         *message)
 {
@@ -3461,7 +3506,58 @@
   (ProtobufCMessageInit) flow__cancellation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor flow__snapshot__field_descriptors[7] =
+static const ProtobufCFieldDescriptor flow__removed_queue__field_descriptors[2] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Flow__RemovedQueue, queue),
+    &flow__queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "guarded",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Flow__RemovedQueue, guarded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned flow__removed_queue__field_indices_by_name[] = {
+  1,   /* field[1] = guarded */
+  0,   /* field[0] = queue */
+};
+static const ProtobufCIntRange flow__removed_queue__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor flow__removed_queue__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "flow.RemovedQueue",
+  "RemovedQueue",
+  "Flow__RemovedQueue",
+  "flow",
+  sizeof(Flow__RemovedQueue),
+  2,
+  flow__removed_queue__field_descriptors,
+  flow__removed_queue__field_indices_by_name,
+  1,  flow__removed_queue__number_ranges,
+  (ProtobufCMessageInit) flow__removed_queue__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__snapshot__field_descriptors[9] =
 {
   {
     "config",
@@ -3547,12 +3643,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "removed_queues",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Flow__Snapshot, n_removed_queues),
+    offsetof(Flow__Snapshot, removed_queues),
+    &flow__removed_queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed_teams",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Flow__Snapshot, n_removed_teams),
+    offsetof(Flow__Snapshot, removed_teams),
+    &flow__team__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned flow__snapshot__field_indices_by_name[] = {
   6,   /* field[6] = cancellations */
   0,   /* field[0] = config */
   2,   /* field[2] = jobs */
   4,   /* field[4] = last_worker */
+  7,   /* field[7] = removed_queues */
+  8,   /* field[8] = removed_teams */
   3,   /* field[3] = upkeeps */
   5,   /* field[5] = wall_ms */
   1,   /* field[1] = workers */
@@ -3560,7 +3682,7 @@
 static const ProtobufCIntRange flow__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor flow__snapshot__descriptor =
 {
@@ -3570,7 +3692,7 @@
   "Flow__Snapshot",
   "flow",
   sizeof(Flow__Snapshot),
-  7,
+  9,
   flow__snapshot__field_descriptors,
   flow__snapshot__field_indices_by_name,
   1,  flow__snapshot__number_ranges,
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -88,6 +88,7 @@
     uint32_t weight;
     struct flow_size limit; /* 0: no limit on that resource */
     struct flow_size used;  /* by all assigned tasks */
+    uint32_t jobs; /* all that refer to it, ended ones too */
     uint32_t live_jobs;
     bool configured; /* is part of the current configuration */
 };
@@ -113,6 +114,7 @@
     bool open;                   /* requests need no key */
     bool guarded;     /* the service's workers reject tasks that do not fit */
     bool configured;  /* is part of the current configuration */
+    uint32_t jobs;    /* all that refer to it, ended ones too */
     uint32_t pending; /* unended jobs of which no task was ever assigned */
     double bias_log;  /* leader only: average log of measured over estimated */
     double bias;      /* leader only: exp(bias_log), 0 until observed */
--- a/packages/flow/include/flow.pb-c.h
+++ b/packages/flow/include/flow.pb-c.h
@@ -39,6 +39,7 @@
 typedef struct Flow__OccurrenceState Flow__OccurrenceState;
 typedef struct Flow__JobState Flow__JobState;
 typedef struct Flow__Cancellation Flow__Cancellation;
+typedef struct Flow__RemovedQueue Flow__RemovedQueue;
 typedef struct Flow__Snapshot Flow__Snapshot;
 
 
@@ -432,6 +433,17 @@
     , 0, (char *)protobuf_c_empty_string, 0 }
 
 
+struct  Flow__RemovedQueue
+{
+  ProtobufCMessage base;
+  Flow__Queue *queue;
+  protobuf_c_boolean guarded;
+};
+#define FLOW__REMOVED_QUEUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&flow__removed_queue__descriptor) \
+    , NULL, 0 }
+
+
 struct  Flow__Snapshot
 {
   ProtobufCMessage base;
@@ -446,10 +458,14 @@
   int64_t wall_ms;
   size_t n_cancellations;
   Flow__Cancellation **cancellations;
+  size_t n_removed_queues;
+  Flow__RemovedQueue **removed_queues;
+  size_t n_removed_teams;
+  Flow__Team **removed_teams;
 };
 #define FLOW__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&flow__snapshot__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Flow__Size methods */
@@ -908,6 +924,25 @@
 void   flow__cancellation__free_unpacked
                      (Flow__Cancellation *message,
                       ProtobufCAllocator *allocator);
+/* Flow__RemovedQueue methods */
+void   flow__removed_queue__init
+                     (Flow__RemovedQueue         *message);
+size_t flow__removed_queue__get_packed_size
+                     (const Flow__RemovedQueue   *message);
+size_t flow__removed_queue__pack
+                     (const Flow__RemovedQueue   *message,
+                      uint8_t             *out);
+size_t flow__removed_queue__pack_to_buffer
+                     (const Flow__RemovedQueue   *message,
+                      ProtobufCBuffer     *buffer);
+Flow__RemovedQueue *
+       flow__removed_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   flow__removed_queue__free_unpacked
+                     (Flow__RemovedQueue *message,
+                      ProtobufCAllocator *allocator);
 /* Flow__Snapshot methods */
 void   flow__snapshot__init
                      (Flow__Snapshot         *message);
@@ -1001,6 +1036,9 @@
 typedef void (*Flow__Cancellation_Closure)
                  (const Flow__Cancellation *message,
                   void *closure_data);
+typedef void (*Flow__RemovedQueue_Closure)
+                 (const Flow__RemovedQueue *message,
+                  void *closure_data);
 typedef void (*Flow__Snapshot_Closure)
                  (const Flow__Snapshot *message,
                   void *closure_data);
@@ -1034,6 +1072,7 @@
 extern const ProtobufCMessageDescriptor flow__occurrence_state__descriptor;
 extern const ProtobufCMessageDescriptor flow__job_state__descriptor;
 extern const ProtobufCMessageDescriptor flow__cancellation__descriptor;
+extern const ProtobufCMessageDescriptor flow__removed_queue__descriptor;
 extern const ProtobufCMessageDescriptor flow__snapshot__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/flow/internal.h
+++ b/packages/flow/internal.h
@@ -26,6 +26,17 @@
 void
 config_install(struct flow_state *s, Flow__Config *config);
 
+/* Adds the queues and teams to a snapshot that jobs refer to and the current
+ * configuration does not have. They borrow their strings. */
+void
+config_encode_removed(const struct flow_state *s, Flow__Snapshot *out);
+void
+config_free_removed(Flow__Snapshot *snap);
+
+/* Restores them, after the configuration. */
+void
+config_decode_removed(struct flow_state *s, const Flow__Snapshot *snap);
+
 /* Return the queue or team with that name, creating it with defaults. */
 struct flow_queue *
 config_ensure_queue(struct flow_state *s, struct str name);
--- a/packages/flow/job.c
+++ b/packages/flow/job.c
@@ -76,6 +76,8 @@
     j->id = id;
     j->queue = config_ensure_queue(s, queue);
     j->team = config_ensure_team(s, team);
+    j->queue->jobs++;
+    j->team->jobs++;
     j->address = address.len > 0 ? str_dup(address) : queue_address(j->queue);
     j->spec = spec;
     j->wall_ms = wall_ms;
@@ -112,6 +114,8 @@
 job_free(struct flow_job *j)
 {
     free_occurrences(j);
+    j->queue->jobs--;
+    j->team->jobs--;
     str_free(&j->address);
     flow__job_spec__free_unpacked(j->spec, NULL);
     mem_free(j);
--- a/packages/flow/snapshot.c
+++ b/packages/flow/snapshot.c
@@ -200,6 +200,7 @@
     mem_free(snap->workers);
     mem_free(snap->upkeeps);
     mem_free(snap->cancellations);
+    config_free_removed(snap);
 }
 
 void
@@ -227,6 +228,7 @@
         snap.upkeeps[snap.n_upkeeps++] = encode_upkeep(u);
     }
     cancellations_encode(s, &snap);
+    config_encode_removed(s, &snap);
     len = flow__snapshot__get_packed_size(&snap);
     flow__snapshot__pack(&snap, (uint8_t *)buf_reserve(out, len));
     out->len += len;
@@ -314,6 +316,7 @@
         config_install(s, snap->config);
         snap->config = NULL;
     }
+    config_decode_removed(s, snap);
     for (size_t i = 0; i < snap->n_workers; i++) {
         worker_register(s, snap->workers[i]);
     }
--- a/packages/flow/state.c
+++ b/packages/flow/state.c
@@ -96,6 +96,18 @@
     c->kind_case = FLOW__COMMAND__KIND__NOT_SET;
 }
 
+/*
+ * Whether all members know the settings of the queue. A snapshot holds those
+ * of a removed queue only if jobs refer to it.
+ */
+static bool
+is_queue_known(const struct flow_state *s, struct str name)
+{
+    const struct flow_queue *q = map_get(s->queues, name);
+
+    return q != NULL && (q->configured || q->jobs > 0);
+}
+
 /* A job id that is submitted again leaves the existing job unchanged, so that
  * a retried request does not create a second job. */
 static void
@@ -103,7 +115,8 @@
 {
     struct flow_job *j;
 
-    if (flow_validate_spec(in->spec) != NULL || flow_job(s, in->job) != NULL) {
+    if (flow_validate_spec(in->spec) != NULL || flow_job(s, in->job) != NULL ||
+        !is_queue_known(s, str_of(in->queue))) {
         return;
     }
     j = job_create(s, in->job, str_of(in->queue), str_of(in->team),
--- a/packages/node/leader_requests.c
+++ b/packages/node/leader_requests.c
@@ -16,6 +16,7 @@
     /* Recorded cancellations of unknown jobs, of some 100 bytes each. */
     CANCELLATIONS_MAX = 65536,
     CANCELLATIONS_RETRY_MS = 5000,
+    QUEUE_REMOVED_RETRY_MS = 200,
 };
 
 static struct event_kind event_submit = {.name = "submit", .per_second = 120};
@@ -541,7 +542,9 @@
             return;
         }
         if (j == NULL) {
-            refuse(l, p->from, NODE__OUTCOME__INVALID, "not accepted");
+            request_refuse(l->node, p->from, NODE__OUTCOME__UNAVAILABLE,
+                           "the queue was removed meanwhile",
+                           QUEUE_REMOVED_RETRY_MS);
             return;
         }
         if (j->arrived_ns == 0) {
--- a/tests/support/flow_fixture.c
+++ b/tests/support/flow_fixture.c
@@ -58,7 +58,7 @@
     queue.approval_ms = needs_approval ? 10 : 0;
     queue.ticket_ms = 2000;
     service.name = (char *)"s";
-    team.name = (char *)"t";
+    team.name = (char *)f->team;
     team.weight = 1;
     team.keys = keys;
     team.n_keys = 1;
@@ -85,6 +85,7 @@
     f->state = flow_state_create();
     f->queue = "q";
     f->prefix = "/q/";
+    f->team = "t";
     flow_fixture_set_config(f, 1, "one", false, 0);
 }
 
--- a/tests/support/flow_fixture.h
+++ b/tests/support/flow_fixture.h
@@ -13,6 +13,7 @@
     struct flow_state *state;
     const char *queue; /* name and path prefix of the one in the next config */
     const char *prefix;
+    const char *team;
     struct plan_worker sessions[64]; /* by worker number */
     int64_t wall_ms;                 /* of the last command */
 };
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -244,6 +244,59 @@
     flow_fixture_free(&f);
 }
 
+/* Guards against accepted jobs that fail after one attempt of several, or
+ * never go on, after a restart: a snapshot must hold the settings of a removed
+ * queue and team while jobs refer to them. */
+static void
+removed_queue_in_snapshot(void)
+{
+    struct flow_fixture f;
+    struct buf bytes = {0};
+    struct flow_job *j;
+    uint32_t w;
+
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", true, 5000);
+    w = flow_fixture_add_worker(&f, "w", 1, 8000);
+    submit_two_step_job(&f, 1);
+    flow_fixture_start_run(&f, 1, 0, 0, 1, w);
+    f.queue = "other";
+    f.prefix = "/other/";
+    f.team = "other";
+    flow_fixture_set_config(&f, 3, "three", false, 0);
+    flow_state_encode(f.state, &bytes);
+    flow_state_destroy(f.state);
+    f.state = flow_state_decode(buf_str(&bytes));
+    g_assert_nonnull(f.state);
+    buf_free(&bytes);
+
+    j = flow_job(f.state, 1);
+    g_assert_false(j->queue->configured);
+    g_assert_true(str_eq(j->queue->service, STR("s")));
+    g_assert_cmpuint(j->queue->max_attempts, ==, 2);
+    g_assert_true(j->queue->needs_approval);
+    g_assert_false(j->team->configured);
+    g_assert_cmpuint(j->team->limit.cpu_milli, ==, 5000);
+    flow_fixture_end_run(&f, 1, 0, 0, 1, w, FLOW_END_FAILED, "");
+    g_assert_cmpint(j->state, ==, FLOW_JOB_RUNNING);
+    flow_fixture_free(&f);
+}
+
+/* Guards against members of the group that differ: one that was restored from
+ * a snapshot does not know a removed queue without jobs. */
+static void
+removed_queue_takes_no_jobs(void)
+{
+    struct flow_fixture f;
+    Flow__Step *steps[] = {flow_fixture_create_step(1, 1000, -1)};
+
+    flow_fixture_init(&f);
+    f.queue = "other";
+    flow_fixture_set_config(&f, 2, "two", false, 0);
+    g_assert_null(flow_fixture_submit_job(&f, 1, steps, 1));
+    flow_fixture_free(&f);
+}
+
 static void
 cancel_at(struct flow_fixture *f, uint64_t job, const char *address)
 {
@@ -498,6 +551,10 @@
     g_test_add_func("/flow/gang-members-fail", gang_members_fail);
     g_test_add_func("/flow/pending-until-begun", pending_until_begun);
     g_test_add_func("/flow/replaced-queue", replaced_queue);
+    g_test_add_func("/flow/removed-queue-in-snapshot",
+                    removed_queue_in_snapshot);
+    g_test_add_func("/flow/removed-queue-takes-no-jobs",
+                    removed_queue_takes_no_jobs);
     g_test_add_func("/flow/cancelled-before-submitted",
                     cancelled_before_submitted);
     g_test_add_func("/flow/worker-starts-again", worker_starts_again);
