flow, node: order fields so that the linter finds no padding

Change: order and formatting only.

Result: lint and format-check pass; the unit tests of flow, node, membership and group pass.

--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -88,7 +88,7 @@
     uint32_t weight;
     struct flow_size limit; /* 0: no limit on that resource */
     struct flow_size used;  /* by all assigned tasks */
-    uint32_t jobs; /* all that refer to it, ended ones too */
+    uint32_t jobs;          /* all that refer to it, ended ones too */
     uint32_t live_jobs;
     bool configured; /* is part of the current configuration */
 };
@@ -107,17 +107,17 @@
     uint32_t priority; /* 0 is the most urgent */
     uint32_t max_attempts;
     double stretch;       /* factor on the estimated run time of a job */
-    bool needs_approval;  /* steps run only on approved workers */
     uint32_t approval_ms; /* expected time of an approval request */
     uint32_t approval_worker_us; /* added for each worker it names */
     uint32_t ticket_ms;          /* validity of an approval ticket */
-    bool open;                   /* requests need no key */
-    bool guarded;     /* the service's workers reject tasks that do not fit */
-    bool configured;  /* is part of the current configuration */
-    uint32_t jobs;    /* all that refer to it, ended ones too */
-    uint32_t pending; /* unended jobs of which no task was ever assigned */
-    double bias_log;  /* leader only: average log of measured over estimated */
-    double bias;      /* leader only: exp(bias_log), 0 until observed */
+    uint32_t jobs;               /* all that refer to it, ended ones too */
+    uint32_t pending;    /* unended jobs of which no task was ever assigned */
+    bool needs_approval; /* steps run only on approved workers */
+    bool open;           /* requests need no key */
+    bool guarded;    /* the service's workers reject tasks that do not fit */
+    bool configured; /* is part of the current configuration */
+    double bias_log; /* leader only: average log of measured over estimated */
+    double bias;     /* leader only: exp(bias_log), 0 until observed */
 };
 
 struct flow_task {
--- a/packages/node/include/membership.h
+++ b/packages/node/include/membership.h
@@ -21,12 +21,12 @@
     bool voter;
     bool self;
     bool active; /* replied within the election timeout */
-    /* Send time of the newest message that it answered, or the time of the
-     * election if that is later: a new leader has heard from nobody yet. */
-    int64_t silent_since;
     /* A learner that has caught up, but cannot be promoted while so many
      * voters are silent. */
     bool promotion_blocked;
+    /* Send time of the newest message that it answered, or the time of the
+     * election if that is later: a new leader has heard from nobody yet. */
+    int64_t silent_since;
 };
 
 /* Returns the index of the member to remove now, or count if there is none: a
--- a/tests/test_group_random.c
+++ b/tests/test_group_random.c
@@ -64,7 +64,7 @@
         raft_progress(r, net_clock(n, leader), m[i].id, &progress);
         peers[i] = (struct membership_peer){
             m[i].voter, m[i].id == n->nodes[leader].id, progress.active,
-            progress.silent_since, progress.promotion_blocked};
+            progress.promotion_blocked, progress.silent_since};
     }
     at = membership_pick_removal(peers, count, net_clock(n, leader));
     if (at < count) {
