--- a/packages/node/leader_requests.c
+++ b/packages/node/leader_requests.c
@@ -547,6 +547,10 @@
                            QUEUE_REMOVED_RETRY_MS);
             return;
         }
+        if (!p->cancel && j->state == FLOW_JOB_CANCELLED) {
+            event_write(&event_submit, "job=%016llx outcome=cancelled-before",
+                        (unsigned long long)p->job);
+        }
         if (j->arrived_ns == 0) {
             j->arrived_ns = l->node->now;
         }
