--- a/review/6/case.c
+++ b/review/6/case.c
@@ -11,8 +11,8 @@
     EXIT_HELD = 0,
     EXIT_BROKEN = 1,
     EXIT_NOT_RUN = 2,
-    TASKS = 1600,   /* of 20 thousandths of a core, on a minion of 32 */
-    CUT_MS = 5500,  /* node_cut "servers" of the site: for_s = 5.5 */
+    TASKS = 1600,  /* of 20 thousandths of a core, on a minion of 32 */
+    CUT_MS = 5500, /* node_cut "servers" of the site: for_s = 5.5 */
     TASK_MS = 4000,
     START_MAX_MS = 15000,
     COMPLETE_MAX_MS = 40000,
--- a/review/standins-2/minion.c
+++ b/review/standins-2/minion.c
@@ -21,6 +21,7 @@
     TICK_MS = 2,
     HEARTBEAT_TIMEOUT_MS = 1000,
     UNEVEN_PERCENT = 30,
+    LOAD_FIGURE = 50, /* tail in ms, or thousandths of a core */
 };
 
 enum run_state {
@@ -34,6 +35,7 @@
     uint32_t run;
     int minion;
     enum run_state state;
+    bool lasts; /* it works until it is stopped */
     int64_t began;
     int64_t ends;     /* when its work is done, or when it was */
     int64_t stops_at; /* 0: it is not being stopped */
@@ -214,6 +216,7 @@
                       .how = ""};
     snprintf(r->task, sizeof(r->task), "%s", task);
     r->ends = r->began + work_ms(task, spec);
+    r->lasts = strstr(spec, "lasts") != NULL;
     m->starts++;
     record(rig, "%s: begins %s run %u", m->id, task, number);
     check_begin(r);
@@ -330,6 +333,17 @@
     return ((*x)->number > (*y)->number) - ((*x)->number < (*y)->number);
 }
 
+static int
+percent_done(const struct run *r)
+{
+    int64_t length = r->ends - r->began;
+
+    if (r->lasts) {
+        return 100;
+    }
+    return length <= 0 ? 99 : (int)((now_ms() - r->began) * 99 / length);
+}
+
 static void
 answer_hold(struct minion *m, struct connection *c)
 {
@@ -341,17 +355,14 @@
 
     for (size_t i = 0; i < run_count; i++) {
         struct run *r = &runs[i];
-        int64_t length = r->ends - r->began;
 
         if (r->minion != index_of(m)) {
             continue;
         }
         if (r->state == RUN_AT_WORK) {
             json_array_append_new(
-                running, json_pack("[s,i,s,i]", r->task, (int)r->run, "",
-                                   length <= 0 ? 99
-                                               : (int)((now_ms() - r->began) *
-                                                       99 / length)));
+                running, json_pack("[s,i,s,i,i]", r->task, (int)r->run, "",
+                                   percent_done(r), LOAD_FIGURE));
         }
         else if (r->number > m->forgotten) {
             ended[ended_count++] = r;
@@ -607,7 +618,7 @@
         else if (r->stops_at != 0 && now_ms() >= r->stops_at) {
             end_run(m, r, "stopped");
         }
-        else if (now_ms() >= r->ends) {
+        else if (!r->lasts && now_ms() >= r->ends) {
             end_run(m, r, "done");
         }
     }
@@ -709,6 +720,22 @@
     return false;
 }
 
+static void
+drop_runs(struct minion *m)
+{
+    m->left = true;
+    for (size_t i = 0; i < run_count; i++) {
+        struct run *r = &runs[i];
+
+        if (r->minion == index_of(m) && r->state == RUN_AT_WORK) {
+            r->state = RUN_ENDED;
+            r->how = "gone";
+            r->ends = now_ms();
+            record(rig, "%s: %s run %u is gone", m->id, r->task, r->run);
+        }
+    }
+}
+
 static void
 step_announcement(struct minion *m)
 {
@@ -730,15 +757,7 @@
     }
     if (announce("DELETE", m->id, "")) {
         pthread_mutex_lock(&lock);
-        m->left = true;
-        for (size_t i = 0; i < run_count; i++) {
-            if (runs[i].minion == index_of(m) &&
-                runs[i].state == RUN_AT_WORK) {
-                runs[i].state = RUN_ENDED;
-                runs[i].how = "gone";
-                runs[i].ends = now_ms();
-            }
-        }
+        drop_runs(m);
         record(rig, "%s: its DELETE is acknowledged; it ends", m->id);
         pthread_mutex_unlock(&lock);
     }
@@ -825,6 +844,23 @@
     pthread_mutex_unlock(&lock);
 }
 
+void
+minion_crash(int i)
+{
+    struct minion *m = &minions[i];
+
+    pthread_mutex_lock(&lock);
+    record(rig, "%s: crashes", m->id);
+    drop_runs(m);
+    close(m->listener);
+    for (int k = 0; k < CONNECTIONS_MAX; k++) {
+        if (m->connections[k].fd >= 0) {
+            close_connection(&m->connections[k]);
+        }
+    }
+    pthread_mutex_unlock(&lock);
+}
+
 void
 minion_leave(int i, int drain_ms)
 {
--- a/review/standins-2/minion.h
+++ b/review/standins-2/minion.h
@@ -10,7 +10,8 @@
  * Stand-ins of the minions, as PROTOCOL.md describes them: they announce
  * themselves, start, stop and list runs, hold a lease and check the fencing
  * token and the expected instance. A task runs for the N ms of the text
- * "run_ms=N" in its taskSpec. All minions are served by one thread.
+ * "run_ms=N" in its taskSpec, or until it is stopped if that says "lasts". All
+ * minions are served by one thread.
  *
  * They check the rule TWICE: that no two runs of a task are at work at the
  * same time, and that no run starts after one that has ended `done`, if that
@@ -50,6 +51,11 @@
 void
 minion_set_cut(int i, bool cut);
 
+/* The process of the minion ends at once and for good: its address refuses
+ * connections, and its runs are gone. */
+void
+minion_crash(int i);
+
 /* Begins to drain; after drain_ms the minion sends DELETE. Once that is
  * acknowledged it ends, and its address answers nothing more. */
 void
