--- a/review/standins-2/minion.c
+++ b/review/standins-2/minion.c
@@ -34,6 +34,7 @@
     char task[NAME_BYTES];
     uint32_t run;
     int minion;
+    int life; /* of the minion */
     enum run_state state;
     bool lasts; /* it works until it is stopped */
     int64_t began;
@@ -68,6 +69,7 @@
     int port;
     int listener;
     struct connection connections[CONNECTIONS_MAX];
+    int life; /* counts its starts */
     int64_t born_wall;
     int64_t born;
     uint64_t sequence;
@@ -83,8 +85,10 @@
     bool cut;
     bool draining;
     int64_t leaves_at;
-    bool left;
+    bool left; /* its process has ended */
     int64_t heartbeat_due;
+    int control; /* the control process that it calls first */
+    pthread_t announcer;
 };
 
 static struct rig *rig;
@@ -96,7 +100,6 @@
 static int violations;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_t server;
-static pthread_t announcer;
 static bool stopping;
 
 static int64_t
@@ -111,11 +114,18 @@
     return (int)(m - minions);
 }
 
+/* Returns whether the run is or was one of the minion's present life. */
+static bool
+is_of(const struct minion *m, const struct run *r)
+{
+    return r->minion == index_of(m) && r->life == m->life;
+}
+
 static struct run *
 find_run(const struct minion *m, const char *task, uint32_t number)
 {
     for (size_t i = 0; i < run_count; i++) {
-        if (runs[i].minion == index_of(m) && runs[i].run == number &&
+        if (is_of(m, &runs[i]) && runs[i].run == number &&
             strcmp(runs[i].task, task) == 0) {
             return &runs[i];
         }
@@ -166,8 +176,7 @@
     for (size_t i = 0; i < run_count; i++) {
         struct run *r = &runs[i];
 
-        if (r == fresh || strcmp(r->task, fresh->task) != 0 ||
-            minions[r->minion].left) {
+        if (r == fresh || strcmp(r->task, fresh->task) != 0) {
             continue;
         }
         if (r->state == RUN_AT_WORK) {
@@ -211,6 +220,7 @@
     r = &runs[run_count++];
     *r = (struct run){.run = number,
                       .minion = index_of(m),
+                      .life = m->life,
                       .state = RUN_AT_WORK,
                       .began = now_ms(),
                       .how = ""};
@@ -246,8 +256,8 @@
     for (size_t i = 0; i < run_count; i++) {
         struct run *r = &runs[i];
 
-        if (r->minion != index_of(m) || r->state == RUN_AT_WORK ||
-            r->forgotten || r->number > last_seen) {
+        if (!is_of(m, r) || r->state == RUN_AT_WORK || r->forgotten ||
+            r->number > last_seen) {
             continue;
         }
         r->forgotten = true;
@@ -356,7 +366,7 @@
     for (size_t i = 0; i < run_count; i++) {
         struct run *r = &runs[i];
 
-        if (r->minion != index_of(m)) {
+        if (!is_of(m, r)) {
             continue;
         }
         if (r->state == RUN_AT_WORK) {
@@ -609,7 +619,7 @@
     for (size_t i = 0; i < run_count; i++) {
         struct run *r = &runs[i];
 
-        if (r->minion != index_of(m) || r->state != RUN_AT_WORK) {
+        if (!is_of(m, r) || r->state != RUN_AT_WORK) {
             continue;
         }
         if (lapsed) {
@@ -699,23 +709,22 @@
 
 /* Calls one control process after the other until one acknowledges. */
 static bool
-announce(const char *method, const char *id, const char *body)
+announce(struct minion *m, const char *method, const char *body)
 {
-    static struct reply reply;
-    static int first;
+    static __thread struct reply reply;
     char path[64];
 
-    snprintf(path, sizeof(path), "/instances/%s", id);
+    snprintf(path, sizeof(path), "/instances/%s", m->id);
     for (int i = 0; i < rig->controls; i++) {
         char ip[32];
 
-        control_ip(first, ip);
+        control_ip(m->control, ip);
         call(ip, rig->port, method, path, ip, body, HEARTBEAT_TIMEOUT_MS,
              &reply);
         if (reply.status >= 200 && reply.status < 300) {
             return true;
         }
-        first = (first + 1) % rig->controls;
+        m->control = (m->control + 1) % rig->controls;
     }
     return false;
 }
@@ -727,7 +736,7 @@
     for (size_t i = 0; i < run_count; i++) {
         struct run *r = &runs[i];
 
-        if (r->minion == index_of(m) && r->state == RUN_AT_WORK) {
+        if (is_of(m, r) && r->state == RUN_AT_WORK) {
             r->state = RUN_ENDED;
             r->how = "gone";
             r->ends = now_ms();
@@ -752,10 +761,10 @@
     encode_heartbeat(m, body, sizeof(body));
     pthread_mutex_unlock(&lock);
     if (!leaves) {
-        announce("PUT", m->id, body);
+        announce(m, "PUT", body);
         return;
     }
-    if (announce("DELETE", m->id, "")) {
+    if (announce(m, "DELETE", "")) {
         pthread_mutex_lock(&lock);
         drop_runs(m);
         record(rig, "%s: its DELETE is acknowledged; it ends", m->id);
@@ -768,11 +777,8 @@
 {
     bool stop = false;
 
-    (void)arg;
     while (!stop) {
-        for (int i = 0; i < minion_count; i++) {
-            step_announcement(&minions[i]);
-        }
+        step_announcement(arg);
         sleep_ms(10);
         pthread_mutex_lock(&lock);
         stop = stopping;
@@ -784,12 +790,15 @@
 static bool
 listen_on(struct minion *m)
 {
-    struct sockaddr_in address = {.sin_family = AF_INET};
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons((uint16_t)m->port)};
     socklen_t len = sizeof(address);
+    int one = 1;
 
     inet_pton(AF_INET, m->ip, &address.sin_addr);
     m->listener =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    setsockopt(m->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     if (bind(m->listener, (struct sockaddr *)&address, len) != 0 ||
         listen(m->listener, 256) != 0 ||
         getsockname(m->listener, (struct sockaddr *)&address, &len) != 0) {
@@ -810,6 +819,7 @@
         m->options = options[i];
         snprintf(m->id, sizeof(m->id), "i-%d", i + 1);
         snprintf(m->ip, sizeof(m->ip), "127.0.41.%d", 101 + i);
+        m->control = options[i].control;
         m->born = now_ms() - 1000;
         m->born_wall = wall_ms() - 1000;
         m->heartbeat_due = now_ms() + r->bounds.heartbeat_ms * i / (count * 4);
@@ -820,8 +830,13 @@
             return false;
         }
     }
-    return pthread_create(&server, NULL, run_server, NULL) == 0 &&
-           pthread_create(&announcer, NULL, run_announcer, NULL) == 0;
+    for (int i = 0; i < count; i++) {
+        if (pthread_create(&minions[i].announcer, NULL, run_announcer,
+                           &minions[i]) != 0) {
+            return false;
+        }
+    }
+    return pthread_create(&server, NULL, run_server, NULL) == 0;
 }
 
 void
@@ -831,7 +846,9 @@
     stopping = true;
     pthread_mutex_unlock(&lock);
     pthread_join(server, NULL);
-    pthread_join(announcer, NULL);
+    for (int i = 0; i < minion_count; i++) {
+        pthread_join(minions[i].announcer, NULL);
+    }
 }
 
 void
@@ -861,6 +878,31 @@
     pthread_mutex_unlock(&lock);
 }
 
+bool
+minion_restart(int i)
+{
+    struct minion *m = &minions[i];
+    bool ok;
+
+    pthread_mutex_lock(&lock);
+    m->life++;
+    m->born = now_ms();
+    m->born_wall = wall_ms();
+    m->sequence = 0;
+    m->token = 0;
+    m->deadline = 0;
+    m->last_end = 0;
+    m->forgotten = 0;
+    m->barred_count = 0;
+    m->heartbeat_due = 0;
+    m->control = m->options.control;
+    ok = listen_on(m);
+    m->left = false;
+    record(rig, "%s: starts again", m->id);
+    pthread_mutex_unlock(&lock);
+    return ok;
+}
+
 void
 minion_leave(int i, int drain_ms)
 {
--- a/review/standins-2/minion.h
+++ b/review/standins-2/minion.h
@@ -29,6 +29,7 @@
     int memory_mb;
     const char *kind; /* its first label */
     const char *zone;
+    int control; /* the control process that it announces itself to first */
 };
 
 struct minion_counts {
@@ -56,6 +57,11 @@
 void
 minion_crash(int i);
 
+/* A minion that has crashed starts again under its id, at its address, and
+ * knows nothing of before. It announces itself at once. */
+bool
+minion_restart(int i);
+
 /* Begins to drain; after drain_ms the minion sends DELETE. Once that is
  * acknowledged it ends, and its address answers nothing more. */
 void
