--- a/review/standins-2/minion.c
+++ b/review/standins-2/minion.c
@@ -21,7 +21,8 @@
     TICK_MS = 2,
     HEARTBEAT_TIMEOUT_MS = 1000,
     UNEVEN_PERCENT = 30,
-    LOAD_FIGURE = 50, /* tail in ms, or thousandths of a core */
+    GANG_TIMEOUT_MS = 3000, /* gangTimeoutMs */
+    LOAD_FIGURE = 50,       /* tail in ms, or thousandths of a core */
 };
 
 enum run_state {
@@ -37,6 +38,9 @@
     int life; /* of the minion */
     enum run_state state;
     bool lasts; /* it works until it is stopped */
+    int gang;   /* how many tasks work together; 0: it works alone */
+    bool waits; /* for the others of its gang */
+    int64_t work_ms;
     int64_t began;
     int64_t ends;     /* when its work is done, or when it was */
     int64_t stops_at; /* 0: it is not being stopped */
@@ -211,6 +215,7 @@
 begin_run(struct minion *m, const char *task, uint32_t number,
           const char *spec)
 {
+    const char *gang;
     struct run *r;
 
     if (run_count == run_cap) {
@@ -225,7 +230,11 @@
                       .began = now_ms(),
                       .how = ""};
     snprintf(r->task, sizeof(r->task), "%s", task);
-    r->ends = r->began + work_ms(task, spec);
+    r->work_ms = work_ms(task, spec);
+    r->ends = r->began + r->work_ms;
+    gang = strstr(spec, "gang=");
+    r->gang = gang == NULL ? 0 : atoi(gang + 5);
+    r->waits = r->gang > 0;
     r->lasts = strstr(spec, "lasts") != NULL;
     m->starts++;
     record(rig, "%s: begins %s run %u", m->id, task, number);
@@ -606,6 +615,51 @@
     }
 }
 
+/* Returns whether the runs are of the same step and have the same number. */
+static bool
+is_same_gang(const struct run *a, const struct run *b)
+{
+    size_t prefix = (size_t)(strrchr(a->task, '.') - a->task) + 1;
+
+    return a->run == b->run && strncmp(a->task, b->task, prefix) == 0;
+}
+
+/* Lets the gang work once all of it is there. */
+static void
+step_gang(struct minion *m, struct run *r)
+{
+    int there = 0;
+
+    for (size_t i = 0; i < run_count; i++) {
+        there += runs[i].state == RUN_AT_WORK && is_same_gang(&runs[i], r);
+    }
+    if (there < r->gang) {
+        if (now_ms() - r->began > GANG_TIMEOUT_MS) {
+            end_run(m, r, "alone");
+        }
+        return;
+    }
+    for (size_t i = 0; i < run_count; i++) {
+        if (is_same_gang(&runs[i], r)) {
+            runs[i].waits = false;
+            runs[i].ends = now_ms() + r->work_ms;
+        }
+    }
+}
+
+/* Ends the rest of a gang that has lost a run. */
+static void
+break_gang(const struct run *lost)
+{
+    for (size_t i = 0; i < run_count; i++) {
+        struct run *r = &runs[i];
+
+        if (r->state == RUN_AT_WORK && !r->waits && is_same_gang(r, lost)) {
+            end_run(&minions[r->minion], r, "broken");
+        }
+    }
+}
+
 static void
 step_runs(struct minion *m)
 {
@@ -622,11 +676,14 @@
         if (!is_of(m, r) || r->state != RUN_AT_WORK) {
             continue;
         }
-        if (lapsed) {
-            end_run(m, r, "lapsed");
+        if (lapsed || (r->stops_at != 0 && now_ms() >= r->stops_at)) {
+            end_run(m, r, lapsed ? "lapsed" : "stopped");
+            if (r->gang > 0) {
+                break_gang(r);
+            }
         }
-        else if (r->stops_at != 0 && now_ms() >= r->stops_at) {
-            end_run(m, r, "stopped");
+        else if (r->waits) {
+            step_gang(m, r);
         }
         else if (!r->lasts && now_ms() >= r->ends) {
             end_run(m, r, "done");
@@ -740,6 +797,9 @@
             r->state = RUN_ENDED;
             r->how = "gone";
             r->ends = now_ms();
+            if (r->gang > 0) {
+                break_gang(r);
+            }
             record(rig, "%s: %s run %u is gone", m->id, r->task, r->run);
         }
     }
--- a/review/standins-2/minion.h
+++ b/review/standins-2/minion.h
@@ -10,7 +10,8 @@
  * Stand-ins of the minions, as PROTOCOL.md describes them: they announce
  * themselves, start, stop and list runs, hold a lease and check the fencing
  * token and the expected instance. A task runs for the N ms of the text
- * "run_ms=N" in its taskSpec, or until it is stopped if that says "lasts". All
+ * "run_ms=N" in its taskSpec, or until it is stopped if that says "lasts".
+ * With "gang=N" it works only together with the others of its step. All
  * minions are served by one thread.
  *
  * They check the rule TWICE: that no two runs of a task are at work at the
