--- a/review/6/case.c
+++ b/review/6/case.c
@@ -1,8 +1,9 @@
 /*
  * A control process that passes starts on to minions is paused for longer than
  * a lease, with a start that it has not passed on yet. The minion of that
- * start crashes and starts again meanwhile. The task is started on another
- * minion; it must not also start on the first one when the process goes on.
+ * start is cut off meanwhile, crashes behind the cut and starts again. The
+ * task is started on another minion; it must not also start on the first one
+ * when the process goes on.
  */
 #include <signal.h>
 #include <stdlib.h>
@@ -18,9 +19,10 @@
     LEASE_MAX_MS = 6000, /* maxHoldMs of echeverria-prestamos */
     PAUSED = 2,          /* the only control process in the minion's zone */
     PAUSE_MS = 6900,     /* node_freeze of the site: for_s up to 7.4 */
-    CRASH_AFTER_MS = 1350,
-    CRASH_MS = 5000, /* srv_crash: for_s 5 */
-    TASK_MS = 6200,  /* a monthly statement's work */
+    CUT_AFTER_MS = 1000,
+    CUT_MS = 5450, /* node_cut "servers [...]" of the site: for_s = 5.5 */
+    CRASH_AFTER_CUT_MS = 2000,
+    TASK_MS = 6200, /* a monthly statement's work */
     COMPLETE_MAX_MS = 30000,
     WAIT_MS = 20000,
 };
@@ -135,13 +137,12 @@
         return EXIT_NOT_RUN;
     }
     if (trouble) {
-        sleep_ms((int)(began + CRASH_AFTER_MS - now_ms()));
-        minion_crash(crashed);
-        sleep_ms(CRASH_MS);
-        if (!minion_restart(crashed)) {
-            kill(rig.control[PAUSED], SIGCONT);
-            return EXIT_NOT_RUN;
-        }
+        sleep_ms((int)(began + CUT_AFTER_MS - now_ms()));
+        minion_set_cut(crashed, true);
+        sleep_ms(CRASH_AFTER_CUT_MS);
+        minion_restart_behind_cut(crashed);
+        sleep_ms((int)(began + CUT_AFTER_MS + CUT_MS - now_ms()));
+        minion_set_cut(crashed, false);
         sleep_ms((int)(began + PAUSE_MS - now_ms()));
         record(&rig, "core-%d goes on", PAUSED + 1);
         kill(rig.control[PAUSED], SIGCONT);
--- a/review/standins-2/minion.c
+++ b/review/standins-2/minion.c
@@ -87,6 +87,7 @@
     int starts;
     int refused;
     bool cut;
+    bool reborn; /* it has started again behind the cut */
     bool draining;
     int64_t leaves_at;
     bool left; /* its process has ended */
@@ -914,8 +915,23 @@
 void
 minion_set_cut(int i, bool cut)
 {
+    struct minion *m = &minions[i];
+
     pthread_mutex_lock(&lock);
-    minions[i].cut = cut;
+    m->cut = cut;
+    if (!cut && m->reborn) {
+        /* The new process knows none of the connections, and none could be
+         * opened during the cut. */
+        accept_connections(m);
+        for (int k = 0; k < CONNECTIONS_MAX; k++) {
+            if (m->connections[k].fd >= 0) {
+                close_connection(&m->connections[k]);
+            }
+        }
+        m->reborn = false;
+        m->heartbeat_due = 0;
+        m->control = m->options.control;
+    }
     record(rig, "%s: %s", minions[i].id,
            cut ? "is cut off" : "is connected again");
     pthread_mutex_unlock(&lock);
@@ -938,13 +954,10 @@
     pthread_mutex_unlock(&lock);
 }
 
-bool
-minion_restart(int i)
+/* Resets what the minion's process knows. */
+static void
+begin_life(struct minion *m)
 {
-    struct minion *m = &minions[i];
-    bool ok;
-
-    pthread_mutex_lock(&lock);
     m->life++;
     m->born = now_ms();
     m->born_wall = wall_ms();
@@ -956,9 +969,32 @@
     m->barred_count = 0;
     m->heartbeat_due = 0;
     m->control = m->options.control;
-    ok = listen_on(m);
     m->left = false;
     record(rig, "%s: starts again", m->id);
+}
+
+void
+minion_restart_behind_cut(int i)
+{
+    struct minion *m = &minions[i];
+
+    pthread_mutex_lock(&lock);
+    record(rig, "%s: crashes", m->id);
+    drop_runs(m);
+    begin_life(m);
+    m->reborn = true;
+    pthread_mutex_unlock(&lock);
+}
+
+bool
+minion_restart(int i)
+{
+    struct minion *m = &minions[i];
+    bool ok;
+
+    pthread_mutex_lock(&lock);
+    ok = listen_on(m);
+    begin_life(m);
     pthread_mutex_unlock(&lock);
     return ok;
 }
--- a/review/standins-2/minion.h
+++ b/review/standins-2/minion.h
@@ -63,6 +63,11 @@
 bool
 minion_restart(int i);
 
+/* A minion that is cut off crashes and starts again at once, under its id and
+ * at its address. It announces itself when it is connected again. */
+void
+minion_restart_behind_cut(int i);
+
 /* Begins to drain; after drain_ms the minion sends DELETE. Once that is
  * acknowledged it ends, and its address answers nothing more. */
 void
--- a/review/standins-2/rig.c
+++ b/review/standins-2/rig.c
@@ -9,6 +9,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -26,6 +27,8 @@
     CLIENT_TIMEOUT_MS = 3000, /* of a small site's clients */
     OPERATOR_TIMEOUT_MS = 1000,
     EXIT_WAIT_MS = 2000,
+    RUN_MAX_S = 115, /* a script may take 120 s */
+    EXIT_NOT_RUN = 2,
 };
 
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -119,6 +122,13 @@
     return true;
 }
 
+static void
+give_up(int signal_number)
+{
+    (void)signal_number;
+    _exit(EXIT_NOT_RUN);
+}
+
 bool
 rig_open(struct rig *r, const char *record_path, int controls, int entries)
 {
@@ -128,6 +138,8 @@
                                 .job_keep_s = 120,
                                 .grace_s = 6};
     record_began = now_ms();
+    signal(SIGALRM, give_up);
+    alarm(RUN_MAX_S);
     r->record = fopen(record_path, "w");
     snprintf(r->dir, sizeof(r->dir), "%s/review-XXXXXX",
              getenv("TMPDIR") == NULL ? "/tmp" : getenv("TMPDIR"));
@@ -208,6 +220,7 @@
              r->dir, vm);
     pid = fork();
     if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(fd, STDOUT_FILENO);
         dup2(fd, STDERR_FILENO);
