fakes: approve workers by their id, not by their place in a call

Its log (job 1, approved=4, reason=room) shows a step that was approved on exactly the four workers of the process that the test kills: the fake approved every second worker of a call, so the verdict hung on the order in which the planner named them. A verdict holds for good, so the job could never run. Change: a worker's verdict depends on its id and the step, as the protocol has it, and each process has approved workers for each step.

--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -309,7 +309,17 @@
     json_decref(body);
 }
 
-/* Approves every second worker of the call, starting with the first. */
+/*
+ * Returns whether a step may run on the worker: on every second one of each
+ * process, for every second step on the others. The answer for a worker does
+ * not depend on the call, and no step depends on a single process.
+ */
+static bool
+is_approved(const char *step, const char *id)
+{
+    return (step[strlen(step) - 1] + id[strlen(id) - 1]) % 2 == 0;
+}
+
 static json_t *
 approve(const json_t *body)
 {
@@ -322,7 +332,7 @@
     {
         char ticket[64];
 
-        if (i % 2 == 0 && step != NULL) {
+        if (step != NULL && is_approved(step, json_string_value(id))) {
             fake_worker_ticket(json_string_value(id), step, ticket,
                                sizeof(ticket));
             json_array_append_new(
