node: hold requests back from a leader that is silent

Cause: an entry forwarded requests to a leader without power until the session timed out after 1.5 s. Their outcome was unknown, and their callers were told so with a 504 after 1.2 s, though no leader had received them. Change: leader_watch. Once a request has been unanswered, and nothing heard, for 200 ms, or nothing heard for 700 ms, further requests wait at the entry; they go out when the leader is heard or replaced, and are otherwise refused as not run after 350 ms. A busy leader is heard by its keepalives.

--- a/packages/node/calls.c
+++ b/packages/node/calls.c
@@ -8,6 +8,7 @@
 #include "event.h"
 #include "internal.h"
 #include "leader_wait.h"
+#include "leader_watch.h"
 #include "mem.h"
 
 enum {
@@ -20,6 +21,9 @@
     /* Delay before a request is sent again that reached a VM which is not the
      * leader. */
     NOT_LEADER_RESEND_MS = 50,
+    /* Delay before a request that is held back from a silent leader is looked
+     * at again. */
+    HELD_RESEND_MS = 25,
 };
 
 struct pending_call {
@@ -43,8 +47,11 @@
     struct str sent_vm;
     bool leader_known;
     int64_t leader_last_known; /* the last time at which a leader was known */
+    struct leader_watch watch; /* of the session with the leader */
+    bool leader_silent;        /* as last logged */
 };
 
+static struct event_kind event_silent = {.name = "leader-silent"};
 static struct event_kind event_call = {.name = "call", .per_second = 60};
 static struct event_kind event_refused = {.name = "call-refused",
                                           .per_second = 60};
@@ -130,7 +137,26 @@
     mem_free(c);
 }
 
-/* Sends the request to the leader if one is reachable. */
+/* Reports whether requests are held back from the leader, which has not been
+ * heard on the session l for too long. */
+static bool
+is_leader_silent(struct calls *c, const struct link *l)
+{
+    int64_t now = c->node->now;
+    bool silent;
+
+    leader_watch_heard(&c->watch, l->id, peer_session_heard_at(l->session));
+    silent = leader_watch_is_silent(&c->watch, now);
+    if (silent != c->leader_silent) {
+        c->leader_silent = silent;
+        event_write(&event_silent, "leader=%.*s silent=%d heard_ms=%lld",
+                    STR_ARG(l->vm), silent,
+                    (long long)((now - c->watch.heard_at) / NS_PER_MS));
+    }
+    return silent;
+}
+
+/* Sends the request to the leader if one is reachable and answers. */
 static void
 forward_call(struct calls *c, struct pending_call *p)
 {
@@ -152,6 +178,11 @@
     if (l == NULL) {
         return;
     }
+    if (is_leader_silent(c, l)) {
+        p->resend_at = n->now + HELD_RESEND_MS * NS_PER_MS;
+        return;
+    }
+    leader_watch_sent(&c->watch, n->now);
     p->must_resend = false;
     p->copies++;
     p->link = l->id;
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -150,6 +150,11 @@
 void *
 peer_session_data(const struct peer_session *session);
 
+/* Returns when bytes last arrived on the session, in ns of the time passed to
+ * peer_poll(). Keepalives count. */
+int64_t
+peer_session_heard_at(const struct peer_session *session);
+
 /* Bytes queued and not yet passed to the kernel. */
 size_t
 peer_session_queued(const struct peer_session *session);
--- a/packages/peer/session.c
+++ b/packages/peer/session.c
@@ -332,6 +332,12 @@
     return s->data;
 }
 
+int64_t
+peer_session_heard_at(const struct peer_session *s)
+{
+    return s->last_received;
+}
+
 size_t
 peer_session_queued(const struct peer_session *s)
 {
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -228,6 +228,43 @@
     platform_close(&r);
 }
 
+static void
+signal_controls(const struct platform_rig *r, int number)
+{
+    for (int i = 0; i < CONTROLS; i++) {
+        proc_signal(r->control[i], number);
+    }
+}
+
+/* Guards against answers that leave the outcome open for jobs that no leader
+ * has received: all control VMs stand still for less than the idle timeout of
+ * a session, and what is submitted after the first unanswered request has
+ * certainly not run. */
+static void
+controls_paused(void)
+{
+    struct platform_rig r;
+    char *read_url;
+    char *url;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    platform_submit(&r, 0);
+    read_url = platform_job_url(&r, 0, 0);
+    url = platform_job_url(&r, 0, 1);
+    signal_controls(&r, SIGSTOP);
+    /* The entry node answers this one without the leader, after 1.2 s. */
+    g_assert_cmpint(platform_call(&r, "GET", read_url, "", NULL, 0), ==, 503);
+    g_assert_cmpint(platform_call(&r, "POST", url, platform_job, NULL, 0), ==,
+                    503);
+    signal_controls(&r, SIGCONT);
+    platform_await_completed(&r, 0);
+    platform_submit(&r, 1);
+    platform_await_completed(&r, 1);
+    g_free(read_url);
+    g_free(url);
+    platform_close(&r);
+}
+
 /* Guards against jobs that are lost or make no progress, and tasks that run
  * twice, when VMs that relay worker calls are paused one after the other. */
 static void
@@ -556,6 +593,7 @@
     g_test_add_func("/e2e/platform/leader-killed", leader_killed);
     g_test_add_func("/e2e/platform/worker-killed", worker_killed);
     g_test_add_func("/e2e/platform/relayed", calls_relayed);
+    g_test_add_func("/e2e/platform/controls-paused", controls_paused);
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
     g_test_add_func("/e2e/platform/refusals", error_statuses);
     g_test_add_func("/e2e/platform/route-replaced", route_replaced);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -6,6 +6,7 @@
 #include "call_outcome.h"
 #include "clock.h"
 #include "leader_wait.h"
+#include "leader_watch.h"
 #include "node.h"
 #include "progress.h"
 
@@ -52,6 +53,29 @@
     g_assert_cmpuint(leader_wait_retry_after_ms(&p, ms_to_ns(9000)), ==, 2000);
 }
 
+/* Guards against requests that are sent to a leader that has failed: their
+ * outcome is unknown until its session times out, 1.5 s later. A leader that
+ * is only busy is still heard by its keepalives and must get its requests. */
+static void
+silent_leader_gets_no_requests(void)
+{
+    struct leader_watch w = {0};
+
+    leader_watch_heard(&w, 1, ms_to_ns(1000));
+    g_assert_false(leader_watch_is_silent(&w, ms_to_ns(1300)));
+    leader_watch_sent(&w, ms_to_ns(1010));
+    leader_watch_sent(&w, ms_to_ns(1100));
+    g_assert_false(leader_watch_is_silent(&w, ms_to_ns(1200)));
+    g_assert_true(leader_watch_is_silent(&w, ms_to_ns(1220)));
+    leader_watch_heard(&w, 1, ms_to_ns(1310));
+    g_assert_false(leader_watch_is_silent(&w, ms_to_ns(1320)));
+    leader_watch_sent(&w, ms_to_ns(1320));
+    g_assert_true(leader_watch_is_silent(&w, ms_to_ns(1600)));
+    leader_watch_heard(&w, 2, ms_to_ns(1290));
+    g_assert_false(leader_watch_is_silent(&w, ms_to_ns(1600)));
+    g_assert_true(leader_watch_is_silent(&w, ms_to_ns(2500)));
+}
+
 /* Guards against a refusal of a job that runs: the first copy of the call was
  * accepted, and the answer to it lost, before the key or queue was removed. */
 static void
@@ -249,6 +273,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/node/patience/bounds", leader_wait_bounds);
     g_test_add_func("/node/patience/down", leader_wait_group_down);
+    g_test_add_func("/node/silent-leader", silent_leader_gets_no_requests);
     g_test_add_func("/node/refusal-of-second-copy", refusal_of_second_copy);
     g_test_add_func("/node/progress/on-time", progress_on_time);
     g_test_add_func("/node/progress/slow", progress_slow);
