flow: allocate a round's candidates once

Cause: tests/bounds_plan.sh failed on x86-64 with the code untouched: 5,136,405 instructions a round for 1,100 workers and 5,000 steps, 6,026,502 for 3,000, of 5,000,000. An eighth of a round copied the growing array of candidates, a tenth allocated the critical path of each job. Change: the array begins at the size that the last round needed, and one scratch array serves all jobs.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -16,6 +16,8 @@
     /* A task past its expected end is expected to run for this further share
      * of its expected run time. */
     OVERDUE_PERCENT = 30,
+    /* Candidates that space is kept for beyond those of the last round. */
+    CANDIDATE_GROWTH = 64,
 };
 
 /* Returns the estimated time of the longest path that begins with the step.
@@ -94,7 +96,7 @@
     struct candidate *c;
 
     if (r->candidate_count == r->candidate_cap) {
-        r->candidate_cap = r->candidate_cap * 2 + 64;
+        r->candidate_cap = r->candidate_cap * 2 + CANDIDATE_GROWTH;
         r->candidates = mem_realloc(r->candidates, r->candidate_cap,
                                     sizeof(*r->candidates));
     }
@@ -125,6 +127,17 @@
            has_waiting_task(step) && flow_step_is_ready(o, step);
 }
 
+/* Returns scratch space for one number for each step of the job. */
+static int64_t *
+reserve_path_space(struct plan_round *r, const struct flow_job *j)
+{
+    if (j->spec->n_steps > r->path_cap) {
+        r->path_cap = j->spec->n_steps * 2;
+        r->path_ms = mem_realloc(r->path_ms, r->path_cap, sizeof(*r->path_ms));
+    }
+    return r->path_ms;
+}
+
 /* Adds the job's steps that wait. The critical paths of a job without any are
  * not computed: most live jobs are running. */
 static void
@@ -141,14 +154,13 @@
                 continue;
             }
             if (path_ms == NULL) {
-                path_ms = mem_alloc(j->spec->n_steps * sizeof(*path_ms));
+                path_ms = reserve_path_space(r, j);
                 objective_ms = compute_objective_ms(
                     j, compute_critical_paths_ms(j, path_ms));
             }
             add_candidate(r, j, i, k, path_ms, objective_ms);
         }
     }
-    mem_free(path_ms);
 }
 
 int
@@ -273,12 +285,16 @@
 round_collect_candidates(struct plan_round *r)
 {
     collect_workers(r);
+    /* A backlog changes little from round to round. */
+    r->candidate_cap = r->plan->candidate_count + CANDIDATE_GROWTH;
+    r->candidates = mem_alloc(r->candidate_cap * sizeof(*r->candidates));
     for (struct flow_job *j = flow_first_live(r->state); j != NULL;
          j = j->next) {
         if (j->state <= FLOW_JOB_RUNNING) {
             collect_job(r, j);
         }
     }
+    r->plan->candidate_count = r->candidate_count;
     if (r->candidate_count == 0) {
         return;
     }
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -111,6 +111,7 @@
     struct plan_wait_report *waiting;
     size_t waiting_count;
     size_t waiting_cap;
+    size_t candidate_count; /* of the last round */
     /* The round ended before it had tried all candidates. The next one tries
      * the first candidates again, and then goes on behind the last one tried,
      * whose sort keys these are. */
