--- a/packages/flow/fit.c
+++ b/packages/flow/fit.c
@@ -155,7 +155,25 @@
     const struct plan_worker *p = plan_worker(v->worker);
 
     return p->usable && p->avoid_until_ns <= r->now_ns &&
-           !v->worker->draining && v->speed >= WORKER_SPEED_MIN;
+           !v->worker->draining && !v->worker->evacuated &&
+           v->speed >= WORKER_SPEED_MIN;
+}
+
+struct flow_size
+view_withheld(const struct plan_round *r, const struct worker_view *v)
+{
+    const struct plan_worker *p = plan_worker(v->worker);
+    const struct flow_size *all = &v->worker->capacity;
+    double part;
+
+    if (r->now_ns >= p->warm_at_ns) {
+        return (struct flow_size){0};
+    }
+    part = (double)(p->warm_at_ns - r->now_ns) /
+           (double)(p->warm_at_ns - p->warming_since_ns);
+    return (struct flow_size){(uint64_t)((double)all->cpu_milli * part),
+                              (uint64_t)((double)all->memory_mib * part),
+                              (uint64_t)((double)all->accelerators * part)};
 }
 
 bool
--- a/packages/flow/flow.pb-c.c
+++ b/packages/flow/flow.pb-c.c
@@ -7,3695 +7,2910 @@
 #endif
 
 #include "flow.pb-c.h"
-void   flow__size__init
-                     (Flow__Size         *message)
+void
+flow__size__init(Flow__Size *message)
 {
-  static const Flow__Size init_value = FLOW__SIZE__INIT;
-  *message = init_value;
+    static const Flow__Size init_value = FLOW__SIZE__INIT;
+    *message = init_value;
 }
-size_t flow__size__get_packed_size
-                     (const Flow__Size *message)
+size_t
+flow__size__get_packed_size(const Flow__Size *message)
 {
-  assert(message->base.descriptor == &flow__size__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__size__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__size__pack
-                     (const Flow__Size *message,
-                      uint8_t       *out)
+size_t
+flow__size__pack(const Flow__Size *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__size__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__size__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__size__pack_to_buffer
-                     (const Flow__Size *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__size__pack_to_buffer(const Flow__Size *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__size__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__size__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Size *
-       flow__size__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__size__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Flow__Size *)
-     protobuf_c_message_unpack (&flow__size__descriptor,
-                                allocator, len, data);
+    return (Flow__Size *)protobuf_c_message_unpack(&flow__size__descriptor,
+                                                   allocator, len, data);
 }
-void   flow__size__free_unpacked
-                     (Flow__Size *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__size__free_unpacked(Flow__Size *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__size__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__size__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__step__init
-                     (Flow__Step         *message)
+void
+flow__step__init(Flow__Step *message)
 {
-  static const Flow__Step init_value = FLOW__STEP__INIT;
-  *message = init_value;
+    static const Flow__Step init_value = FLOW__STEP__INIT;
+    *message = init_value;
 }
-size_t flow__step__get_packed_size
-                     (const Flow__Step *message)
+size_t
+flow__step__get_packed_size(const Flow__Step *message)
 {
-  assert(message->base.descriptor == &flow__step__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__step__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__step__pack
-                     (const Flow__Step *message,
-                      uint8_t       *out)
+size_t
+flow__step__pack(const Flow__Step *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__step__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__step__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__step__pack_to_buffer
-                     (const Flow__Step *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__step__pack_to_buffer(const Flow__Step *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__step__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__step__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Step *
-       flow__step__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__step__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Flow__Step *)
-     protobuf_c_message_unpack (&flow__step__descriptor,
-                                allocator, len, data);
+    return (Flow__Step *)protobuf_c_message_unpack(&flow__step__descriptor,
+                                                   allocator, len, data);
 }
-void   flow__step__free_unpacked
-                     (Flow__Step *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__step__free_unpacked(Flow__Step *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__step__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__step__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__job_spec__init
-                     (Flow__JobSpec         *message)
+void
+flow__job_spec__init(Flow__JobSpec *message)
 {
-  static const Flow__JobSpec init_value = FLOW__JOB_SPEC__INIT;
-  *message = init_value;
+    static const Flow__JobSpec init_value = FLOW__JOB_SPEC__INIT;
+    *message = init_value;
 }
-size_t flow__job_spec__get_packed_size
-                     (const Flow__JobSpec *message)
+size_t
+flow__job_spec__get_packed_size(const Flow__JobSpec *message)
 {
-  assert(message->base.descriptor == &flow__job_spec__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__job_spec__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__job_spec__pack
-                     (const Flow__JobSpec *message,
-                      uint8_t       *out)
+size_t
+flow__job_spec__pack(const Flow__JobSpec *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__job_spec__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__job_spec__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__job_spec__pack_to_buffer
-                     (const Flow__JobSpec *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__job_spec__pack_to_buffer(const Flow__JobSpec *message,
+                               ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__job_spec__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__job_spec__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__JobSpec *
-       flow__job_spec__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__job_spec__unpack(ProtobufCAllocator *allocator, size_t len,
+                       const uint8_t *data)
 {
-  return (Flow__JobSpec *)
-     protobuf_c_message_unpack (&flow__job_spec__descriptor,
-                                allocator, len, data);
+    return (Flow__JobSpec *)protobuf_c_message_unpack(
+        &flow__job_spec__descriptor, allocator, len, data);
 }
-void   flow__job_spec__free_unpacked
-                     (Flow__JobSpec *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__job_spec__free_unpacked(Flow__JobSpec *message,
+                              ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__job_spec__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__job_spec__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__queue__init
-                     (Flow__Queue         *message)
+void
+flow__queue__init(Flow__Queue *message)
 {
-  static const Flow__Queue init_value = FLOW__QUEUE__INIT;
-  *message = init_value;
+    static const Flow__Queue init_value = FLOW__QUEUE__INIT;
+    *message = init_value;
 }
-size_t flow__queue__get_packed_size
-                     (const Flow__Queue *message)
+size_t
+flow__queue__get_packed_size(const Flow__Queue *message)
 {
-  assert(message->base.descriptor == &flow__queue__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__queue__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__queue__pack
-                     (const Flow__Queue *message,
-                      uint8_t       *out)
+size_t
+flow__queue__pack(const Flow__Queue *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__queue__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__queue__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__queue__pack_to_buffer
-                     (const Flow__Queue *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__queue__pack_to_buffer(const Flow__Queue *message,
+                            ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__queue__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__queue__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Queue *
-       flow__queue__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__queue__unpack(ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Flow__Queue *)
-     protobuf_c_message_unpack (&flow__queue__descriptor,
-                                allocator, len, data);
+    return (Flow__Queue *)protobuf_c_message_unpack(&flow__queue__descriptor,
+                                                    allocator, len, data);
 }
-void   flow__queue__free_unpacked
-                     (Flow__Queue *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__queue__free_unpacked(Flow__Queue *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__queue__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__queue__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__service__init
-                     (Flow__Service         *message)
+void
+flow__service__init(Flow__Service *message)
 {
-  static const Flow__Service init_value = FLOW__SERVICE__INIT;
-  *message = init_value;
+    static const Flow__Service init_value = FLOW__SERVICE__INIT;
+    *message = init_value;
 }
-size_t flow__service__get_packed_size
-                     (const Flow__Service *message)
+size_t
+flow__service__get_packed_size(const Flow__Service *message)
 {
-  assert(message->base.descriptor == &flow__service__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__service__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__service__pack
-                     (const Flow__Service *message,
-                      uint8_t       *out)
+size_t
+flow__service__pack(const Flow__Service *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__service__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__service__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__service__pack_to_buffer
-                     (const Flow__Service *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__service__pack_to_buffer(const Flow__Service *message,
+                              ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__service__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__service__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Service *
-       flow__service__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__service__unpack(ProtobufCAllocator *allocator, size_t len,
+                      const uint8_t *data)
 {
-  return (Flow__Service *)
-     protobuf_c_message_unpack (&flow__service__descriptor,
-                                allocator, len, data);
+    return (Flow__Service *)protobuf_c_message_unpack(
+        &flow__service__descriptor, allocator, len, data);
 }
-void   flow__service__free_unpacked
-                     (Flow__Service *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__service__free_unpacked(Flow__Service *message,
+                             ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__service__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__service__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__team__init
-                     (Flow__Team         *message)
+void
+flow__team__init(Flow__Team *message)
 {
-  static const Flow__Team init_value = FLOW__TEAM__INIT;
-  *message = init_value;
+    static const Flow__Team init_value = FLOW__TEAM__INIT;
+    *message = init_value;
 }
-size_t flow__team__get_packed_size
-                     (const Flow__Team *message)
+size_t
+flow__team__get_packed_size(const Flow__Team *message)
 {
-  assert(message->base.descriptor == &flow__team__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__team__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__team__pack
-                     (const Flow__Team *message,
-                      uint8_t       *out)
+size_t
+flow__team__pack(const Flow__Team *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__team__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__team__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__team__pack_to_buffer
-                     (const Flow__Team *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__team__pack_to_buffer(const Flow__Team *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__team__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__team__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Team *
-       flow__team__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__team__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Flow__Team *)
-     protobuf_c_message_unpack (&flow__team__descriptor,
-                                allocator, len, data);
+    return (Flow__Team *)protobuf_c_message_unpack(&flow__team__descriptor,
+                                                   allocator, len, data);
 }
-void   flow__team__free_unpacked
-                     (Flow__Team *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__team__free_unpacked(Flow__Team *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__team__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__team__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__config__init
-                     (Flow__Config         *message)
+void
+flow__config__init(Flow__Config *message)
 {
-  static const Flow__Config init_value = FLOW__CONFIG__INIT;
-  *message = init_value;
+    static const Flow__Config init_value = FLOW__CONFIG__INIT;
+    *message = init_value;
 }
-size_t flow__config__get_packed_size
-                     (const Flow__Config *message)
+size_t
+flow__config__get_packed_size(const Flow__Config *message)
 {
-  assert(message->base.descriptor == &flow__config__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__config__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__config__pack
-                     (const Flow__Config *message,
-                      uint8_t       *out)
+size_t
+flow__config__pack(const Flow__Config *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__config__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__config__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__config__pack_to_buffer
-                     (const Flow__Config *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__config__pack_to_buffer(const Flow__Config *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__config__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__config__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Config *
-       flow__config__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__config__unpack(ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Flow__Config *)
-     protobuf_c_message_unpack (&flow__config__descriptor,
-                                allocator, len, data);
+    return (Flow__Config *)protobuf_c_message_unpack(&flow__config__descriptor,
+                                                     allocator, len, data);
 }
-void   flow__config__free_unpacked
-                     (Flow__Config *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__config__free_unpacked(Flow__Config *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__config__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__config__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__submit__init
-                     (Flow__Submit         *message)
+void
+flow__submit__init(Flow__Submit *message)
 {
-  static const Flow__Submit init_value = FLOW__SUBMIT__INIT;
-  *message = init_value;
+    static const Flow__Submit init_value = FLOW__SUBMIT__INIT;
+    *message = init_value;
 }
-size_t flow__submit__get_packed_size
-                     (const Flow__Submit *message)
+size_t
+flow__submit__get_packed_size(const Flow__Submit *message)
 {
-  assert(message->base.descriptor == &flow__submit__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__submit__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__submit__pack
-                     (const Flow__Submit *message,
-                      uint8_t       *out)
+size_t
+flow__submit__pack(const Flow__Submit *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__submit__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__submit__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__submit__pack_to_buffer
-                     (const Flow__Submit *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__submit__pack_to_buffer(const Flow__Submit *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__submit__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__submit__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Submit *
-       flow__submit__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__submit__unpack(ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Flow__Submit *)
-     protobuf_c_message_unpack (&flow__submit__descriptor,
-                                allocator, len, data);
+    return (Flow__Submit *)protobuf_c_message_unpack(&flow__submit__descriptor,
+                                                     allocator, len, data);
 }
-void   flow__submit__free_unpacked
-                     (Flow__Submit *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__submit__free_unpacked(Flow__Submit *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__submit__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__submit__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__cancel__init
-                     (Flow__Cancel         *message)
+void
+flow__cancel__init(Flow__Cancel *message)
 {
-  static const Flow__Cancel init_value = FLOW__CANCEL__INIT;
-  *message = init_value;
+    static const Flow__Cancel init_value = FLOW__CANCEL__INIT;
+    *message = init_value;
 }
-size_t flow__cancel__get_packed_size
-                     (const Flow__Cancel *message)
+size_t
+flow__cancel__get_packed_size(const Flow__Cancel *message)
 {
-  assert(message->base.descriptor == &flow__cancel__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__cancel__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__cancel__pack
-                     (const Flow__Cancel *message,
-                      uint8_t       *out)
+size_t
+flow__cancel__pack(const Flow__Cancel *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__cancel__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__cancel__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__cancel__pack_to_buffer
-                     (const Flow__Cancel *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__cancel__pack_to_buffer(const Flow__Cancel *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__cancel__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__cancel__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Cancel *
-       flow__cancel__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__cancel__unpack(ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Flow__Cancel *)
-     protobuf_c_message_unpack (&flow__cancel__descriptor,
-                                allocator, len, data);
+    return (Flow__Cancel *)protobuf_c_message_unpack(&flow__cancel__descriptor,
+                                                     allocator, len, data);
 }
-void   flow__cancel__free_unpacked
-                     (Flow__Cancel *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__cancel__free_unpacked(Flow__Cancel *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__cancel__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__cancel__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__due__init
-                     (Flow__Due         *message)
+void
+flow__due__init(Flow__Due *message)
 {
-  static const Flow__Due init_value = FLOW__DUE__INIT;
-  *message = init_value;
+    static const Flow__Due init_value = FLOW__DUE__INIT;
+    *message = init_value;
 }
-size_t flow__due__get_packed_size
-                     (const Flow__Due *message)
+size_t
+flow__due__get_packed_size(const Flow__Due *message)
 {
-  assert(message->base.descriptor == &flow__due__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__due__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__due__pack
-                     (const Flow__Due *message,
-                      uint8_t       *out)
+size_t
+flow__due__pack(const Flow__Due *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__due__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__due__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__due__pack_to_buffer
-                     (const Flow__Due *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__due__pack_to_buffer(const Flow__Due *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__due__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__due__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Due *
-       flow__due__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__due__unpack(ProtobufCAllocator *allocator, size_t len,
+                  const uint8_t *data)
 {
-  return (Flow__Due *)
-     protobuf_c_message_unpack (&flow__due__descriptor,
-                                allocator, len, data);
+    return (Flow__Due *)protobuf_c_message_unpack(&flow__due__descriptor,
+                                                  allocator, len, data);
 }
-void   flow__due__free_unpacked
-                     (Flow__Due *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__due__free_unpacked(Flow__Due *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__due__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__due__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__task__init
-                     (Flow__Task         *message)
+void
+flow__task__init(Flow__Task *message)
 {
-  static const Flow__Task init_value = FLOW__TASK__INIT;
-  *message = init_value;
+    static const Flow__Task init_value = FLOW__TASK__INIT;
+    *message = init_value;
 }
-size_t flow__task__get_packed_size
-                     (const Flow__Task *message)
+size_t
+flow__task__get_packed_size(const Flow__Task *message)
 {
-  assert(message->base.descriptor == &flow__task__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__task__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__task__pack
-                     (const Flow__Task *message,
-                      uint8_t       *out)
+size_t
+flow__task__pack(const Flow__Task *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__task__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__task__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__task__pack_to_buffer
-                     (const Flow__Task *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__task__pack_to_buffer(const Flow__Task *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__task__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__task__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Task *
-       flow__task__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__task__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Flow__Task *)
-     protobuf_c_message_unpack (&flow__task__descriptor,
-                                allocator, len, data);
+    return (Flow__Task *)protobuf_c_message_unpack(&flow__task__descriptor,
+                                                   allocator, len, data);
 }
-void   flow__task__free_unpacked
-                     (Flow__Task *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__task__free_unpacked(Flow__Task *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__task__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__task__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__end__init
-                     (Flow__End         *message)
+void
+flow__end__init(Flow__End *message)
 {
-  static const Flow__End init_value = FLOW__END__INIT;
-  *message = init_value;
+    static const Flow__End init_value = FLOW__END__INIT;
+    *message = init_value;
 }
-size_t flow__end__get_packed_size
-                     (const Flow__End *message)
+size_t
+flow__end__get_packed_size(const Flow__End *message)
 {
-  assert(message->base.descriptor == &flow__end__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__end__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__end__pack
-                     (const Flow__End *message,
-                      uint8_t       *out)
+size_t
+flow__end__pack(const Flow__End *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__end__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__end__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__end__pack_to_buffer
-                     (const Flow__End *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__end__pack_to_buffer(const Flow__End *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__end__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__end__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__End *
-       flow__end__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__end__unpack(ProtobufCAllocator *allocator, size_t len,
+                  const uint8_t *data)
 {
-  return (Flow__End *)
-     protobuf_c_message_unpack (&flow__end__descriptor,
-                                allocator, len, data);
+    return (Flow__End *)protobuf_c_message_unpack(&flow__end__descriptor,
+                                                  allocator, len, data);
 }
-void   flow__end__free_unpacked
-                     (Flow__End *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__end__free_unpacked(Flow__End *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__end__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__end__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__ends__init
-                     (Flow__Ends         *message)
+void
+flow__ends__init(Flow__Ends *message)
 {
-  static const Flow__Ends init_value = FLOW__ENDS__INIT;
-  *message = init_value;
+    static const Flow__Ends init_value = FLOW__ENDS__INIT;
+    *message = init_value;
 }
-size_t flow__ends__get_packed_size
-                     (const Flow__Ends *message)
+size_t
+flow__ends__get_packed_size(const Flow__Ends *message)
 {
-  assert(message->base.descriptor == &flow__ends__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__ends__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__ends__pack
-                     (const Flow__Ends *message,
-                      uint8_t       *out)
+size_t
+flow__ends__pack(const Flow__Ends *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__ends__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__ends__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__ends__pack_to_buffer
-                     (const Flow__Ends *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__ends__pack_to_buffer(const Flow__Ends *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__ends__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__ends__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Ends *
-       flow__ends__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__ends__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Flow__Ends *)
-     protobuf_c_message_unpack (&flow__ends__descriptor,
-                                allocator, len, data);
+    return (Flow__Ends *)protobuf_c_message_unpack(&flow__ends__descriptor,
+                                                   allocator, len, data);
 }
-void   flow__ends__free_unpacked
-                     (Flow__Ends *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__ends__free_unpacked(Flow__Ends *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__ends__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__ends__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__worker__init
-                     (Flow__Worker         *message)
+void
+flow__worker__init(Flow__Worker *message)
 {
-  static const Flow__Worker init_value = FLOW__WORKER__INIT;
-  *message = init_value;
+    static const Flow__Worker init_value = FLOW__WORKER__INIT;
+    *message = init_value;
 }
-size_t flow__worker__get_packed_size
-                     (const Flow__Worker *message)
+size_t
+flow__worker__get_packed_size(const Flow__Worker *message)
 {
-  assert(message->base.descriptor == &flow__worker__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__worker__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__worker__pack
-                     (const Flow__Worker *message,
-                      uint8_t       *out)
+size_t
+flow__worker__pack(const Flow__Worker *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__worker__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__worker__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__worker__pack_to_buffer
-                     (const Flow__Worker *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__worker__pack_to_buffer(const Flow__Worker *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__worker__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__worker__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Worker *
-       flow__worker__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__worker__unpack(ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Flow__Worker *)
-     protobuf_c_message_unpack (&flow__worker__descriptor,
-                                allocator, len, data);
+    return (Flow__Worker *)protobuf_c_message_unpack(&flow__worker__descriptor,
+                                                     allocator, len, data);
 }
-void   flow__worker__free_unpacked
-                     (Flow__Worker *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__worker__free_unpacked(Flow__Worker *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__worker__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__worker__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__worker_lost__init
-                     (Flow__WorkerLost         *message)
+void
+flow__worker_lost__init(Flow__WorkerLost *message)
 {
-  static const Flow__WorkerLost init_value = FLOW__WORKER_LOST__INIT;
-  *message = init_value;
+    static const Flow__WorkerLost init_value = FLOW__WORKER_LOST__INIT;
+    *message = init_value;
 }
-size_t flow__worker_lost__get_packed_size
-                     (const Flow__WorkerLost *message)
+size_t
+flow__worker_lost__get_packed_size(const Flow__WorkerLost *message)
 {
-  assert(message->base.descriptor == &flow__worker_lost__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__worker_lost__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__worker_lost__pack
-                     (const Flow__WorkerLost *message,
-                      uint8_t       *out)
+size_t
+flow__worker_lost__pack(const Flow__WorkerLost *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__worker_lost__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__worker_lost__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__worker_lost__pack_to_buffer
-                     (const Flow__WorkerLost *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__worker_lost__pack_to_buffer(const Flow__WorkerLost *message,
+                                  ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__worker_lost__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__worker_lost__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__WorkerLost *
-       flow__worker_lost__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__worker_lost__unpack(ProtobufCAllocator *allocator, size_t len,
+                          const uint8_t *data)
 {
-  return (Flow__WorkerLost *)
-     protobuf_c_message_unpack (&flow__worker_lost__descriptor,
-                                allocator, len, data);
+    return (Flow__WorkerLost *)protobuf_c_message_unpack(
+        &flow__worker_lost__descriptor, allocator, len, data);
 }
-void   flow__worker_lost__free_unpacked
-                     (Flow__WorkerLost *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__worker_lost__free_unpacked(Flow__WorkerLost *message,
+                                 ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__worker_lost__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__worker_lost__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__upkeep__init
-                     (Flow__Upkeep         *message)
+void
+flow__upkeep__init(Flow__Upkeep *message)
 {
-  static const Flow__Upkeep init_value = FLOW__UPKEEP__INIT;
-  *message = init_value;
+    static const Flow__Upkeep init_value = FLOW__UPKEEP__INIT;
+    *message = init_value;
 }
-size_t flow__upkeep__get_packed_size
-                     (const Flow__Upkeep *message)
+size_t
+flow__upkeep__get_packed_size(const Flow__Upkeep *message)
 {
-  assert(message->base.descriptor == &flow__upkeep__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__upkeep__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__upkeep__pack
-                     (const Flow__Upkeep *message,
-                      uint8_t       *out)
+size_t
+flow__upkeep__pack(const Flow__Upkeep *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__upkeep__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__upkeep__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__upkeep__pack_to_buffer
-                     (const Flow__Upkeep *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__upkeep__pack_to_buffer(const Flow__Upkeep *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__upkeep__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__upkeep__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Upkeep *
-       flow__upkeep__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__upkeep__unpack(ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Flow__Upkeep *)
-     protobuf_c_message_unpack (&flow__upkeep__descriptor,
-                                allocator, len, data);
+    return (Flow__Upkeep *)protobuf_c_message_unpack(&flow__upkeep__descriptor,
+                                                     allocator, len, data);
 }
-void   flow__upkeep__free_unpacked
-                     (Flow__Upkeep *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__upkeep__free_unpacked(Flow__Upkeep *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__upkeep__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__upkeep__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__command__init
-                     (Flow__Command         *message)
+void
+flow__evacuation__init(Flow__Evacuation *message)
 {
-  static const Flow__Command init_value = FLOW__COMMAND__INIT;
-  *message = init_value;
+    static const Flow__Evacuation init_value = FLOW__EVACUATION__INIT;
+    *message = init_value;
 }
-size_t flow__command__get_packed_size
-                     (const Flow__Command *message)
+size_t
+flow__evacuation__get_packed_size(const Flow__Evacuation *message)
 {
-  assert(message->base.descriptor == &flow__command__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__evacuation__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__command__pack
-                     (const Flow__Command *message,
-                      uint8_t       *out)
+size_t
+flow__evacuation__pack(const Flow__Evacuation *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__command__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__evacuation__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__command__pack_to_buffer
-                     (const Flow__Command *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__evacuation__pack_to_buffer(const Flow__Evacuation *message,
+                                 ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__command__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__evacuation__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Flow__Evacuation *
+flow__evacuation__unpack(ProtobufCAllocator *allocator, size_t len,
+                         const uint8_t *data)
+{
+    return (Flow__Evacuation *)protobuf_c_message_unpack(
+        &flow__evacuation__descriptor, allocator, len, data);
+}
+void
+flow__evacuation__free_unpacked(Flow__Evacuation *message,
+                                ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__evacuation__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+flow__command__init(Flow__Command *message)
+{
+    static const Flow__Command init_value = FLOW__COMMAND__INIT;
+    *message = init_value;
+}
+size_t
+flow__command__get_packed_size(const Flow__Command *message)
+{
+    assert(message->base.descriptor == &flow__command__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+flow__command__pack(const Flow__Command *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &flow__command__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+flow__command__pack_to_buffer(const Flow__Command *message,
+                              ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &flow__command__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Command *
-       flow__command__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__command__unpack(ProtobufCAllocator *allocator, size_t len,
+                      const uint8_t *data)
 {
-  return (Flow__Command *)
-     protobuf_c_message_unpack (&flow__command__descriptor,
-                                allocator, len, data);
+    return (Flow__Command *)protobuf_c_message_unpack(
+        &flow__command__descriptor, allocator, len, data);
 }
-void   flow__command__free_unpacked
-                     (Flow__Command *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__command__free_unpacked(Flow__Command *message,
+                             ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__command__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__command__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__batch__init
-                     (Flow__Batch         *message)
+void
+flow__batch__init(Flow__Batch *message)
 {
-  static const Flow__Batch init_value = FLOW__BATCH__INIT;
-  *message = init_value;
+    static const Flow__Batch init_value = FLOW__BATCH__INIT;
+    *message = init_value;
 }
-size_t flow__batch__get_packed_size
-                     (const Flow__Batch *message)
+size_t
+flow__batch__get_packed_size(const Flow__Batch *message)
 {
-  assert(message->base.descriptor == &flow__batch__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__batch__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__batch__pack
-                     (const Flow__Batch *message,
-                      uint8_t       *out)
+size_t
+flow__batch__pack(const Flow__Batch *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__batch__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__batch__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__batch__pack_to_buffer
-                     (const Flow__Batch *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__batch__pack_to_buffer(const Flow__Batch *message,
+                            ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__batch__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__batch__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Batch *
-       flow__batch__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__batch__unpack(ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Flow__Batch *)
-     protobuf_c_message_unpack (&flow__batch__descriptor,
-                                allocator, len, data);
+    return (Flow__Batch *)protobuf_c_message_unpack(&flow__batch__descriptor,
+                                                    allocator, len, data);
 }
-void   flow__batch__free_unpacked
-                     (Flow__Batch *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__batch__free_unpacked(Flow__Batch *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__batch__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__batch__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__packed_batch__init
-                     (Flow__PackedBatch         *message)
+void
+flow__packed_batch__init(Flow__PackedBatch *message)
 {
-  static const Flow__PackedBatch init_value = FLOW__PACKED_BATCH__INIT;
-  *message = init_value;
+    static const Flow__PackedBatch init_value = FLOW__PACKED_BATCH__INIT;
+    *message = init_value;
 }
-size_t flow__packed_batch__get_packed_size
-                     (const Flow__PackedBatch *message)
+size_t
+flow__packed_batch__get_packed_size(const Flow__PackedBatch *message)
 {
-  assert(message->base.descriptor == &flow__packed_batch__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__packed_batch__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__packed_batch__pack
-                     (const Flow__PackedBatch *message,
-                      uint8_t       *out)
+size_t
+flow__packed_batch__pack(const Flow__PackedBatch *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__packed_batch__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__packed_batch__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__packed_batch__pack_to_buffer
-                     (const Flow__PackedBatch *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__packed_batch__pack_to_buffer(const Flow__PackedBatch *message,
+                                   ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__packed_batch__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__packed_batch__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__PackedBatch *
-       flow__packed_batch__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__packed_batch__unpack(ProtobufCAllocator *allocator, size_t len,
+                           const uint8_t *data)
 {
-  return (Flow__PackedBatch *)
-     protobuf_c_message_unpack (&flow__packed_batch__descriptor,
-                                allocator, len, data);
+    return (Flow__PackedBatch *)protobuf_c_message_unpack(
+        &flow__packed_batch__descriptor, allocator, len, data);
 }
-void   flow__packed_batch__free_unpacked
-                     (Flow__PackedBatch *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__packed_batch__free_unpacked(Flow__PackedBatch *message,
+                                  ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__packed_batch__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__packed_batch__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__task_state__init
-                     (Flow__TaskState         *message)
+void
+flow__task_state__init(Flow__TaskState *message)
 {
-  static const Flow__TaskState init_value = FLOW__TASK_STATE__INIT;
-  *message = init_value;
+    static const Flow__TaskState init_value = FLOW__TASK_STATE__INIT;
+    *message = init_value;
 }
-size_t flow__task_state__get_packed_size
-                     (const Flow__TaskState *message)
+size_t
+flow__task_state__get_packed_size(const Flow__TaskState *message)
 {
-  assert(message->base.descriptor == &flow__task_state__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__task_state__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__task_state__pack
-                     (const Flow__TaskState *message,
-                      uint8_t       *out)
+size_t
+flow__task_state__pack(const Flow__TaskState *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__task_state__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__task_state__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__task_state__pack_to_buffer
-                     (const Flow__TaskState *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__task_state__pack_to_buffer(const Flow__TaskState *message,
+                                 ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__task_state__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__task_state__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__TaskState *
-       flow__task_state__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__task_state__unpack(ProtobufCAllocator *allocator, size_t len,
+                         const uint8_t *data)
 {
-  return (Flow__TaskState *)
-     protobuf_c_message_unpack (&flow__task_state__descriptor,
-                                allocator, len, data);
+    return (Flow__TaskState *)protobuf_c_message_unpack(
+        &flow__task_state__descriptor, allocator, len, data);
 }
-void   flow__task_state__free_unpacked
-                     (Flow__TaskState *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__task_state__free_unpacked(Flow__TaskState *message,
+                                ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__task_state__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__task_state__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__step_state__init
-                     (Flow__StepState         *message)
+void
+flow__step_state__init(Flow__StepState *message)
 {
-  static const Flow__StepState init_value = FLOW__STEP_STATE__INIT;
-  *message = init_value;
+    static const Flow__StepState init_value = FLOW__STEP_STATE__INIT;
+    *message = init_value;
 }
-size_t flow__step_state__get_packed_size
-                     (const Flow__StepState *message)
+size_t
+flow__step_state__get_packed_size(const Flow__StepState *message)
 {
-  assert(message->base.descriptor == &flow__step_state__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__step_state__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__step_state__pack
-                     (const Flow__StepState *message,
-                      uint8_t       *out)
+size_t
+flow__step_state__pack(const Flow__StepState *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__step_state__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__step_state__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__step_state__pack_to_buffer
-                     (const Flow__StepState *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__step_state__pack_to_buffer(const Flow__StepState *message,
+                                 ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__step_state__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__step_state__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__StepState *
-       flow__step_state__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__step_state__unpack(ProtobufCAllocator *allocator, size_t len,
+                         const uint8_t *data)
 {
-  return (Flow__StepState *)
-     protobuf_c_message_unpack (&flow__step_state__descriptor,
-                                allocator, len, data);
+    return (Flow__StepState *)protobuf_c_message_unpack(
+        &flow__step_state__descriptor, allocator, len, data);
 }
-void   flow__step_state__free_unpacked
-                     (Flow__StepState *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__step_state__free_unpacked(Flow__StepState *message,
+                                ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__step_state__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__step_state__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__occurrence_state__init
-                     (Flow__OccurrenceState         *message)
+void
+flow__occurrence_state__init(Flow__OccurrenceState *message)
 {
-  static const Flow__OccurrenceState init_value = FLOW__OCCURRENCE_STATE__INIT;
-  *message = init_value;
+    static const Flow__OccurrenceState init_value =
+        FLOW__OCCURRENCE_STATE__INIT;
+    *message = init_value;
 }
-size_t flow__occurrence_state__get_packed_size
-                     (const Flow__OccurrenceState *message)
+size_t
+flow__occurrence_state__get_packed_size(const Flow__OccurrenceState *message)
 {
-  assert(message->base.descriptor == &flow__occurrence_state__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__occurrence_state__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__occurrence_state__pack
-                     (const Flow__OccurrenceState *message,
-                      uint8_t       *out)
+size_t
+flow__occurrence_state__pack(const Flow__OccurrenceState *message,
+                             uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__occurrence_state__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__occurrence_state__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__occurrence_state__pack_to_buffer
-                     (const Flow__OccurrenceState *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__occurrence_state__pack_to_buffer(const Flow__OccurrenceState *message,
+                                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__occurrence_state__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__occurrence_state__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__OccurrenceState *
-       flow__occurrence_state__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__occurrence_state__unpack(ProtobufCAllocator *allocator, size_t len,
+                               const uint8_t *data)
 {
-  return (Flow__OccurrenceState *)
-     protobuf_c_message_unpack (&flow__occurrence_state__descriptor,
-                                allocator, len, data);
+    return (Flow__OccurrenceState *)protobuf_c_message_unpack(
+        &flow__occurrence_state__descriptor, allocator, len, data);
 }
-void   flow__occurrence_state__free_unpacked
-                     (Flow__OccurrenceState *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__occurrence_state__free_unpacked(Flow__OccurrenceState *message,
+                                      ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__occurrence_state__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__occurrence_state__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__job_state__init
-                     (Flow__JobState         *message)
+void
+flow__job_state__init(Flow__JobState *message)
 {
-  static const Flow__JobState init_value = FLOW__JOB_STATE__INIT;
-  *message = init_value;
+    static const Flow__JobState init_value = FLOW__JOB_STATE__INIT;
+    *message = init_value;
 }
-size_t flow__job_state__get_packed_size
-                     (const Flow__JobState *message)
+size_t
+flow__job_state__get_packed_size(const Flow__JobState *message)
 {
-  assert(message->base.descriptor == &flow__job_state__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__job_state__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__job_state__pack
-                     (const Flow__JobState *message,
-                      uint8_t       *out)
+size_t
+flow__job_state__pack(const Flow__JobState *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__job_state__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__job_state__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__job_state__pack_to_buffer
-                     (const Flow__JobState *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__job_state__pack_to_buffer(const Flow__JobState *message,
+                                ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__job_state__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__job_state__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__JobState *
-       flow__job_state__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__job_state__unpack(ProtobufCAllocator *allocator, size_t len,
+                        const uint8_t *data)
 {
-  return (Flow__JobState *)
-     protobuf_c_message_unpack (&flow__job_state__descriptor,
-                                allocator, len, data);
+    return (Flow__JobState *)protobuf_c_message_unpack(
+        &flow__job_state__descriptor, allocator, len, data);
 }
-void   flow__job_state__free_unpacked
-                     (Flow__JobState *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__job_state__free_unpacked(Flow__JobState *message,
+                               ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__job_state__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__job_state__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__cancellation__init
-                     (Flow__Cancellation         *message)
+void
+flow__cancellation__init(Flow__Cancellation *message)
 {
-  static const Flow__Cancellation init_value = FLOW__CANCELLATION__INIT;
-  *message = init_value;
+    static const Flow__Cancellation init_value = FLOW__CANCELLATION__INIT;
+    *message = init_value;
 }
-size_t flow__cancellation__get_packed_size
-                     (const Flow__Cancellation *message)
+size_t
+flow__cancellation__get_packed_size(const Flow__Cancellation *message)
 {
-  assert(message->base.descriptor == &flow__cancellation__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__cancellation__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__cancellation__pack
-                     (const Flow__Cancellation *message,
-                      uint8_t       *out)
+size_t
+flow__cancellation__pack(const Flow__Cancellation *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__cancellation__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__cancellation__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__cancellation__pack_to_buffer
-                     (const Flow__Cancellation *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__cancellation__pack_to_buffer(const Flow__Cancellation *message,
+                                   ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__cancellation__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__cancellation__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Cancellation *
-       flow__cancellation__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__cancellation__unpack(ProtobufCAllocator *allocator, size_t len,
+                           const uint8_t *data)
 {
-  return (Flow__Cancellation *)
-     protobuf_c_message_unpack (&flow__cancellation__descriptor,
-                                allocator, len, data);
+    return (Flow__Cancellation *)protobuf_c_message_unpack(
+        &flow__cancellation__descriptor, allocator, len, data);
 }
-void   flow__cancellation__free_unpacked
-                     (Flow__Cancellation *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__cancellation__free_unpacked(Flow__Cancellation *message,
+                                  ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__cancellation__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__cancellation__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__removed_queue__init
-                     (Flow__RemovedQueue         *message)
+void
+flow__removed_queue__init(Flow__RemovedQueue *message)
 {
-  static const Flow__RemovedQueue init_value = FLOW__REMOVED_QUEUE__INIT;
-  *message = init_value;
+    static const Flow__RemovedQueue init_value = FLOW__REMOVED_QUEUE__INIT;
+    *message = init_value;
 }
-size_t flow__removed_queue__get_packed_size
-                     (const Flow__RemovedQueue *message)
+size_t
+flow__removed_queue__get_packed_size(const Flow__RemovedQueue *message)
 {
-  assert(message->base.descriptor == &flow__removed_queue__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__removed_queue__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__removed_queue__pack
-                     (const Flow__RemovedQueue *message,
-                      uint8_t       *out)
+size_t
+flow__removed_queue__pack(const Flow__RemovedQueue *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__removed_queue__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__removed_queue__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__removed_queue__pack_to_buffer
-                     (const Flow__RemovedQueue *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__removed_queue__pack_to_buffer(const Flow__RemovedQueue *message,
+                                    ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__removed_queue__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__removed_queue__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__RemovedQueue *
-       flow__removed_queue__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+flow__removed_queue__unpack(ProtobufCAllocator *allocator, size_t len,
+                            const uint8_t *data)
 {
-  return (Flow__RemovedQueue *)
-     protobuf_c_message_unpack (&flow__removed_queue__descriptor,
-                                allocator, len, data);
+    return (Flow__RemovedQueue *)protobuf_c_message_unpack(
+        &flow__removed_queue__descriptor, allocator, len, data);
 }
-void   flow__removed_queue__free_unpacked
-                     (Flow__RemovedQueue *message,
-                      ProtobufCAllocator *allocator)
+void
+flow__removed_queue__free_unpacked(Flow__RemovedQueue *message,
+                                   ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__removed_queue__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__removed_queue__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   flow__snapshot__init
-                     (Flow__Snapshot         *message)
+void
+flow__snapshot__init(Flow__Snapshot *message)
 {
-  static const Flow__Snapshot init_value = FLOW__SNAPSHOT__INIT;
-  *message = init_value;
+    static const Flow__Snapshot init_value = FLOW__SNAPSHOT__INIT;
+    *message = init_value;
 }
-size_t flow__snapshot__get_packed_size
-                     (const Flow__Snapshot *message)
+size_t
+flow__snapshot__get_packed_size(const Flow__Snapshot *message)
 {
-  assert(message->base.descriptor == &flow__snapshot__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &flow__snapshot__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t flow__snapshot__pack
-                     (const Flow__Snapshot *message,
-                      uint8_t       *out)
+size_t
+flow__snapshot__pack(const Flow__Snapshot *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &flow__snapshot__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &flow__snapshot__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t flow__snapshot__pack_to_buffer
-                     (const Flow__Snapshot *message,
-                      ProtobufCBuffer *buffer)
+size_t
+flow__snapshot__pack_to_buffer(const Flow__Snapshot *message,
+                               ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &flow__snapshot__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &flow__snapshot__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Flow__Snapshot *
-       flow__snapshot__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Flow__Snapshot *)
-     protobuf_c_message_unpack (&flow__snapshot__descriptor,
-                                allocator, len, data);
-}
-void   flow__snapshot__free_unpacked
-                     (Flow__Snapshot *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &flow__snapshot__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor flow__size__field_descriptors[3] =
-{
-  {
-    "cpu_milli",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Size, cpu_milli),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "memory_mib",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Size, memory_mib),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "accelerators",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Size, accelerators),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+flow__snapshot__unpack(ProtobufCAllocator *allocator, size_t len,
+                       const uint8_t *data)
+{
+    return (Flow__Snapshot *)protobuf_c_message_unpack(
+        &flow__snapshot__descriptor, allocator, len, data);
+}
+void
+flow__snapshot__free_unpacked(Flow__Snapshot *message,
+                              ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &flow__snapshot__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+static const ProtobufCFieldDescriptor flow__size__field_descriptors[3] = {
+    {
+        "cpu_milli", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Flow__Size, cpu_milli), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "memory_mib", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Flow__Size, memory_mib), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "accelerators", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Flow__Size, accelerators), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__size__field_indices_by_name[] = {
-  2,   /* field[2] = accelerators */
-  0,   /* field[0] = cpu_milli */
-  1,   /* field[1] = memory_mib */
-};
-static const ProtobufCIntRange flow__size__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor flow__size__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Size",
-  "Size",
-  "Flow__Size",
-  "flow",
-  sizeof(Flow__Size),
-  3,
-  flow__size__field_descriptors,
-  flow__size__field_indices_by_name,
-  1,  flow__size__number_ranges,
-  (ProtobufCMessageInit) flow__size__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__step__field_descriptors[16] =
-{
-  {
-    "count",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, count),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "size",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, size),
-    &flow__size__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "estimate_ms",
+    2, /* field[2] = accelerators */
+    0, /* field[0] = cpu_milli */
+    1, /* field[1] = memory_mib */
+};
+static const ProtobufCIntRange flow__size__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 3}};
+const ProtobufCMessageDescriptor flow__size__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Size",
+    "Size",
+    "Flow__Size",
+    "flow",
+    sizeof(Flow__Size),
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, estimate_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "after",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Flow__Step, n_after),
-    offsetof(Flow__Step, after),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "checkpoints",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, checkpoints),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gang",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, gang),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "one_rack",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, one_rack),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "speculative",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, speculative),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "endless",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, endless),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "best_effort",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, best_effort),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "label",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, label),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data_rack",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, data_rack),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "per_worker_max",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, per_worker_max),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "image",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, image),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tail_target_ms",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, tail_target_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "disruption_budget",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Step, disruption_budget),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__size__field_descriptors,
+    flow__size__field_indices_by_name,
+    1,
+    flow__size__number_ranges,
+    (ProtobufCMessageInit)flow__size__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__step__field_descriptors[16] = {
+    {
+        "count", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                          /* quantifier_offset */
+        offsetof(Flow__Step, count), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "size", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, size), &flow__size__descriptor, NULL,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "estimate_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, estimate_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "after", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
+        offsetof(Flow__Step, n_after), offsetof(Flow__Step, after), NULL, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+        0, NULL, NULL                     /* reserved1,reserved2, etc */
+    },
+    {
+        "checkpoints", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, checkpoints), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "gang", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                         /* quantifier_offset */
+        offsetof(Flow__Step, gang), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "one_rack", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                             /* quantifier_offset */
+        offsetof(Flow__Step, one_rack), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "speculative", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, speculative), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "endless", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                            /* quantifier_offset */
+        offsetof(Flow__Step, endless), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "best_effort", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, best_effort), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "label", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, label), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "data_rack", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, data_rack), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "per_worker_max", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, per_worker_max), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "image", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, image), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "tail_target_ms", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, tail_target_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "disruption_budget", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Step, disruption_budget), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__step__field_indices_by_name[] = {
-  3,   /* field[3] = after */
-  9,   /* field[9] = best_effort */
-  4,   /* field[4] = checkpoints */
-  0,   /* field[0] = count */
-  11,   /* field[11] = data_rack */
-  15,   /* field[15] = disruption_budget */
-  8,   /* field[8] = endless */
-  2,   /* field[2] = estimate_ms */
-  5,   /* field[5] = gang */
-  13,   /* field[13] = image */
-  10,   /* field[10] = label */
-  6,   /* field[6] = one_rack */
-  12,   /* field[12] = per_worker_max */
-  1,   /* field[1] = size */
-  7,   /* field[7] = speculative */
-  14,   /* field[14] = tail_target_ms */
-};
-static const ProtobufCIntRange flow__step__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 16 }
-};
-const ProtobufCMessageDescriptor flow__step__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Step",
-  "Step",
-  "Flow__Step",
-  "flow",
-  sizeof(Flow__Step),
-  16,
-  flow__step__field_descriptors,
-  flow__step__field_indices_by_name,
-  1,  flow__step__number_ranges,
-  (ProtobufCMessageInit) flow__step__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__job_spec__field_descriptors[5] =
-{
-  {
-    "payload",
+    3,  /* field[3] = after */
+    9,  /* field[9] = best_effort */
+    4,  /* field[4] = checkpoints */
+    0,  /* field[0] = count */
+    11, /* field[11] = data_rack */
+    15, /* field[15] = disruption_budget */
+    8,  /* field[8] = endless */
+    2,  /* field[2] = estimate_ms */
+    5,  /* field[5] = gang */
+    13, /* field[13] = image */
+    10, /* field[10] = label */
+    6,  /* field[6] = one_rack */
+    12, /* field[12] = per_worker_max */
+    1,  /* field[1] = size */
+    7,  /* field[7] = speculative */
+    14, /* field[14] = tail_target_ms */
+};
+static const ProtobufCIntRange flow__step__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 16}};
+const ProtobufCMessageDescriptor flow__step__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Step",
+    "Step",
+    "Flow__Step",
+    "flow",
+    sizeof(Flow__Step),
+    16,
+    flow__step__field_descriptors,
+    flow__step__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobSpec, payload),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "steps",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__JobSpec, n_steps),
-    offsetof(Flow__JobSpec, steps),
-    &flow__step__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "occurrences",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobSpec, occurrences),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "first_due_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobSpec, first_due_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "interval_ms",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobSpec, interval_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__step__number_ranges,
+    (ProtobufCMessageInit)flow__step__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__job_spec__field_descriptors[5] = {
+    {
+        "payload", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+        0, /* quantifier_offset */
+        offsetof(Flow__JobSpec, payload), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "steps", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__JobSpec, n_steps), offsetof(Flow__JobSpec, steps),
+        &flow__step__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                     /* reserved1,reserved2, etc */
+    },
+    {
+        "occurrences", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__JobSpec, occurrences), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "first_due_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+        0, /* quantifier_offset */
+        offsetof(Flow__JobSpec, first_due_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "interval_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+        0, /* quantifier_offset */
+        offsetof(Flow__JobSpec, interval_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__job_spec__field_indices_by_name[] = {
-  3,   /* field[3] = first_due_ms */
-  4,   /* field[4] = interval_ms */
-  2,   /* field[2] = occurrences */
-  0,   /* field[0] = payload */
-  1,   /* field[1] = steps */
-};
-static const ProtobufCIntRange flow__job_spec__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor flow__job_spec__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.JobSpec",
-  "JobSpec",
-  "Flow__JobSpec",
-  "flow",
-  sizeof(Flow__JobSpec),
-  5,
-  flow__job_spec__field_descriptors,
-  flow__job_spec__field_indices_by_name,
-  1,  flow__job_spec__number_ranges,
-  (ProtobufCMessageInit) flow__job_spec__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__queue__field_descriptors[14] =
-{
-  {
-    "name",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "host",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, host),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "prefix",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, prefix),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "timeout_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, timeout_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "latency_target_ms",
+    3, /* field[3] = first_due_ms */
+    4, /* field[4] = interval_ms */
+    2, /* field[2] = occurrences */
+    0, /* field[0] = payload */
+    1, /* field[1] = steps */
+};
+static const ProtobufCIntRange flow__job_spec__number_ranges[1 + 1] = {{1, 0},
+                                                                       {0, 5}};
+const ProtobufCMessageDescriptor flow__job_spec__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.JobSpec",
+    "JobSpec",
+    "Flow__JobSpec",
+    "flow",
+    sizeof(Flow__JobSpec),
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, latency_target_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "priority",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, priority),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "max_attempts",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, max_attempts),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "stretch",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, stretch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "needs_approval",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, needs_approval),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "approval_ms",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, approval_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "approval_worker_us",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, approval_worker_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ticket_ms",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, ticket_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "open",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Queue, open),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__job_spec__field_descriptors,
+    flow__job_spec__field_indices_by_name,
+    1,
+    flow__job_spec__number_ranges,
+    (ProtobufCMessageInit)flow__job_spec__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__queue__field_descriptors[14] = {
+    {
+        "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, name), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "host", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, host), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "prefix", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, prefix), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "timeout_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, timeout_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "latency_target_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, latency_target_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "priority", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                              /* quantifier_offset */
+        offsetof(Flow__Queue, priority), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "service", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, service), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "max_attempts", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, max_attempts), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "stretch", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
+        0,                                             /* quantifier_offset */
+        offsetof(Flow__Queue, stretch), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "needs_approval", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, needs_approval), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "approval_ms", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, approval_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "approval_worker_us", 12, PROTOBUF_C_LABEL_NONE,
+        PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+        offsetof(Flow__Queue, approval_worker_us), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "ticket_ms", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Queue, ticket_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "open", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                          /* quantifier_offset */
+        offsetof(Flow__Queue, open), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__queue__field_indices_by_name[] = {
-  10,   /* field[10] = approval_ms */
-  11,   /* field[11] = approval_worker_us */
-  1,   /* field[1] = host */
-  4,   /* field[4] = latency_target_ms */
-  7,   /* field[7] = max_attempts */
-  0,   /* field[0] = name */
-  9,   /* field[9] = needs_approval */
-  13,   /* field[13] = open */
-  2,   /* field[2] = prefix */
-  5,   /* field[5] = priority */
-  6,   /* field[6] = service */
-  8,   /* field[8] = stretch */
-  12,   /* field[12] = ticket_ms */
-  3,   /* field[3] = timeout_ms */
-};
-static const ProtobufCIntRange flow__queue__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 14 }
-};
-const ProtobufCMessageDescriptor flow__queue__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Queue",
-  "Queue",
-  "Flow__Queue",
-  "flow",
-  sizeof(Flow__Queue),
-  14,
-  flow__queue__field_descriptors,
-  flow__queue__field_indices_by_name,
-  1,  flow__queue__number_ranges,
-  (ProtobufCMessageInit) flow__queue__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__service__field_descriptors[3] =
-{
-  {
-    "name",
+    10, /* field[10] = approval_ms */
+    11, /* field[11] = approval_worker_us */
+    1,  /* field[1] = host */
+    4,  /* field[4] = latency_target_ms */
+    7,  /* field[7] = max_attempts */
+    0,  /* field[0] = name */
+    9,  /* field[9] = needs_approval */
+    13, /* field[13] = open */
+    2,  /* field[2] = prefix */
+    5,  /* field[5] = priority */
+    6,  /* field[6] = service */
+    8,  /* field[8] = stretch */
+    12, /* field[12] = ticket_ms */
+    3,  /* field[3] = timeout_ms */
+};
+static const ProtobufCIntRange flow__queue__number_ranges[1 + 1] = {{1, 0},
+                                                                    {0, 14}};
+const ProtobufCMessageDescriptor flow__queue__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Queue",
+    "Queue",
+    "Flow__Queue",
+    "flow",
+    sizeof(Flow__Queue),
+    14,
+    flow__queue__field_descriptors,
+    flow__queue__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Service, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "guards_capacity",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Service, guards_capacity),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "standby",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Service, standby),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__queue__number_ranges,
+    (ProtobufCMessageInit)flow__queue__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__service__field_descriptors[4] = {
+    {
+        "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Service, name), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "guards_capacity", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Flow__Service, guards_capacity), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "standby", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Flow__Service, standby), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "cold_start_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Service, cold_start_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__service__field_indices_by_name[] = {
-  1,   /* field[1] = guards_capacity */
-  0,   /* field[0] = name */
-  2,   /* field[2] = standby */
-};
-static const ProtobufCIntRange flow__service__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor flow__service__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Service",
-  "Service",
-  "Flow__Service",
-  "flow",
-  sizeof(Flow__Service),
-  3,
-  flow__service__field_descriptors,
-  flow__service__field_indices_by_name,
-  1,  flow__service__number_ranges,
-  (ProtobufCMessageInit) flow__service__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__team__field_descriptors[4] =
-{
-  {
-    "name",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Team, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "keys",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Flow__Team, n_keys),
-    offsetof(Flow__Team, keys),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "weight",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Team, weight),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "limit",
+    3, /* field[3] = cold_start_ms */
+    1, /* field[1] = guards_capacity */
+    0, /* field[0] = name */
+    2, /* field[2] = standby */
+};
+static const ProtobufCIntRange flow__service__number_ranges[1 + 1] = {{1, 0},
+                                                                      {0, 4}};
+const ProtobufCMessageDescriptor flow__service__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Service",
+    "Service",
+    "Flow__Service",
+    "flow",
+    sizeof(Flow__Service),
     4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Team, limit),
-    &flow__size__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__service__field_descriptors,
+    flow__service__field_indices_by_name,
+    1,
+    flow__service__number_ranges,
+    (ProtobufCMessageInit)flow__service__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__team__field_descriptors[4] = {
+    {
+        "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Team, name), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "keys", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+        offsetof(Flow__Team, n_keys), offsetof(Flow__Team, keys), NULL,
+        &protobuf_c_empty_string, 0, /* flags */
+        0, NULL, NULL                /* reserved1,reserved2, etc */
+    },
+    {
+        "weight", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                           /* quantifier_offset */
+        offsetof(Flow__Team, weight), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "limit", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        0, /* quantifier_offset */
+        offsetof(Flow__Team, limit), &flow__size__descriptor, NULL,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__team__field_indices_by_name[] = {
-  1,   /* field[1] = keys */
-  3,   /* field[3] = limit */
-  0,   /* field[0] = name */
-  2,   /* field[2] = weight */
-};
-static const ProtobufCIntRange flow__team__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor flow__team__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Team",
-  "Team",
-  "Flow__Team",
-  "flow",
-  sizeof(Flow__Team),
-  4,
-  flow__team__field_descriptors,
-  flow__team__field_indices_by_name,
-  1,  flow__team__number_ranges,
-  (ProtobufCMessageInit) flow__team__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__config__field_descriptors[5] =
-{
-  {
-    "version",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Config, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "document",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Config, document),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "queues",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Config, n_queues),
-    offsetof(Flow__Config, queues),
-    &flow__queue__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "services",
+    1, /* field[1] = keys */
+    3, /* field[3] = limit */
+    0, /* field[0] = name */
+    2, /* field[2] = weight */
+};
+static const ProtobufCIntRange flow__team__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 4}};
+const ProtobufCMessageDescriptor flow__team__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Team",
+    "Team",
+    "Flow__Team",
+    "flow",
+    sizeof(Flow__Team),
     4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Config, n_services),
-    offsetof(Flow__Config, services),
-    &flow__service__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "teams",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Config, n_teams),
-    offsetof(Flow__Config, teams),
-    &flow__team__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__team__field_descriptors,
+    flow__team__field_indices_by_name,
+    1,
+    flow__team__number_ranges,
+    (ProtobufCMessageInit)flow__team__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__config__field_descriptors[5] = {
+    {
+        "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Flow__Config, version), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "document", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+        0, /* quantifier_offset */
+        offsetof(Flow__Config, document), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "queues", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Config, n_queues), offsetof(Flow__Config, queues),
+        &flow__queue__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                      /* reserved1,reserved2, etc */
+    },
+    {
+        "services", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Config, n_services), offsetof(Flow__Config, services),
+        &flow__service__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                        /* reserved1,reserved2, etc */
+    },
+    {
+        "teams", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Config, n_teams), offsetof(Flow__Config, teams),
+        &flow__team__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                     /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__config__field_indices_by_name[] = {
-  1,   /* field[1] = document */
-  2,   /* field[2] = queues */
-  3,   /* field[3] = services */
-  4,   /* field[4] = teams */
-  0,   /* field[0] = version */
-};
-static const ProtobufCIntRange flow__config__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor flow__config__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Config",
-  "Config",
-  "Flow__Config",
-  "flow",
-  sizeof(Flow__Config),
-  5,
-  flow__config__field_descriptors,
-  flow__config__field_indices_by_name,
-  1,  flow__config__number_ranges,
-  (ProtobufCMessageInit) flow__config__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__submit__field_descriptors[6] =
-{
-  {
-    "job",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Submit, job),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "queue",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Submit, queue),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "team",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Submit, team),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "spec",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Submit, spec),
-    &flow__job_spec__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wall_ms",
+    1, /* field[1] = document */
+    2, /* field[2] = queues */
+    3, /* field[3] = services */
+    4, /* field[4] = teams */
+    0, /* field[0] = version */
+};
+static const ProtobufCIntRange flow__config__number_ranges[1 + 1] = {{1, 0},
+                                                                     {0, 5}};
+const ProtobufCMessageDescriptor flow__config__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Config",
+    "Config",
+    "Flow__Config",
+    "flow",
+    sizeof(Flow__Config),
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Submit, wall_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Submit, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__config__field_descriptors,
+    flow__config__field_indices_by_name,
+    1,
+    flow__config__number_ranges,
+    (ProtobufCMessageInit)flow__config__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__submit__field_descriptors[6] = {
+    {
+        "job", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+        0,                                          /* quantifier_offset */
+        offsetof(Flow__Submit, job), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "queue", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Submit, queue), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "team", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Submit, team), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "spec", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        0, /* quantifier_offset */
+        offsetof(Flow__Submit, spec), &flow__job_spec__descriptor, NULL,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "wall_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Flow__Submit, wall_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "address", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Submit, address), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__submit__field_indices_by_name[] = {
-  5,   /* field[5] = address */
-  0,   /* field[0] = job */
-  1,   /* field[1] = queue */
-  3,   /* field[3] = spec */
-  2,   /* field[2] = team */
-  4,   /* field[4] = wall_ms */
-};
-static const ProtobufCIntRange flow__submit__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor flow__submit__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Submit",
-  "Submit",
-  "Flow__Submit",
-  "flow",
-  sizeof(Flow__Submit),
-  6,
-  flow__submit__field_descriptors,
-  flow__submit__field_indices_by_name,
-  1,  flow__submit__number_ranges,
-  (ProtobufCMessageInit) flow__submit__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__cancel__field_descriptors[2] =
-{
-  {
-    "job",
+    5, /* field[5] = address */
+    0, /* field[0] = job */
+    1, /* field[1] = queue */
+    3, /* field[3] = spec */
+    2, /* field[2] = team */
+    4, /* field[4] = wall_ms */
+};
+static const ProtobufCIntRange flow__submit__number_ranges[1 + 1] = {{1, 0},
+                                                                     {0, 6}};
+const ProtobufCMessageDescriptor flow__submit__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Submit",
+    "Submit",
+    "Flow__Submit",
+    "flow",
+    sizeof(Flow__Submit),
+    6,
+    flow__submit__field_descriptors,
+    flow__submit__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Cancel, job),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Cancel, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__submit__number_ranges,
+    (ProtobufCMessageInit)flow__submit__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__cancel__field_descriptors[2] = {
+    {
+        "job", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+        0,                                          /* quantifier_offset */
+        offsetof(Flow__Cancel, job), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "address", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Cancel, address), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__cancel__field_indices_by_name[] = {
-  1,   /* field[1] = address */
-  0,   /* field[0] = job */
-};
-static const ProtobufCIntRange flow__cancel__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor flow__cancel__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Cancel",
-  "Cancel",
-  "Flow__Cancel",
-  "flow",
-  sizeof(Flow__Cancel),
-  2,
-  flow__cancel__field_descriptors,
-  flow__cancel__field_indices_by_name,
-  1,  flow__cancel__number_ranges,
-  (ProtobufCMessageInit) flow__cancel__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__due__field_descriptors[2] =
-{
-  {
-    "job",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Due, job),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "occurrence",
+    1, /* field[1] = address */
+    0, /* field[0] = job */
+};
+static const ProtobufCIntRange flow__cancel__number_ranges[1 + 1] = {{1, 0},
+                                                                     {0, 2}};
+const ProtobufCMessageDescriptor flow__cancel__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Cancel",
+    "Cancel",
+    "Flow__Cancel",
+    "flow",
+    sizeof(Flow__Cancel),
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Due, occurrence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__cancel__field_descriptors,
+    flow__cancel__field_indices_by_name,
+    1,
+    flow__cancel__number_ranges,
+    (ProtobufCMessageInit)flow__cancel__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__due__field_descriptors[2] = {
+    {
+        "job", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+        0,                                       /* quantifier_offset */
+        offsetof(Flow__Due, job), NULL, NULL, 0, /* flags */
+        0, NULL, NULL                            /* reserved1,reserved2, etc */
+    },
+    {
+        "occurrence", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                              /* quantifier_offset */
+        offsetof(Flow__Due, occurrence), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__due__field_indices_by_name[] = {
-  0,   /* field[0] = job */
-  1,   /* field[1] = occurrence */
-};
-static const ProtobufCIntRange flow__due__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor flow__due__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Due",
-  "Due",
-  "Flow__Due",
-  "flow",
-  sizeof(Flow__Due),
-  2,
-  flow__due__field_descriptors,
-  flow__due__field_indices_by_name,
-  1,  flow__due__number_ranges,
-  (ProtobufCMessageInit) flow__due__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__task__field_descriptors[6] =
-{
-  {
-    "job",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Task, job),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "occurrence",
+    0, /* field[0] = job */
+    1, /* field[1] = occurrence */
+};
+static const ProtobufCIntRange flow__due__number_ranges[1 + 1] = {{1, 0},
+                                                                  {0, 2}};
+const ProtobufCMessageDescriptor flow__due__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Due",
+    "Due",
+    "Flow__Due",
+    "flow",
+    sizeof(Flow__Due),
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Task, occurrence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "step",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Task, step),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "index",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Task, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "run",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Task, run),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "worker",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Task, worker),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__due__field_descriptors,
+    flow__due__field_indices_by_name,
+    1,
+    flow__due__number_ranges,
+    (ProtobufCMessageInit)flow__due__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__task__field_descriptors[6] = {
+    {
+        "job", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+        0,                                        /* quantifier_offset */
+        offsetof(Flow__Task, job), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "occurrence", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Task, occurrence), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "step", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                         /* quantifier_offset */
+        offsetof(Flow__Task, step), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "index", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                          /* quantifier_offset */
+        offsetof(Flow__Task, index), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "run", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                        /* quantifier_offset */
+        offsetof(Flow__Task, run), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "worker", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                           /* quantifier_offset */
+        offsetof(Flow__Task, worker), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__task__field_indices_by_name[] = {
-  3,   /* field[3] = index */
-  0,   /* field[0] = job */
-  1,   /* field[1] = occurrence */
-  4,   /* field[4] = run */
-  2,   /* field[2] = step */
-  5,   /* field[5] = worker */
-};
-static const ProtobufCIntRange flow__task__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor flow__task__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Task",
-  "Task",
-  "Flow__Task",
-  "flow",
-  sizeof(Flow__Task),
-  6,
-  flow__task__field_descriptors,
-  flow__task__field_indices_by_name,
-  1,  flow__task__number_ranges,
-  (ProtobufCMessageInit) flow__task__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__end__field_descriptors[3] =
-{
-  {
-    "task",
+    3, /* field[3] = index */
+    0, /* field[0] = job */
+    1, /* field[1] = occurrence */
+    4, /* field[4] = run */
+    2, /* field[2] = step */
+    5, /* field[5] = worker */
+};
+static const ProtobufCIntRange flow__task__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 6}};
+const ProtobufCMessageDescriptor flow__task__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Task",
+    "Task",
+    "Flow__Task",
+    "flow",
+    sizeof(Flow__Task),
+    6,
+    flow__task__field_descriptors,
+    flow__task__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Flow__End, task),
-    &flow__task__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "how",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__End, how),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "checkpoint",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__End, checkpoint),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__task__number_ranges,
+    (ProtobufCMessageInit)flow__task__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__end__field_descriptors[3] = {
+    {
+        "task", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        0, /* quantifier_offset */
+        offsetof(Flow__End, task), &flow__task__descriptor, NULL,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "how", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                       /* quantifier_offset */
+        offsetof(Flow__End, how), NULL, NULL, 0, /* flags */
+        0, NULL, NULL                            /* reserved1,reserved2, etc */
+    },
+    {
+        "checkpoint", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__End, checkpoint), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__end__field_indices_by_name[] = {
-  2,   /* field[2] = checkpoint */
-  1,   /* field[1] = how */
-  0,   /* field[0] = task */
-};
-static const ProtobufCIntRange flow__end__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor flow__end__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.End",
-  "End",
-  "Flow__End",
-  "flow",
-  sizeof(Flow__End),
-  3,
-  flow__end__field_descriptors,
-  flow__end__field_indices_by_name,
-  1,  flow__end__number_ranges,
-  (ProtobufCMessageInit) flow__end__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__ends__field_descriptors[3] =
-{
-  {
-    "worker",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Ends, worker),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "last_seen",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Ends, last_seen),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ends",
+    2, /* field[2] = checkpoint */
+    1, /* field[1] = how */
+    0, /* field[0] = task */
+};
+static const ProtobufCIntRange flow__end__number_ranges[1 + 1] = {{1, 0},
+                                                                  {0, 3}};
+const ProtobufCMessageDescriptor flow__end__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.End",
+    "End",
+    "Flow__End",
+    "flow",
+    sizeof(Flow__End),
     3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Ends, n_ends),
-    offsetof(Flow__Ends, ends),
-    &flow__end__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__end__field_descriptors,
+    flow__end__field_indices_by_name,
+    1,
+    flow__end__number_ranges,
+    (ProtobufCMessageInit)flow__end__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__ends__field_descriptors[3] = {
+    {
+        "worker", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                           /* quantifier_offset */
+        offsetof(Flow__Ends, worker), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "last_seen", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Flow__Ends, last_seen), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "ends", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Ends, n_ends), offsetof(Flow__Ends, ends),
+        &flow__end__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__ends__field_indices_by_name[] = {
-  2,   /* field[2] = ends */
-  1,   /* field[1] = last_seen */
-  0,   /* field[0] = worker */
-};
-static const ProtobufCIntRange flow__ends__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor flow__ends__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Ends",
-  "Ends",
-  "Flow__Ends",
-  "flow",
-  sizeof(Flow__Ends),
-  3,
-  flow__ends__field_descriptors,
-  flow__ends__field_indices_by_name,
-  1,  flow__ends__number_ranges,
-  (ProtobufCMessageInit) flow__ends__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__worker__field_descriptors[13] =
-{
-  {
-    "number",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "born_ms",
+    2, /* field[2] = ends */
+    1, /* field[1] = last_seen */
+    0, /* field[0] = worker */
+};
+static const ProtobufCIntRange flow__ends__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 3}};
+const ProtobufCMessageDescriptor flow__ends__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Ends",
+    "Ends",
+    "Flow__Ends",
+    "flow",
+    sizeof(Flow__Ends),
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, born_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "domain",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "machine",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, machine),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rack",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, rack),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "labels",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Flow__Worker, n_labels),
-    offsetof(Flow__Worker, labels),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "capacity",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, capacity),
-    &flow__size__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "draining",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, draining),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "last_seen",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, last_seen),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sequence",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Worker, sequence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__ends__field_descriptors,
+    flow__ends__field_indices_by_name,
+    1,
+    flow__ends__number_ranges,
+    (ProtobufCMessageInit)flow__ends__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__worker__field_descriptors[13] = {
+    {
+        "number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                             /* quantifier_offset */
+        offsetof(Flow__Worker, number), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, id), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "born_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Flow__Worker, born_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "address", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, address), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "service", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, service), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "domain", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, domain), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "machine", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, machine), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "rack", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, rack), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "labels", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+        offsetof(Flow__Worker, n_labels), offsetof(Flow__Worker, labels), NULL,
+        &protobuf_c_empty_string, 0, /* flags */
+        0, NULL, NULL                /* reserved1,reserved2, etc */
+    },
+    {
+        "capacity", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, capacity), &flow__size__descriptor, NULL,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "draining", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, draining), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "last_seen", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, last_seen), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "sequence", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Flow__Worker, sequence), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__worker__field_indices_by_name[] = {
-  3,   /* field[3] = address */
-  2,   /* field[2] = born_ms */
-  9,   /* field[9] = capacity */
-  5,   /* field[5] = domain */
-  10,   /* field[10] = draining */
-  1,   /* field[1] = id */
-  8,   /* field[8] = labels */
-  11,   /* field[11] = last_seen */
-  6,   /* field[6] = machine */
-  0,   /* field[0] = number */
-  7,   /* field[7] = rack */
-  12,   /* field[12] = sequence */
-  4,   /* field[4] = service */
-};
-static const ProtobufCIntRange flow__worker__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 13 }
-};
-const ProtobufCMessageDescriptor flow__worker__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Worker",
-  "Worker",
-  "Flow__Worker",
-  "flow",
-  sizeof(Flow__Worker),
-  13,
-  flow__worker__field_descriptors,
-  flow__worker__field_indices_by_name,
-  1,  flow__worker__number_ranges,
-  (ProtobufCMessageInit) flow__worker__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__worker_lost__field_descriptors[1] =
-{
-  {
-    "worker",
+    3,  /* field[3] = address */
+    2,  /* field[2] = born_ms */
+    9,  /* field[9] = capacity */
+    5,  /* field[5] = domain */
+    10, /* field[10] = draining */
+    1,  /* field[1] = id */
+    8,  /* field[8] = labels */
+    11, /* field[11] = last_seen */
+    6,  /* field[6] = machine */
+    0,  /* field[0] = number */
+    7,  /* field[7] = rack */
+    12, /* field[12] = sequence */
+    4,  /* field[4] = service */
+};
+static const ProtobufCIntRange flow__worker__number_ranges[1 + 1] = {{1, 0},
+                                                                     {0, 13}};
+const ProtobufCMessageDescriptor flow__worker__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Worker",
+    "Worker",
+    "Flow__Worker",
+    "flow",
+    sizeof(Flow__Worker),
+    13,
+    flow__worker__field_descriptors,
+    flow__worker__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__WorkerLost, worker),
+    flow__worker__number_ranges,
+    (ProtobufCMessageInit)flow__worker__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned flow__worker_lost__field_indices_by_name[] = {
-  0,   /* field[0] = worker */
+    NULL /* reserved[123] */
 };
-static const ProtobufCIntRange flow__worker_lost__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor flow__worker_lost__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.WorkerLost",
-  "WorkerLost",
-  "Flow__WorkerLost",
-  "flow",
-  sizeof(Flow__WorkerLost),
-  1,
-  flow__worker_lost__field_descriptors,
-  flow__worker_lost__field_indices_by_name,
-  1,  flow__worker_lost__number_ranges,
-  (ProtobufCMessageInit) flow__worker_lost__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCFieldDescriptor flow__worker_lost__field_descriptors[1] =
+    {
+        {
+            "worker", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Flow__WorkerLost, worker), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-static const ProtobufCFieldDescriptor flow__upkeep__field_descriptors[5] =
-{
-  {
-    "wave",
+static const unsigned flow__worker_lost__field_indices_by_name[] = {
+    0, /* field[0] = worker */
+};
+static const ProtobufCIntRange flow__worker_lost__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor flow__worker_lost__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.WorkerLost",
+    "WorkerLost",
+    "Flow__WorkerLost",
+    "flow",
+    sizeof(Flow__WorkerLost),
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Upkeep, wave),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "machines",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Flow__Upkeep, n_machines),
-    offsetof(Flow__Upkeep, machines),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "concurrent_max",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Upkeep, concurrent_max),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "due_wall_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Upkeep, due_wall_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "done",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Flow__Upkeep, n_done),
-    offsetof(Flow__Upkeep, done),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__worker_lost__field_descriptors,
+    flow__worker_lost__field_indices_by_name,
+    1,
+    flow__worker_lost__number_ranges,
+    (ProtobufCMessageInit)flow__worker_lost__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__upkeep__field_descriptors[5] = {
+    {
+        "wave", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                           /* quantifier_offset */
+        offsetof(Flow__Upkeep, wave), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "machines", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+        offsetof(Flow__Upkeep, n_machines), offsetof(Flow__Upkeep, machines),
+        NULL, &protobuf_c_empty_string, 0, /* flags */
+        0, NULL, NULL                      /* reserved1,reserved2, etc */
+    },
+    {
+        "concurrent_max", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Upkeep, concurrent_max), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "due_wall_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+        0, /* quantifier_offset */
+        offsetof(Flow__Upkeep, due_wall_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "done", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+        offsetof(Flow__Upkeep, n_done), offsetof(Flow__Upkeep, done), NULL,
+        &protobuf_c_empty_string, 0, /* flags */
+        0, NULL, NULL                /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__upkeep__field_indices_by_name[] = {
-  2,   /* field[2] = concurrent_max */
-  4,   /* field[4] = done */
-  3,   /* field[3] = due_wall_ms */
-  1,   /* field[1] = machines */
-  0,   /* field[0] = wave */
-};
-static const ProtobufCIntRange flow__upkeep__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor flow__upkeep__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Upkeep",
-  "Upkeep",
-  "Flow__Upkeep",
-  "flow",
-  sizeof(Flow__Upkeep),
-  5,
-  flow__upkeep__field_descriptors,
-  flow__upkeep__field_indices_by_name,
-  1,  flow__upkeep__number_ranges,
-  (ProtobufCMessageInit) flow__upkeep__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__command__field_descriptors[10] =
-{
-  {
-    "config",
+    2, /* field[2] = concurrent_max */
+    4, /* field[4] = done */
+    3, /* field[3] = due_wall_ms */
+    1, /* field[1] = machines */
+    0, /* field[0] = wave */
+};
+static const ProtobufCIntRange flow__upkeep__number_ranges[1 + 1] = {{1, 0},
+                                                                     {0, 5}};
+const ProtobufCMessageDescriptor flow__upkeep__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Upkeep",
+    "Upkeep",
+    "Flow__Upkeep",
+    "flow",
+    sizeof(Flow__Upkeep),
+    5,
+    flow__upkeep__field_descriptors,
+    flow__upkeep__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, config),
-    &flow__config__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "submit",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, submit),
-    &flow__submit__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cancel",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, cancel),
-    &flow__cancel__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "due",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, due),
-    &flow__due__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "start",
+    flow__upkeep__number_ranges,
+    (ProtobufCMessageInit)flow__upkeep__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__evacuation__field_descriptors[5] =
+    {
+        {
+            "domain", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Flow__Evacuation, domain), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "active", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Flow__Evacuation, active), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "change", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Flow__Evacuation, change), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "wall_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+            0, /* quantifier_offset */
+            offsetof(Flow__Evacuation, wall_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "vm", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Flow__Evacuation, vm), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned flow__evacuation__field_indices_by_name[] = {
+    1, /* field[1] = active */
+    2, /* field[2] = change */
+    0, /* field[0] = domain */
+    4, /* field[4] = vm */
+    3, /* field[3] = wall_ms */
+};
+static const ProtobufCIntRange flow__evacuation__number_ranges[1 + 1] = {
+    {1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor flow__evacuation__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Evacuation",
+    "Evacuation",
+    "Flow__Evacuation",
+    "flow",
+    sizeof(Flow__Evacuation),
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, start),
-    &flow__task__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ends",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, ends),
-    &flow__ends__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "worker",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, worker),
-    &flow__worker__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "lost",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, lost),
-    &flow__worker_lost__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "upkeep",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, upkeep),
-    &flow__upkeep__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "prune_before_ms",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    offsetof(Flow__Command, kind_case),
-    offsetof(Flow__Command, prune_before_ms),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__evacuation__field_descriptors,
+    flow__evacuation__field_indices_by_name,
+    1,
+    flow__evacuation__number_ranges,
+    (ProtobufCMessageInit)flow__evacuation__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__command__field_descriptors[11] = {
+    {
+        "config", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case), offsetof(Flow__Command, config),
+        &flow__config__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "submit", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case), offsetof(Flow__Command, submit),
+        &flow__submit__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "cancel", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case), offsetof(Flow__Command, cancel),
+        &flow__cancel__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "due", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case), offsetof(Flow__Command, due),
+        &flow__due__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "start", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case), offsetof(Flow__Command, start),
+        &flow__task__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "ends", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case), offsetof(Flow__Command, ends),
+        &flow__ends__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "worker", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case), offsetof(Flow__Command, worker),
+        &flow__worker__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "lost", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case), offsetof(Flow__Command, lost),
+        &flow__worker_lost__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "upkeep", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case), offsetof(Flow__Command, upkeep),
+        &flow__upkeep__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "prune_before_ms", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+        offsetof(Flow__Command, kind_case),
+        offsetof(Flow__Command, prune_before_ms), NULL, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "evacuation", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Command, kind_case),
+        offsetof(Flow__Command, evacuation), &flow__evacuation__descriptor,
+        NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                          /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__command__field_indices_by_name[] = {
-  2,   /* field[2] = cancel */
-  0,   /* field[0] = config */
-  3,   /* field[3] = due */
-  5,   /* field[5] = ends */
-  7,   /* field[7] = lost */
-  9,   /* field[9] = prune_before_ms */
-  4,   /* field[4] = start */
-  1,   /* field[1] = submit */
-  8,   /* field[8] = upkeep */
-  6,   /* field[6] = worker */
-};
-static const ProtobufCIntRange flow__command__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor flow__command__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Command",
-  "Command",
-  "Flow__Command",
-  "flow",
-  sizeof(Flow__Command),
-  10,
-  flow__command__field_descriptors,
-  flow__command__field_indices_by_name,
-  1,  flow__command__number_ranges,
-  (ProtobufCMessageInit) flow__command__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__batch__field_descriptors[2] =
-{
-  {
-    "commands",
+    2,  /* field[2] = cancel */
+    0,  /* field[0] = config */
+    3,  /* field[3] = due */
+    5,  /* field[5] = ends */
+    10, /* field[10] = evacuation */
+    7,  /* field[7] = lost */
+    9,  /* field[9] = prune_before_ms */
+    4,  /* field[4] = start */
+    1,  /* field[1] = submit */
+    8,  /* field[8] = upkeep */
+    6,  /* field[6] = worker */
+};
+static const ProtobufCIntRange flow__command__number_ranges[1 + 1] = {{1, 0},
+                                                                      {0, 11}};
+const ProtobufCMessageDescriptor flow__command__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Command",
+    "Command",
+    "Flow__Command",
+    "flow",
+    sizeof(Flow__Command),
+    11,
+    flow__command__field_descriptors,
+    flow__command__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Batch, n_commands),
-    offsetof(Flow__Batch, commands),
-    &flow__command__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wall_ms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Batch, wall_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__command__number_ranges,
+    (ProtobufCMessageInit)flow__command__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__batch__field_descriptors[2] = {
+    {
+        "commands", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Batch, n_commands), offsetof(Flow__Batch, commands),
+        &flow__command__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                        /* reserved1,reserved2, etc */
+    },
+    {
+        "wall_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+        0,                                             /* quantifier_offset */
+        offsetof(Flow__Batch, wall_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned flow__batch__field_indices_by_name[] = {
-  0,   /* field[0] = commands */
-  1,   /* field[1] = wall_ms */
-};
-static const ProtobufCIntRange flow__batch__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor flow__batch__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Batch",
-  "Batch",
-  "Flow__Batch",
-  "flow",
-  sizeof(Flow__Batch),
-  2,
-  flow__batch__field_descriptors,
-  flow__batch__field_indices_by_name,
-  1,  flow__batch__number_ranges,
-  (ProtobufCMessageInit) flow__batch__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__packed_batch__field_descriptors[2] =
-{
-  {
-    "commands",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Flow__PackedBatch, n_commands),
-    offsetof(Flow__PackedBatch, commands),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wall_ms",
+    0, /* field[0] = commands */
+    1, /* field[1] = wall_ms */
+};
+static const ProtobufCIntRange flow__batch__number_ranges[1 + 1] = {{1, 0},
+                                                                    {0, 2}};
+const ProtobufCMessageDescriptor flow__batch__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Batch",
+    "Batch",
+    "Flow__Batch",
+    "flow",
+    sizeof(Flow__Batch),
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__PackedBatch, wall_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__batch__field_descriptors,
+    flow__batch__field_indices_by_name,
+    1,
+    flow__batch__number_ranges,
+    (ProtobufCMessageInit)flow__batch__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    flow__packed_batch__field_descriptors[2] = {
+        {
+            "commands", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_BYTES,
+            offsetof(Flow__PackedBatch, n_commands),
+            offsetof(Flow__PackedBatch, commands), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "wall_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+            0, /* quantifier_offset */
+            offsetof(Flow__PackedBatch, wall_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned flow__packed_batch__field_indices_by_name[] = {
-  0,   /* field[0] = commands */
-  1,   /* field[1] = wall_ms */
-};
-static const ProtobufCIntRange flow__packed_batch__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor flow__packed_batch__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.PackedBatch",
-  "PackedBatch",
-  "Flow__PackedBatch",
-  "flow",
-  sizeof(Flow__PackedBatch),
-  2,
-  flow__packed_batch__field_descriptors,
-  flow__packed_batch__field_indices_by_name,
-  1,  flow__packed_batch__number_ranges,
-  (ProtobufCMessageInit) flow__packed_batch__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__task_state__field_descriptors[8] =
-{
-  {
-    "index",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__TaskState, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "run",
+    0, /* field[0] = commands */
+    1, /* field[1] = wall_ms */
+};
+static const ProtobufCIntRange flow__packed_batch__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor flow__packed_batch__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.PackedBatch",
+    "PackedBatch",
+    "Flow__PackedBatch",
+    "flow",
+    sizeof(Flow__PackedBatch),
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__TaskState, run),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "worker",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__TaskState, worker),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "failures",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__TaskState, failures),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "done",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__TaskState, done),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "assigned",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__TaskState, assigned),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "failed_on",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__TaskState, failed_on),
-    NULL,
+    flow__packed_batch__field_descriptors,
+    flow__packed_batch__field_indices_by_name,
+    1,
+    flow__packed_batch__number_ranges,
+    (ProtobufCMessageInit)flow__packed_batch__init,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "checkpoint",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__TaskState, checkpoint),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
 };
-static const unsigned flow__task_state__field_indices_by_name[] = {
-  5,   /* field[5] = assigned */
-  7,   /* field[7] = checkpoint */
-  4,   /* field[4] = done */
-  6,   /* field[6] = failed_on */
-  3,   /* field[3] = failures */
-  0,   /* field[0] = index */
-  1,   /* field[1] = run */
-  2,   /* field[2] = worker */
-};
-static const ProtobufCIntRange flow__task_state__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor flow__task_state__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.TaskState",
-  "TaskState",
-  "Flow__TaskState",
-  "flow",
-  sizeof(Flow__TaskState),
-  8,
-  flow__task_state__field_descriptors,
-  flow__task_state__field_indices_by_name,
-  1,  flow__task_state__number_ranges,
-  (ProtobufCMessageInit) flow__task_state__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCFieldDescriptor flow__task_state__field_descriptors[8] =
+    {
+        {
+            "index", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Flow__TaskState, index), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "run", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Flow__TaskState, run), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "worker", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Flow__TaskState, worker), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "failures", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Flow__TaskState, failures), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "done", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Flow__TaskState, done), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "assigned", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Flow__TaskState, assigned), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "failed_on", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Flow__TaskState, failed_on), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "checkpoint", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Flow__TaskState, checkpoint), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
 };
-static const ProtobufCFieldDescriptor flow__step_state__field_descriptors[3] =
-{
-  {
-    "tasks",
+static const unsigned flow__task_state__field_indices_by_name[] = {
+    5, /* field[5] = assigned */
+    7, /* field[7] = checkpoint */
+    4, /* field[4] = done */
+    6, /* field[6] = failed_on */
+    3, /* field[3] = failures */
+    0, /* field[0] = index */
+    1, /* field[1] = run */
+    2, /* field[2] = worker */
+};
+static const ProtobufCIntRange flow__task_state__number_ranges[1 + 1] = {
+    {1, 0}, {0, 8}};
+const ProtobufCMessageDescriptor flow__task_state__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.TaskState",
+    "TaskState",
+    "Flow__TaskState",
+    "flow",
+    sizeof(Flow__TaskState),
+    8,
+    flow__task_state__field_descriptors,
+    flow__task_state__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__StepState, n_tasks),
-    offsetof(Flow__StepState, tasks),
-    &flow__task_state__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gang_failures",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__StepState, gang_failures),
+    flow__task_state__number_ranges,
+    (ProtobufCMessageInit)flow__task_state__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gang_failed_run",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__StepState, gang_failed_run),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__step_state__field_descriptors[3] =
+    {
+        {
+            "tasks", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Flow__StepState, n_tasks),
+            offsetof(Flow__StepState, tasks), &flow__task_state__descriptor,
+            NULL, 0,      /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "gang_failures", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Flow__StepState, gang_failures), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "gang_failed_run", 3, PROTOBUF_C_LABEL_NONE,
+            PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+            offsetof(Flow__StepState, gang_failed_run), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned flow__step_state__field_indices_by_name[] = {
-  2,   /* field[2] = gang_failed_run */
-  1,   /* field[1] = gang_failures */
-  0,   /* field[0] = tasks */
-};
-static const ProtobufCIntRange flow__step_state__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor flow__step_state__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.StepState",
-  "StepState",
-  "Flow__StepState",
-  "flow",
-  sizeof(Flow__StepState),
-  3,
-  flow__step_state__field_descriptors,
-  flow__step_state__field_indices_by_name,
-  1,  flow__step_state__number_ranges,
-  (ProtobufCMessageInit) flow__step_state__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__occurrence_state__field_descriptors[2] =
-{
-  {
-    "number",
+    2, /* field[2] = gang_failed_run */
+    1, /* field[1] = gang_failures */
+    0, /* field[0] = tasks */
+};
+static const ProtobufCIntRange flow__step_state__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor flow__step_state__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.StepState",
+    "StepState",
+    "Flow__StepState",
+    "flow",
+    sizeof(Flow__StepState),
+    3,
+    flow__step_state__field_descriptors,
+    flow__step_state__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__OccurrenceState, number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "steps",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__OccurrenceState, n_steps),
-    offsetof(Flow__OccurrenceState, steps),
-    &flow__step_state__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__step_state__number_ranges,
+    (ProtobufCMessageInit)flow__step_state__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    flow__occurrence_state__field_descriptors[2] = {
+        {
+            "number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Flow__OccurrenceState, number), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "steps", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Flow__OccurrenceState, n_steps),
+            offsetof(Flow__OccurrenceState, steps),
+            &flow__step_state__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned flow__occurrence_state__field_indices_by_name[] = {
-  0,   /* field[0] = number */
-  1,   /* field[1] = steps */
-};
-static const ProtobufCIntRange flow__occurrence_state__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor flow__occurrence_state__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.OccurrenceState",
-  "OccurrenceState",
-  "Flow__OccurrenceState",
-  "flow",
-  sizeof(Flow__OccurrenceState),
-  2,
-  flow__occurrence_state__field_descriptors,
-  flow__occurrence_state__field_indices_by_name,
-  1,  flow__occurrence_state__number_ranges,
-  (ProtobufCMessageInit) flow__occurrence_state__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__job_state__field_descriptors[12] =
-{
-  {
-    "job",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, job),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "queue",
+    0, /* field[0] = number */
+    1, /* field[1] = steps */
+};
+static const ProtobufCIntRange flow__occurrence_state__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor flow__occurrence_state__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.OccurrenceState",
+    "OccurrenceState",
+    "Flow__OccurrenceState",
+    "flow",
+    sizeof(Flow__OccurrenceState),
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, queue),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "team",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, team),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "spec",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, spec),
-    &flow__job_spec__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wall_ms",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, wall_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ended_wall_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, ended_wall_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "state",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, state),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cancelled",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, cancelled),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "occurrences_done",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, occurrences_done),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "occurrences_due",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, occurrences_due),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "occurrences",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__JobState, n_occurrences),
-    offsetof(Flow__JobState, occurrences),
-    &flow__occurrence_state__descriptor,
+    flow__occurrence_state__field_descriptors,
+    flow__occurrence_state__field_indices_by_name,
+    1,
+    flow__occurrence_state__number_ranges,
+    (ProtobufCMessageInit)flow__occurrence_state__init,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__JobState, address),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__job_state__field_descriptors[12] =
+    {
+        {
+            "job", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Flow__JobState, job), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "queue", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Flow__JobState, queue), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "team", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Flow__JobState, team), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "spec", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+            0, /* quantifier_offset */
+            offsetof(Flow__JobState, spec), &flow__job_spec__descriptor, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "wall_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+            0, /* quantifier_offset */
+            offsetof(Flow__JobState, wall_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "ended_wall_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+            0, /* quantifier_offset */
+            offsetof(Flow__JobState, ended_wall_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "state", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Flow__JobState, state), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "cancelled", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Flow__JobState, cancelled), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "occurrences_done", 9, PROTOBUF_C_LABEL_NONE,
+            PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+            offsetof(Flow__JobState, occurrences_done), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "occurrences_due", 10, PROTOBUF_C_LABEL_NONE,
+            PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+            offsetof(Flow__JobState, occurrences_due), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "occurrences", 11, PROTOBUF_C_LABEL_REPEATED,
+            PROTOBUF_C_TYPE_MESSAGE, offsetof(Flow__JobState, n_occurrences),
+            offsetof(Flow__JobState, occurrences),
+            &flow__occurrence_state__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "address", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Flow__JobState, address), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned flow__job_state__field_indices_by_name[] = {
-  11,   /* field[11] = address */
-  7,   /* field[7] = cancelled */
-  5,   /* field[5] = ended_wall_ms */
-  0,   /* field[0] = job */
-  10,   /* field[10] = occurrences */
-  8,   /* field[8] = occurrences_done */
-  9,   /* field[9] = occurrences_due */
-  1,   /* field[1] = queue */
-  3,   /* field[3] = spec */
-  6,   /* field[6] = state */
-  2,   /* field[2] = team */
-  4,   /* field[4] = wall_ms */
-};
-static const ProtobufCIntRange flow__job_state__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 12 }
-};
-const ProtobufCMessageDescriptor flow__job_state__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.JobState",
-  "JobState",
-  "Flow__JobState",
-  "flow",
-  sizeof(Flow__JobState),
-  12,
-  flow__job_state__field_descriptors,
-  flow__job_state__field_indices_by_name,
-  1,  flow__job_state__number_ranges,
-  (ProtobufCMessageInit) flow__job_state__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__cancellation__field_descriptors[3] =
-{
-  {
-    "job",
+    11, /* field[11] = address */
+    7,  /* field[7] = cancelled */
+    5,  /* field[5] = ended_wall_ms */
+    0,  /* field[0] = job */
+    10, /* field[10] = occurrences */
+    8,  /* field[8] = occurrences_done */
+    9,  /* field[9] = occurrences_due */
+    1,  /* field[1] = queue */
+    3,  /* field[3] = spec */
+    6,  /* field[6] = state */
+    2,  /* field[2] = team */
+    4,  /* field[4] = wall_ms */
+};
+static const ProtobufCIntRange flow__job_state__number_ranges[1 + 1] = {
+    {1, 0}, {0, 12}};
+const ProtobufCMessageDescriptor flow__job_state__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.JobState",
+    "JobState",
+    "Flow__JobState",
+    "flow",
+    sizeof(Flow__JobState),
+    12,
+    flow__job_state__field_descriptors,
+    flow__job_state__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
