-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Cancellation, job),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Cancellation, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wall_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Cancellation, wall_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__job_state__number_ranges,
+    (ProtobufCMessageInit)flow__job_state__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    flow__cancellation__field_descriptors[3] = {
+        {
+            "job", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Flow__Cancellation, job), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "address", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Flow__Cancellation, address), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "wall_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+            0, /* quantifier_offset */
+            offsetof(Flow__Cancellation, wall_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned flow__cancellation__field_indices_by_name[] = {
-  1,   /* field[1] = address */
-  0,   /* field[0] = job */
-  2,   /* field[2] = wall_ms */
-};
-static const ProtobufCIntRange flow__cancellation__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor flow__cancellation__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Cancellation",
-  "Cancellation",
-  "Flow__Cancellation",
-  "flow",
-  sizeof(Flow__Cancellation),
-  3,
-  flow__cancellation__field_descriptors,
-  flow__cancellation__field_indices_by_name,
-  1,  flow__cancellation__number_ranges,
-  (ProtobufCMessageInit) flow__cancellation__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor flow__removed_queue__field_descriptors[2] =
-{
-  {
-    "queue",
+    1, /* field[1] = address */
+    0, /* field[0] = job */
+    2, /* field[2] = wall_ms */
+};
+static const ProtobufCIntRange flow__cancellation__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor flow__cancellation__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Cancellation",
+    "Cancellation",
+    "Flow__Cancellation",
+    "flow",
+    sizeof(Flow__Cancellation),
+    3,
+    flow__cancellation__field_descriptors,
+    flow__cancellation__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Flow__RemovedQueue, queue),
-    &flow__queue__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "guarded",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Flow__RemovedQueue, guarded),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    flow__cancellation__number_ranges,
+    (ProtobufCMessageInit)flow__cancellation__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    flow__removed_queue__field_descriptors[2] = {
+        {
+            "queue", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+            0, /* quantifier_offset */
+            offsetof(Flow__RemovedQueue, queue), &flow__queue__descriptor,
+            NULL, 0,      /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "guarded", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Flow__RemovedQueue, guarded), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned flow__removed_queue__field_indices_by_name[] = {
-  1,   /* field[1] = guarded */
-  0,   /* field[0] = queue */
-};
-static const ProtobufCIntRange flow__removed_queue__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor flow__removed_queue__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.RemovedQueue",
-  "RemovedQueue",
-  "Flow__RemovedQueue",
-  "flow",
-  sizeof(Flow__RemovedQueue),
-  2,
-  flow__removed_queue__field_descriptors,
-  flow__removed_queue__field_indices_by_name,
-  1,  flow__removed_queue__number_ranges,
-  (ProtobufCMessageInit) flow__removed_queue__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    1, /* field[1] = guarded */
+    0, /* field[0] = queue */
+};
+static const ProtobufCIntRange flow__removed_queue__number_ranges[1 + 1] = {
+    {1, 0}, {0, 2}};
+const ProtobufCMessageDescriptor flow__removed_queue__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.RemovedQueue",
+    "RemovedQueue",
+    "Flow__RemovedQueue",
+    "flow",
+    sizeof(Flow__RemovedQueue),
+    2,
+    flow__removed_queue__field_descriptors,
+    flow__removed_queue__field_indices_by_name,
+    1,
+    flow__removed_queue__number_ranges,
+    (ProtobufCMessageInit)flow__removed_queue__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor flow__snapshot__field_descriptors[11] = {
+    {
+        "config", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        0, /* quantifier_offset */
+        offsetof(Flow__Snapshot, config), &flow__config__descriptor, NULL,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "workers", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Snapshot, n_workers), offsetof(Flow__Snapshot, workers),
+        &flow__worker__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                       /* reserved1,reserved2, etc */
+    },
+    {
+        "jobs", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Snapshot, n_jobs), offsetof(Flow__Snapshot, jobs),
+        &flow__job_state__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                          /* reserved1,reserved2, etc */
+    },
+    {
+        "upkeeps", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Snapshot, n_upkeeps), offsetof(Flow__Snapshot, upkeeps),
+        &flow__upkeep__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                       /* reserved1,reserved2, etc */
+    },
+    {
+        "last_worker", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Flow__Snapshot, last_worker), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "wall_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+        0, /* quantifier_offset */
+        offsetof(Flow__Snapshot, wall_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "cancellations", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Snapshot, n_cancellations),
+        offsetof(Flow__Snapshot, cancellations),
+        &flow__cancellation__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "removed_queues", 8, PROTOBUF_C_LABEL_REPEATED,
+        PROTOBUF_C_TYPE_MESSAGE, offsetof(Flow__Snapshot, n_removed_queues),
+        offsetof(Flow__Snapshot, removed_queues),
+        &flow__removed_queue__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "removed_teams", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Snapshot, n_removed_teams),
+        offsetof(Flow__Snapshot, removed_teams), &flow__team__descriptor, NULL,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "evacuations", 10, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Snapshot, n_evacuations),
+        offsetof(Flow__Snapshot, evacuations), &flow__evacuation__descriptor,
+        NULL, 0,      /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "evacuation_changes", 11, PROTOBUF_C_LABEL_REPEATED,
+        PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Flow__Snapshot, n_evacuation_changes),
+        offsetof(Flow__Snapshot, evacuation_changes),
+        &flow__evacuation__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                           /* reserved1,reserved2, etc */
+    },
 };
-static const ProtobufCFieldDescriptor flow__snapshot__field_descriptors[9] =
-{
-  {
-    "config",
+static const unsigned flow__snapshot__field_indices_by_name[] = {
+    6,  /* field[6] = cancellations */
+    0,  /* field[0] = config */
+    10, /* field[10] = evacuation_changes */
+    9,  /* field[9] = evacuations */
+    2,  /* field[2] = jobs */
+    4,  /* field[4] = last_worker */
+    7,  /* field[7] = removed_queues */
+    8,  /* field[8] = removed_teams */
+    3,  /* field[3] = upkeeps */
+    5,  /* field[5] = wall_ms */
+    1,  /* field[1] = workers */
+};
+static const ProtobufCIntRange flow__snapshot__number_ranges[1 + 1] = {
+    {1, 0}, {0, 11}};
+const ProtobufCMessageDescriptor flow__snapshot__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "flow.Snapshot",
+    "Snapshot",
+    "Flow__Snapshot",
+    "flow",
+    sizeof(Flow__Snapshot),
+    11,
+    flow__snapshot__field_descriptors,
+    flow__snapshot__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Snapshot, config),
-    &flow__config__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "workers",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Snapshot, n_workers),
-    offsetof(Flow__Snapshot, workers),
-    &flow__worker__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "jobs",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Snapshot, n_jobs),
-    offsetof(Flow__Snapshot, jobs),
-    &flow__job_state__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "upkeeps",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Snapshot, n_upkeeps),
-    offsetof(Flow__Snapshot, upkeeps),
-    &flow__upkeep__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "last_worker",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Snapshot, last_worker),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wall_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Flow__Snapshot, wall_ms),
+    flow__snapshot__number_ranges,
+    (ProtobufCMessageInit)flow__snapshot__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cancellations",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Snapshot, n_cancellations),
-    offsetof(Flow__Snapshot, cancellations),
-    &flow__cancellation__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "removed_queues",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Snapshot, n_removed_queues),
-    offsetof(Flow__Snapshot, removed_queues),
-    &flow__removed_queue__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "removed_teams",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Flow__Snapshot, n_removed_teams),
-    offsetof(Flow__Snapshot, removed_teams),
-    &flow__team__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned flow__snapshot__field_indices_by_name[] = {
-  6,   /* field[6] = cancellations */
-  0,   /* field[0] = config */
-  2,   /* field[2] = jobs */
-  4,   /* field[4] = last_worker */
-  7,   /* field[7] = removed_queues */
-  8,   /* field[8] = removed_teams */
-  3,   /* field[3] = upkeeps */
-  5,   /* field[5] = wall_ms */
-  1,   /* field[1] = workers */
-};
-static const ProtobufCIntRange flow__snapshot__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 9 }
-};
-const ProtobufCMessageDescriptor flow__snapshot__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "flow.Snapshot",
-  "Snapshot",
-  "Flow__Snapshot",
-  "flow",
-  sizeof(Flow__Snapshot),
-  9,
-  flow__snapshot__field_descriptors,
-  flow__snapshot__field_indices_by_name,
-  1,  flow__snapshot__number_ranges,
-  (ProtobufCMessageInit) flow__snapshot__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    NULL /* reserved[123] */
 };
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -78,6 +78,7 @@
     uint32_t serving; /* assigned tasks with a tail-latency target */
     uint32_t best_effort; /* assigned best-effort tasks */
     bool draining;
+    bool evacuated;     /* its domain is evacuated */
     uint64_t last_seen; /* sequence number of the last recorded run end */
     void *session;      /* leader only: struct plan_worker, or NULL */
 };
@@ -121,9 +122,11 @@
 };
 
 struct flow_task {
-    uint32_t run;       /* number of the latest run, 0 before the first */
-    uint32_t worker;    /* its worker's number while assigned, else 0 */
-    uint32_t failed_on; /* worker of the last failure, 0: none */
+    uint32_t run;           /* number of the latest run, 0 before the first */
+    uint32_t worker;        /* its worker's number while assigned, else 0 */
+    uint32_t failed_on;     /* worker of the last failure, 0: none */
+    uint32_t confirmed_run; /* leader only: the latest that a worker listed */
+    uint32_t moved_run; /* leader only: the latest that an evacuation ends */
     uint16_t failures;
     bool assigned; /* the run may exist on the worker */
     bool done;
@@ -187,6 +190,23 @@
     int64_t due_wall_ms;     /* deadline of the whole wave */
 };
 
+enum {
+    /* Changes of evacuations that the audit trail keeps. */
+    FLOW_EVACUATION_CHANGES_MAX = 64,
+};
+
+/* Whether a failure domain is evacuated: nothing starts there meanwhile. Also
+ * an entry of the audit trail. */
+struct flow_evacuation {
+    struct str domain;
+    bool active;
+    uint64_t change; /* number of the domain's last change, from 1 */
+    int64_t wall_ms; /* when that was committed */
+    struct str vm;   /* that took the request for it */
+    /* Leader only: when no task was left there, 0: not yet. */
+    int64_t empty_wall_ms;
+};
+
 /* Returns an empty state; the caller frees it with flow_state_destroy. */
 struct flow_state *
 flow_state_create(void);
@@ -296,6 +316,29 @@
 struct flow_upkeep *
 flow_upkeep_next(const struct flow_state *s, void **cursor);
 
+/* Returns the evacuation of the failure domain, perhaps withdrawn, or NULL if
+ * there was none. */
+struct flow_evacuation *
+flow_evacuation(const struct flow_state *s, struct str domain);
+
+/* Iterates over the evacuations, also withdrawn ones, like
+ * flow_worker_next. */
+struct flow_evacuation *
+flow_evacuation_next(const struct flow_state *s, void **cursor);
+
+/* Returns the number of evacuations, also withdrawn ones. */
+size_t
+flow_evacuation_count(const struct flow_state *s);
+
+/* Returns the audit trail of the evacuations, the oldest change first. */
+const struct flow_evacuation *
+flow_evacuation_changes(const struct flow_state *s, size_t *count);
+
+/* Reports whether the service has workers, all of them in evacuated failure
+ * domains. */
+bool
+flow_is_service_evacuated(const struct flow_state *s, struct str service);
+
 /*
  * Returns the number of the jobs at the queue, see flow_job_is_at(), that no
  * worker is known to have begun. It includes running jobs whose tasks were
--- a/packages/flow/include/flow.pb-c.h
+++ b/packages/flow/include/flow.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Flow__Worker Flow__Worker;
 typedef struct Flow__WorkerLost Flow__WorkerLost;
 typedef struct Flow__Upkeep Flow__Upkeep;
+typedef struct Flow__Evacuation Flow__Evacuation;
 typedef struct Flow__Command Flow__Command;
 typedef struct Flow__Batch Flow__Batch;
 typedef struct Flow__PackedBatch Flow__PackedBatch;
@@ -130,10 +131,11 @@
   char *name;
   protobuf_c_boolean guards_capacity;
   protobuf_c_boolean standby;
+  uint32_t cold_start_ms;
 };
 #define FLOW__SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&flow__service__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Flow__Team
@@ -293,6 +295,20 @@
     , 0, 0,NULL, 0, 0, 0,NULL }
 
 
+struct  Flow__Evacuation
+{
+  ProtobufCMessage base;
+  char *domain;
+  protobuf_c_boolean active;
+  uint64_t change;
+  int64_t wall_ms;
+  char *vm;
+};
+#define FLOW__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&flow__evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   FLOW__COMMAND__KIND__NOT_SET = 0,
   FLOW__COMMAND__KIND_CONFIG = 1,
@@ -304,7 +320,8 @@
   FLOW__COMMAND__KIND_WORKER = 7,
   FLOW__COMMAND__KIND_LOST = 8,
   FLOW__COMMAND__KIND_UPKEEP = 9,
-  FLOW__COMMAND__KIND_PRUNE_BEFORE_MS = 10
+  FLOW__COMMAND__KIND_PRUNE_BEFORE_MS = 10,
+  FLOW__COMMAND__KIND_EVACUATION = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLOW__COMMAND__KIND__CASE)
 } Flow__Command__KindCase;
 
@@ -323,6 +340,7 @@
     Flow__WorkerLost *lost;
     Flow__Upkeep *upkeep;
     int64_t prune_before_ms;
+    Flow__Evacuation *evacuation;
   };
 };
 #define FLOW__COMMAND__INIT \
@@ -462,10 +480,14 @@
   Flow__RemovedQueue **removed_queues;
   size_t n_removed_teams;
   Flow__Team **removed_teams;
+  size_t n_evacuations;
+  Flow__Evacuation **evacuations;
+  size_t n_evacuation_changes;
+  Flow__Evacuation **evacuation_changes;
 };
 #define FLOW__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&flow__snapshot__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Flow__Size methods */
@@ -772,6 +794,25 @@
 void   flow__upkeep__free_unpacked
                      (Flow__Upkeep *message,
                       ProtobufCAllocator *allocator);
+/* Flow__Evacuation methods */
+void   flow__evacuation__init
+                     (Flow__Evacuation         *message);
+size_t flow__evacuation__get_packed_size
+                     (const Flow__Evacuation   *message);
+size_t flow__evacuation__pack
+                     (const Flow__Evacuation   *message,
+                      uint8_t             *out);
+size_t flow__evacuation__pack_to_buffer
+                     (const Flow__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Flow__Evacuation *
+       flow__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   flow__evacuation__free_unpacked
+                     (Flow__Evacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Flow__Command methods */
 void   flow__command__init
                      (Flow__Command         *message);
@@ -1012,6 +1053,9 @@
 typedef void (*Flow__Upkeep_Closure)
                  (const Flow__Upkeep *message,
                   void *closure_data);
+typedef void (*Flow__Evacuation_Closure)
+                 (const Flow__Evacuation *message,
+                  void *closure_data);
 typedef void (*Flow__Command_Closure)
                  (const Flow__Command *message,
                   void *closure_data);
@@ -1064,6 +1108,7 @@
 extern const ProtobufCMessageDescriptor flow__worker__descriptor;
 extern const ProtobufCMessageDescriptor flow__worker_lost__descriptor;
 extern const ProtobufCMessageDescriptor flow__upkeep__descriptor;
+extern const ProtobufCMessageDescriptor flow__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor flow__command__descriptor;
 extern const ProtobufCMessageDescriptor flow__batch__descriptor;
 extern const ProtobufCMessageDescriptor flow__packed_batch__descriptor;
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -44,6 +44,10 @@
 struct plan_worker {
     bool usable;            /* it answers, holds a lease and is not draining */
     int64_t avoid_until_ns; /* no tasks start before, after a recent failure */
+    /* While it warms up after an evacuation of its domain, the usable part of
+     * its capacity grows evenly between these times; 0: it is warm. */
+    int64_t warming_since_ns;
+    int64_t warm_at_ns;
     /* Average logarithm of measured over expected run time, as of
      * observed_ns; see plan_observe_run. */
     double slowness_log;
--- a/packages/flow/internal.h
+++ b/packages/flow/internal.h
@@ -13,6 +13,9 @@
     struct map *workers_by_id; /* id to struct flow_worker */
     struct map *upkeeps;       /* wave to struct flow_upkeep */
     struct map *cancellations; /* address and id to struct flow_cancellation */
+    struct map *evacuations;   /* domain to struct flow_evacuation */
+    struct flow_evacuation evacuation_changes[FLOW_EVACUATION_CHANGES_MAX];
+    size_t evacuation_change_count;
     struct flow_job *first_live; /* live jobs, in order of acceptance */
     struct flow_job *last_live;
     size_t live_count;
@@ -142,6 +145,32 @@
 void
 worker_free(struct flow_worker *w);
 
+/* Defined in evacuation_state.c. */
+
+/*
+ * Evacuates a failure domain or withdraws that. Changes nothing if the domain
+ * is in that state, or if it has changed since in->change. Overwrites change
+ * and wall_ms of in.
+ */
+void
+evacuation_apply(struct flow_state *s, Flow__Evacuation *in);
+bool
+evacuation_is_active(const struct flow_state *s, struct str domain);
+
+/* Adds the evacuations to a snapshot, which borrows their strings. */
+void
+evacuations_encode(const struct flow_state *s, Flow__Snapshot *out);
+void
+evacuations_free_encoded(Flow__Snapshot *snap);
+
+/* Restores them, before the workers. */
+void
+evacuations_decode(struct flow_state *s, const Flow__Snapshot *snap);
+
+/* Frees all of them and their map. */
+void
+evacuations_free(struct flow_state *s);
+
 /* Defined in upkeep.c. */
 
 /* Adds a wave, or marks more of its machines as done. */
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -421,7 +421,7 @@
     set_view_verdicts(r, c, false);
 }
 
-static void
+void
 round_destroy(struct plan_round *r)
 {
     for (size_t i = 0; i < r->view_count; i++) {
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -109,6 +109,12 @@
 void
 round_collect_releases(struct plan_round *r);
 
+/* Defined in plan.c. */
+
+/* Frees what the round holds. */
+void
+round_destroy(struct plan_round *r);
+
 /* Defined in fit.c. */
 
 /* Reports whether size is available in each resource. */
@@ -160,10 +166,15 @@
 view_can_run(const struct worker_view *v, const struct candidate *c);
 
 /* Reports whether the worker takes tasks at all now: it is usable, fast enough
- * and neither draining nor avoided. */
+ * and neither draining, evacuated nor avoided. */
 bool
 view_is_runnable(const struct plan_round *r, const struct worker_view *v);
 
+/* Returns the part of the worker's capacity that is withheld until it has
+ * warmed up. */
+struct flow_size
+view_withheld(const struct plan_round *r, const struct worker_view *v);
+
 /* Reports whether the worker's reservation, if any, admits a task that ends at
  * ends_ns: it ends before the reservation begins, fits beside it, or is more
  * urgent than the gang. */
--- a/packages/flow/snapshot.c
+++ b/packages/flow/snapshot.c
@@ -201,6 +201,7 @@
     mem_free(snap->upkeeps);
     mem_free(snap->cancellations);
     config_free_removed(snap);
+    evacuations_free_encoded(snap);
 }
 
 void
@@ -228,6 +229,7 @@
         snap.upkeeps[snap.n_upkeeps++] = encode_upkeep(u);
     }
     cancellations_encode(s, &snap);
+    evacuations_encode(s, &snap);
     config_encode_removed(s, &snap);
     len = flow__snapshot__get_packed_size(&snap);
     flow__snapshot__pack(&snap, (uint8_t *)buf_reserve(out, len));
@@ -317,6 +319,7 @@
         snap->config = NULL;
     }
     config_decode_removed(s, snap);
+    evacuations_decode(s, snap);
     for (size_t i = 0; i < snap->n_workers; i++) {
         worker_register(s, snap->workers[i]);
     }
--- a/packages/flow/state.c
+++ b/packages/flow/state.c
@@ -18,6 +18,7 @@
     s->workers_by_id = map_create();
     s->upkeeps = map_create();
     s->cancellations = map_create();
+    s->evacuations = map_create();
     return s;
 }
 
@@ -79,6 +80,7 @@
     map_destroy(s->workers_by_id);
     map_destroy(s->upkeeps);
     cancellations_free(s);
+    evacuations_free(s);
     if (s->config != NULL) {
         flow__config__free_unpacked(s->config, NULL);
     }
@@ -206,6 +208,9 @@
     case FLOW__COMMAND__KIND_UPKEEP:
         upkeep_apply(s, c->upkeep);
         break;
+    case FLOW__COMMAND__KIND_EVACUATION:
+        evacuation_apply(s, c->evacuation);
+        break;
     case FLOW__COMMAND__KIND_PRUNE_BEFORE_MS:
         job_prune(s, c->prune_before_ms);
         cancellations_prune(s, c->prune_before_ms);
--- a/packages/flow/worker.c
+++ b/packages/flow/worker.c
@@ -35,11 +35,13 @@
 }
 
 static void
-update_worker(struct flow_worker *w, const Flow__Worker *in)
+update_worker(const struct flow_state *s, struct flow_worker *w,
+              const Flow__Worker *in)
 {
     str_replace(&w->address, str_of(in->address));
     str_replace(&w->service, str_of(in->service));
     str_replace(&w->domain, str_of(in->domain));
+    w->evacuated = evacuation_is_active(s, w->domain);
     str_replace(&w->machine, str_of(in->machine));
     str_replace(&w->rack, str_of(in->rack));
     set_labels(w, in);
@@ -81,7 +83,7 @@
         map_put(s->workers_by_id, w->id, w);
         map_put_u64(s->workers, w->number, w);
     }
-    update_worker(w, in);
+    update_worker(s, w, in);
 }
 
 static void
--- a/tests/support/flow_fixture.c
+++ b/tests/support/flow_fixture.c
@@ -108,6 +108,9 @@
     worker.born_ms = start_ms;
     worker.address = (char *)"127.0.0.1:1";
     worker.service = (char *)"s";
+    if (f->domain != NULL) {
+        worker.domain = (char *)f->domain;
+    }
     size.cpu_milli = cpu_milli;
     size.memory_mib = 65536;
     worker.capacity = &size;
--- a/tests/support/flow_fixture.h
+++ b/tests/support/flow_fixture.h
@@ -14,6 +14,7 @@
     const char *queue; /* name and path prefix of the one in the next config */
     const char *prefix;
     const char *team;
+    const char *domain;              /* of the next workers; NULL: none */
     struct plan_worker sessions[64]; /* by worker number */
     int64_t wall_ms;                 /* of the last command */
 };
