--- a/packages/base/include/json.h
+++ b/packages/base/include/json.h
@@ -121,6 +121,12 @@
         .shape = (SHAPE), .count_offset = JSON_OFFSET(T, N, size_t),          \
         .count_max = (MOST)                                                   \
     }
+#define JSON_OPTIONAL_LIST_FIELD(T, M, N, SHAPE, MOST)                        \
+    {                                                                         \
+        .name = #M, .kind = JSON_KIND_LIST, .flags = JSON_OPTIONAL,           \
+        .offset = offsetof(struct T, M), .shape = (SHAPE),                    \
+        .count_offset = JSON_OFFSET(T, N, size_t), .count_max = (MOST)        \
+    }
 #define JSON_NUMBERS_FIELD(T, M, N, LOW, HIGH, MOST)                          \
     {                                                                         \
         .name = #M, .kind = JSON_KIND_NUMBERS,                                \
--- a/packages/node/call_outcome.c
+++ b/packages/node/call_outcome.c
@@ -11,6 +11,7 @@
                r->job->verb == NODE__VERB__CANCEL;
     case NODE__REQUEST__KIND_CONFIG:
     case NODE__REQUEST__KIND_UPKEEP:
+    case NODE__REQUEST__KIND_EVACUATION:
         return true;
     default:
         return false;
--- a/packages/node/calls.c
+++ b/packages/node/calls.c
@@ -5,6 +5,7 @@
  */
 #include "call_outcome.h"
 #include "clock.h"
+#include "evacuation_api.h"
 #include "event.h"
 #include "internal.h"
 #include "leader_wait.h"
@@ -26,6 +27,7 @@
     uint64_t id;
     struct front_call *call;
     Node__Request *request;
+    bool own_api; /* not of the adapter */
     int64_t arrived;
     int64_t deadline;
     int64_t resend_at;
@@ -76,7 +78,12 @@
     struct event_kind *kind =
         reply->outcome == NODE__OUTCOME__OK ? &event_call : &event_refused;
 
-    c->node->adapter->encode(p->request, reply, &response);
+    if (p->own_api) {
+        evacuation_api_encode(p->request, reply, &response);
+    }
+    else {
+        c->node->adapter->encode(p->request, reply, &response);
+    }
     event_write(kind,
                 "method=%s path=%.*s outcome=%d status=%d waited_ms=%lld "
                 "leader=%.*s reason=\"%s\"",
@@ -130,6 +137,33 @@
     mem_free(c);
 }
 
+/* Fills in what the leader needs to tell an outdated request for an evacuation
+ * from a new one. */
+static void
+complete_request(const struct node *n, Node__Request *request)
+{
+    const struct flow_evacuation *held = NULL;
+
+    if (request->kind_case != NODE__REQUEST__KIND_EVACUATION) {
+        return;
+    }
+    if (n->group != NULL && n->group->state != NULL) {
+        held = flow_evacuation(n->group->state,
+                               str_of(request->evacuation->domain));
+    }
+    request->evacuation->seen_change = held == NULL ? 0 : held->change;
+    request->evacuation->vm = (char *)str_dup(n->settings.vm).ptr;
+}
+
+/* Whether a leader that the request is sent to understands it. */
+static bool
+is_understood(const Node__Request *request, const struct link *leader)
+{
+    return leader->keeps_evacuations ||
+           (request->kind_case != NODE__REQUEST__KIND_EVACUATION &&
+            request->kind_case != NODE__REQUEST__KIND_READ_EVACUATIONS);
+}
+
 /* Sends the request to the leader if one is reachable. */
 static void
 forward_call(struct calls *c, struct pending_call *p)
@@ -149,7 +183,7 @@
         return;
     }
     l = links_leader(n);
-    if (l == NULL) {
+    if (l == NULL || !is_understood(p->request, l)) {
         return;
     }
     p->must_resend = false;
@@ -168,8 +202,10 @@
     struct pending_call *p;
     int64_t timeout_ms = 0;
     bool control = n->settings.control_listen.len > 0;
+    bool own_api = control && evacuation_api_is_call(call);
     Node__Request *request =
-        n->adapter->decode(call, control, &response, &timeout_ms);
+        own_api ? evacuation_api_decode(call, &response)
+                : n->adapter->decode(call, control, &response, &timeout_ms);
 
     if (request == NULL) {
         event_write(&event_refused,
@@ -183,7 +219,9 @@
     p->id = ++c->last_id;
     p->call = call;
     p->request = request;
+    p->own_api = own_api;
     p->request->id = p->id;
+    complete_request(n, p->request);
     p->arrived = call->arrived;
     timeout_ms = timeout_ms > 0 ? timeout_ms : DEFAULT_TIMEOUT_MS;
     p->deadline =
--- a/packages/node/include/node.h
+++ b/packages/node/include/node.h
@@ -24,6 +24,8 @@
 struct node_settings {
     struct str vm;
     struct str failure_domain;
+    struct node_domain *failure_domains; /* all that exist; may be empty */
+    size_t failure_domain_count;
     struct str caller_listen;  /* empty: accepts no API calls */
     struct str ready_listen;   /* empty: answers no probes */
     struct str control_listen; /* empty: not a control VM */
@@ -48,6 +50,10 @@
     struct str address; /* host:port of a control VM's API */
 };
 
+struct node_domain {
+    struct str name;
+};
+
 /*
  * Reads the settings file. Returns false and writes one line to standard error
  * if it cannot be read or is invalid. Free *s with node_settings_free().
@@ -168,6 +174,9 @@
     void (*encode_ready)(bool ready, struct front_response *response);
 };
 
+/* Returns a request to evacuate a failure domain, or to withdraw that. */
+Node__Request *
+node_evacuation_request_create(struct str domain, bool active);
 void
 node_worker_result_free(struct node_worker_result *result);
 void
--- a/packages/node/include/node.pb-c.h
+++ b/packages/node/include/node.pb-c.h
@@ -21,7 +21,9 @@
 typedef struct Node__Hint Node__Hint;
 typedef struct Node__JobCall Node__JobCall;
 typedef struct Node__WorkerBeat Node__WorkerBeat;
+typedef struct Node__EvacuationCall Node__EvacuationCall;
 typedef struct Node__Request Node__Request;
+typedef struct Node__EvacuationState Node__EvacuationState;
 typedef struct Node__Reply Node__Reply;
 typedef struct Node__Ask Node__Ask;
 typedef struct Node__Ticket Node__Ticket;
@@ -40,8 +42,14 @@
 
 typedef enum _Node__Verb {
   NODE__VERB__SUBMIT = 0,
+  /*
+   * of a job or, without an id in the path, of the queue
+   */
   NODE__VERB__STATE = 1,
   NODE__VERB__CANCEL = 2,
+  /*
+   * unused
+   */
   NODE__VERB__PENDING = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(NODE__VERB)
 } Node__Verb;
@@ -55,7 +63,8 @@
   NODE__OUTCOME__BUSY = 6,
   NODE__OUTCOME__UNAVAILABLE = 7,
   NODE__OUTCOME__UNKNOWN = 8,
-  NODE__OUTCOME__NOT_LEADER = 9
+  NODE__OUTCOME__NOT_LEADER = 9,
+  NODE__OUTCOME__NO_DOMAIN = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(NODE__OUTCOME)
 } Node__Outcome;
 
@@ -72,7 +81,7 @@
 
 
 /*
- * A control VM without membership asks to be added.
+ * Sent by a control VM that is not a member, to be added to the Raft group.
  */
 struct  Node__Join
 {
@@ -87,7 +96,7 @@
 
 
 /*
- * Who leads, as the sender knows it, and where the control VMs are.
+ * The leader that the sender knows and the peer addresses of the members.
  */
 struct  Node__Hint
 {
@@ -103,7 +112,7 @@
 
 
 /*
- * A call of somebody who submits jobs, by the host and path that were used.
+ * A call to the job API; host and path select the queue.
  */
 struct  Node__JobCall
 {
@@ -119,16 +128,39 @@
     , NODE__VERB__SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
 
 
+/*
+ * A periodic announcement of a worker. clock_ms is its clock, -1 if absent.
+ * remaining_ms is set but never read. cold_ms is how much longer it is slow
+ * after its start.
+ */
 struct  Node__WorkerBeat
 {
   ProtobufCMessage base;
   Flow__Worker *worker;
   int64_t clock_ms;
   int64_t remaining_ms;
+  uint32_t cold_ms;
 };
 #define NODE__WORKER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__worker_beat__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0, 0, 0 }
+
+
+/*
+ * Whether a failure domain is to be evacuated. seen_change is the number of its
+ * changes that the VM had applied which took the request, and vm its name.
+ */
+struct  Node__EvacuationCall
+{
+  ProtobufCMessage base;
+  char *domain;
+  protobuf_c_boolean active;
+  uint64_t seen_change;
+  char *vm;
+};
+#define NODE__EVACUATION_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__evacuation_call__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 typedef enum {
@@ -139,7 +171,9 @@
   NODE__REQUEST__KIND_BEAT = 5,
   NODE__REQUEST__KIND_WORKER_LEFT = 6,
   NODE__REQUEST__KIND_UPKEEP = 7,
-  NODE__REQUEST__KIND_UPKEEP_STATE = 8
+  NODE__REQUEST__KIND_UPKEEP_STATE = 8,
+  NODE__REQUEST__KIND_EVACUATION = 9,
+  NODE__REQUEST__KIND_READ_EVACUATIONS = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(NODE__REQUEST__KIND__CASE)
 } Node__Request__KindCase;
 
@@ -156,6 +190,8 @@
     char *worker_left;
     Flow__Upkeep *upkeep;
     uint64_t upkeep_state;
+    Node__EvacuationCall *evacuation;
+    protobuf_c_boolean read_evacuations;
   };
 };
 #define NODE__REQUEST__INIT \
@@ -163,6 +199,25 @@
     , 0, NODE__REQUEST__KIND__NOT_SET, {0} }
 
 
+/*
+ * State of a failure domain that was evacuated at some time. left is the number
+ * of tasks that still run there, empty_ms the time until none did; -1: some do.
+ */
+struct  Node__EvacuationState
+{
+  ProtobufCMessage base;
+  char *domain;
+  protobuf_c_boolean active;
+  int64_t wall_ms;
+  char *vm;
+  uint32_t left;
+  int64_t empty_ms;
+};
+#define NODE__EVACUATION_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&node__evacuation_state__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Node__Reply
 {
   ProtobufCMessage base;
@@ -175,17 +230,21 @@
   uint32_t retry_after_ms;
   protobuf_c_boolean upkeep_done;
   /*
-   * pending is meant, not job_state
+   * the reply holds pending, not job_state
    */
   protobuf_c_boolean counts;
+  size_t n_evacuations;
+  Node__EvacuationState **evacuations;
+  size_t n_evacuation_changes;
+  Flow__Evacuation **evacuation_changes;
 };
 #define NODE__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__reply__descriptor) \
-    , 0, NODE__OUTCOME__OK, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0 }
+    , 0, NODE__OUTCOME__OK, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
- * Asks another VM to call the approval service.
+ * A request to another VM to call the approval service.
  */
 struct  Node__Ask
 {
@@ -229,22 +288,24 @@
 
 
 /*
- * Where a process is and whether it may be asked to call workers.
+ * The failure domain of a process, whether it relays calls to workers, and
+ * whether its build keeps evacuations.
  */
 struct  Node__About
 {
   ProtobufCMessage base;
   char *failure_domain;
   protobuf_c_boolean relays;
+  protobuf_c_boolean keeps_evacuations;
 };
 #define NODE__ABOUT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__about__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
- * A call to a worker that another VM makes for the leader; the fields are
- * those of struct node_call.
+ * A call to a worker that another VM makes for the leader; see struct
+ * node_worker_call for the fields.
  */
 struct  Node__WorkerCall
 {
@@ -305,8 +366,8 @@
 
 
 /*
- * The fields are those of struct node_result; failure is an enum
- * upstream_failure.
+ * The result of a WorkerCall; see struct node_worker_result for the fields.
+ * failure is an enum upstream_failure.
  */
 struct  Node__WorkerAnswer
 {
@@ -475,6 +536,25 @@
 void   node__worker_beat__free_unpacked
                      (Node__WorkerBeat *message,
                       ProtobufCAllocator *allocator);
+/* Node__EvacuationCall methods */
+void   node__evacuation_call__init
+                     (Node__EvacuationCall         *message);
+size_t node__evacuation_call__get_packed_size
+                     (const Node__EvacuationCall   *message);
+size_t node__evacuation_call__pack
+                     (const Node__EvacuationCall   *message,
+                      uint8_t             *out);
+size_t node__evacuation_call__pack_to_buffer
+                     (const Node__EvacuationCall   *message,
+                      ProtobufCBuffer     *buffer);
+Node__EvacuationCall *
+       node__evacuation_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__evacuation_call__free_unpacked
+                     (Node__EvacuationCall *message,
+                      ProtobufCAllocator *allocator);
 /* Node__Request methods */
 void   node__request__init
                      (Node__Request         *message);
@@ -494,6 +574,25 @@
 void   node__request__free_unpacked
                      (Node__Request *message,
                       ProtobufCAllocator *allocator);
+/* Node__EvacuationState methods */
+void   node__evacuation_state__init
+                     (Node__EvacuationState         *message);
+size_t node__evacuation_state__get_packed_size
+                     (const Node__EvacuationState   *message);
+size_t node__evacuation_state__pack
+                     (const Node__EvacuationState   *message,
+                      uint8_t             *out);
+size_t node__evacuation_state__pack_to_buffer
+                     (const Node__EvacuationState   *message,
+                      ProtobufCBuffer     *buffer);
+Node__EvacuationState *
+       node__evacuation_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   node__evacuation_state__free_unpacked
+                     (Node__EvacuationState *message,
+                      ProtobufCAllocator *allocator);
 /* Node__Reply methods */
 void   node__reply__init
                      (Node__Reply         *message);
@@ -739,9 +838,15 @@
 typedef void (*Node__WorkerBeat_Closure)
                  (const Node__WorkerBeat *message,
                   void *closure_data);
+typedef void (*Node__EvacuationCall_Closure)
+                 (const Node__EvacuationCall *message,
+                  void *closure_data);
 typedef void (*Node__Request_Closure)
                  (const Node__Request *message,
                   void *closure_data);
+typedef void (*Node__EvacuationState_Closure)
+                 (const Node__EvacuationState *message,
+                  void *closure_data);
 typedef void (*Node__Reply_Closure)
                  (const Node__Reply *message,
                   void *closure_data);
@@ -791,7 +896,9 @@
 extern const ProtobufCMessageDescriptor node__hint__descriptor;
 extern const ProtobufCMessageDescriptor node__job_call__descriptor;
 extern const ProtobufCMessageDescriptor node__worker_beat__descriptor;
+extern const ProtobufCMessageDescriptor node__evacuation_call__descriptor;
 extern const ProtobufCMessageDescriptor node__request__descriptor;
+extern const ProtobufCMessageDescriptor node__evacuation_state__descriptor;
 extern const ProtobufCMessageDescriptor node__reply__descriptor;
 extern const ProtobufCMessageDescriptor node__ask__descriptor;
 extern const ProtobufCMessageDescriptor node__ticket__descriptor;
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -26,6 +26,7 @@
     uint64_t cluster_id;
     struct str failure_domain; /* empty: not received yet */
     bool relays;               /* forwards worker calls for the leader */
+    bool keeps_evacuations;    /* its build has them in its state */
     /* The VM is not chosen as a relay until then, after an unanswered call. */
     int64_t relay_avoid_until;
     struct buf worker_calls;       /* encoded Node__WorkerCalls to send */
--- a/packages/node/leader.c
+++ b/packages/node/leader.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "evacuation.h"
 #include "mem.h"
 
 struct leader *
@@ -19,6 +20,7 @@
     l->began = n->now;
     l->sessions = map_create();
     l->approvals = map_create();
+    l->evacuations = evacuations_create();
     l->plan_needed = true;
     for (struct flow_job *j = flow_first_live(l->state); j != NULL;
          j = j->next) {
@@ -34,6 +36,7 @@
 {
     for (size_t i = 0; i < b->request_count; i++) {
         str_free(&b->requests[i].document);
+        str_free(&b->requests[i].domain);
     }
     mem_free(b->requests);
     mem_free(b);
@@ -66,6 +69,7 @@
     clear_commands(l);
     workers_destroy(l);
     leader_free_approvals(l);
+    evacuations_destroy(l->evacuations);
     plan_free(&l->plan);
     mem_free(l->planned);
     mem_free(l->commands);
@@ -225,6 +229,7 @@
         l->due_scan_at = l->node->now + DUE_SCAN_MS * NS_PER_MS;
         queue_due_occurrences(l);
     }
+    evacuations_step(l);
     leader_plan_step(l);
     propose_batch(l);
 }
--- a/packages/node/leader.h
+++ b/packages/node/leader.h
@@ -14,6 +14,8 @@
     bool cancel;         /* never read */
     uint64_t version;    /* configuration */
     struct str document; /* configuration; owned */
+    struct str domain;   /* evacuation; owned */
+    bool active;         /* evacuation */
 };
 
 /* A batch of commands from the time it is filled until it is applied. */
@@ -39,6 +41,7 @@
     char ticket[PLAN_TICKET_BYTES];
 };
 
+struct evacuations;
 struct session;
 
 struct leader {
@@ -65,6 +68,7 @@
     int64_t due_scan_at;        /* next scan for due occurrences */
     int64_t workers_due;        /* next step of all sessions */
     struct session *step_queue; /* sessions to step before workers_due */
+    struct evacuations *evacuations;
 };
 
 /* Queues a command for the next batch. */
@@ -77,6 +81,11 @@
 
 /* leader_requests.c */
 
+/* Adds a request to the open batch, which is answered once that is applied. */
+struct pending_request *
+leader_add_request(struct leader *l, struct requester from,
+                   const Node__Request *req);
+
 /* Answers a request whose command was applied. */
 void
 answer_committed_request(struct leader *l, const struct pending_request *p);
@@ -110,6 +119,10 @@
 void
 workers_record_announcement(const struct flow_worker *w, int64_t clock_ms);
 
+/* Records how much longer the worker is slow after its start. */
+void
+workers_record_cold(const struct flow_worker *w, uint32_t cold_ms);
+
 /* Polls the worker at once, because another process may have its address. The
  * answer decides whether it is lost. */
 void
--- a/packages/node/leader_requests.c
+++ b/packages/node/leader_requests.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "evacuation.h"
 #include "event.h"
 #include "mem.h"
 
@@ -17,6 +18,7 @@
     CANCELLATIONS_MAX = 65536,
     CANCELLATIONS_RETRY_MS = 5000,
     QUEUE_REMOVED_RETRY_MS = 200,
+    SERVICE_EVACUATED_RETRY_MS = 2000,
 };
 
 static struct event_kind event_submit = {.name = "submit", .per_second = 120};
@@ -25,9 +27,9 @@
 static struct event_kind event_worker = {.name = "worker", .per_second = 60};
 static struct event_kind event_upkeep = {.name = "upkeep"};
 
-static struct pending_request *
-add_pending_request(struct leader *l, struct requester from,
-                    const Node__Request *req)
+struct pending_request *
+leader_add_request(struct leader *l, struct requester from,
+                   const Node__Request *req)
 {
     struct leader_batch *b = leader_open_batch(l);
     struct pending_request *p;
@@ -88,6 +90,19 @@
     buf_printf(out, "%.*s%.*s", STR_ARG(q->host), STR_ARG(q->prefix));
 }
 
+/* Whether the job waits for its turn or never ends, so that an evacuation of
+ * all domains does not fail it. */
+static bool
+outlasts_evacuation(const Flow__JobSpec *spec)
+{
+    for (size_t i = 0; i < spec->n_steps; i++) {
+        if (spec->steps[i]->endless) {
+            return true;
+        }
+    }
+    return spec->occurrences > 0;
+}
+
 static void
 submit_job(struct leader *l, struct requester from, const Node__Request *req,
            uint64_t id, const struct flow_queue *q,
@@ -107,6 +122,13 @@
         refuse(l, from, NODE__OUTCOME__INVALID, problem);
         return;
     }
+    if (!outlasts_evacuation(call->spec) &&
+        flow_is_service_evacuated(l->state, q->service)) {
+        request_refuse(l->node, from, NODE__OUTCOME__UNAVAILABLE,
+                       "all failure domains of the service are evacuated",
+                       SERVICE_EVACUATED_RETRY_MS);
+        return;
+    }
     submit.job = id;
     submit.queue = (char *)q->name.ptr;
     submit.team = team == NULL ? submit.team : (char *)team->name.ptr;
@@ -118,7 +140,7 @@
     command.submit = &submit;
     leader_queue_command(l, &command);
     buf_free(&address);
-    add_pending_request(l, from, req)->job = id;
+    leader_add_request(l, from, req)->job = id;
     event_write(&event_submit,
                 "job=%016llx queue=%.*s team=%s steps=%zu live=%zu "
                 "config=%llu outcome=proposed",
@@ -143,7 +165,7 @@
     command.kind_case = FLOW__COMMAND__KIND_CANCEL;
     command.cancel = &cancel;
     leader_queue_command(l, &command);
-    p = add_pending_request(l, from, req);
+    p = leader_add_request(l, from, req);
     p->job = j->id;
     p->cancel = true;
     event_write(&event_cancel, "job=%016llx assigned=%u outcome=proposed",
@@ -178,7 +200,7 @@
     command.cancel = &cancel;
     leader_queue_command(l, &command);
     buf_free(&address);
-    p = add_pending_request(l, from, req);
+    p = leader_add_request(l, from, req);
     p->job = id;
     p->cancel = true;
     event_write(&event_cancel, "job=%016llx outcome=unknown-recorded",
@@ -294,7 +316,7 @@
     command.kind_case = FLOW__COMMAND__KIND_CONFIG;
     command.config = req->config;
     leader_queue_command(l, &command);
-    p = add_pending_request(l, from, req);
+    p = leader_add_request(l, from, req);
     p->version = req->config->version;
     p->document = str_dup(
         str_from(req->config->document.data, req->config->document.len));
@@ -402,6 +424,7 @@
             *sequence = announced->sequence;
         }
         workers_record_announcement(w, req->beat->clock_ms);
+        workers_record_cold(w, req->beat->cold_ms);
         if (is_unchanged(w, announced)) {
             reply_ok(l, from);
             return;
@@ -419,7 +442,7 @@
     command.kind_case = FLOW__COMMAND__KIND_WORKER;
     command.worker = (Flow__Worker *)announced;
     leader_queue_command(l, &command);
-    add_pending_request(l, from, req);
+    leader_add_request(l, from, req);
     event_write(&event_worker,
                 "worker=%s address=%s born=%lld draining=%d sequence=%llu "
                 "outcome=%s",
@@ -452,7 +475,7 @@
     command.kind_case = FLOW__COMMAND__KIND_UPKEEP;
     command.upkeep = req->upkeep;
     leader_queue_command(l, &command);
-    add_pending_request(l, from, req);
+    leader_add_request(l, from, req);
     event_write(&event_upkeep,
                 "wave=%llu machines=%zu concurrent=%u "
                 "outcome=proposed",
@@ -502,6 +525,12 @@
     case NODE__REQUEST__KIND_UPKEEP_STATE:
         reply_upkeep_state(l, from, req->upkeep_state);
         break;
+    case NODE__REQUEST__KIND_EVACUATION:
+        evacuation_handle_call(l, from, req);
+        break;
+    case NODE__REQUEST__KIND_READ_EVACUATIONS:
+        evacuations_reply_state(l, from);
+        break;
     case NODE__REQUEST__KIND__NOT_SET:
     default:
         refuse(l, from, NODE__OUTCOME__INVALID, "unknown request");
@@ -559,6 +588,9 @@
     case NODE__REQUEST__KIND_CONFIG:
         answer_committed_config(l, p);
         break;
+    case NODE__REQUEST__KIND_EVACUATION:
+        evacuation_answer_committed(l, p);
+        break;
     default:
         reply_ok(l, p->from);
         break;
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -7,12 +7,13 @@
 #include <stdio.h>
 
 #include "counter.h"
+#include "evacuation.h"
 #include "histogram.h"
 #include "leader.h"
 #include "mem.h"
 
 enum {
-    OUTCOME_COUNT = NODE__OUTCOME__NOT_LEADER + 1,
+    OUTCOME_COUNT = NODE__OUTCOME__NO_DOMAIN + 1,
     CALL_KIND_COUNT = NODE_CALL_POLL + 1,
     RUN_END_COUNT = FLOW_END_NOT_STARTED + 1,
 };
@@ -31,8 +32,8 @@
 };
 
 static const char *const outcome_names[OUTCOME_COUNT] = {
-    "ok",       "invalid", "no-key",      "no-queue", "no-job",
-    "conflict", "busy",    "unavailable", "unknown",  "not-leader"};
+    "ok",   "invalid",     "no-key",  "no-queue",   "no-job",   "conflict",
+    "busy", "unavailable", "unknown", "not-leader", "no-domain"};
 static const char *const call_kind_names[CALL_KIND_COUNT] = {"start", "stop",
                                                              "poll"};
 static const char *const run_end_names[RUN_END_COUNT] = {
@@ -203,6 +204,54 @@
               flow_worker_count(n->group->state));
 }
 
+/* Sets a gauge with the domain as its label. Characters that a label would
+ * have to escape are replaced. */
+static void
+set_domain_gauge(const char *name, const char *help, struct str domain,
+                 uint64_t value)
+{
+    struct buf text = {0};
+    size_t start;
+
+    buf_printf(&text, "%s{failure_domain=\"", name);
+    start = text.len;
+    buf_append_str(&text, domain);
+    for (size_t i = start; i < text.len; i++) {
+        char c = text.ptr[i];
+
+        text.ptr[i] = c == '"' || c == '\\' || c == '\n' ? '_' : c;
+    }
+    buf_printf(&text, "\"}");
+    counter_set(counter_get_copy(COUNTER_GAUGE, buf_str(&text), help), value);
+    buf_free(&text);
+}
+
+static void
+refresh_evacuation_gauges(const struct node *n)
+{
+    const struct flow_state *state = n->group->state;
+    const struct flow_evacuation *e;
+    void *cursor = NULL;
+
+    while ((e = flow_evacuation_next(state, &cursor)) != NULL) {
+        int64_t empty_ms = evacuation_empty_ms(e);
+
+        set_domain_gauge("guavarock_evacuated",
+                         "1 while the failure domain is evacuated.", e->domain,
+                         e->active);
+        set_domain_gauge("guavarock_evacuation_tasks",
+                         "Tasks in a failure domain that was evacuated.",
+                         e->domain, evacuation_tasks_left(state, e->domain));
+        set_domain_gauge("guavarock_evacuation_empty_ms",
+                         "Of the leader: from the evacuation until no task "
+                         "was left; 0 before.",
+                         e->domain, empty_ms > 0 ? (uint64_t)empty_ms : 0);
+    }
+    set_gauge("guavarock_evacuation_moves",
+              "Of the leader: runs that it stopped to move them.",
+              n->leader == NULL ? 0 : evacuations_moves(n->leader));
+}
+
 static void
 refresh_gauges(const struct node *n)
 {
@@ -216,6 +265,7 @@
               calls_count(n->calls));
     if (n->group != NULL) {
         refresh_group_gauges(n);
+        refresh_evacuation_gauges(n);
     }
     set_gauge("guavarock_workers_usable", "Workers that the leader places on.",
               n->leader == NULL ? 0 : workers_usable(n->leader));
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -290,14 +290,22 @@
         event_write(&event_process, "state=reload outcome=invalid");
         return;
     }
-    /* Only seeds, the grace period and the job retention can change while the
-     * process runs; other settings keep their values. */
+    /* Only seeds, failure domains, the grace period and the job retention can
+     * change while the process runs; other settings keep their values. */
     for (size_t i = 0; i < n->settings.seed_count; i++) {
         str_free(&n->settings.seeds[i].address);
     }
     mem_free(n->settings.seeds);
     n->settings.seeds = loaded.seeds;
     n->settings.seed_count = loaded.seed_count;
+    for (size_t i = 0; i < n->settings.failure_domain_count; i++) {
+        str_free(&n->settings.failure_domains[i].name);
+    }
+    mem_free(n->settings.failure_domains);
+    n->settings.failure_domains = loaded.failure_domains;
+    n->settings.failure_domain_count = loaded.failure_domain_count;
+    loaded.failure_domains = NULL;
+    loaded.failure_domain_count = 0;
     n->settings.grace_s = loaded.grace_s;
     n->settings.job_keep_s = loaded.job_keep_s;
     loaded.seeds = NULL;
--- a/packages/node/node.pb-c.c
+++ b/packages/node/node.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &node__worker_beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   node__evacuation_call__init
+                     (Node__EvacuationCall         *message)
+{
+  static const Node__EvacuationCall init_value = NODE__EVACUATION_CALL__INIT;
+  *message = init_value;
+}
+size_t node__evacuation_call__get_packed_size
+                     (const Node__EvacuationCall *message)
+{
+  assert(message->base.descriptor == &node__evacuation_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__evacuation_call__pack
+                     (const Node__EvacuationCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__evacuation_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__evacuation_call__pack_to_buffer
+                     (const Node__EvacuationCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__evacuation_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__EvacuationCall *
+       node__evacuation_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__EvacuationCall *)
+     protobuf_c_message_unpack (&node__evacuation_call__descriptor,
+                                allocator, len, data);
+}
+void   node__evacuation_call__free_unpacked
+                     (Node__EvacuationCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__evacuation_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   node__request__init
                      (Node__Request         *message)
 {
@@ -277,6 +322,51 @@
   assert(message->base.descriptor == &node__request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   node__evacuation_state__init
+                     (Node__EvacuationState         *message)
+{
+  static const Node__EvacuationState init_value = NODE__EVACUATION_STATE__INIT;
+  *message = init_value;
+}
+size_t node__evacuation_state__get_packed_size
+                     (const Node__EvacuationState *message)
+{
+  assert(message->base.descriptor == &node__evacuation_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t node__evacuation_state__pack
+                     (const Node__EvacuationState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &node__evacuation_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t node__evacuation_state__pack_to_buffer
+                     (const Node__EvacuationState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &node__evacuation_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Node__EvacuationState *
+       node__evacuation_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Node__EvacuationState *)
+     protobuf_c_message_unpack (&node__evacuation_state__descriptor,
+                                allocator, len, data);
+}
+void   node__evacuation_state__free_unpacked
+                     (Node__EvacuationState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &node__evacuation_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   node__reply__init
                      (Node__Reply         *message)
 {
@@ -1073,7 +1163,7 @@
   (ProtobufCMessageInit) node__job_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__worker_beat__field_descriptors[3] =
+static const ProtobufCFieldDescriptor node__worker_beat__field_descriptors[4] =
 {
   {
     "worker",
@@ -1111,16 +1201,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerBeat, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__worker_beat__field_indices_by_name[] = {
   1,   /* field[1] = clock_ms */
+  3,   /* field[3] = cold_ms */
   2,   /* field[2] = remaining_ms */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange node__worker_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor node__worker_beat__descriptor =
 {
@@ -1130,14 +1233,91 @@
   "Node__WorkerBeat",
   "node",
   sizeof(Node__WorkerBeat),
-  3,
+  4,
   node__worker_beat__field_descriptors,
   node__worker_beat__field_indices_by_name,
   1,  node__worker_beat__number_ranges,
   (ProtobufCMessageInit) node__worker_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__request__field_descriptors[8] =
+static const ProtobufCFieldDescriptor node__evacuation_call__field_descriptors[4] =
+{
+  {
+    "domain",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationCall, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "active",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationCall, active),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen_change",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationCall, seen_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationCall, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__evacuation_call__field_indices_by_name[] = {
+  1,   /* field[1] = active */
+  0,   /* field[0] = domain */
+  2,   /* field[2] = seen_change */
+  3,   /* field[3] = vm */
+};
+static const ProtobufCIntRange node__evacuation_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor node__evacuation_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.EvacuationCall",
+  "EvacuationCall",
+  "Node__EvacuationCall",
+  "node",
+  sizeof(Node__EvacuationCall),
+  4,
+  node__evacuation_call__field_descriptors,
+  node__evacuation_call__field_indices_by_name,
+  1,  node__evacuation_call__number_ranges,
+  (ProtobufCMessageInit) node__evacuation_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor node__request__field_descriptors[10] =
 {
   {
     "id",
@@ -1235,13 +1415,39 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuation",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Request, kind_case),
+    offsetof(Node__Request, evacuation),
+    &node__evacuation_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_evacuations",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Node__Request, kind_case),
+    offsetof(Node__Request, read_evacuations),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__request__field_indices_by_name[] = {
   4,   /* field[4] = beat */
   2,   /* field[2] = config */
+  8,   /* field[8] = evacuation */
   0,   /* field[0] = id */
   1,   /* field[1] = job */
   3,   /* field[3] = read_config */
+  9,   /* field[9] = read_evacuations */
   6,   /* field[6] = upkeep */
   7,   /* field[7] = upkeep_state */
   5,   /* field[5] = worker_left */
@@ -1249,7 +1455,7 @@
 static const ProtobufCIntRange node__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor node__request__descriptor =
 {
@@ -1259,14 +1465,117 @@
   "Node__Request",
   "node",
   sizeof(Node__Request),
-  8,
+  10,
   node__request__field_descriptors,
   node__request__field_indices_by_name,
   1,  node__request__number_ranges,
   (ProtobufCMessageInit) node__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__reply__field_descriptors[9] =
+static const ProtobufCFieldDescriptor node__evacuation_state__field_descriptors[6] =
+{
+  {
+    "domain",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationState, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "active",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationState, active),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationState, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationState, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationState, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "empty_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__EvacuationState, empty_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned node__evacuation_state__field_indices_by_name[] = {
+  1,   /* field[1] = active */
+  0,   /* field[0] = domain */
+  5,   /* field[5] = empty_ms */
+  4,   /* field[4] = left */
+  3,   /* field[3] = vm */
+  2,   /* field[2] = wall_ms */
+};
+static const ProtobufCIntRange node__evacuation_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor node__evacuation_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "node.EvacuationState",
+  "EvacuationState",
+  "Node__EvacuationState",
+  "node",
+  sizeof(Node__EvacuationState),
+  6,
+  node__evacuation_state__field_descriptors,
+  node__evacuation_state__field_indices_by_name,
+  1,  node__evacuation_state__number_ranges,
+  (ProtobufCMessageInit) node__evacuation_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor node__reply__field_descriptors[11] =
 {
   {
     "id",
@@ -1376,10 +1685,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Reply, n_evacuations),
+    offsetof(Node__Reply, evacuations),
+    &node__evacuation_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuation_changes",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Node__Reply, n_evacuation_changes),
+    offsetof(Node__Reply, evacuation_changes),
+    &flow__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__reply__field_indices_by_name[] = {
   8,   /* field[8] = counts */
   5,   /* field[5] = document */
+  10,   /* field[10] = evacuation_changes */
+  9,   /* field[9] = evacuations */
   0,   /* field[0] = id */
   3,   /* field[3] = job_state */
   1,   /* field[1] = outcome */
@@ -1391,7 +1726,7 @@
 static const ProtobufCIntRange node__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor node__reply__descriptor =
 {
@@ -1401,7 +1736,7 @@
   "Node__Reply",
   "node",
   sizeof(Node__Reply),
-  9,
+  11,
   node__reply__field_descriptors,
   node__reply__field_indices_by_name,
   1,  node__reply__number_ranges,
@@ -1639,7 +1974,7 @@
   (ProtobufCMessageInit) node__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__about__field_descriptors[2] =
+static const ProtobufCFieldDescriptor node__about__field_descriptors[3] =
 {
   {
     "failure_domain",
@@ -1665,15 +2000,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keeps_evacuations",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Node__About, keeps_evacuations),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__about__field_indices_by_name[] = {
   0,   /* field[0] = failure_domain */
+  2,   /* field[2] = keeps_evacuations */
   1,   /* field[1] = relays */
 };
 static const ProtobufCIntRange node__about__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor node__about__descriptor =
 {
@@ -1683,7 +2031,7 @@
   "Node__About",
   "node",
   sizeof(Node__About),
-  2,
+  3,
   node__about__field_descriptors,
   node__about__field_indices_by_name,
   1,  node__about__number_ranges,
@@ -2404,7 +2752,7 @@
   node__verb__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue node__outcome__enum_values_by_number[10] =
+static const ProtobufCEnumValue node__outcome__enum_values_by_number[11] =
 {
   { "OK", "NODE__OUTCOME__OK", 0 },
   { "INVALID", "NODE__OUTCOME__INVALID", 1 },
@@ -2416,16 +2764,18 @@
   { "UNAVAILABLE", "NODE__OUTCOME__UNAVAILABLE", 7 },
   { "UNKNOWN", "NODE__OUTCOME__UNKNOWN", 8 },
   { "NOT_LEADER", "NODE__OUTCOME__NOT_LEADER", 9 },
+  { "NO_DOMAIN", "NODE__OUTCOME__NO_DOMAIN", 10 },
 };
 static const ProtobufCIntRange node__outcome__value_ranges[] = {
-{0, 0},{0, 10}
+{0, 0},{0, 11}
 };
-static const ProtobufCEnumValueIndex node__outcome__enum_values_by_name[10] =
+static const ProtobufCEnumValueIndex node__outcome__enum_values_by_name[11] =
 {
   { "BUSY", 6 },
   { "CONFLICT", 5 },
   { "INVALID", 1 },
   { "NOT_LEADER", 9 },
+  { "NO_DOMAIN", 10 },
   { "NO_JOB", 4 },
   { "NO_KEY", 2 },
   { "NO_QUEUE", 3 },
@@ -2440,9 +2790,9 @@
   "Outcome",
   "Node__Outcome",
   "node",
-  10,
+  11,
   node__outcome__enum_values_by_number,
-  10,
+  11,
   node__outcome__enum_values_by_name,
   1,
   node__outcome__value_ranges,
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -98,6 +98,7 @@
      * Selects the path, see relay_choose(). */
     uint32_t polls_unanswered;
     int64_t poll_failed_at; /* last failed poll */
+    int64_t cold_until;     /* by its announcements it is slow until then */
     struct leader *leader;
     struct session *next_queued;
 };
--- a/packages/node/settings.c
+++ b/packages/node/settings.c
@@ -12,6 +12,7 @@
 
 enum {
     SEEDS_MAX = 8,
+    FAILURE_DOMAINS_MAX = 1024,
     FILE_MAX_BYTES = 1 << 20,
     DATA_PATH_MAX_BYTES = 4096,
     SECRET_MIN_BYTES = 16,
@@ -23,9 +24,19 @@
 
 static const struct json_shape seed_shape = JSON_SHAPE(node_seed, seed_fields);
 
+static const struct json_field domain_fields[] = {
+    JSON_STRING_FIELD(node_domain, name, 0, 1, 128),
+};
+
+static const struct json_shape domain_shape =
+    JSON_SHAPE(node_domain, domain_fields);
+
 static const struct json_field settings_fields[] = {
     JSON_STRING_FIELD(node_settings, vm, 0, 1, 128),
     JSON_STRING_FIELD(node_settings, failure_domain, 0, 1, 128),
+    JSON_OPTIONAL_LIST_FIELD(node_settings, failure_domains,
+                             failure_domain_count, &domain_shape,
+                             FAILURE_DOMAINS_MAX),
     JSON_STRING_FIELD(node_settings, caller_listen, JSON_OPTIONAL, 0, 128),
     JSON_STRING_FIELD(node_settings, ready_listen, JSON_OPTIONAL, 0, 128),
     JSON_STRING_FIELD(node_settings, control_listen, JSON_OPTIONAL, 0, 128),
@@ -62,6 +73,8 @@
                            &s->cluster_secret,
                            &s->approval_address};
     struct node_seed *seeds = mem_zalloc(s->seed_count + 1, sizeof(*seeds));
+    struct node_domain *domains =
+        mem_zalloc(s->failure_domain_count + 1, sizeof(*domains));
 
     for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
         *texts[i] = str_dup(*texts[i]);
@@ -70,6 +83,10 @@
         seeds[i].address = str_dup(s->seeds[i].address);
     }
     s->seeds = seeds;
+    for (size_t i = 0; i < s->failure_domain_count; i++) {
+        domains[i].name = str_dup(s->failure_domains[i].name);
+    }
+    s->failure_domains = domains;
 }
 
 void
@@ -89,6 +106,10 @@
         str_free(&s->seeds[i].address);
     }
     mem_free(s->seeds);
+    for (size_t i = 0; i < s->failure_domain_count; i++) {
+        str_free(&s->failure_domains[i].name);
+    }
+    mem_free(s->failure_domains);
     *s = (struct node_settings){0};
 }
 
--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -115,6 +115,7 @@
     t = flow_task(l->state, &ref, &step);
     if (t != NULL && t->run == task->run) {
         t->run_started_ns = l->node->now;
+        t->confirmed_run = task->run;
         flow_job(l->state, task->job)->run_confirmed = true;
     }
 }
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -86,6 +86,7 @@
     struct flow_worker *w = flow_worker(l->state, s->number);
     struct flow_job *j = flow_job(l->state, r->task.job);
     struct flow_step *step;
+    struct flow_task *t;
     Flow__Task ref;
     struct run_progress progress = {.now = l->node->now};
 
@@ -100,8 +101,14 @@
         r->percent = listed->percent;
         r->progressed_at = l->node->now;
     }
-    if (j == NULL || flow_task(l->state, &ref, &step) == NULL ||
-        step->spec->endless || r->phase != RUN_ACTIVE) {
+    t = j == NULL ? NULL : flow_task(l->state, &ref, &step);
+    if (t == NULL || r->phase != RUN_ACTIVE) {
+        return;
+    }
+    if (t->run == r->task.run) {
+        t->confirmed_run = t->run;
+    }
+    if (step->spec->endless) {
         return;
     }
     progress.started = r->run_started_ns;
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -103,6 +103,9 @@
     struct session *s = w == NULL ? NULL : worker_session(w);
 
     if (s != NULL && s->adopting) {
+        /* This process may have led before. */
+        step->tasks[index].confirmed_run = 0;
+        step->tasks[index].moved_run = 0;
         run_add(s, &task, RUN_UNKNOWN, l->node->now);
     }
 }
@@ -219,6 +222,16 @@
     }
 }
 
+void
+workers_record_cold(const struct flow_worker *w, uint32_t cold_ms)
+{
+    struct session *s = worker_session(w);
+
+    if (s != NULL && cold_ms > 0) {
+        s->cold_until = s->leader->node->now + cold_ms * NS_PER_MS;
+    }
+}
+
 /* Returns how many runs the worker may have or may get later without having
  * confirmed them. */
 static size_t
@@ -581,7 +594,7 @@
             return;
         }
     }
-    else if (s->settling && r->phase == RUN_QUEUED) {
+    else if ((s->settling || w->evacuated) && r->phase == RUN_QUEUED) {
         run_propose_not_started(l, s, r);
         return;
     }
--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -34,7 +34,14 @@
  *
  * Stops take N ms from now on.
  *
- * GET /fault/counts returns "starts" (calls), "lost" (starts that got no
+ *     /fault/evacuated {"zone":Z}
+ *
+ * Prints a line "EVACUATED ..." for each start that is carried out by a worker
+ * of zone Z from now on; "" ends that. Workers with an even number are in zone
+ * "z", the others in "y".
+ *
+ * GET /fault/counts returns "starts" (calls), "starts_y" (carried out by
+ * workers of zone "y"), "lost" (starts that got no
  * answer), "lost_worker" (which worker the last of them was for),
  * "late_accepted" and "late_refused" (outcomes of those carried out since) and
  * "stopping" (runs being stopped).
@@ -97,7 +104,9 @@
 static size_t worker_count;
 static struct start_fault start_fault;
 static struct lost_start lost[LOST_MAX];
-static int start_count;    /* calls since the process started */
+static char evacuated_zone[8];
+static int start_count; /* calls since the process started */
+static int start_y_count;
 static int lost_count;     /* since the process started */
 static int last_lost = -1; /* the worker of the last of them */
 static int late_accepted;
@@ -201,11 +210,33 @@
     return false;
 }
 
+static const char *
+worker_zone(const struct worker *w)
+{
+    return (w - workers) % 2 == 0 ? "z" : "y";
+}
+
+static struct fake_reply
+start_run(struct worker *w, const char *expected, const json_t *body)
+{
+    struct fake_reply reply = fake_worker_start(w->model, expected, body);
+
+    if (reply.status == 200) {
+        start_y_count += strcmp(worker_zone(w), "y") == 0;
+        if (strcmp(worker_zone(w), evacuated_zone) == 0) {
+            printf("EVACUATED %s on %s\n",
+                   json_string_value(json_object_get(body, "task")),
+                   w->address);
+            fflush(stdout);
+        }
+    }
+    return reply;
+}
+
 static void
 carry_out(struct lost_start *l)
 {
-    struct fake_reply reply =
-        fake_worker_start(l->worker->model, l->expected, l->body);
+    struct fake_reply reply = start_run(l->worker, l->expected, l->body);
 
     l->arrives_ms = 0;
     late_accepted += reply.status == 200;
@@ -255,7 +286,7 @@
         send_reply(call, fake_worker_reply(w->model, 503));
     }
     else if (!lose_start(w, call, expected, body)) {
-        send_reply(call, fake_worker_start(w->model, expected, body));
+        send_reply(call, start_run(w, expected, body));
     }
 }
 
@@ -390,10 +421,11 @@
 static json_t *
 count_faults(void)
 {
-    return json_pack("{s:i,s:i,s:i,s:i,s:i,s:i}", "starts", start_count,
-                     "lost", lost_count, "lost_worker", last_lost,
-                     "late_accepted", late_accepted, "late_refused",
-                     late_refused, "stopping", (int)fake_worker_stopping());
+    return json_pack("{s:i,s:i,s:i,s:i,s:i,s:i,s:i}", "starts", start_count,
+                     "starts_y", start_y_count, "lost", lost_count,
+                     "lost_worker", last_lost, "late_accepted", late_accepted,
+                     "late_refused", late_refused, "stopping",
+                     (int)fake_worker_stopping());
 }
 
 /* Handles a call of the approval service or a fault. */
@@ -419,6 +451,11 @@
         fake_worker_set_stop_ms(get_int(body, "ms", 0));
         answer = json_object();
     }
+    else if (str_eq(call->path, STR("/fault/evacuated"))) {
+        snprintf(evacuated_zone, sizeof(evacuated_zone), "%s",
+                 json_string_value(json_object_get(body, "zone")));
+        answer = json_object();
+    }
     else if (str_eq(call->path, STR("/fault/counts"))) {
         answer = count_faults();
     }
@@ -451,10 +488,11 @@
 {
     json_t *announcement = json_pack(
         "{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
-        "service", "svc", "address", w->address, "zone", "z", "version", "v1",
-        "slots", 8, "state", "ready", "capacity", "cpu", FAKE_WORKER_CPU,
-        "memoryRequestMb", FAKE_WORKER_MEMORY_MB, "gpu", 0, "labels", w->kind,
-        "r1", "clockMs", (json_int_t)fake_worker_clock(w->model), "born",
+        "service", "svc", "address", w->address, "zone", worker_zone(w),
+        "version", "v1", "slots", 8, "state", "ready", "capacity", "cpu",
+        FAKE_WORKER_CPU, "memoryRequestMb", FAKE_WORKER_MEMORY_MB, "gpu", 0,
+        "labels", w->kind, "r1", "clockMs",
+        (json_int_t)fake_worker_clock(w->model), "born",
         (json_int_t)fake_worker_born(w->model), "sequence",
         (json_int_t)++w->sequence);
     char *text = json_dumps(announcement, JSON_COMPACT);
--- a/tests/support/platform_rig.h
+++ b/tests/support/platform_rig.h
@@ -55,7 +55,8 @@
                      int worker_processes);
 
 /* Terminates all processes. Prints what worker processes 0 to 2 reported, and
- * fails if that is a second run of a task or a worker over its capacity. */
+ * fails if that is a second run of a task, a worker over its capacity or a
+ * start in an evacuated zone. */
 void
 platform_close(struct platform_rig *r);
 
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -65,6 +65,77 @@
     platform_close(&r);
 }
 
+static void
+run_jobs(struct platform_rig *r, int first, int count)
+{
+    for (int job = first; job < first + count; job++) {
+        platform_submit(r, job);
+    }
+    for (int job = first; job < first + count; job++) {
+        platform_await_completed(r, job);
+    }
+}
+
+static void
+change_evacuation(struct platform_rig *r, int control, const char *method,
+                  const char *zone, long status)
+{
+    char *path = g_strdup_printf("/evacuations/%s", zone);
+    char *url = platform_control_url(r, control, 0, path);
+
+    platform_await_status(r, method, url, "", status);
+    g_free(url);
+    g_free(path);
+}
+
+/* Guards against starts in an evacuated failure domain, in particular by a
+ * leader that has read the state from its disk, and against a domain that is
+ * not used again. */
+static void
+evacuated(void)
+{
+    enum {
+        BODY_BYTES = 4096,
+    };
+    struct platform_rig r;
+    char *body = g_malloc0(BODY_BYTES);
+    char *url;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    url = platform_control_url(&r, 2, 0, "/v1/evacuations");
+    change_evacuation(&r, 0, "POST", "nowhere", 404);
+    change_evacuation(&r, 1, "POST", "y", 200);
+    platform_fault(&r, "evacuated", "{\"zone\":\"y\"}");
+    change_evacuation(&r, 0, "POST", "y", 200);
+    run_jobs(&r, 0, 4);
+    for (int i = 0; i < CONTROLS; i++) {
+        proc_kill(r.control[i]);
+    }
+    for (int i = 0; i < CONTROLS; i++) {
+        platform_start_control(&r, i);
+    }
+    run_jobs(&r, 4, 4);
+    g_assert_cmpint(platform_call(&r, "GET", url, "", body, BODY_BYTES), ==,
+                    200);
+    g_assert_nonnull(
+        strstr(body, "{\"failure_domain\":\"y\",\"evacuated\":true,"));
+    g_assert_null(strstr(body, "nowhere"));
+    g_assert_cmpint(platform_fault_count(&r, "starts_y"), ==, 0);
+    change_evacuation(&r, 2, "POST", "z", 200);
+    g_free(url);
+    url = platform_job_url(&r, 0, 8);
+    g_assert_cmpint(platform_call(&r, "POST", url, platform_job, NULL, 0), ==,
+                    503);
+    platform_fault(&r, "evacuated", "{\"zone\":\"\"}");
+    change_evacuation(&r, 1, "DELETE", "y", 200);
+    change_evacuation(&r, 2, "DELETE", "y", 200);
+    run_jobs(&r, 8, 4);
+    g_assert_cmpint(platform_fault_count(&r, "starts_y"), >, 0);
+    g_free(url);
+    g_free(body);
+    platform_close(&r);
+}
+
 /* Guards against wrong status codes for invalid calls. */
 static void
 error_statuses(void)
@@ -299,17 +370,6 @@
     g_assert_cmpint(proc_wait(r->entry[0], 0), ==, PROC_RUNNING);
 }
 
-static void
-run_jobs(struct platform_rig *r, int first, int count)
-{
-    for (int job = first; job < first + count; job++) {
-        platform_submit(r, job);
-    }
-    for (int job = first; job < first + count; job++) {
-        platform_await_completed(r, job);
-    }
-}
-
 /* Guards against processes that end, or workers that are displaced or no
  * longer used, because of an entry that another writer left. */
 static void
@@ -555,6 +615,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/e2e/platform/leader-killed", leader_killed);
     g_test_add_func("/e2e/platform/worker-killed", worker_killed);
+    g_test_add_func("/e2e/platform/evacuated", evacuated);
     g_test_add_func("/e2e/platform/relayed", calls_relayed);
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
     g_test_add_func("/e2e/platform/refusals", error_statuses);
