--- a/completion/guavarock.bash
+++ b/completion/guavarock.bash
@@ -4,13 +4,14 @@
 # Prints the words that may follow the command WORDS.
 _guavarock_words() {
     case $* in
-    "") echo job request teams limits key vm worker endpoint audit usage \
-        status bench ;;
+    "") echo job request teams limits key vm worker endpoint evacuation \
+        audit usage status bench ;;
     job) echo submit show list cancel ;;
     teams) echo get set show ;;
     limits) echo get set ;;
     key) echo give withdraw list ;;
     vm) echo list drain ;;
+    evacuation) echo request withdraw list audit ;;
     worker | endpoint) echo list ;;
     esac
 }
--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -107,6 +107,22 @@
 cli_number(const struct argp_state *state, const char *name, const char *text,
            long max);
 
+/* The argument of a command that acts on one object. */
+struct cli_one {
+    const char *what; /* in messages */
+    const char *id;
+};
+
+/* The argp parser for a struct cli_one. */
+error_t
+cli_one_option(int key, char *arg, struct argp_state *state);
+
+/* Calls the path of prefix, the encoded id and suffix, and prints the
+ * answer. */
+int
+cli_act_on_one(struct cli *cli, const char *method, const char *prefix,
+               const char *id, const char *suffix);
+
 int
 cli_job_submit(struct cli *cli, int argc, char **argv);
 int
@@ -142,6 +158,14 @@
 int
 cli_endpoint_list(struct cli *cli, int argc, char **argv);
 int
+cli_evacuation_request(struct cli *cli, int argc, char **argv);
+int
+cli_evacuation_withdraw(struct cli *cli, int argc, char **argv);
+int
+cli_evacuation_list(struct cli *cli, int argc, char **argv);
+int
+cli_evacuation_audit(struct cli *cli, int argc, char **argv);
+int
 cli_audit(struct cli *cli, int argc, char **argv);
 int
 cli_usage(struct cli *cli, int argc, char **argv);
--- a/packages/cli/key.c
+++ b/packages/cli/key.c
@@ -76,15 +76,10 @@
     return status;
 }
 
-struct one {
-    const char *what;
-    const char *id;
-};
-
-static error_t
-one_option(int key, char *arg, struct argp_state *state)
+error_t
+cli_one_option(int key, char *arg, struct argp_state *state)
 {
-    struct one *o = state->input;
+    struct cli_one *o = state->input;
 
     switch (key) {
     case ARGP_KEY_ARG:
@@ -104,9 +99,9 @@
     return 0;
 }
 
-static int
-act_on_one(struct cli *cli, const char *method, const char *prefix,
-           const char *id, const char *suffix)
+int
+cli_act_on_one(struct cli *cli, const char *method, const char *prefix,
+               const char *id, const char *suffix)
 {
     struct cli_response response = {0};
     struct buf path = {0};
@@ -129,25 +124,25 @@
 cli_key_withdraw(struct cli *cli, int argc, char **argv)
 {
     const struct argp argp = {
-        .parser = one_option,
+        .parser = cli_one_option,
         .args_doc = "KEY-ID",
         .doc = "Withdraw a key. The command returns when no entry accepts "
                "the key any more."};
-    struct one o = {.what = "key id"};
+    struct cli_one o = {.what = "key id"};
 
     argp_parse(&argp, argc, argv, 0, NULL, &o);
-    return act_on_one(cli, "DELETE", "/v1/keys/", o.id, "");
+    return cli_act_on_one(cli, "DELETE", "/v1/keys/", o.id, "");
 }
 
 int
 cli_vm_drain(struct cli *cli, int argc, char **argv)
 {
     const struct argp argp = {
-        .parser = one_option,
+        .parser = cli_one_option,
         .args_doc = "VM",
         .doc = "Drain a VM: it finishes its requests, hands over and exits."};
-    struct one o = {.what = "VM id"};
+    struct cli_one o = {.what = "VM id"};
 
     argp_parse(&argp, argc, argv, 0, NULL, &o);
-    return act_on_one(cli, "POST", "/v1/vms/", o.id, "/drain");
+    return cli_act_on_one(cli, "POST", "/v1/vms/", o.id, "/drain");
 }
--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -33,6 +33,13 @@
     {"vm", "drain", cli_vm_drain, "Drain a VM for a planned stop"},
     {"worker", "list", cli_worker_list, "List workers"},
     {"endpoint", "list", cli_endpoint_list, "List endpoints"},
+    {"evacuation", "request", cli_evacuation_request,
+     "Start nothing more in a failure domain"},
+    {"evacuation", "withdraw", cli_evacuation_withdraw,
+     "Use a failure domain again"},
+    {"evacuation", "list", cli_evacuation_list, "List evacuations"},
+    {"evacuation", "audit", cli_evacuation_audit,
+     "Print the newest changes of evacuations"},
     {NULL, "audit", cli_audit, "Print the audit trail"},
     {NULL, "usage", cli_usage, "Print the usage of a month"},
     {NULL, "status", cli_status, "Print the status of the cluster"},
@@ -175,7 +182,7 @@
     buf_printf(&out, "Commands (each has --help):\n");
     for (size_t i = 0; i < COMMAND_COUNT; i++) {
         const struct command *c = &commands[i];
-        buf_printf(&out, "  %-9s%-9s %s\n", c->group ? c->group : c->name,
+        buf_printf(&out, "  %-11s%-9s %s\n", c->group ? c->group : c->name,
                    c->group ? c->name : "", c->help);
     }
     buf_printf(&out,
--- a/tests/completion.sh
+++ b/tests/completion.sh
@@ -33,7 +33,7 @@
 }
 
 commands=$("$out/guavarock" --help |
-    sed -n '/^Commands/,/^$/s/^  \(.\{9\}\)\(.\{9\}\) .*/\1 \2/p')
+    sed -n '/^Commands/,/^$/s/^  \(.\{11\}\)\(.\{9\}\) .*/\1 \2/p')
 [ -n "$commands" ] || failed=1
 first=$(echo "$commands" | awk '{ print $1 }' | sort -u)
 same "first words" "$first" "$(offered _guavarock "guavarock ")"
--- a/tests/manuals.sh
+++ b/tests/manuals.sh
@@ -46,7 +46,7 @@
 check "options of guavarockd" documents "$man/guavarockd.8" "$out/guavarockd"
 check "options of guavarock" documents "$man/guavarock.1" "$out/guavarock"
 commands=$("$out/guavarock" --help |
-    sed -n '/^Commands/,/^$/s/^  \(.\{9\}\)\(.\{9\}\) .*/\1 \2/p')
+    sed -n '/^Commands/,/^$/s/^  \(.\{11\}\)\(.\{9\}\) .*/\1 \2/p')
 check "list of commands" test -n "$commands"
 while read -r f s; do
     check "$f $s" grep -qE "^\.B[IR]? (.* )?\"?$f${s:+ $s}( |\"|$)" \
