--- a/tests/soak_platform.c
+++ b/tests/soak_platform.c
@@ -6,7 +6,8 @@
  * accepted job is never unknown and completes, that a configuration is never
  * refused or read back in an older version than acknowledged, and that reads
  * of jobs are answered in time. Checks at the workers that no task runs twice
- * and none exceeds its capacity.
+ * and none exceeds its capacity, and that none starts in a failure domain
+ * later than EVACUATION_MS after its evacuation was acknowledged.
  *
  *     soak_platform SECONDS SEED
  *
@@ -42,6 +43,8 @@
     ANSWER_MAX_MS = 3300,
     STOP_MAX_MS = 8000, /* the grace period of 6 s and the time to exit */
     WORKER_RESTART_INTERVAL_MS = 1200, /* on average, of any worker */
+    EVACUATION_MS = 5000,
+    EVACUATION_INTERVAL_MS = 6000, /* on average, of a change */
 };
 
 enum action {
@@ -73,6 +76,10 @@
     int version;       /* of the newest configuration sent */
     int acked_version; /* the highest that was acknowledged */
     int64_t acked_at;
+    bool evacuated;     /* zone y, as was acknowledged */
+    bool evacuate;      /* as was last sent */
+    int64_t starts_end; /* from then on nothing may start there; 0: may */
+    int64_t next_evacuation;
     int violations;
     int fault_count;
 };
@@ -310,6 +317,45 @@
     g_free(url);
 }
 
+/* Sends the current request until it is acknowledged, and then the other one
+ * after a while. Starts are forbidden to the workers only in between. */
+static void
+change_evacuation(struct soak *s)
+{
+    char *url;
+    long status;
+
+    if (s->starts_end != 0 && clock_now() >= s->starts_end) {
+        platform_fault(&s->rig, "evacuated", "{\"zone\":\"y\"}");
+        s->starts_end = 0;
+    }
+    if (s->evacuate == s->evacuated && clock_now() < s->next_evacuation) {
+        return;
+    }
+    if (s->evacuate == s->evacuated) {
+        s->evacuate = !s->evacuated;
+        s->starts_end = 0;
+        platform_fault(&s->rig, "evacuated", "{\"zone\":\"\"}");
+    }
+    url = platform_control_url(&s->rig, random_below(s, CONTROLS), 0,
+                               "/evacuations/y");
+    status = platform_call(&s->rig, s->evacuate ? "POST" : "DELETE", url, "",
+                           NULL, 0);
+    if (status == 200) {
+        s->evacuated = s->evacuate;
+        s->starts_end =
+            s->evacuated ? clock_now() + EVACUATION_MS * NS_PER_MS : 0;
+        s->next_evacuation =
+            clock_now() +
+            (EVACUATION_MS + random_below(s, 2 * EVACUATION_INTERVAL_MS)) *
+                NS_PER_MS;
+    }
+    else if (status >= 400 && status < 500) {
+        report_violation(s, "an evacuation was refused", s->evacuate, status);
+    }
+    g_free(url);
+}
+
 static void
 await_jobs(struct soak *s)
 {
@@ -347,6 +393,7 @@
     while (clock_now() < ends) {
         update_faults(s);
         restart_workers(s);
+        change_evacuation(s);
         switch (random_below(s, 8)) {
         case 0:
             put_config(s);
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -88,6 +88,27 @@
     g_free(path);
 }
 
+/* Runs a command of guavarock against control VM 0. */
+static void
+run_command(struct platform_rig *r, const char *command, const char *zone)
+{
+    char *bin = g_build_filename(g_getenv("GV_BIN"), "guavarock", NULL);
+    char *log = g_strdup_printf("%s/cli.log", r->dir);
+    char *url = platform_control_url(r, 0, 0, "");
+    char *argv[] = {bin,
+                    (char *)"--server",
+                    url,
+                    (char *)"evacuation",
+                    (char *)command,
+                    (char *)zone,
+                    NULL};
+
+    g_assert_cmpint(proc_wait(proc_spawn(log, argv), PLATFORM_WAIT_MS), ==, 0);
+    g_free(url);
+    g_free(log);
+    g_free(bin);
+}
+
 /* Guards against starts in an evacuated failure domain, in particular by a
  * leader that has read the state from its disk, and against a domain that is
  * not used again. */
@@ -121,14 +142,16 @@
         strstr(body, "{\"failure_domain\":\"y\",\"evacuated\":true,"));
     g_assert_null(strstr(body, "nowhere"));
     g_assert_cmpint(platform_fault_count(&r, "starts_y"), ==, 0);
-    change_evacuation(&r, 2, "POST", "z", 200);
+    run_command(&r, "request", "z");
+    run_command(&r, "list", NULL);
+    run_command(&r, "audit", NULL);
     g_free(url);
     url = platform_job_url(&r, 0, 8);
     g_assert_cmpint(platform_call(&r, "POST", url, platform_job, NULL, 0), ==,
                     503);
     platform_fault(&r, "evacuated", "{\"zone\":\"\"}");
     change_evacuation(&r, 1, "DELETE", "y", 200);
-    change_evacuation(&r, 2, "DELETE", "y", 200);
+    run_command(&r, "withdraw", "y");
     run_jobs(&r, 8, 4);
     g_assert_cmpint(platform_fault_count(&r, "starts_y"), >, 0);
     g_free(url);
