--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -221,7 +221,7 @@
         }
         v->worker = w;
         v->speed = plan_speed(plan_worker(w), r->now_ns);
-        v->committed = w->used;
+        v->committed = size_add(w->used, view_withheld(r, v));
         v->serving = w->serving;
         v->best_effort = w->best_effort;
         v->service = intern_service(r, w->service);
@@ -286,7 +286,7 @@
 {
     collect_workers(r);
     /* A backlog changes little from round to round. */
-    r->candidate_cap = r->plan->candidate_count + CANDIDATE_GROWTH;
+    r->candidate_cap = r->candidates_expected + CANDIDATE_GROWTH;
     r->candidates = mem_alloc(r->candidate_cap * sizeof(*r->candidates));
     for (struct flow_job *j = flow_first_live(r->state); j != NULL;
          j = j->next) {
@@ -294,7 +294,6 @@
             collect_job(r, j);
         }
     }
-    r->plan->candidate_count = r->candidate_count;
     if (r->candidate_count == 0) {
         return;
     }
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -421,7 +421,7 @@
     set_view_verdicts(r, c, false);
 }
 
-static void
+void
 round_destroy(struct plan_round *r)
 {
     for (size_t i = 0; i < r->view_count; i++) {
@@ -485,8 +485,11 @@
 plan_make(struct flow_state *s, int64_t now, const struct plan_limits *limits,
           struct plan *plan)
 {
-    struct plan_round r = {
-        .state = s, .plan = plan, .limits = limits, .now_ns = now};
+    struct plan_round r = {.state = s,
+                           .plan = plan,
+                           .limits = limits,
+                           .now_ns = now,
+                           .candidates_expected = plan->candidate_count};
     size_t resume;
     size_t next;
 
@@ -494,6 +497,7 @@
     plan->approval_request_count = 0;
     plan->waiting_count = 0;
     round_collect_candidates(&r);
+    plan->candidate_count = r.candidate_count;
     r.options = mem_alloc((r.view_count + 1) * sizeof(*r.options));
     resume = plan->incomplete ? find_resume_index(&r) : 0;
     /* An incomplete round leaves half of the next one to the candidates that
