flow: clear a worker of best-effort tasks for a task with a tail target

Best-effort tasks and tasks with a tail-latency target do not share a worker, and the planner relied on workers becoming free by themselves.

A round now also names the time at which the next one may place more although nothing has changed.

--- a/packages/flow/fit.c
+++ b/packages/flow/fit.c
@@ -115,6 +115,17 @@
                                  (double)NS_PER_MS);
 }
 
+uint32_t
+count_assigned_to(const struct flow_step *step, uint32_t worker)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < step->count; i++) {
+        n += step->tasks[i].assigned && step->tasks[i].worker == worker;
+    }
+    return n;
+}
+
 static bool
 has_label(const struct flow_worker *w, const char *label)
 {
@@ -130,25 +141,32 @@
 }
 
 /* Best-effort tasks raise the latency of tasks with a tail-latency target on
- * the same worker. As they are not throttled, the two do not share one. */
+ * the same worker. As they are not throttled, the two do not share one.
+ * displace_best_effort() clears a worker where that would keep the second kind
+ * off all of them. */
 static bool
 is_kind_compatible(const struct worker_view *v, const struct flow_step *step)
 {
     if (step->spec->best_effort) {
-        return v->serving == 0;
+        return v->serving == 0 && !v->cleared;
     }
     return step->spec->tail_target_ms == 0 || v->best_effort == 0;
 }
 
 bool
-view_can_run(const struct worker_view *v, const struct candidate *c)
+view_is_suitable(const struct worker_view *v, const struct candidate *c)
 {
     return v->runnable && v->service == c->service &&
-           is_kind_compatible(v, c->step) &&
            size_fits(c->size, v->worker->capacity) &&
            has_label(v->worker, c->step->spec->label);
 }
 
+bool
+view_can_run(const struct worker_view *v, const struct candidate *c)
+{
+    return is_kind_compatible(v, c->step) && view_is_suitable(v, c);
+}
+
 bool
 view_is_runnable(const struct plan_round *r, const struct worker_view *v)
 {
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -44,6 +44,9 @@
 struct plan_worker {
     bool usable;            /* it answers, holds a lease and is not draining */
     int64_t avoid_until_ns; /* no tasks start before, after a recent failure */
+    /* Until then no best-effort task may run on it, because it is needed for
+     * tasks with a tail-latency target. */
+    int64_t cleared_until_ns;
     /* Average logarithm of measured over expected run time, as of
      * observed_ns; see plan_observe_run. */
     double slowness_log;
@@ -115,6 +118,9 @@
      * the first candidates again, and then goes on behind the last one tried,
      * whose sort keys these are. */
     bool incomplete;
+    /* When a round may place more although nothing else has changed;
+     * INT64_MAX: never. */
+    int64_t reconsider_ns;
     uint32_t resume_class;
     int64_t resume_start_ns;
     uint64_t resume_order;
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -29,15 +29,12 @@
     return w->session;
 }
 
-static uint32_t
-count_assigned_to(const struct flow_step *step, uint32_t worker)
+void
+round_reconsider_at(struct plan_round *r, int64_t at_ns)
 {
-    uint32_t n = 0;
-
-    for (uint32_t i = 0; i < step->count; i++) {
-        n += step->tasks[i].assigned && step->tasks[i].worker == worker;
+    if (at_ns < r->plan->reconsider_ns) {
+        r->plan->reconsider_ns = at_ns;
     }
-    return n;
 }
 
 static bool
@@ -386,7 +383,8 @@
 is_hopeless(const struct plan_round *r, const struct candidate *c)
 {
     return !is_wait_report_due(r, c) &&
-           ((!c->step->spec->gang && !size_fits(c->demand, r->free_max)) ||
+           ((!c->step->spec->gang && !may_displace(r, c) &&
+             !size_fits(c->demand, r->free_max)) ||
             only_awaits_approval(r, c));
 }
 
@@ -414,6 +412,9 @@
             reserve_team_limit(r, c);
         }
     }
+    if (missing > 0 && !team_limited && may_displace(r, c)) {
+        displace_best_effort(r, c, missing);
+    }
     if (missing > 0 && !team_limited && c->job->queue->needs_approval) {
         request_approval(r, c, missing, fit_ns);
     }
@@ -433,6 +434,7 @@
     mem_free(r->options);
     mem_free(r->services);
     mem_free(r->candidates);
+    mem_free(r->best_effort_tasks);
     mem_free(r->teams);
 }
 
@@ -492,7 +494,9 @@
     plan->start_count = 0;
     plan->approval_request_count = 0;
     plan->waiting_count = 0;
+    plan->reconsider_ns = INT64_MAX;
     round_collect_candidates(&r);
+    round_find_best_effort(&r);
     r.options = mem_alloc((r.view_count + 1) * sizeof(*r.options));
     resume = plan->incomplete ? find_resume_index(&r) : 0;
     /* An incomplete round leaves half of the next one to the candidates that
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -40,6 +40,9 @@
     struct flow_size committed; /* to assigned and planned tasks */
     uint32_t serving;     /* tasks with a tail-latency target, likewise */
     uint32_t best_effort; /* best-effort tasks, likewise */
+    bool cleared;         /* its best-effort tasks are being displaced */
+    /* What its best-effort tasks use; see displace_best_effort(). */
+    struct flow_size best_effort_size;
     struct expected_release *releases;
     size_t release_count;
     size_t release_cap;
@@ -85,11 +88,22 @@
     size_t candidate_cap;
     size_t reservations; /* gangs that have reserved workers */
     bool releases_collected;
+    size_t best_effort_workers; /* with best-effort tasks at the start */
+    bool best_effort_collected;
+    struct best_effort_task *best_effort_tasks; /* assigned ones */
+    size_t best_effort_task_count;
+    size_t best_effort_task_cap;
     struct team_plan *teams;
     size_t team_count;
     size_t team_cap;
 };
 
+/* Defined in plan.c. */
+
+/* Has another round made at that time, even if nothing else has changed. */
+void
+round_reconsider_at(struct plan_round *r, int64_t at_ns);
+
 /* Defined in candidates.c. */
 
 /* Fills the views and the sorted list of candidates. */
@@ -154,6 +168,15 @@
 expected_end_ns(const struct plan_round *r, const struct candidate *c,
                 const struct worker_view *v);
 
+/* Returns how many tasks of the step are assigned to the worker. */
+uint32_t
+count_assigned_to(const struct flow_step *step, uint32_t worker);
+
+/* Reports whether the worker may run a task of the step once it has enough
+ * free capacity, an approval, and no tasks of a kind that keeps it off. */
+bool
+view_is_suitable(const struct worker_view *v, const struct candidate *c);
+
 /* Reports whether the worker may run a task of the step, given enough free
  * capacity and an approval. */
 bool
@@ -188,6 +211,22 @@
 int64_t
 reserve_gang(struct plan_round *r, const struct candidate *c);
 
+/* Defined in displace.c. */
+
+/* Counts the workers with best-effort tasks and marks the views of those that
+ * are being cleared. */
+void
+round_find_best_effort(struct plan_round *r);
+
+/* Reports whether the candidate could take the place of best-effort tasks. */
+bool
+may_displace(const struct plan_round *r, const struct candidate *c);
+
+/* Clears workers for the candidate, of which that many tasks found none. */
+void
+displace_best_effort(struct plan_round *r, const struct candidate *c,
+                     uint32_t missing);
+
 /* Defined in plan_wait.c. */
 
 /* Reports whether a step that waits for capacity or approval is to be
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -284,6 +284,11 @@
 /* Counts a run that a worker listed although it is not assigned to it. */
 void
 metrics_stray(struct metrics *m);
+
+/* Counts a best-effort run that is stopped for a task with a tail-latency
+ * target. */
+void
+metrics_displaced(struct metrics *m);
 void
 metrics_end(struct metrics *m, uint32_t run_end);
 void
--- a/packages/node/leader.c
+++ b/packages/node/leader.c
@@ -20,6 +20,7 @@
     l->sessions = map_create();
     l->approvals = map_create();
     l->plan_needed = true;
+    l->plan.reconsider_ns = INT64_MAX;
     for (struct flow_job *j = flow_first_live(l->state); j != NULL;
          j = j->next) {
         int64_t age_ms = clock_wall_ms() - j->wall_ms;
@@ -247,5 +248,9 @@
     if (l->plan_needed && !l->plan_committing && l->plan_due < deadline) {
         deadline = l->plan_due;
     }
+    if (!l->plan_committing && l->plan.reconsider_ns < deadline) {
+        deadline = l->plan.reconsider_ns > l->plan_due ? l->plan.reconsider_ns
+                                                       : l->plan_due;
+    }
     return l->due_scan_at < deadline ? l->due_scan_at : deadline;
 }
--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -391,6 +391,7 @@
     int64_t began;
 
     expire_approval_requests(l);
+    l->plan_needed = l->plan_needed || l->node->now >= l->plan.reconsider_ns;
     if (!l->plan_needed || l->plan_committing || l->node->now < l->plan_due) {
         return;
     }
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -23,6 +23,7 @@
     struct counter *ends[RUN_END_COUNT];
     struct counter *starts;
     struct counter *strays;
+    struct counter *displaced;
     struct histogram *call_ms;
     struct histogram *first_start_ms;
     struct histogram *commit_ms;
@@ -85,6 +86,10 @@
                             "Runs that the leader decided to start.");
     m->strays = counter_get(COUNTER_SUM, "guavarock_stray_runs_total",
                             "Runs on workers that they are not assigned to.");
+    m->displaced =
+        counter_get(COUNTER_SUM, "guavarock_displaced_runs_total",
+                    "Best-effort runs stopped in favor of tasks with a "
+                    "tail-latency target.");
     m->call_ms = histogram_create("guavarock_call_ms",
                                   "From a call's arrival to its answer.");
     m->first_start_ms =
@@ -144,6 +149,12 @@
     counter_add(m->strays, 1);
 }
 
+void
+metrics_displaced(struct metrics *m)
+{
+    counter_add(m->displaced, 1);
+}
+
 void
 metrics_end(struct metrics *m, uint32_t run_end)
 {
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -33,6 +33,8 @@
 };
 
 static struct event_kind event_end = {.name = "end", .per_second = 200};
+static struct event_kind event_displaced = {.name = "run-displaced",
+                                            .per_second = 40};
 static struct event_kind event_lost = {.name = "worker-lost"};
 static struct event_kind event_restart = {.name = "worker-restart"};
 
@@ -532,6 +534,26 @@
     memcpy(r->ticket, start->ticket, sizeof(r->ticket));
 }
 
+/* Returns whether the run is a best-effort one on a worker that is needed for
+ * tasks with a tail-latency target. */
+static bool
+is_displaced(const struct leader *l, const struct session *s,
+             const struct flow_step *step)
+{
+    return step->spec->best_effort && s->plan.cleared_until_ns > l->node->now;
+}
+
+static void
+note_displaced(const struct leader *l, const struct flow_worker *w,
+               const struct run *r)
+{
+    metrics_displaced(l->node->metrics);
+    event_write(&event_displaced,
+                "job=%016llx task=%u.%u.%u run=%u worker=%.*s",
+                (unsigned long long)r->task.job, r->task.occurrence,
+                r->task.step, r->task.index, r->task.run, STR_ARG(w->id));
+}
+
 /* Returns whether an assigned run should run on its worker. */
 static bool
 should_run(const struct leader *l, const struct run *r,
@@ -585,13 +607,16 @@
         run_propose_not_started(l, s, r);
         return;
     }
-    else if (!should_run(l, r, step) ||
+    else if (!should_run(l, r, step) || is_displaced(l, s, step) ||
              (s->settling && r->phase == RUN_ACTIVE)) {
         if (r->phase == RUN_QUEUED) {
             run_propose_not_started(l, s, r);
             return;
         }
         if (can_stop(r)) {
+            if (is_displaced(l, s, step)) {
+                note_displaced(l, w, r);
+            }
             run_set_phase(l, r, RUN_STOP_QUEUED);
         }
     }
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -392,6 +392,151 @@
     flow_fixture_free(&f);
 }
 
+/* Fills a fixture with that many workers, each of which runs one best-effort
+ * task that never ends, and submits job 2, a task with a tail-latency
+ * target. */
+static void
+init_displacement(struct flow_fixture *f, uint32_t workers, uint32_t budget)
+{
+    struct flow_job *j;
+
+    flow_fixture_init(f);
+    j = submit_job(f, 1, workers, 1000, false);
+    j->spec->steps[0]->best_effort = true;
+    j->spec->steps[0]->endless = true;
+    j->spec->steps[0]->disruption_budget = budget;
+    for (uint32_t i = 0; i < workers; i++) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "w%u", i);
+        flow_fixture_add_worker(f, id, 1, 4000);
+        flow_fixture_start_run(f, 1, 0, i, 1, i + 1);
+    }
+    j = submit_job(f, 2, 1, 2000, false);
+    j->spec->steps[0]->tail_target_ms = 200;
+    j->spec->steps[0]->endless = true;
+}
+
+/* Returns the only worker that is being cleared, 0 if there is none. */
+static uint32_t
+cleared_worker(const struct flow_fixture *f, int64_t now)
+{
+    uint32_t found = 0;
+
+    for (uint32_t i = 1; i < G_N_ELEMENTS(f->sessions); i++) {
+        if (f->sessions[i].cleared_until_ns > now) {
+            g_assert_cmpuint(found, ==, 0);
+            found = i;
+        }
+    }
+    return found;
+}
+
+/* Best-effort tasks on all workers must not keep a task with a tail-latency
+ * target off for ever: one worker is cleared for it, and its tasks do not
+ * return before it has started. */
+static void
+best_effort_displaced(void)
+{
+    enum {
+        WORKERS = 4,
+    };
+    struct flow_fixture f;
+    struct plan plan = {0};
+    uint32_t cleared;
+
+    init_displacement(&f, WORKERS, 0);
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    cleared = cleared_worker(&f, NOW_NS);
+    g_assert_cmpuint(cleared, !=, 0);
+    g_assert_cmpint(plan.reconsider_ns, ==,
+                    f.sessions[cleared].cleared_until_ns);
+    plan_make(f.state, NOW_NS + 1, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 0);
+    g_assert_cmpuint(cleared_worker(&f, NOW_NS + 1), ==, cleared);
+    flow_fixture_end_run(&f, 1, 0, cleared - 1, 1, cleared, FLOW_END_STOPPED,
+                         "saved");
+    /* The best-effort task is first in order. */
+    flow_job(f.state, 2)->arrived_ns = NOW_NS + NS_PER_S;
+    plan_make(f.state, NOW_NS + 2, &limits, &plan);
+    for (size_t i = 0; i < plan.start_count; i++) {
+        g_assert_cmpuint(plan.starts[i].worker->number == cleared, ==,
+                         plan.starts[i].job->id == 2);
+    }
+    commit_starts(&f, &plan);
+    g_assert_cmpuint(flow_worker(f.state, cleared)->serving, ==, 1);
+    plan_make(f.state, NOW_NS + 3, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 0);
+    g_assert_cmpuint(cleared_worker(&f, NOW_NS + 3), ==, cleared);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
+/* Best-effort tasks must not be displaced while another worker can take the
+ * task, nor beyond the budget of their step, nor for a task that would not
+ * fit. */
+static void
+best_effort_kept(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+
+    init_displacement(&f, 2, 0);
+    flow_fixture_add_worker(&f, "free", 1, 4000);
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(commit_starts(&f, &plan), ==, 1);
+    g_assert_cmpuint(cleared_worker(&f, NOW_NS), ==, 0);
+    flow_fixture_free(&f);
+
+    init_displacement(&f, 2, 1);
+    flow_fixture_end_run(&f, 1, 0, 0, 1, 1, FLOW_END_FAILED, "");
+    f.sessions[1].usable = false;
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(cleared_worker(&f, NOW_NS), ==, 0);
+    flow_fixture_free(&f);
+
+    init_displacement(&f, 2, 0);
+    flow_job(f.state, 2)->spec->steps[0]->size->cpu_milli = 4001;
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(cleared_worker(&f, NOW_NS), ==, 0);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
+/* A worker that the approval service has not been asked about must be cleared
+ * too, and no further one while its answer is awaited. */
+static void
+best_effort_displaced_with_approval(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_step *step;
+    uint32_t cleared;
+    uint32_t other;
+
+    init_displacement(&f, 2, 0);
+    flow_fixture_set_config(&f, 2, "two", true, 0);
+    step = &flow_job(f.state, 2)->occurrences[0].steps[0];
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    cleared = cleared_worker(&f, NOW_NS);
+    g_assert_cmpuint(cleared, !=, 0);
+    other = 3 - cleared;
+    flow_fixture_end_run(&f, 1, 0, cleared - 1, 1, cleared, FLOW_END_STOPPED,
+                         "");
+    plan_make(f.state, NOW_NS + 1, &limits, &plan);
+    g_assert_cmpuint(cleared_worker(&f, NOW_NS + 1), ==, cleared);
+    g_assert_cmpuint(plan.approval_request_count, ==, 2);
+    g_assert_cmpuint(plan.approval_requests[1].job->id, ==, 2);
+    g_assert_cmpuint(plan.approval_requests[1].count, ==, 1);
+    g_assert_cmpuint(plan.approval_requests[1].workers[0], ==, cleared);
+    /* A refusal makes the other worker the one to clear. */
+    plan_record_verdict(step, cleared, false, STR(""), 0);
+    plan_make(f.state, NOW_NS + 2, &limits, &plan);
+    g_assert_cmpint(f.sessions[other].cleared_until_ns, >, NOW_NS + 2);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Tasks must not be placed on workers that are unusable or have become slow,
  * nor on the worker of their last failure if there is another. A slow worker
  * must be used again after some time. */
@@ -647,6 +792,10 @@
     g_test_add_func("/plan/wait-reasons", wait_reasons);
     g_test_add_func("/plan/unfit-workers", unfit_workers);
     g_test_add_func("/plan/serving-apart", serving_apart);
+    g_test_add_func("/plan/best-effort-displaced", best_effort_displaced);
+    g_test_add_func("/plan/best-effort-kept", best_effort_kept);
+    g_test_add_func("/plan/best-effort-displaced-with-approval",
+                    best_effort_displaced_with_approval);
     g_test_add_func("/plan/load/echeverria", echeverria);
     g_test_add_func("/plan/load/trentside", trentside);
     g_test_add_func("/plan/bounded-round-resumes", bounded_round_resumes);
