flow: give the reservation of a gang an end

The start of a reservation was computed anew in each round.

A reservation now has a deadline. If its gang has not started by then, the next one begins after as long again as the gang has waited since its first, and tasks that end before may use the workers. A gang that waits is so delayed by back-fill at most as long again as it has waited anyway.

--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -143,6 +143,11 @@
     uint32_t gang_failures;         /* runs of the gang that failed */
     uint32_t gang_failed_run;       /* the latest run that failed */
     struct flow_approval *approval; /* leader only: NULL before a request */
+    /* Leader only: when the waiting gang first reserved workers, 0: it has
+     * not. */
+    int64_t reserved_since_ns;
+    int64_t reservation_end_ns; /* leader only */
+    bool reservation_lapsed;    /* leader only: one ended without a start */
     uint8_t wait_reason; /* leader only: last reported enum plan_wait_reason */
     int64_t wait_reported_ns; /* leader only: time of that report in ns */
 };
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -408,6 +408,9 @@
         if (missing > 0 && !team_limited) {
             fit_ns = reserve_gang(r, c);
         }
+        else if (missing == 0 && !team_limited) {
+            forget_reservation(c->step);
+        }
         if (team_limited && c->lateness == 0) {
             reserve_team_limit(r, c);
         }
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -211,6 +211,10 @@
 int64_t
 reserve_gang(struct plan_round *r, const struct candidate *c);
 
+/* Has the step reserve anew when it next waits, after its gang was placed. */
+void
+forget_reservation(struct flow_step *step);
+
 /* Defined in displace.c. */
 
 /* Counts the workers with best-effort tasks and marks the views of those that
--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -5,6 +5,16 @@
  * time, at which enough capacity is expected to be free on approved workers.
  * Until then those workers take only tasks that end before it, fit beside the
  * gang or are more urgent than it.
+ *
+ * That time is a guess: tasks run longer than estimated, and more urgent ones
+ * come. A reservation therefore ends. If its gang has not started by then, the
+ * next one begins only after as long again as the gang has waited since its
+ * first, and tasks that end before may use the workers. So a gang that cannot
+ * start keeps other tasks off for a bounded time, and these make it wait at
+ * most as long again as it has waited anyway.
+ *
+ * Load that this answers: gangs as wide as the fleet, beside tasks that run
+ * several times as long as estimated.
  */
 #include <stdlib.h>
 
@@ -12,6 +22,14 @@
 #include "mem.h"
 #include "plan_impl.h"
 
+enum {
+    /* A reservation ends later than its start by this share of the time to the
+     * start, because estimates are rough, and by at least
+     * RESERVATION_GRACE_MIN_MS, so that answers on approval can arrive. */
+    RESERVATION_GRACE_PERCENT = 100,
+    RESERVATION_GRACE_MIN_MS = 4000,
+};
+
 /* Additional tasks that fit on a worker from at_ns on. */
 struct capacity_gain {
     int64_t at_ns;
@@ -163,6 +181,40 @@
     }
 }
 
+/* Returns when the gang's reservation begins if the gang is expected to fit at
+ * fit_ns, and keeps the time at which it ends. */
+static int64_t
+reservation_start_ns(struct plan_round *r, struct flow_step *step,
+                     int64_t fit_ns)
+{
+    if (step->reserved_since_ns == 0) {
+        int64_t grace_ns =
+            (fit_ns - r->now_ns) / 100 * RESERVATION_GRACE_PERCENT;
+        int64_t grace_min_ns = RESERVATION_GRACE_MIN_MS * NS_PER_MS;
+
+        step->reserved_since_ns = r->now_ns;
+        step->reservation_end_ns =
+            fit_ns + (grace_ns > grace_min_ns ? grace_ns : grace_min_ns);
+    }
+    else if (r->now_ns >= step->reservation_end_ns) {
+        step->reservation_lapsed = true;
+        step->reservation_end_ns =
+            r->now_ns + (r->now_ns - step->reserved_since_ns);
+    }
+    round_reconsider_at(r, step->reservation_end_ns);
+    return step->reservation_lapsed && step->reservation_end_ns > fit_ns
+               ? step->reservation_end_ns
+               : fit_ns;
+}
+
+void
+forget_reservation(struct flow_step *step)
+{
+    step->reserved_since_ns = 0;
+    step->reservation_end_ns = 0;
+    step->reservation_lapsed = false;
+}
+
 int64_t
 reserve_gang(struct plan_round *r, const struct candidate *c)
 {
@@ -185,7 +237,7 @@
     mem_free(gains.list);
     if (at_ns != INT64_MAX) {
         r->reservations++;
-        reserve_views(r, c, at_ns);
+        reserve_views(r, c, reservation_start_ns(r, c->step, at_ns));
     }
     return at_ns;
 }
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -154,6 +154,135 @@
     flow_fixture_free(&f);
 }
 
+/* A small fleet in which planned runs take RUN_MS. */
+struct short_runs {
+    struct {
+        uint64_t job;
+        uint32_t index;
+        uint32_t worker;
+        int64_t end_ns;
+    } list[256];
+    size_t count;
+};
+
+enum {
+    RUN_MS = 1000,
+};
+
+/* Ends the runs that are due, makes a round and commits its starts. Returns
+ * whether job 2 was started. */
+static bool
+step_short_runs(struct flow_fixture *f, struct plan *plan,
+                struct short_runs *runs, int64_t now)
+{
+    bool started = false;
+
+    for (size_t i = 0; i < runs->count; i++) {
+        if (runs->list[i].end_ns > 0 && runs->list[i].end_ns <= now) {
+            flow_fixture_end_run(f, runs->list[i].job, 0, runs->list[i].index,
+                                 1, runs->list[i].worker, FLOW_END_DONE, "");
+            runs->list[i].end_ns = 0;
+        }
+    }
+    plan_make(f->state, now, &limits, plan);
+    for (size_t i = 0; i < plan->start_count; i++) {
+        const struct plan_start *s = &plan->starts[i];
+
+        g_assert_cmpuint(runs->count, <, G_N_ELEMENTS(runs->list));
+        runs->list[runs->count].job = s->job->id;
+        runs->list[runs->count].index = s->index;
+        runs->list[runs->count].worker = s->worker->number;
+        runs->list[runs->count++].end_ns = now + RUN_MS * NS_PER_MS;
+        started = started || s->job->id == 2;
+        flow_fixture_start_run(f, s->job->id, 0, s->index, s->run,
+                               s->worker->number);
+        s->step->tasks[s->index].run_started_ns = now;
+    }
+    return started;
+}
+
+/* Two workers, a task of job 1 on the first that does not end, and a gang, job
+ * 2, that needs both. */
+static void
+init_obstructed_gang(struct flow_fixture *f)
+{
+    flow_fixture_init(f);
+    flow_fixture_add_worker(f, "a", 1, 4000);
+    submit_job(f, 1, 1, 3000, false);
+    flow_fixture_start_run(f, 1, 0, 0, 1, 1);
+    flow_job(f->state, 1)->occurrences[0].steps[0].tasks[0].run_started_ns =
+        NOW_NS;
+    flow_fixture_add_worker(f, "b", 1, 4000);
+    submit_job(f, 2, 2, 3000, true)->queue->stretch = 10;
+}
+
+/* A gang that waits for a task that runs longer than estimated must not keep
+ * another job off an idle worker as long as that task runs. */
+static void
+reservation_ends(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct short_runs runs = {0};
+    int64_t now = NOW_NS;
+
+    init_obstructed_gang(&f);
+    /* It would end after the gang is expected to fit. */
+    submit_job(&f, 3, 1, 3000, false)->spec->steps[0]->estimate_ms =
+        RUN_MS * 6 / 5;
+    step_short_runs(&f, &plan, &runs, now);
+    g_assert_cmpuint(plan.start_count, ==, 0);
+    /* Only the time that the plan names passes. */
+    while (runs.count == 0 && now < NOW_NS + 60 * NS_PER_S) {
+        g_assert_cmpint(plan.reconsider_ns, >, now);
+        now = plan.reconsider_ns;
+        if (now < INT64_MAX) {
+            step_short_runs(&f, &plan, &runs, now);
+        }
+    }
+    g_assert_cmpuint(runs.count, ==, 1);
+    g_assert_cmpuint(runs.list[0].job, ==, 3);
+    /* The platform allows 14 s and 3 s in which nothing of the job runs. */
+    g_assert_cmpint(now - NOW_NS, <=, 17 * NS_PER_S);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
+/* Small jobs that follow each other must not starve a gang whose reservation
+ * has lapsed: it must start at twice the time that it had to wait anyway. */
+static void
+lapsed_reservation_still_binds(void)
+{
+    enum {
+        STEP_MS = 100,
+        /* Beyond the end of the first reservation, and between two ends of
+         * runs on the other worker. */
+        OBSTACLE_MS = 6500,
+    };
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct short_runs runs = {0};
+    bool started = false;
+    bool others_started = false;
+    int64_t ms = 0;
+
+    init_obstructed_gang(&f);
+    for (; !started && ms <= 4 * OBSTACLE_MS; ms += STEP_MS) {
+        if (ms == OBSTACLE_MS) {
+            flow_fixture_end_run(&f, 1, 0, 0, 1, 1, FLOW_END_DONE, "");
+        }
+        submit_job(&f, 3 + (uint64_t)ms, 1, 2000, false)->arrived_ns =
+            NOW_NS + ms * NS_PER_MS;
+        started = step_short_runs(&f, &plan, &runs, NOW_NS + ms * NS_PER_MS);
+        others_started = others_started || (!started && runs.count > 0);
+    }
+    g_assert_true(others_started);
+    g_assert_true(started);
+    g_assert_cmpint(ms - STEP_MS, <=, 2 * OBSTACLE_MS);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Tasks must not start without a valid ticket, and no approval must be
  * requested while a request is open. */
 static void
@@ -784,6 +913,9 @@
     g_test_add_func("/plan/team-limit", team_limit);
     g_test_add_func("/plan/gang-whole", gang_whole);
     g_test_add_func("/plan/gang-reserves", gang_reserves);
+    g_test_add_func("/plan/reservation-ends", reservation_ends);
+    g_test_add_func("/plan/lapsed-reservation-still-binds",
+                    lapsed_reservation_still_binds);
     g_test_add_func("/plan/approval", approval);
     g_test_add_func("/plan/gang-tickets", gang_tickets);
     g_test_add_func("/plan/gang-calls", gang_calls);
