tests: simulated VMs take approval requests as the leader's do

The simulation let long requests queue without limit at the first two thirds of the VMs, so that more requests planned in a round always meant more requests sent. It now asks approval_vm, as the leader does, and a request that no VM can take is dropped.

--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "approval_vm.h"
 #include "clock.h"
 #include "flow_fixture.h"
 #include "mem.h"
@@ -22,9 +23,6 @@
     TEAMS_MAX = 100,
     TEAM_NAME_BYTES = 32,
     LARGE_TEAM_SHARE = 5,
-    VM_CALLS_MAX = 3, /* open approval requests of one VM */
-    /* Approval requests that take longer do not use all VMs. */
-    LONG_CALL_MS = 40,
     /* As on the leader. */
     ROUND_REQUESTS_MAX = 64,
     ROUND_VISITS_MAX = 30000,
@@ -423,23 +421,39 @@
     }
 }
 
+/* Returns the VM that the leader would send a request to, or SIZE_MAX. */
+static size_t
+find_least_loaded_vm(const struct simulation *sim, bool long_request)
+{
+    size_t best = SIZE_MAX;
+
+    for (size_t i = 0; i < sim->config->approval_vms; i++) {
+        const struct approval_vm vm = {
+            .index = i,
+            .open_requests = (uint32_t)sim->vm_open_calls[i],
+            .expected_ms = sim->vm_free_at_ms[i] - sim->now_ms,
+        };
+
+        if (approval_vm_can_take(&vm, long_request, 0) &&
+            (best == SIZE_MAX ||
+             sim->vm_free_at_ms[i] < sim->vm_free_at_ms[best])) {
+            best = i;
+        }
+    }
+    return best;
+}
+
 static void
 send_request(struct simulation *sim, const struct plan_approval_request *in)
 {
     const struct flow_queue *q = in->job->queue;
     struct approval_call *a;
-    size_t best = 0;
-    size_t vms = sim->config->approval_vms;
+    size_t best =
+        find_least_loaded_vm(sim, approval_vm_is_long(q->approval_ms));
     int64_t free_at_ms;
 
-    /* Long requests leave a third of the VMs to short ones. */
-    if (q->approval_ms > LONG_CALL_MS) {
-        vms = vms * 2 / 3;
-    }
-    for (size_t i = 1; i < vms; i++) {
-        if (sim->vm_free_at_ms[i] < sim->vm_free_at_ms[best]) {
-            best = i;
-        }
+    if (best == SIZE_MAX) {
+        return;
     }
     sim->calls =
         mem_realloc(sim->calls, sim->call_count + 1, sizeof(*sim->calls));
@@ -577,9 +591,8 @@
                                  .reservations = sim->config->reservations};
 
     for (size_t i = 0; i < sim->config->approval_vms; i++) {
-        calls_free += sim->vm_open_calls[i] < VM_CALLS_MAX
-                          ? VM_CALLS_MAX - sim->vm_open_calls[i]
-                          : 0;
+        calls_free +=
+            approval_vm_free_requests((uint32_t)sim->vm_open_calls[i]);
     }
     limits.approval_requests = calls_free;
     if (sim->config->planner_share > 0 && calls_free > ROUND_REQUESTS_MAX) {
