flow: queues share the approval service's time

Requests went out in the order in which steps are tried.

The leader now records the service time that each queue used lately, and a round sorts its requests so that the queue with the least use goes first; its limit of requests counts by queue. Two counters by priority show requests and service time.

--- a/packages/flow/approval_request.c
+++ b/packages/flow/approval_request.c
@@ -187,6 +187,7 @@
     ask->occurrence = &c->job->occurrences[c->occurrence];
     ask->step = c->step;
     ask->count = 0;
+    c->job->queue->approval_planned++;
     return ask;
 }
 
@@ -200,7 +201,7 @@
         return ask;
     }
     if (!c->step->spec->gang ||
-        r->plan->approval_request_count >= r->limits->approval_requests) {
+        c->job->queue->approval_planned >= r->limits->approval_requests) {
         return NULL;
     }
     return add_request(r, c);
@@ -292,6 +293,7 @@
     }
     if (ask != NULL && ask->count == 0) {
         r->plan->approval_request_count--;
+        c->job->queue->approval_planned--;
     }
 }
 
@@ -325,7 +327,7 @@
 {
     const struct flow_approval *a = c->step->approval;
 
-    return r->plan->approval_request_count < r->limits->approval_requests &&
+    return c->job->queue->approval_planned < r->limits->approval_requests &&
            (a == NULL || a->pending_until_ns <= r->now_ns);
 }
 
--- /dev/null
+++ b/packages/flow/approval_share.c
@@ -0,0 +1,97 @@
+/*
+ * Division of the approval service's time between queues. Load that this
+ * answers: the requests of one queue take longer than all VMs together can
+ * make, while other queues wait for approval as well. The queue that used the
+ * least service time lately goes first, which is max-min fair: a queue that
+ * needs less than an equal share gets all that it needs, and the rest goes to
+ * the queues that need more.
+ */
+#include <math.h>
+#include <stdlib.h>
+
+#include "clock.h"
+#include "plan_impl.h"
+
+enum {
+    /* Time constant of the decay of used service time. A queue that was idle
+     * for longer has no claim left from that time. */
+    USE_DECAY_MS = 2000,
+    /* Bounds on the service time that one request is charged. Without the
+     * lower one, a queue configured with no service time would never yield;
+     * without the upper one, a queue configured with an excessive time would
+     * wait for long after its first request. */
+    CHARGE_MIN_MS = 1,
+    CHARGE_MAX_MS = 10000,
+};
+
+double
+plan_request_cost_ms(const struct plan_approval_request *request)
+{
+    const struct flow_queue *q = request->job->queue;
+
+    return q->approval_ms +
+           (double)request->count * q->approval_worker_us / 1000;
+}
+
+static double
+request_charge_ms(const struct plan_approval_request *request)
+{
+    return fmin(fmax(plan_request_cost_ms(request), CHARGE_MIN_MS),
+                CHARGE_MAX_MS);
+}
+
+/* Returns the service time that the queue used lately. */
+static double
+used_ms(const struct flow_queue *q, int64_t now)
+{
+    double idle_ms = (double)(now - q->approval_used_ns) / NS_PER_MS;
+
+    return q->approval_used_ms * exp(-fmax(idle_ms, 0) / USE_DECAY_MS);
+}
+
+void
+plan_charge_request(const struct plan_approval_request *request, int64_t now)
+{
+    struct flow_queue *q = request->job->queue;
+
+    q->approval_used_ms = used_ms(q, now) + request_charge_ms(request);
+    q->approval_used_ns = now;
+}
+
+/* Sorts by the service time that the request's queue will have used when the
+ * request is sent, and keeps the order of requests of a queue. */
+static int
+compare_requests(const void *a, const void *b)
+{
+    const struct plan_approval_request *x = a;
+    const struct plan_approval_request *y = b;
+
+    if (x->used_ms != y->used_ms) {
+        return x->used_ms < y->used_ms ? -1 : 1;
+    }
+    return (x->order > y->order) - (x->order < y->order);
+}
+
+void
+sort_approval_requests(struct plan *plan, int64_t now)
+{
+    for (size_t i = 0; i < plan->approval_request_count; i++) {
+        struct plan_approval_request *request = &plan->approval_requests[i];
+
+        request->job->queue->approval_planned = 0;
+        request->job->queue->approval_planned_ms =
+            used_ms(request->job->queue, now);
+    }
+    for (size_t i = 0; i < plan->approval_request_count; i++) {
+        struct plan_approval_request *request = &plan->approval_requests[i];
+        struct flow_queue *q = request->job->queue;
+
+        request->order = i;
+        request->used_ms = q->approval_planned_ms;
+        q->approval_planned_ms += request_charge_ms(request);
+    }
+    if (plan->approval_request_count > 1) {
+        qsort(plan->approval_requests, plan->approval_request_count,
+              sizeof(*plan->approval_requests), compare_requests);
+    }
+}
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -118,6 +118,14 @@
     bool configured; /* is part of the current configuration */
     double bias_log; /* leader only: average log of measured over estimated */
     double bias;     /* leader only: exp(bias_log), 0 until observed */
+    /* Leader only: time that the approval service spent on the queue lately,
+     * decayed exponentially, as of approval_used_ns. */
+    double approval_used_ms;
+    int64_t approval_used_ns;
+    /* Planner only: requests of the queue in the current round, and service
+     * time used including them. */
+    size_t approval_planned;
+    double approval_planned_ms;
 };
 
 struct flow_task {
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -69,6 +69,10 @@
     struct flow_step *step;
     uint32_t workers[PLAN_REQUEST_WORKERS_MAX];
     size_t count;
+    /* Sort keys: service time that the queue will have used lately when the
+     * request is sent, and the position in which it was planned. */
+    double used_ms;
+    size_t order;
 };
 
 /* Why tasks of a step that is ready were not placed. */
@@ -105,6 +109,8 @@
     struct plan_start *starts;
     size_t start_count;
     size_t start_cap;
+    /* In the order in which they are to be sent, as far as VMs can take them.
+     * Queues alternate so that they get equal shares of the service's time. */
     struct plan_approval_request *approval_requests;
     size_t approval_request_count;
     size_t approval_request_cap;
@@ -123,8 +129,8 @@
 /* Upper bounds for one planning round. */
 struct plan_limits {
     size_t starts; /* no step is tried once this many tasks are placed */
-    size_t approval_requests;
-    size_t reservations; /* gangs that workers are reserved for */
+    size_t approval_requests; /* of each queue */
+    size_t reservations;      /* gangs that workers are reserved for */
     /* No step is tried once this many worker views were looked at; 0: no
      * limit. Bounds the time of a round whatever the backlog. */
     size_t visits;
@@ -180,6 +186,15 @@
 plan_record_verdict(struct flow_step *step, uint32_t worker, bool approved,
                     struct str ticket, int64_t valid_until_ns);
 
+/* Returns the time that the approval service is expected to spend on the
+ * request. */
+double
+plan_request_cost_ms(const struct plan_approval_request *request);
+
+/* Charges the request, which was sent, to its queue's share of the service. */
+void
+plan_charge_request(const struct plan_approval_request *request, int64_t now);
+
 /*
  * Records that an approval request for the step was sent, and the latest time
  * by which it will be answered or have failed.
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -501,6 +501,7 @@
                             resume > 0 ? limits->visits / 2 : limits->visits);
     next = place_candidates(&r, next < resume ? resume : next, limits->visits);
     record_resume_point(&r, next);
+    sort_approval_requests(plan, now);
     round_destroy(&r);
 }
 
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -201,10 +201,17 @@
 report_waiting(struct plan_round *r, const struct candidate *c,
                bool team_limited, uint32_t missing, int64_t fit_ns);
 
+/* Defined in approval_share.c. */
+
+/* Sorts the plan's approval requests so that queues get equal shares of the
+ * service's time, and ends the count of requests by queue. */
+void
+sort_approval_requests(struct plan *plan, int64_t now);
+
 /* Defined in approval_request.c. */
 
 /* Reports whether the step may request approval now: the round may make more
- * requests, and the step has none open. */
+ * requests of its queue, and the step has none open. */
 bool
 request_is_possible(const struct plan_round *r, const struct candidate *c);
 
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -291,6 +291,8 @@
 void
 metrics_approval(struct metrics *m, int64_t took_ns);
 void
+metrics_approval_sent(struct metrics *m, uint32_t priority, int64_t cost_ms);
+void
 metrics_plan(struct metrics *m, int64_t took_ns);
 
 /* Responds to a scrape with the current values. */
--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -140,8 +140,7 @@
         a->workers[a->count++] = request->workers[i];
         names[ask.n_workers++] = (char *)w->id.ptr;
     }
-    a->cost_ms = q->approval_ms +
-                 (int64_t)request->count * q->approval_worker_us / 1000;
+    a->cost_ms = (int64_t)plan_request_cost_ms(request);
     ask.id = a->id;
     ask.job = a->task.job;
     ask.occurrence = a->task.occurrence;
@@ -152,6 +151,8 @@
     a->deadline =
         l->node->now + (ask.timeout_ms + ANSWER_TIMEOUT_MS) * NS_PER_MS;
     plan_record_request(request->step, a->deadline);
+    plan_charge_request(request, l->node->now);
+    metrics_approval_sent(l->node->metrics, q->priority, a->cost_ms);
     map_put_u64(l->approvals, a->id, a);
     link->open_approvals++;
     link->approvals_expected_ms += a->cost_ms;
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -15,12 +15,17 @@
     OUTCOME_COUNT = NODE__OUTCOME__NOT_LEADER + 1,
     CALL_KIND_COUNT = NODE_CALL_POLL + 1,
     RUN_END_COUNT = FLOW_END_NOT_STARTED + 1,
+    /* Priorities of queues that are told apart; the last one counts for all
+     * less urgent ones. */
+    PRIORITY_COUNT = 6,
 };
 
 struct metrics {
     struct counter *calls[OUTCOME_COUNT];
     struct counter *worker_calls[CALL_KIND_COUNT][UPSTREAM_FAILURE_COUNT];
     struct counter *ends[RUN_END_COUNT];
+    struct counter *approval_requests[PRIORITY_COUNT];
+    struct counter *approval_service_ms[PRIORITY_COUNT];
     struct counter *starts;
     struct counter *strays;
     struct histogram *call_ms;
@@ -81,6 +86,18 @@
                                    "Ends of runs that the leader recorded.",
                                    "how=\"%s\"", run_end_names[i]);
     }
+    for (unsigned i = 0; i < PRIORITY_COUNT; i++) {
+        const char *above = i == PRIORITY_COUNT - 1 ? "+" : "";
+
+        m->approval_requests[i] =
+            create_series("guavarock_approval_requests_total",
+                          "Requests that the leader sent for approval.",
+                          "priority=\"%u%s\"", i, above);
+        m->approval_service_ms[i] =
+            create_series("guavarock_approval_service_ms_total",
+                          "Expected time of the approval service for these.",
+                          "priority=\"%u%s\"", i, above);
+    }
     m->starts = counter_get(COUNTER_SUM, "guavarock_run_starts_total",
                             "Runs that the leader decided to start.");
     m->strays = counter_get(COUNTER_SUM, "guavarock_stray_runs_total",
@@ -164,6 +181,15 @@
     histogram_observe(m->approval_ms, took_ns);
 }
 
+void
+metrics_approval_sent(struct metrics *m, uint32_t priority, int64_t cost_ms)
+{
+    size_t i = priority < PRIORITY_COUNT ? priority : PRIORITY_COUNT - 1;
+
+    counter_add(m->approval_requests[i], 1);
+    counter_add(m->approval_service_ms[i], (uint64_t)cost_ms);
+}
+
 void
 metrics_plan(struct metrics *m, int64_t took_ns)
 {
--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -478,6 +478,7 @@
         (int64_t)in->count * q->approval_worker_us / 1000;
     a->answer_ms = sim->vm_free_at_ms[best] + 6;
     plan_record_request(in->step, INT64_MAX);
+    plan_charge_request(in, sim->now_ms * NS_PER_MS);
 }
 
 /* Records the first violation of an invariant. */
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -263,6 +263,99 @@
     flow_fixture_free(&f);
 }
 
+/*
+ * The requests of one queue must not take all of the approval service's time.
+ * Load: an urgent queue of gangs waits with requests of 1 s, more than all VMs
+ * can make, and a less urgent queue with requests of 100 ms.
+ */
+static void
+approval_shares(void)
+{
+    enum {
+        JOBS = 20, /* of each queue */
+        VMS = 4,
+        ROUND_MS = 20,
+        ROUNDS = 500,
+    };
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_queue queues[2];
+    struct flow_queue *configured_queue = NULL;
+    struct flow_job *jobs[2][JOBS];
+    int64_t vm_free_ms[VMS] = {0};
+    double used_ms[2] = {0};
+
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", true, 0);
+    flow_fixture_add_worker(&f, "a", 1, 4000);
+    for (uint64_t i = 0; i < (uint64_t)2 * JOBS; i++) {
+        struct flow_job *j = submit_job(&f, i + 1, 2, 1000, i % 2 == 0);
+
+        configured_queue = j->queue;
+        if (i < 2) {
+            queues[i] = *configured_queue;
+            queues[i].priority = (uint32_t)i;
+            queues[i].approval_ms = i == 0 ? 1000 : 100;
+        }
+        j->queue = &queues[i % 2];
+        jobs[i % 2][i / 2] = j;
+    }
+    for (int64_t i = 0; i < ROUNDS; i++) {
+        int64_t now_ms = i * ROUND_MS;
+        size_t vm = 0;
+
+        plan_make(f.state, NOW_NS + now_ms * NS_PER_MS, &limits, &plan);
+        for (size_t k = 0; k < plan.approval_request_count; k++) {
+            struct plan_approval_request *request = &plan.approval_requests[k];
+
+            while (vm < VMS && vm_free_ms[vm] > now_ms) {
+                vm++;
+            }
+            if (vm == VMS) {
+                break;
+            }
+            vm_free_ms[vm] = now_ms + (int64_t)plan_request_cost_ms(request);
+            used_ms[request->job->queue == &queues[1]] +=
+                plan_request_cost_ms(request);
+            plan_charge_request(request, NOW_NS + now_ms * NS_PER_MS);
+        }
+    }
+    /* Both wait all the time, so each gets half, give or take a request for
+     * each VM. */
+    g_assert_cmpfloat(used_ms[1], >, 0.4 * VMS * ROUNDS * ROUND_MS);
+    g_assert_cmpfloat(used_ms[0], >, 0.4 * VMS * ROUNDS * ROUND_MS);
+    for (size_t i = 0; i < JOBS; i++) {
+        jobs[0][i]->queue = configured_queue;
+        jobs[1][i]->queue = configured_queue;
+    }
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
+/* Approval times of 0 and of days must neither let a queue take all of the
+ * service nor keep it from it for good. */
+static void
+approval_share_bounds(void)
+{
+    struct flow_queue queues[2] = {
+        {.approval_ms = 0},
+        {.approval_ms = UINT32_MAX, .approval_worker_us = UINT32_MAX}};
+    struct flow_job jobs[2] = {{.queue = &queues[0]}, {.queue = &queues[1]}};
+    struct plan_approval_request requests[2] = {{.job = &jobs[0], .count = 1},
+                                                {.job = &jobs[1], .count = 1}};
+
+    for (int i = 0; i < 2; i++) {
+        plan_charge_request(&requests[i], NOW_NS);
+        g_assert_cmpfloat(queues[i].approval_used_ms, >, 0);
+    }
+    /* The last one is no more than another queue uses in 20 s. */
+    plan_charge_request(&requests[1], NOW_NS + 20 * NS_PER_S);
+    queues[1].approval_ms = 0;
+    queues[1].approval_worker_us = 0;
+    plan_charge_request(&requests[1], NOW_NS + 40 * NS_PER_S);
+    g_assert_cmpfloat(queues[1].approval_used_ms, <, 2);
+}
+
 /* Smaller jobs of a team must not starve a gang that waits for the team's
  * limit: they must not take what becomes free below the limit. */
 static void
@@ -642,6 +735,8 @@
     g_test_add_func("/plan/approval", approval);
     g_test_add_func("/plan/gang-tickets", gang_tickets);
     g_test_add_func("/plan/gang-calls", gang_calls);
+    g_test_add_func("/plan/approval-shares", approval_shares);
+    g_test_add_func("/plan/approval-share-bounds", approval_share_bounds);
     g_test_add_func("/plan/gang-team-limit", gang_team_limit);
     g_test_add_func("/plan/late-order", late_order);
     g_test_add_func("/plan/wait-reasons", wait_reasons);
