flow: the objective allows for a whole approval request

The critical path counted the fixed time of an approval request, not the time for each worker that it names. Of a queue whose requests take 0.7 s and 10 ms a worker, jobs counted as late, and later as of no use, while their callers could still be served in time.

Each step of the path now includes one request that names 30 workers. The new test has a step that is in time by this measure and was late by the old one. plan_approval_ms replaces the two computations of a request's time.

--- a/packages/flow/approval_share.c
+++ b/packages/flow/approval_share.c
@@ -24,20 +24,20 @@
     CHARGE_MAX_MS = 10000,
 };
 
-double
-plan_request_cost_ms(const struct plan_approval_request *request)
+int64_t
+plan_approval_ms(const struct flow_queue *q, size_t workers)
 {
-    const struct flow_queue *q = request->job->queue;
-
-    return q->approval_ms +
-           (double)request->count * q->approval_worker_us / 1000;
+    return q->approval_ms + (int64_t)workers * q->approval_worker_us / 1000;
 }
 
 static double
 request_charge_ms(const struct plan_approval_request *request)
 {
-    return fmin(fmax(plan_request_cost_ms(request), CHARGE_MIN_MS),
-                CHARGE_MAX_MS);
+    int64_t ms = plan_approval_ms(request->job->queue, request->count);
+
+    return ms < CHARGE_MIN_MS   ? CHARGE_MIN_MS
+           : ms > CHARGE_MAX_MS ? CHARGE_MAX_MS
+                                : (double)ms;
 }
 
 /* Returns the service time that the queue used lately. */
--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -34,7 +34,9 @@
         }
     }
     return longest + j->spec->steps[step]->estimate_ms +
-           (j->queue->needs_approval ? j->queue->approval_ms : 0);
+           (j->queue->needs_approval
+                ? plan_approval_ms(j->queue, PLAN_OBJECTIVE_WORKERS)
+                : 0);
 }
 
 /* Fills out[i] for each step and returns the length of the critical path.
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -95,7 +95,8 @@
 
 /*
  * A queue of jobs. A job's objective is the estimated time of its critical
- * path times stretch, plus latency_target_ms.
+ * path times stretch, plus latency_target_ms. With needs_approval, the path
+ * includes one approval request for each step.
  */
 struct flow_queue {
     struct str name;
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -15,6 +15,9 @@
     PLAN_TICKET_BYTES = 64, /* including the terminating NUL */
     PLAN_REQUEST_WORKERS_MAX =
         100, /* workers that one approval request may name */
+    /* Workers of the one approval request that the objective of a job allows
+     * for in each step. */
+    PLAN_OBJECTIVE_WORKERS = 30,
 };
 
 /* The approval service's answer on whether a step may run on a worker. */
@@ -186,10 +189,10 @@
 plan_record_verdict(struct flow_step *step, uint32_t worker, bool approved,
                     struct str ticket, int64_t valid_until_ns);
 
-/* Returns the time that the approval service is expected to spend on the
- * request. */
-double
-plan_request_cost_ms(const struct plan_approval_request *request);
+/* Returns the time in ms that the approval service is expected to spend on a
+ * request of the queue that names so many workers. */
+int64_t
+plan_approval_ms(const struct flow_queue *q, size_t workers);
 
 /* Charges the request, which was sent, to its queue's share of the service. */
 void
--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -140,7 +140,7 @@
         a->workers[a->count++] = request->workers[i];
         names[ask.n_workers++] = (char *)w->id.ptr;
     }
-    a->cost_ms = (int64_t)plan_request_cost_ms(request);
+    a->cost_ms = plan_approval_ms(q, request->count);
     ask.id = a->id;
     ask.job = a->task.job;
     ask.occurrence = a->task.occurrence;
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -314,9 +314,10 @@
             if (vm == VMS) {
                 break;
             }
-            vm_free_ms[vm] = now_ms + (int64_t)plan_request_cost_ms(request);
+            vm_free_ms[vm] =
+                now_ms + plan_approval_ms(request->job->queue, request->count);
             used_ms[request->job->queue == &queues[1]] +=
-                plan_request_cost_ms(request);
+                (double)(vm_free_ms[vm] - now_ms);
             plan_charge_request(request, NOW_NS + now_ms * NS_PER_MS);
         }
     }
@@ -332,6 +333,38 @@
     flow_fixture_free(&f);
 }
 
+/* The objective must allow for a whole approval request. Otherwise jobs of a
+ * queue with long requests count as late before they can start. */
+static void
+approval_in_objective(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_queue queue;
+    struct flow_queue *configured_queue;
+    struct flow_job *j;
+
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", true, 0);
+    flow_fixture_add_worker(&f, "a", 1, 4000);
+    j = submit_job(&f, 1, 1, 1000, false);
+    configured_queue = j->queue;
+    queue = *configured_queue;
+    queue.approval_worker_us = 100000;
+    j->queue = &queue;
+    /* The path takes 1000 + 10 + 30 * 100 ms, the objective is twice that and
+     * 1000 ms more: the latest start is after 5010 ms. */
+    plan_make(f.state, NOW_NS + 5009 * NS_PER_MS, &limits, &plan);
+    g_assert_cmpuint(plan.waiting_count, ==, 1);
+    g_assert_cmpint(plan.waiting[0].lateness, ==, 0);
+    plan_make(f.state, NOW_NS + 8000 * NS_PER_MS, &limits, &plan);
+    g_assert_cmpuint(plan.waiting_count, ==, 1);
+    g_assert_cmpint(plan.waiting[0].lateness, ==, 1);
+    j->queue = configured_queue;
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Approval times of 0 and of days must neither let a queue take all of the
  * service nor keep it from it for good. */
 static void
@@ -737,6 +770,7 @@
     g_test_add_func("/plan/gang-calls", gang_calls);
     g_test_add_func("/plan/approval-shares", approval_shares);
     g_test_add_func("/plan/approval-share-bounds", approval_share_bounds);
+    g_test_add_func("/plan/approval-in-objective", approval_in_objective);
     g_test_add_func("/plan/gang-team-limit", gang_team_limit);
     g_test_add_func("/plan/late-order", late_order);
     g_test_add_func("/plan/wait-reasons", wait_reasons);
