--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -96,7 +96,8 @@
 
 /*
  * A queue of jobs. A job's objective is the estimated time of its critical
- * path times stretch, plus latency_target_ms.
+ * path times stretch, plus latency_target_ms. With needs_approval, the path
+ * includes one approval request for each step.
  */
 struct flow_queue {
     struct str name;
@@ -119,6 +120,14 @@
     bool configured; /* is part of the current configuration */
     double bias_log; /* leader only: average log of measured over estimated */
     double bias;     /* leader only: exp(bias_log), 0 until observed */
+    /* Leader only: time that the approval service spent on the queue lately,
+     * decayed exponentially, as of approval_used_ns. */
+    double approval_used_ms;
+    int64_t approval_used_ns;
+    /* Planner only: requests of the queue in the current round, and service
+     * time used including them. */
+    size_t approval_planned;
+    double approval_planned_ms;
 };
 
 struct flow_task {
