--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -87,7 +87,7 @@
     size_t candidate_count;
     size_t candidate_cap;
     size_t candidates_expected; /* number of those of the last round */
-    int64_t *path_ms; /* scratch space for the steps of a job */
+    int64_t *path_ms;           /* scratch space for the steps of a job */
     size_t path_cap;
     size_t reservations; /* gangs that have reserved workers */
     bool releases_collected;
