node: a call to a worker is sent within a second of being queued, or never

Cause: the leader counted on a start having reached the worker's process, or never reaching it, when it released the run.

Change: each call has a send window of 1 s, stated on the clock of the VM that makes it (send_window.c; VMs report their clocks every second) and checked when the connection, which leads to one process, is open. The same holds for the leader's own calls, polls and stops. A worker that deregistered is not lost while a start may still be sent.

--- a/packages/node/include/node.pb-c.h
+++ b/packages/node/include/node.pb-c.h
@@ -40,8 +40,14 @@
 
 typedef enum _Node__Verb {
   NODE__VERB__SUBMIT = 0,
+  /*
+   * of a job or, without an id in the path, of the queue
+   */
   NODE__VERB__STATE = 1,
   NODE__VERB__CANCEL = 2,
+  /*
+   * unused
+   */
   NODE__VERB__PENDING = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(NODE__VERB)
 } Node__Verb;
@@ -72,7 +78,7 @@
 
 
 /*
- * A control VM without membership asks to be added.
+ * Sent by a control VM that is not a member, to be added to the Raft group.
  */
 struct  Node__Join
 {
@@ -87,7 +93,7 @@
 
 
 /*
- * Who leads, as the sender knows it, and where the control VMs are.
+ * The leader that the sender knows and the peer addresses of the members.
  */
 struct  Node__Hint
 {
@@ -103,7 +109,7 @@
 
 
 /*
- * A call of somebody who submits jobs, by the host and path that were used.
+ * A call to the job API; host and path select the queue.
  */
 struct  Node__JobCall
 {
@@ -119,6 +125,10 @@
     , NODE__VERB__SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
 
 
+/*
+ * A periodic announcement of a worker. clock_ms is its clock, -1 if absent.
+ * remaining_ms is set but never read.
+ */
 struct  Node__WorkerBeat
 {
   ProtobufCMessage base;
@@ -175,7 +185,7 @@
   uint32_t retry_after_ms;
   protobuf_c_boolean upkeep_done;
   /*
-   * pending is meant, not job_state
+   * the reply holds pending, not job_state
    */
   protobuf_c_boolean counts;
 };
@@ -185,7 +195,7 @@
 
 
 /*
- * Asks another VM to call the approval service.
+ * A request to another VM to call the approval service.
  */
 struct  Node__Ask
 {
@@ -229,22 +239,25 @@
 
 
 /*
- * Where a process is and whether it may be asked to call workers.
+ * The failure domain of a process, whether it relays calls to workers, and its
+ * clock; sent every second. Earlier versions sent no clock.
  */
 struct  Node__About
 {
   ProtobufCMessage base;
   char *failure_domain;
   protobuf_c_boolean relays;
+  int64_t clock_ns;
 };
 #define NODE__ABOUT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__about__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
- * A call to a worker that another VM makes for the leader; the fields are
- * those of struct node_call.
+ * A call to a worker that another VM makes for the leader; see struct
+ * node_worker_call for the fields. send_by_ns is a time on that VM's clock, see
+ * send_window.h; earlier versions sent none.
  */
 struct  Node__WorkerCall
 {
@@ -262,10 +275,11 @@
   char *ticket;
   uint64_t last_seen;
   uint32_t wait_ms;
+  int64_t send_by_ns;
 };
 #define NODE__WORKER_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__worker_call__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Node__WorkerCalls
@@ -305,8 +319,8 @@
 
 
 /*
- * The fields are those of struct node_result; failure is an enum
- * upstream_failure.
+ * The result of a WorkerCall; see struct node_worker_result for the fields.
+ * failure is an enum upstream_failure.
  */
 struct  Node__WorkerAnswer
 {
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -8,6 +8,7 @@
 #include "plan.h"
 #include "raft.h"
 #include "ring.h"
+#include "send_window.h"
 #include "store.h"
 #include "upstream.h"
 
@@ -26,6 +27,7 @@
     uint64_t cluster_id;
     struct str failure_domain; /* empty: not received yet */
     bool relays;               /* forwards worker calls for the leader */
+    struct vm_clock clock;
     /* The VM is not chosen as a relay until then, after an unanswered call. */
     int64_t relay_avoid_until;
     struct buf worker_calls;       /* encoded Node__WorkerCalls to send */
@@ -223,8 +225,8 @@
 void
 links_close(struct node *n);
 
-/* Sends this process's failure domain and whether it relays worker calls to
- * all connected processes. */
+/* Sends this process's failure domain, whether it relays worker calls, and its
+ * clock to all connected processes. */
 void
 links_announce(struct node *n);
 void
@@ -331,6 +333,7 @@
     struct str address;
     out_response_fn *on_response;
     bool send_once;   /* as in struct upstream_call */
+    int64_t send_by;  /* end of its send window; 0: none */
     uint64_t id;      /* of a relayed call */
     int64_t deadline; /* of a relayed call */
     /* Set by the creator of the call, as far as it needs them. */
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -71,6 +71,7 @@
 
     about.failure_domain = (char *)n->settings.failure_domain.ptr;
     about.relays = n->drain_until == 0;
+    about.clock_ns = clock_now();
     envelope.msg_case = NODE__ENVELOPE__MSG_ABOUT;
     envelope.about = &about;
     link_send(l, &envelope);
@@ -92,6 +93,7 @@
 {
     str_replace(&from->failure_domain, str_of(about->failure_domain));
     from->relays = about->relays;
+    send_window_record_clock(&from->clock, about->clock_ns, clock_now());
 }
 
 static void
--- a/packages/node/node.pb-c.c
+++ b/packages/node/node.pb-c.c
@@ -1639,7 +1639,7 @@
   (ProtobufCMessageInit) node__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__about__field_descriptors[2] =
+static const ProtobufCFieldDescriptor node__about__field_descriptors[3] =
 {
   {
     "failure_domain",
@@ -1665,15 +1665,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ns",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__About, clock_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__about__field_indices_by_name[] = {
+  2,   /* field[2] = clock_ns */
   0,   /* field[0] = failure_domain */
   1,   /* field[1] = relays */
 };
 static const ProtobufCIntRange node__about__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor node__about__descriptor =
 {
@@ -1683,14 +1696,14 @@
   "Node__About",
   "node",
   sizeof(Node__About),
-  2,
+  3,
   node__about__field_descriptors,
   node__about__field_indices_by_name,
   1,  node__about__number_ranges,
   (ProtobufCMessageInit) node__about__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__worker_call__field_descriptors[13] =
+static const ProtobufCFieldDescriptor node__worker_call__field_descriptors[14] =
 {
   {
     "id",
@@ -1848,6 +1861,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "send_by_ns",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerCall, send_by_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__worker_call__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -1857,6 +1882,7 @@
   11,   /* field[11] = last_seen */
   8,   /* field[8] = lease_until_ms */
   7,   /* field[7] = payload */
+  13,   /* field[13] = send_by_ns */
   6,   /* field[6] = task */
   10,   /* field[10] = ticket */
   5,   /* field[5] = timeout_ms */
@@ -1867,7 +1893,7 @@
 static const ProtobufCIntRange node__worker_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor node__worker_call__descriptor =
 {
@@ -1877,7 +1903,7 @@
   "Node__WorkerCall",
   "node",
   sizeof(Node__WorkerCall),
-  13,
+  14,
   node__worker_call__field_descriptors,
   node__worker_call__field_indices_by_name,
   1,  node__worker_call__number_ranges,
--- a/packages/node/out_calls.c
+++ b/packages/node/out_calls.c
@@ -126,6 +126,7 @@
                                  .headers = &call->http.headers,
                                  .body = buf_str(&call->http.body),
                                  .deadline = deadline,
+                                 .start_by = call->send_by,
                                  .user = call,
                                  .method = call->http.method,
                                  .idempotent = true,
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -15,6 +15,8 @@
     RELAY_ROUND_TRIP_MS = 250,
     /* Interval between checks for calls that the relay did not answer. */
     EXPIRY_SCAN_MS = 100,
+    /* Interval at which a relay reports its clock. */
+    CLOCK_REPORT_MS = 1000,
     /* How long a relay is not chosen after an unanswered call: it may be
      * suspended or partitioned from its workers. */
     AVOID_MS = 3000,
@@ -24,6 +26,7 @@
     struct map *calls; /* unanswered calls of this leader, by id */
     uint64_t last_id;
     int64_t scan_due;
+    int64_t clock_report_due;
 };
 
 static struct event_kind event_relay = {.name = "relay", .per_second = 20};
@@ -125,6 +128,7 @@
     call->deadline = deadline + RELAY_ROUND_TRIP_MS * NS_PER_MS;
     item.id = call->id;
     item.timeout_ms = (uint32_t)((deadline - n->now) / NS_PER_MS);
+    item.send_by_ns = send_window_translate(&via->clock, call->send_by);
     list.calls = items;
     list.n_calls = 1;
     len = node__worker_calls__get_packed_size(&list);
@@ -249,6 +253,10 @@
             }
         }
     }
+    if (n->now >= r->clock_report_due) {
+        r->clock_report_due = n->now + CLOCK_REPORT_MS * NS_PER_MS;
+        links_announce(n);
+    }
     cursor = NULL;
     while ((l = map_next(n->links, &cursor)) != NULL) {
         Node__Envelope envelope = NODE__ENVELOPE__INIT;
@@ -273,8 +281,11 @@
 int64_t
 relay_next_deadline(const struct node *n)
 {
-    return map_count(n->relay->calls) == 0 ? DEADLINE_NONE
-                                           : n->relay->scan_due;
+    const struct relay *r = n->relay;
+
+    return map_count(r->calls) > 0 && r->scan_due < r->clock_report_due
+               ? r->scan_due
+               : r->clock_report_due;
 }
 
 /*
@@ -314,7 +325,8 @@
     while ((l = map_next(n->links, &cursor)) != NULL) {
         uint64_t this_rank;
 
-        if (!l->relays || n->now < l->relay_avoid_until) {
+        if (!l->relays || n->now < l->relay_avoid_until ||
+            !send_window_clock_known(&l->clock, n->now)) {
             continue;
         }
         this_rank = rank_relay(l, w, failures);
@@ -448,14 +460,51 @@
     packed_result_free(&packed);
 }
 
+static void
+log_expired(const struct out_call *call)
+{
+    event_write(&event_relay,
+                "call=%d address=%.*s outcome=not-sent late_ms=%lld",
+                (int)call->call.kind, STR_ARG(call->address),
+                (long long)((clock_now() - call->send_by) / NS_PER_MS));
+}
+
 static void
 forward_result(struct node *n, struct out_call *call,
                enum upstream_failure failure,
                const struct node_worker_result *result)
 {
+    if (failure == UPSTREAM_CANCELLED) {
+        log_expired(call);
+    }
     send_answer(n, call->link, call->requester_id, failure, result);
 }
 
+/* Makes a call for the leader unless its send window has ended, for example
+ * because this process was paused. */
+static void
+make_call(struct node *n, const struct link *from, const Node__WorkerCall *in)
+{
+    const struct node_worker_result empty_result = {.clock_ms = -1,
+                                                    .born_ms = -1};
+    struct out_call *call = mem_zalloc(1, sizeof(*call));
+
+    call->call = call_unpack(in);
+    call->address = str_dup(str_of(in->address));
+    call->on_result = forward_result;
+    call->link = from->id;
+    call->requester_id = in->id;
+    call->send_by = in->send_by_ns;
+    if (call->send_by != 0 && clock_now() >= call->send_by) {
+        forward_result(n, call, UPSTREAM_CANCELLED, &empty_result);
+        out_call_free(call);
+        return;
+    }
+    if (!out_send_worker_call(n, call, n->now + in->timeout_ms * NS_PER_MS)) {
+        send_answer(n, from->id, in->id, UPSTREAM_NO_SLOT, &empty_result);
+    }
+}
+
 void
 relay_handle_calls(struct node *n, struct link *from, struct str bytes)
 {
@@ -468,20 +517,7 @@
         return;
     }
     for (size_t i = 0; i < list->n_calls; i++) {
-        const Node__WorkerCall *in = list->calls[i];
-        struct out_call *call = mem_zalloc(1, sizeof(*call));
-        const struct node_worker_result empty_result = {.clock_ms = -1,
-                                                        .born_ms = -1};
-
-        call->call = call_unpack(in);
-        call->address = str_dup(str_of(in->address));
-        call->on_result = forward_result;
-        call->link = from->id;
-        call->requester_id = in->id;
-        if (!out_send_worker_call(n, call,
-                                  n->now + in->timeout_ms * NS_PER_MS)) {
-            send_answer(n, from->id, in->id, UPSTREAM_NO_SLOT, &empty_result);
-        }
+        make_call(n, from, list->calls[i]);
     }
     node__worker_calls__free_unpacked(list, NULL);
 }
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -78,7 +78,9 @@
     int64_t poll_due;
     int64_t retry_ms;    /* delay after the next failed poll */
     uint32_t open_calls; /* starts and stops */
-    int64_t stop_due;    /* no stop is sent before, after a failed one */
+    /* End of the send window of the last start. */
+    int64_t starts_until;
+    int64_t stop_due; /* no stop is sent before, after a failed one */
     uint64_t announcement_sequence;
     uint64_t proposed_end_number;  /* of the last end proposed */
     uint32_t consecutive_failures; /* of runs of different jobs */
@@ -179,7 +181,7 @@
 /* Sends the call, through a relay if one is available. Returns false and frees
  * the call if it cannot be sent. */
 bool
-worker_call_send(struct leader *l, const struct session *s,
+worker_call_send(struct leader *l, struct session *s,
                  const struct flow_worker *w, struct out_call *call,
                  int64_t deadline);
 
--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -47,12 +47,17 @@
 }
 
 bool
-worker_call_send(struct leader *l, const struct session *s,
+worker_call_send(struct leader *l, struct session *s,
                  const struct flow_worker *w, struct out_call *call,
                  int64_t deadline)
 {
     struct link *via = relay_choose(l->node, w, s->polls_unanswered);
 
+    call->send_by =
+        send_window_end(l->node->now, (int64_t)l->node->settings.lease_max_ms);
+    if (call->call.kind == NODE_CALL_START) {
+        s->starts_until = call->send_by;
+    }
     if (via == NULL) {
         return out_send_worker_call(l->node, call, deadline);
     }
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -321,8 +321,9 @@
     s->retry_ms =
         s->retry_ms * 2 > RETRY_MAX_MS ? RETRY_MAX_MS : s->retry_ms * 2;
     /* A refused connection shows that the process has exited, a broken one
-     * does not. */
-    if (s->deregistered && failure == UPSTREAM_REFUSED) {
+     * does not. A start that may still be sent could reach the next one. */
+    if (s->deregistered && failure == UPSTREAM_REFUSED &&
+        l->node->now >= s->starts_until) {
         session_propose_lost(
             l, s, "deregistered, and its address refuses connections");
     }
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -15,6 +15,7 @@
     CONTROLS = 3,
     JOBS = 24,
     ODD_ANSWERS_MS = 500,
+    RESUMED_MS = 1000,
     PAUSE_MS = 2500, /* longer than the idle timeout of a peer session */
 };
 
@@ -549,6 +550,49 @@
     server_stop(&server);
 }
 
+/* Submits a job whose tasks each take a whole worker, and returns how many
+ * starts of it the paused control VM i has kept from the workers. */
+static int
+run_beside_paused_relay(struct platform_rig *r, int i, int job)
+{
+    static const char body[] =
+        "{\"taskSpec\":\"cpu=4000 ticket=0\",\"steps\":[{\"count\":4,"
+        "\"cpu\":4000,\"memoryRequestMb\":64,\"estimatedMs\":300}]}";
+    int before = count_log_lines(r, "event=relay call=0 worker=");
+
+    proc_signal(r->control[i], SIGSTOP);
+    platform_submit_body(r, job, body);
+    platform_await_completed(r, job);
+    return count_log_lines(r, "event=relay call=0 worker=") - before;
+}
+
+/* Guards against starts that a paused VM sends when it goes on, long after the
+ * leader has counted on them. */
+static void
+paused_relay_sends_no_old_start(void)
+{
+    struct platform_rig r;
+    int kept = 0;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    r.queue = "/plain/";
+    /* Each worker has one of the two followers as its relay. */
+    for (int i = 0; i < CONTROLS; i++) {
+        int starts;
+
+        if (platform_metric(&r, i, "guavarock_leading") == 1) {
+            continue;
+        }
+        kept += run_beside_paused_relay(&r, i, i);
+        starts = platform_fault_count(&r, "starts");
+        proc_signal(r.control[i], SIGCONT);
+        g_usleep(RESUMED_MS * 1000);
+        g_assert_cmpint(platform_fault_count(&r, "starts"), ==, starts);
+    }
+    g_assert_cmpint(kept, >, 0);
+    platform_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -557,6 +601,8 @@
     g_test_add_func("/e2e/platform/worker-killed", worker_killed);
     g_test_add_func("/e2e/platform/relayed", calls_relayed);
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
+    g_test_add_func("/e2e/platform/paused-relay-sends-no-old-start",
+                    paused_relay_sends_no_old_start);
     g_test_add_func("/e2e/platform/refusals", error_statuses);
     g_test_add_func("/e2e/platform/route-replaced", route_replaced);
     g_test_add_func("/e2e/platform/cancelled-before-submitted",
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -8,6 +8,7 @@
 #include "leader_wait.h"
 #include "node.h"
 #include "progress.h"
+#include "send_window.h"
 
 static int64_t
 ms_to_ns(int64_t ms)
@@ -243,6 +244,83 @@
     g_assert_true(approval_vm_can_take(&vm, true, 10));
 }
 
+/* Guards against a window that outlasts the leases that the leader counts
+ * on. */
+static void
+send_window_within_lease(void)
+{
+    int64_t now = ms_to_ns(5000);
+
+    g_assert_cmpint(send_window_end(now, 6000), ==,
+                    now + ms_to_ns(SEND_WINDOW_MS));
+    g_assert_cmpint(send_window_end(now, 2000), ==, now + ms_to_ns(500));
+}
+
+/* What the clock of another VM shows, with its speed in percent. */
+static int64_t
+other_clock(int64_t local, int percent)
+{
+    return ms_to_ns(90000) + local / 100 * percent;
+}
+
+/* Guards against a window that ends later on the clock of the VM that makes
+ * the call than on the leader's. */
+static void
+send_window_on_other_clock(void)
+{
+    enum {
+        DELAY_MS = 40, /* of the report */
+        MARGIN_MS = 300,
+    };
+
+    for (int percent = 99; percent <= 101; percent++) {
+        int64_t sent = ms_to_ns(3000);
+        int64_t received = sent + ms_to_ns(DELAY_MS);
+        struct vm_clock c = {0};
+
+        g_assert_false(send_window_clock_known(&c, received));
+        send_window_record_clock(&c, other_clock(sent, percent), received);
+        for (int ms = 0; ms < 6000; ms += 500) {
+            int64_t local = received + ms_to_ns(ms);
+            int64_t end = send_window_translate(&c, local);
+
+            g_assert_true(send_window_clock_known(&c, local));
+            g_assert_cmpint(end, <=, other_clock(local, percent));
+            g_assert_cmpint(end, >,
+                            other_clock(local, percent) - ms_to_ns(MARGIN_MS));
+        }
+        g_assert_false(
+            send_window_clock_known(&c, received + ms_to_ns(60000)));
+    }
+}
+
+/* Guards against calls that are all taken to be late after one report of the
+ * clock was delayed, and against an old report that is kept for good. */
+static void
+send_window_late_report(void)
+{
+    struct vm_clock c = {0};
+    int64_t received = ms_to_ns(3000);
+    int64_t local = received + ms_to_ns(2000);
+    int64_t end;
+
+    send_window_record_clock(&c, other_clock(received, 100), received);
+    end = send_window_translate(&c, local);
+    send_window_record_clock(&c, other_clock(received, 100),
+                             received + ms_to_ns(900));
+    g_assert_cmpint(send_window_translate(&c, local), ==, end);
+    send_window_record_clock(&c, other_clock(local, 100), local);
+    g_assert_cmpint(send_window_translate(&c, local), ==,
+                    other_clock(local, 100));
+    send_window_record_clock(&c, 0, local);
+    g_assert_true(send_window_clock_known(&c, local));
+    local += ms_to_ns(60000);
+    send_window_record_clock(&c, other_clock(local - ms_to_ns(2000), 100),
+                             local);
+    g_assert_cmpint(send_window_translate(&c, local), ==,
+                    other_clock(local - ms_to_ns(2000), 100));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -255,5 +333,10 @@
     g_test_add_func("/node/settings", settings_validation);
     g_test_add_func("/node/approval-vm/gangs", gangs_get_their_tickets);
     g_test_add_func("/node/approval-vm/short", short_requests_keep_vms);
+    g_test_add_func("/node/send-window/within-lease",
+                    send_window_within_lease);
+    g_test_add_func("/node/send-window/other-clock",
+                    send_window_on_other_clock);
+    g_test_add_func("/node/send-window/late-report", send_window_late_report);
     return g_test_run();
 }
