node: a list of ends that may be cut tells nothing about missing runs

Cause: a run in neither list of a worker's answer was taken not to be there.

Change: the adapter says how many ends an answer can hold, and the leader concludes nothing from an answer with as many. It commits these and polls on, so that the first answer with fewer has every end that is not committed. The stand-in of workers lists 500 ends at a time, as the protocol says.

--- a/packages/node/include/node.h
+++ b/packages/node/include/node.h
@@ -147,6 +147,9 @@
 
 /* Converts between HTTP messages and the types of this package. */
 struct node_adapter {
+    /* A poll is answered with at most this many ends. The others follow once
+     * these are acknowledged. */
+    size_t ended_max;
     /*
      * Decodes an API call. Returns NULL after filling in *response if the call
      * is answered without a request to the leader. Otherwise sets *timeout_ms
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -12,7 +12,8 @@
  * A run whose start was not answered, or was sent by a previous leader, is
  * looked up in the worker's list of runs. A run that is not listed is stopped,
  * after which the worker never starts it. A list requested after the stop then
- * shows whether the run ever ran.
+ * shows whether the run ever ran. A list of ends may be cut: only the one that
+ * holds all ends that are not committed yet shows which runs are missing.
  *
  * A worker may restart under its id. Its new process accepts calls that were
  * meant for the earlier one, also when they arrive late: it has seen no
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -167,14 +167,30 @@
     }
 }
 
-/* Compares the session's runs with those that the worker listed in the answer
- * to a poll sent at sent_at. */
+static bool
+is_listed(const struct node_worker_result *result, const struct run *r)
+{
+    for (size_t i = 0; i < result->running_count; i++) {
+        if (run_key(&result->running[i].task) == run_key(&r->task) &&
+            result->running[i].task.run == r->task.run) {
+            return true;
+        }
+    }
+    for (size_t i = 0; i < result->ended_count; i++) {
+        if (run_key(&result->ended[i].task) == run_key(&r->task) &&
+            result->ended[i].task.run == r->task.run) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Updates the session's runs that the worker listed as running. */
 static void
-reconcile_runs(struct leader *l, struct session *s,
-               const struct node_worker_result *result, int64_t sent_at)
+update_running(struct leader *l, struct session *s,
+               const struct node_worker_result *result)
 {
     struct run *r;
-    void *cursor = NULL;
 
     for (size_t i = 0; i < result->running_count; i++) {
         r = run_find(s, &result->running[i].task);
@@ -188,18 +204,26 @@
         r->end_proposed = false;
         update_progress(l, s, r, &result->running[i]);
     }
-    while ((r = map_next(s->runs, &cursor)) != NULL) {
-        bool listed = false;
+}
 
-        for (size_t i = 0; !listed && i < result->running_count; i++) {
-            listed = run_key(&result->running[i].task) == run_key(&r->task) &&
-                     result->running[i].task.run == r->task.run;
-        }
-        for (size_t i = 0; !listed && i < result->ended_count; i++) {
-            listed = run_key(&result->ended[i].task) == run_key(&r->task) &&
-                     result->ended[i].task.run == r->task.run;
-        }
-        if (!listed && sent_at >= r->phase_since) {
+/*
+ * Decides on the session's runs that the worker did not list in the answer to
+ * a poll sent at sent_at. An end that did not fit into the answer is listed
+ * only after those in it are committed, so that nothing follows from an answer
+ * that may not hold all ends.
+ */
+static void
+handle_unlisted_runs(struct leader *l, struct session *s,
+                     const struct node_worker_result *result, int64_t sent_at)
+{
+    struct run *r;
+    void *cursor = NULL;
+
+    if (result->ended_count >= l->node->adapter->ended_max) {
+        return;
+    }
+    while ((r = map_next(s->runs, &cursor)) != NULL) {
+        if (sent_at >= r->phase_since && !is_listed(result, r)) {
             handle_unlisted_run(l, s, r);
         }
     }
@@ -362,7 +386,8 @@
         l->node->now - s->poll_failed_at > RELAY_KEPT_MS * NS_PER_MS) {
         s->polls_unanswered = 0;
     }
-    reconcile_runs(l, s, result, sent_at);
+    update_running(l, s, result);
+    handle_unlisted_runs(l, s, result, sent_at);
     queue_ends(l, s, result, s->settling ? 0 : w->last_seen);
     /* The ends on a restarted worker are not acknowledged, so that a poll does
      * not wait. */
--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -30,6 +30,10 @@
  *
  * Polls of worker W (0) get no answer for N ms.
  *
+ *     /fault/finish {"worker":W}
+ *
+ * All runs of worker W (0) are done at once, the last that started first.
+ *
  *     /fault/stops {"ms":N}
  *
  * Stops take N ms from now on.
@@ -415,6 +419,10 @@
         drop_polls(body);
         answer = json_object();
     }
+    else if (str_eq(call->path, STR("/fault/finish"))) {
+        fake_worker_finish(workers[get_int(body, "worker", 0)].model);
+        answer = json_object();
+    }
     else if (str_eq(call->path, STR("/fault/stops"))) {
         fake_worker_set_stop_ms(get_int(body, "ms", 0));
         answer = json_object();
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -18,6 +18,7 @@
     TICKET_MAX_AGE_MS = 2000,
     WORKERS_MAX = 16,
     RUNS_MAX = 4096, /* of a life */
+    ENDS_PER_LIST = 500,
 };
 
 enum run_state {
@@ -174,6 +175,30 @@
     return worked_ms >= run_ms ? 100 : (int)(worked_ms * 100 / run_ms);
 }
 
+/* Lists the ends that are not acknowledged in their order, as far as they fit
+ * into an answer. */
+static void
+list_ends(const struct fake_worker *w, json_t *finished)
+{
+    const struct run **ends = mem_zalloc(w->run_count + 1, sizeof(*ends));
+
+    for (size_t i = 0; i < w->run_count; i++) {
+        const struct run *r = &w->runs[i];
+
+        if (r->number > w->last_seen &&
+            r->number <= w->last_seen + ENDS_PER_LIST) {
+            ends[r->number - w->last_seen - 1] = r;
+        }
+    }
+    for (size_t i = 0; i < w->run_count && ends[i] != NULL; i++) {
+        json_array_append_new(
+            finished, json_pack("[I,s,I,s,s]", (json_int_t)ends[i]->number,
+                                ends[i]->task, ends[i]->run,
+                                run_end_names[ends[i]->state], ""));
+    }
+    mem_free(ends);
+}
+
 struct fake_reply
 fake_worker_lists(const struct fake_worker *w)
 {
@@ -189,13 +214,8 @@
                                   json_pack("[s,I,s,i,i]", r->task, r->run, "",
                                             percent_done(w, r), 0));
         }
-        else if (r->number > w->last_seen) {
-            json_array_append_new(
-                finished,
-                json_pack("[I,s,I,s,s]", (json_int_t)r->number, r->task,
-                          r->run, run_end_names[r->state], ""));
-        }
     }
+    list_ends(w, finished);
     json_object_set_new(reply.body, "born", json_integer(w->born_ms));
     json_object_set_new(reply.body, "running", running);
     json_object_set_new(reply.body, "finished", finished);
@@ -238,6 +258,16 @@
     }
 }
 
+void
+fake_worker_finish(struct fake_worker *w)
+{
+    for (size_t i = w->run_count; i-- > 0;) {
+        if (w->runs[i].state == RUN_ACTIVE) {
+            end_run(w, &w->runs[i], RUN_DONE);
+        }
+    }
+}
+
 /* Returns the task's run that came last, which has the highest number. */
 static struct run *
 find_latest_run(const struct fake_worker *w, const char *task)
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -77,6 +77,10 @@
 bool
 fake_worker_has_ends(const struct fake_worker *w);
 
+/* Ends all runs as done, the last that started first. */
+void
+fake_worker_finish(struct fake_worker *w);
+
 /* Ends the runs that are due. */
 void
 fake_worker_step(struct fake_worker *w);
--- a/tests/test_e2e_worker_life.c
+++ b/tests/test_e2e_worker_life.c
@@ -14,6 +14,8 @@
     /* Longer than it takes to place a task that a restarted worker lost. */
     LATE_MS = 1500,
     STOP_MS = 2500,
+    /* Their ends fill three answers to polls and more. */
+    MANY_TASKS = 2000,
     /* Job numbers. */
     LATE_JOB = 0,
     OTHER_JOB = 1,
@@ -291,6 +293,30 @@
     g_free(url);
 }
 
+/* Guards against tasks that run again because their ends did not fit into the
+ * next answers of their worker. */
+static void
+many_ends_at_once(void)
+{
+    struct platform_rig r;
+    char *body = g_strdup_printf(
+        "{\"taskSpec\":\"run_ms=60000 cpu=2 ticket=0\",\"steps\":[{"
+        "\"count\":%d,\"cpu\":2,\"memoryRequestMb\":1,"
+        "\"estimatedMs\":60000,\"requirements\":\"b\"}]}",
+        MANY_TASKS);
+    int starts;
+
+    open_rig(&r);
+    restart_worker(&r, 0, "false");
+    starts = platform_fault_count(&r, "starts");
+    platform_submit_body(&r, OTHER_JOB, body);
+    platform_await_fault_count(&r, "starts", starts + MANY_TASKS);
+    platform_fault(&r, "finish", "{\"worker\":0}");
+    platform_await_completed(&r, OTHER_JOB);
+    platform_close(&r);
+    g_free(body);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -315,5 +341,6 @@
                     slow_stop_after_restart);
     g_test_add_func("/e2e/platform/release-beside-stray",
                     release_beside_stray);
+    g_test_add_func("/e2e/platform/many-ends-at-once", many_ends_at_once);
     return g_test_run();
 }
