--- a/packages/node/include/node.pb-c.h
+++ b/packages/node/include/node.pb-c.h
@@ -288,8 +288,9 @@
 
 
 /*
- * The failure domain of a process, whether it relays calls to workers, and
- * whether its build keeps evacuations.
+ * The failure domain of a process, whether it relays calls to workers, whether
+ * its build keeps evacuations, and its clock; sent every second. Earlier
+ * versions sent no clock.
  */
 struct  Node__About
 {
@@ -297,15 +298,17 @@
   char *failure_domain;
   protobuf_c_boolean relays;
   protobuf_c_boolean keeps_evacuations;
+  int64_t clock_ns;
 };
 #define NODE__ABOUT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__about__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
  * A call to a worker that another VM makes for the leader; see struct
- * node_worker_call for the fields.
+ * node_worker_call for the fields. send_by_ns is a time on that VM's clock, see
+ * send_window.h; earlier versions sent none.
  */
 struct  Node__WorkerCall
 {
@@ -323,10 +326,11 @@
   char *ticket;
   uint64_t last_seen;
   uint32_t wait_ms;
+  int64_t send_by_ns;
 };
 #define NODE__WORKER_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__worker_call__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Node__WorkerCalls
