--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -345,14 +345,17 @@
 }
 
 /*
- * Returns whether a step may run on the worker: on every second one of each
- * process, for every second step on the others. The answer for a worker does
- * not depend on the call, and no step depends on a single process.
+ * Returns whether a step may run on the worker: on every second pair of workers
+ * of each process, for every second step on the other pairs. The answer for a
+ * worker does not depend on the call, and no step depends on a single process
+ * or zone.
  */
 static bool
 is_approved(const char *step, const char *id)
 {
-    return (step[strlen(step) - 1] + id[strlen(id) - 1]) % 2 == 0;
+    int pair = (id[strlen(id) - 1] - '0') / 2;
+
+    return (step[strlen(step) - 1] + pair) % 2 == 0;
 }
 
 static json_t *
