--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -345,10 +345,10 @@
 }
 
 /*
- * Returns whether a step may run on the worker: on every second pair of workers
- * of each process, for every second step on the other pairs. The answer for a
- * worker does not depend on the call, and no step depends on a single process
- * or zone.
+ * Returns whether a step may run on the worker: on every second pair of
+ * workers of each process, for every second step on the other pairs. The
+ * answer for a worker does not depend on the call, and no step depends on a
+ * single process or zone.
  */
 static bool
 is_approved(const char *step, const char *id)
