flow: steps report what they wait for

event=waiting told room, team limit and approval apart.

A step now waits for the team's limit, verdicts, the answer to an open call, a ticket, room on its approved workers, workers that are reserved for a gang, or room anywhere, found from its free slots before it reserves any itself. Reports also give the number of verdicts, and a counter by reason and priority counts all of them, as log lines are limited. An answer that approves workers that a call did not name is logged; they were ignored before.

Tests bring about each reason.

--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -82,8 +82,13 @@
 enum plan_wait_reason {
     PLAN_WAIT_NONE, /* all tasks were placed */
     PLAN_WAIT_TEAM_LIMIT,
-    PLAN_WAIT_APPROVAL, /* workers with free capacity lack a valid ticket */
-    PLAN_WAIT_CAPACITY, /* no suitable worker has enough free capacity */
+    PLAN_WAIT_VERDICT,  /* too few workers are known to be approved */
+    PLAN_WAIT_RESPONSE, /* an approval request is open */
+    PLAN_WAIT_TICKET,   /* approved workers have room, but no valid ticket */
+    PLAN_WAIT_APPROVED_FULL, /* others have room, approved workers have none */
+    PLAN_WAIT_RESERVED,      /* workers with room are reserved for a gang */
+    PLAN_WAIT_CAPACITY,      /* no suitable worker has enough free capacity */
+    PLAN_WAIT_REASON_COUNT
 };
 
 /*
@@ -100,6 +105,7 @@
     uint32_t missing; /* unplaced tasks that the team's limit admits */
     int64_t reservation_start_ns; /* of the gang; INT64_MAX: none */
     uint32_t approved;            /* workers that are known to be approved */
+    uint32_t verdicts;            /* workers that the service answered for */
     int lateness; /* 0: in time, 1: late, 2: too late to be of use */
 };
 
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -396,6 +396,7 @@
     bool team_limited = false;
     int64_t fit_ns = INT64_MAX;
     uint32_t missing;
+    enum plan_wait_reason reason;
 
     r->visits++;
     if (is_hopeless(r, c)) {
@@ -407,6 +408,9 @@
     }
     else {
         missing = place_gang(r, c, &team_limited);
+    }
+    reason = find_wait_reason(r, c, team_limited, missing);
+    if (c->step->spec->gang) {
         if (missing > 0 && !team_limited) {
             fit_ns = reserve_gang(r, c);
         }
@@ -417,7 +421,7 @@
     if (missing > 0 && !team_limited && c->job->queue->needs_approval) {
         request_approval(r, c, missing, fit_ns);
     }
-    report_waiting(r, c, team_limited, missing, fit_ns);
+    report_waiting(r, c, reason, missing, fit_ns);
     set_view_verdicts(r, c, false);
 }
 
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -195,11 +195,18 @@
 bool
 is_wait_report_due(const struct plan_round *r, const struct candidate *c);
 
+/* Returns why the step waits, with tasks that were not placed, or its last
+ * reported reason if no report is due. To be called before the step reserves
+ * workers for itself. */
+enum plan_wait_reason
+find_wait_reason(struct plan_round *r, const struct candidate *c,
+                 bool team_limited, uint32_t missing);
+
 /* Adds a report on the step to the plan if its reason to wait is new or was
  * reported some time ago. */
 void
 report_waiting(struct plan_round *r, const struct candidate *c,
-               bool team_limited, uint32_t missing, int64_t fit_ns);
+               enum plan_wait_reason reason, uint32_t missing, int64_t fit_ns);
 
 /* Defined in approval_share.c. */
 
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -290,6 +290,11 @@
 metrics_commit(struct metrics *m, int64_t took_ns);
 void
 metrics_approval(struct metrics *m, int64_t took_ns);
+/* Counts a report on a step that waits, and names its reason. */
+void
+metrics_waiting(struct metrics *m, const struct plan_wait_report *report);
+const char *
+metrics_wait_reason_name(enum plan_wait_reason reason);
 void
 metrics_approval_sent(struct metrics *m, uint32_t priority, int64_t cost_ms);
 void
--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -230,6 +230,22 @@
     return NULL;
 }
 
+/* Returns how many workers of the request the answer approves. It may name
+ * others, which are ignored. */
+static size_t
+count_asked(const struct leader *l, const struct approval_request *a,
+            const Node__Answer *answer)
+{
+    size_t n = 0;
+
+    for (size_t i = 0; i < a->count; i++) {
+        const struct flow_worker *w = flow_worker(l->state, a->workers[i]);
+
+        n += w != NULL && find_ticket(answer, w->id) != NULL;
+    }
+    return n;
+}
+
 void
 leader_handle_approval(struct leader *l, const Node__Answer *answer,
                        uint64_t from)
@@ -246,6 +262,12 @@
         return;
     }
     log_approval_result(l, a, answer->n_approved, "answered");
+    if (count_asked(l, a, answer) < answer->n_approved) {
+        event_write(&event_approval,
+                    "job=%016llx step=%u.%u link=%llu outcome=unasked-workers",
+                    (unsigned long long)a->task.job, a->task.occurrence,
+                    a->task.step, (unsigned long long)a->link);
+    }
     metrics_approval(l->node->metrics, l->node->now - a->sent);
     valid_until_ns =
         l->node->now + ((int64_t)a->ticket_ms - TICKET_MARGIN_MS) * NS_PER_MS;
@@ -339,22 +361,6 @@
     return ended + (pause > min_pause ? pause : min_pause);
 }
 
-static const char *
-wait_reason_name(enum plan_wait_reason reason)
-{
-    switch (reason) {
-    case PLAN_WAIT_NONE:
-        return "none";
-    case PLAN_WAIT_TEAM_LIMIT:
-        return "team-limit";
-    case PLAN_WAIT_APPROVAL:
-        return "approval";
-    case PLAN_WAIT_CAPACITY:
-        return "room";
-    }
-    return "none";
-}
-
 static void
 log_waiting(const struct leader *l, const struct plan_wait_report *report)
 {
@@ -365,20 +371,20 @@
     event_write(
         &event_waiting,
         "job=%016llx step=%u.%zu reason=%s waited_ms=%lld late=%d "
-        "fits_in_ms=%lld approved=%u tasks=%u "
+        "fits_in_ms=%lld verdicts=%u approved=%u tasks=%u "
         "cpu=%llu gang=%d team=%.*s team_cpu=%llu team_cpu_limit=%llu "
         "team_memory=%llu team_memory_limit=%llu",
         (unsigned long long)j->id, report->occurrence->number,
         (size_t)(report->step - report->occurrence->steps),
-        wait_reason_name(report->reason), (long long)waited_ms,
+        metrics_wait_reason_name(report->reason), (long long)waited_ms,
         report->lateness,
         report->reservation_start_ns == INT64_MAX
             ? -1LL
             : (long long)((report->reservation_start_ns - l->node->now) /
                           NS_PER_MS),
-        report->approved, report->missing, (unsigned long long)size.cpu_milli,
-        report->step->spec->gang, STR_ARG(j->team->name),
-        (unsigned long long)j->team->used.cpu_milli,
+        report->verdicts, report->approved, report->missing,
+        (unsigned long long)size.cpu_milli, report->step->spec->gang,
+        STR_ARG(j->team->name), (unsigned long long)j->team->used.cpu_milli,
         (unsigned long long)j->team->limit.cpu_milli,
         (unsigned long long)j->team->used.memory_mib,
         (unsigned long long)j->team->limit.memory_mib);
@@ -405,6 +411,7 @@
     metrics_plan(l->node->metrics, clock_now() - began);
     for (size_t i = 0; i < l->plan.waiting_count; i++) {
         log_waiting(l, &l->plan.waiting[i]);
+        metrics_waiting(l->node->metrics, &l->plan.waiting[i]);
     }
     for (size_t i = 0; i < l->plan.approval_request_count; i++) {
         bool long_request = approval_vm_is_long(
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -24,6 +24,7 @@
     struct counter *calls[OUTCOME_COUNT];
     struct counter *worker_calls[CALL_KIND_COUNT][UPSTREAM_FAILURE_COUNT];
     struct counter *ends[RUN_END_COUNT];
+    struct counter *waiting[PLAN_WAIT_REASON_COUNT][PRIORITY_COUNT];
     struct counter *approval_requests[PRIORITY_COUNT];
     struct counter *approval_service_ms[PRIORITY_COUNT];
     struct counter *starts;
@@ -44,6 +45,10 @@
     "",       "done",   "failed",     "stopped",
     "lapsed", "broken", "incomplete", "never"};
 
+static const char *const wait_reason_names[PLAN_WAIT_REASON_COUNT] = {
+    "none",          "team-limit",    "no-verdict", "call-open",
+    "ticket-lapsed", "approved-full", "reserved",   "room"};
+
 /* labels is a printf format for the text between the braces. */
 static struct counter *
 create_series(const char *name, const char *help, const char *labels, ...)
@@ -89,6 +94,13 @@
     for (unsigned i = 0; i < PRIORITY_COUNT; i++) {
         const char *above = i == PRIORITY_COUNT - 1 ? "+" : "";
 
+        for (int k = PLAN_WAIT_NONE + 1; k < PLAN_WAIT_REASON_COUNT; k++) {
+            m->waiting[k][i] = create_series(
+                "guavarock_waiting_reports_total",
+                "Reports, 2 s apart, on steps that wait for over a second.",
+                "reason=\"%s\",priority=\"%u%s\"", wait_reason_names[k], i,
+                above);
+        }
         m->approval_requests[i] =
             create_series("guavarock_approval_requests_total",
                           "Requests that the leader sent for approval.",
@@ -181,10 +193,32 @@
     histogram_observe(m->approval_ms, took_ns);
 }
 
+static size_t
+priority_index(uint32_t priority)
+{
+    return priority < PRIORITY_COUNT ? priority : PRIORITY_COUNT - 1;
+}
+
+const char *
+metrics_wait_reason_name(enum plan_wait_reason reason)
+{
+    return wait_reason_names[reason];
+}
+
+void
+metrics_waiting(struct metrics *m, const struct plan_wait_report *report)
+{
+    size_t i = priority_index(report->job->queue->priority);
+
+    if (report->reason != PLAN_WAIT_NONE) {
+        counter_add(m->waiting[report->reason][i], 1);
+    }
+}
+
 void
 metrics_approval_sent(struct metrics *m, uint32_t priority, int64_t cost_ms)
 {
-    size_t i = priority < PRIORITY_COUNT ? priority : PRIORITY_COUNT - 1;
+    size_t i = priority_index(priority);
 
     counter_add(m->approval_requests[i], 1);
     counter_add(m->approval_service_ms[i], (uint64_t)cost_ms);
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -491,6 +491,86 @@
     flow_fixture_free(&f);
 }
 
+/* Runs a round and returns the reason that it reports for the step. */
+static enum plan_wait_reason
+reported_reason(struct flow_fixture *f, const struct flow_step *step,
+                int64_t now)
+{
+    struct plan plan = {0};
+    enum plan_wait_reason reason = PLAN_WAIT_NONE;
+
+    plan_make(f->state, now, &limits, &plan);
+    for (size_t i = 0; i < plan.waiting_count; i++) {
+        if (plan.waiting[i].step == step) {
+            reason = plan.waiting[i].reason;
+        }
+    }
+    plan_free(&plan);
+    return reason;
+}
+
+/* A step that needs approval must be reported with what it lacks: each case
+ * has another cause, and an operator another thing to do. */
+static void
+approval_wait_reasons(void)
+{
+    struct flow_fixture f;
+    struct flow_step *step;
+    uint32_t a;
+    uint32_t b;
+    int64_t now = NOW_NS;
+
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", true, 0);
+    a = flow_fixture_add_worker(&f, "a", 1, 4000);
+    b = flow_fixture_add_worker(&f, "b", 1, 4000);
+    step = submit_job(&f, 1, 1, 1000, false)->occurrences[0].steps;
+    submit_job(&f, 2, 2, 4000, false);
+    now += 2 * NS_PER_S;
+    g_assert_cmpint(reported_reason(&f, step, now), ==, PLAN_WAIT_VERDICT);
+    plan_record_request(step, now + 3 * NS_PER_S);
+    now += 2 * NS_PER_S;
+    g_assert_cmpint(reported_reason(&f, step, now), ==, PLAN_WAIT_RESPONSE);
+    plan_record_response(step);
+    plan_record_verdict(step, a, true, STR("ticket"), now);
+    now += 2 * NS_PER_S;
+    g_assert_cmpint(reported_reason(&f, step, now), ==, PLAN_WAIT_TICKET);
+    flow_fixture_start_run(&f, 2, 0, 0, 1, a);
+    now += 2 * NS_PER_S;
+    g_assert_cmpint(reported_reason(&f, step, now), ==,
+                    PLAN_WAIT_APPROVED_FULL);
+    flow_fixture_start_run(&f, 2, 0, 1, 1, b);
+    now += 2 * NS_PER_S;
+    g_assert_cmpint(reported_reason(&f, step, now), ==, PLAN_WAIT_CAPACITY);
+    flow_fixture_free(&f);
+}
+
+/* A task that a gang's reservation keeps off must not be reported as waiting
+ * for room, nor the gang as waiting for its own reservation. */
+static void
+reserved_wait_reason(void)
+{
+    struct flow_fixture f;
+    struct flow_job *gang;
+    struct flow_job *small;
+    int64_t now = NOW_NS + 2 * NS_PER_S;
+
+    flow_fixture_init(&f);
+    flow_fixture_add_worker(&f, "a", 1, 4000);
+    submit_job(&f, 1, 1, 2000, false);
+    flow_fixture_start_run(&f, 1, 0, 0, 1, 1);
+    gang = submit_job(&f, 2, 2, 2000, true);
+    gang->spec->steps[0]->estimate_ms = 5000;
+    small = submit_job(&f, 3, 1, 1000, false);
+    small->spec->steps[0]->estimate_ms = 60000;
+    g_assert_cmpint(reported_reason(&f, gang->occurrences[0].steps, now), ==,
+                    PLAN_WAIT_CAPACITY);
+    now += 2 * NS_PER_S;
+    g_assert_cmpint(reported_reason(&f, small->occurrences[0].steps, now), ==,
+                    PLAN_WAIT_RESERVED);
+    flow_fixture_free(&f);
+}
+
 /* Best-effort tasks must not be placed beside tasks with a tail-latency
  * target, whose latency they would raise. */
 static void
@@ -774,6 +854,8 @@
     g_test_add_func("/plan/gang-team-limit", gang_team_limit);
     g_test_add_func("/plan/late-order", late_order);
     g_test_add_func("/plan/wait-reasons", wait_reasons);
+    g_test_add_func("/plan/wait-reasons/approval", approval_wait_reasons);
+    g_test_add_func("/plan/wait-reasons/reserved", reserved_wait_reason);
     g_test_add_func("/plan/unfit-workers", unfit_workers);
     g_test_add_func("/plan/serving-apart", serving_apart);
     g_test_add_func("/plan/load/echeverria", echeverria);
