bench: a fleet that is offered about all of its room

Cause: no simulated load of bench_flow fills the fleet with gangs, so that the order under a backlog can't be compared.

--- a/bench/bench_flow.c
+++ b/bench/bench_flow.c
@@ -1,13 +1,14 @@
 /*
  * Measures the workflow planner under the simulated loads of flow_world.h:
  *
- *     bench_flow [SEEDS [FACTOR [SLOW_SHARE [LOST_SHARE [grown|large]]]]]
+ *     bench_flow [SEEDS [FACTOR [SLOW_SHARE [LOST_SHARE [grown|full|large]]]]]
  *
  * SEEDS      number of simulations of each load, with the seeds 1 to SEEDS
  * FACTOR     factor on the arrival rates
  * SLOW_SHARE share of the workers that are six times slower for 8 s
  * LOST_SHARE share of the workers that are lost for good
  * grown      simulate only the expected future load of the first site
+ * full       simulate only a fleet that is offered about all of its room
  * large      simulate only 1,100 workers, with rounds that take their time
  *
  * The figures are means over the seeds: the share of the value of all jobs
@@ -96,6 +97,11 @@
                  lost_share);
         return 0;
     }
+    if (argc > 5 && strcmp(argv[5], "full") == 0) {
+        run_load("full", flow_world_full, seeds, factor, slow_share,
+                 lost_share);
+        return 0;
+    }
     if (argc > 5) {
         run_load("grown", flow_world_grown, seeds, factor, slow_share,
                  lost_share);
--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -934,6 +934,42 @@
     config->kinds[2].cpu_milli_max = 7500;
 }
 
+void
+flow_world_full(struct flow_world_config *config, uint64_t seed)
+{
+    flow_world_grown(config, seed);
+    config->worker_cpu_milli = 64000;
+    config->worker_memory_mib = 131072;
+    config->approval_vms = 200;
+    config->reservations = 23;
+    config->kinds[0].jobs_per_second = 3.81;
+    config->kinds[0].cpu_milli = 18000;
+    config->kinds[0].cpu_milli_max = 30000;
+    config->kinds[0].memory_mib = 33000;
+    config->kinds[0].value = 16.3;
+    config->kinds[0].approval_ms = 702;
+    config->kinds[0].approval_worker_us = 10010;
+    config->kinds[1].jobs_per_second = 12.3;
+    config->kinds[1].burst_factor = 1.7;
+    config->kinds[1].cpu_milli = 6900;
+    config->kinds[1].cpu_milli_max = 20000;
+    config->kinds[1].memory_mib = 10000;
+    config->kinds[1].task_ms = 2200;
+    config->kinds[1].task_ms_max = 6000;
+    config->kinds[1].value = 3.14;
+    config->kinds[1].approval_ms = 104;
+    config->kinds[1].approval_worker_us = 1430;
+    config->kinds[2].jobs_per_second = 138;
+    config->kinds[2].cpu_milli = 9900;
+    config->kinds[2].cpu_milli_max = 29000;
+    config->kinds[2].memory_mib = 10000;
+    config->kinds[2].task_ms = 640;
+    config->kinds[2].task_ms_max = 1600;
+    config->kinds[2].value = 0.394;
+    config->kinds[2].approval_ms = 9;
+    config->kinds[2].approval_worker_us = 130;
+}
+
 void
 flow_world_large(struct flow_world_config *config, uint64_t seed)
 {
--- a/tests/support/flow_world.h
+++ b/tests/support/flow_world.h
@@ -103,6 +103,11 @@
 void
 flow_world_grown(struct flow_world_config *config, uint64_t seed);
 
+/* Fills config with the load of a fleet that is offered nine tenths of its room
+ * before a burst, nearly half of it by gangs. */
+void
+flow_world_full(struct flow_world_config *config, uint64_t seed);
+
 /* Fills config with the load of a fleet of 1,100 workers, the planner on 0.6
  * of a processor, and a burst of short jobs. */
 void
