flow: fewer allocations in a planning round

Change: short jobs need no allocation for their critical paths, the list of candidates is allocated once, and the speed of a worker without observations needs no exponential.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -16,6 +16,8 @@
     /* A task past its expected end is expected to run for this further share
      * of its expected run time. */
     OVERDUE_PERCENT = 30,
+    /* Jobs with more steps need an allocation for their critical paths. */
+    SHORT_PATH_STEPS = 16,
 };
 
 /* Returns the estimated time of the longest path that begins with the step.
@@ -130,6 +132,7 @@
 static void
 collect_job(struct plan_round *r, struct flow_job *j)
 {
+    int64_t short_path_ms[SHORT_PATH_STEPS];
     int64_t *path_ms = NULL;
     int64_t objective_ms = 0;
 
@@ -141,14 +144,19 @@
                 continue;
             }
             if (path_ms == NULL) {
-                path_ms = mem_alloc(j->spec->n_steps * sizeof(*path_ms));
+                path_ms =
+                    j->spec->n_steps <= SHORT_PATH_STEPS
+                        ? short_path_ms
+                        : mem_alloc(j->spec->n_steps * sizeof(*path_ms));
                 objective_ms = compute_objective_ms(
                     j, compute_critical_paths_ms(j, path_ms));
             }
             add_candidate(r, j, i, k, path_ms, objective_ms);
         }
     }
-    mem_free(path_ms);
+    if (path_ms != short_path_ms) {
+        mem_free(path_ms);
+    }
 }
 
 int
@@ -273,6 +281,8 @@
 round_collect_candidates(struct plan_round *r)
 {
     collect_workers(r);
+    r->candidate_cap = flow_live_count(r->state) + 1;
+    r->candidates = mem_alloc(r->candidate_cap * sizeof(*r->candidates));
     for (struct flow_job *j = flow_first_live(r->state); j != NULL;
          j = j->next) {
         if (j->state <= FLOW_JOB_RUNNING) {
--- a/packages/flow/run_time.c
+++ b/packages/flow/run_time.c
@@ -35,7 +35,7 @@
 double
 plan_speed(const struct plan_worker *p, int64_t now)
 {
-    return exp(-decayed_slowness_log(p, now));
+    return p->slowness_log == 0 ? 1 : exp(-decayed_slowness_log(p, now));
 }
 
 double
