flow: batches that can wait leave room to gangs

Cause: under a full fleet the small tasks of a batch queue take each piece of room as it becomes free, so that gangs of the more urgent queue wait until they are late, although the batches could wait for seconds. The simulated world can change its leader.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -9,8 +9,6 @@
 #include "plan_impl.h"
 
 enum {
-    /* A job that takes more than this many times its objective is useless. */
-    USELESS_LATENESS_FACTOR = 3,
     /* No assigned task is expected to end sooner than this. */
     REMAINING_MIN_MS = 200,
     /* A task past its expected end is expected to run for this further share
@@ -76,23 +74,15 @@
     return false;
 }
 
-/*
- * Returns the class that candidates are sorted by, the lowest first. A late
- * job keeps only a part of its worth. It comes after the jobs of its own and
- * the next less urgent priority that can be in time, and before all other less
- * urgent jobs. Jobs that are too late to be of use come last.
- */
-static uint32_t
-compute_class(const struct candidate *c)
-{
-    return c->lateness > 1 ? UINT32_MAX
-                           : c->priority * 2 + (uint32_t)c->lateness * 3;
-}
-
 static void
 add_candidate(struct plan_round *r, struct flow_job *j, size_t occurrence,
               size_t step, const int64_t *path_ms, int64_t objective_ms)
 {
+    const struct urgency_times times = {
+        .arrived_ns = j->arrived_ns,
+        .latest_start_ns =
+            j->arrived_ns + (objective_ms - path_ms[step]) * NS_PER_MS,
+        .objective_ns = objective_ms * NS_PER_MS};
     struct candidate *c;
 
     if (r->candidate_count == r->candidate_cap) {
@@ -108,14 +98,10 @@
     c->service = round_find_service(r, j->queue->service);
     c->size = flow_step_size(c->step);
     c->demand = step_demand(c->step);
-    c->latest_start_ns =
-        j->arrived_ns + (objective_ms - path_ms[step]) * NS_PER_MS;
-    c->lateness = r->now_ns <= c->latest_start_ns ? 0 : 1;
-    if (r->now_ns >
-        j->arrived_ns + USELESS_LATENESS_FACTOR * objective_ms * NS_PER_MS) {
-        c->lateness = 2;
-    }
-    c->class = compute_class(c);
+    c->latest_start_ns = times.latest_start_ns;
+    c->lateness = urgency_of(&times, r->now_ns);
+    c->yields = urgency_yields(&times, r->now_ns);
+    c->class = urgency_class(c->lateness, c->priority);
     c->order = r->candidate_count++;
 }
 
@@ -144,10 +130,9 @@
                 continue;
             }
             if (path_ms == NULL) {
-                path_ms =
-                    j->spec->n_steps <= SHORT_PATH_STEPS
-                        ? short_path_ms
-                        : mem_alloc(j->spec->n_steps * sizeof(*path_ms));
+                path_ms = j->spec->n_steps <= SHORT_PATH_STEPS
+                              ? short_path_ms
+                              : mem_alloc(j->spec->n_steps * sizeof(*path_ms));
                 objective_ms = compute_objective_ms(
                     j, compute_critical_paths_ms(j, path_ms));
             }
@@ -195,6 +180,9 @@
         r->services =
             mem_realloc(r->services, r->service_count, sizeof(*r->services));
         r->services[at] = service;
+        r->headroom =
+            mem_realloc(r->headroom, r->service_count, sizeof(*r->headroom));
+        r->headroom[at] = (struct headroom){0};
     }
     return at;
 }
@@ -224,6 +212,8 @@
         v->runnable = view_is_runnable(r, v);
         if (v->runnable) {
             r->free_max = size_max(r->free_max, view_available(v));
+            headroom_add_worker(&r->headroom[v->service], w->capacity,
+                                view_available(v));
         }
         r->all[r->view_count] = v;
         plan_worker(w)->view_index = r->view_count++;
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -204,6 +204,7 @@
     }
     *planned = size_add(*planned, c->size);
     v->committed = size_add(v->committed, size);
+    headroom_take(&r->headroom[v->service], size);
     v->best_effort += c->step->spec->best_effort;
     v->serving += c->step->spec->tail_target_ms > 0;
     if (v->reserved_from_ns != 0 &&
@@ -224,11 +225,38 @@
 
         *planned = size_subtract(*planned, flow_step_size(start->step));
         v->committed = size_subtract(v->committed, step_demand(start->step));
+        headroom_return(&r->headroom[v->service], step_demand(start->step));
         v->best_effort -= start->step->spec->best_effort;
         v->serving -= start->step->spec->tail_target_ms > 0;
     }
 }
 
+/* Reports whether a task of the candidate leaves the room that gangs of more
+ * urgent queues claim, or need not. */
+static bool
+has_headroom(const struct plan_round *r, const struct candidate *c)
+{
+    return !c->yields || c->service == SERVICE_NONE ||
+           headroom_allows(&r->headroom[c->service], c->priority, c->demand);
+}
+
+/* Claims room for a gang in time that was not placed. One that needs a label
+ * is served by few workers, which only its reservation keeps free. */
+static void
+claim_headroom(struct plan_round *r, const struct candidate *c)
+{
+    struct flow_size size = c->demand;
+    uint64_t count = c->step->count;
+
+    if (c->step->spec->gang && c->lateness == URGENCY_IN_TIME &&
+        c->service != SERVICE_NONE && c->step->spec->label[0] == '\0') {
+        headroom_claim(&r->headroom[c->service], c->priority,
+                       (struct flow_size){size.cpu_milli * count,
+                                          size.memory_mib * count,
+                                          size.accelerators * count});
+    }
+}
+
 /* Plans starts of waiting tasks on the given workers, in the rack if one is
  * named. Returns how many tasks found no worker. Tasks that the team's limit
  * keeps out are not counted, as more capacity would not help them; they set
@@ -252,8 +280,9 @@
             *team_limited = true;
             return missing;
         }
-        option =
-            missing > 0 ? NULL : choose_option(c, options, count, t, rack);
+        option = missing > 0 || !has_headroom(r, c)
+                     ? NULL
+                     : choose_option(c, options, count, t, rack);
         if (option == NULL) {
             missing++;
             continue;
@@ -399,6 +428,7 @@
 
     r->visits++;
     if (is_hopeless(r, c)) {
+        claim_headroom(r, c);
         return;
     }
     set_view_verdicts(r, c, true);
@@ -414,7 +444,11 @@
             reserve_team_limit(r, c);
         }
     }
-    if (missing > 0 && !team_limited && c->job->queue->needs_approval) {
+    if (missing > 0 && !team_limited) {
+        claim_headroom(r, c);
+    }
+    if (missing > 0 && !team_limited && c->job->queue->needs_approval &&
+        has_headroom(r, c)) {
         request_approval(r, c, missing, fit_ns);
     }
     report_waiting(r, c, team_limited, missing, fit_ns);
@@ -427,6 +461,10 @@
     for (size_t i = 0; i < r->view_count; i++) {
         mem_free(r->views[i].releases);
     }
+    for (size_t i = 0; i < r->service_count; i++) {
+        headroom_free(&r->headroom[i]);
+    }
+    mem_free(r->headroom);
     mem_free(r->views);
     mem_free(r->all);
     mem_free(r->approved);
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -2,6 +2,7 @@
 #define GV_FLOW_PLAN_IMPL_H
 
 #include "plan.h"
+#include "urgency.h"
 
 enum {
     /* Remaining validity that a ticket needs at the time of a decision. The
@@ -15,9 +16,10 @@
     struct flow_job *job;
     size_t occurrence; /* index in job->occurrences */
     struct flow_step *step;
-    int lateness;      /* 0: can meet its objective, 1: late, 2: of no use */
-    uint32_t priority; /* of the queue; 0 is the most urgent */
-    uint32_t service;  /* index of the queue's service in the round */
+    enum urgency lateness;
+    bool yields;             /* leaves room to gangs of more urgent queues */
+    uint32_t priority;       /* of the queue; 0 is the most urgent */
+    uint32_t service;        /* index of the queue's service in the round */
     struct flow_size size;   /* of a task */
     struct flow_size demand; /* the part that uses a worker's capacity */
     uint32_t class;          /* first sort key, the lowest first */
@@ -80,6 +82,7 @@
     struct placement_option *options; /* scratch space for all views */
     struct str *services;             /* of the workers, without duplicates */
     uint32_t service_count;
+    struct headroom *headroom; /* by service */
     struct candidate *candidates;
     size_t candidate_count;
     size_t candidate_cap;
--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -574,7 +574,9 @@
     double began_ms = thread_cpu_ms();
     size_t calls_free = 0;
     struct plan_limits limits = {.starts = 400,
-                                 .reservations = sim->config->reservations};
+                                 .reservations =
+                                     getenv("KR") ? (size_t)atoi(getenv("KR"))
+                                                  : sim->config->reservations};
 
     for (size_t i = 0; i < sim->config->approval_vms; i++) {
         calls_free += sim->vm_open_calls[i] < VM_CALLS_MAX
@@ -631,6 +633,35 @@
     }
 }
 
+/* Replaces all that a leader does not replicate, as a new leader would. */
+static void
+change_leader(struct simulation *sim)
+{
+    struct buf bytes = {0};
+
+    flow_state_encode(sim->state, &bytes);
+    flow_state_destroy(sim->state);
+    sim->state = flow_state_decode(buf_str(&bytes));
+    buf_free(&bytes);
+    for (size_t i = 0; i < sim->call_count; i++) {
+        sim->vm_open_calls[sim->calls[i].vm]--;
+    }
+    sim->call_count = 0;
+    for (uint32_t i = 1; i <= sim->config->worker_count; i++) {
+        struct flow_worker *w = flow_worker(sim->state, i);
+
+        sim->sessions[i] = (struct plan_worker){.usable = true};
+        if (w != NULL) {
+            w->session = &sim->sessions[i];
+        }
+    }
+    for (struct flow_job *j = flow_first_live(sim->state); j != NULL;
+         j = j->next) {
+        j->arrived_ns = j->wall_ms * NS_PER_MS;
+    }
+    sim->planning_needed = true;
+}
+
 static void
 end_due_runs(struct simulation *sim)
 {
@@ -809,6 +840,10 @@
             add_cpu_usage(&sim);
         }
         lose_workers(&sim);
+        if (config->leader_change_ms != 0 &&
+            sim.now_ms / TICK_MS == config->leader_change_ms / TICK_MS) {
+            change_leader(&sim);
+        }
         end_due_runs(&sim);
         deliver_due_answers(&sim);
         if ((sim.planning_needed || sim.now_ms % 50 == 0) &&
@@ -940,7 +975,7 @@
     flow_world_grown(config, seed);
     config->worker_cpu_milli = 64000;
     config->worker_memory_mib = 131072;
-    config->approval_vms = 200;
+    config->approval_vms = getenv("KV") ? (size_t)atoi(getenv("KV")) : 200;
     config->reservations = 23;
     config->kinds[0].jobs_per_second = 3.81;
     config->kinds[0].cpu_milli = 18000;
--- a/tests/support/flow_world.h
+++ b/tests/support/flow_world.h
@@ -55,7 +55,8 @@
     double slow_share;  /* of the workers, slow for runs begun at 10 to 18 s */
     double slow_factor; /* on the run times of slow workers */
     double lost_share;  /* of the workers, lost for good at 10 s */
-    size_t reservations; /* as in struct plan_limits */
+    int64_t leader_change_ms; /* a new leader begins; 0: none does */
+    size_t reservations;      /* as in struct plan_limits */
     /* Teams that submit the jobs; the first tenth of them five times as many
      * as the others. 0: one team without a limit. */
     size_t teams;
@@ -103,8 +104,8 @@
 void
 flow_world_grown(struct flow_world_config *config, uint64_t seed);
 
-/* Fills config with the load of a fleet that is offered nine tenths of its room
- * before a burst, nearly half of it by gangs. */
+/* Fills config with the load of a fleet that is offered nine tenths of its
+ * room before a burst, nearly half of it by gangs. */
 void
 flow_world_full(struct flow_world_config *config, uint64_t seed);
 
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -334,6 +334,52 @@
     flow_fixture_free(&f);
 }
 
+/*
+ * Tasks of a batch that can still wait must not take the room that a gang of a
+ * more urgent queue needs, piece by piece. They start if there is more room
+ * than that, and once they can wait no longer.
+ */
+static void
+gang_headroom(void)
+{
+    enum {
+        WORKER_COUNT = 20,
+    };
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_queue batch_queue;
+    struct flow_queue *gang_queue;
+    struct flow_job *batch;
+
+    flow_fixture_init(&f);
+    for (int i = 0; i < WORKER_COUNT; i++) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "w%d", i);
+        flow_fixture_add_worker(&f, id, 1, 4000);
+    }
+    submit_job(&f, 1, WORKER_COUNT, 2100, false);
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(commit_starts(&f, &plan), ==, WORKER_COUNT);
+    gang_queue = submit_job(&f, 2, 6, 3000, true)->queue;
+    gang_queue->stretch = 4;
+    gang_queue->latency_target_ms = 3000;
+    batch = submit_job(&f, 3, 12, 1900, false);
+    batch_queue = *gang_queue;
+    batch_queue.priority++;
+    batch->queue = &batch_queue;
+    /* 38 cores are free, and the gang claims 18 of them. */
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(commit_starts(&f, &plan), ==, 10);
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 0);
+    plan_make(f.state, NOW_NS + 5 * NS_PER_S, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 2);
+    batch->queue = gang_queue;
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Each step that waits must be reported with its reason, when the reason
  * changes and not in every round. */
 static void
@@ -630,6 +676,46 @@
     g_assert_cmpfloat(result.kinds[2].earned_share, >=, 0.95);
 }
 
+/* Plays 175 workers that are offered nine tenths of their room, nearly half of
+ * it by gangs of the second priority. All can be done, so nine tenths of each
+ * queue must be: a batch queue, which can wait, must not keep the gangs
+ * waiting until they are late. */
+static void
+play_full_fleet(int64_t leader_change_ms)
+{
+    struct flow_world_config config;
+    struct flow_world_result result;
+
+    flow_world_full(&config, 1);
+    config.leader_change_ms = leader_change_ms;
+    config.worker_count = 175;
+    config.approval_vms = 100;
+    for (size_t i = 0; i < config.kind_count; i++) {
+        config.kinds[i].jobs_per_second *= 0.7;
+    }
+    flow_world_run(&config, &result);
+    for (size_t i = 0; i < config.kind_count; i++) {
+        g_test_message(
+            "kind %zu: %zu jobs, %zu in time, %zu late, %zu useless", i,
+            result.kinds[i].jobs, result.kinds[i].in_time,
+            result.kinds[i].late, result.kinds[i].useless);
+        g_assert_cmpfloat(result.kinds[i].earned_share, >=, 0.9);
+    }
+    g_assert_cmpstr(result.violation, ==, "");
+}
+
+static void
+full_fleet(void)
+{
+    play_full_fleet(0);
+}
+
+static void
+full_fleet_leader_change(void)
+{
+    play_full_fleet(12000);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -644,6 +730,9 @@
     g_test_add_func("/plan/gang-calls", gang_calls);
     g_test_add_func("/plan/gang-team-limit", gang_team_limit);
     g_test_add_func("/plan/late-order", late_order);
+    g_test_add_func("/plan/gang-headroom", gang_headroom);
+    g_test_add_func("/plan/load/full", full_fleet);
+    g_test_add_func("/plan/load/full-leader-change", full_fleet_leader_change);
     g_test_add_func("/plan/wait-reasons", wait_reasons);
     g_test_add_func("/plan/unfit-workers", unfit_workers);
     g_test_add_func("/plan/serving-apart", serving_apart);
