--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -645,6 +645,35 @@
     }
 }
 
+/* Replaces all that a leader does not replicate, as a new leader would. */
+static void
+change_leader(struct simulation *sim)
+{
+    struct buf bytes = {0};
+
+    flow_state_encode(sim->state, &bytes);
+    flow_state_destroy(sim->state);
+    sim->state = flow_state_decode(buf_str(&bytes));
+    buf_free(&bytes);
+    for (size_t i = 0; i < sim->call_count; i++) {
+        sim->vm_open_calls[sim->calls[i].vm]--;
+    }
+    sim->call_count = 0;
+    for (uint32_t i = 1; i <= sim->config->worker_count; i++) {
+        struct flow_worker *w = flow_worker(sim->state, i);
+
+        sim->sessions[i] = (struct plan_worker){.usable = true};
+        if (w != NULL) {
+            w->session = &sim->sessions[i];
+        }
+    }
+    for (struct flow_job *j = flow_first_live(sim->state); j != NULL;
+         j = j->next) {
+        j->arrived_ns = j->wall_ms * NS_PER_MS;
+    }
+    sim->planning_needed = true;
+}
+
 static void
 end_due_runs(struct simulation *sim)
 {
@@ -823,6 +852,10 @@
             add_cpu_usage(&sim);
         }
         lose_workers(&sim);
+        if (config->leader_change_ms != 0 &&
+            sim.now_ms / TICK_MS == config->leader_change_ms / TICK_MS) {
+            change_leader(&sim);
+        }
         end_due_runs(&sim);
         deliver_due_answers(&sim);
         if ((sim.planning_needed || sim.now_ms % 50 == 0) &&
