--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -196,16 +196,16 @@
     struct flow_worker *w;
     void *cursor = NULL;
 
-    r->views = mem_zalloc(count, sizeof(*r->views));
-    r->all = mem_zalloc(count, sizeof(struct worker_view *));
-    r->approved = mem_zalloc(count, sizeof(struct worker_view *));
+    r->views = mem_alloc(count * sizeof(*r->views));
+    r->all = mem_alloc(count * sizeof(struct worker_view *));
+    r->approved = mem_alloc(count * sizeof(struct worker_view *));
     while ((w = flow_worker_next(r->state, &cursor)) != NULL) {
         struct worker_view *v = &r->views[r->view_count];
 
         if (plan_worker(w) == NULL) {
             continue;
         }
-        v->worker = w;
+        *v = (struct worker_view){.worker = w};
         v->speed = plan_speed(plan_worker(w), r->now_ns);
         v->committed = size_add(w->used, view_withheld(r, v));
         v->serving = w->serving;
