node: fence off starts under way when a domain is evacuated

A start that a paused VM or a slow connection delays was carried out after the evacuation, until the run was looked up and stopped, 0.9 s and more later. The leader polls the workers of the domain at once with a new token; the worker refuses older ones from then on.

/e2e/platform/evacuated-under-way (the start arrives 0.8 s late): failed 2 of 2 before, passes 3 of 3; /e2e/platform/evacuated passes 3 of 3 (release).

--- a/packages/node/evacuation.c
+++ b/packages/node/evacuation.c
@@ -150,6 +150,21 @@
     propose(l, from, req);
 }
 
+/* Keeps starts that are under way, perhaps in a VM that stands still, out of
+ * the domain. A later leader does so with the tokens of its term. */
+static void
+fence_workers(struct leader *l, struct str domain)
+{
+    const struct flow_worker *w;
+    void *cursor = NULL;
+
+    while ((w = flow_worker_next(l->state, &cursor)) != NULL) {
+        if (str_eq(w->domain, domain)) {
+            workers_fence(l, w);
+        }
+    }
+}
+
 void
 evacuation_answer_committed(struct leader *l, const struct pending_request *p)
 {
@@ -163,6 +178,9 @@
                 : p->active ? "in-force"
                             : "withdrawn");
     l->evacuations->step_due = 0;
+    if (in_force && p->active) {
+        fence_workers(l, p->domain);
+    }
     if (!in_force) {
         request_refuse(l->node, p->from, NODE__OUTCOME__UNAVAILABLE,
                        "the evacuation was changed meanwhile",
--- a/packages/node/leader.h
+++ b/packages/node/leader.h
@@ -128,6 +128,11 @@
 void
 workers_verify(struct leader *l, const struct flow_worker *w);
 
+/* Polls the worker at once with a new token, so that it refuses all calls that
+ * are under way. */
+void
+workers_fence(struct leader *l, const struct flow_worker *w);
+
 /* Keeps the announcement of a later process of the worker and polls it. The
  * process is registered when it has answered and the runs of the earlier one
  * are settled. */
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -293,6 +293,16 @@
     }
 }
 
+void
+workers_fence(struct leader *l, const struct flow_worker *w)
+{
+    struct session *s = worker_session(w);
+
+    if (s != NULL) {
+        abandon_calls(l, s);
+    }
+}
+
 void
 session_restart(struct leader *l, struct session *s, int64_t born_ms)
 {
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -159,6 +159,31 @@
     platform_close(&r);
 }
 
+/* Guards against a start that was under way when its domain was evacuated, and
+ * that its worker carries out afterwards. */
+static void
+evacuated_under_way(void)
+{
+    static const char wide_job[] =
+        "{\"taskSpec\":\"ticket=0\",\"steps\":[{\"count\":16,\"cpu\":500,"
+        "\"memoryRequestMb\":64,\"estimatedMs\":300}]}";
+    struct platform_rig r;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    r.queue = "/plain/";
+    platform_fault(&r, "lose-starts",
+                   "{\"count\":-1,\"worker\":1,\"late_ms\":800,"
+                   "\"hold\":true}");
+    platform_submit_body(&r, 0, wide_job);
+    platform_await_fault_count(&r, "lost", 1);
+    change_evacuation(&r, 1, "POST", "y", 200);
+    platform_fault(&r, "evacuated", "{\"zone\":\"y\"}");
+    platform_await_fault_count(&r, "late_refused", 1);
+    platform_await_completed(&r, 0);
+    g_assert_cmpint(platform_fault_count(&r, "late_accepted"), ==, 0);
+    platform_close(&r);
+}
+
 /* Guards against wrong status codes for invalid calls. */
 static void
 error_statuses(void)
@@ -639,6 +664,7 @@
     g_test_add_func("/e2e/platform/leader-killed", leader_killed);
     g_test_add_func("/e2e/platform/worker-killed", worker_killed);
     g_test_add_func("/e2e/platform/evacuated", evacuated);
+    g_test_add_func("/e2e/platform/evacuated-under-way", evacuated_under_way);
     g_test_add_func("/e2e/platform/relayed", calls_relayed);
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
     g_test_add_func("/e2e/platform/refusals", error_statuses);
