--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -84,6 +84,12 @@
                     NODE__OUTCOME__UNAVAILABLE);
     g_assert_cmpint(call_outcome_expired(&request, 1), ==,
                     NODE__OUTCOME__UNKNOWN);
+    request.kind_case = NODE__REQUEST__KIND_EVACUATION;
+    g_assert_cmpint(
+        call_outcome_replied(&request, 2, NODE__OUTCOME__NO_DOMAIN), ==,
+        NODE__OUTCOME__UNKNOWN);
+    g_assert_cmpint(call_outcome_expired(&request, 1), ==,
+                    NODE__OUTCOME__UNKNOWN);
 }
 
 /* Guards against restarts of runs that are on time. Early progress reports lag
@@ -160,6 +166,12 @@
         load_settings(SETTINGS(",\"caller_listen\":\"127.0.0.1:3\"")));
     g_assert_true(load_settings(
         SETTINGS(",\"control_listen\":\"127.0.0.1:3\",\"data\":\"x\"")));
+    g_assert_true(
+        load_settings(SETTINGS(",\"caller_listen\":\"127.0.0.1:3\","
+                               "\"failure_domains\":[{\"name\":\"d\"}]")));
+    g_assert_false(
+        load_settings(SETTINGS(",\"caller_listen\":\"127.0.0.1:3\","
+                               "\"failure_domains\":[{\"name\":\"\"}]")));
     g_assert_false(load_settings(SETTINGS("")));
     g_assert_false(
         load_settings(SETTINGS(",\"control_listen\":\"127.0.0.1:3\"")));
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -154,7 +154,8 @@
     g_free(body);
 }
 
-/* Guards against a worker that is refused for a time that nobody reads. */
+/* Guards against a worker that is refused for a time that says nothing, and
+ * against one that is not known to be cold. */
 static void
 test_cold_time(void)
 {
@@ -164,6 +165,13 @@
     Node__WorkerBeat *b = decode_heartbeat(STR("i-1"), str_of(body), NOW_MS);
 
     g_assert_nonnull(b);
+    g_assert_cmpuint(b->cold_ms, ==, 0);
+    node__worker_beat__free_unpacked(b, NULL);
+    b = decode_heartbeat(
+        STR("i-1"),
+        STR(HEARTBEAT(",\"state\":\"ready\",\"coldRemainingMs\":1500.5")),
+        NOW_MS);
+    g_assert_cmpuint(b->cold_ms, ==, 1500);
     node__worker_beat__free_unpacked(b, NULL);
     g_free(body);
 }
