--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -209,7 +209,10 @@
         }
         v->worker = w;
         v->speed = plan_speed(plan_worker(w), r->now_ns);
-        v->committed = size_add(w->used, view_withheld(r, v));
+        v->committed = w->used;
+        if (plan_worker(w)->warm_at_ns > r->now_ns) {
+            v->committed = size_add(v->committed, view_withheld(r, v));
+        }
         v->serving = w->serving;
         v->best_effort = w->best_effort;
         v->service = intern_service(r, w->service);
--- a/packages/flow/fit.c
+++ b/packages/flow/fit.c
@@ -164,13 +164,9 @@
 {
     const struct plan_worker *p = plan_worker(v->worker);
     const struct flow_size *all = &v->worker->capacity;
-    double part;
+    double part = (double)(p->warm_at_ns - r->now_ns) /
+                  (double)(p->warm_at_ns - p->warming_since_ns);
 
-    if (r->now_ns >= p->warm_at_ns) {
-        return (struct flow_size){0};
-    }
-    part = (double)(p->warm_at_ns - r->now_ns) /
-           (double)(p->warm_at_ns - p->warming_since_ns);
     return (struct flow_size){(uint64_t)((double)all->cpu_milli * part),
                               (uint64_t)((double)all->memory_mib * part),
                               (uint64_t)((double)all->accelerators * part)};
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -170,8 +170,8 @@
 bool
 view_is_runnable(const struct plan_round *r, const struct worker_view *v);
 
-/* Returns the part of the worker's capacity that is withheld until it has
- * warmed up. */
+/* Returns the part of its capacity that is withheld from a worker that is
+ * warming up. */
 struct flow_size
 view_withheld(const struct plan_round *r, const struct worker_view *v);
 
