--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -184,6 +184,42 @@
     platform_close(&r);
 }
 
+/* Guards against long runs with checkpoints that stay in an evacuated domain
+ * although there is room elsewhere. */
+static void
+evacuated_moved(void)
+{
+    static const char long_job[] =
+        "{\"taskSpec\":\"ticket=0 run_ms=60000 cpu=1000\",\"steps\":[{"
+        "\"count\":8,\"cpu\":1000,\"memoryRequestMb\":64,"
+        "\"estimatedMs\":60000,\"checkpointing\":true}]}";
+    struct platform_rig r;
+    int64_t give_up_at;
+    const char *zone;
+    char *metric;
+    long left = -1;
+    int starts;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    r.queue = "/plain/";
+    platform_submit_body(&r, 0, long_job);
+    platform_await_fault_count(&r, "starts", 8);
+    starts = platform_fault_count(&r, "starts_y");
+    zone = starts > 0 ? "y" : "z";
+    metric = g_strdup_printf(
+        "guavarock_evacuation_tasks{failure_domain=\"%s\"}", zone);
+    change_evacuation(&r, 0, "POST", zone, 200);
+    give_up_at = clock_now() + PLATFORM_WAIT_MS * NS_PER_MS;
+    while (left != 0 && clock_now() < give_up_at) {
+        g_usleep(50000);
+        left = platform_metric(&r, 0, metric);
+    }
+    g_assert_cmpint(left, ==, 0);
+    platform_await_fault_count(&r, "starts", 8 + (starts > 0 ? starts : 8));
+    g_free(metric);
+    platform_close(&r);
+}
+
 /* Guards against wrong status codes for invalid calls. */
 static void
 error_statuses(void)
@@ -665,6 +701,7 @@
     g_test_add_func("/e2e/platform/worker-killed", worker_killed);
     g_test_add_func("/e2e/platform/evacuated", evacuated);
     g_test_add_func("/e2e/platform/evacuated-under-way", evacuated_under_way);
+    g_test_add_func("/e2e/platform/evacuated-moved", evacuated_moved);
     g_test_add_func("/e2e/platform/relayed", calls_relayed);
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
     g_test_add_func("/e2e/platform/refusals", error_statuses);
