--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -160,6 +160,67 @@
     platform_close(&r);
 }
 
+/* Guards against a start that was under way when its domain was evacuated, and
+ * that its worker carries out afterwards. */
+static void
+evacuated_under_way(void)
+{
+    static const char wide_job[] =
+        "{\"taskSpec\":\"ticket=0\",\"steps\":[{\"count\":16,\"cpu\":500,"
+        "\"memoryRequestMb\":64,\"estimatedMs\":300}]}";
+    struct platform_rig r;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    r.queue = "/plain/";
+    platform_fault(&r, "lose-starts",
+                   "{\"count\":-1,\"worker\":1,\"late_ms\":800,"
+                   "\"hold\":true}");
+    platform_submit_body(&r, 0, wide_job);
+    platform_await_fault_count(&r, "lost", 1);
+    change_evacuation(&r, 1, "POST", "y", 200);
+    platform_fault(&r, "evacuated", "{\"zone\":\"y\"}");
+    platform_await_fault_count(&r, "late_refused", 1);
+    platform_await_completed(&r, 0);
+    g_assert_cmpint(platform_fault_count(&r, "late_accepted"), ==, 0);
+    platform_close(&r);
+}
+
+/* Guards against long runs with checkpoints that stay in an evacuated domain
+ * although there is room elsewhere. */
+static void
+evacuated_moved(void)
+{
+    static const char long_job[] =
+        "{\"taskSpec\":\"ticket=0 run_ms=60000 cpu=1000\",\"steps\":[{"
+        "\"count\":8,\"cpu\":1000,\"memoryRequestMb\":64,"
+        "\"estimatedMs\":60000,\"checkpointing\":true}]}";
+    struct platform_rig r;
+    int64_t give_up_at;
+    const char *zone;
+    char *metric;
+    long left = -1;
+    int starts;
+
+    platform_open(&r, CONTROLS, 1, 1);
+    r.queue = "/plain/";
+    platform_submit_body(&r, 0, long_job);
+    platform_await_fault_count(&r, "starts", 8);
+    starts = platform_fault_count(&r, "starts_y");
+    zone = starts > 0 ? "y" : "z";
+    metric = g_strdup_printf(
+        "guavarock_evacuation_tasks{failure_domain=\"%s\"}", zone);
+    change_evacuation(&r, 0, "POST", zone, 200);
+    give_up_at = clock_now() + PLATFORM_WAIT_MS * NS_PER_MS;
+    while (left != 0 && clock_now() < give_up_at) {
+        g_usleep(50000);
+        left = platform_metric(&r, 0, metric);
+    }
+    g_assert_cmpint(left, ==, 0);
+    platform_await_fault_count(&r, "starts", 8 + (starts > 0 ? starts : 8));
+    g_free(metric);
+    platform_close(&r);
+}
+
 /* Guards against wrong status codes for invalid calls. */
 static void
 error_statuses(void)
@@ -720,6 +781,8 @@
     g_test_add_func("/e2e/platform/leader-killed", leader_killed);
     g_test_add_func("/e2e/platform/worker-killed", worker_killed);
     g_test_add_func("/e2e/platform/evacuated", evacuated);
+    g_test_add_func("/e2e/platform/evacuated-under-way", evacuated_under_way);
+    g_test_add_func("/e2e/platform/evacuated-moved", evacuated_moved);
     g_test_add_func("/e2e/platform/relayed", calls_relayed);
     g_test_add_func("/e2e/platform/controls-paused", controls_paused);
     g_test_add_func("/e2e/platform/relays-paused", relays_paused);
