flow: gangs ask for workers once, requests ordered by purpose

A gang named workers for eight times its missing tasks, in calls of fifty, and asked again while too few were approved: 5 to 6 calls a step when the service approves 0.3 of the workers. A call costs as much as naming 70 workers. Gangs whose approved workers had no room asked for others whatever else waited.

The leader averages the share of workers that the service approves for a queue. A gang names as many as should bring six times its tasks, in as few calls as hold them, and asks again only below four times. Within a queue tickets for gangs that fit go first, then steps with too few workers; looking for an earlier start and steps of no use any more get only what these leave.

/plan/gang-calls used 63 workers, which now fit one call; it uses 130 and also checks that both calls name half of them.

--- a/bench/bench_flow.c
+++ b/bench/bench_flow.c
@@ -1,7 +1,8 @@
 /*
  * Measures the workflow planner under the simulated loads of flow_world.h:
  *
- *     bench_flow [SEEDS [FACTOR [SLOW_SHARE [LOST_SHARE [grown|full|large]]]]]
+ *     bench_flow [SEEDS [FACTOR [SLOW_SHARE [LOST_SHARE
+ * [grown|full|scarce|large]]]]]
  *
  * SEEDS      number of simulations of each load, with the seeds 1 to SEEDS
  * FACTOR     factor on the arrival rates
@@ -9,6 +10,7 @@
  * LOST_SHARE share of the workers that are lost for good
  * grown      simulate only the expected future load of the first site
  * full       simulate only a fleet that is offered about all of its room
+ * scarce     simulate only a fleet whose approval service is overloaded
  * large      simulate only 1,100 workers, with rounds that take their time
  *
  * The figures are means over the seeds: the share of the value of all jobs
@@ -102,6 +104,11 @@
                  lost_share);
         return 0;
     }
+    if (argc > 5 && strcmp(argv[5], "scarce") == 0) {
+        run_load("scarce", flow_world_scarce, seeds, factor, slow_share,
+                 lost_share);
+        return 0;
+    }
     if (argc > 5) {
         run_load("grown", flow_world_grown, seeds, factor, slow_share,
                  lost_share);
--- a/packages/flow/approval.c
+++ b/packages/flow/approval.c
@@ -2,6 +2,7 @@
  * The approval service's answers on the workers of a step, and its open
  * requests.
  */
+#include <math.h>
 #include <string.h>
 
 #include "mem.h"
@@ -11,6 +12,13 @@
     VERDICTS_INITIAL_CAP = 32,
 };
 
+/* Weight of one answer in the average share of approved workers. */
+static const double ANSWER_EWMA_WEIGHT = 0.01;
+static const double APPROVED_SHARE_DEFAULT = 1.0 / 3;
+/* Below it, a step asks for as many workers as at this share and then again.
+ */
+static const double APPROVED_SHARE_MIN = 0.05;
+
 /* Creates the step's approval data, or grows it if it is full. */
 static struct flow_approval *
 ensure_verdict_capacity(struct flow_step *step)
@@ -45,13 +53,14 @@
     return NULL;
 }
 
-void
+bool
 plan_record_verdict(struct flow_step *step, uint32_t worker, bool approved,
                     struct str ticket, int64_t valid_until_ns)
 {
     struct flow_verdict *v = find_verdict(step, worker);
+    bool first = v == NULL;
 
-    if (v == NULL) {
+    if (first) {
         struct flow_approval *a = ensure_verdict_capacity(step);
 
         v = &a->verdicts[a->count++];
@@ -68,6 +77,27 @@
             step->approval->latest_valid_ns = valid_until_ns;
         }
     }
+    return first;
+}
+
+void
+plan_observe_approvals(struct flow_queue *q, size_t answers, size_t approved)
+{
+    double old = plan_approved_share(q);
+
+    if (answers > 0) {
+        q->approved_share =
+            old + (1 - pow(1 - ANSWER_EWMA_WEIGHT, (double)answers)) *
+                      ((double)approved / (double)answers - old);
+    }
+}
+
+double
+plan_approved_share(const struct flow_queue *q)
+{
+    return q->approved_share == 0
+               ? APPROVED_SHARE_DEFAULT
+               : fmin(fmax(q->approved_share, APPROVED_SHARE_MIN), 1);
 }
 
 void
--- a/packages/flow/approval_request.c
+++ b/packages/flow/approval_request.c
@@ -21,8 +21,10 @@
     /* Workers and slots to choose from, relative to those requested. */
     CHOICE_FACTOR = 2,
     /* Slots on approved workers, counted as if these were empty, for each
-     * task of a gang. With fewer, more workers are requested. */
-    GANG_SLOT_FACTOR = 4,
+     * task of a gang: with fewer than the minimum, so many workers are
+     * requested that the factor can be expected. */
+    GANG_SLOT_FACTOR_MIN = 4,
+    GANG_SLOT_FACTOR = 6,
     /* Time added to the service's own: the answer has to travel, and a
      * request may queue behind another. */
     REQUEST_LEAD_MS = 150,
@@ -171,7 +173,8 @@
 
 /* Adds an empty request to the plan. */
 static struct plan_approval_request *
-add_request(struct plan_round *r, const struct candidate *c)
+add_request(struct plan_round *r, const struct candidate *c,
+            enum plan_request_purpose purpose)
 {
     struct plan *plan = r->plan;
     struct plan_approval_request *ask;
@@ -186,6 +189,7 @@
     ask->job = c->job;
     ask->occurrence = &c->job->occurrences[c->occurrence];
     ask->step = c->step;
+    ask->purpose = c->lateness > 1 ? PLAN_REQUEST_USELESS : purpose;
     ask->count = 0;
     c->job->queue->approval_planned++;
     return ask;
@@ -204,7 +208,7 @@
         c->job->queue->approval_planned >= r->limits->approval_requests) {
         return NULL;
     }
-    return add_request(r, c);
+    return add_request(r, c, ask->purpose);
 }
 
 /* Plans requests that name workers until enough slots can be expected on
@@ -212,19 +216,17 @@
  * again, so their slots count in full. */
 static void
 request_choices(struct plan_round *r, const struct candidate *c,
-                const struct choices *choices, uint64_t missing)
+                const struct choices *choices, uint64_t missing,
+                enum plan_request_purpose purpose)
 {
-    size_t workers_max = c->step->spec->gang ? GANG_REQUEST_WORKERS_MAX
-                                             : PLAN_REQUEST_WORKERS_MAX;
-    struct plan_approval_request *ask = add_request(r, c);
+    struct plan_approval_request *ask = add_request(r, c, purpose);
     uint64_t slots_covered = 0;
 
     for (size_t i = 0; i < choices->count; i++) {
         const struct worker_choice *choice = &choices->list[i];
-        uint64_t slots =
-            choices->if_empty ? choice->slots_if_empty : choice->slots_now;
+        uint64_t slots = choice->slots_now;
 
-        ask = next_request(r, c, ask, workers_max);
+        ask = next_request(r, c, ask, PLAN_REQUEST_WORKERS_MAX);
         if (ask == NULL) {
             break;
         }
@@ -238,6 +240,34 @@
     }
 }
 
+/* Plans requests that name workers until so many slots can be expected on
+ * approved ones if these were empty, spread evenly over as few requests as
+ * hold them. */
+static void
+request_approved_slots(struct plan_round *r, const struct candidate *c,
+                       const struct choices *choices, uint64_t wanted)
+{
+    double share = plan_approved_share(c->job->queue);
+    struct plan_approval_request *ask =
+        add_request(r, c, PLAN_REQUEST_WORKERS);
+    double expected = 0;
+    size_t count = 0;
+    size_t calls;
+
+    while (count < choices->count &&
+           (count < REQUEST_WORKERS_MIN || expected < (double)wanted)) {
+        expected += share * (double)choices->list[count++].slots_if_empty;
+    }
+    calls = (count + PLAN_REQUEST_WORKERS_MAX - 1) / PLAN_REQUEST_WORKERS_MAX;
+    for (size_t i = 0; i < count; i++) {
+        ask = next_request(r, c, ask, (count + calls - 1) / calls);
+        if (ask == NULL) {
+            break;
+        }
+        ask->workers[ask->count++] = choices->list[i].worker;
+    }
+}
+
 /* Returns how many tasks could start now on the approved workers. */
 static uint64_t
 approved_slots_now(const struct plan_round *r, const struct candidate *c)
@@ -266,7 +296,8 @@
     uint64_t slots_needed =
         (uint64_t)c->step->count * GANG_TICKET_PERCENT / 100 + 1;
     uint64_t slots_covered = 0;
-    struct plan_approval_request *ask = add_request(r, c);
+    struct plan_approval_request *ask =
+        add_request(r, c, PLAN_REQUEST_TICKETS);
 
     for (size_t i = 0; i < r->approved_count; i++) {
         const struct worker_view *v = r->approved[i];
@@ -331,37 +362,57 @@
            (a == NULL || a->pending_until_ns <= r->now_ns);
 }
 
+/* Plans requests for a gang with too few approved workers. */
+static void
+request_gang_workers(struct plan_round *r, const struct candidate *c,
+                     uint64_t approved_slots)
+{
+    uint64_t wanted =
+        (uint64_t)c->step->count * GANG_SLOT_FACTOR - approved_slots;
+    struct choices choices = {.if_empty = true};
+
+    choices.list = mem_alloc((r->view_count + 1) * sizeof(*choices.list));
+    collect_choices(
+        r, c, (uint64_t)((double)wanted / plan_approved_share(c->job->queue)),
+        &choices);
+    if (choices.count > 0) {
+        request_approved_slots(r, c, &choices, wanted);
+    }
+    mem_free(choices.list);
+}
+
 void
 request_approval(struct plan_round *r, const struct candidate *c,
                  uint32_t missing, int64_t fit_ns)
 {
-    bool gang = c->step->spec->gang;
-    bool need_more_workers;
+    enum plan_request_purpose purpose = PLAN_REQUEST_WORKERS;
     struct choices choices = {0};
-    uint64_t slots_now = 0;
 
     if (r->view_count == 0 || !request_is_possible(r, c)) {
         return;
     }
-    need_more_workers =
-        gang && approved_slots_if_empty(r, c) <
-                    (uint64_t)c->step->count * GANG_SLOT_FACTOR;
-    if (gang && !need_more_workers) {
+    if (c->step->spec->gang) {
+        uint64_t approved_slots = approved_slots_if_empty(r, c);
+        uint64_t slots_now;
+
+        if (approved_slots < (uint64_t)c->step->count * GANG_SLOT_FACTOR_MIN) {
+            request_gang_workers(r, c, approved_slots);
+            return;
+        }
         slots_now = approved_slots_now(r, c);
         if (request_for_gang(r, c, slots_now, fit_ns)) {
             return;
         }
+        purpose = PLAN_REQUEST_SOONER;
         missing = c->step->count - (uint32_t)slots_now;
     }
-    if (!need_more_workers && !size_fits(c->demand, r->free_max)) {
+    if (!size_fits(c->demand, r->free_max)) {
         return;
     }
-    choices.if_empty = need_more_workers;
     choices.list = mem_alloc((r->view_count + 1) * sizeof(*choices.list));
     collect_choices(r, c, (uint64_t)missing * SLOT_REQUEST_FACTOR, &choices);
-    if (choices.count > 0 &&
-        (need_more_workers || choices.list[0].slots_now > 0)) {
-        request_choices(r, c, &choices, missing);
+    if (choices.count > 0 && choices.list[0].slots_now > 0) {
+        request_choices(r, c, &choices, missing, purpose);
     }
     mem_free(choices.list);
 }
--- a/packages/flow/approval_share.c
+++ b/packages/flow/approval_share.c
@@ -58,6 +58,18 @@
     q->approval_used_ns = now;
 }
 
+static int
+compare_purposes(const void *a, const void *b)
+{
+    const struct plan_approval_request *x = a;
+    const struct plan_approval_request *y = b;
+
+    if (x->purpose != y->purpose) {
+        return x->purpose < y->purpose ? -1 : 1;
+    }
+    return (x->order > y->order) - (x->order < y->order);
+}
+
 /* Sorts by the service time that the request's queue will have used when the
  * request is sent, and keeps the order of requests of a queue. */
 static int
@@ -72,26 +84,62 @@
     return (x->order > y->order) - (x->order < y->order);
 }
 
+static void
+sort_requests(struct plan *plan, int (*compare)(const void *, const void *))
+{
+    if (plan->approval_request_count > 1) {
+        qsort(plan->approval_requests, plan->approval_request_count,
+              sizeof(*plan->approval_requests), compare);
+    }
+    for (size_t i = 0; i < plan->approval_request_count; i++) {
+        plan->approval_requests[i].order = i;
+    }
+}
+
+/* Drops the requests for an earlier start of queues that have more urgent
+ * ones. Once sent, a request occupies its VM to the end. */
+static void
+drop_outbid_requests(struct plan *plan)
+{
+    size_t kept = 0;
+
+    for (size_t i = 0; i < plan->approval_request_count; i++) {
+        struct plan_approval_request *request = &plan->approval_requests[i];
+        struct flow_queue *q = request->job->queue;
+
+        if (request->purpose < PLAN_REQUEST_SOONER) {
+            q->approval_planned++;
+        }
+        else if (q->approval_planned > 0) {
+            continue;
+        }
+        plan->approval_requests[kept++] = *request;
+    }
+    plan->approval_request_count = kept;
+    for (size_t i = 0; i < kept; i++) {
+        plan->approval_requests[i].job->queue->approval_planned = 0;
+    }
+}
+
 void
 sort_approval_requests(struct plan *plan, int64_t now)
 {
     for (size_t i = 0; i < plan->approval_request_count; i++) {
         struct plan_approval_request *request = &plan->approval_requests[i];
 
+        request->order = i;
         request->job->queue->approval_planned = 0;
         request->job->queue->approval_planned_ms =
             used_ms(request->job->queue, now);
     }
+    sort_requests(plan, compare_purposes);
+    drop_outbid_requests(plan);
     for (size_t i = 0; i < plan->approval_request_count; i++) {
         struct plan_approval_request *request = &plan->approval_requests[i];
         struct flow_queue *q = request->job->queue;
 
-        request->order = i;
         request->used_ms = q->approval_planned_ms;
         q->approval_planned_ms += request_charge_ms(request);
     }
-    if (plan->approval_request_count > 1) {
-        qsort(plan->approval_requests, plan->approval_request_count,
-              sizeof(*plan->approval_requests), compare_requests);
-    }
+    sort_requests(plan, compare_requests);
 }
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -123,6 +123,9 @@
      * decayed exponentially, as of approval_used_ns. */
     double approval_used_ms;
     int64_t approval_used_ns;
+    /* Leader only: average share of workers that the service approves, 0
+     * until observed. */
+    double approved_share;
     /* Planner only: requests of the queue in the current round, and service
      * time used including them. */
     size_t approval_planned;
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -65,15 +65,25 @@
     char ticket[PLAN_TICKET_BYTES]; /* empty: the queue needs no approval */
 };
 
+/* What a step needs an approval request for, the most urgent first. */
+enum plan_request_purpose {
+    PLAN_REQUEST_TICKETS, /* a gang that fits holds too few valid tickets */
+    PLAN_REQUEST_WORKERS, /* too few workers are known to be approved */
+    /* A gang whose approved workers have no room yet looks for others. */
+    PLAN_REQUEST_SOONER,
+    PLAN_REQUEST_USELESS, /* the job is too late to be of use */
+};
+
 /* An approval request to send, and the workers that it names. */
 struct plan_approval_request {
+    enum plan_request_purpose purpose;
     struct flow_job *job;
     struct flow_occurrence *occurrence;
     struct flow_step *step;
     uint32_t workers[PLAN_REQUEST_WORKERS_MAX];
     size_t count;
-    /* Sort keys: service time that the queue will have used lately when the
-     * request is sent, and the position in which it was planned. */
+    /* Further sort keys: service time that the queue will have used lately
+     * when the request is sent, and the position in which it was planned. */
     double used_ms;
     size_t order;
 };
@@ -119,7 +129,8 @@
     size_t start_count;
     size_t start_cap;
     /* In the order in which they are to be sent, as far as VMs can take them.
-     * Queues alternate so that they get equal shares of the service's time. */
+     * Queues alternate so that they get equal shares of the service's time,
+     * and the requests of a queue are ordered by their purpose. */
     struct plan_approval_request *approval_requests;
     size_t approval_request_count;
     size_t approval_request_cap;
@@ -186,12 +197,12 @@
 plan_free(struct plan *plan);
 
 /*
- * Records the approval service's answer for one worker of a step. Workers that
- * a request named and that were not approved must be recorded as well, so that
- * they are not requested again. A ticket longer than PLAN_TICKET_BYTES - 1 is
- * dropped. The ticket is copied.
+ * Records the approval service's answer for one worker of a step, and returns
+ * whether it is the first one. Workers that a request named and that were not
+ * approved must be recorded as well, so that they are not requested again. A
+ * ticket longer than PLAN_TICKET_BYTES - 1 is dropped. The ticket is copied.
  */
-void
+bool
 plan_record_verdict(struct flow_step *step, uint32_t worker, bool approved,
                     struct str ticket, int64_t valid_until_ns);
 
@@ -200,6 +211,15 @@
 int64_t
 plan_approval_ms(const struct flow_queue *q, size_t workers);
 
+/* Updates the share of workers that the service approves for steps of the
+ * queue from first answers, of which so many approved. */
+void
+plan_observe_approvals(struct flow_queue *q, size_t answers, size_t approved);
+
+/* Returns that share, within bounds that keep requests useful. */
+double
+plan_approved_share(const struct flow_queue *q);
+
 /* Charges the request, which was sent, to its queue's share of the service. */
 void
 plan_charge_request(const struct plan_approval_request *request, int64_t now);
--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -272,19 +272,25 @@
     valid_until_ns =
         l->node->now + ((int64_t)a->ticket_ms - TICKET_MARGIN_MS) * NS_PER_MS;
     if (flow_task(l->state, &a->task, &step) != NULL) {
+        size_t first_answers = 0;
+        size_t first_approved = 0;
+
         plan_record_response(step);
         for (size_t i = 0; i < a->count; i++) {
             struct flow_worker *w = flow_worker(l->state, a->workers[i]);
             const Node__Ticket *t =
                 w == NULL ? NULL : find_ticket(answer, w->id);
 
-            if (w != NULL) {
-                plan_record_verdict(step, w->number, t != NULL,
-                                    t == NULL ? str_from(NULL, 0)
-                                              : str_of(t->ticket),
-                                    valid_until_ns);
+            if (w != NULL && plan_record_verdict(step, w->number, t != NULL,
+                                                 t == NULL ? str_from(NULL, 0)
+                                                           : str_of(t->ticket),
+                                                 valid_until_ns)) {
+                first_answers++;
+                first_approved += t != NULL;
             }
         }
+        plan_observe_approvals(flow_job(l->state, a->task.job)->queue,
+                               first_answers, first_approved);
     }
     l->plan_needed = true;
     free_approval_request(l, a);
--- a/tests/support/flow_fixture.h
+++ b/tests/support/flow_fixture.h
@@ -14,8 +14,8 @@
     const char *queue; /* name and path prefix of the one in the next config */
     const char *prefix;
     const char *team;
-    struct plan_worker sessions[64]; /* by worker number */
-    int64_t wall_ms;                 /* of the last command */
+    struct plan_worker sessions[160]; /* by worker number */
+    int64_t wall_ms;                  /* of the last command */
 };
 
 /* Applies a batch of one command to a state. */
--- a/tests/support/flow_world.c
+++ b/tests/support/flow_world.c
@@ -393,6 +393,8 @@
 deliver_answer(struct simulation *sim, const struct approval_call *a)
 {
     struct flow_step *step;
+    size_t answers = 0;
+    size_t approved = 0;
 
     sim->vm_open_calls[a->vm]--;
     sim->planning_needed = true;
@@ -403,9 +405,15 @@
     for (size_t i = 0; i < a->count; i++) {
         bool ok = is_approved(sim, a, a->workers[i]);
 
-        plan_record_verdict(step, a->workers[i], ok, ok ? STR("t") : STR(""),
-                            (sim->now_ms + TICKET_MS - 10) * NS_PER_MS);
+        if (plan_record_verdict(step, a->workers[i], ok,
+                                ok ? STR("t") : STR(""),
+                                (sim->now_ms + TICKET_MS - 10) * NS_PER_MS)) {
+            answers++;
+            approved += ok;
+        }
     }
+    plan_observe_approvals(flow_job(sim->state, a->task.job)->queue, answers,
+                           approved);
 }
 
 static void
@@ -1025,3 +1033,12 @@
     config->kinds[2].approval_ms = 14;
     config->kinds[2].approval_worker_us = 200;
 }
+
+void
+flow_world_scarce(struct flow_world_config *config, uint64_t seed)
+{
+    flow_world_full(config, seed);
+    config->approval_vms = 40;
+    config->kinds[0].estimate_error = 0.5;
+    config->kinds[1].burst_factor = 1;
+}
--- a/tests/support/flow_world.h
+++ b/tests/support/flow_world.h
@@ -103,8 +103,8 @@
 void
 flow_world_grown(struct flow_world_config *config, uint64_t seed);
 
-/* Fills config with the load of a fleet that is offered nine tenths of its room
- * before a burst, nearly half of it by gangs. */
+/* Fills config with the load of a fleet that is offered nine tenths of its
+ * room before a burst, nearly half of it by gangs. */
 void
 flow_world_full(struct flow_world_config *config, uint64_t seed);
 
@@ -113,6 +113,12 @@
 void
 flow_world_large(struct flow_world_config *config, uint64_t seed);
 
+/* Fills config with a load whose gangs need more of the approval service's
+ * time than the VMs have, and estimates of gangs that are off by up to a half.
+ */
+void
+flow_world_scarce(struct flow_world_config *config, uint64_t seed);
+
 /* Runs the simulation and fills result. */
 void
 flow_world_run(const struct flow_world_config *config,
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -242,15 +242,17 @@
 
     flow_fixture_init(&f);
     flow_fixture_set_config(&f, 2, "two", true, 0);
-    for (int i = 0; i < 63; i++) {
+    for (int i = 0; i < 130; i++) {
         char id[8];
 
         g_snprintf(id, sizeof(id), "w%d", i);
         flow_fixture_add_worker(&f, id, 1, 4000);
     }
-    step = submit_job(&f, 1, 40, 3000, true)->occurrences[0].steps;
+    step = submit_job(&f, 1, 90, 3000, true)->occurrences[0].steps;
     plan_make(f.state, NOW_NS, &limits, &plan);
     g_assert_cmpuint(plan.approval_request_count, ==, 2);
+    g_assert_cmpuint(plan.approval_requests[0].count, ==, 65);
+    g_assert_cmpuint(plan.approval_requests[1].count, ==, 65);
     plan_record_request(step, NOW_NS + NS_PER_S);
     plan_record_request(step, NOW_NS + NS_PER_S);
     plan_record_response(step);
@@ -389,6 +391,96 @@
     g_assert_cmpfloat(queues[1].approval_used_ms, <, 2);
 }
 
+/* Each request costs the service far more than a worker that it names. A gang
+ * must learn enough approved workers with as few requests as name them, by the
+ * share that the service approves. */
+static void
+gang_asks_once(void)
+{
+    enum {
+        WORKERS = 120,
+        TASKS = 3,
+        APPROVE_EACH = 5,
+    };
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_job *j;
+    struct flow_step *step;
+    size_t approved = 0;
+
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", true, 0);
+    for (int i = 0; i < WORKERS; i++) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "w%d", i);
+        flow_fixture_add_worker(&f, id, 1, 4000);
+    }
+    j = submit_job(&f, 1, TASKS, 3000, true);
+    step = j->occurrences[0].steps;
+    plan_observe_approvals(j->queue, 1000, 1000 / APPROVE_EACH);
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(plan.approval_request_count, ==, 1);
+    for (size_t i = 0; i < plan.approval_requests[0].count; i++) {
+        bool ok = i % APPROVE_EACH == 0;
+
+        approved += ok;
+        plan_record_verdict(step, plan.approval_requests[0].workers[i], ok,
+                            ok ? STR("t") : STR(""), NOW_NS);
+    }
+    /* Four times the tasks are enough to go on with. */
+    g_assert_cmpuint(approved, >=, (size_t)4 * TASKS);
+    g_assert_cmpuint(approved, <=, (size_t)8 * TASKS);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
+/*
+ * Requests of a queue go out by what they are for: first those that let a gang
+ * start that has room, then those for steps that know too few workers. A gang
+ * that would only like to start sooner leaves the service to these. Load: more
+ * gangs than the VMs can make requests for.
+ */
+static void
+request_purposes(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_step *steps[3];
+
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", true, 0);
+    for (int i = 0; i < 8; i++) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "w%d", i);
+        flow_fixture_add_worker(&f, id, 1, 4000);
+    }
+    submit_job(&f, 9, 4, 4000, false);
+    for (uint32_t i = 0; i < 4; i++) {
+        flow_fixture_start_run(&f, 9, 0, i, 1, i + 1);
+        flow_job(f.state, 9)->occurrences[0].steps[0].tasks[i].run_started_ns =
+            NOW_NS;
+    }
+    for (uint64_t i = 0; i < 3; i++) {
+        steps[i] = submit_job(&f, i + 1, 2, 1000, true)->occurrences[0].steps;
+    }
+    for (uint32_t i = 0; i < 4; i++) {
+        plan_record_verdict(steps[0], i + 1, true, STR(""), 0);
+        plan_record_verdict(steps[2], i + 5, true, STR(""), 0);
+    }
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(plan.approval_request_count, ==, 2);
+    g_assert_true(plan.approval_requests[0].step == steps[2]);
+    g_assert_cmpint(plan.approval_requests[0].purpose, ==,
+                    PLAN_REQUEST_TICKETS);
+    g_assert_true(plan.approval_requests[1].step == steps[1]);
+    g_assert_cmpint(plan.approval_requests[1].purpose, ==,
+                    PLAN_REQUEST_WORKERS);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Smaller jobs of a team must not starve a gang that waits for the team's
  * limit: they must not take what becomes free below the limit. */
 static void
@@ -851,6 +943,8 @@
     g_test_add_func("/plan/approval-shares", approval_shares);
     g_test_add_func("/plan/approval-share-bounds", approval_share_bounds);
     g_test_add_func("/plan/approval-in-objective", approval_in_objective);
+    g_test_add_func("/plan/gang-asks-once", gang_asks_once);
+    g_test_add_func("/plan/request-purposes", request_purposes);
     g_test_add_func("/plan/gang-team-limit", gang_team_limit);
     g_test_add_func("/plan/late-order", late_order);
     g_test_add_func("/plan/wait-reasons", wait_reasons);
