tests: unusable approval answers do not stop a round

Answers for workers that the state does not hold, a ticket that is too long to be kept, and a ticket for a worker that was lost in between: nothing starts and the round goes on.

--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -481,6 +481,36 @@
     flow_fixture_free(&f);
 }
 
+/* Answers for workers that have gone or that no request named, and tickets
+ * that are too long, must not stop a round or start anything. */
+static void
+unusable_verdicts(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    char ticket[PLAN_TICKET_BYTES + 1];
+    struct flow_step *step;
+    uint32_t a;
+
+    memset(ticket, 'x', sizeof(ticket));
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", true, 0);
+    a = flow_fixture_add_worker(&f, "a", 1, 4000);
+    step = submit_job(&f, 1, 2, 1000, true)->occurrences[0].steps;
+    plan_record_response(step);
+    plan_record_verdict(step, a + 1000, true, STR("t"), INT64_MAX);
+    plan_record_verdict(step, a, true, str_from(ticket, sizeof(ticket)),
+                        INT64_MAX);
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 0);
+    plan_record_verdict(step, a, true, STR("t"), NOW_NS + NS_PER_S);
+    flow_fixture_remove_worker(&f, a);
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(plan.start_count, ==, 0);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Smaller jobs of a team must not starve a gang that waits for the team's
  * limit: they must not take what becomes free below the limit. */
 static void
@@ -945,6 +975,7 @@
     g_test_add_func("/plan/approval-in-objective", approval_in_objective);
     g_test_add_func("/plan/gang-asks-once", gang_asks_once);
     g_test_add_func("/plan/request-purposes", request_purposes);
+    g_test_add_func("/plan/unusable-verdicts", unusable_verdicts);
     g_test_add_func("/plan/gang-team-limit", gang_team_limit);
     g_test_add_func("/plan/late-order", late_order);
     g_test_add_func("/plan/wait-reasons", wait_reasons);
