--- a/packages/node/evacuation.c
+++ b/packages/node/evacuation.c
@@ -331,7 +331,7 @@
 
 /* Notes when the domain is empty. Returns whether tasks are left there. */
 static bool
-observe_domain(const struct leader *l, struct flow_evacuation *e, bool log)
+observe_domain(const struct leader *l, struct flow_evacuation *e)
 {
     uint32_t left;
 
@@ -345,12 +345,29 @@
                     "domain=%.*s outcome=empty empty_ms=%lld",
                     STR_ARG(e->domain), (long long)evacuation_empty_ms(e));
     }
-    if (left > 0 && log) {
-        log_state(l, e, left);
-    }
     return left > 0;
 }
 
+/* Logs the domains that are not empty, with what was decided on their runs. */
+static void
+log_states(struct leader *l)
+{
+    const struct flow_evacuation *e;
+    void *cursor = NULL;
+
+    if (l->node->now < l->evacuations->log_due) {
+        return;
+    }
+    l->evacuations->log_due = l->node->now + STATE_LOG_MS * NS_PER_MS;
+    while ((e = flow_evacuation_next(l->state, &cursor)) != NULL) {
+        uint32_t left = evacuation_tasks_left(l->state, e->domain);
+
+        if (e->active && left > 0) {
+            log_state(l, e, left);
+        }
+    }
+}
+
 static int64_t
 service_cold_start_ms(const struct leader *l, struct str service)
 {
@@ -412,7 +429,6 @@
     struct flow_evacuation *e;
     void *cursor = NULL;
     bool occupied = false;
-    bool log = l->node->now >= all->log_due;
 
     if (l->node->now < all->step_due) {
         return;
@@ -422,13 +438,11 @@
         return;
     }
     while ((e = flow_evacuation_next(l->state, &cursor)) != NULL) {
-        occupied = observe_domain(l, e, log) || occupied;
-    }
-    if (log) {
-        all->log_due = l->node->now + STATE_LOG_MS * NS_PER_MS;
+        occupied = observe_domain(l, e) || occupied;
     }
     if (occupied) {
         move_runs(l);
+        log_states(l);
     }
     warm_up_workers(l);
 }
