node: send a start without an answer again, under a new token

Change: after 300 ms the worker is polled with a new token. A run that it does not list then can never be started by the older call, and its start is sent again under the same run number, once; after that the run is given up.

--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -9,11 +9,14 @@
  * and renews the worker's lease. An end is committed before the next poll
  * acknowledges it, since the worker may then forget it.
  *
- * A run whose start was not answered, or was sent by a previous leader, is
- * looked up in the worker's list of runs. A run that is not listed is stopped,
- * after which the worker never starts it. A list requested after the stop then
- * shows whether the run ever ran. A list of ends may be cut: only the one that
- * holds all ends that are not committed yet shows which runs are missing.
+ * A run whose start was sent by a previous leader is looked up in the worker's
+ * list of runs. A run that is not listed is stopped, after which the worker
+ * never starts it. A list requested after the stop then shows whether the run
+ * ever ran. A run whose start was not answered is looked up with a new token.
+ * If it is not listed, its start has not been carried out and, as its token is
+ * older, never will be: it is sent again, or the task starts elsewhere. A list
+ * of ends may be cut: only the one that holds all ends that are not committed
+ * yet shows which runs are missing.
  *
  * A worker may restart under its id. Its new process accepts calls that were
  * meant for the earlier one, also when they arrive late: it has seen no
@@ -26,6 +29,12 @@
 
 enum {
     CALL_TIMEOUT_MS = 900, /* not counting the wait of a poll */
+    /* A worker answers a start at once. Urgent tasks run for less than a
+     * second, so that a lost start must be noticed within a part of that. */
+    START_TIMEOUT_MS = 300,
+    /* Starts of one run that are sent before the run is given up and its task
+     * started elsewhere. */
+    STARTS_PER_RUN_MAX = 2,
     /* Delay before a worker that does not answer is polled again, doubled
      * after each failure. */
     RETRY_MIN_MS = 100,
@@ -49,8 +58,10 @@
 struct run {
     struct node_task task;
     enum run_phase phase;
-    int64_t phase_since; /* when it entered this phase */
-    bool end_proposed;   /* its end is being committed */
+    int64_t phase_since;  /* when it entered this phase */
+    bool end_proposed;    /* its end is being committed */
+    uint64_t start_token; /* of its last start; 0: this leader sent none */
+    uint32_t starts;      /* that this leader sent */
     /* When the start was confirmed or the run was first listed; 0: not yet. */
     int64_t run_started_ns;
     uint32_t percent;      /* share of its work done, as last listed */
@@ -106,6 +117,11 @@
     struct session *next_queued;
 };
 
+/* Polls the worker at once, with a new token, unless its answer to such a poll
+ * is awaited. Open calls are abandoned. */
+void
+session_verify(struct leader *l, struct session *s);
+
 /* Queues the session to be stepped in the next loop iteration. */
 void
 session_queue_step(struct session *s);
--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -145,6 +145,9 @@
                     s->number, upstream_failure_name(failure));
         if (r != NULL && r->phase == RUN_SENT) {
             run_set_phase(n->leader, r, RUN_UNCERTAIN);
+            if (failure == UPSTREAM_TIMED_OUT) {
+                session_verify(n->leader, s);
+            }
         }
         return;
     }
@@ -169,12 +172,14 @@
               struct run *r, struct out_call *call, enum run_phase sent)
 {
     enum run_phase queued = r->phase;
+    int64_t timeout_ms = call->call.kind == NODE_CALL_START ? START_TIMEOUT_MS
+                                                            : CALL_TIMEOUT_MS;
 
     call->task = r->task;
     run_set_phase(l, r, sent);
     s->open_calls++;
     if (!worker_call_send(l, s, w, call,
-                          l->node->now + CALL_TIMEOUT_MS * NS_PER_MS)) {
+                          l->node->now + timeout_ms * NS_PER_MS)) {
         s->open_calls--;
         run_set_phase(l, r, queued);
     }
@@ -201,6 +206,8 @@
     call->call.u.start.lease_until_ms = session_extend_lease(l, s);
     call->call.u.start.checkpoint = t->checkpoint;
     call->call.u.start.ticket = str_of(r->ticket);
+    r->start_token = s->token;
+    r->starts++;
     send_run_call(l, s, w, r, call, RUN_SENT);
 }
 
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -138,6 +138,23 @@
 
 /* Decides on a run that was missing from a list requested after it entered its
  * phase. */
+/* Handles a run whose start was not answered, and which a poll with a later
+ * token does not list. */
+static void
+handle_lost_start(struct leader *l, struct session *s, struct run *r)
+{
+    event_write(&event_call,
+                "call=start job=%016llx task=%u.%u.%u run=%u starts=%u lost=1",
+                (unsigned long long)r->task.job, r->task.occurrence,
+                r->task.step, r->task.index, r->task.run, r->starts);
+    if (r->starts < STARTS_PER_RUN_MAX) {
+        run_set_phase(l, r, RUN_QUEUED);
+    }
+    else {
+        run_propose_not_started(l, s, r);
+    }
+}
+
 static void
 handle_unlisted_run(struct leader *l, struct session *s, struct run *r)
 {
@@ -163,6 +180,12 @@
         run_set_phase(l, r, RUN_STOP_QUEUED);
         break;
     case RUN_UNCERTAIN:
+        if (r->start_token != 0 && r->start_token < s->token && !s->settling) {
+            handle_lost_start(l, s, r);
+            break;
+        }
+        run_set_phase(l, r, RUN_STOP_QUEUED);
+        break;
     case RUN_ACTIVE:
         run_set_phase(l, r, RUN_STOP_QUEUED);
         break;
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -263,9 +263,7 @@
     session_queue_step(s);
 }
 
-/* Polls the worker at once, with a new token, unless its answer to such a poll
- * is awaited. */
-static void
+void
 session_verify(struct leader *l, struct session *s)
 {
     if (!s->polling || s->poll_answered || s->poll_failing) {
--- a/tests/test_e2e_worker_life.c
+++ b/tests/test_e2e_worker_life.c
@@ -69,6 +69,36 @@
     return platform_fault_count(r, "lost_worker");
 }
 
+static long
+count_ends(struct platform_rig *r, const char *how)
+{
+    char *name = g_strdup_printf("guavarock_run_ends_total{how=\"%s\"}", how);
+    long count = 0;
+
+    for (int i = 0; i < CONTROLS; i++) {
+        count += platform_metric(r, i, name);
+    }
+    g_free(name);
+    return count;
+}
+
+/* Guards against a start without an answer that costs the run, and an urgent
+ * task the second that it takes to notice that and to rule the run out. The
+ * start is sent again, and the late copy of it is refused. */
+static void
+lost_start_sent_again(void)
+{
+    struct platform_rig r;
+
+    open_rig(&r);
+    lose_start(&r, "{\"count\":1,\"hold\":true,\"late_ms\":1500}");
+    platform_await_completed(&r, LATE_JOB);
+    platform_await_fault_count(&r, "late_refused", 1);
+    g_assert_cmpint(count_ends(&r, "never"), ==, 0);
+    g_assert_cmpint(platform_fault_count(&r, "late_accepted"), ==, 0);
+    platform_close(&r);
+}
+
 /* Restarts the worker as one of kind "b", which can't run LATE_JOB again. */
 static void
 restart_worker(struct platform_rig *r, int worker, const char *run_lost)
@@ -378,6 +408,8 @@
     g_test_init(&argc, &argv, NULL);
     /* One failed case does not end the program, as several are known red. */
     g_test_set_nonfatal_assertions();
+    g_test_add_func("/e2e/platform/lost-start-sent-again",
+                    lost_start_sent_again);
     g_test_add_func("/e2e/platform/late-start-after-worker-restart",
                     late_start_after_restart_closed);
     g_test_add_func("/e2e/platform/late-start-after-worker-restart-held",
