node: workers with tasks without an end get a lease that they can return in

Cause: every worker was granted the longest lease that it accepts.

Leases of other workers are as before.

--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -77,6 +77,7 @@
     uint32_t tasks;   /* assigned tasks */
     uint32_t serving; /* assigned tasks with a tail-latency target */
     uint32_t best_effort; /* assigned best-effort tasks */
+    uint32_t endless;     /* assigned tasks without an end */
     bool draining;
     uint64_t last_seen; /* sequence number of the last recorded run end */
     void *session;      /* leader only: struct plan_worker, or NULL */
--- a/packages/flow/tasks.c
+++ b/packages/flow/tasks.c
@@ -51,11 +51,15 @@
 }
 
 /* Best-effort tasks and those with a tail-latency target are counted, because
- * the two do not share a worker. */
+ * the two do not share a worker; tasks without an end, because they shorten
+ * its lease. */
 static void
 adjust_kind_count(struct flow_worker *w, const struct flow_step *step,
                   int change)
 {
+    if (step->spec->endless) {
+        w->endless += (uint32_t)change;
+    }
     if (step->spec->best_effort) {
         w->best_effort += (uint32_t)change;
     }
--- a/packages/node/package.mk
+++ b/packages/node/package.mk
@@ -1,3 +1,3 @@
 node_DEPS := base flow raft store peer front endpoint
 node_EXPORTS := node_* node__* leader_wait_* progress_* membership_* \
-	approval_vm_* call_outcome_* send_window_*
+	approval_vm_* call_outcome_* send_window_* worker_lease_*
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -9,16 +9,13 @@
 #include "clock.h"
 #include "event.h"
 #include "mem.h"
+#include "worker_lease.h"
 
 enum {
     /* Open start and stop calls per worker. Each needs a connection. */
     OPEN_CALLS_MAX = 2,
     /* A worker that has not answered for this long gets no new tasks. */
     SILENCE_MAX_MS = 2200,
-    /* A lease is taken to last this much longer by the leader's clock than by
-     * the worker's, which may be slower. */
-    CLOCK_SLOW_MAX_PERCENT = 3,
-    LEASE_MARGIN_MS = 150,
     /* Interval between steps of all sessions, which find runs that must stop
      * because other runs ended. It grows by 1 ms per SCAN_SESSIONS_PER_MS
      * sessions. */
@@ -107,15 +104,6 @@
     }
 }
 
-/* Returns the longest time on the leader's clock that a lease of ms on a
- * worker's clock can last. */
-static int64_t
-lease_upper_bound_ns(int64_t ms)
-{
-    return (ms * (100 + CLOCK_SLOW_MAX_PERCENT) / 100 + LEASE_MARGIN_MS) *
-           NS_PER_MS;
-}
-
 /* Gives the session a token above all earlier ones, so that the worker refuses
  * calls with these from its next call on. */
 static void
@@ -137,7 +125,7 @@
     s->retry_ms = RETRY_MIN_MS;
     s->lease_expires_at =
         l->node->now +
-        lease_upper_bound_ns((int64_t)l->node->settings.lease_max_ms);
+        worker_lease_bound_ns((int64_t)l->node->settings.lease_max_ms);
     w->session = s;
     map_put_u64(l->sessions, s->number, s);
     s->adopting = w->tasks > 0;
@@ -286,7 +274,7 @@
     const struct flow_worker *w = flow_worker(l->state, s->number);
     int64_t lease_end =
         l->node->now +
-        lease_upper_bound_ns((int64_t)l->node->settings.lease_max_ms);
+        worker_lease_bound_ns((int64_t)l->node->settings.lease_max_ms);
     struct run *r;
     void *cursor = NULL;
 
@@ -378,18 +366,25 @@
     }
 }
 
+/*
+ * A lease for tasks without an end counts from the worker's last answer, as a
+ * start could otherwise extend it after the worker has failed.
+ */
 int64_t
 session_extend_lease(struct leader *l, struct session *s)
 {
+    const struct flow_worker *w = flow_worker(l->state, s->number);
+    bool endless = w != NULL && w->endless > 0;
+    int64_t granted_at = endless ? s->clock_read_at : l->node->now;
     int64_t until;
     int64_t expires_at;
 
     if (!s->clock_known || s->poll_failing || s->settling) {
         return 0;
     }
-    until = s->clock_ms + (l->node->now - s->clock_read_at) / NS_PER_MS +
-            (int64_t)l->node->settings.lease_max_ms;
-    expires_at = s->clock_read_at + lease_upper_bound_ns(until - s->clock_ms);
+    until = s->clock_ms + (granted_at - s->clock_read_at) / NS_PER_MS +
+            worker_lease_ms((int64_t)l->node->settings.lease_max_ms, endless);
+    expires_at = s->clock_read_at + worker_lease_bound_ns(until - s->clock_ms);
     if (expires_at > s->lease_expires_at) {
         s->lease_expires_at = expires_at;
     }
--- a/tests/support/platform_rig.c
+++ b/tests/support/platform_rig.c
@@ -16,6 +16,10 @@
     READY_PORT_OFFSET = 2,
 };
 
+enum {
+    LEASE_MAX_MS = 4000,
+};
+
 const char platform_job[] =
     "{\"taskSpec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,"
     "\"memoryRequestMb\":64,\"estimatedMs\":300,\"gang\":true},"
@@ -53,9 +57,9 @@
         text,
         "],\"first_start\":true,\"cluster_secret\":\"secret-of-the-test\","
         "\"approval_address\":\"127.0.7.30:%d\",\"heartbeat_ms\":300,"
-        "\"lease_max_ms\":4000,\"job_keep_s\":300,\"grace_s\":6,"
+        "\"lease_max_ms\":%d,\"job_keep_s\":300,\"grace_s\":6,"
         "\"metrics_listen\":\"%s:%d\",",
-        r->port, ip, r->port + PLATFORM_METRICS_PORT_OFFSET);
+        r->port, r->lease_max_ms, ip, r->port + PLATFORM_METRICS_PORT_OFFSET);
     if (control) {
         g_string_append_printf(
             text, "\"control_listen\":\"%s:%d\",\"data\":\"%s/%s\"}", ip,
@@ -250,13 +254,14 @@
 
 static void
 open_rig(struct platform_rig *r, int controls, int entries,
-         int worker_processes, bool faulty_disks)
+         int worker_processes, bool faulty_disks, int lease_max_ms)
 {
     char *config = platform_config(1);
     char *url;
 
     memset(r, 0, sizeof(*r));
     r->faulty_disks = faulty_disks;
+    r->lease_max_ms = lease_max_ms;
     r->dir = g_dir_make_tmp("platform-XXXXXX", NULL);
     r->port = 20000 + (int)(getpid() % 4000) * 10;
     r->client = http_client_create();
@@ -289,14 +294,21 @@
 platform_open(struct platform_rig *r, int controls, int entries,
               int worker_processes)
 {
-    open_rig(r, controls, entries, worker_processes, false);
+    open_rig(r, controls, entries, worker_processes, false, LEASE_MAX_MS);
+}
+
+void
+platform_open_leases(struct platform_rig *r, int controls, int entries,
+                     int worker_processes, int lease_max_ms)
+{
+    open_rig(r, controls, entries, worker_processes, false, lease_max_ms);
 }
 
 void
 platform_open_faulty(struct platform_rig *r, int controls, int entries,
                      int worker_processes)
 {
-    open_rig(r, controls, entries, worker_processes, true);
+    open_rig(r, controls, entries, worker_processes, true, LEASE_MAX_MS);
 }
 
 /* Prints the lines in which workers say that they were called wrongly, and
--- a/tests/support/platform_rig.h
+++ b/tests/support/platform_rig.h
@@ -37,6 +37,7 @@
     /* Control VMs run as guavarockd_faulty: operations in the data directory
      * c<i> fail as the file c<i>.fault beside it says. */
     bool faulty_disks;
+    int lease_max_ms;
     pid_t control[PLATFORM_CONTROLS_MAX];
     pid_t entry[PLATFORM_ENTRIES_MAX];
     pid_t workers[PLATFORM_WORKER_PROCESSES_MAX];
@@ -54,6 +55,11 @@
 platform_open_faulty(struct platform_rig *r, int controls, int entries,
                      int worker_processes);
 
+/* The same with workers' leases of up to that time instead of 4 s. */
+void
+platform_open_leases(struct platform_rig *r, int controls, int entries,
+                     int worker_processes, int lease_max_ms);
+
 /* Terminates all processes. Prints what worker processes 0 to 2 reported, and
  * fails if that is a second run of a task or a worker over its capacity. */
 void
--- a/tests/test_e2e_worker_life.c
+++ b/tests/test_e2e_worker_life.c
@@ -1,6 +1,8 @@
 #include <glib.h>
+#include <string.h>
 
 #include "platform_rig.h"
+#include "proc.h"
 
 /*
  * End-to-end tests of starts that workers carry out later than the leader
@@ -16,6 +18,11 @@
     STOP_MS = 2500,
     /* Their ends fill three answers to polls and more. */
     MANY_TASKS = 2000,
+    LEASE_MAX_MS = 10000,
+    /* The tasks are to return in 9 s. The rest is for committing the loss and
+     * starting them. */
+    GIVEN_UP_MAX_MS = 8000,
+    REGISTER_MS = 1500, /* until changes of workers are known */
     /* Job numbers. */
     LATE_JOB = 0,
     OTHER_JOB = 1,
@@ -293,6 +300,81 @@
     g_free(url);
 }
 
+/* Waits until a task of the job has been started. */
+static void
+await_started(struct platform_rig *r, int job)
+{
+    int64_t give_up_at = g_get_monotonic_time() + PLATFORM_WAIT_MS * 1000;
+    char *url = platform_job_url(r, 0, job);
+    char body[128] = "";
+
+    while (g_get_monotonic_time() < give_up_at &&
+           strstr(body, "running") == NULL) {
+        g_usleep(10000);
+        platform_call(r, "GET", url, "", body, sizeof(body));
+    }
+    g_assert_nonnull(strstr(body, "running"));
+    g_free(url);
+}
+
+/* Returns whether a control VM has given up a worker of process 1 that had
+ * tasks. */
+static bool
+has_given_up(const struct platform_rig *r)
+{
+    bool found = false;
+
+    for (int i = 0; i < CONTROLS && !found; i++) {
+        char *path = g_strdup_printf("%s/c%d.log", r->dir, i);
+        char *log = NULL;
+
+        g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+        found = g_regex_match_simple("event=worker-lost worker=i-31-. "
+                                     "number=[0-9]+ tasks=[1-9]",
+                                     log, (GRegexCompileFlags)0,
+                                     (GRegexMatchFlags)0);
+        g_free(log);
+        g_free(path);
+    }
+    return found;
+}
+
+/* Guards against tasks without an end that return later than their users can
+ * wait, because their worker is given up only after the longest lease. */
+static void
+endless_tasks_return(void)
+{
+    static const char body[] =
+        "{\"taskSpec\":\"run_ms=60000 ticket=0\",\"steps\":[{\"count\":2,"
+        "\"cpu\":500,\"memoryRequestMb\":64,\"estimatedMs\":60000,"
+        "\"longRunning\":true,\"requirements\":\"a\"}]}";
+    struct platform_rig r;
+    int64_t killed_us;
+
+    platform_open_leases(&r, CONTROLS, 1, 1, LEASE_MAX_MS);
+    r.queue = "/plain/";
+    for (int i = 0; i < PLATFORM_WORKERS_PER_PROCESS; i++) {
+        restart_worker(&r, i, "false");
+    }
+    platform_start_workers(&r, 1);
+    g_usleep(REGISTER_MS * 1000);
+    platform_submit_body(&r, FIRST_JOB, body);
+    await_started(&r, FIRST_JOB);
+    platform_fault(&r, "restart", "{\"worker\":0,\"kind\":\"a\"}");
+    /* Until a lease from before the start would have ended anyway. */
+    g_usleep((LEASE_MAX_MS - GIVEN_UP_MAX_MS / 2) * 1000);
+    g_assert_cmpint(platform_fault_count(&r, "starts"), ==, 0);
+    proc_kill(r.workers[1]);
+    killed_us = g_get_monotonic_time();
+    while (!has_given_up(&r) && g_get_monotonic_time() - killed_us <
+                                    (int64_t)GIVEN_UP_MAX_MS * 1000) {
+        g_usleep(20000);
+    }
+    g_assert_true(has_given_up(&r));
+    platform_await_fault_count(&r, "starts", 2);
+    platform_close(&r);
+}
+
 /* Guards against tasks that run again because their ends did not fit into the
  * next answers of their worker. */
 static void
@@ -342,5 +424,7 @@
     g_test_add_func("/e2e/platform/release-beside-stray",
                     release_beside_stray);
     g_test_add_func("/e2e/platform/many-ends-at-once", many_ends_at_once);
+    g_test_add_func("/e2e/platform/endless-tasks-return",
+                    endless_tasks_return);
     return g_test_run();
 }
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -451,6 +451,36 @@
     flow_fixture_free(&f);
 }
 
+/* The tasks without an end must be counted for each worker, also after a
+ * snapshot, since they shorten its lease. */
+static void
+endless_tasks_counted(void)
+{
+    Flow__Step *steps[] = {flow_fixture_create_step(2, 1000, -1)};
+    struct flow_fixture f;
+    struct flow_state *restored;
+    struct buf bytes = {0};
+    uint32_t w;
+
+    flow_fixture_init(&f);
+    w = flow_fixture_add_worker(&f, "w", 1, 8000);
+    steps[0]->endless = true;
+    flow_fixture_submit_job(&f, 1, steps, 1);
+    submit_two_step_job(&f, 2);
+    flow_fixture_start_run(&f, 2, 0, 0, 1, w);
+    g_assert_cmpuint(flow_worker(f.state, w)->endless, ==, 0);
+    flow_fixture_start_run(&f, 1, 0, 0, 1, w);
+    flow_fixture_start_run(&f, 1, 0, 1, 1, w);
+    flow_state_encode(f.state, &bytes);
+    restored = flow_state_decode(buf_str(&bytes));
+    g_assert_cmpuint(flow_worker(restored, w)->endless, ==, 2);
+    flow_fixture_end_run(&f, 1, 0, 0, 1, w, FLOW_END_STOPPED, "");
+    g_assert_cmpuint(flow_worker(f.state, w)->endless, ==, 1);
+    flow_state_destroy(restored);
+    buf_free(&bytes);
+    flow_fixture_free(&f);
+}
+
 /* A state that is restored from a snapshot must equal the original, and bytes
  * that are not a snapshot must be rejected. */
 static void
@@ -559,6 +589,7 @@
                     cancelled_before_submitted);
     g_test_add_func("/flow/worker-starts-again", worker_starts_again);
     g_test_add_func("/flow/config-order", config_order);
+    g_test_add_func("/flow/endless-tasks-counted", endless_tasks_counted);
     g_test_add_func("/flow/snapshot", snapshot);
     g_test_add_func("/flow/spec-checks", spec_checks);
     g_test_add_func("/flow/due-saturates", due_saturates);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -9,6 +9,7 @@
 #include "node.h"
 #include "progress.h"
 #include "send_window.h"
+#include "worker_lease.h"
 
 static int64_t
 ms_to_ns(int64_t ms)
@@ -321,6 +322,26 @@
                     other_clock(local - ms_to_ns(2000), 100));
 }
 
+/* Guards against tasks without an end that return too late after their worker
+ * has failed, and against a lease that a change of leader outlasts. */
+static void
+lease_of_endless_tasks(void)
+{
+    enum {
+        LEASE_MAX_MS = 10000,
+        /* An election, and calls to a worker through a relay that is paused
+         * and then without it. */
+        LEADER_CHANGE_MS = 5000,
+    };
+    int64_t ms = worker_lease_ms(LEASE_MAX_MS, true);
+
+    g_assert_cmpint(worker_lease_bound_ns(ms), <=,
+                    ms_to_ns(ENDLESS_RETURN_MS - ENDLESS_RESTART_MS));
+    g_assert_cmpint(ms, >, LEADER_CHANGE_MS);
+    g_assert_cmpint(worker_lease_ms(LEASE_MAX_MS, false), ==, LEASE_MAX_MS);
+    g_assert_cmpint(worker_lease_ms(6000, true), ==, 6000);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -338,5 +359,6 @@
     g_test_add_func("/node/send-window/other-clock",
                     send_window_on_other_clock);
     g_test_add_func("/node/send-window/late-report", send_window_late_report);
+    g_test_add_func("/node/lease-of-endless-tasks", lease_of_endless_tasks);
     return g_test_run();
 }
