flow: collecting candidates allocates once a round

tests/bounds_plan.sh fails on x86-64 already at: 5.14 million instructions at 1,100 workers and 5,000 steps and 6.03 million at 3,000 and 5,000, bound 5 million. An eighth of that copied the growing list of candidates, another tenth allocated and freed critical paths for each job.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -127,12 +127,22 @@
            has_waiting_task(step) && flow_step_is_ready(o, step);
 }
 
+/* Makes room for the critical paths of a job of so many steps. */
+static void
+reserve_paths(struct plan_round *r, size_t steps)
+{
+    if (steps > r->path_cap) {
+        r->path_cap = steps;
+        r->path_ms = mem_realloc(r->path_ms, steps, sizeof(*r->path_ms));
+    }
+}
+
 /* Adds the job's steps that wait. The critical paths of a job without any are
  * not computed: most live jobs are running. */
 static void
 collect_job(struct plan_round *r, struct flow_job *j)
 {
-    int64_t *path_ms = NULL;
+    bool has_objective = false;
     int64_t objective_ms = 0;
 
     for (size_t i = 0; i < j->occurrence_count; i++) {
@@ -142,15 +152,15 @@
             if (!is_candidate(o, &o->steps[k])) {
                 continue;
             }
-            if (path_ms == NULL) {
-                path_ms = mem_alloc(j->spec->n_steps * sizeof(*path_ms));
+            if (!has_objective) {
+                reserve_paths(r, j->spec->n_steps);
                 objective_ms = compute_objective_ms(
-                    j, compute_critical_paths_ms(j, path_ms));
+                    j, compute_critical_paths_ms(j, r->path_ms));
+                has_objective = true;
             }
-            add_candidate(r, j, i, k, path_ms, objective_ms);
+            add_candidate(r, j, i, k, r->path_ms, objective_ms);
         }
     }
-    mem_free(path_ms);
 }
 
 int
@@ -275,6 +285,8 @@
 round_collect_candidates(struct plan_round *r)
 {
     collect_workers(r);
+    r->candidate_cap = flow_live_count(r->state) + 1;
+    r->candidates = mem_alloc(r->candidate_cap * sizeof(*r->candidates));
     for (struct flow_job *j = flow_first_live(r->state); j != NULL;
          j = j->next) {
         if (j->state <= FLOW_JOB_RUNNING) {
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -437,6 +437,7 @@
     mem_free(r->options);
     mem_free(r->services);
     mem_free(r->candidates);
+    mem_free(r->path_ms);
     mem_free(r->teams);
 }
 
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -83,6 +83,8 @@
     struct candidate *candidates;
     size_t candidate_count;
     size_t candidate_cap;
+    int64_t *path_ms; /* scratch space for the critical paths of one job */
+    size_t path_cap;
     size_t reservations; /* gangs that have reserved workers */
     bool releases_collected;
     struct team_plan *teams;
