flow: a gang renews the tickets that lapse before the answer

A gang that has room from now on, or soon, named only tickets that lapse before its start, even if the others lapse before the answer: these were asked for next, and lapsed in turn. A gang too wide for four times its tasks on approved workers went on asking for tickets of approved ones in search of more workers, whether it had room or not.

--- a/packages/flow/approval_request.c
+++ b/packages/flow/approval_request.c
@@ -127,8 +127,9 @@
 }
 
 /* Collects workers that are worth a request, the most useful first: suitable
- * ones that the service has not refused and that have no valid ticket. It
- * looks at no more workers than it takes to have a choice among them. */
+ * ones that the service has not refused and that have no valid ticket, without
+ * the approved ones if slots of empty workers count. It looks at no more
+ * workers than it takes to have a choice among them. */
 static void
 collect_choices(struct plan_round *r, const struct candidate *c,
                 uint64_t slots_needed, struct choices *out)
@@ -136,7 +137,7 @@
     size_t i;
     size_t begin = first_view(r, c);
 
-    for (i = 0; i < r->approved_count; i++) {
+    for (i = 0; i < r->approved_count && !out->if_empty; i++) {
         if (!is_ticket_valid(r->approved[i]->verdict, r->now_ns)) {
             add_choice(r, c, r->approved[i], out);
         }
@@ -339,16 +340,19 @@
     int64_t call_ns = (q->approval_ms + REQUEST_LEAD_MS) * NS_PER_MS;
     int64_t workers_ns = (int64_t)GANG_REQUEST_WORKERS_MAX *
                          q->approval_worker_us * (NS_PER_MS / 1000);
+    int64_t answer_ns = r->now_ns + call_ns + workers_ns;
 
     if (slots_now >= c->step->count) {
-        request_gang_tickets(r, c, true, r->now_ns + call_ns + workers_ns);
+        request_gang_tickets(r, c, true, answer_ns);
         return true;
     }
     if (fit_ns - r->now_ns > call_ns + workers_ns) {
         return false;
     }
     if (fit_ns - r->now_ns <= call_ns) {
-        request_gang_tickets(r, c, false, fit_ns);
+        /* Tickets that lapse before the answer are of no use either. */
+        request_gang_tickets(r, c, false,
+                             fit_ns > answer_ns ? fit_ns : answer_ns);
     }
     return true;
 }
@@ -362,23 +366,27 @@
            (a == NULL || a->pending_until_ns <= r->now_ns);
 }
 
-/* Plans requests for a gang with too few approved workers. */
-static void
+/* Plans requests for a gang with too few approved workers. Returns false if
+ * the service has answered for all that may run it. */
+static bool
 request_gang_workers(struct plan_round *r, const struct candidate *c,
                      uint64_t approved_slots)
 {
     uint64_t wanted =
         (uint64_t)c->step->count * GANG_SLOT_FACTOR - approved_slots;
     struct choices choices = {.if_empty = true};
+    bool found;
 
     choices.list = mem_alloc((r->view_count + 1) * sizeof(*choices.list));
     collect_choices(
         r, c, (uint64_t)((double)wanted / plan_approved_share(c->job->queue)),
         &choices);
-    if (choices.count > 0) {
+    found = choices.count > 0;
+    if (found) {
         request_approved_slots(r, c, &choices, wanted);
     }
     mem_free(choices.list);
+    return found;
 }
 
 void
@@ -395,8 +403,8 @@
         uint64_t approved_slots = approved_slots_if_empty(r, c);
         uint64_t slots_now;
 
-        if (approved_slots < (uint64_t)c->step->count * GANG_SLOT_FACTOR_MIN) {
-            request_gang_workers(r, c, approved_slots);
+        if (approved_slots < (uint64_t)c->step->count * GANG_SLOT_FACTOR_MIN &&
+            request_gang_workers(r, c, approved_slots)) {
             return;
         }
         slots_now = approved_slots_now(r, c);
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -481,6 +481,36 @@
     flow_fixture_free(&f);
 }
 
+/* A gang that is too wide for the usual number of approved workers must renew
+ * its tickets for a start, not again and again in search of more workers. */
+static void
+wide_gang_renews(void)
+{
+    struct flow_fixture f;
+    struct plan plan = {0};
+    struct flow_step *step;
+
+    flow_fixture_init(&f);
+    flow_fixture_set_config(&f, 2, "two", true, 0);
+    for (uint32_t i = 0; i < 8; i++) {
+        char id[8];
+
+        g_snprintf(id, sizeof(id), "w%u", i);
+        flow_fixture_add_worker(&f, id, 1, 4000);
+    }
+    step = submit_job(&f, 1, 3, 4000, true)->occurrences[0].steps;
+    for (uint32_t i = 0; i < 8; i++) {
+        plan_record_verdict(step, i + 1, i < 5, STR("t"), NOW_NS);
+    }
+    plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(plan.approval_request_count, ==, 1);
+    g_assert_cmpint(plan.approval_requests[0].purpose, ==,
+                    PLAN_REQUEST_TICKETS);
+    g_assert_cmpuint(plan.approval_requests[0].count, ==, 5);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Answers for workers that have gone or that no request named, and tickets
  * that are too long, must not stop a round or start anything. */
 static void
@@ -975,6 +1005,7 @@
     g_test_add_func("/plan/approval-in-objective", approval_in_objective);
     g_test_add_func("/plan/gang-asks-once", gang_asks_once);
     g_test_add_func("/plan/request-purposes", request_purposes);
+    g_test_add_func("/plan/wide-gang-renews", wide_gang_renews);
     g_test_add_func("/plan/unusable-verdicts", unusable_verdicts);
     g_test_add_func("/plan/gang-team-limit", gang_team_limit);
     g_test_add_func("/plan/late-order", late_order);
