--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -111,6 +111,9 @@
     struct plan_wait_report *waiting;
     size_t waiting_count;
     size_t waiting_cap;
+    size_t yielded; /* steps that left room to gangs of more urgent queues */
+    struct flow_size claimed; /* by gangs in time that found no room */
+    struct flow_size free;    /* of the workers that take tasks */
     /* The round ended before it had tried all candidates. The next one tries
      * the first candidates again, and then goes on behind the last one tried,
      * whose sort keys these are. */
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -446,6 +446,7 @@
     }
     if (missing > 0 && !team_limited) {
         claim_headroom(r, c);
+        r->plan->yielded += !has_headroom(r, c);
     }
     if (missing > 0 && !team_limited && c->job->queue->needs_approval &&
         has_headroom(r, c)) {
@@ -518,6 +519,20 @@
     }
 }
 
+/* Keeps what gangs claim, for the log. */
+static void
+record_headroom(const struct plan_round *r)
+{
+    struct plan *plan = r->plan;
+
+    plan->claimed = (struct flow_size){0};
+    plan->free = (struct flow_size){0};
+    for (size_t i = 0; i < r->service_count; i++) {
+        plan->claimed = size_add(plan->claimed, r->headroom[i].claimed);
+        plan->free = size_add(plan->free, r->headroom[i].free);
+    }
+}
+
 void
 plan_make(struct flow_state *s, int64_t now, const struct plan_limits *limits,
           struct plan *plan)
@@ -530,6 +545,7 @@
     plan->start_count = 0;
     plan->approval_request_count = 0;
     plan->waiting_count = 0;
+    plan->yielded = 0;
     round_collect_candidates(&r);
     r.options = mem_alloc((r.view_count + 1) * sizeof(*r.options));
     resume = plan->incomplete ? find_resume_index(&r) : 0;
@@ -539,6 +555,7 @@
                             resume > 0 ? limits->visits / 2 : limits->visits);
     next = place_candidates(&r, next < resume ? resume : next, limits->visits);
     record_resume_point(&r, next);
+    record_headroom(&r);
     round_destroy(&r);
 }
 
--- a/packages/flow/urgency.c
+++ b/packages/flow/urgency.c
@@ -104,6 +104,7 @@
         h->claims[i] = (struct headroom_claim){.priority = priority};
     }
     h->claims[i].size = add(h->claims[i].size, size);
+    h->claimed = add(h->claimed, size);
 }
 
 /* Reports whether size can be taken of one resource. A task that does not use
--- a/packages/flow/urgency.h
+++ b/packages/flow/urgency.h
@@ -47,6 +47,7 @@
 struct headroom {
     struct flow_size capacity; /* of the workers that take tasks */
     struct flow_size free;     /* of that */
+    struct flow_size claimed;  /* by the gangs of all priorities */
     struct headroom_claim *claims;
     size_t claim_count;
 };
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -293,6 +293,10 @@
 void
 metrics_plan(struct metrics *m, int64_t took_ns);
 
+/* Counts steps that left room to gangs in a planning round. */
+void
+metrics_yielded(struct metrics *m, size_t steps);
+
 /* Responds to a scrape with the current values. */
 void
 metrics_respond(const struct node *n, struct front_call *call);
--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -49,6 +49,9 @@
                                            .per_second = 60};
 static struct event_kind event_waiting = {.name = "waiting", .per_second = 40};
 
+static struct event_kind event_headroom = {.name = "headroom",
+                                           .per_second = 1};
+
 /* A request to the approval service that was sent to a VM. */
 struct approval_request {
     uint64_t id;
@@ -402,6 +405,17 @@
     l->plan_needed = l->plan.incomplete;
     l->plan_due = next_plan_time(began, clock_now());
     metrics_plan(l->node->metrics, clock_now() - began);
+    if (l->plan.yielded > 0) {
+        metrics_yielded(l->node->metrics, l->plan.yielded);
+        event_write(&event_headroom,
+                    "yielded=%zu claimed_cpu=%llu free_cpu=%llu "
+                    "claimed_memory=%llu free_memory=%llu",
+                    l->plan.yielded,
+                    (unsigned long long)l->plan.claimed.cpu_milli,
+                    (unsigned long long)l->plan.free.cpu_milli,
+                    (unsigned long long)l->plan.claimed.memory_mib,
+                    (unsigned long long)l->plan.free.memory_mib);
+    }
     for (size_t i = 0; i < l->plan.waiting_count; i++) {
         log_waiting(l, &l->plan.waiting[i]);
     }
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -23,6 +23,7 @@
     struct counter *ends[RUN_END_COUNT];
     struct counter *starts;
     struct counter *strays;
+    struct counter *yielded;
     struct histogram *call_ms;
     struct histogram *first_start_ms;
     struct histogram *commit_ms;
@@ -85,6 +86,9 @@
                             "Runs that the leader decided to start.");
     m->strays = counter_get(COUNTER_SUM, "guavarock_stray_runs_total",
                             "Runs on workers that they are not assigned to.");
+    m->yielded = counter_get(
+        COUNTER_SUM, "guavarock_yielded_steps_total",
+        "Steps that left room to gangs, counted in each planning round.");
     m->call_ms = histogram_create("guavarock_call_ms",
                                   "From a call's arrival to its answer.");
     m->first_start_ms =
@@ -164,6 +168,12 @@
     histogram_observe(m->approval_ms, took_ns);
 }
 
+void
+metrics_yielded(struct metrics *m, size_t steps)
+{
+    counter_add(m->yielded, steps);
+}
+
 void
 metrics_plan(struct metrics *m, int64_t took_ns)
 {
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -370,6 +370,8 @@
     batch->queue = &batch_queue;
     /* 38 cores are free, and the gang claims 18 of them. */
     plan_make(f.state, NOW_NS, &limits, &plan);
+    g_assert_cmpuint(plan.yielded, ==, 1);
+    g_assert_cmpuint(plan.claimed.cpu_milli, ==, 18000);
     g_assert_cmpuint(commit_starts(&f, &plan), ==, 10);
     plan_make(f.state, NOW_NS, &limits, &plan);
     g_assert_cmpuint(plan.start_count, ==, 0);
