flow: headroom survives absurd sizes

Cause: the sums of capacities and claims wrapped if a worker reported a capacity near 2^64, and the headroom of its service was then wrong. Result: /plan/headroom-largest fails with sums that wrap, passes now.

--- a/packages/flow/package.mk
+++ b/packages/flow/package.mk
@@ -1,2 +1,2 @@
 flow_DEPS := base
-flow_EXPORTS := flow_* flow__* plan_*
+flow_EXPORTS := flow_* flow__* plan_* urgency_* headroom_*
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -440,7 +440,7 @@
         if (missing > 0 && !team_limited) {
             fit_ns = reserve_gang(r, c);
         }
-        if (team_limited && c->lateness == 0) {
+        if (team_limited && c->lateness == URGENCY_IN_TIME) {
             reserve_team_limit(r, c);
         }
     }
--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -171,7 +171,8 @@
     struct worker_view **views = candidate_views(r, c, &count);
     int64_t at_ns;
 
-    if (r->reservations >= r->limits->reservations || c->lateness > 1) {
+    if (r->reservations >= r->limits->reservations ||
+        c->lateness == URGENCY_USELESS) {
         return INT64_MAX;
     }
     round_collect_releases(r);
--- a/packages/flow/urgency.c
+++ b/packages/flow/urgency.c
@@ -1,6 +1,7 @@
 #include "urgency.h"
 
 #include "mem.h"
+#include "plan_impl.h"
 
 enum {
     /* A job that takes more than this many times its objective is useless. */
@@ -52,42 +53,39 @@
                t->objective_ns / 100 * YIELD_UNTIL_PERCENT;
 }
 
-static struct flow_size
-add(struct flow_size a, struct flow_size b)
+static uint64_t
+add_saturating(uint64_t a, uint64_t b)
 {
-    return (struct flow_size){a.cpu_milli + b.cpu_milli,
-                              a.memory_mib + b.memory_mib,
-                              a.accelerators + b.accelerators};
+    return a > UINT64_MAX - b ? UINT64_MAX : a + b;
 }
 
-static uint64_t
-subtract_saturating(uint64_t a, uint64_t b)
+/* Adds sizes that workers and callers chose, so that the sum may overflow. */
+static struct flow_size
+sum(struct flow_size a, struct flow_size b)
 {
-    return a > b ? a - b : 0;
+    return (struct flow_size){add_saturating(a.cpu_milli, b.cpu_milli),
+                              add_saturating(a.memory_mib, b.memory_mib),
+                              add_saturating(a.accelerators, b.accelerators)};
 }
 
 void
 headroom_add_worker(struct headroom *h, struct flow_size capacity,
                     struct flow_size available)
 {
-    h->capacity = add(h->capacity, capacity);
-    h->free = add(h->free, available);
+    h->capacity = sum(h->capacity, capacity);
+    h->free = sum(h->free, available);
 }
 
 void
 headroom_take(struct headroom *h, struct flow_size size)
 {
-    h->free.cpu_milli = subtract_saturating(h->free.cpu_milli, size.cpu_milli);
-    h->free.memory_mib =
-        subtract_saturating(h->free.memory_mib, size.memory_mib);
-    h->free.accelerators =
-        subtract_saturating(h->free.accelerators, size.accelerators);
+    h->free = size_subtract(h->free, size);
 }
 
 void
 headroom_return(struct headroom *h, struct flow_size size)
 {
-    h->free = add(h->free, size);
+    h->free = sum(h->free, size);
 }
 
 void
@@ -103,8 +101,8 @@
             mem_realloc(h->claims, ++h->claim_count, sizeof(*h->claims));
         h->claims[i] = (struct headroom_claim){.priority = priority};
     }
-    h->claims[i].size = add(h->claims[i].size, size);
-    h->claimed = add(h->claimed, size);
+    h->claims[i].size = sum(h->claims[i].size, size);
+    h->claimed = sum(h->claimed, size);
 }
 
 /* Reports whether size can be taken of one resource. A task that does not use
@@ -127,7 +125,7 @@
 
     for (size_t i = 0; i < h->claim_count; i++) {
         if (h->claims[i].priority < priority) {
-            claimed = add(claimed, h->claims[i].size);
+            claimed = sum(claimed, h->claims[i].size);
         }
     }
     return leaves_claim(size.cpu_milli, h->free.cpu_milli, claimed.cpu_milli,
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -5,6 +5,7 @@
 #include "flow_fixture.h"
 #include "flow_world.h"
 #include "mem.h"
+#include "urgency.h"
 
 static const struct plan_limits limits = {100, 8, 6, 0};
 
@@ -382,6 +383,25 @@
     flow_fixture_free(&f);
 }
 
+/* A worker that reports an absurd capacity must not stop or hold up others. */
+static void
+headroom_largest_sizes(void)
+{
+    const struct flow_size largest = {UINT64_MAX, UINT64_MAX, UINT64_MAX};
+    const struct flow_size small = {1000, 1000, 0};
+    struct headroom h = {0};
+
+    headroom_add_worker(&h, small, small);
+    headroom_add_worker(&h, largest, largest);
+    headroom_claim(&h, 1, largest);
+    headroom_claim(&h, 1, largest);
+    g_assert_true(headroom_allows(&h, 2, small));
+    headroom_take(&h, largest);
+    g_assert_false(headroom_allows(&h, 2, small));
+    g_assert_true(headroom_allows(&h, 1, small));
+    headroom_free(&h);
+}
+
 /* Each step that waits must be reported with its reason, when the reason
  * changes and not in every round. */
 static void
@@ -733,6 +753,7 @@
     g_test_add_func("/plan/gang-team-limit", gang_team_limit);
     g_test_add_func("/plan/late-order", late_order);
     g_test_add_func("/plan/gang-headroom", gang_headroom);
+    g_test_add_func("/plan/headroom-largest", headroom_largest_sizes);
     g_test_add_func("/plan/load/full", full_fleet);
     g_test_add_func("/plan/load/full-leader-change", full_fleet_leader_change);
     g_test_add_func("/plan/wait-reasons", wait_reasons);
