--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -445,7 +445,7 @@
         else if (missing == 0 && !team_limited) {
             forget_reservation(c->step);
         }
-        if (team_limited && c->lateness == 0) {
+        if (team_limited && c->lateness == URGENCY_IN_TIME) {
             reserve_team_limit(r, c);
         }
     }
@@ -454,6 +454,7 @@
     }
     if (missing > 0 && !team_limited) {
         claim_headroom(r, c);
+        r->plan->yielded += !has_headroom(r, c);
     }
     if (missing > 0 && !team_limited && c->job->queue->needs_approval &&
         has_headroom(r, c)) {
@@ -528,6 +529,20 @@
     }
 }
 
+/* Keeps what gangs claim, for the log. */
+static void
+record_headroom(const struct plan_round *r)
+{
+    struct plan *plan = r->plan;
+
+    plan->claimed = (struct flow_size){0};
+    plan->free = (struct flow_size){0};
+    for (size_t i = 0; i < r->service_count; i++) {
+        plan->claimed = size_add(plan->claimed, r->headroom[i].claimed);
+        plan->free = size_add(plan->free, r->headroom[i].free);
+    }
+}
+
 void
 plan_make(struct flow_state *s, int64_t now, const struct plan_limits *limits,
           struct plan *plan)
@@ -541,6 +556,7 @@
     plan->approval_request_count = 0;
     plan->waiting_count = 0;
     plan->reconsider_ns = INT64_MAX;
+    plan->yielded = 0;
     round_collect_candidates(&r);
     round_find_best_effort(&r);
     r.options = mem_alloc((r.view_count + 1) * sizeof(*r.options));
@@ -552,6 +568,7 @@
     next = place_candidates(&r, next < resume ? resume : next, limits->visits);
     record_resume_point(&r, next);
     sort_approval_requests(plan, now);
+    record_headroom(&r);
     round_destroy(&r);
 }
 
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -31,6 +31,7 @@
     struct counter *starts;
     struct counter *strays;
     struct counter *displaced;
+    struct counter *yielded;
     struct histogram *call_ms;
     struct histogram *first_start_ms;
     struct histogram *commit_ms;
@@ -120,6 +121,9 @@
         counter_get(COUNTER_SUM, "guavarock_displaced_runs_total",
                     "Best-effort runs stopped in favor of tasks with a "
                     "tail-latency target.");
+    m->yielded = counter_get(
+        COUNTER_SUM, "guavarock_yielded_steps_total",
+        "Steps that left room to gangs, counted in each planning round.");
     m->call_ms = histogram_create("guavarock_call_ms",
                                   "From a call's arrival to its answer.");
     m->first_start_ms =
@@ -236,6 +240,12 @@
     counter_add(m->approval_service_ms[i], (uint64_t)cost_ms);
 }
 
+void
+metrics_yielded(struct metrics *m, size_t steps)
+{
+    counter_add(m->yielded, steps);
+}
+
 void
 metrics_plan(struct metrics *m, int64_t took_ns)
 {
