node: what the review of the unanswered calls found

Cause: a queued run may have been sent before. When its worker restarted, or the run was not wanted any more, it was released as never sent, though the earlier start could reach the next process; a refused run could be sent again; starts that were not sent were counted; abandoned calls took all connections of a worker. Change: a run that was sent is settled or stopped like one whose start is uncertain; it is given up without a stop only after its send window.

--- a/packages/node/calls.c
+++ b/packages/node/calls.c
@@ -22,8 +22,7 @@
     /* Delay before a request is sent again that reached a VM which is not the
      * leader. */
     NOT_LEADER_RESEND_MS = 50,
-    /* Delay before a request that is held back from a silent leader is looked
-     * at again. */
+    /* Delay before a request that was not sent yet is looked at again. */
     HELD_RESEND_MS = 25,
 };
 
@@ -190,7 +189,7 @@
     return silent;
 }
 
-/* Sends the request to the leader if one is reachable and answers. */
+/* Sends the request to the leader unless none is reachable or it is silent. */
 static void
 forward_call(struct calls *c, struct pending_call *p)
 {
@@ -210,6 +209,9 @@
     }
     l = links_leader(n);
     if (l == NULL || !is_understood(p->request, l)) {
+        if (p->copies == 0) {
+            p->resend_at = n->now + HELD_RESEND_MS * NS_PER_MS;
+        }
         return;
     }
     if (is_leader_silent(c, l)) {
--- a/packages/node/include/leader_watch.h
+++ b/packages/node/include/leader_watch.h
@@ -10,7 +10,7 @@
  * or cut off, has an unknown outcome: the leader may have acted on it. One
  * that is held back has certainly not run, and its caller may be told so.
  *
- * Load that this answers: hundreds of calls a second while the leader fails.
+ * Sized for hundreds of calls a second while the leader fails.
  * All times are ns of the monotonic clock.
  */
 struct leader_watch {
--- a/packages/node/out_calls.c
+++ b/packages/node/out_calls.c
@@ -7,9 +7,10 @@
 #include "mem.h"
 
 enum {
-    /* Connections per address: one for the long poll for ended runs, the
-     * others for starts and stops. */
-    CONNECTIONS_MAX = 4,
+    /* Connections per address: one for the long poll for ended runs, two for
+     * starts and stops, and as many for those that were abandoned when the
+     * token was renewed. */
+    CONNECTIONS_MAX = 6,
     /* A live worker is called every second, so an address that has not been
      * called for this long belongs to a worker that has terminated. */
     HOST_UNUSED_MAX_MS = 30000,
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -12,8 +12,8 @@
  * A run whose start was sent by a previous leader is looked up in the worker's
  * list of runs. A run that is not listed is stopped, after which the worker
  * never starts it. A list requested after the stop then shows whether the run
- * ever ran. A run whose start was not answered is looked up with a new token.
- * If it is not listed, its start has not been carried out and, as its token is
+ * ever ran. A run whose start has timed out is looked up with a new token. If
+ * it is not listed, its start has not been carried out and, as its token is
  * older, never will be: it is sent again, or the task starts elsewhere. A list
  * of ends may be cut: only the one that holds all ends that are not committed
  * yet shows which runs are missing.
@@ -46,7 +46,7 @@
 
 enum run_phase {
     RUN_UNKNOWN, /* a previous leader may have sent its start */
-    RUN_QUEUED,  /* its start is to be sent */
+    RUN_QUEUED,  /* its start is to be sent, or sent again */
     RUN_SENT,
     RUN_UNCERTAIN,   /* its start had no answer, or an unclear one */
     RUN_ACTIVE,      /* the worker has confirmed its start or listed it */
@@ -58,10 +58,12 @@
 struct run {
     struct node_task task;
     enum run_phase phase;
-    int64_t phase_since;  /* when it entered this phase */
-    bool end_proposed;    /* its end is being committed */
-    uint64_t start_token; /* of its last start; 0: this leader sent none */
-    uint32_t starts;      /* that this leader sent */
+    int64_t phase_since; /* when it entered this phase */
+    bool end_proposed;   /* its end is being committed */
+    /* Token of its last start; 0: none whose absence from a list shows that it
+     * was not carried out. */
+    uint64_t start_token;
+    uint32_t starts; /* that this leader sent */
     /* When the start was confirmed or the run was first listed; 0: not yet. */
     int64_t run_started_ns;
     uint32_t percent;      /* share of its work done, as last listed */
--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -81,6 +81,7 @@
     run_to_flow_task(&task, &r->task, s->number);
     /* The run is looked up again if its end cannot be committed. */
     run_set_phase(l, r, RUN_UNCERTAIN);
+    r->start_token = 0;
     switch (refusal) {
     case NODE_REFUSAL_BAD_TICKET:
         if (flow_task(l->state, &task, &step) != NULL) {
@@ -206,9 +207,11 @@
     call->call.u.start.lease_until_ms = session_extend_lease(l, s);
     call->call.u.start.checkpoint = t->checkpoint;
     call->call.u.start.ticket = str_of(r->ticket);
-    r->start_token = s->token;
-    r->starts++;
     send_run_call(l, s, w, r, call, RUN_SENT);
+    if (r->phase == RUN_SENT) {
+        r->start_token = s->token;
+        r->starts++;
+    }
 }
 
 static void
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -136,10 +136,9 @@
     }
 }
 
-/* Decides on a run that was missing from a list requested after it entered its
- * phase. */
-/* Handles a run whose start was not answered, and which a poll with a later
- * token does not list. */
+/* Handles a run whose start has timed out, and which a poll with a later token
+ * does not list. While the start may still be sent, a next process of the
+ * worker could accept it, so the run is not given up without a stop. */
 static void
 handle_lost_start(struct leader *l, struct session *s, struct run *r)
 {
@@ -150,11 +149,16 @@
     if (r->starts < STARTS_PER_RUN_MAX) {
         run_set_phase(l, r, RUN_QUEUED);
     }
-    else {
+    else if (l->node->now >= s->starts_until) {
         run_propose_not_started(l, s, r);
     }
+    else {
+        run_set_phase(l, r, RUN_STOP_QUEUED);
+    }
 }
 
+/* Decides on a run that was missing from a list requested after it entered its
+ * phase. */
 static void
 handle_unlisted_run(struct leader *l, struct session *s, struct run *r)
 {
@@ -180,6 +184,7 @@
         run_set_phase(l, r, RUN_STOP_QUEUED);
         break;
     case RUN_UNCERTAIN:
+        /* Otherwise its start was refused, or its connection broke. */
         if (r->start_token != 0 && r->start_token < s->token && !s->settling) {
             handle_lost_start(l, s, r);
             break;
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -233,7 +233,8 @@
 
     while ((r = map_next(s->runs, &cursor)) != NULL) {
         n += r->phase == RUN_UNKNOWN || r->phase == RUN_SENT ||
-             r->phase == RUN_UNCERTAIN;
+             r->phase == RUN_UNCERTAIN ||
+             (r->phase == RUN_QUEUED && r->starts > 0);
     }
     return n;
 }
@@ -317,7 +318,8 @@
         s->lease_expires_at = lease_end;
     }
     while ((r = map_next(s->runs, &cursor)) != NULL) {
-        if (r->phase != RUN_QUEUED) {
+        /* An earlier start of a queued run may reach the new process. */
+        if (r->phase != RUN_QUEUED || r->starts > 0) {
             run_set_phase(l, r, RUN_UNKNOWN);
         }
     }
@@ -597,11 +599,19 @@
            run_find_assigned_task(l, s->number, &r->task, &step) == NULL;
 }
 
+/* Returns whether no start of the run can be carried out. */
+static bool
+is_unsent(const struct run *r)
+{
+    return r->phase == RUN_QUEUED && r->starts == 0;
+}
+
 static bool
 can_stop(const struct run *r)
 {
     return r->phase == RUN_ACTIVE || r->phase == RUN_UNCERTAIN ||
-           r->phase == RUN_UNKNOWN;
+           r->phase == RUN_UNKNOWN ||
+           (r->phase == RUN_QUEUED && r->starts > 0);
 }
 
 static void
@@ -619,13 +629,14 @@
             return;
         }
     }
-    else if ((s->settling || w->evacuated) && r->phase == RUN_QUEUED) {
+    else if ((s->settling || w->evacuated) && is_unsent(r)) {
         run_propose_not_started(l, s, r);
         return;
     }
     else if (!should_run(l, r, step) || is_displaced(l, s, step) ||
-             (s->settling && r->phase == RUN_ACTIVE)) {
-        if (r->phase == RUN_QUEUED) {
+             (s->settling && r->phase == RUN_ACTIVE) ||
+             (w->evacuated && r->phase == RUN_QUEUED)) {
+        if (is_unsent(r)) {
             run_propose_not_started(l, s, r);
             return;
         }
--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -393,7 +393,7 @@
 }
 
 /* Guards against answers that leave the outcome open for jobs that no leader
- * has received: all control VMs stand still for less than the idle timeout of
+ * has received: all control VMs stand still for about the idle timeout of
  * a session, and what is submitted after the first unanswered request has
  * certainly not run. */
 static void
