tests: the job of evacuated-under-way fills all workers

Cause: the case failed once: its 16 tasks went to workers 0 and 2, so that no start to worker 1 was lost, which the case waits for. Equal workers are chosen in an order that depends on their registration. Change: 32 tasks, which take all room of the four workers. Then starts to worker 3, which are not lost, are on their way when the request is acknowledged; the case looks for starts there from 100 ms after it on, before the late ones arrive.

--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -16,7 +16,8 @@
     JOBS = 24,
     ODD_ANSWERS_MS = 500,
     RESUMED_MS = 1000,
-    PAUSE_MS = 2500, /* longer than the idle timeout of a peer session */
+    IN_FLIGHT_MS = 100, /* for starts that were sent and are not lost */
+    PAUSE_MS = 2500,    /* longer than the idle timeout of a peer session */
 };
 
 /* Guards against jobs that are lost or tasks that run twice when the control
@@ -165,8 +166,9 @@
 static void
 evacuated_under_way(void)
 {
+    /* Fills all workers. */
     static const char wide_job[] =
-        "{\"taskSpec\":\"ticket=0\",\"steps\":[{\"count\":16,\"cpu\":500,"
+        "{\"taskSpec\":\"ticket=0\",\"steps\":[{\"count\":32,\"cpu\":500,"
         "\"memoryRequestMb\":64,\"estimatedMs\":300}]}";
     struct platform_rig r;
 
@@ -178,6 +180,7 @@
     platform_submit_body(&r, 0, wide_job);
     platform_await_fault_count(&r, "lost", 1);
     change_evacuation(&r, 1, "POST", "y", 200);
+    g_usleep(IN_FLIGHT_MS * 1000);
     platform_fault(&r, "evacuated", "{\"zone\":\"y\"}");
     platform_await_fault_count(&r, "late_refused", 1);
     platform_await_completed(&r, 0);
