tests: the relay stays paused for longer than the send window

Its log shows why: a lost start is now sent again after 0.3 s, the job completes 0.9 s after its submission, and the relay goes on 87 ms before the window of the start has ended, within which it may send it; the worker refuses it by its token. Change: the case resumes the relay after the window, which it is about.

--- a/tests/test_e2e_platform.c
+++ b/tests/test_e2e_platform.c
@@ -7,6 +7,7 @@
 #include "odd_entries.h"
 #include "platform_rig.h"
 #include "proc.h"
+#include "send_window.h"
 #include "server.h"
 
 /* End-to-end tests of the platform adapter with real processes on loopback. */
@@ -747,6 +748,8 @@
     proc_signal(r->control[i], SIGSTOP);
     platform_submit_body(r, job, body);
     platform_await_completed(r, job);
+    /* The relay may send the starts within their window when it goes on. */
+    g_usleep(SEND_WINDOW_MS * 1000);
     return count_log_lines(r, "event=relay call=0 worker=") - before;
 }
 
