--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -152,6 +152,17 @@
 void
 run_set_phase(struct leader *l, struct run *r, enum run_phase phase);
 
+/* Takes the next action for a run. May free it. */
+void
+run_step(struct leader *l, struct session *s, const struct flow_worker *w,
+         struct run *r);
+
+/* Returns whether the session has the run though it is not assigned to the
+ * worker, as long as the worker may still execute it. */
+bool
+run_is_stray(const struct leader *l, const struct session *s,
+             const struct run *r);
+
 /* Prepares the session to settle the runs of the registered process with the
  * worker's process that started at born_ms. */
 void
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -1,6 +1,5 @@
 /*
- * Creates and removes the leader's sessions with workers, and decides the next
- * action for each run.
+ * Creates and removes the leader's sessions with workers.
  */
 #include "session.h"
 
@@ -12,8 +11,6 @@
 #include "worker_lease.h"
 
 enum {
-    /* Open start and stop calls per worker. Each needs a connection. */
-    OPEN_CALLS_MAX = 2,
     /* A worker that has not answered for this long gets no new tasks. */
     SILENCE_MAX_MS = 2200,
     /* Interval between steps of all sessions, which find runs that must stop
@@ -30,8 +27,6 @@
 };
 
 static struct event_kind event_end = {.name = "end", .per_second = 200};
-static struct event_kind event_displaced = {.name = "run-displaced",
-                                            .per_second = 40};
 static struct event_kind event_lost = {.name = "worker-lost"};
 static struct event_kind event_restart = {.name = "worker-restart"};
 
@@ -552,113 +547,6 @@
     memcpy(r->ticket, start->ticket, sizeof(r->ticket));
 }
 
-/* Returns whether the run is a best-effort one on a worker that is needed for
- * tasks with a tail-latency target. */
-static bool
-is_displaced(const struct leader *l, const struct session *s,
-             const struct flow_step *step)
-{
-    return step->spec->best_effort && s->plan.cleared_until_ns > l->node->now;
-}
-
-static void
-note_displaced(const struct leader *l, const struct flow_worker *w,
-               const struct run *r)
-{
-    metrics_displaced(l->node->metrics);
-    event_write(&event_displaced,
-                "job=%016llx task=%u.%u.%u run=%u worker=%.*s",
-                (unsigned long long)r->task.job, r->task.occurrence,
-                r->task.step, r->task.index, r->task.run, STR_ARG(w->id));
-}
-
-/* Returns whether an assigned run should run on its worker. */
-static bool
-should_run(const struct leader *l, const struct run *r,
-           const struct flow_step *step)
-{
-    if (flow_job(l->state, r->task.job)->state > FLOW_JOB_RUNNING) {
-        return false;
-    }
-    /* A gang that has lost a task is restarted as a whole. */
-    return !step->spec->gang || step->done == step->count ||
-           step->assigned == step->count;
-}
-
-/* Returns whether the session has the run though it is not assigned to the
- * worker, as long as the worker may still execute it. */
-static bool
-is_stray(const struct leader *l, const struct session *s, const struct run *r)
-{
-    struct flow_step *step;
-
-    bool stopping = r->phase == RUN_STOP_QUEUED || r->phase == RUN_STOP_SENT ||
-                    r->phase == RUN_STOPPED;
-
-    return stopping && !r->end_proposed &&
-           run_find_assigned_task(l, s->number, &r->task, &step) == NULL;
-}
-
-/* Returns whether no start of the run can be carried out. */
-static bool
-is_unsent(const struct run *r)
-{
-    return r->phase == RUN_QUEUED && r->starts == 0;
-}
-
-static bool
-can_stop(const struct run *r)
-{
-    return r->phase == RUN_ACTIVE || r->phase == RUN_UNCERTAIN ||
-           r->phase == RUN_UNKNOWN ||
-           (r->phase == RUN_QUEUED && r->starts > 0);
-}
-
-static void
-step_run(struct leader *l, struct session *s, const struct flow_worker *w,
-         struct run *r)
-{
-    bool stopping = r->phase >= RUN_STOP_QUEUED;
-    struct flow_step *step;
-
-    if (run_find_assigned_task(l, s->number, &r->task, &step) == NULL) {
-        /* A stray run uses the worker's capacity until a poll after its stop
-         * does not list it. */
-        if (!stopping || r->end_proposed) {
-            run_remove(s, r);
-            return;
-        }
-    }
-    else if ((s->settling || w->evacuated) && is_unsent(r)) {
-        run_propose_not_started(l, s, r);
-        return;
-    }
-    else if (!should_run(l, r, step) || is_displaced(l, s, step) ||
-             (s->settling && r->phase == RUN_ACTIVE) ||
-             (w->evacuated && r->phase == RUN_QUEUED)) {
-        if (is_unsent(r)) {
-            run_propose_not_started(l, s, r);
-            return;
-        }
-        if (can_stop(r)) {
-            if (is_displaced(l, s, step)) {
-                note_displaced(l, w, r);
-            }
-            run_set_phase(l, r, RUN_STOP_QUEUED);
-        }
-    }
-    if (s->open_calls >= OPEN_CALLS_MAX || r->end_proposed) {
-        return;
-    }
-    if (r->phase == RUN_QUEUED && !s->poll_failing && s->stray_runs == 0) {
-        run_send_start(l, s, w, r);
-    }
-    else if (r->phase == RUN_STOP_QUEUED && !s->poll_failing &&
-             l->node->now >= s->stop_due) {
-        run_send_stop(l, s, w, r);
-    }
-}
-
 /* Returns whether the new process has answered and no run of the registered
  * one can be executing or be started there. */
 static bool
@@ -704,11 +592,11 @@
     }
     s->stray_runs = 0;
     while ((r = map_next(s->runs, &cursor)) != NULL) {
-        s->stray_runs += is_stray(l, s, r);
+        s->stray_runs += run_is_stray(l, s, r);
     }
     cursor = NULL;
     while ((r = map_next(s->runs, &cursor)) != NULL) {
-        step_run(l, s, w, r);
+        run_step(l, s, w, r);
     }
     if (s->settling && is_settled(l, s)) {
         register_new_process(l, s);
