node: a queued start is checked again before it is sent

Callers saw: a task is started on a worker seconds after its drain was acknowledged, and dies with it; a team gets more than a limit that was lowered and acknowledged (rules DRAIN and QUOTA). Cause: what was allowed when a task was placed was taken to be allowed when its start is sent. A start is queued for up to a lease while polls of its worker fail; only an evacuation was checked again. Change: before each start the leader asks whether the failure domain is evacuated, the worker drains or the team is over its limit. Log: run-revoked with the reason. Why it works: each start passes run_step(), in the loop iteration that sends it.

--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -205,6 +205,11 @@
 plan_make(struct flow_state *s, int64_t now, const struct plan_limits *limits,
           struct plan *plan);
 
+/* Returns whether the team's tasks use more than its limit, which may have
+ * been lowered since they were placed. */
+bool
+plan_is_over_limit(const struct flow_team *team);
+
 /* Frees the plan's arrays and zeroes it. */
 void
 plan_free(struct plan *plan);
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -43,16 +43,28 @@
     return limit == 0 || used <= limit;
 }
 
+static bool
+is_size_within_limit(const struct flow_team *team, struct flow_size size)
+{
+    const struct flow_size *l = &team->limit;
+
+    return is_within_limit(l->cpu_milli, size.cpu_milli) &&
+           is_within_limit(l->memory_mib, size.memory_mib) &&
+           is_within_limit(l->accelerators, size.accelerators);
+}
+
 static bool
 fits_team_limit(const struct flow_team *team, struct flow_size planned,
                 struct flow_size size)
 {
-    const struct flow_size *l = &team->limit;
-    struct flow_size sum = size_add(size_add(team->used, planned), size);
+    return is_size_within_limit(team,
+                                size_add(size_add(team->used, planned), size));
+}
 
-    return is_within_limit(l->cpu_milli, sum.cpu_milli) &&
-           is_within_limit(l->memory_mib, sum.memory_mib) &&
-           is_within_limit(l->accelerators, sum.accelerators);
+bool
+plan_is_over_limit(const struct flow_team *team)
+{
+    return !is_size_within_limit(team, team->used);
 }
 
 /* Returns what this round has placed or reserved for the team so far. */
--- a/packages/node/worker_runs.c
+++ b/packages/node/worker_runs.c
@@ -13,6 +13,8 @@
 
 static struct event_kind event_displaced = {.name = "run-displaced",
                                             .per_second = 40};
+static struct event_kind event_revoked = {.name = "run-revoked",
+                                          .per_second = 40};
 
 /* Returns whether the run is a best-effort one on a worker that is needed for
  * tasks with a tail-latency target. */
@@ -67,6 +69,38 @@
     return r->phase == RUN_QUEUED && r->starts == 0;
 }
 
+/* Returns why the run, which is to be started, may not be started any more
+ * although it was allowed when it was placed; NULL if it may. */
+static const char *
+revocation_reason(const struct leader *l, const struct flow_worker *w,
+                  const struct run *r)
+{
+    if (r->phase != RUN_QUEUED) {
+        return NULL;
+    }
+    if (w->evacuated) {
+        return "evacuated";
+    }
+    if (w->draining) {
+        return "draining";
+    }
+    return plan_is_over_limit(flow_job(l->state, r->task.job)->team)
+               ? "team-limit"
+               : NULL;
+}
+
+static void
+log_revoked(const struct flow_worker *w, const struct run *r,
+            const char *reason)
+{
+    event_write(&event_revoked,
+                "job=%016llx task=%u.%u.%u run=%u worker=%.*s starts=%u "
+                "reason=%s",
+                (unsigned long long)r->task.job, r->task.occurrence,
+                r->task.step, r->task.index, r->task.run, STR_ARG(w->id),
+                r->starts, reason);
+}
+
 static bool
 can_stop(const struct run *r)
 {
@@ -81,7 +115,10 @@
           const struct flow_worker *w, const struct run *r,
           const struct flow_step *step)
 {
-    if (w->evacuated && r->phase == RUN_QUEUED) {
+    const char *revoked = revocation_reason(l, w, r);
+
+    if (revoked != NULL) {
+        log_revoked(w, r, revoked);
         return false;
     }
     if (s->settling && (is_unsent(r) || r->phase == RUN_ACTIVE)) {
--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -38,6 +38,12 @@
  *
  * Stops take N ms from now on.
  *
+ *     /fault/drain {"worker":W}
+ *
+ * Worker W (0) announces that it drains, in this life. A line "DRAIN ..." is
+ * printed for each start that it carries out more than DRAIN_MS after the
+ * acknowledgement.
+ *
  *     /fault/evacuated {"zone":Z}
  *
  * Prints a line "EVACUATED ..." for each start that is carried out by a worker
@@ -66,6 +72,7 @@
 enum {
     HEARTBEAT_MS = 300, /* of each worker */
     HOLD_MS = 3000,     /* of a connection without an answer */
+    DRAIN_MS = 500,
     WORKERS_MAX = 16,
     LOST_MAX = 256, /* at the same time */
 };
@@ -80,6 +87,8 @@
     uint64_t sequence; /* of the last announcement in this life */
     int64_t announce_due_ms;
     int64_t polls_until_ms; /* polls get no answer until then */
+    bool draining;
+    int64_t drained_from_ms; /* no start is allowed from then on; 0: any is */
 };
 
 /* A start that got no answer. It is kept for HOLD_MS, or until it has been
@@ -233,6 +242,12 @@
                    w->address);
             fflush(stdout);
         }
+        if (w->drained_from_ms != 0 && now_ms() >= w->drained_from_ms) {
+            printf("DRAIN %s on %s\n",
+                   json_string_value(json_object_get(body, "task")),
+                   w->address);
+            fflush(stdout);
+        }
     }
     return reply;
 }
@@ -414,6 +429,8 @@
     snprintf(w->kind, sizeof(w->kind), "%s", kind == NULL ? "a" : kind);
     w->sequence = 0;
     w->announce_due_ms = 0;
+    w->draining = false;
+    w->drained_from_ms = 0;
     if (json_is_true(json_object_get(body, "run_lost"))) {
         for (size_t i = 0; i < LOST_MAX; i++) {
             if (lost[i].worker == w && lost[i].arrives_ms != 0) {
@@ -435,6 +452,15 @@
     }
 }
 
+static void
+drain_worker(const json_t *body)
+{
+    struct worker *w = &workers[get_int(body, "worker", 0)];
+
+    w->draining = true;
+    w->announce_due_ms = 0;
+}
+
 static json_t *
 count_faults(void)
 {
@@ -464,6 +490,10 @@
         drop_polls(body);
         answer = json_object();
     }
+    else if (str_eq(call->path, STR("/fault/drain"))) {
+        drain_worker(body);
+        answer = json_object();
+    }
     else if (str_eq(call->path, STR("/fault/finish"))) {
         fake_worker_finish(workers[get_int(body, "worker", 0)].model);
         answer = json_object();
@@ -510,10 +540,10 @@
     json_t *announcement = json_pack(
         "{s:s,s:s,s:s,s:s,s:i,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
         "service", "svc", "address", w->address, "zone", worker_zone(w),
-        "version", "v1", "slots", 8, "state", "ready", "capacity", "cpu",
-        FAKE_WORKER_CPU, "memoryRequestMb", FAKE_WORKER_MEMORY_MB, "gpu", 0,
-        "labels", w->kind, "r1", "clockMs",
-        (json_int_t)fake_worker_clock(w->model), "born",
+        "version", "v1", "slots", 8, "state",
+        w->draining ? "draining" : "ready", "capacity", "cpu", FAKE_WORKER_CPU,
+        "memoryRequestMb", FAKE_WORKER_MEMORY_MB, "gpu", 0, "labels", w->kind,
+        "r1", "clockMs", (json_int_t)fake_worker_clock(w->model), "born",
         (json_int_t)fake_worker_born(w->model), "sequence",
         (json_int_t)++w->sequence);
     char *text = json_dumps(announcement, JSON_COMPACT);
@@ -546,6 +576,9 @@
         ok = answer.complete && answer.status == 200;
         http_answer_free(&answer);
         if (ok) {
+            if (w->draining && w->drained_from_ms == 0) {
+                w->drained_from_ms = now_ms() + DRAIN_MS;
+            }
             break;
         }
         first_control++;
--- a/tests/support/platform_rig.c
+++ b/tests/support/platform_rig.c
@@ -322,6 +322,7 @@
     for (char **line = lines; *line != NULL; line++) {
         if (g_str_has_prefix(*line, "TWICE") ||
             g_str_has_prefix(*line, "LIMIT") ||
+            g_str_has_prefix(*line, "DRAIN") ||
             g_str_has_prefix(*line, "EVACUATED")) {
             g_test_message("%s", *line);
             count++;
--- a/tests/support/platform_rig.h
+++ b/tests/support/platform_rig.h
@@ -61,8 +61,8 @@
                      int worker_processes, int lease_max_ms);
 
 /* Terminates all processes. Prints what worker processes 0 to 2 reported, and
- * fails if that is a second run of a task, a worker over its capacity or a
- * start in an evacuated zone. */
+ * fails if that is a second run of a task, a worker over its capacity, or a
+ * start on a draining worker or in an evacuated zone. */
 void
 platform_close(struct platform_rig *r);
 
