node: no run is released while a start of it may still be sent

A new leader knew no send window of its predecessor and gave up a worker that had left at once; a second copy of a start released the run though the first was still with a silent relay; a worker whose address another one answers was given up at once. Evidence: /e2e/platform/new-leader-waits-for-window on: the worker is given up 104 ms after the election, 2 of 2 runs; 1,000 ms are needed. Change: open_starts.c keeps for each run until when a start without a result may still be sent, also one of an earlier leader. Neither a release, nor the loss of a worker, nor the commit of a listed end comes before that. Why it works: everything that unassigns a run passes one of these three places, and the window's end is the latest at which a relay opens a connection for the call.

--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -4,6 +4,7 @@
 #include "flow.h"
 #include "map.h"
 #include "node.h"
+#include "open_starts.h"
 #include "peer.h"
 #include "plan.h"
 #include "raft.h"
@@ -350,6 +351,7 @@
     struct str address;
     out_response_fn *on_response;
     bool send_once;   /* as in struct upstream_call */
+    bool unanswered;  /* by the relay, which may still make the call */
     int64_t send_by;  /* end of its send window; 0: none */
     uint64_t id;      /* of a relayed call */
     int64_t deadline; /* of a relayed call */
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -206,6 +206,7 @@
     const struct node_worker_result empty_result = {.clock_ms = -1,
                                                     .born_ms = -1};
 
+    call->unanswered = true;
     finish_call(n, call, UPSTREAM_TIMED_OUT, &empty_result);
 }
 
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -63,7 +63,7 @@
     /* Token of its last start; 0: none whose absence from a list shows that it
      * was not carried out. */
     uint64_t start_token;
-    uint32_t starts; /* that this leader sent */
+    struct open_starts starts;
     /* When the start was confirmed or the run was first listed; 0: not yet. */
     int64_t run_started_ns;
     uint32_t percent;      /* share of its work done, as last listed */
@@ -92,9 +92,7 @@
     int64_t poll_due;
     int64_t retry_ms;    /* delay after the next failed poll */
     uint32_t open_calls; /* starts and stops */
-    /* End of the send window of the last start. */
-    int64_t starts_until;
-    int64_t stop_due; /* no stop is sent before, after a failed one */
+    int64_t stop_due;    /* no stop is sent before, after a failed one */
     uint64_t announcement_sequence;
     uint64_t proposed_end_number;  /* of the last end proposed */
     uint32_t consecutive_failures; /* of runs of different jobs */
@@ -175,7 +173,8 @@
 is_stale_result(const struct session *s, const struct out_call *call);
 
 /* Queues a command that removes the session's worker and ends its runs, unless
- * one is being committed. No more tasks are placed on the worker. */
+ * one is being committed, or a start of one of them may still be sent. No more
+ * tasks are placed on the worker once it is queued. */
 void
 session_propose_lost(struct leader *l, struct session *s, const char *reason);
 
@@ -185,8 +184,8 @@
 run_find_assigned_task(const struct leader *l, uint32_t worker,
                        const struct node_task *task, struct flow_step **step);
 
-/* Queues a command that records that the run was not started and will not
- * be. */
+/* Queues a command that records that the run was not started and will not be.
+ * Does nothing while a start of it may still be sent. */
 void
 run_propose_not_started(struct leader *l, struct session *s, struct run *r);
 
--- a/packages/node/worker_calls.c
+++ b/packages/node/worker_calls.c
@@ -43,6 +43,8 @@
     call->on_result = answered;
     call->worker = s->number;
     call->term = l->term;
+    call->send_by =
+        send_window_end(l->node->now, (int64_t)l->node->settings.lease_max_ms);
     return call;
 }
 
@@ -53,11 +55,6 @@
 {
     struct link *via = relay_choose(l->node, w, s->polls_unanswered);
 
-    call->send_by =
-        send_window_end(l->node->now, (int64_t)l->node->settings.lease_max_ms);
-    if (call->call.kind == NODE_CALL_START) {
-        s->starts_until = call->send_by;
-    }
     if (via == NULL) {
         return out_send_worker_call(l->node, call, deadline);
     }
@@ -146,6 +143,9 @@
                     s->number, upstream_failure_name(failure));
         if (r != NULL && r->phase == RUN_SENT) {
             run_set_phase(n->leader, r, RUN_UNCERTAIN);
+            if (call->unanswered) {
+                open_starts_abandon(&r->starts);
+            }
             if (failure == UPSTREAM_TIMED_OUT) {
                 session_verify(n->leader, s);
             }
@@ -195,6 +195,7 @@
         run_find_assigned_task(l, s->number, &r->task, &step);
     const struct flow_job *j = flow_job(l->state, r->task.job);
     struct out_call *call;
+    int64_t send_by;
 
     if (t == NULL || j->state > FLOW_JOB_RUNNING) {
         run_propose_not_started(l, s, r);
@@ -207,10 +208,11 @@
     call->call.u.start.lease_until_ms = session_extend_lease(l, s);
     call->call.u.start.checkpoint = t->checkpoint;
     call->call.u.start.ticket = str_of(r->ticket);
+    send_by = call->send_by;
     send_run_call(l, s, w, r, call, RUN_SENT);
     if (r->phase == RUN_SENT) {
         r->start_token = s->token;
-        r->starts++;
+        open_starts_add(&r->starts, send_by);
     }
 }
 
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -137,23 +137,19 @@
 }
 
 /* Handles a run whose start has timed out, and which a poll with a later token
- * does not list. While the start may still be sent, a next process of the
- * worker could accept it, so the run is not given up without a stop. */
+ * does not list. */
 static void
 handle_lost_start(struct leader *l, struct session *s, struct run *r)
 {
     event_write(&event_call,
                 "call=start job=%016llx task=%u.%u.%u run=%u starts=%u lost=1",
                 (unsigned long long)r->task.job, r->task.occurrence,
-                r->task.step, r->task.index, r->task.run, r->starts);
-    if (r->starts < STARTS_PER_RUN_MAX) {
+                r->task.step, r->task.index, r->task.run, r->starts.count);
+    if (r->starts.count < STARTS_PER_RUN_MAX) {
         run_set_phase(l, r, RUN_QUEUED);
     }
-    else if (l->node->now >= s->starts_until) {
-        run_propose_not_started(l, s, r);
-    }
     else {
-        run_set_phase(l, r, RUN_STOP_QUEUED);
+        run_propose_not_started(l, s, r);
     }
 }
 
@@ -237,6 +233,7 @@
             run_set_phase(l, r, RUN_ACTIVE);
         }
         r->end_proposed = false;
+        open_starts_listed(&r->starts);
         update_progress(l, s, r, &result->running[i]);
     }
 }
@@ -314,9 +311,24 @@
     return record;
 }
 
+/* Returns whether the end is not to be committed yet, as another start of its
+ * run may still be sent. */
+static bool
+is_end_held(const struct leader *l, struct session *s,
+            const struct node_ended_run *e)
+{
+    struct run *r = run_find(s, &e->task);
+
+    if (r == NULL) {
+        return false;
+    }
+    open_starts_listed(&r->starts);
+    return open_starts_any(&r->starts, l->node->now);
+}
+
 /* Queues a command with the reported ends that are not committed yet. The ends
- * up to last_seen are committed. */
-static void
+ * up to last_seen are committed. Returns whether none was held. */
+static bool
 queue_ends(struct leader *l, struct session *s,
            const struct node_worker_result *result, uint64_t last_seen)
 {
@@ -326,11 +338,13 @@
     Flow__Task *tasks = mem_alloc((result->ended_count + 1) * sizeof(*tasks));
     Flow__End **list = mem_alloc((result->ended_count + 1) * sizeof(*list));
     uint64_t highest = last_seen;
+    bool held = false;
 
-    for (size_t i = 0; i < result->ended_count; i++) {
+    for (size_t i = 0; i < result->ended_count && !held; i++) {
         const struct node_ended_run *e = &result->ended[i];
 
-        if (e->number <= last_seen || !should_record_end(s, e)) {
+        held = is_end_held(l, s, e);
+        if (held || e->number <= last_seen || !should_record_end(s, e)) {
             continue;
         }
         highest = e->number > highest ? e->number : highest;
@@ -364,6 +378,7 @@
     mem_free(list);
     mem_free(tasks);
     mem_free(items);
+    return !held;
 }
 
 static void
@@ -380,9 +395,8 @@
     s->retry_ms =
         s->retry_ms * 2 > RETRY_MAX_MS ? RETRY_MAX_MS : s->retry_ms * 2;
     /* A refused connection shows that the process has exited, a broken one
-     * does not. A start that may still be sent could reach the next one. */
-    if (s->deregistered && failure == UPSTREAM_REFUSED &&
-        l->node->now >= s->starts_until) {
+     * does not. */
+    if (s->deregistered && failure == UPSTREAM_REFUSED) {
         session_propose_lost(
             l, s, "deregistered, and its address refuses connections");
     }
@@ -392,7 +406,10 @@
 handle_poll_answer(struct leader *l, struct session *s, struct flow_worker *w,
                    const struct node_worker_result *result, int64_t sent_at)
 {
+    bool ends_queued;
+
     if (result->refusal == NODE_REFUSAL_WRONG_WORKER) {
+        s->poll_due = l->node->now + RETRY_MIN_MS * NS_PER_MS;
         session_propose_lost(l, s, "another worker answers at its address");
         return;
     }
@@ -423,11 +440,12 @@
     }
     update_running(l, s, result);
     handle_unlisted_runs(l, s, result, sent_at);
-    queue_ends(l, s, result, s->settling ? 0 : w->last_seen);
-    /* The ends on a restarted worker are not acknowledged, so that a poll does
-     * not wait. */
-    s->poll_due =
-        l->node->now + (s->settling ? POLL_SHORT_WAIT_MS * NS_PER_MS : 0);
+    ends_queued = queue_ends(l, s, result, s->settling ? 0 : w->last_seen);
+    /* A poll does not wait while there are ends that are not acknowledged. */
+    s->poll_due = l->node->now;
+    if (s->settling || !ends_queued) {
+        s->poll_due += POLL_SHORT_WAIT_MS * NS_PER_MS;
+    }
 }
 
 static void
--- a/packages/node/worker_runs.c
+++ b/packages/node/worker_runs.c
@@ -66,7 +66,7 @@
 static bool
 is_unsent(const struct run *r)
 {
-    return r->phase == RUN_QUEUED && r->starts == 0;
+    return r->phase == RUN_QUEUED && r->starts.count == 0;
 }
 
 /* Returns why the run, which is to be started, may not be started any more
@@ -98,7 +98,7 @@
                 "reason=%s",
                 (unsigned long long)r->task.job, r->task.occurrence,
                 r->task.step, r->task.index, r->task.run, STR_ARG(w->id),
-                r->starts, reason);
+                r->starts.count, reason);
 }
 
 static bool
@@ -106,7 +106,7 @@
 {
     return r->phase == RUN_ACTIVE || r->phase == RUN_UNCERTAIN ||
            r->phase == RUN_UNKNOWN ||
-           (r->phase == RUN_QUEUED && r->starts > 0);
+           (r->phase == RUN_QUEUED && r->starts.count > 0);
 }
 
 /* Returns whether the assigned run may be started, or go on. */
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -95,12 +95,15 @@
     struct node_task task = make_task(j, o, step, index);
     struct flow_worker *w = flow_worker(l->state, step->tasks[index].worker);
     struct session *s = w == NULL ? NULL : worker_session(w);
+    struct run *r;
 
     if (s != NULL && s->adopting) {
         /* This process may have led before. */
         step->tasks[index].confirmed_run = 0;
         step->tasks[index].moved_run = 0;
-        run_add(s, &task, RUN_UNKNOWN, l->node->now);
+        r = run_add(s, &task, RUN_UNKNOWN, l->node->now);
+        open_starts_adopt(&r->starts, l->node->now,
+                          (int64_t)l->node->settings.lease_max_ms);
     }
 }
 
@@ -229,7 +232,7 @@
     while ((r = map_next(s->runs, &cursor)) != NULL) {
         n += r->phase == RUN_UNKNOWN || r->phase == RUN_SENT ||
              r->phase == RUN_UNCERTAIN ||
-             (r->phase == RUN_QUEUED && r->starts > 0);
+             (r->phase == RUN_QUEUED && r->starts.count > 0);
     }
     return n;
 }
@@ -250,6 +253,7 @@
     s->plan.usable = false;
     while ((r = map_next(s->runs, &cursor)) != NULL) {
         if (r->phase == RUN_SENT) {
+            open_starts_abandon(&r->starts);
             run_set_phase(l, r, RUN_UNCERTAIN);
         }
         else if (r->phase == RUN_STOP_SENT) {
@@ -314,7 +318,7 @@
     }
     while ((r = map_next(s->runs, &cursor)) != NULL) {
         /* An earlier start of a queued run may reach the new process. */
-        if (r->phase != RUN_QUEUED || r->starts > 0) {
+        if (r->phase != RUN_QUEUED || r->starts.count > 0) {
             run_set_phase(l, r, RUN_UNKNOWN);
         }
     }
@@ -430,12 +434,29 @@
     leader_queue_command(l, &command);
 }
 
+/* Returns whether a start may still be sent that the worker's next process
+ * would accept. */
+static bool
+has_open_start(const struct leader *l, const struct session *s)
+{
+    struct run *r;
+    void *cursor = NULL;
+
+    while ((r = map_next(s->runs, &cursor)) != NULL) {
+        if (open_starts_any(&r->starts, l->node->now) ||
+            (r->phase == RUN_SENT && l->node->now < r->starts.last_send_by)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 session_propose_lost(struct leader *l, struct session *s, const char *reason)
 {
     const struct flow_worker *w = flow_worker(l->state, s->number);
 
-    if (s->removal_proposed || w == NULL) {
+    if (s->removal_proposed || w == NULL || has_open_start(l, s)) {
         return;
     }
     s->removal_proposed = true;
@@ -459,7 +480,7 @@
     Flow__End *list[] = {&end};
     Flow__Task task;
 
-    if (r->end_proposed) {
+    if (r->end_proposed || open_starts_any(&r->starts, l->node->now)) {
         return;
     }
     r->end_proposed = true;
--- a/tests/test_e2e_late_orders.c
+++ b/tests/test_e2e_late_orders.c
@@ -2,6 +2,8 @@
 #include <string.h>
 
 #include "platform_rig.h"
+#include "proc.h"
+#include "send_window.h"
 
 /*
  * End-to-end tests of orders to workers that are still to be carried out when
@@ -13,7 +15,9 @@
     TASK_CPU = 4000, /* the capacity of a worker */
     /* Shorter than the silence after which a worker gets no tasks. */
     SILENT_MS = 1800,
-    ANNOUNCED_MS = 1500, /* until changes of workers are known */
+    ANNOUNCED_MS = 1500,  /* until changes of workers are known */
+    LEASE_MAX_MS = 10000, /* not over before a test has ended */
+    LOST_MS = 3000,       /* until a worker that has left is given up */
     JOB = 0,
 };
 
@@ -139,6 +143,101 @@
     platform_close(&r);
 }
 
+/* Opens the rig with the workers of process 1 as the only ones of kind "a",
+ * and JOB at work on one of them. */
+static void
+open_rig_with_leaver(struct platform_rig *r)
+{
+    platform_open_leases(r, CONTROLS, 1, 1, LEASE_MAX_MS);
+    r->queue = "/plain/";
+    for (int i = 0; i < PLATFORM_WORKERS_PER_PROCESS; i++) {
+        char *body = g_strdup_printf("{\"worker\":%d,\"kind\":\"b\"}", i);
+
+        platform_fault(r, "restart", body);
+        g_free(body);
+    }
+    platform_start_workers(r, 1);
+    g_usleep(ANNOUNCED_MS * 1000);
+    platform_submit_body(
+        r, JOB,
+        "{\"taskSpec\":\"run_ms=60000 ticket=0\",\"steps\":[{\"count\":1,"
+        "\"cpu\":500,\"memoryRequestMb\":64,\"estimatedMs\":60000,"
+        "\"requirements\":\"a\"}]}");
+    g_usleep(ANNOUNCED_MS * 1000);
+}
+
+/* The workers of process 1 announce that they drain. */
+static void
+drain_process(struct platform_rig *r)
+{
+    char *url = g_strdup_printf("http://127.0.7.31:%d/fault/drain", r->port);
+
+    for (int i = 0; i < PLATFORM_WORKERS_PER_PROCESS; i++) {
+        char *body = g_strdup_printf("{\"worker\":%d}", i);
+
+        g_assert_cmpint(platform_call(r, "POST", url, body, NULL, 0), ==, 200);
+        g_free(body);
+    }
+    g_free(url);
+    g_usleep(ANNOUNCED_MS * 1000);
+}
+
+/* Deregisters the workers of process 1 at control VM i. */
+static void
+deregister_process(struct platform_rig *r, int i)
+{
+    for (int worker = 0; worker < PLATFORM_WORKERS_PER_PROCESS; worker++) {
+        char *path = g_strdup_printf("/instances/i-31-%d", worker);
+        char *url = platform_control_url(r, i, 0, path);
+
+        platform_await_status(r, "DELETE", url, "", 200);
+        g_free(url);
+        g_free(path);
+    }
+}
+
+static int
+find_leader(struct platform_rig *r)
+{
+    int64_t give_up_at = g_get_monotonic_time() + PLATFORM_WAIT_MS * 1000;
+
+    while (g_get_monotonic_time() < give_up_at) {
+        for (int i = 0; i < CONTROLS; i++) {
+            if (platform_metric(r, i, "guavarock_leading") == 1) {
+                return i;
+            }
+        }
+        g_usleep(5000);
+    }
+    g_assert_not_reached();
+}
+
+/* Guards against a task that a new leader starts elsewhere because its worker
+ * has left, while a paused VM may still send a start of the leader before to
+ * the worker's next process. */
+static void
+new_leader_waits_for_window(void)
+{
+    struct platform_rig r;
+    int64_t elected_ms;
+    int64_t lost_ms;
+    int leader;
+
+    open_rig_with_leaver(&r);
+    drain_process(&r);
+    proc_kill(r.workers[1]);
+    leader = find_leader(&r);
+    proc_kill(r.control[leader]);
+    leader = find_leader(&r);
+    deregister_process(&r, leader);
+    g_usleep(LOST_MS * 1000);
+    elected_ms = find_event(&r, leader, "event=role", "role=leader");
+    lost_ms = find_event(&r, leader, "event=worker-lost", "tasks=1");
+    g_assert_cmpint(lost_ms, !=, 0);
+    g_assert_cmpint(lost_ms - elected_ms, >=, SEND_WINDOW_MS);
+    platform_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -148,5 +247,7 @@
                     queued_start_after_drain);
     g_test_add_func("/e2e/platform/queued-start-after-limit",
                     queued_start_after_limit);
+    g_test_add_func("/e2e/platform/new-leader-waits-for-window",
+                    new_leader_waits_for_window);
     return g_test_run();
 }
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -8,6 +8,7 @@
 #include "leader_wait.h"
 #include "leader_watch.h"
 #include "node.h"
+#include "open_starts.h"
 #include "progress.h"
 #include "send_window.h"
 #include "worker_lease.h"
@@ -358,6 +359,57 @@
                     other_clock(local - ms_to_ns(2000), 100));
 }
 
+/* Guards against a run that is started elsewhere while a relay that gave no
+ * result may still send a start of it to the worker's next process. */
+static void
+open_starts_without_result(void)
+{
+    int64_t first_by = ms_to_ns(6000);
+    int64_t second_by = ms_to_ns(6600);
+    struct open_starts s = {0};
+
+    open_starts_add(&s, first_by);
+    g_assert_false(open_starts_any(&s, ms_to_ns(5000)));
+    open_starts_abandon(&s);
+    g_assert_true(open_starts_any(&s, first_by - 1));
+    g_assert_false(open_starts_any(&s, first_by));
+    /* The second copy is listed or has a result, the first has neither. */
+    open_starts_add(&s, second_by);
+    open_starts_listed(&s);
+    g_assert_true(open_starts_any(&s, first_by - 1));
+    g_assert_false(open_starts_any(&s, first_by));
+    open_starts_abandon(&s);
+    g_assert_true(open_starts_any(&s, second_by - 1));
+}
+
+/* Guards against a task that waits for a start of which it is known that it
+ * was sent. */
+static void
+open_starts_listed_run(void)
+{
+    struct open_starts s = {0};
+
+    open_starts_add(&s, ms_to_ns(6000));
+    open_starts_abandon(&s);
+    open_starts_listed(&s);
+    g_assert_false(open_starts_any(&s, ms_to_ns(5000)));
+}
+
+/* Guards against a run that a new leader starts elsewhere while a relay may
+ * still send the start of the leader before. */
+static void
+open_starts_of_earlier_leader(void)
+{
+    int64_t elected = ms_to_ns(5000);
+    struct open_starts s;
+
+    open_starts_adopt(&s, elected, 6000);
+    g_assert_true(open_starts_any(&s, elected + ms_to_ns(SEND_WINDOW_MS) - 1));
+    g_assert_false(open_starts_any(&s, elected + ms_to_ns(SEND_WINDOW_MS)));
+    open_starts_listed(&s);
+    g_assert_false(open_starts_any(&s, elected));
+}
+
 /* Guards against tasks without an end that return too late after their worker
  * has failed, and against a lease that a change of leader outlasts. */
 static void
@@ -396,6 +448,11 @@
     g_test_add_func("/node/send-window/other-clock",
                     send_window_on_other_clock);
     g_test_add_func("/node/send-window/late-report", send_window_late_report);
+    g_test_add_func("/node/open-starts/without-result",
+                    open_starts_without_result);
+    g_test_add_func("/node/open-starts/listed-run", open_starts_listed_run);
+    g_test_add_func("/node/open-starts/earlier-leader",
+                    open_starts_of_earlier_leader);
     g_test_add_func("/node/lease-of-endless-tasks", lease_of_endless_tasks);
     return g_test_run();
 }
