node: a late deregistration does not end a later process of its worker

Callers saw: nothing yet; a worker that runs tasks could be given up. Cause: a deregistration names no process. One that a paused VM passes on late was taken as the end of the process registered since, as soon as its address refused a connection. Change: a refused connection ends a worker that has deregistered only if that process has said that it drains, which by the protocol comes first. Otherwise its lease does. Why it works: draining is kept for each process, and a next process starts without.

--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -383,7 +383,8 @@
 
 static void
 handle_poll_failure(struct leader *l, struct session *s,
-                    const struct out_call *call, enum upstream_failure failure)
+                    const struct flow_worker *w, const struct out_call *call,
+                    enum upstream_failure failure)
 {
     if (failure == UPSTREAM_NO_SLOT) {
         relay_avoid(l->node, call->link);
@@ -395,8 +396,9 @@
     s->retry_ms =
         s->retry_ms * 2 > RETRY_MAX_MS ? RETRY_MAX_MS : s->retry_ms * 2;
     /* A refused connection shows that the process has exited, a broken one
-     * does not. */
-    if (s->deregistered && failure == UPSTREAM_REFUSED) {
+     * does not. A process drains before it deregisters, so that otherwise the
+     * deregistration was of an earlier one. */
+    if (s->deregistered && w->draining && failure == UPSTREAM_REFUSED) {
         session_propose_lost(
             l, s, "deregistered, and its address refuses connections");
     }
@@ -467,7 +469,7 @@
     if (failure != UPSTREAM_OK) {
         event_write(&event_call, "call=poll worker=%.*s failure=%s",
                     STR_ARG(w->id), upstream_failure_name(failure));
-        handle_poll_failure(n->leader, s, call, failure);
+        handle_poll_failure(n->leader, s, w, call, failure);
         return;
     }
     handle_poll_answer(n->leader, s, w, result, call->sent);
--- a/tests/test_e2e_late_orders.c
+++ b/tests/test_e2e_late_orders.c
@@ -238,6 +238,25 @@
     platform_close(&r);
 }
 
+/* Guards against a worker that is given up because its address refuses
+ * connections for a moment after the deregistration of its earlier process,
+ * which arrived late. A process says that it drains before it deregisters. */
+static void
+deregistration_of_earlier_process(void)
+{
+    struct platform_rig r;
+    int leader;
+
+    open_rig_with_leaver(&r);
+    leader = find_leader(&r);
+    proc_kill(r.workers[1]);
+    deregister_process(&r, leader);
+    g_usleep(LOST_MS * 1000);
+    g_assert_cmpint(find_event(&r, leader, "event=worker-lost", "tasks=1"), ==,
+                    0);
+    platform_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -249,5 +268,7 @@
                     queued_start_after_limit);
     g_test_add_func("/e2e/platform/new-leader-waits-for-window",
                     new_leader_waits_for_window);
+    g_test_add_func("/e2e/platform/deregistration-of-earlier-process",
+                    deregistration_of_earlier_process);
     return g_test_run();
 }
