node: a refused poll renews no lease

Callers saw: a job that never goes on, for as long as its worker refuses polls. An answer without lists says nothing about the runs, neither that they are gone nor that they are there. Change: such an answer marks the polls as failing, as no answer does. Why it works: session_extend_lease() grants nothing while polls fail, so that the worker is lost with its lease.

--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -420,6 +420,9 @@
         return;
     }
     if (result->refusal != NODE_REFUSAL_NONE) {
+        /* It tells nothing about the runs, so that it must not renew their
+         * lease either. */
+        s->poll_failing = true;
         /* A later process that is announced may answer otherwise. */
         s->poll_due =
             l->node->now +
--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -26,9 +26,9 @@
  * Worker W (0) starts again under its id, of kind K ("a"). With "run_lost",
  * lost starts then arrive at once, before other calls.
  *
- *     /fault/drop-polls {"worker":W,"ms":N}
+ *     /fault/drop-polls {"worker":W,"ms":N,"status":S}
  *
- * Polls of worker W (0) get no answer for N ms.
+ * Polls of worker W (0) get no answer for N ms, or are refused with status S.
  *
  *     /fault/finish {"worker":W}
  *
@@ -87,6 +87,7 @@
     uint64_t sequence; /* of the last announcement in this life */
     int64_t announce_due_ms;
     int64_t polls_until_ms; /* polls get no answer until then */
+    int polls_status;       /* they are refused with; 0: closed */
     bool draining;
     int64_t drained_from_ms; /* no start is allowed from then on; 0: any is */
 };
@@ -350,6 +351,9 @@
     else if (str_eq(call->path, STR("/run-stop"))) {
         send_reply(call, fake_worker_stop(w->model, expected, body));
     }
+    else if (now_ms() < w->polls_until_ms && w->polls_status != 0) {
+        send_reply(call, fake_worker_reply(w->model, w->polls_status));
+    }
     else if (now_ms() < w->polls_until_ms) {
         front_abort(call);
     }
@@ -446,6 +450,10 @@
     struct worker *w = &workers[get_int(body, "worker", 0)];
 
     w->polls_until_ms = now_ms() + get_int(body, "ms", 0);
+    w->polls_status = get_int(body, "status", 0);
+    if (w->polls_status != 0) {
+        answer_poll(w);
+    }
     if (w->poll != NULL) {
         front_abort(w->poll);
         w->poll = NULL;
--- a/tests/test_e2e_late_orders.c
+++ b/tests/test_e2e_late_orders.c
@@ -143,6 +143,27 @@
     platform_close(&r);
 }
 
+/* Guards against a worker that keeps its tasks for ever although it refuses
+ * the polls that would renew their lease. */
+static void
+refused_polls_renew_no_lease(void)
+{
+    struct platform_rig r;
+
+    open_rig(&r);
+    platform_submit_body(
+        &r, JOB,
+        "{\"taskSpec\":\"run_ms=1000 ticket=0\",\"steps\":[{\"count\":1,"
+        "\"cpu\":500,\"memoryRequestMb\":64,\"estimatedMs\":1000,"
+        "\"requirements\":\"b\"}]}");
+    platform_await_fault_count(&r, "starts", 1);
+    platform_fault(&r, "drop-polls",
+                   "{\"worker\":0,\"ms\":120000,\"status\":503}");
+    platform_fault(&r, "restart", "{\"worker\":1,\"kind\":\"b\"}");
+    platform_await_completed(&r, JOB);
+    platform_close(&r);
+}
+
 /* Opens the rig with the workers of process 1 as the only ones of kind "a",
  * and JOB at work on one of them. */
 static void
@@ -266,6 +287,8 @@
                     queued_start_after_drain);
     g_test_add_func("/e2e/platform/queued-start-after-limit",
                     queued_start_after_limit);
+    g_test_add_func("/e2e/platform/refused-polls-renew-no-lease",
+                    refused_polls_renew_no_lease);
     g_test_add_func("/e2e/platform/new-leader-waits-for-window",
                     new_leader_waits_for_window);
     g_test_add_func("/e2e/platform/deregistration-of-earlier-process",
