flow: a worker gets no more tasks than its answers can list

Cause: the adapter reads no answer to a poll with more than 4,096 running tasks, so that nothing is known of any of them. Nothing kept the planner from placing more. Change: the planner gives a worker at most half as many, which leaves room for runs that are listed without being assigned. Result: /plan/tasks-of-a-worker fails without the limit (50 tasks where 30 are allowed) and passes with it.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -192,6 +192,17 @@
     return at;
 }
 
+static uint32_t
+count_tasks_left(const struct plan_round *r, const struct flow_worker *w)
+{
+    uint32_t max = r->limits->tasks_per_worker;
+
+    if (max == 0) {
+        return UINT32_MAX;
+    }
+    return w->tasks < max ? max - w->tasks : 0;
+}
+
 static void
 collect_workers(struct plan_round *r)
 {
@@ -216,6 +227,7 @@
         }
         v->serving = w->serving;
         v->best_effort = w->best_effort;
+        v->tasks_left = count_tasks_left(r, w);
         v->service = intern_service(r, w->service);
         v->runnable = view_is_runnable(r, v);
         if (v->runnable) {
--- a/packages/flow/evacuate.c
+++ b/packages/flow/evacuate.c
@@ -369,9 +369,12 @@
 evacuate_make(struct flow_state *s, int64_t now_ns,
               const struct evacuate_limits *limits, struct evacuate_plan *plan)
 {
-    struct evacuation_round r = {.workers = {.state = s, .now_ns = now_ns},
-                                 .limits = limits,
-                                 .plan = plan};
+    /* Nothing is placed in this round. */
+    static const struct plan_limits no_limits = {0};
+    struct evacuation_round r = {
+        .workers = {.state = s, .now_ns = now_ns, .limits = &no_limits},
+        .limits = limits,
+        .plan = plan};
 
     plan->move_count = 0;
     for (size_t i = 0; i < EVACUATE_VERDICTS; i++) {
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -167,6 +167,7 @@
     /* No step is tried once this many worker views were looked at; 0: no
      * limit. Bounds the time of a round whatever the backlog. */
     size_t visits;
+    uint32_t tasks_per_worker; /* at the same time; 0: no limit */
 };
 
 /*
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -97,7 +97,8 @@
 can_start_on(const struct plan_round *r, const struct candidate *c,
              const struct worker_view *v)
 {
-    return size_fits(c->demand, view_available(v)) && view_can_run(v, c) &&
+    return v->tasks_left > 0 && size_fits(c->demand, view_available(v)) &&
+           view_can_run(v, c) &&
            (!c->job->queue->needs_approval ||
             is_ticket_valid(v->verdict, r->now_ns));
 }
@@ -169,7 +170,8 @@
         struct placement_option *option = &options[i];
         double this_cost;
 
-        if (!size_fits(size, view_available(option->view)) ||
+        if (option->view->tasks_left == 0 ||
+            !size_fits(size, view_available(option->view)) ||
             (tasks_max != 0 && option->placed >= tasks_max) ||
             (rack.len > 0 && !str_eq(option->view->worker->rack, rack)) ||
             !view_reservation_allows(option->view, size, c->priority,
@@ -213,6 +215,7 @@
     }
     *planned = size_add(*planned, c->size);
     v->committed = size_add(v->committed, size);
+    v->tasks_left--;
     headroom_take(&r->headroom[v->service], size);
     v->best_effort += c->step->spec->best_effort;
     v->serving += c->step->spec->tail_target_ms > 0;
@@ -234,6 +237,7 @@
 
         *planned = size_subtract(*planned, flow_step_size(start->step));
         v->committed = size_subtract(v->committed, step_demand(start->step));
+        v->tasks_left++;
         headroom_return(&r->headroom[v->service], step_demand(start->step));
         v->best_effort -= start->step->spec->best_effort;
         v->serving -= start->step->spec->tail_target_ms > 0;
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -42,6 +42,7 @@
     struct flow_size committed; /* to assigned and planned tasks */
     uint32_t serving;     /* tasks with a tail-latency target, likewise */
     uint32_t best_effort; /* best-effort tasks, likewise */
+    uint32_t tasks_left;  /* that it may get besides the assigned ones */
     bool cleared;         /* its best-effort tasks are being displaced */
     /* What its best-effort tasks use; see displace_best_effort(). */
     struct flow_size best_effort_size;
--- a/packages/node/include/node.h
+++ b/packages/node/include/node.h
@@ -156,6 +156,8 @@
     /* A poll is answered with at most this many ends. The others follow once
      * these are acknowledged. */
     size_t ended_max;
+    /* An answer to a poll that lists more running tasks is not read. */
+    uint32_t running_max;
     /*
      * Decodes an API call. Returns NULL after filling in *response if the call
      * is answered without a request to the leader. Otherwise sets *timeout_ms
--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -411,6 +411,8 @@
     if (!l->plan_needed || l->plan_committing || l->node->now < l->plan_due) {
         return;
     }
+    /* Leaves room for runs that are listed without being assigned. */
+    limits.tasks_per_worker = l->node->adapter->running_max / 2;
     limits.approval_requests = count_sendable_requests(l);
     limits.reservations =
         RESERVATIONS_MIN + map_count(l->sessions) / WORKERS_PER_RESERVATION;
--- a/tests/test_flow_evacuate.c
+++ b/tests/test_flow_evacuate.c
@@ -5,7 +5,7 @@
 #include "flow_fixture.h"
 #include "mem.h"
 
-static const struct plan_limits plan_limits = {100, 8, 6, 0};
+static const struct plan_limits plan_limits = {100, 8, 6, 0, 0};
 static const struct evacuate_limits limits = {.short_ms = 6000, .moves = 32};
 
 #define NOW_NS (100 * NS_PER_S)
--- a/tests/test_flow_plan.c
+++ b/tests/test_flow_plan.c
@@ -7,7 +7,7 @@
 #include "mem.h"
 #include "urgency.h"
 
-static const struct plan_limits limits = {100, 8, 6, 0};
+static const struct plan_limits limits = {100, 8, 6, 0, 0};
 
 #define NOW_NS (100 * NS_PER_S)
 
@@ -1185,6 +1185,35 @@
     check_simulated_load(flow_world_trentside, 0.92);
 }
 
+/* Guards against a worker with more tasks than an answer of it can list: what
+ * it lists would not be read, and nothing be known of any of them. */
+static void
+tasks_of_a_worker(void)
+{
+    enum {
+        TASKS_MAX = 30,
+        TASKS = 50,
+    };
+    const struct plan_limits few = {20, 8, 6, 0, TASKS_MAX};
+    struct flow_fixture f;
+    struct plan plan = {0};
+    uint32_t worker;
+
+    flow_fixture_init(&f);
+    worker = flow_fixture_add_worker(&f, "a", 1, 4000);
+    submit_job(&f, 1, TASKS, 1, false);
+    for (int round = 0; round < 3; round++) {
+        plan_make(f.state, NOW_NS, &few, &plan);
+        commit_starts(&f, &plan);
+    }
+    g_assert_cmpuint(flow_worker(f.state, worker)->tasks, ==, TASKS_MAX);
+    flow_fixture_add_worker(&f, "b", 1, 4000);
+    plan_make(f.state, NOW_NS, &few, &plan);
+    g_assert_cmpuint(plan.start_count, ==, TASKS - TASKS_MAX);
+    plan_free(&plan);
+    flow_fixture_free(&f);
+}
+
 /* Guards against a round that takes longer the more steps wait, and against
  * steps that are never tried because the rounds end before they come. */
 static void
@@ -1195,7 +1224,7 @@
         WORKERS = 4,
         ROUNDS_MAX = 2 * BLOCKED,
     };
-    const struct plan_limits bounded = {100, 8, 6, 8};
+    const struct plan_limits bounded = {100, 8, 6, 8, 0};
     struct flow_fixture f;
     struct plan plan = {0};
     int rounds = 0;
@@ -1412,6 +1441,7 @@
     g_test_add_func("/plan/bounded-round-resumes", bounded_round_resumes);
     g_test_add_func("/plan/requests-spread", requests_spread_over_workers);
     g_test_add_func("/plan/gang-asks-for-more", gang_asks_for_more_workers);
+    g_test_add_func("/plan/tasks-of-a-worker", tasks_of_a_worker);
     g_test_add_func("/plan/overloaded-large-fleet", overloaded_large_fleet);
     return g_test_run();
 }
