--- a/tests/fakes/platform_workers.c
+++ b/tests/fakes/platform_workers.c
@@ -21,10 +21,11 @@
  * HOLD_MS. With "refuse_copy" the next copy of such a start is refused with
  * 503. Starts that were lost before stay lost.
  *
- *     /fault/restart {"worker":W,"kind":K,"run_lost":B}
+ *     /fault/restart {"worker":W,"kind":K,"run_lost":B,"ends":N}
  *
  * Worker W (0) starts again under its id, of kind K ("a"). With "run_lost",
- * lost starts then arrive at once, before other calls.
+ * lost starts then arrive at once, before other calls. It lists N ends of runs
+ * that nobody asked for.
  *
  *     /fault/drop-polls {"worker":W,"ms":N,"status":S}
  *
@@ -430,6 +431,7 @@
         w->poll = NULL;
     }
     fake_worker_restart(w->model);
+    fake_worker_add_ends(w->model, get_int(body, "ends", 0));
     snprintf(w->kind, sizeof(w->kind), "%s", kind == NULL ? "a" : kind);
     w->sequence = 0;
     w->announce_due_ms = 0;
--- a/tests/support/fake_worker.c
+++ b/tests/support/fake_worker.c
@@ -317,6 +317,17 @@
     return r;
 }
 
+void
+fake_worker_add_ends(struct fake_worker *w, int count)
+{
+    for (int i = 0; i < count; i++) {
+        char task[32];
+
+        snprintf(task, sizeof(task), "%016x.0.0.0", 0xe0000 + i);
+        end_run(w, add_run(w, task, 1), RUN_DONE);
+    }
+}
+
 /* Checks the worker's identity and the fencing token. Returns whether the call
  * may be carried out; if not, *reply is the answer. */
 static bool
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -81,6 +81,10 @@
 void
 fake_worker_finish(struct fake_worker *w);
 
+/* Adds ends of count runs of jobs that nobody submitted. */
+void
+fake_worker_add_ends(struct fake_worker *w, int count);
+
 /* Ends the runs that are due. */
 void
 fake_worker_step(struct fake_worker *w);
--- a/tests/test_e2e_worker_life.c
+++ b/tests/test_e2e_worker_life.c
@@ -402,6 +402,26 @@
     g_free(body);
 }
 
+/* Guards against a task that runs twice, or never again, because the next
+ * process of its worker lists more ends than an answer holds. */
+static void
+restart_with_cut_lists(void)
+{
+    struct platform_rig r;
+
+    open_rig(&r);
+    restart_worker(&r, 0, "false");
+    submit(&r, LATE_JOB, "b", RUN_MS);
+    await_started(&r, LATE_JOB);
+    restart_worker(&r, 1, "false");
+    platform_fault(&r, "restart",
+                   "{\"worker\":0,\"kind\":\"c\",\"ends\":1200}");
+    platform_await_completed(&r, LATE_JOB);
+    submit(&r, OTHER_JOB, "c", RUN_MS);
+    platform_await_completed(&r, OTHER_JOB);
+    platform_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -429,6 +449,8 @@
     g_test_add_func("/e2e/platform/release-beside-stray",
                     release_beside_stray);
     g_test_add_func("/e2e/platform/many-ends-at-once", many_ends_at_once);
+    g_test_add_func("/e2e/platform/restart-with-cut-lists",
+                    restart_with_cut_lists);
     g_test_add_func("/e2e/platform/endless-tasks-return",
                     endless_tasks_return);
     return g_test_run();
