daemon: an old sync does not show that a task never started

Callers saw: a job shown as cancelled while its task runs; its capacity is given away, and a task that is moved starts beside itself. Cause: a lease that a sync does not list, and that is to be stopped, was taken never to have started. That holds for the latest sync. A new leader has received none and believes one that a paused entry kept. Evidence: /e2e/sync-order/new-leader before the change: "cancelled" where "running" is true. Change: the conclusion needs a sync with a higher number than the one that this leader first answered with the stop. Why it works: a sync after that answer is newer than the old one; two old ones in a row remain (old-sync.md).

--- a/packages/daemon/leader_impl.h
+++ b/packages/daemon/leader_impl.h
@@ -185,6 +185,7 @@
     uint32_t task;
     uint32_t worker;
     uint64_t incarnation; /* of the worker */
+    uint64_t stop_seq; /* of the sync first answered with its stop; 0: none */
     struct sched_size size;
     bool committed; /* the placement is */
     bool offered;   /* the scheduler returned START, or restored */
--- a/packages/daemon/worker_answers.c
+++ b/packages/daemon/worker_answers.c
@@ -83,6 +83,7 @@
             lists->start[out->start_count++] = make_start(l, r);
         }
         else if (r->stop) {
+            r->stop_seq = r->stop_seq == 0 ? w->seq : r->stop_seq;
             lists->stop[out->stop_count++] = r->lease;
         }
         else if (r->checkpoint && r->running) {
--- a/packages/daemon/worker_syncs.c
+++ b/packages/daemon/worker_syncs.c
@@ -156,9 +156,12 @@
             r->outcome = STATE_OUTCOME_LOST;
             send_task_ended(l, r, SCHED_END_LOST);
         }
-        else if (r->stop && r->committed && r->offered) {
+        else if (r->stop_seq != 0 && sync->seq > r->stop_seq && r->committed &&
+                 r->offered) {
             /* The worker reports neither its start nor its end, and acts only
-             * on the answer to its latest sync, which does not start it. */
+             * on the answer to its latest sync, which does not start it. A
+             * sync that came before the stop was sent may be an old one, which
+             * says nothing about a start since. */
             r->outcome = STATE_OUTCOME_NEVER_STARTED;
             send_task_ended(l, r, SCHED_END_NEVER_STARTED);
         }
