node: polls do not repeat while a stopped run waits for its send window

Cause (suspected from figures, found by reading): a run that was stopped and is not listed is polled for every 20 ms. Change: the poll waits until the window has ended, and decides then.

--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -478,19 +478,32 @@
     handle_poll_answer(n->leader, s, w, result, call->sent);
 }
 
-static bool
-has_uncertain_run(const struct session *s)
+/* Returns how long a poll waits for ends. An answer decides on uncertain runs,
+ * but not before no start of them can be sent any more. */
+static uint32_t
+poll_wait_ms(const struct leader *l, const struct session *s)
 {
+    int64_t wait_ms = POLL_WAIT_MS;
     struct run *r;
     void *cursor = NULL;
 
+    if (!s->poll_answered || s->settling) {
+        return POLL_SHORT_WAIT_MS;
+    }
     while ((r = map_next(s->runs, &cursor)) != NULL) {
-        if (r->phase == RUN_UNKNOWN || r->phase == RUN_UNCERTAIN ||
-            r->phase == RUN_STOPPED) {
-            return true;
+        int64_t decided_ms = POLL_SHORT_WAIT_MS;
+
+        if (r->phase != RUN_UNKNOWN && r->phase != RUN_UNCERTAIN &&
+            r->phase != RUN_STOPPED) {
+            continue;
+        }
+        if (r->phase == RUN_STOPPED &&
+            open_starts_any(&r->starts, l->node->now)) {
+            decided_ms += (r->starts.open_until - l->node->now) / NS_PER_MS;
         }
+        wait_ms = decided_ms < wait_ms ? decided_ms : wait_ms;
     }
-    return false;
+    return (uint32_t)wait_ms;
 }
 
 void
@@ -498,9 +511,7 @@
 {
     struct out_call *call =
         worker_call_create(l, s, w, NODE_CALL_POLL, handle_poll_result);
-    uint32_t wait_ms = !s->poll_answered || s->settling || has_uncertain_run(s)
-                           ? POLL_SHORT_WAIT_MS
-                           : POLL_WAIT_MS;
+    uint32_t wait_ms = poll_wait_ms(l, s);
 
     /* After a failed poll, another process of the worker may answer, which
      * must not forget ends by the numbers of the earlier one. */
