--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,5 +3,5 @@
 # Needs the build of the deploy file and review/build-3.sh.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/review-3/case_reserve ] || exit 2
-exec target/review-3/case_reserve "$here/record.txt"
+[ -x target/review-3/case_limit ] || exit 2
+exec target/review-3/case_limit "$here/record.txt"
--- a/review/standins-3/case_fills.c
+++ b/review/standins-3/case_fills.c
@@ -56,12 +56,12 @@
         cell_log("the tasks with a target do not run");
         return cell_finish(2);
     }
-    if (cell_submit("/plain/00000000000000b1",
-                    "{\"taskSpec\":\"filling warm_ms=300 cpu=500 mem=256 "
-                    "fills=1\",\"steps\":[{\"count\":1,\"cpu\":500,"
-                    "\"memoryRequestMb\":256,\"estimatedMs\":10000,"
-                    "\"longRunning\":true,\"image\":\"b\",\"fills\":true}]}") !=
-            200 ||
+    if (cell_submit(
+            "/plain/00000000000000b1",
+            "{\"taskSpec\":\"filling warm_ms=300 cpu=500 mem=256 "
+            "fills=1\",\"steps\":[{\"count\":1,\"cpu\":500,"
+            "\"memoryRequestMb\":256,\"estimatedMs\":10000,"
+            "\"longRunning\":true,\"image\":\"b\",\"fills\":true}]}") != 200 ||
         !cell_await_running(filling_id, 1, 10000)) {
         cell_log("the task that fills does not run");
         return cell_finish(2);
--- a/review/standins-3/case_limit.c
+++ b/review/standins-3/case_limit.c
@@ -37,10 +37,10 @@
 
     snprintf(jobs[i].id, sizeof(jobs[i].id), "%016x", 0xc0000 + i);
     snprintf(path, sizeof(path), "/plain/%s", jobs[i].id);
-    if (cell_submit(path, "{\"taskSpec\":\"small run_ms=500 cpu=500 "
-                          "mem=256\",\"steps\":[{\"count\":1,\"cpu\":500,"
-                          "\"memoryRequestMb\":256,\"estimatedMs\":500}]}") !=
-        200) {
+    if (cell_submit(path,
+                    "{\"taskSpec\":\"small run_ms=500 cpu=500 "
+                    "mem=256\",\"steps\":[{\"count\":1,\"cpu\":500,"
+                    "\"memoryRequestMb\":256,\"estimatedMs\":500}]}") != 200) {
         return false;
     }
     jobs[i].sent_ms = cell_now_ms();
--- a/review/standins-3/cell.c
+++ b/review/standins-3/cell.c
@@ -58,6 +58,7 @@
     int cpu;
     int memory;
     bool fills;
+    int checkpoint_len;
     enum run_state state;
     int64_t started_ms;
     int64_t stopped_ms;
@@ -166,28 +167,27 @@
 {
     char *text = malloc(4096);
 
-    snprintf(
-        text, 4096,
-        "{\"version\":%d,\"routes\":["
-        "{\"name\":\"q\",\"host\":\"shop.example\","
-        "\"pathPrefix\":\"/plain/\",\"kind\":\"non_idempotent\","
-        "\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":1,"
-        "\"service\":\"svc\",\"maxAttempts\":3,\"stretch\":2.2,"
-        "\"public\":false},"
-        "{\"name\":\"o\",\"host\":\"shop.example\","
-        "\"pathPrefix\":\"/other/\",\"kind\":\"non_idempotent\","
-        "\"timeoutMs\":3000,\"targetLatencyMs\":250,\"priority\":0,"
-        "\"service\":\"svc\",\"maxAttempts\":3,\"stretch\":1.5,"
-        "\"public\":false}],"
-        "\"services\":[{\"name\":\"svc\",\"healthPath\":\"/health\","
-        "\"maxConnections\":64,\"protocol\":\"h1\",\"tls\":false,"
-        "\"admissionCheck\":false,\"standby\":false}],"
-        "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
-        "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
-        "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"key\"],"
-        "\"priority\":1,\"weight\":40,\"upperLimit\":{\"cpu\":%lld,"
-        "\"memoryRequestMb\":%lld,\"gpu\":0}}]}",
-        version, (long long)cpu_limit, (long long)memory_limit);
+    snprintf(text, 4096,
+             "{\"version\":%d,\"routes\":["
+             "{\"name\":\"q\",\"host\":\"shop.example\","
+             "\"pathPrefix\":\"/plain/\",\"kind\":\"non_idempotent\","
+             "\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":1,"
+             "\"service\":\"svc\",\"maxAttempts\":3,\"stretch\":2.2,"
+             "\"public\":false},"
+             "{\"name\":\"o\",\"host\":\"shop.example\","
+             "\"pathPrefix\":\"/other/\",\"kind\":\"non_idempotent\","
+             "\"timeoutMs\":3000,\"targetLatencyMs\":250,\"priority\":0,"
+             "\"service\":\"svc\",\"maxAttempts\":3,\"stretch\":1.5,"
+             "\"public\":false}],"
+             "\"services\":[{\"name\":\"svc\",\"healthPath\":\"/health\","
+             "\"maxConnections\":64,\"protocol\":\"h1\",\"tls\":false,"
+             "\"admissionCheck\":false,\"standby\":false}],"
+             "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
+             "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+             "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"key\"],"
+             "\"priority\":1,\"weight\":40,\"upperLimit\":{\"cpu\":%lld,"
+             "\"memoryRequestMb\":%lld,\"gpu\":0}}]}",
+             version, (long long)cpu_limit, (long long)memory_limit);
     return text;
 }
 
@@ -347,6 +347,49 @@
     end_process(&entries[i]);
 }
 
+/* Reads the newest event of the kind "role" in the log of a control VM.
+ * Returns its time in ms, 0 if there is none. */
+static long long
+read_role(int i, bool *leads)
+{
+    char path[128];
+    char line[1024];
+    long long last = 0;
+    FILE *in;
+
+    snprintf(path, sizeof(path), "%s/core-%d.log", dir, i);
+    in = fopen(path, "r");
+    while (in != NULL && fgets(line, sizeof(line), in) != NULL) {
+        if (strstr(line, " event=role ") != NULL &&
+            strncmp(line, "t=", 2) == 0) {
+            last = strtoll(line + 2, NULL, 10);
+            *leads = strstr(line, "role=leader") != NULL;
+        }
+    }
+    if (in != NULL) {
+        fclose(in);
+    }
+    return last;
+}
+
+int
+cell_find_leader(void)
+{
+    long long newest = 0;
+    int found = -1;
+
+    for (int i = 0; i < options.controls; i++) {
+        bool leads = false;
+        long long at = controls[i] > 0 ? read_role(i, &leads) : 0;
+
+        if (leads && at > newest) {
+            newest = at;
+            found = i;
+        }
+    }
+    return found;
+}
+
 bool
 cell_control_ended(int i)
 {
@@ -470,6 +513,20 @@
     return whole <= 0 || ms >= whole ? 100 : (int)(ms * 100 / whole);
 }
 
+/* Returns the checkpoint of a run that has not ended "done". */
+static json_t *
+checkpoint_of(const struct run *r)
+{
+    char *text = malloc((size_t)r->checkpoint_len + 1);
+    json_t *out;
+
+    memset(text, 'c', (size_t)r->checkpoint_len);
+    text[r->checkpoint_len] = '\0';
+    out = json_string(text);
+    free(text);
+    return out;
+}
+
 static json_t *
 lists_of(const struct worker *w)
 {
@@ -481,9 +538,9 @@
         const struct run *r = &w->runs[i];
 
         if (is_there(r)) {
-            json_array_append_new(running,
-                                  json_pack("[s,I,s,i,i]", r->task, r->number,
-                                            "", percent_of(w, r), 1));
+            json_array_append_new(
+                running, json_pack("[s,I,o,i,i]", r->task, r->number,
+                                   checkpoint_of(r), percent_of(w, r), 1));
         }
     }
     for (json_int_t n = w->last_seen + 1;
@@ -492,9 +549,12 @@
             const struct run *r = &w->runs[i];
 
             if (r->end == n) {
-                json_array_append_new(finished,
-                                      json_pack("[I,s,I,s,s]", n, r->task,
-                                                r->number, r->how, ""));
+                bool done = strcmp(r->how, "done") == 0;
+
+                json_array_append_new(
+                    finished,
+                    json_pack("[I,s,I,s,o]", n, r->task, r->number, r->how,
+                              done ? json_string("") : checkpoint_of(r)));
             }
         }
     }
@@ -634,6 +694,7 @@
     r->cpu = read_word(r->spec, "cpu=");
     r->memory = read_word(r->spec, "mem=");
     r->fills = read_word(r->spec, "fills=") != 0;
+    r->checkpoint_len = read_word(r->spec, "ckpt=");
     r->state = RUN_ACTIVE;
     r->started_ms = clock_of(w);
     cell_log("%s: %s run %d starts (%s)", w->id, task, (int)number, r->spec);
@@ -682,8 +743,7 @@
 static void
 handle_worker_call(struct worker *w, struct front_call *c)
 {
-    struct str expected =
-        http_headers_get(&c->headers, "X-Expected-Instance");
+    struct str expected = http_headers_get(&c->headers, "X-Expected-Instance");
     json_t *body = json_loadb(c->body.ptr == NULL ? "" : c->body.ptr,
                               c->body.len, 0, NULL);
     json_int_t token =
@@ -769,15 +829,14 @@
     snprintf(address, sizeof(address), "%s:%d", w->ip, WORKER_PORT);
     snprintf(zone, sizeof(zone), "z%d", index % 4);
     snprintf(rack, sizeof(rack), "r%d", index / RACK_SIZE);
-    body = json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},"
-                     "s:[s,s],s:I,s:I,s:I}",
-                     "service", "svc", "machine", w->id, "address", address,
-                     "zone", zone, "version", "v1", "slots", 8, "state",
-                     "ready", "coldRemainingMs", 0, "capacity", "cpu",
-                     CELL_CPU, "memoryRequestMb", CELL_MEMORY_MB, "gpu", w->gpus,
-                     "labels", "a", rack, "clockMs", (json_int_t)clock_of(w),
-                     "born", (json_int_t)w->born_ms, "sequence",
-                     ++w->sequence);
+    body = json_pack(
+        "{s:s,s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},"
+        "s:[s,s],s:I,s:I,s:I}",
+        "service", "svc", "machine", w->id, "address", address, "zone", zone,
+        "version", "v1", "slots", 8, "state", "ready", "coldRemainingMs", 0,
+        "capacity", "cpu", CELL_CPU, "memoryRequestMb", CELL_MEMORY_MB, "gpu",
+        w->gpus, "labels", "a", rack, "clockMs", (json_int_t)clock_of(w),
+        "born", (json_int_t)w->born_ms, "sequence", ++w->sequence);
     text = json_dumps(body, JSON_COMPACT);
     json_decref(body);
     return text;
--- a/review/standins-3/cell.h
+++ b/review/standins-3/cell.h
@@ -15,8 +15,9 @@
  *
  * What a task does is told by words in its taskSpec, which the callers of this
  * file choose: "run_ms=N" (0: it lasts until it is stopped), "cpu=N", "mem=N",
- * "fills=1" (its cpu does not count against the capacity) and "warm_ms=N" (a
- * task that lasts is at work after that time).
+ * "fills=1" (its cpu does not count against the capacity), "warm_ms=N" (a
+ * task that lasts is at work after that time) and "ckpt=N" (its checkpoint has
+ * N bytes).
  */
 
 enum {
@@ -81,6 +82,11 @@
 void
 cell_kill_entry(int i);
 
+/* Returns the control VM whose log says that it became leader last and has not
+ * said since that it leads no more, or -1. */
+int
+cell_find_leader(void);
+
 /* Whether the process has ended by itself. */
 bool
 cell_control_ended(int i);
