--- a/review/standins-3/cell.h
+++ b/review/standins-3/cell.h
@@ -57,8 +57,9 @@
 bool
 cell_trouble(void);
 
-/* Returns a configuration with the queues /plain/ and /other/ of one service
- * and one team with that limit. Free with free(). */
+/* Returns a configuration with one service, one team with that limit and two
+ * queues, /plain/ and /other/, with the figures of dye-batch and season-order
+ * of the site but for their advice. Free with free(). */
 char *
 cell_config(int version, int64_t cpu_limit, int64_t memory_limit);
 
