--- a/review/standins-3/case_limit.c
+++ b/review/standins-3/case_limit.c
@@ -107,7 +107,7 @@
     int64_t began;
     int64_t longest = 0;
     int64_t cpu_max = 0;
-    struct cell_fleet_view fleet;
+    struct cell_fleet_view fleet = {0};
 
     cell_init(&options);
     config = cell_config(3, TEAM_CPU, 1400000);
