A worker's answer is used although an entry of it cannot be read

Cause: one entry that could not be read made a worker's whole answer malformed, so that no end was acknowledged and the next answer held the same entry.

Now each entry counts for itself. A checkpoint of over 64 KiB is left out, not its end. Nothing follows from the absence of a run beside an unreadable entry. A worker that lists an unreadable running task gets no tasks; if no run of its own is listed it loses its lease after 2 s, which ends that task.

--- a/packages/node/include/node.h
+++ b/packages/node/include/node.h
@@ -128,7 +128,7 @@
 struct node_ended_run {
     uint64_t number; /* sequence number of the end on this worker */
     struct node_task task;
-    uint32_t how; /* enum flow_run_end */
+    uint32_t how; /* enum flow_run_end; 0: only the number can be read */
     struct str checkpoint;
 };
 
@@ -141,6 +141,11 @@
     size_t running_count;
     struct node_ended_run *ended;
     size_t ended_count;
+    /* Entries of the lists that cannot be read or were left out. Any run that
+     * is not listed may be one of them. */
+    uint32_t running_unreadable;
+    uint32_t ended_unreadable;
+    uint32_t checkpoints_dropped; /* of the ends, because they are too long */
 };
 
 /* An HTTP request to make; strings are owned by the struct. */
@@ -156,7 +161,7 @@
     /* A poll is answered with at most this many ends. The others follow once
      * these are acknowledged. */
     size_t ended_max;
-    /* An answer to a poll that lists more running tasks is not read. */
+    /* No more running tasks are read of an answer to a poll. */
     uint32_t running_max;
     /*
      * Decodes an API call. Returns NULL after filling in *response if the call
--- a/packages/node/include/node.pb-c.h
+++ b/packages/node/include/node.pb-c.h
@@ -385,10 +385,13 @@
   Node__Running **running;
   size_t n_ended;
   Node__Ended **ended;
+  uint32_t running_unreadable;
+  uint32_t ended_unreadable;
+  uint32_t checkpoints_dropped;
 };
 #define NODE__WORKER_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&node__worker_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Node__WorkerAnswers
--- a/packages/node/internal.h
+++ b/packages/node/internal.h
@@ -289,6 +289,11 @@
 void
 metrics_stray(struct metrics *m);
 
+/* Counts entries of workers' lists that could not be read, and checkpoints
+ * that were not kept. */
+void
+metrics_unreadable(struct metrics *m, uint32_t entries, uint32_t checkpoints);
+
 /* Counts a best-effort run that is stopped for a task with a tail-latency
  * target. */
 void
--- a/packages/node/metrics.c
+++ b/packages/node/metrics.c
@@ -30,6 +30,8 @@
     struct counter *approval_service_ms[PRIORITY_COUNT];
     struct counter *starts;
     struct counter *strays;
+    struct counter *unreadable;
+    struct counter *checkpoints_dropped;
     struct counter *displaced;
     struct counter *yielded;
     struct histogram *call_ms;
@@ -117,6 +119,12 @@
                             "Runs that the leader decided to start.");
     m->strays = counter_get(COUNTER_SUM, "guavarock_stray_runs_total",
                             "Runs on workers that they are not assigned to.");
+    m->unreadable =
+        counter_get(COUNTER_SUM, "guavarock_unreadable_entries_total",
+                    "Entries of workers' lists that could not be read.");
+    m->checkpoints_dropped =
+        counter_get(COUNTER_SUM, "guavarock_dropped_checkpoints_total",
+                    "Checkpoints that were too long to be kept.");
     m->displaced =
         counter_get(COUNTER_SUM, "guavarock_displaced_runs_total",
                     "Best-effort runs stopped in favor of tasks with a "
@@ -183,6 +191,13 @@
     counter_add(m->strays, 1);
 }
 
+void
+metrics_unreadable(struct metrics *m, uint32_t entries, uint32_t checkpoints)
+{
+    counter_add(m->unreadable, entries);
+    counter_add(m->checkpoints_dropped, checkpoints);
+}
+
 void
 metrics_displaced(struct metrics *m)
 {
--- a/packages/node/node.pb-c.c
+++ b/packages/node/node.pb-c.c
@@ -2437,7 +2437,7 @@
   (ProtobufCMessageInit) node__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor node__worker_answer__field_descriptors[7] =
+static const ProtobufCFieldDescriptor node__worker_answer__field_descriptors[10] =
 {
   {
     "id",
@@ -2523,20 +2523,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "running_unreadable",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerAnswer, running_unreadable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_unreadable",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerAnswer, ended_unreadable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoints_dropped",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Node__WorkerAnswer, checkpoints_dropped),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned node__worker_answer__field_indices_by_name[] = {
   4,   /* field[4] = born_ms */
+  9,   /* field[9] = checkpoints_dropped */
   3,   /* field[3] = clock_ms */
   6,   /* field[6] = ended */
+  8,   /* field[8] = ended_unreadable */
   1,   /* field[1] = failure */
   0,   /* field[0] = id */
   2,   /* field[2] = refusal */
   5,   /* field[5] = running */
+  7,   /* field[7] = running_unreadable */
 };
 static const ProtobufCIntRange node__worker_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor node__worker_answer__descriptor =
 {
@@ -2546,7 +2585,7 @@
   "Node__WorkerAnswer",
   "node",
   sizeof(Node__WorkerAnswer),
-  7,
+  10,
   node__worker_answer__field_descriptors,
   node__worker_answer__field_indices_by_name,
   1,  node__worker_answer__number_ranges,
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -154,6 +154,9 @@
     out->refusal = (enum node_refusal)in->refusal;
     out->clock_ms = in->clock_ms;
     out->born_ms = in->born_ms;
+    out->running_unreadable = in->running_unreadable;
+    out->ended_unreadable = in->ended_unreadable;
+    out->checkpoints_dropped = in->checkpoints_dropped;
     out->running = mem_zalloc(in->n_running + 1, sizeof(*out->running));
     out->ended = mem_zalloc(in->n_ended + 1, sizeof(*out->ended));
     for (size_t i = 0; i < in->n_running; i++) {
@@ -426,6 +429,9 @@
     out->refusal = (uint32_t)in->refusal;
     out->clock_ms = in->clock_ms;
     out->born_ms = in->born_ms;
+    out->running_unreadable = in->running_unreadable;
+    out->ended_unreadable = in->ended_unreadable;
+    out->checkpoints_dropped = in->checkpoints_dropped;
     out->running = p->running_list;
     out->n_running = in->running_count;
     out->ended = p->ended_list;
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -112,7 +112,12 @@
      * Selects the path, see relay_choose(). */
     uint32_t polls_unanswered;
     int64_t poll_failed_at; /* last failed poll */
-    int64_t cold_until;     /* by its announcements it is slow until then */
+    /* The last answer listed running tasks that could not be read. */
+    bool running_unreadable;
+    /* No lease is renewed from then on, unless a run of the session is listed
+     * or the lists can be read; 0: they could. */
+    int64_t unreadable_until;
+    int64_t cold_until; /* by its announcements it is slow until then */
     struct leader *leader;
     struct session *next_queued;
 };
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -28,12 +28,17 @@
     /* Unexpected runs of a worker that are stopped at a time. A worker that
      * lists ever new ones would otherwise fill the leader's memory. */
     STRAY_RUNS_MAX = 1000,
+    /* How long a worker keeps its lease if entries that cannot be read may be
+     * all that is left of its runs. */
+    UNREADABLE_MAX_MS = 2000,
 };
 
 static struct event_kind event_end = {.name = "end", .per_second = 200};
 static struct event_kind event_call = {.name = "worker-call",
                                        .per_second = 60};
 static struct event_kind event_slow = {.name = "run-slow", .per_second = 40};
+static struct event_kind event_unread = {.name = "worker-answer",
+                                         .per_second = 20};
 static struct event_kind event_stray = {.name = "run-stray", .per_second = 40};
 
 /* Logs a run that is listed by a worker it is not assigned to, with the run
@@ -242,7 +247,8 @@
  * Decides on the session's runs that the worker did not list in the answer to
  * a poll sent at sent_at. An end that did not fit into the answer is listed
  * only after those in it are committed, so that nothing follows from an answer
- * that may not hold all ends.
+ * that may not hold all ends. Nor does anything from one with entries that
+ * cannot be read.
  */
 static void
 handle_unlisted_runs(struct leader *l, struct session *s,
@@ -251,7 +257,8 @@
     struct run *r;
     void *cursor = NULL;
 
-    if (result->ended_count >= l->node->adapter->ended_max) {
+    if (result->ended_count >= l->node->adapter->ended_max ||
+        result->running_unreadable > 0 || result->ended_unreadable > 0) {
         return;
     }
     while ((r = map_next(s->runs, &cursor)) != NULL) {
@@ -348,6 +355,10 @@
             continue;
         }
         highest = e->number > highest ? e->number : highest;
+        /* Its run is missing from the answers that follow. */
+        if (e->how == 0) {
+            continue;
+        }
         run_to_flow_task(&tasks[ends.n_ends], &e->task, s->number);
         flow__end__init(&items[ends.n_ends]);
         items[ends.n_ends].task = &tasks[ends.n_ends];
@@ -364,7 +375,7 @@
                     e->task.step, e->task.index, e->task.run, e->how,
                     s->number, (unsigned long long)e->number);
     }
-    if (ends.n_ends > 0) {
+    if (ends.n_ends > 0 || (highest > last_seen && !s->settling)) {
         ends.worker = s->number;
         ends.last_seen = s->settling ? 0 : highest;
         ends.ends = list;
@@ -404,6 +415,60 @@
     }
 }
 
+/* Reports whether the answer lists a run of the session as running. */
+static bool
+lists_own_run(struct session *s, const struct node_worker_result *result)
+{
+    for (size_t i = 0; i < result->running_count; i++) {
+        if (run_find(s, &result->running[i].task) != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+log_unreadable(const struct leader *l, const struct flow_worker *w,
+               const struct node_worker_result *result)
+{
+    if (result->running_unreadable == 0 && result->ended_unreadable == 0 &&
+        result->checkpoints_dropped == 0) {
+        return;
+    }
+    metrics_unreadable(l->node->metrics,
+                       result->running_unreadable + result->ended_unreadable,
+                       result->checkpoints_dropped);
+    event_write(&event_unread,
+                "worker=%.*s number=%u running=%zu running_unreadable=%u "
+                "ended=%zu ended_unreadable=%u checkpoints_dropped=%u",
+                STR_ARG(w->id), w->number, result->running_count,
+                result->running_unreadable, result->ended_count,
+                result->ended_unreadable, result->checkpoints_dropped);
+}
+
+/*
+ * Returns whether the lease of the worker may be renewed. Entries that cannot
+ * be read may be runs of the session, which are neither confirmed nor ended
+ * then. Without a lease the worker ends all its runs, and is registered anew.
+ */
+static bool
+may_renew_lease(struct leader *l, struct session *s,
+                const struct node_worker_result *result)
+{
+    bool hidden = result->running_unreadable > 0 ||
+                  (result->ended_unreadable > 0 && map_count(s->runs) > 0);
+
+    s->running_unreadable = result->running_unreadable > 0;
+    if (!hidden || lists_own_run(s, result)) {
+        s->unreadable_until = 0;
+        return true;
+    }
+    if (s->unreadable_until == 0) {
+        s->unreadable_until = l->node->now + UNREADABLE_MAX_MS * NS_PER_MS;
+    }
+    return l->node->now < s->unreadable_until;
+}
+
 static void
 handle_poll_answer(struct leader *l, struct session *s, struct flow_worker *w,
                    const struct node_worker_result *result, int64_t sent_at)
@@ -422,6 +487,8 @@
     if (result->refusal != NODE_REFUSAL_NONE) {
         /* It tells nothing about the runs, so that it must not renew their
          * lease either. */
+        event_write(&event_unread, "worker=%.*s number=%u refusal=%d",
+                    STR_ARG(w->id), w->number, (int)result->refusal);
         s->poll_failing = true;
         /* A later process that is announced may answer otherwise. */
         s->poll_due =
@@ -431,6 +498,7 @@
         return;
     }
     session_record_answer(l, s, result);
+    log_unreadable(l, w, result);
     /* Only an answer to a poll tells which process of the worker gave it. */
     s->poll_failing = false;
     s->retry_ms = RETRY_MIN_MS;
@@ -451,6 +519,14 @@
     if (s->settling || !ends_queued) {
         s->poll_due += POLL_SHORT_WAIT_MS * NS_PER_MS;
     }
+    if (!may_renew_lease(l, s, result)) {
+        s->poll_failing = true;
+    }
+    /* Ends that cannot be acknowledged make each poll return at once. */
+    if ((result->running_unreadable > 0 || result->ended_unreadable > 0) &&
+        s->proposed_end_number <= w->last_seen) {
+        s->poll_due = l->node->now + RETRY_MIN_MS * NS_PER_MS;
+    }
 }
 
 static void
--- a/tests/support/platform_rig.c
+++ b/tests/support/platform_rig.c
@@ -323,6 +323,7 @@
         if (g_str_has_prefix(*line, "TWICE") ||
             g_str_has_prefix(*line, "LIMIT") ||
             g_str_has_prefix(*line, "DRAIN") ||
+            g_str_has_prefix(*line, "UNASKED") ||
             g_str_has_prefix(*line, "EVACUATED")) {
             g_test_message("%s", *line);
             count++;
--- a/tests/test_e2e_worker_life.c
+++ b/tests/test_e2e_worker_life.c
@@ -20,7 +20,8 @@
     MANY_TASKS = 2000,
     LEASE_MAX_MS = 10000,
     RETURN_MAX_MS = 9000,
-    REGISTER_MS = 1500, /* until changes of workers are known */
+    REGISTER_MS = 1500,        /* until changes of workers are known */
+    CHECKPOINT_MAX = 64 << 10, /* bytes that are kept */
     /* Job numbers. */
     LATE_JOB = 0,
     OTHER_JOB = 1,
@@ -422,6 +423,118 @@
     platform_close(&r);
 }
 
+/* Submits a job whose tasks each take a whole worker of the kind, run for 60 s
+ * and have saved a checkpoint of so many bytes when they are interrupted. */
+static void
+submit_checkpointing(struct platform_rig *r, int job, int count,
+                     const char *kind, int bytes)
+{
+    char *body = g_strdup_printf(
+        "{\"taskSpec\":\"run_ms=60000 cpu=%d ticket=0 checkpoint=%d\","
+        "\"steps\":[{\"count\":%d,\"cpu\":%d,\"memoryRequestMb\":64,"
+        "\"estimatedMs\":60000,\"checkpointing\":true,"
+        "\"requirements\":\"%s\"}]}",
+        TASK_CPU, bytes, count, TASK_CPU, kind);
+
+    platform_submit_body(r, job, body);
+    g_free(body);
+}
+
+/* Guards against workers that are never used again because of the size of a
+ * checkpoint (review/11). */
+static void
+cancelled_with_long_checkpoints(void)
+{
+    struct platform_rig r;
+    int starts;
+    char *url;
+
+    open_rig(&r);
+    starts = platform_fault_count(&r, "starts");
+    submit_checkpointing(&r, LATE_JOB, PLATFORM_WORKERS_PER_PROCESS, "a",
+                         10000);
+    platform_await_fault_count(&r, "starts",
+                               starts + PLATFORM_WORKERS_PER_PROCESS);
+    url = platform_job_url(&r, 0, LATE_JOB);
+    platform_await_status(&r, "DELETE", url, "", 200);
+    submit_tasks(&r, OTHER_JOB, PLATFORM_WORKERS_PER_PROCESS, "a", 300);
+    platform_await_completed(&r, OTHER_JOB);
+    platform_close(&r);
+    g_free(url);
+}
+
+/* Interrupts the only task of a job, and waits until it runs again. Returns
+ * how many starts had a checkpoint. */
+static int
+interrupt_task(struct platform_rig *r, int job, int bytes)
+{
+    int starts = platform_fault_count(r, "starts");
+    int resumed = platform_fault_count(r, "resumed");
+
+    submit_checkpointing(r, job, 1, "b", bytes);
+    platform_await_fault_count(r, "starts", starts + 1);
+    await_started(r, job);
+    platform_fault(r, "finish", "{\"worker\":0,\"interrupted\":true}");
+    platform_await_fault_count(r, "starts", starts + 2);
+    resumed = platform_fault_count(r, "resumed") - resumed;
+    platform_fault(r, "finish", "{\"worker\":0}");
+    platform_await_completed(r, job);
+    return resumed;
+}
+
+/* Guards against a task that loses a checkpoint of the largest size that is
+ * kept, or is started with a part of a longer one. */
+static void
+largest_checkpoint(void)
+{
+    struct platform_rig r;
+
+    open_rig(&r);
+    restart_worker(&r, 0, "false");
+    g_assert_cmpint(interrupt_task(&r, LATE_JOB, CHECKPOINT_MAX), ==, 1);
+    g_assert_cmpint(interrupt_task(&r, OTHER_JOB, CHECKPOINT_MAX + 1), ==, 0);
+    platform_close(&r);
+}
+
+/* Guards against a worker whose other ends are not taken note of beside ends
+ * that cannot be read. */
+static void
+unreadable_ends(void)
+{
+    struct platform_rig r;
+
+    open_rig(&r);
+    restart_worker(&r, 0, "false");
+    platform_fault(&r, "unreadable", "{\"worker\":0,\"ends\":3}");
+    submit(&r, LATE_JOB, "b", 300);
+    platform_await_completed(&r, LATE_JOB);
+    platform_fault(&r, "unreadable", "{\"worker\":0,\"ends\":1200}");
+    submit(&r, OTHER_JOB, "b", 300);
+    platform_await_completed(&r, OTHER_JOB);
+    platform_close(&r);
+}
+
+/* Guards against a run that is taken for lost, and a worker that is lost for
+ * good, because a running task cannot be read. */
+static void
+unreadable_run(void)
+{
+    struct platform_rig r;
+    int starts;
+
+    open_rig(&r);
+    restart_worker(&r, 0, "false");
+    starts = platform_fault_count(&r, "starts");
+    submit(&r, LATE_JOB, "b", RUN_MS);
+    await_started(&r, LATE_JOB);
+    platform_fault(&r, "unreadable", "{\"worker\":0,\"running\":1}");
+    platform_await_completed(&r, LATE_JOB);
+    g_assert_cmpint(platform_fault_count(&r, "starts"), ==, starts + 1);
+    submit(&r, OTHER_JOB, "b", 300);
+    platform_await_completed(&r, OTHER_JOB);
+    platform_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -453,5 +566,10 @@
                     restart_with_cut_lists);
     g_test_add_func("/e2e/platform/endless-tasks-return",
                     endless_tasks_return);
+    g_test_add_func("/e2e/platform/cancelled-with-long-checkpoints",
+                    cancelled_with_long_checkpoints);
+    g_test_add_func("/e2e/platform/largest-checkpoint", largest_checkpoint);
+    g_test_add_func("/e2e/platform/unreadable-ends", unreadable_ends);
+    g_test_add_func("/e2e/platform/unreadable-run", unreadable_run);
     return g_test_run();
 }
