A planning round follows when only time has passed

Cause: rounds were made when the state had changed. The end of a worker's avoidance is no such change, nor are the other times that a round reads.

Each round now tells the next such time: a worker's avoidance, its speed, its warm-up, the urgency of gangs and of steps that leave them room, open approval requests; the leader adds the avoidance of VMs.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -14,6 +14,8 @@
     /* A task past its expected end is expected to run for this further share
      * of its expected run time. */
     OVERDUE_PERCENT = 30,
+    /* Interval of the rounds while a worker warms up. */
+    WARMING_STEP_MS = 500,
 };
 
 /* Returns the estimated time of the longest path that begins with the step.
@@ -101,6 +103,7 @@
     c->latest_start_ns = times.latest_start_ns;
     c->lateness = urgency_of(&times, r->now_ns);
     c->yields = urgency_yields(&times, r->now_ns);
+    c->urgency_changes_ns = urgency_next_change_ns(&times, r->now_ns);
     c->class = urgency_class(c->lateness, c->priority);
     c->order = r->candidate_count++;
 }
@@ -203,6 +206,27 @@
     return w->tasks < max ? max - w->tasks : 0;
 }
 
+/* Notes when the worker takes tasks again, or more of them. */
+static void
+note_worker_times(struct plan_round *r, const struct worker_view *v)
+{
+    const struct plan_worker *p = plan_worker(v->worker);
+
+    if (p->avoid_until_ns > r->now_ns) {
+        round_reconsider_at(r, p->avoid_until_ns);
+    }
+    if (v->speed < WORKER_SPEED_MIN) {
+        round_reconsider_at(
+            r, plan_speed_reached_ns(p, WORKER_SPEED_MIN, r->now_ns));
+    }
+    if (p->warm_at_ns > r->now_ns) {
+        int64_t next_ns = r->now_ns + WARMING_STEP_MS * NS_PER_MS;
+
+        round_reconsider_at(r,
+                            next_ns < p->warm_at_ns ? next_ns : p->warm_at_ns);
+    }
+}
+
 static void
 collect_workers(struct plan_round *r)
 {
@@ -235,6 +259,7 @@
             headroom_add_worker(&r->headroom[v->service], w->capacity,
                                 view_available(v));
         }
+        note_worker_times(r, v);
         r->all[r->view_count] = v;
         plan_worker(w)->view_index = r->view_count++;
     }
--- a/packages/flow/fit.c
+++ b/packages/flow/fit.c
@@ -4,10 +4,6 @@
 #include "clock.h"
 #include "plan_impl.h"
 
-/* Workers below this speed get no tasks: even a task with slack would be
- * late there. */
-static const double WORKER_SPEED_MIN = 0.35;
-
 struct flow_size
 size_add(struct flow_size a, struct flow_size b)
 {
--- a/packages/flow/include/plan.h
+++ b/packages/flow/include/plan.h
@@ -188,6 +188,11 @@
 double
 plan_speed(const struct plan_worker *p, int64_t now);
 
+/* Returns when a slower worker will have that speed without new observations.
+ */
+int64_t
+plan_speed_reached_ns(const struct plan_worker *p, double speed, int64_t now);
+
 /* Returns the expected time in ms of a task's run at that worker speed. */
 double
 plan_run_ms(const struct flow_job *j, const struct flow_step *step,
--- a/packages/flow/include/urgency.h
+++ b/packages/flow/include/urgency.h
@@ -42,6 +42,11 @@
 bool
 urgency_yields(const struct urgency_times *t, int64_t now);
 
+/* Returns when urgency_of or urgency_yields next gives another result;
+ * INT64_MAX: never. */
+int64_t
+urgency_next_change_ns(const struct urgency_times *t, int64_t now);
+
 /* The room of the workers of one service, and what waiting gangs claim of it.
  * Zero it before its first use and free it with headroom_free. */
 struct headroom {
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -501,6 +501,21 @@
     mem_free(r->teams);
 }
 
+/* Notes when the outcome for the candidate, or for those that leave room to
+ * it, may change. */
+static void
+note_candidate_times(struct plan_round *r, const struct candidate *c)
+{
+    const struct flow_approval *a = c->step->approval;
+
+    if (c->step->spec->gang || !has_headroom(r, c)) {
+        round_reconsider_at(r, c->urgency_changes_ns);
+    }
+    if (a != NULL && a->pending_until_ns > r->now_ns) {
+        round_reconsider_at(r, a->pending_until_ns);
+    }
+}
+
 /* Tries candidates from index on until the visits or the starts of the round
  * are used up. Returns the index of the first one that was not tried. */
 static size_t
@@ -510,6 +525,7 @@
            r->plan->start_count < r->limits->starts &&
            (r->limits->visits == 0 || r->visits < visits_max)) {
         place_candidate(r, &r->candidates[index]);
+        note_candidate_times(r, &r->candidates[index]);
         index++;
     }
     return index;
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -11,6 +11,10 @@
     TICKET_MIN_REMAINING_MS = 120,
 };
 
+/* Workers below this speed get no tasks: even a task with slack would be
+ * late there. */
+#define WORKER_SPEED_MIN 0.35
+
 /* A step with tasks to start, and its sort keys. */
 struct candidate {
     struct flow_job *job;
@@ -24,7 +28,8 @@
     struct flow_size demand; /* the part that uses a worker's capacity */
     uint32_t class;          /* first sort key, the lowest first */
     int64_t latest_start_ns; /* a later start misses the objective */
-    uint64_t order;          /* order of collection, breaks ties */
+    int64_t urgency_changes_ns; /* see urgency_next_change_ns() */
+    uint64_t order;             /* order of collection, breaks ties */
 };
 
 /* Resources that become free at the expected end of a running task. */
--- a/packages/flow/run_time.c
+++ b/packages/flow/run_time.c
@@ -38,6 +38,18 @@
     return p->slowness_log == 0 ? 1 : exp(-decayed_slowness_log(p, now));
 }
 
+int64_t
+plan_speed_reached_ns(const struct plan_worker *p, double speed, int64_t now)
+{
+    double decay = decayed_slowness_log(p, now) / -log(speed);
+
+    return decay <= 1 ? now
+                      : now +
+                            (int64_t)(log(decay) * SPEED_DECAY_MS *
+                                      (double)NS_PER_MS) +
+                            NS_PER_MS;
+}
+
 double
 plan_run_ms(const struct flow_job *j, const struct flow_step *step,
             double speed)
--- a/packages/flow/urgency.c
+++ b/packages/flow/urgency.c
@@ -53,6 +53,24 @@
                t->objective_ns / 100 * YIELD_UNTIL_PERCENT;
 }
 
+int64_t
+urgency_next_change_ns(const struct urgency_times *t, int64_t now)
+{
+    const int64_t changes[] = {
+        t->latest_start_ns - t->objective_ns / 100 * YIELD_UNTIL_PERCENT,
+        t->latest_start_ns + 1,
+        t->arrived_ns + t->objective_ns * USELESS_LATENESS_FACTOR + 1,
+    };
+    int64_t next = INT64_MAX;
+
+    for (size_t i = 0; i < sizeof(changes) / sizeof(changes[0]); i++) {
+        if (changes[i] > now && changes[i] < next) {
+            next = changes[i];
+        }
+    }
+    return next;
+}
+
 static uint64_t
 add_saturating(uint64_t a, uint64_t b)
 {
--- a/packages/node/leader_plan.c
+++ b/packages/node/leader_plan.c
@@ -399,6 +399,46 @@
         (unsigned long long)j->team->limit.memory_mib);
 }
 
+/* Returns when a VM that is avoided may be sent requests again; INT64_MAX:
+ * none is avoided. */
+static int64_t
+next_vm_available(const struct leader *l)
+{
+    struct link *link;
+    void *cursor = NULL;
+    int64_t next = INT64_MAX;
+
+    while ((link = map_next(l->node->links, &cursor)) != NULL) {
+        if (link->approval_avoid_until > l->node->now &&
+            link->approval_avoid_until < next) {
+            next = link->approval_avoid_until;
+        }
+    }
+    return next;
+}
+
+/* Sends as many requests as VMs can take. The others are planned again once a
+ * request is answered or a VM is no longer avoided. */
+static void
+send_approval_requests(struct leader *l)
+{
+    for (size_t i = 0; i < l->plan.approval_request_count; i++) {
+        bool long_request = approval_vm_is_long(
+            l->plan.approval_requests[i].job->queue->approval_ms);
+        struct link *link = find_least_loaded_vm(l, long_request);
+        int64_t next;
+
+        if (link != NULL) {
+            send_approval_request(l, &l->plan.approval_requests[i], link);
+            continue;
+        }
+        next = next_vm_available(l);
+        if (next < l->plan.reconsider_ns) {
+            l->plan.reconsider_ns = next;
+        }
+    }
+}
+
 void
 leader_plan_step(struct leader *l)
 {
@@ -436,16 +476,7 @@
         log_waiting(l, &l->plan.waiting[i]);
         metrics_waiting(l->node->metrics, &l->plan.waiting[i]);
     }
-    for (size_t i = 0; i < l->plan.approval_request_count; i++) {
-        bool long_request = approval_vm_is_long(
-            l->plan.approval_requests[i].job->queue->approval_ms);
-        struct link *link = find_least_loaded_vm(l, long_request);
-
-        if (link == NULL) {
-            continue;
-        }
-        send_approval_request(l, &l->plan.approval_requests[i], link);
-    }
+    send_approval_requests(l);
     if (l->plan.start_count == 0) {
         return;
     }
--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -97,10 +97,11 @@
     uint64_t proposed_end_number;  /* of the last end proposed */
     uint32_t consecutive_failures; /* of runs of different jobs */
     uint64_t failed_job;           /* job of the last of them */
-    bool adopting;      /* runs of a previous leader are to be added */
-    bool polling;       /* a poll is open */
-    bool poll_failing;  /* set by a failed poll until an answer */
-    bool poll_answered; /* a poll with the token was answered */
+    bool adopting;           /* runs of a previous leader are to be added */
+    bool polling;            /* a poll is open */
+    bool poll_failing;       /* set by a failed poll until an answer */
+    bool poll_answered;      /* a poll with the token was answered */
+    bool running_unreadable; /* the last answer listed such entries */
     bool deregistered;
     /* When a process that has deregistered has exited. */
     int64_t exit_due_at;
@@ -112,8 +113,6 @@
      * Selects the path, see relay_choose(). */
     uint32_t polls_unanswered;
     int64_t poll_failed_at; /* last failed poll */
-    /* The last answer listed running tasks that could not be read. */
-    bool running_unreadable;
     /* No lease is renewed from then on, unless a run of the session is listed
      * or the lists can be read; 0: they could. */
     int64_t unreadable_until;
