A gang reserves of its team's limit only what will become free

Cause: the whole gang counted against the limit as long as it was in time, whether or not what the team runs ever ends.

The reservation now begins when the team's tasks are expected to have left enough, ends like one of workers, and is not made if they never do. Jobs that end before it start meanwhile.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -265,7 +265,21 @@
     }
 }
 
-/* Adds the expected end of an assigned task to its worker's view. */
+static void
+add_team_release(struct plan_round *r, const struct flow_team *team,
+                 struct expected_release release)
+{
+    if (r->team_release_count == r->team_release_cap) {
+        r->team_release_cap = r->team_release_cap * 2 + 64;
+        r->team_releases = mem_realloc(r->team_releases, r->team_release_cap,
+                                       sizeof(*r->team_releases));
+    }
+    r->team_releases[r->team_release_count++] =
+        (struct team_release){team, release};
+}
+
+/* Adds the expected end of an assigned task to its worker's view and to its
+ * team. */
 static void
 collect_release(void *arg, struct flow_job *j, struct flow_occurrence *o,
                 struct flow_step *step, uint32_t index)
@@ -300,6 +314,8 @@
     }
     v->releases[v->release_count++] =
         (struct expected_release){end_ns, step_demand(step)};
+    add_team_release(r, j->team,
+                     (struct expected_release){end_ns, flow_step_size(step)});
 }
 
 void
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -37,53 +37,6 @@
     }
 }
 
-static bool
-is_within_limit(uint64_t limit, uint64_t used)
-{
-    return limit == 0 || used <= limit;
-}
-
-static bool
-is_size_within_limit(const struct flow_team *team, struct flow_size size)
-{
-    const struct flow_size *l = &team->limit;
-
-    return is_within_limit(l->cpu_milli, size.cpu_milli) &&
-           is_within_limit(l->memory_mib, size.memory_mib) &&
-           is_within_limit(l->accelerators, size.accelerators);
-}
-
-static bool
-fits_team_limit(const struct flow_team *team, struct flow_size planned,
-                struct flow_size size)
-{
-    return is_size_within_limit(team,
-                                size_add(size_add(team->used, planned), size));
-}
-
-bool
-plan_is_over_limit(const struct flow_team *team)
-{
-    return !is_size_within_limit(team, team->used);
-}
-
-/* Returns what this round has placed or reserved for the team so far. */
-static struct flow_size *
-team_planned_size(struct plan_round *r, const struct flow_team *team)
-{
-    for (size_t i = 0; i < r->team_count; i++) {
-        if (r->teams[i].team == team) {
-            return &r->teams[i].size;
-        }
-    }
-    if (r->team_count == r->team_cap) {
-        r->team_cap = r->team_cap * 2 + 16;
-        r->teams = mem_realloc(r->teams, r->team_cap, sizeof(*r->teams));
-    }
-    r->teams[r->team_count] = (struct team_plan){.team = team};
-    return &r->teams[r->team_count++].size;
-}
-
 /* A worker that could take a task of the candidate when the options were
  * collected. */
 struct placement_option {
@@ -194,7 +147,7 @@
 {
     struct plan *plan = r->plan;
     struct flow_size size = c->demand;
-    struct flow_size *planned = team_planned_size(r, c->job->team);
+    struct team_plan *team = team_plan_find(r, c->job->team);
     struct plan_start *start;
 
     if (plan->start_count == plan->start_cap) {
@@ -213,7 +166,7 @@
     if (c->job->queue->needs_approval) {
         memcpy(start->ticket, v->verdict->ticket, sizeof(start->ticket));
     }
-    *planned = size_add(*planned, c->size);
+    team->placed = size_add(team->placed, c->size);
     v->committed = size_add(v->committed, size);
     v->tasks_left--;
     headroom_take(&r->headroom[v->service], size);
@@ -233,9 +186,10 @@
         struct plan_start *start = &r->plan->starts[--r->plan->start_count];
         struct worker_view *v =
             &r->views[plan_worker(start->worker)->view_index];
-        struct flow_size *planned = team_planned_size(r, start->job->team);
+        struct team_plan *team = team_plan_find(r, start->job->team);
 
-        *planned = size_subtract(*planned, flow_step_size(start->step));
+        team->placed =
+            size_subtract(team->placed, flow_step_size(start->step));
         v->committed = size_subtract(v->committed, step_demand(start->step));
         v->tasks_left++;
         headroom_return(&r->headroom[v->service], step_demand(start->step));
@@ -288,8 +242,7 @@
         if (t->done || t->assigned) {
             continue;
         }
-        if (!fits_team_limit(c->job->team, *team_planned_size(r, c->job->team),
-                             c->size)) {
+        if (!team_limit_allows(r, c)) {
             *team_limited = true;
             return missing;
         }
@@ -382,31 +335,6 @@
     return missing;
 }
 
-/*
- * Reserves the gang's whole size below the limit of its team, against the
- * candidates that come after it. Otherwise smaller jobs of the team would take
- * each piece of the limit that becomes free, and the gang would never start. A
- * gang that exceeds the limit by itself reserves nothing.
- */
-static void
-reserve_team_limit(struct plan_round *r, const struct candidate *c)
-{
-    const struct flow_team *team = c->job->team;
-    struct flow_size size = c->size;
-    struct flow_size whole = {size.cpu_milli * c->step->count,
-                              size.memory_mib * c->step->count,
-                              size.accelerators * c->step->count};
-    struct flow_size *planned;
-
-    if (!is_within_limit(team->limit.cpu_milli, whole.cpu_milli) ||
-        !is_within_limit(team->limit.memory_mib, whole.memory_mib) ||
-        !is_within_limit(team->limit.accelerators, whole.accelerators)) {
-        return;
-    }
-    planned = team_planned_size(r, team);
-    *planned = size_add(*planned, whole);
-}
-
 /* Reports whether nothing can be done for the step before an answer on its
  * approval arrives: it has no valid ticket and may not request one now. A gang
  * with approved workers may still reserve them. */
@@ -499,6 +427,7 @@
     mem_free(r->best_effort_tasks);
     mem_free(r->path_ms);
     mem_free(r->teams);
+    mem_free(r->team_releases);
 }
 
 /* Notes when the outcome for the candidate, or for those that leave room to
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -63,10 +63,17 @@
     const struct flow_verdict *verdict;
 };
 
-/* What a round has placed or reserved of a team's limit so far. */
+/* What a round has placed and reserved of a team's limit so far. */
 struct team_plan {
     const struct flow_team *team;
-    struct flow_size size;
+    struct flow_size placed;
+    struct flow_size reserved;
+    int64_t reserved_from_ns; /* of the first reservation; 0: there is none */
+};
+
+struct team_release {
+    const struct flow_team *team;
+    struct expected_release release;
 };
 
 /* Index of a service that no worker belongs to. */
@@ -107,6 +114,9 @@
     struct team_plan *teams;
     size_t team_count;
     size_t team_cap;
+    struct team_release *team_releases; /* of all assigned tasks */
+    size_t team_release_count;
+    size_t team_release_cap;
 };
 
 /* Defined in plan.c. */
@@ -129,8 +139,8 @@
 int
 candidate_compare(const void *a, const void *b);
 
-/* Fills the expected releases of all views, once per round. Only reservations
- * need them, so that most rounds save the walk over all tasks. */
+/* Fills the expected releases of all views and teams, once per round. Only
+ * reservations need them, so that most rounds save the walk over all tasks. */
 void
 round_collect_releases(struct plan_round *r);
 
@@ -233,10 +243,32 @@
 int64_t
 reserve_gang(struct plan_round *r, const struct candidate *c);
 
+/* Returns when the gang's reservation begins if the gang is expected to fit at
+ * fit_ns, and keeps the time at which it ends. */
+int64_t
+reservation_start_ns(struct plan_round *r, struct flow_step *step,
+                     int64_t fit_ns);
+
 /* Has the step reserve anew when it next waits, after its gang was placed. */
 void
 forget_reservation(struct flow_step *step);
 
+/* Defined in team_limit.c. */
+
+/* Returns the round's data on the team. The pointer is valid until another
+ * team is looked up. */
+struct team_plan *
+team_plan_find(struct plan_round *r, const struct flow_team *team);
+
+/* Reports whether the limit of its team admits another task of the candidate
+ * now. */
+bool
+team_limit_allows(struct plan_round *r, const struct candidate *c);
+
+/* Reserves the size of a gang that the limit of its team keeps out. */
+void
+reserve_team_limit(struct plan_round *r, const struct candidate *c);
+
 /* Defined in displace.c. */
 
 /* Counts the workers with best-effort tasks and marks the views of those that
--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -181,9 +181,7 @@
     }
 }
 
-/* Returns when the gang's reservation begins if the gang is expected to fit at
- * fit_ns, and keeps the time at which it ends. */
-static int64_t
+int64_t
 reservation_start_ns(struct plan_round *r, struct flow_step *step,
                      int64_t fit_ns)
 {
