A job is held up for gangs for 2 s at most while half of the fleet is free

Cause: reservations of workers and of a team's limit, and headroom, last as long as the gang is expected to wait; nothing bounded the wait of others.

After 2 s under low load they do not bind such a job any more.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -16,6 +16,9 @@
     OVERDUE_PERCENT = 30,
     /* Interval of the rounds while a worker warms up. */
     WARMING_STEP_MS = 500,
+    /* How long what is kept for gangs holds up a job of which nothing runs,
+     * while its team and the service use less than half of what they may. */
+    HELD_UP_MAX_MS = 2000,
 };
 
 /* Returns the estimated time of the longest path that begins with the step.
@@ -76,6 +79,47 @@
     return false;
 }
 
+static bool
+is_under_half(uint64_t used, uint64_t limit)
+{
+    return limit == 0 || used < limit - limit / 2;
+}
+
+/* Reports whether the team and the service use less than half of what they
+ * may. */
+static bool
+is_load_low(const struct plan_round *r, const struct candidate *c)
+{
+    const struct flow_team *team = c->job->team;
+    struct flow_size all;
+    struct flow_size used;
+
+    if (c->service == SERVICE_NONE) {
+        return false;
+    }
+    all = r->headroom[c->service].capacity;
+    used = size_subtract(all, r->headroom[c->service].free);
+    return is_under_half(used.cpu_milli, all.cpu_milli) &&
+           is_under_half(used.memory_mib, all.memory_mib) &&
+           is_under_half(used.accelerators, all.accelerators) &&
+           is_under_half(team->used.cpu_milli, team->limit.cpu_milli) &&
+           is_under_half(team->used.memory_mib, team->limit.memory_mib) &&
+           is_under_half(team->used.accelerators, team->limit.accelerators);
+}
+
+/* Returns when the candidate has been held up for long enough; INT64_MAX: it
+ * may be for longer. Gangs that keep others waiting on a half empty fleet need
+ * so much that they may wait for long. */
+static int64_t
+presses_at_ns(const struct plan_round *r, const struct candidate *c)
+{
+    if ((c->job->assigned > 0 && !c->step->spec->endless) ||
+        !is_load_low(r, c)) {
+        return INT64_MAX;
+    }
+    return c->step->waits_since_ns + HELD_UP_MAX_MS * NS_PER_MS;
+}
+
 static void
 add_candidate(struct plan_round *r, struct flow_job *j, size_t occurrence,
               size_t step, const int64_t *path_ms, int64_t objective_ms)
@@ -104,6 +148,11 @@
     c->lateness = urgency_of(&times, r->now_ns);
     c->yields = urgency_yields(&times, r->now_ns);
     c->urgency_changes_ns = urgency_next_change_ns(&times, r->now_ns);
+    if (c->step->waits_since_ns == 0) {
+        c->step->waits_since_ns = r->now_ns;
+    }
+    c->presses_at_ns = presses_at_ns(r, c);
+    c->pressing = r->now_ns >= c->presses_at_ns;
     c->class = urgency_class(c->lateness, c->priority);
     c->order = r->candidate_count++;
 }
--- a/packages/flow/include/flow.h
+++ b/packages/flow/include/flow.h
@@ -163,7 +163,9 @@
      * not. */
     int64_t reserved_since_ns;
     int64_t reservation_end_ns; /* leader only */
-    bool reservation_lapsed;    /* leader only: one ended without a start */
+    /* Leader only: since when it has had tasks to start; 0: it has none. */
+    int64_t waits_since_ns;
+    bool reservation_lapsed; /* leader only: one ended without a start */
     uint8_t wait_reason; /* leader only: last reported enum plan_wait_reason */
     int64_t wait_reported_ns; /* leader only: time of that report in ns */
 };
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -127,8 +127,9 @@
             !size_fits(size, view_available(option->view)) ||
             (tasks_max != 0 && option->placed >= tasks_max) ||
             (rack.len > 0 && !str_eq(option->view->worker->rack, rack)) ||
-            !view_reservation_allows(option->view, size, c->priority,
-                                     option->ends_ns)) {
+            (!c->pressing &&
+             !view_reservation_allows(option->view, size, c->priority,
+                                      option->ends_ns))) {
             continue;
         }
         this_cost = placement_cost(option, t);
@@ -203,7 +204,7 @@
 static bool
 has_headroom(const struct plan_round *r, const struct candidate *c)
 {
-    return !c->yields || c->service == SERVICE_NONE ||
+    return !c->yields || c->pressing || c->service == SERVICE_NONE ||
            headroom_allows(&r->headroom[c->service], c->priority, c->demand);
 }
 
@@ -217,6 +218,7 @@
 
     if (c->step->spec->gang && c->lateness == URGENCY_IN_TIME &&
         c->service != SERVICE_NONE && c->step->spec->label[0] == '\0') {
+        r->kept_for_gangs = true;
         headroom_claim(&r->headroom[c->service], c->priority,
                        (struct flow_size){size.cpu_milli * count,
                                           size.memory_mib * count,
@@ -381,6 +383,9 @@
     else {
         missing = place_gang(r, c, &team_limited);
     }
+    if (missing == 0 && !team_limited) {
+        c->step->waits_since_ns = 0;
+    }
     reason = find_wait_reason(r, c, team_limited, missing);
     if (c->step->spec->gang) {
         if (missing > 0 && !team_limited) {
@@ -440,6 +445,9 @@
     if (c->step->spec->gang || !has_headroom(r, c)) {
         round_reconsider_at(r, c->urgency_changes_ns);
     }
+    if (r->kept_for_gangs && c->step->waits_since_ns != 0 && !c->pressing) {
+        round_reconsider_at(r, c->presses_at_ns);
+    }
     if (a != NULL && a->pending_until_ns > r->now_ns) {
         round_reconsider_at(r, a->pending_until_ns);
     }
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -21,13 +21,15 @@
     size_t occurrence; /* index in job->occurrences */
     struct flow_step *step;
     enum urgency lateness;
-    bool yields;             /* leaves room to gangs of more urgent queues */
-    uint32_t priority;       /* of the queue; 0 is the most urgent */
-    uint32_t service;        /* index of the queue's service in the round */
-    struct flow_size size;   /* of a task */
-    struct flow_size demand; /* the part that uses a worker's capacity */
-    uint32_t class;          /* first sort key, the lowest first */
-    int64_t latest_start_ns; /* a later start misses the objective */
+    bool yields;   /* leaves room to gangs of more urgent queues */
+    bool pressing; /* nothing that is kept for gangs holds it up any more */
+    uint32_t priority;          /* of the queue; 0 is the most urgent */
+    uint32_t service;           /* index of the queue's service in the round */
+    struct flow_size size;      /* of a task */
+    struct flow_size demand;    /* the part that uses a worker's capacity */
+    uint32_t class;             /* first sort key, the lowest first */
+    int64_t latest_start_ns;    /* a later start misses the objective */
+    int64_t presses_at_ns;      /* when it is pressing; INT64_MAX: never */
     int64_t urgency_changes_ns; /* see urgency_next_change_ns() */
     uint64_t order;             /* order of collection, breaks ties */
 };
@@ -105,6 +107,7 @@
     int64_t *path_ms; /* scratch space for the critical paths of one job */
     size_t path_cap;
     size_t reservations; /* gangs that have reserved workers */
+    bool kept_for_gangs; /* workers, a part of a team's limit, or headroom */
     bool releases_collected;
     size_t best_effort_workers; /* with best-effort tasks at the start */
     bool best_effort_collected;
--- a/packages/flow/reserve.c
+++ b/packages/flow/reserve.c
@@ -236,6 +236,7 @@
     mem_free(gains.list);
     if (at_ns != INT64_MAX) {
         r->reservations++;
+        r->kept_for_gangs = true;
         reserve_views(r, c, reservation_start_ns(r, c->step, at_ns));
     }
     return at_ns;
--- a/packages/flow/team_limit.c
+++ b/packages/flow/team_limit.c
@@ -63,7 +63,8 @@
         r->now_ns + (int64_t)(plan_run_ms(c->job, c->step, 1) * NS_PER_MS);
 
     return is_size_within_limit(team, used) &&
-           (p->reserved_from_ns == 0 || ends_ns <= p->reserved_from_ns ||
+           (c->pressing || p->reserved_from_ns == 0 ||
+            ends_ns <= p->reserved_from_ns ||
             is_size_within_limit(team, size_add(used, p->reserved)));
 }
 
@@ -128,6 +129,7 @@
     }
     start_ns = reservation_start_ns(r, c->step, fit_ns);
     p = team_plan_find(r, c->job->team);
+    r->kept_for_gangs = true;
     p->reserved = size_add(p->reserved, whole);
     if (p->reserved_from_ns == 0 || start_ns < p->reserved_from_ns) {
         p->reserved_from_ns = start_ns;
--- a/tests/test_flow_progress.c
+++ b/tests/test_flow_progress.c
@@ -621,11 +621,46 @@
     play_seeds(FEATURE_REFUSALS);
 }
 
+/* Guards against a gang that reserves workers for good (review/9). */
+static void
+reservations(void)
+{
+    play_seeds(FEATURE_GANGS | FEATURE_OVERRUNS);
+}
+
+/* Guards against a gang that keeps its team's other jobs waiting although its
+ * team never leaves it enough of the limit (review/15). */
+static void
+team_limits(void)
+{
+    play_seeds(FEATURE_GANGS | FEATURE_LIMITS | FEATURE_ENDLESS);
+}
+
+/* Guards against the same faults together. */
+static void
+all_but_targets(void)
+{
+    play_seeds(FEATURE_GANGS | FEATURE_LIMITS | FEATURE_ENDLESS |
+               FEATURE_REFUSALS | FEATURE_OVERRUNS);
+}
+
+/* Guards against best-effort tasks that wait while each worker has a task with
+ * a target (review/14). */
+static void
+targets(void)
+{
+    play_seeds(FEATURE_ENDLESS | FEATURE_TARGETS);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
     g_test_add_func("/flow-progress/refusals", refusals);
+    g_test_add_func("/flow-progress/reservations", reservations);
+    g_test_add_func("/flow-progress/team-limits", team_limits);
+    g_test_add_func("/flow-progress/all-but-targets", all_but_targets);
+    g_test_add_func("/flow-progress/targets", targets);
     return g_test_run();
 }
