Many long checkpoints fit through the path from worker to log

Found by the case /e2e/platform/many-long-checkpoints: 400 tasks with checkpoints of 64 KiB are interrupted on one worker, and none starts again.

Behind it, by reading: calls, answers and batches of the log that are queued together may exceed a message between VMs (16 MiB), which is then not sent.

An answer may have 64 MiB, twice what 500 ends with the longest checkpoints need; calls, answers and batches are sent once 4 MiB are queued.

--- a/packages/node/leader.c
+++ b/packages/node/leader.c
@@ -50,6 +50,7 @@
         mem_free(l->commands[i].data);
     }
     l->command_count = 0;
+    l->command_bytes = 0;
 }
 
 void
@@ -97,6 +98,7 @@
     p->len = flow__command__get_packed_size(command);
     p->data = mem_alloc(p->len + 1);
     flow__command__pack(command, p->data);
+    l->command_bytes += p->len;
 }
 
 struct leader_batch *
@@ -191,6 +193,19 @@
     l->last = b;
 }
 
+void
+leader_propose_if_long(struct leader *l)
+{
+    enum {
+        /* A quarter of the longest message between VMs. */
+        BATCH_BYTES = PEER_PAYLOAD_MAX / 4,
+    };
+
+    if (l->command_bytes > BATCH_BYTES) {
+        propose_batch(l);
+    }
+}
+
 /* Queues a command for each scheduled job whose next occurrence is due. */
 static void
 queue_due_occurrences(struct leader *l)
--- a/packages/node/leader.h
+++ b/packages/node/leader.h
@@ -52,6 +52,7 @@
     struct packed_command *commands; /* queued for the next batch */
     size_t command_count;
     size_t command_cap;
+    size_t command_bytes;            /* of all queued commands */
     struct leader_batch *open_batch; /* of the queued commands; may be NULL */
     struct leader_batch *first; /* batches being committed, in log order */
     struct leader_batch *last;
@@ -75,6 +76,11 @@
 void
 leader_queue_command(struct leader *l, const Flow__Command *command);
 
+/* Proposes the queued commands if they are so long that more of them might not
+ * fit into a message between VMs. */
+void
+leader_propose_if_long(struct leader *l);
+
 /* Returns the batch for the queued commands, creating it if needed. */
 struct leader_batch *
 leader_open_batch(struct leader *l);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -32,6 +32,8 @@
     DRAIN_ACCEPT_MS = 2200,
     DRAIN_STEP_MS = 20, /* longest pause between calls of drain_step() */
     BODY_MAX_BYTES = 1 << 20,
+    /* An answer of a worker may hold 500 ends, each with a checkpoint. */
+    ANSWER_MAX_BYTES = 64 << 20,
 };
 
 static struct event_kind event_process = {.name = "process"};
@@ -100,6 +102,7 @@
     n->upstream_ring = ring_create(CALL_RING_SIZE);
     upstream_config_default(&config);
     config.threads = 1;
+    config.max_response = ANSWER_MAX_BYTES;
     n->upstream = upstream_create(&config, n->upstream_ring);
     return n->upstream != NULL && epoll_add(n, ring_fd(n->call_ring)) &&
            epoll_add(n, ring_fd(n->probe_ring)) &&
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -20,6 +20,9 @@
     /* How long a relay is not chosen after an unanswered call: it may be
      * suspended or partitioned from its workers. */
     AVOID_MS = 3000,
+    /* Calls or answers that are queued for one message: a quarter of the
+     * longest that is allowed, as each may hold checkpoints. */
+    QUEUE_BYTES_MAX = PEER_PAYLOAD_MAX / 4,
 };
 
 struct relay {
@@ -110,6 +113,30 @@
     }
 }
 
+static void
+send_calls(struct link *l)
+{
+    Node__Envelope envelope = NODE__ENVELOPE__INIT;
+
+    envelope.msg_case = NODE__ENVELOPE__MSG_WORKER_CALLS;
+    envelope.worker_calls.data = (uint8_t *)l->worker_calls.ptr;
+    envelope.worker_calls.len = l->worker_calls.len;
+    link_send(l, &envelope);
+    l->worker_calls.len = 0;
+}
+
+static void
+send_answers(struct link *l)
+{
+    Node__Envelope envelope = NODE__ENVELOPE__INIT;
+
+    envelope.msg_case = NODE__ENVELOPE__MSG_WORKER_ANSWERS;
+    envelope.worker_answers.data = (uint8_t *)l->worker_answers.ptr;
+    envelope.worker_answers.len = l->worker_answers.len;
+    link_send(l, &envelope);
+    l->worker_answers.len = 0;
+}
+
 void
 relay_send(struct node *n, struct out_call *call, struct link *via,
            int64_t deadline)
@@ -135,6 +162,9 @@
     node__worker_calls__pack(&list,
                              (uint8_t *)buf_reserve(&via->worker_calls, len));
     via->worker_calls.len += len;
+    if (via->worker_calls.len > QUEUE_BYTES_MAX) {
+        send_calls(via);
+    }
     map_put_u64(r->calls, call->id, call);
 }
 
@@ -263,21 +293,11 @@
     }
     cursor = NULL;
     while ((l = map_next(n->links, &cursor)) != NULL) {
-        Node__Envelope envelope = NODE__ENVELOPE__INIT;
-
         if (l->worker_calls.len > 0) {
-            envelope.msg_case = NODE__ENVELOPE__MSG_WORKER_CALLS;
-            envelope.worker_calls.data = (uint8_t *)l->worker_calls.ptr;
-            envelope.worker_calls.len = l->worker_calls.len;
-            link_send(l, &envelope);
-            l->worker_calls.len = 0;
+            send_calls(l);
         }
         if (l->worker_answers.len > 0) {
-            envelope.msg_case = NODE__ENVELOPE__MSG_WORKER_ANSWERS;
-            envelope.worker_answers.data = (uint8_t *)l->worker_answers.ptr;
-            envelope.worker_answers.len = l->worker_answers.len;
-            link_send(l, &envelope);
-            l->worker_answers.len = 0;
+            send_answers(l);
         }
     }
 }
@@ -385,6 +405,9 @@
     node__worker_answers__pack(
         &list, (uint8_t *)buf_reserve(&l->worker_answers, len));
     l->worker_answers.len += len;
+    if (l->worker_answers.len > QUEUE_BYTES_MAX) {
+        send_answers(l);
+    }
 }
 
 /* The arrays that a Node__WorkerAnswer points to while it is encoded. */
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -347,6 +347,8 @@
     uint64_t highest = last_seen;
     bool held = false;
 
+    leader_propose_if_long(l);
+
     for (size_t i = 0; i < result->ended_count && !held; i++) {
         const struct node_ended_run *e = &result->ended[i];
 
--- a/tests/test_e2e_worker_life.c
+++ b/tests/test_e2e_worker_life.c
@@ -496,6 +496,37 @@
     platform_close(&r);
 }
 
+/* Guards against tasks that never return because the ends of workers, with
+ * their checkpoints, exceed a message between VMs. */
+static void
+many_long_checkpoints(void)
+{
+    enum {
+        TASKS = 400, /* their checkpoints have 25 MiB */
+    };
+    struct platform_rig r;
+    char *body = g_strdup_printf(
+        "{\"taskSpec\":\"run_ms=60000 cpu=2 ticket=0 checkpoint=%d\","
+        "\"steps\":[{\"count\":%d,\"cpu\":2,\"memoryRequestMb\":1,"
+        "\"estimatedMs\":60000,\"checkpointing\":true,"
+        "\"requirements\":\"b\"}]}",
+        CHECKPOINT_MAX, TASKS);
+    int starts;
+
+    open_rig(&r);
+    restart_worker(&r, 0, "false");
+    starts = platform_fault_count(&r, "starts");
+    platform_submit_body(&r, LATE_JOB, body);
+    platform_await_fault_count(&r, "starts", starts + TASKS);
+    await_started(&r, LATE_JOB);
+    platform_fault(&r, "finish", "{\"worker\":0,\"interrupted\":true}");
+    platform_await_fault_count(&r, "resumed", TASKS);
+    platform_fault(&r, "finish", "{\"worker\":0}");
+    platform_await_completed(&r, LATE_JOB);
+    platform_close(&r);
+    g_free(body);
+}
+
 /* Guards against a worker whose other ends are not taken note of beside ends
  * that cannot be read. */
 static void
@@ -569,6 +600,8 @@
     g_test_add_func("/e2e/platform/cancelled-with-long-checkpoints",
                     cancelled_with_long_checkpoints);
     g_test_add_func("/e2e/platform/largest-checkpoint", largest_checkpoint);
+    g_test_add_func("/e2e/platform/many-long-checkpoints",
+                    many_long_checkpoints);
     g_test_add_func("/e2e/platform/unreadable-ends", unreadable_ends);
     g_test_add_func("/e2e/platform/unreadable-run", unreadable_run);
     return g_test_run();
