A planning round computes the times of a step only if it needs them

Cause: when the urgency of a step changes, and when it is held up no more, was computed for each step in each round.

The outcome of a round is the same; /flow-progress passes as before.

--- a/packages/flow/candidates.c
+++ b/packages/flow/candidates.c
@@ -107,14 +107,12 @@
            is_under_half(team->used.accelerators, team->limit.accelerators);
 }
 
-/* Returns when the candidate has been held up for long enough; INT64_MAX: it
- * may be for longer. Gangs that keep others waiting on a half empty fleet need
- * so much that they may wait for long. */
-static int64_t
-presses_at_ns(const struct plan_round *r, const struct candidate *c)
+/* Gangs that keep others waiting on a half empty fleet need so much that they
+ * may wait for long. */
+int64_t
+presses_at_ns(const struct candidate *c)
 {
-    if ((c->job->assigned > 0 && !c->step->spec->endless) ||
-        !is_load_low(r, c)) {
+    if (c->job->assigned > 0 && !c->step->spec->endless) {
         return INT64_MAX;
     }
     return c->step->waits_since_ns + HELD_UP_MAX_MS * NS_PER_MS;
@@ -147,12 +145,11 @@
     c->latest_start_ns = times.latest_start_ns;
     c->lateness = urgency_of(&times, r->now_ns);
     c->yields = urgency_yields(&times, r->now_ns);
-    c->urgency_changes_ns = urgency_next_change_ns(&times, r->now_ns);
+    c->objective_ns = times.objective_ns;
     if (c->step->waits_since_ns == 0) {
         c->step->waits_since_ns = r->now_ns;
     }
-    c->presses_at_ns = presses_at_ns(r, c);
-    c->pressing = r->now_ns >= c->presses_at_ns;
+    c->pressing = r->now_ns >= presses_at_ns(c) && is_load_low(r, c);
     c->class = urgency_class(c->lateness, c->priority);
     c->order = r->candidate_count++;
 }
--- a/packages/flow/plan.c
+++ b/packages/flow/plan.c
@@ -442,11 +442,17 @@
 {
     const struct flow_approval *a = c->step->approval;
 
-    if (c->step->spec->gang || !has_headroom(r, c)) {
-        round_reconsider_at(r, c->urgency_changes_ns);
+    if (c->step->spec->gang || (r->kept_for_gangs && !has_headroom(r, c))) {
+        const struct urgency_times times = {.arrived_ns = c->job->arrived_ns,
+                                            .latest_start_ns =
+                                                c->latest_start_ns,
+                                            .objective_ns = c->objective_ns};
+
+        round_reconsider_at(r, urgency_next_change_ns(&times, r->now_ns));
     }
-    if (r->kept_for_gangs && c->step->waits_since_ns != 0 && !c->pressing) {
-        round_reconsider_at(r, c->presses_at_ns);
+    if (r->kept_for_gangs && c->step->waits_since_ns != 0 &&
+        presses_at_ns(c) > r->now_ns) {
+        round_reconsider_at(r, presses_at_ns(c));
     }
     if (a != NULL && a->pending_until_ns > r->now_ns) {
         round_reconsider_at(r, a->pending_until_ns);
--- a/packages/flow/plan_impl.h
+++ b/packages/flow/plan_impl.h
@@ -23,15 +23,14 @@
     enum urgency lateness;
     bool yields;   /* leaves room to gangs of more urgent queues */
     bool pressing; /* nothing that is kept for gangs holds it up any more */
-    uint32_t priority;          /* of the queue; 0 is the most urgent */
-    uint32_t service;           /* index of the queue's service in the round */
-    struct flow_size size;      /* of a task */
-    struct flow_size demand;    /* the part that uses a worker's capacity */
-    uint32_t class;             /* first sort key, the lowest first */
-    int64_t latest_start_ns;    /* a later start misses the objective */
-    int64_t presses_at_ns;      /* when it is pressing; INT64_MAX: never */
-    int64_t urgency_changes_ns; /* see urgency_next_change_ns() */
-    uint64_t order;             /* order of collection, breaks ties */
+    uint32_t priority;       /* of the queue; 0 is the most urgent */
+    uint32_t service;        /* index of the queue's service in the round */
+    struct flow_size size;   /* of a task */
+    struct flow_size demand; /* the part that uses a worker's capacity */
+    uint32_t class;          /* first sort key, the lowest first */
+    int64_t latest_start_ns; /* a later start misses the objective */
+    int64_t objective_ns;    /* of the job, from its arrival */
+    uint64_t order;          /* order of collection, breaks ties */
 };
 
 /* Resources that become free at the expected end of a running task. */
@@ -142,6 +141,11 @@
 int
 candidate_compare(const void *a, const void *b);
 
+/* Returns when what is kept for gangs holds the candidate up no more if the
+ * load is low by then; INT64_MAX: never. */
+int64_t
+presses_at_ns(const struct candidate *c);
+
 /* Fills the expected releases of all views and teams, once per round. Only
  * reservations need them, so that most rounds save the walk over all tasks. */
 void
