A worker that lists ends that cannot be read gets no tasks meanwhile

Cause: kept tasks off a worker only for unreadable running tasks. By the protocol an entry of another writer names no worker to use.

Now neither list may hold an unreadable entry.

--- a/packages/node/session.h
+++ b/packages/node/session.h
@@ -97,11 +97,11 @@
     uint64_t proposed_end_number;  /* of the last end proposed */
     uint32_t consecutive_failures; /* of runs of different jobs */
     uint64_t failed_job;           /* job of the last of them */
-    bool adopting;           /* runs of a previous leader are to be added */
-    bool polling;            /* a poll is open */
-    bool poll_failing;       /* set by a failed poll until an answer */
-    bool poll_answered;      /* a poll with the token was answered */
-    bool running_unreadable; /* the last answer listed such entries */
+    bool adopting;         /* runs of a previous leader are to be added */
+    bool polling;          /* a poll is open */
+    bool poll_failing;     /* set by a failed poll until an answer */
+    bool poll_answered;    /* a poll with the token was answered */
+    bool lists_unreadable; /* the last answer had such entries */
     bool deregistered;
     /* When a process that has deregistered has exited. */
     int64_t exit_due_at;
--- a/packages/node/worker_polls.c
+++ b/packages/node/worker_polls.c
@@ -461,7 +461,8 @@
     bool hidden = result->running_unreadable > 0 ||
                   (result->ended_unreadable > 0 && map_count(s->runs) > 0);
 
-    s->running_unreadable = result->running_unreadable > 0;
+    s->lists_unreadable =
+        result->running_unreadable > 0 || result->ended_unreadable > 0;
     if (!hidden || ends_to_acknowledge || lists_own_run(s, result)) {
         s->unreadable_until = 0;
         return true;
--- a/packages/node/workers.c
+++ b/packages/node/workers.c
@@ -630,7 +630,7 @@
         session_poll(l, s, w);
     }
     if (!s->poll_answered || s->deregistered || s->settling ||
-        s->stray_runs > 0 || s->running_unreadable) {
+        s->stray_runs > 0 || s->lists_unreadable) {
         s->plan.usable = false;
         return;
     }
